--- /dev/null
+++ b/packages/core/src/claims/agent_claims.ts
@@ -0,0 +1,73 @@
+import { LRUCache } from "lru-cache";
+
+const KEPT_MILLISECONDS = 24 * 3_600_000;
+const MOST_KEPT = 200_000;
+
+type Known = { claimIndex: number; requestId: string; tombstoned: boolean };
+
+type Verdict =
+  | { kind: "run" }
+  | { kind: "attach"; requestId: string }
+  | { kind: "refuse"; outcome: "not-run" | "unknown"; reason: string };
+
+/**
+ * What one agent process knows of claims. A key runs once per process; a
+ * claim for another process, or one declared dead here, never runs.
+ */
+export class AgentClaims {
+  #incarnation: string;
+  #known = new LRUCache<string, Known>({
+    max: MOST_KEPT,
+    ttl: KEPT_MILLISECONDS,
+  });
+
+  constructor(incarnation: string) {
+    this.#incarnation = incarnation;
+  }
+
+  /** Decides about a call that arrived under a claim. */
+  admit(
+    claim: {
+      key: string;
+      claimIndex: number;
+      incarnation: string;
+      requestId: string;
+    },
+  ): Verdict {
+    // The claim was for a process that may have run it before it died.
+    if (claim.incarnation !== this.#incarnation) {
+      return { kind: "refuse", outcome: "unknown", reason: "agent-restarted" };
+    }
+    const known = this.#known.get(claim.key);
+    if (known === undefined || known.claimIndex < claim.claimIndex) {
+      this.#known.set(claim.key, { ...claim, tombstoned: false });
+      return { kind: "run" };
+    }
+    if (known.claimIndex > claim.claimIndex || known.tombstoned) {
+      return { kind: "refuse", outcome: "not-run", reason: "claim-withdrawn" };
+    }
+    return { kind: "attach", requestId: known.requestId };
+  }
+
+  /** Whether the claim, or a later one of its key, was seen here. */
+  has(key: string, claimIndex: number): boolean {
+    return (this.#known.get(key)?.claimIndex ?? -1) >= claimIndex;
+  }
+
+  /**
+   * Withdraws a claim that has not arrived, so that it never will run here.
+   * Gives back the request that runs it if it has arrived.
+   */
+  settle(key: string, claimIndex: number): string | undefined {
+    const known = this.#known.get(key);
+    const arrived = known !== undefined && known.claimIndex >= claimIndex;
+    if (arrived) return known.tombstoned ? undefined : known.requestId;
+    this.#known.set(key, { claimIndex, requestId: "", tombstoned: true });
+    return undefined;
+  }
+
+  /** A call that was admitted surely did not run and never will. */
+  withdraw(key: string, claimIndex: number): void {
+    this.#known.set(key, { claimIndex, requestId: "", tombstoned: true });
+  }
+}
--- /dev/null
+++ b/packages/core/src/claims/apply_claim.ts
@@ -0,0 +1,53 @@
+import type { ChangeAnswer } from "../state/change_answer.ts";
+import type { CommandOf } from "../state/command_of.ts";
+import type { ControlState } from "../state/control_state.ts";
+import { claimId } from "./claim_id.ts";
+import type { ClaimRow } from "./claim_row.ts";
+
+const RETENTION_MILLISECONDS = 24 * 3_600_000;
+const EXPIRED_PER_CLAIM = 4;
+
+/** Drops a few of the oldest claims, by the leader's clock in the log. */
+function expireClaims(claims: Map<string, ClaimRow>, now: number): void {
+  let looked = 0;
+  for (const [id, row] of claims) {
+    if (looked >= EXPIRED_PER_CLAIM) return;
+    if (now - row.at < RETENTION_MILLISECONDS) return;
+    claims.delete(id);
+    looked += 1;
+  }
+}
+
+/**
+ * Gives a call that may not be repeated to one agent process. A key that
+ * stands already is answered with its row: it never gets a second owner.
+ */
+export function applyClaim(
+  state: ControlState,
+  command: CommandOf<"claim">,
+  index: number,
+): ChangeAnswer {
+  expireClaims(state.claims, command.at);
+  const id = claimId(command);
+  const standing = state.claims.get(id);
+  if (standing !== undefined) {
+    const same = standing.bodyDigest === command.bodyDigest &&
+      standing.service === command.service;
+    return {
+      accepted: false,
+      reason: same ? "claimed-before" : "key-used-for-another-call",
+      value: standing,
+    };
+  }
+  const { kind: _kind, ...fields } = command;
+  const row: ClaimRow = {
+    ...fields,
+    claimIndex: index,
+    state: "claimed",
+    status: 0,
+    contentType: "",
+    answer: "",
+  };
+  state.claims.set(id, row);
+  return { accepted: true, value: row };
+}
--- /dev/null
+++ b/packages/core/src/consensus/peer_progress.ts
@@ -0,0 +1,16 @@
+/** What a leader knows of one member's log. */
+export type PeerProgress = {
+  /** Last index known to be equal and synced there. */
+  matchIndex: number;
+  /** Latest round sent when `matchIndex` was confirmed. */
+  matchRound: number;
+  nextIndex: number;
+  /** Largest round answered. */
+  answeredRound: number;
+  /** When it last answered, milliseconds; -Infinity for never. */
+  heardAt: number;
+  /** Until when a snapshot under way is left alone, milliseconds. */
+  snapshotUntil: number;
+  /** Its log went back behind what it had confirmed: no longer trusted. */
+  regressed: boolean;
+};
--- /dev/null
+++ b/packages/core/src/consensus/raft_schedules_test.ts
@@ -0,0 +1,389 @@
+import { create } from "@bufbuild/protobuf";
+import {
+  type HardState,
+  HardStateSchema,
+  type LogEntry,
+  type Member as MemberInit,
+  MemberSchema,
+  type Membership,
+  MembershipSchema,
+  type PeerMessage,
+  type SnapshotData,
+  SnapshotDataSchema,
+} from "@teaselrouter/messages/control.ts";
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import process from "node:process";
+import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
+import { RaftNode } from "./raft_node.ts";
+import type { RaftOutput } from "./raft_output.ts";
+
+const SCHEDULES = Number(process.env["SCHEDULES"] ?? 2_000);
+const FIRST_SEED = 1;
+const STEPS = 260;
+const HEALING_STEPS = 700;
+const STEP_MILLISECONDS = 10;
+const ELECTION_MILLISECONDS = 100;
+const HEARTBEAT_MILLISECONDS = 30;
+
+type Disk = {
+  hardState: HardState;
+  snapshot: SnapshotData;
+  entries: LogEntry[];
+};
+
+type Member = {
+  id: string;
+  disk: Disk;
+  node: RaftNode | undefined;
+  /** A batch whose sync is under way. */
+  writing: { output: RaftOutput; doneAt: number } | undefined;
+  applied: Map<number, string>;
+  appliedIndex: number;
+  frozenUntil: number;
+};
+
+type Flying = { message: PeerMessage; at: number };
+
+function newMember(id: string, membership: Membership): Member {
+  return {
+    id,
+    disk: {
+      hardState: create(HardStateSchema),
+      snapshot: create(SnapshotDataSchema, { membership }),
+      entries: [],
+    },
+    node: undefined,
+    writing: undefined,
+    applied: new Map(),
+    appliedIndex: 0,
+    frozenUntil: 0,
+  };
+}
+
+function write(disk: Disk, output: RaftOutput): void {
+  if (output.hardState !== undefined) disk.hardState = output.hardState;
+  if (output.snapshot !== undefined) {
+    disk.snapshot = output.snapshot;
+    disk.entries = [];
+  }
+  const cut = output.truncateFrom ?? output.entries[0]?.index;
+  if (cut !== undefined) {
+    disk.entries = disk.entries.filter((entry) => entry.index < cut);
+  }
+  disk.entries.push(...output.entries);
+}
+
+/** Members, their disks and the network of one seeded schedule. */
+class Schedule {
+  readonly members = new Map<string, Member>();
+  /** The naive twin: one copy of the log, written as entries are chosen. */
+  readonly chosen = new Map<number, string>();
+  readonly acknowledged = new Map<number, string>();
+  #flying: Flying[] = [];
+  #cuts = new Set<string>();
+  #leaders = new Map<number, string>();
+  #proposed = new Map<number, { id: string; term: number; text: string }[]>();
+  #count = 0;
+  #repaired = 0;
+  #repair: { lost: string; joining: string } | undefined;
+  #now = 0;
+  #random: () => number;
+
+  constructor(seed: number) {
+    const generator = xoroshiro128plus(seed);
+    this.#random = () => (generator.next() >>> 0) / 2 ** 32;
+    const size = this.#random() < 0.7 ? 3 : 5;
+    const members = Array.from({ length: size }, (_, index) => ({
+      id: `member-${index}`,
+      name: `member-${index}`,
+    }));
+    const membership = create(MembershipSchema, { members });
+    for (const { id } of members) {
+      this.members.set(id, newMember(id, membership));
+    }
+    for (const member of this.members.values()) this.#start(member);
+  }
+
+  run(): void {
+    for (let step = 0; step < STEPS; step += 1) {
+      this.#disturb();
+      this.#step();
+    }
+    this.#heal();
+    for (let step = 0; step < HEALING_STEPS; step += 1) {
+      this.#step();
+      if (step > 60 && this.#isCaughtUp()) return;
+    }
+    assert.ok(this.#isCaughtUp(), "the group did not catch up after healing");
+  }
+
+  #disturb(): void {
+    const chance = this.#random();
+    const member = this.#anyMember();
+    if (chance < 0.25) this.#propose();
+    else if (chance < 0.29) {
+      this.#crash(this.#random() < 0.4 ? this.#leader() ?? member : member);
+    } else if (chance < 0.34 && member.node === undefined) this.#start(member);
+    else if (chance < 0.37) this.#cut();
+    else if (chance < 0.40) this.#cuts.clear();
+    else if (chance < 0.41) member.frozenUntil = this.#now + 250;
+    else if (chance < 0.43) this.#compact(member);
+    else if (chance < 0.44) member.node?.transferLeadership(this.#now);
+    else if (chance < 0.455) this.#loseDisk();
+    else if (chance < 0.5) this.#continueRepair();
+  }
+
+  #step(): void {
+    this.#now += STEP_MILLISECONDS;
+    const due = this.#flying.filter(({ at }) => at <= this.#now);
+    this.#flying = this.#flying.filter(({ at }) => at > this.#now);
+    for (const { message } of due) this.#deliver(message);
+    for (const member of this.members.values()) this.#run(member);
+  }
+
+  #run(member: Member): void {
+    const { node } = member;
+    if (node === undefined || member.frozenUntil > this.#now) return;
+    node.tick(this.#now);
+    this.#finishWriting(member);
+    if (member.writing === undefined) this.#take(member);
+    if (node.isLeading(this.#now)) this.#noteLeader(node);
+  }
+
+  #take(member: Member): void {
+    const output = member.node!.takeOutput();
+    for (const message of output.immediate) this.#send(message);
+    if (output.snapshot !== undefined) this.#install(member, output.snapshot);
+    for (const entry of output.committed) this.#apply(member, entry);
+    const slow = this.#random() < 0.3 ? 6 : 0;
+    member.writing = {
+      output,
+      doneAt: this.#now + slow * STEP_MILLISECONDS,
+    };
+    this.#finishWriting(member);
+  }
+
+  #finishWriting(member: Member): void {
+    const { writing, node } = member;
+    if (writing === undefined || writing.doneAt > this.#now) return;
+    member.writing = undefined;
+    const { output } = writing;
+    write(member.disk, output);
+    const last = output.entries.at(-1);
+    if (last !== undefined) node!.markSynced(last.index, last.term);
+    for (const message of output.afterSync) this.#send(message);
+  }
+
+  #install(member: Member, snapshot: SnapshotData): void {
+    const texts = JSON.parse(new TextDecoder().decode(snapshot.state));
+    member.applied = new Map(texts as [number, string][]);
+    member.appliedIndex = snapshot.lastIndex;
+  }
+
+  #apply(member: Member, entry: LogEntry): void {
+    const text = `${entry.kind} ${new TextDecoder().decode(entry.data)}`;
+    const known = this.chosen.get(entry.index);
+    if (known === undefined) this.chosen.set(entry.index, text);
+    else assert.equal(text, known, `two values chosen at ${entry.index}`);
+    assert.equal(entry.index, member.appliedIndex + 1, "applied out of order");
+    member.applied.set(entry.index, text);
+    member.appliedIndex = entry.index;
+    for (const proposal of this.#proposed.get(entry.index) ?? []) {
+      const answered = proposal.id === member.id &&
+        proposal.term === entry.term;
+      if (answered) this.acknowledged.set(entry.index, text);
+    }
+  }
+
+  #propose(): void {
+    const leader = this.#leader();
+    if (leader === undefined) return;
+    const node = leader.node!;
+    this.#count += 1;
+    const text = `command ${this.#count}`;
+    const index = node.propose(new TextEncoder().encode(text), this.#now);
+    if (index.isErr) return;
+    node.flush(this.#now);
+    const list = this.#proposed.get(index.value) ?? [];
+    list.push({ id: leader.id, term: node.term, text });
+    this.#proposed.set(index.value, list);
+  }
+
+  #crash(member: Member): void {
+    member.node = undefined;
+    member.writing = undefined;
+  }
+
+  #start(member: Member): void {
+    const { disk } = member;
+    member.writing = undefined;
+    member.node = new RaftNode({
+      id: member.id,
+      electionMilliseconds: ELECTION_MILLISECONDS,
+      heartbeatMilliseconds: HEARTBEAT_MILLISECONDS,
+      random: this.#random,
+      now: this.#now,
+      hardState: disk.hardState,
+      snapshot: disk.snapshot,
+      entries: [...disk.entries],
+    });
+    const { state, lastIndex } = disk.snapshot;
+    const texts = state.length === 0
+      ? []
+      : JSON.parse(new TextDecoder().decode(state));
+    member.applied = new Map(texts as [number, string][]);
+    member.appliedIndex = lastIndex;
+  }
+
+  #compact(member: Member): void {
+    const { node } = member;
+    if (node === undefined || member.writing !== undefined) return;
+    if (member.appliedIndex < node.firstIndex) return;
+    const state = new TextEncoder().encode(
+      JSON.stringify([...member.applied]),
+    );
+    member.disk.snapshot = node.compact(member.appliedIndex, state);
+    member.disk.entries = member.disk.entries.filter((entry) =>
+      entry.index > member.appliedIndex
+    );
+  }
+
+  /** A voter loses its disk: its id is gone for good, a new one joins. */
+  #loseDisk(): void {
+    const leader = this.#leader();
+    if (leader === undefined || this.#repair !== undefined) return;
+    const voters = leader.node!.membership.members;
+    const lost = voters.find(({ id }) => id !== leader.id);
+    const whole = voters.every(({ id, learner }) =>
+      !learner && this.members.has(id)
+    );
+    if (lost === undefined || !whole || this.#repaired >= 2) return;
+    this.#repaired += 1;
+    this.members.delete(lost.id);
+    const joining = newMember(`${lost.id}+`, create(MembershipSchema));
+    this.members.set(joining.id, joining);
+    this.#start(joining);
+    this.#repair = { lost: lost.id, joining: joining.id };
+  }
+
+  /** The operator's one command: remove, add as learner, then promote. */
+  #continueRepair(): void {
+    const node = this.#leader()?.node;
+    const repair = this.#repair;
+    if (node === undefined || repair === undefined) return;
+    const { members } = node.membership;
+    const joining = members.find(({ id }) => id === repair.joining);
+    if (members.some(({ id }) => id === repair.lost)) {
+      const left = members.filter(({ id }) => id !== repair.lost);
+      this.#changeMembers(node, left);
+    } else if (joining === undefined) {
+      const { joining: id } = repair;
+      this.#changeMembers(node, [
+        ...members,
+        create(MemberSchema, { id, learner: true }),
+      ]);
+    } else if (joining.learner) {
+      if (node.matchIndexOf(repair.joining) < node.commitIndex) return;
+      this.#changeMembers(
+        node,
+        members.map((member) => ({ ...member, learner: false })),
+      );
+    } else if (node.membershipIsCommitted) this.#repair = undefined;
+  }
+
+  #changeMembers(node: RaftNode, members: MemberInit[]): void {
+    const next = create(MembershipSchema, { members });
+    if (node.proposeMembership(next, this.#now).isOk) node.flush(this.#now);
+  }
+
+  #leader(): Member | undefined {
+    return [...this.members.values()].find((member) =>
+      member.frozenUntil <= this.#now && member.node?.isLeading(this.#now)
+    );
+  }
+
+  #cut(): void {
+    const [from, to] = [this.#anyMember().id, this.#anyMember().id];
+    this.#cuts.add(`${from}>${to}`);
+    if (this.#random() < 0.6) this.#cuts.add(`${to}>${from}`);
+  }
+
+  #send(message: PeerMessage): void {
+    if (this.#cuts.has(`${message.from}>${message.to}`)) return;
+    if (this.#random() < 0.05) return;
+    const copies = this.#random() < 0.05 ? 2 : 1;
+    for (let copy = 0; copy < copies; copy += 1) {
+      const delay = 1 + Math.floor(this.#random() * 30);
+      this.#flying.push({ message, at: this.#now + delay });
+    }
+  }
+
+  #deliver(message: PeerMessage): void {
+    const member = this.members.get(message.to);
+    if (member?.node === undefined) return;
+    if (member.frozenUntil > this.#now) {
+      this.#flying.push({ message, at: member.frozenUntil + 1 });
+      return;
+    }
+    member.node.receive(message, this.#now);
+  }
+
+  #noteLeader(node: RaftNode): void {
+    const known = this.#leaders.get(node.term) ?? node.id;
+    assert.equal(node.id, known, `two leaders in term ${node.term}`);
+    this.#leaders.set(node.term, node.id);
+  }
+
+  #heal(): void {
+    this.#cuts.clear();
+    for (const member of this.members.values()) {
+      member.frozenUntil = 0;
+      if (member.node === undefined) this.#start(member);
+    }
+  }
+
+  #isCaughtUp(): boolean {
+    this.#continueRepair();
+    const last = Math.max(0, ...this.chosen.keys());
+    const leads = [...this.members.values()].some((member) =>
+      member.node?.isLeading(this.#now) && member.node.hasCommittedOwnTerm
+    );
+    return leads && this.#repair === undefined &&
+      [...this.members.values()].every((member) =>
+        member.appliedIndex === last
+      );
+  }
+
+  #anyMember(): Member {
+    const all = [...this.members.values()];
+    return all[Math.floor(this.#random() * all.length)]!;
+  }
+}
+
+test("no accepted command is lost or changed, whatever fails", () => {
+  // Story: members crash with unsynced writes, freeze, lose their disks and
+  // are replaced; links cut one way or both, drop, double and reorder. After
+  // healing every member holds what the single-copy twin holds, and every
+  // command that was answered "accepted" is among it.
+  console.log(`seeds ${FIRST_SEED} to ${FIRST_SEED + SCHEDULES - 1}`);
+  let acknowledged = 0;
+  for (let seed = FIRST_SEED; seed < FIRST_SEED + SCHEDULES; seed += 1) {
+    const schedule = new Schedule(seed);
+    try {
+      schedule.run();
+      for (const [index, text] of schedule.acknowledged) {
+        assert.equal(schedule.chosen.get(index), text);
+        acknowledged += 1;
+      }
+      for (const member of schedule.members.values()) {
+        for (const [index, text] of member.applied) {
+          assert.equal(text, schedule.chosen.get(index));
+        }
+      }
+    } catch (error) {
+      throw new Error(`seed ${seed}: ${String(error)}`, { cause: error });
+    }
+  }
+  assert.ok(acknowledged > SCHEDULES, "too little was accepted to prove much");
+});
--- /dev/null
+++ b/packages/core/src/contracts/contract_content.ts
@@ -0,0 +1,5 @@
+import type { z } from "zod";
+import type { contractContentSchema } from "./contract_content_schema.ts";
+
+/** A contract's checked content. */
+export type ContractContent = z.infer<typeof contractContentSchema>;
--- /dev/null
+++ b/packages/core/src/limits/host_allotment_row.ts
@@ -0,0 +1,7 @@
+/** An allotment that a host may still be using. Leader's clock, ms. */
+export type HostAllotmentRow = {
+  sequence: number;
+  rate: number;
+  grantUntil: number;
+  capUntil: number;
+};
--- /dev/null
+++ b/packages/core/src/rollout/apply_publication.ts
@@ -0,0 +1,34 @@
+import type { ChangeAnswer } from "../state/change_answer.ts";
+import type { CommandOf } from "../state/command_of.ts";
+import type { ControlState } from "../state/control_state.ts";
+import { decideNumberedChange } from "../state/decide_numbered_change.ts";
+import type { WeightsRow } from "./weights_row.ts";
+
+/** Sets the version that a service's backend servers are to serve. */
+export function applyPublication(
+  state: ControlState,
+  command: CommandOf<"publish-weights">,
+  index: number,
+): ChangeAnswer {
+  const standing = state.weights.get(command.service);
+  const decision = decideNumberedChange(
+    standing,
+    command.expected,
+    command.digest,
+  );
+  if (decision.kind === "lost") {
+    return { accepted: false, reason: "number-replaced", value: standing };
+  }
+  if (decision.kind === "repeated") return { accepted: true, value: standing };
+  const row: WeightsRow = {
+    service: command.service,
+    number: decision.number,
+    history: decision.history,
+    manifest: command.manifest,
+    store: command.store,
+    servingShare: command.servingShare,
+    index,
+  };
+  state.weights.set(row.service, row);
+  return { accepted: true, value: row };
+}
--- /dev/null
+++ b/packages/core/src/routing/backend_server_table.ts
@@ -0,0 +1,32 @@
+import type { BackendServerRow } from "./backend_server_row.ts";
+
+const SILENT_MILLISECONDS = 2_000;
+
+/** The backend servers that announce themselves to this entry host. */
+export class BackendServerTable {
+  #rows = new Map<string, BackendServerRow>();
+
+  get(backendServer: string): BackendServerRow | undefined {
+    return this.#rows.get(backendServer);
+  }
+
+  set(row: BackendServerRow): void {
+    this.#rows.set(row.backendServer, row);
+  }
+
+  delete(backendServer: string): void {
+    this.#rows.delete(backendServer);
+  }
+
+  all(): BackendServerRow[] {
+    return [...this.#rows.values()];
+  }
+
+  ofService(service: string): BackendServerRow[] {
+    return this.all().filter((row) => row.service === service);
+  }
+
+  isLive(row: BackendServerRow, now: number): boolean {
+    return now - row.heardAt < SILENT_MILLISECONDS;
+  }
+}
--- /dev/null
+++ b/packages/core/src/routing/round_robin_policy.ts
@@ -0,0 +1,12 @@
+import type { BackendServerRow } from "./backend_server_row.ts";
+import type { RoutingPolicy } from "./routing_policy.ts";
+
+/** The naive twin: one after the other, whatever their load. */
+export class RoundRobinPolicy implements RoutingPolicy {
+  #next = 0;
+
+  choose(candidates: BackendServerRow[]): BackendServerRow | undefined {
+    this.#next += 1;
+    return candidates[this.#next % Math.max(1, candidates.length)];
+  }
+}
--- /dev/null
+++ b/packages/core/src/routing/routing_policy.ts
@@ -0,0 +1,16 @@
+import type { BackendServerRow } from "./backend_server_row.ts";
+
+/** What is to be routed. */
+type Call = {
+  /** Hash of the call's prefix, for prompt-prefix caches. */
+  prefix: string;
+  now: number;
+};
+
+/** Chooses one of the backend servers that could take a call. */
+export interface RoutingPolicy {
+  choose(
+    candidates: BackendServerRow[],
+    call: Call,
+  ): BackendServerRow | undefined;
+}
--- /dev/null
+++ b/packages/core/src/spread/chunk_set.ts
@@ -0,0 +1,48 @@
+/** Which chunks of one version are held. */
+export class ChunkSet {
+  #held: Uint8Array;
+  #count = 0;
+
+  constructor(total: number) {
+    this.#held = new Uint8Array(total);
+  }
+
+  get total(): number {
+    return this.#held.length;
+  }
+
+  get count(): number {
+    return this.#count;
+  }
+
+  get isComplete(): boolean {
+    return this.#count === this.total;
+  }
+
+  has(chunk: number): boolean {
+    return this.#held[chunk] === 1;
+  }
+
+  add(chunk: number): boolean {
+    if (chunk >= this.total || this.has(chunk)) return false;
+    this.#held[chunk] = 1;
+    this.#count += 1;
+    return true;
+  }
+
+  missing(): number[] {
+    const chunks: number[] = [];
+    for (let chunk = 0; chunk < this.total; chunk += 1) {
+      if (!this.has(chunk)) chunks.push(chunk);
+    }
+    return chunks;
+  }
+
+  held(): number[] {
+    const chunks: number[] = [];
+    for (let chunk = 0; chunk < this.total; chunk += 1) {
+      if (this.has(chunk)) chunks.push(chunk);
+    }
+    return chunks;
+  }
+}
--- /dev/null
+++ b/packages/core/src/state/apply_command.ts
@@ -0,0 +1,58 @@
+import { applyClaim } from "../claims/apply_claim.ts";
+import { applyClaimCancellation } from "../claims/apply_claim_cancellation.ts";
+import { applyClaimSettlement } from "../claims/apply_claim_settlement.ts";
+import { applyContractChange } from "../contracts/apply_contract_change.ts";
+import { applyPermitRequest } from "../rollout/apply_permit_request.ts";
+import { applyPublication } from "../rollout/apply_publication.ts";
+import type { ChangeAnswer } from "./change_answer.ts";
+import type { Command } from "./command.ts";
+import type { ControlState } from "./control_state.ts";
+
+const ACCEPTED: ChangeAnswer = { accepted: true };
+
+/**
+ * The state machine: changes the tables by one committed command. Uses
+ * nothing but its arguments, so that every host gets the same tables.
+ */
+export function applyCommand(
+  state: ControlState,
+  command: Command,
+  index: number,
+): ChangeAnswer {
+  state.appliedIndex = index;
+  switch (command.kind) {
+    case "change-contract":
+      return applyContractChange(state, command, index);
+    case "publish-weights":
+      return applyPublication(state, command, index);
+    case "drain-backend":
+      if (command.drained) state.drained.add(command.backendServer);
+      else state.drained.delete(command.backendServer);
+      return ACCEPTED;
+    case "register-entry": {
+      const { kind: _kind, ...row } = command;
+      state.entryHosts.set(row.host, row);
+      state.limitsChangedAt = index;
+      return ACCEPTED;
+    }
+    case "remove-entry":
+      state.limitsChangedAt = index;
+      return { accepted: state.entryHosts.delete(command.host) };
+    case "claim":
+      return applyClaim(state, command, index);
+    case "settle-claim":
+      return applyClaimSettlement(state, command);
+    case "cancel-claim":
+      return applyClaimCancellation(state, command);
+    case "request-permit":
+      return applyPermitRequest(state, command, index);
+    case "settle-permit": {
+      const permit = state.permits.get(command.backendServer);
+      if (permit?.fencingToken !== command.fencingToken) {
+        return { accepted: false, reason: "no-such-permit" };
+      }
+      state.permits.delete(command.backendServer);
+      return ACCEPTED;
+    }
+  }
+}
--- /dev/null
+++ b/packages/core/src/state/control_state.ts
@@ -0,0 +1,24 @@
+import type { ClaimRow } from "../claims/claim_row.ts";
+import type { ContractRow } from "../contracts/contract_row.ts";
+import type { EntryHostRow } from "../membership/entry_host_row.ts";
+import type { PermitRow } from "../rollout/permit_row.ts";
+import type { WeightsRow } from "../rollout/weights_row.ts";
+
+/** The tables that the replicated log builds. */
+export type ControlState = {
+  appliedIndex: number;
+  /** Log index of the latest change of any host's floor. */
+  limitsChangedAt: number;
+  /** By workspace. */
+  contracts: Map<string, ContractRow>;
+  /** By service. */
+  weights: Map<string, WeightsRow>;
+  /** Backend servers that take no new work. */
+  drained: Set<string>;
+  /** By host. */
+  entryHosts: Map<string, EntryHostRow>;
+  /** By backend server. */
+  permits: Map<string, PermitRow>;
+  /** By workspace and key, oldest first. */
+  claims: Map<string, ClaimRow>;
+};
--- /dev/null
+++ b/packages/core/src/state/empty_control_state.ts
@@ -0,0 +1,15 @@
+import type { ControlState } from "./control_state.ts";
+
+/** The state before the first command. */
+export function emptyControlState(): ControlState {
+  return {
+    appliedIndex: 0,
+    limitsChangedAt: 0,
+    contracts: new Map(),
+    weights: new Map(),
+    drained: new Set(),
+    entryHosts: new Map(),
+    permits: new Map(),
+    claims: new Map(),
+  };
+}
--- /dev/null
+++ b/packages/core/src/state/encode_control_state.ts
@@ -0,0 +1,24 @@
+import type { ControlState } from "./control_state.ts";
+
+type Options = {
+  /** Entry hosts follow without claims: they would be most of the bytes. */
+  withClaims: boolean;
+};
+
+/** Writes the tables as JSON, in table order, for snapshots and followers. */
+export function encodeControlState(
+  state: ControlState,
+  options: Options,
+): Uint8Array {
+  const text = JSON.stringify({
+    appliedIndex: state.appliedIndex,
+    limitsChangedAt: state.limitsChangedAt,
+    contracts: [...state.contracts.values()],
+    weights: [...state.weights.values()],
+    drained: [...state.drained],
+    entryHosts: [...state.entryHosts.values()],
+    permits: [...state.permits.values()],
+    claims: options.withClaims ? [...state.claims.values()] : [],
+  });
+  return new TextEncoder().encode(text);
+}
--- /dev/null
+++ b/packages/daemon/src/agent/agent_app.ts
@@ -0,0 +1,256 @@
+import type { ConnectRouter } from "@connectrpc/connect";
+import type { WeightsManifest } from "@teaselrouter/core/spread/weights_manifest.ts";
+import type {
+  EntryToAgent,
+  WeightsTarget,
+} from "@teaselrouter/messages/agent.ts";
+import type { StatsD } from "hot-shots";
+import { randomUUID } from "node:crypto";
+import { Result } from "true-myth";
+import type { EventLog } from "../log/event_log.ts";
+import type { Settings } from "../settings/settings.ts";
+import type { ClientPool } from "../transport/client_pool.ts";
+import { pause } from "../transport/pause.ts";
+import { AgentServer } from "./agent_server.ts";
+import { AgentState } from "./agent_state.ts";
+import { CallRunner } from "./call_runner.ts";
+import { callRoutes } from "./call_routes.ts";
+import { ChunkFetcher } from "./chunk_fetcher.ts";
+import { EngineClient } from "./engine_client.ts";
+import { EngineLoader } from "./engine_loader.ts";
+import { EntryLinks } from "./entry_links.ts";
+import { LinkPacer } from "./link_pacer.ts";
+import { SpreadClient } from "./spread_client.ts";
+import { WeightsCache } from "./weights_cache.ts";
+
+const POLL_MILLISECONDS = 25;
+const SILENCE_CHECK_MILLISECONDS = 500;
+
+type Options = {
+  settings: Settings;
+  clients: ClientPool;
+  log: EventLog;
+  metrics: StatsD;
+};
+
+/** The small process beside a backend server. */
+export class AgentApp {
+  #settings: Settings;
+  #log: EventLog;
+  #metrics: StatsD;
+  #incarnation = randomUUID();
+  #state = new AgentState();
+  #cache = new WeightsCache();
+  #runner: CallRunner;
+  #server: AgentServer;
+  #spread: SpreadClient;
+  #loader: EngineLoader;
+  #links: EntryLinks;
+  #targetNumber = 0;
+  #wasSilent = true;
+  #timer: NodeJS.Timeout | undefined;
+
+  constructor(options: Options) {
+    const { settings, clients, log } = options;
+    const agent = settings.agent!;
+    this.#settings = settings;
+    this.#log = log;
+    this.#metrics = options.metrics;
+    this.#runner = new CallRunner(this.#state, this.#incarnation);
+    this.#server = new AgentServer({
+      dataCentre: settings.data_centre,
+      state: this.#state,
+      cache: this.#cache,
+      link: new LinkPacer(agent.link_bytes_per_second),
+      regionLink: new LinkPacer(agent.region_bytes_per_second),
+    });
+    this.#spread = new SpreadClient({
+      cache: this.#cache,
+      fetcher: new ChunkFetcher({
+        dataCentre: settings.data_centre,
+        pacer: new LinkPacer(agent.link_bytes_per_second),
+      }),
+      log,
+      random: Math.random,
+    });
+    this.#loader = new EngineLoader({
+      state: this.#state,
+      cache: this.#cache,
+      engine: new EngineClient(() => this.#state.backend?.address),
+      runner: this.#runner,
+      log,
+      weightsAddress: agent.listen,
+    });
+    this.#links = new EntryLinks({
+      addresses: agent.entry_hosts,
+      dataCentre: settings.data_centre,
+      clients,
+      ring: log.ring,
+      greet: (address) => this.#greeting(address),
+      beat: () => ({ case: "load", value: this.#runner.load }),
+    });
+    this.#connectParts();
+  }
+
+  routes(router: ConnectRouter): void {
+    callRoutes(this.#runner, this.#incarnation)(router);
+  }
+
+  async start(): Promise<Result<void, string>> {
+    const listening = await this.#server.listen(this.#settings.agent!.listen);
+    if (listening.isErr) return listening;
+    this.#links.start();
+    this.#loader.start();
+    this.#timer = setInterval(
+      () => this.#watchSilence(),
+      SILENCE_CHECK_MILLISECONDS,
+    );
+    return Result.ok(undefined);
+  }
+
+  /** Takes no more calls, and ends once every answer was read to its end. */
+  async stop(): Promise<void> {
+    this.#state.stop();
+    this.#loader.stop();
+    await pause(this.#settings.agent!.drain_milliseconds);
+    while (!this.#runner.isIdle || !this.#runner.isDelivered) {
+      await pause(POLL_MILLISECONDS);
+    }
+    clearInterval(this.#timer);
+    this.#spread.stop();
+    this.#links.stop();
+    this.#runner.stop();
+    this.#server.close();
+  }
+
+  #connectParts(): void {
+    this.#state.changed$.subscribe(() => this.#announce());
+    this.#links.incoming$.subscribe(({ message }) => this.#take(message));
+    this.#links.coordinatorChanged$.subscribe(() => this.#reportAllChunks());
+    this.#spread.changed$.subscribe((change) => {
+      this.#links.broadcast((address) => this.#chunkReport(address, change));
+    });
+    this.#loader.permitWanted$.subscribe((wanted) => {
+      const address = this.#links.anyConnected;
+      if (address === undefined) return;
+      this.#links.send(address, { case: "permitRequest", value: wanted });
+    });
+    this.#loader.settled$.subscribe((settled) => {
+      if (settled.loaded) {
+        this.#metrics.increment("weights.live");
+        this.#cache.keep(new Set([settled.version, this.#spread.version]));
+      }
+      const address = this.#links.anyConnected;
+      if (address === undefined) return;
+      this.#links.send(address, { case: "loadSettled", value: settled });
+    });
+  }
+
+  #take(message: EntryToAgent): void {
+    const { body } = message;
+    switch (body.case) {
+      case "target":
+        return this.#takeTarget(body.value);
+      case "plan":
+        return this.#spread.takePlan(body.value);
+      case "permit":
+        return this.#loader.takePermit(
+          body.value.version,
+          body.value.fencingToken,
+        );
+    }
+  }
+
+  /** Entry hosts may lag: only a later publication replaces the target. */
+  #takeTarget(target: WeightsTarget): void {
+    if (target.number <= this.#targetNumber) return;
+    this.#targetNumber = target.number;
+    const manifest = JSON.parse(
+      new TextDecoder().decode(target.manifest),
+    ) as WeightsManifest;
+    this.#log.info("weights-target", { version: target.version });
+    this.#spread.setTarget(manifest, target.store);
+    this.#loader.setTarget(target.version);
+    this.#reportAllChunks();
+  }
+
+  #announce(): void {
+    if (this.#state.backend === undefined) return;
+    this.#links.broadcast(() => this.#announcement());
+  }
+
+  #announcement() {
+    const { backend, servingVersion } = this.#state;
+    const settings = this.#settings;
+    return {
+      case: "announcement" as const,
+      value: {
+        backendServer: settings.name,
+        dataCentre: settings.data_centre,
+        service: backend!.service,
+        incarnation: this.#incarnation,
+        internalAddress: settings.internal.listen,
+        chunkAddress: settings.agent!.listen,
+        checksFencing: backend!.checks_fencing,
+        repeatable: backend!.repeatable,
+        slots: backend!.slots,
+        servingVersion,
+        accepting: this.#state.refusal(Date.now()) === undefined,
+        usesWeights: backend!.uses_weights,
+        linkBytesPerSecond: settings.agent!.link_bytes_per_second,
+      },
+    };
+  }
+
+  #greeting(address: string) {
+    if (this.#state.backend === undefined) return [];
+    const announcement = this.#announcement();
+    return this.#spread.version === ""
+      ? [announcement]
+      : [announcement, this.#wholeChunkReport(address)];
+  }
+
+  #reportAllChunks(): void {
+    if (this.#spread.version === "") return;
+    this.#links.broadcast((address) => this.#wholeChunkReport(address));
+  }
+
+  #wholeChunkReport(address: string) {
+    const { version } = this.#spread;
+    const added = this.#cache.held(version)!.held();
+    const change = { version, added, failed: [], whole: true };
+    return this.#chunkReport(address, change);
+  }
+
+  #chunkReport(
+    address: string,
+    change: {
+      version: string;
+      added: number[];
+      failed: number[];
+      whole?: boolean;
+    },
+  ) {
+    return {
+      case: "chunks" as const,
+      value: {
+        version: change.version,
+        total: this.#cache.held(change.version)?.total ?? 0,
+        added: change.added,
+        failed: change.failed,
+        whole: change.whole ?? false,
+        originBytes: this.#spread.originBytes,
+        followsPlans: address === this.#links.coordinator,
+      },
+    };
+  }
+
+  #watchSilence(): void {
+    const silent = this.#state.isSilent(Date.now());
+    if (silent && !this.#wasSilent) {
+      this.#log.warn("backend-server-silent");
+      this.#announce();
+    }
+    this.#wasSilent = silent;
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/agent/call_runner.ts
@@ -0,0 +1,206 @@
+import { AgentClaims } from "@teaselrouter/core/claims/agent_claims.ts";
+import type { RunRequest } from "@teaselrouter/messages/agent.ts";
+import { CallOutcome } from "@teaselrouter/messages/agent.ts";
+import type { AgentState } from "./agent_state.ts";
+import { BackendCall } from "./backend_call.ts";
+import { Exchange } from "./exchange.ts";
+
+const KEPT_MILLISECONDS = 60_000;
+const KEPT_UNREPEATABLE_MILLISECONDS = 3_600_000;
+const UNREAD_MILLISECONDS = 5_000;
+const MOST_KEPT_BYTES = 67_108_864;
+const SWEEP_MILLISECONDS = 1_000;
+const WAIT_SHARE = 0.5;
+const LEARNING_SHARE = 0.2;
+const FIRST_GUESS_MILLISECONDS = 50;
+const LOADING_RETRY_MILLISECONDS = 500;
+
+type Waiting = { exchange: Exchange; start: () => void };
+
+/** Runs the calls of one backend server: no more at once than its slots. */
+export class CallRunner {
+  readonly claims: AgentClaims;
+  #state: AgentState;
+  #exchanges = new Map<string, Exchange>();
+  #running = 0;
+  #queue: Waiting[] = [];
+  #serviceMilliseconds = FIRST_GUESS_MILLISECONDS;
+  #timer: NodeJS.Timeout;
+
+  constructor(state: AgentState, incarnation: string) {
+    this.#state = state;
+    this.claims = new AgentClaims(incarnation);
+    this.#timer = setInterval(() => this.#sweep(), SWEEP_MILLISECONDS);
+  }
+
+  stop(): void {
+    clearInterval(this.#timer);
+  }
+
+  get load() {
+    return {
+      running: this.#running,
+      queued: this.#queue.length,
+      serviceMilliseconds: this.#serviceMilliseconds,
+    };
+  }
+
+  /** Nothing runs, waits, or is still being read. */
+  get isIdle(): boolean {
+    return this.#running === 0 && this.#queue.length === 0;
+  }
+
+  get isDelivered(): boolean {
+    return [...this.#exchanges.values()].every((exchange) =>
+      exchange.endedAt > 0 && exchange.unreadSince > 0
+    );
+  }
+
+  find(requestId: string): Exchange | undefined {
+    return this.#exchanges.get(requestId);
+  }
+
+  /** Starts a call, or finds it: the same request is never started twice. */
+  run(request: RunRequest): Exchange {
+    const known = this.#exchanges.get(request.requestId);
+    if (known !== undefined) return known;
+    const exchange = new Exchange(
+      request.requestId,
+      request.claimKey === "",
+    );
+    if (request.claimKey !== "") {
+      const verdict = this.claims.admit({
+        key: request.claimKey,
+        claimIndex: request.claimIndex,
+        incarnation: request.claimIncarnation,
+        requestId: request.requestId,
+      });
+      if (verdict.kind === "attach") {
+        const running = this.#exchanges.get(verdict.requestId);
+        if (running !== undefined) return running;
+        return this.#refuse(exchange, CallOutcome.UNKNOWN, "answer-dropped");
+      }
+      if (verdict.kind === "refuse") {
+        const notRun = verdict.outcome === "not-run";
+        return this.#refuse(
+          exchange,
+          notRun ? CallOutcome.NOT_RUN : CallOutcome.UNKNOWN,
+          verdict.reason,
+        );
+      }
+    }
+    this.#exchanges.set(request.requestId, exchange);
+    this.#admit(request, exchange);
+    return exchange;
+  }
+
+  cancel(requestId: string): void {
+    const exchange = this.#exchanges.get(requestId);
+    if (exchange?.repeatable) exchange.cancelled.abort();
+  }
+
+  #admit(request: RunRequest, exchange: Exchange): void {
+    const refusal = this.#state.refusal(Date.now());
+    if (refusal !== undefined) {
+      return this.#refuseUnrun(request, exchange, {
+        reason: refusal,
+        retryAfterMilliseconds: LOADING_RETRY_MILLISECONDS,
+      });
+    }
+    const slots = this.#state.backend!.slots;
+    const ahead = this.#running + this.#queue.length + 1 - slots;
+    const wait = Math.max(0, ahead) * this.#serviceMilliseconds / slots;
+    const allowed = request.deadlineMilliseconds * WAIT_SHARE;
+    if (wait > allowed) {
+      return this.#refuseUnrun(request, exchange, {
+        reason: "overloaded",
+        retryAfterMilliseconds: Math.ceil(wait - allowed),
+      });
+    }
+    const start = () => this.#start(request, exchange);
+    if (this.#running < slots) start();
+    else this.#queue.push({ exchange, start });
+  }
+
+  async #start(request: RunRequest, exchange: Exchange): Promise<void> {
+    this.#running += 1;
+    const startedAt = Date.now();
+    const call = new BackendCall(this.#state, request, exchange);
+    const outcome = await call.run();
+    if (outcome.kind === "not-run") {
+      this.#withdraw(request);
+      this.#finishRefused(exchange, CallOutcome.NOT_RUN, outcome.reason);
+    } else if (outcome.kind === "failed") {
+      const ran = outcome.ran ? CallOutcome.RAN : CallOutcome.UNKNOWN;
+      this.#finishRefused(exchange, ran, outcome.reason);
+    } else {
+      this.#learn(Date.now() - startedAt);
+    }
+    this.#running -= 1;
+    this.#startNext();
+  }
+
+  /** A call left waiting while the engine began a load goes elsewhere. */
+  #startNext(): void {
+    const next = this.#queue.shift();
+    if (next === undefined) return;
+    if (next.exchange.cancelled.signal.aborted) {
+      this.#finishRefused(next.exchange, CallOutcome.NOT_RUN, "cancelled");
+      return this.#startNext();
+    }
+    next.start();
+  }
+
+  #refuseUnrun(
+    request: RunRequest,
+    exchange: Exchange,
+    refusal: { reason: string; retryAfterMilliseconds: number },
+  ): void {
+    this.#withdraw(request);
+    exchange.refuse({ outcome: CallOutcome.NOT_RUN, ...refusal });
+  }
+
+  /** "Not run" is a promise: a late copy of the call must find it kept. */
+  #withdraw(request: RunRequest): void {
+    if (request.claimKey === "") return;
+    this.claims.withdraw(request.claimKey, request.claimIndex);
+  }
+
+  #refuse(exchange: Exchange, outcome: CallOutcome, reason: string): Exchange {
+    this.#finishRefused(exchange, outcome, reason);
+    return exchange;
+  }
+
+  #finishRefused(
+    exchange: Exchange,
+    outcome: CallOutcome,
+    reason: string,
+  ): void {
+    exchange.refuse({ outcome, reason, retryAfterMilliseconds: 1_000 });
+  }
+
+  #learn(milliseconds: number): void {
+    this.#serviceMilliseconds += LEARNING_SHARE *
+      (milliseconds - this.#serviceMilliseconds);
+  }
+
+  /** Drops old answers, and cancels work that nobody waits for. */
+  #sweep(): void {
+    const now = Date.now();
+    let bytes = 0;
+    for (const exchange of [...this.#exchanges.values()].reverse()) {
+      bytes += exchange.bytes;
+      const kept = exchange.repeatable
+        ? KEPT_MILLISECONDS
+        : KEPT_UNREPEATABLE_MILLISECONDS;
+      const ended = exchange.endedAt > 0;
+      const old = ended && now - exchange.endedAt > kept;
+      const read = exchange.unreadSince > 0;
+      if (old || (ended && read && bytes > MOST_KEPT_BYTES)) {
+        this.#exchanges.delete(exchange.requestId);
+      }
+      const unread = read && now - exchange.unreadSince > UNREAD_MILLISECONDS;
+      if (!ended && unread && exchange.repeatable) exchange.cancelled.abort();
+    }
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/agent/engine_client.ts
@@ -0,0 +1,84 @@
+import { Result } from "true-myth";
+import { z } from "zod";
+
+const CALL_MILLISECONDS = 2_000;
+const PROBE_PATH = "/v1/probe";
+
+const stateSchema = z.object({
+  /** Complete version that is loaded; empty for none. */
+  version: z.string(),
+  loading: z.boolean(),
+  fencing_token: z.number(),
+});
+
+type EngineState = z.infer<typeof stateSchema>;
+
+type LoadOrder = {
+  version: string;
+  /** Where the engine reads the weights, http URL on its own host. */
+  source: string;
+  fencingToken: number;
+};
+
+/** Orders to the engine on this host, and what it says of itself. */
+export class EngineClient {
+  #address: () => string | undefined;
+
+  constructor(address: () => string | undefined) {
+    this.#address = address;
+  }
+
+  async state(): Promise<Result<EngineState, string>> {
+    const answer = await this.#call("GET", "/v1/state");
+    if (answer.isErr) return Result.err(answer.error);
+    const parsed = stateSchema.safeParse(
+      await answer.value.json().catch(() => undefined),
+    );
+    return parsed.success
+      ? Result.ok(parsed.data)
+      : Result.err("engine-state-unreadable");
+  }
+
+  async load(order: LoadOrder): Promise<Result<void, string>> {
+    const answer = await this.#call("POST", "/v1/load", {
+      version: order.version,
+      source: order.source,
+      fencing_token: order.fencingToken,
+    });
+    if (answer.isErr) return Result.err(answer.error);
+    return answer.value.ok
+      ? Result.ok(undefined)
+      : Result.err(`load-refused-${answer.value.status}`);
+  }
+
+  /** Version that the engine answers with, asked by a call of its own. */
+  async probe(): Promise<Result<string, string>> {
+    const answer = await this.#call("POST", PROBE_PATH, {});
+    if (answer.isErr) return Result.err(answer.error);
+    await answer.value.text().catch(() => "");
+    return answer.value.ok
+      ? Result.ok(answer.value.headers.get("engine-version") ?? "")
+      : Result.err(`probe-${answer.value.status}`);
+  }
+
+  async #call(
+    method: string,
+    path: string,
+    body?: unknown,
+  ): Promise<Result<Response, string>> {
+    const address = this.#address();
+    if (address === undefined) return Result.err("engine-not-announced");
+    try {
+      return Result.ok(
+        await fetch(`http://${address}${path}`, {
+          method,
+          headers: { "Content-Type": "application/json" },
+          body: body === undefined ? undefined : JSON.stringify(body),
+          signal: AbortSignal.timeout(CALL_MILLISECONDS),
+        }),
+      );
+    } catch (error) {
+      return Result.err(error instanceof Error ? error.message : String(error));
+    }
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/agent/entry_links.ts
@@ -0,0 +1,182 @@
+import { create, type MessageInitShape } from "@bufbuild/protobuf";
+import { rendezvousOwner } from "@teaselrouter/core/spread/rendezvous_owner.ts";
+import type { TimelineRing } from "@teaselrouter/core/timeline/timeline_ring.ts";
+import type {
+  AgentToEntry,
+  EntryToAgent,
+} from "@teaselrouter/messages/agent.ts";
+import {
+  AgentService,
+  AgentToEntrySchema,
+} from "@teaselrouter/messages/agent.ts";
+import { Subject } from "rxjs";
+import type { ClientPool } from "../transport/client_pool.ts";
+import { pause } from "../transport/pause.ts";
+import { toAsyncIterable } from "../transport/to_async_iterable.ts";
+
+const BEAT_MILLISECONDS = 500;
+const SILENT_MILLISECONDS = 2_000;
+const RECONNECT_MILLISECONDS = 200;
+
+type Body = MessageInitShape<typeof AgentToEntrySchema>["body"];
+
+type Link = {
+  address: string;
+  outgoing: Subject<AgentToEntry> | undefined;
+  heardAt: number;
+  /** Known from the entry host's heartbeats. */
+  host: string;
+  dataCentre: string;
+};
+
+type Options = {
+  addresses: string[];
+  dataCentre: string;
+  clients: ClientPool;
+  ring: TimelineRing;
+  /** What a new connection is told first. */
+  greet: (address: string) => Body[];
+  /** What every connection is told at each beat. */
+  beat: () => Body;
+};
+
+/** This agent's streams to the entry hosts. */
+export class EntryLinks {
+  readonly incoming$ = new Subject<
+    { address: string; message: EntryToAgent }
+  >();
+  /** Another entry host now plans for this agent. */
+  readonly coordinatorChanged$ = new Subject<void>();
+  #options: Options;
+  #links: Link[];
+  #coordinator = "";
+  #stopped = false;
+  #timer: NodeJS.Timeout | undefined;
+
+  constructor(options: Options) {
+    this.#options = options;
+    this.#links = options.addresses.map((address) => ({
+      address,
+      outgoing: undefined,
+      heardAt: 0,
+      host: "",
+      dataCentre: "",
+    }));
+  }
+
+  start(): void {
+    this.#timer = setInterval(() => this.#beat(), BEAT_MILLISECONDS);
+    for (const link of this.#links) this.#run(link);
+  }
+
+  stop(): void {
+    this.#stopped = true;
+    clearInterval(this.#timer);
+    for (const link of this.#links) link.outgoing?.complete();
+  }
+
+  /** Address of the entry host whose plans are followed; empty for none. */
+  get coordinator(): string {
+    return this.#coordinator;
+  }
+
+  send(address: string, body: Body): void {
+    const link = this.#links.find((known) => known.address === address);
+    if (link?.outgoing === undefined) return;
+    const clock = this.#options.ring.now(Date.now());
+    link.outgoing.next(create(AgentToEntrySchema, {
+      body,
+      clockTime: clock.time,
+      clockCounter: clock.counter,
+    }));
+  }
+
+  broadcast(bodyFor: (address: string) => Body): void {
+    for (const link of this.#links) {
+      if (link.outgoing !== undefined) {
+        this.send(link.address, bodyFor(link.address));
+      }
+    }
+  }
+
+  /** A connected entry host, for a question that any can answer. */
+  get anyConnected(): string | undefined {
+    return this.#coordinator ||
+      this.#links.find((link) => link.outgoing !== undefined)?.address;
+  }
+
+  async #run(link: Link): Promise<void> {
+    while (!this.#stopped) {
+      await this.#connect(link);
+      if (!this.#stopped) await pause(RECONNECT_MILLISECONDS);
+    }
+  }
+
+  async #connect(link: Link): Promise<void> {
+    const { clients, greet } = this.#options;
+    const outgoing = new Subject<AgentToEntry>();
+    const stop = new AbortController();
+    link.heardAt = Date.now();
+    const watch = setInterval(() => {
+      const silent = Date.now() - link.heardAt > SILENT_MILLISECONDS;
+      if (silent || this.#stopped) stop.abort();
+    }, BEAT_MILLISECONDS);
+    const client = clients.client(AgentService, link.address);
+    try {
+      const incoming = client.session(toAsyncIterable(outgoing), {
+        signal: stop.signal,
+      });
+      link.outgoing = outgoing;
+      for (const body of greet(link.address)) this.send(link.address, body);
+      for await (const message of incoming) this.#take(link, message);
+    } catch {
+      clients.renew(link.address);
+    } finally {
+      clearInterval(watch);
+      outgoing.complete();
+      link.outgoing = undefined;
+      link.host = "";
+      this.#chooseCoordinator();
+    }
+  }
+
+  #take(link: Link, message: EntryToAgent): void {
+    link.heardAt = Date.now();
+    this.#options.ring.observe(link.heardAt, {
+      time: message.clockTime,
+      counter: message.clockCounter,
+    });
+    if (message.body.case === "heartbeat") {
+      const { host, dataCentre } = message.body.value;
+      link.dataCentre = dataCentre;
+      if (link.host !== host) {
+        link.host = host;
+        this.#chooseCoordinator();
+      }
+    }
+    this.incoming$.next({ address: link.address, message });
+  }
+
+  /**
+   * All agents of a data centre that reach the same entry hosts choose the
+   * same one, without a word between the entry hosts; when it is gone they
+   * all turn to the next.
+   */
+  #chooseCoordinator(): void {
+    const near = this.#links.filter((link) =>
+      link.host !== "" && link.dataCentre === this.#options.dataCentre
+    );
+    const owner = rendezvousOwner(
+      this.#options.dataCentre,
+      near.map((link) => link.host),
+    );
+    const chosen = near.find((link) => link.host === owner)?.address ?? "";
+    if (chosen === this.#coordinator) return;
+    this.#coordinator = chosen;
+    this.coordinatorChanged$.next();
+  }
+
+  #beat(): void {
+    this.broadcast(() => this.#options.beat());
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/agent/fetch_bytes.ts
@@ -0,0 +1,57 @@
+import { Buffer } from "node:buffer";
+import { Agent, get } from "node:http";
+import { Result } from "true-myth";
+import type { LinkPacer } from "./link_pacer.ts";
+
+const STALLED_MILLISECONDS = 1_500;
+const connections = new Agent({ keepAlive: true, maxSockets: 16 });
+
+type Options = {
+  url: string;
+  headers: Record<string, string>;
+  expectedBytes: number;
+  pacer: LinkPacer;
+  signal: AbortSignal;
+};
+
+/**
+ * Fetches bytes by HTTP, paced by this host's link. A source that stops
+ * sending without closing is given up: the chunk comes from another.
+ */
+export function fetchBytes(options: Options): Promise<Result<Buffer, string>> {
+  const { url, headers, expectedBytes, pacer, signal } = options;
+  return new Promise((resolve) => {
+    const parts: Buffer[] = [];
+    let bytes = 0;
+    const settle = (result: Result<Buffer, string>) => {
+      clearTimeout(timer);
+      resolve(result);
+    };
+    const request = get(url, { agent: connections, headers, signal });
+    const fail = (reason: string) => {
+      settle(Result.err(reason));
+      request.destroy();
+    };
+    const stalled = () => fail("stalled");
+    let timer = setTimeout(stalled, STALLED_MILLISECONDS);
+    request.on("error", (error) => settle(Result.err(error.message)));
+    request.on("response", async (response) => {
+      const status = response.statusCode ?? 0;
+      if (status !== 200 && status !== 206) return fail(`status-${status}`);
+      try {
+        for await (const part of response) {
+          clearTimeout(timer);
+          parts.push(part);
+          bytes += part.length;
+          if (bytes > expectedBytes) return fail("too-long");
+          await pacer.take(part.length);
+          timer = setTimeout(stalled, STALLED_MILLISECONDS);
+        }
+      } catch (error) {
+        return settle(Result.err(String(error)));
+      }
+      if (bytes !== expectedBytes) return settle(Result.err("cut-short"));
+      settle(Result.ok(Buffer.concat(parts, bytes)));
+    });
+  });
+}
--- /dev/null
+++ b/packages/daemon/src/agent/link_pacer.ts
@@ -0,0 +1,23 @@
+import { pause } from "../transport/pause.ts";
+
+const LEAD_MILLISECONDS = 10;
+
+/** Keeps a link's traffic to a rate; 0 bytes a second is not limited. */
+export class LinkPacer {
+  #bytesPerSecond: number;
+  #freeAt = 0;
+
+  constructor(bytesPerSecond: number) {
+    this.#bytesPerSecond = bytesPerSecond;
+  }
+
+  /** Waits until `bytes` may pass. */
+  async take(bytes: number): Promise<void> {
+    if (this.#bytesPerSecond === 0) return;
+    const now = performance.now();
+    const begin = Math.max(now, this.#freeAt);
+    this.#freeAt = begin + bytes * 1_000 / this.#bytesPerSecond;
+    const wait = this.#freeAt - now - LEAD_MILLISECONDS;
+    if (wait > 0) await pause(wait);
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/agent/spread_client.ts
@@ -0,0 +1,145 @@
+import { versionName } from "@teaselrouter/core/spread/version_name.ts";
+import type { WeightsManifest } from "@teaselrouter/core/spread/weights_manifest.ts";
+import type { SpreadPlan } from "@teaselrouter/messages/agent.ts";
+import { Subject } from "rxjs";
+import type { EventLog } from "../log/event_log.ts";
+import type { ChunkFetcher } from "./chunk_fetcher.ts";
+import type { WeightsCache } from "./weights_cache.ts";
+
+const ORIGIN = "";
+const UNPLANNED_MILLISECONDS = 2_000;
+const CHECK_MILLISECONDS = 250;
+const UNPLANNED_FETCHES = 2;
+const MOST_FETCHES = 16;
+const ASIDE_MILLISECONDS = 10_000;
+
+type Target = {
+  manifest: WeightsManifest;
+  version: string;
+  store: string;
+  stop: AbortController;
+};
+
+type Change = { version: string; added: number[]; failed: number[] };
+
+type Options = {
+  cache: WeightsCache;
+  fetcher: ChunkFetcher;
+  log: EventLog;
+  random: () => number;
+};
+
+/**
+ * Brings a version's chunks to this host: by a coordinator's plan, and by
+ * itself among the peers it knows when no plan comes.
+ */
+export class SpreadClient {
+  /** Chunks that came in or could not be had. */
+  readonly changed$ = new Subject<Change>();
+  originBytes = 0;
+  #options: Options;
+  #target: Target | undefined;
+  #fetching = new Set<number>();
+  #peers: string[] = [];
+  #plannedAt = 0;
+  #aside = new Map<string, number>();
+  #timer: NodeJS.Timeout;
+
+  constructor(options: Options) {
+    this.#options = options;
+    this.#timer = setInterval(() => this.#goOnAlone(), CHECK_MILLISECONDS);
+  }
+
+  stop(): void {
+    clearInterval(this.#timer);
+    this.#target?.stop.abort();
+  }
+
+  get version(): string {
+    return this.#target?.version ?? "";
+  }
+
+  /** Turns to a version; what an overtaken one was fetching is left. */
+  setTarget(manifest: WeightsManifest, store: string): void {
+    const version = versionName(manifest);
+    if (this.#target?.version === version) return;
+    this.#target?.stop.abort();
+    this.#fetching = new Set();
+    this.#target = { manifest, version, store, stop: new AbortController() };
+    this.#plannedAt = Date.now();
+    this.#options.cache.begin(manifest);
+  }
+
+  takePlan(plan: SpreadPlan): void {
+    const target = this.#target;
+    if (target === undefined || plan.version !== target.version) return;
+    this.#plannedAt = Date.now();
+    this.#peers = plan.peers;
+    for (const { chunk, source } of plan.orders) {
+      this.#fetch(target, chunk, source);
+    }
+  }
+
+  #goOnAlone(): void {
+    const target = this.#target;
+    if (target === undefined) return;
+    const held = this.#options.cache.held(target.version)!;
+    const planned = Date.now() - this.#plannedAt < UNPLANNED_MILLISECONDS;
+    if (held.isComplete || planned || this.#fetching.size > 0) return;
+    const missing = held.missing();
+    const { random } = this.#options;
+    for (let count = 0; count < UNPLANNED_FETCHES; count += 1) {
+      const chunk = missing[Math.floor(random() * missing.length)]!;
+      this.#fetch(target, chunk, this.#pickSource());
+    }
+  }
+
+  #pickSource(): string {
+    const now = Date.now();
+    const usable = [...this.#peers, ORIGIN].filter((source) =>
+      (this.#aside.get(source) ?? 0) < now
+    );
+    const index = Math.floor(this.#options.random() * usable.length);
+    return usable[index] ?? ORIGIN;
+  }
+
+  async #fetch(target: Target, chunk: number, source: string): Promise<void> {
+    const { cache, fetcher, log } = this.#options;
+    const { version, manifest, store, stop } = target;
+    if (cache.chunk(version, chunk) !== undefined) {
+      return this.#tell(target, { added: [chunk], failed: [] });
+    }
+    if (this.#fetching.has(chunk)) return;
+    if (this.#fetching.size >= MOST_FETCHES) {
+      return this.#tell(target, { added: [], failed: [chunk] });
+    }
+    this.#fetching.add(chunk);
+    const bytes = await fetcher.fetch({
+      manifest,
+      store,
+      chunk,
+      source,
+      signal: stop.signal,
+    });
+    if (stop.signal.aborted) return;
+    this.#fetching.delete(chunk);
+    if (bytes.isOk && source === ORIGIN) {
+      this.originBytes += bytes.value.length;
+    }
+    const good = bytes.isOk && cache.add(version, chunk, bytes.value);
+    if (good) return this.#tell(target, { added: [chunk], failed: [] });
+    const reason = bytes.isOk ? "digest-differs" : bytes.error;
+    log.warn("chunk-failed", {
+      version,
+      chunk,
+      source: source || "origin",
+      reason,
+    });
+    this.#aside.set(source, Date.now() + ASIDE_MILLISECONDS);
+    this.#tell(target, { added: [], failed: [chunk] });
+  }
+
+  #tell(target: Target, change: { added: number[]; failed: number[] }): void {
+    this.changed$.next({ version: target.version, ...change });
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/control/control_app.ts
@@ -0,0 +1,159 @@
+import type { ConnectRouter } from "@connectrpc/connect";
+import { create } from "@bufbuild/protobuf";
+import { RaftNode } from "@teaselrouter/core/consensus/raft_node.ts";
+import { decodeControlState } from "@teaselrouter/core/state/decode_control_state.ts";
+import { encodeControlState } from "@teaselrouter/core/state/encode_control_state.ts";
+import {
+  type Member,
+  MemberSchema,
+  type Membership,
+  SnapshotDataSchema,
+} from "@teaselrouter/messages/control.ts";
+import { DataFolder } from "@teaselrouter/storage/data_folder.ts";
+import { Result } from "true-myth";
+import type { EventLog } from "../log/event_log.ts";
+import type { Settings } from "../settings/settings.ts";
+import type { ClientPool } from "../transport/client_pool.ts";
+import { pause } from "../transport/pause.ts";
+import { ControlHost } from "./control_host.ts";
+import { controlRoutes } from "./control_routes.ts";
+import { foundCluster } from "./found_cluster.ts";
+import { PeerLinks } from "./peer_links.ts";
+import { RaftDriver } from "./raft_driver.ts";
+
+const TRANSFER_MILLISECONDS = 3_000;
+const POLL_MILLISECONDS = 20;
+
+type Options = {
+  settings: Settings;
+  clients: ClientPool;
+  log: EventLog;
+  stopProcess: (reason: string) => void;
+};
+
+/** A control host: one member of the replicated log, and its services. */
+export class ControlApp {
+  #options: Options;
+  #folder: DataFolder;
+  #self: Member;
+  #links: PeerLinks;
+  #founded: Membership | undefined;
+  #driver: RaftDriver | undefined;
+  #control: ControlHost | undefined;
+  #stopped = false;
+
+  private constructor(options: Options, folder: DataFolder) {
+    const { settings } = options;
+    this.#options = options;
+    this.#folder = folder;
+    this.#links = new PeerLinks(options.clients);
+    this.#self = create(MemberSchema, {
+      id: folder.identity.id,
+      name: settings.name,
+      address: settings.internal.listen,
+    });
+    const { membership } = folder.restored.snapshot;
+    if ((membership?.members.length ?? 0) > 0) this.#founded = membership;
+  }
+
+  static async open(options: Options): Promise<Result<ControlApp, string>> {
+    const { settings } = options;
+    const folder = await DataFolder.open(
+      settings.control!.data_folder,
+      settings.name,
+    );
+    if (folder.isErr) {
+      return Result.err(`${folder.error.kind}: ${folder.error.detail}`);
+    }
+    return Result.ok(new ControlApp(options, folder.value));
+  }
+
+  routes(router: ConnectRouter): void {
+    controlRoutes({
+      self: this.#self,
+      ring: this.#options.log.ring,
+      founded: () => this.#control?.node.membership ?? this.#founded,
+      control: () => this.#control,
+      driver: () => this.#driver,
+    })(router);
+  }
+
+  get control(): ControlHost | undefined {
+    return this.#control;
+  }
+
+  async start(): Promise<void> {
+    if (this.#founded === undefined) await this.#found();
+    if (this.#stopped) return;
+    const { log, settings, stopProcess } = this.#options;
+    const { restored } = this.#folder;
+    const state = decodeControlState(restored.snapshot.state);
+    const node = new RaftNode({
+      id: this.#self.id,
+      electionMilliseconds: settings.control!.election_milliseconds,
+      heartbeatMilliseconds: settings.control!.heartbeat_milliseconds,
+      random: Math.random,
+      now: Date.now(),
+      ...restored,
+    });
+    const driver = new RaftDriver({
+      node,
+      folder: this.#folder,
+      links: this.#links,
+      log,
+      snapshotBytes: settings.control!.snapshot_bytes,
+      encodeState: () => this.#encodeState(),
+      stopProcess,
+    });
+    this.#driver = driver;
+    this.#control = new ControlHost({ node, driver, log }, state);
+    driver.start();
+    log.info("control-started", {
+      member: node.id,
+      last_index: node.lastIndex,
+      term: node.term,
+    });
+  }
+
+  /** Hands the lead on first, so that no change is refused meanwhile. */
+  async stop(): Promise<void> {
+    this.#stopped = true;
+    const node = this.#control?.node;
+    const until = Date.now() + TRANSFER_MILLISECONDS;
+    if (node?.transferLeadership(Date.now())) {
+      while (node.isLeading(Date.now()) && Date.now() < until) {
+        await pause(POLL_MILLISECONDS);
+      }
+    }
+    await this.#driver?.stop();
+    this.#links.close();
+  }
+
+  async #found(): Promise<void> {
+    const membership = await foundCluster({
+      settings: this.#options.settings,
+      self: this.#self,
+      clients: this.#options.clients,
+      log: this.#options.log,
+      isStopped: () => this.#stopped,
+    });
+    if (membership === undefined || membership.members.length === 0) return;
+    const snapshot = create(SnapshotDataSchema, { membership });
+    const { hardState } = this.#folder.restored;
+    const saved = await this.#folder.saveSnapshot(snapshot, {
+      hardState,
+      entries: [],
+    });
+    if (saved.isErr) return this.#options.stopProcess(saved.error.detail);
+    this.#folder.restored.snapshot = snapshot;
+    this.#founded = membership;
+  }
+
+  #encodeState(): { index: number; state: Uint8Array } {
+    const { state } = this.#control!;
+    return {
+      index: state.appliedIndex,
+      state: encodeControlState(state, { withClaims: true }),
+    };
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/control/control_routes.ts
@@ -0,0 +1,56 @@
+import type { ConnectRouter } from "@connectrpc/connect";
+import type { TimelineRing } from "@teaselrouter/core/timeline/timeline_ring.ts";
+import type { Member, Membership } from "@teaselrouter/messages/control.ts";
+import { ControlService, PeerService } from "@teaselrouter/messages/control.ts";
+import { toAsyncIterable } from "../transport/to_async_iterable.ts";
+import type { ControlHost } from "./control_host.ts";
+import { EntrySession } from "./entry_session.ts";
+import type { RaftDriver } from "./raft_driver.ts";
+
+type Options = {
+  self: Member;
+  ring: TimelineRing;
+  /** Undefined until the founding members are known. */
+  founded: () => Membership | undefined;
+  control: () => ControlHost | undefined;
+  driver: () => RaftDriver | undefined;
+};
+
+/** The connect services of a control host. */
+export function controlRoutes(options: Options) {
+  return (router: ConnectRouter): void => {
+    router.service(PeerService, {
+      introduce: () => ({ member: options.self, founded: options.founded() }),
+      async exchange(messages) {
+        for await (const message of messages) {
+          options.driver()?.receive(message);
+        }
+        return {};
+      },
+    });
+    router.service(ControlService, {
+      async *session(messages) {
+        const control = options.control();
+        if (control === undefined) return;
+        const session = new EntrySession({
+          control,
+          ring: options.ring,
+          leaderAddress: () => leaderAddress(control),
+        });
+        const reading = (async () => {
+          for await (const message of messages) session.take(message);
+        })();
+        reading.catch(() => undefined).finally(() => session.close());
+        yield* toAsyncIterable(session.outgoing$);
+      },
+    });
+  };
+}
+
+function leaderAddress(control: ControlHost): string {
+  const { node } = control;
+  const leader = node.membership.members.find((member) =>
+    member.id === node.leaderId
+  );
+  return leader?.address ?? "";
+}
--- /dev/null
+++ b/packages/daemon/src/entry/checked_call.ts
@@ -0,0 +1,13 @@
+import type { Buffer } from "node:buffer";
+
+/** A caller's request that passed every check and its limit. */
+export type CheckedCall = {
+  workspace: string;
+  service: string;
+  path: string;
+  body: Buffer;
+  contentType: string;
+  idempotencyKey: string;
+  deadlineMilliseconds: number;
+  receivedAt: number;
+};
--- /dev/null
+++ b/packages/daemon/src/entry/describe_issue.ts
@@ -0,0 +1,13 @@
+import type { z } from "zod";
+
+/** Names the first fault that a schema found: which field, and why. */
+export function describeIssue(
+  error: z.ZodError,
+): { field: string; detail: string } {
+  const issue = error.issues[0]!;
+  const path = issue.path.join(".") || "body";
+  const field = issue.code === "unrecognized_keys"
+    ? issue.keys.join(", ")
+    : path;
+  return { field, detail: `${field}: ${issue.message}` };
+}
--- /dev/null
+++ b/packages/daemon/src/entry/entry_app.ts
@@ -0,0 +1,212 @@
+import type { ConnectRouter } from "@connectrpc/connect";
+import { BackendServerTable } from "@teaselrouter/core/routing/backend_server_table.ts";
+import { OutlierDetector } from "@teaselrouter/core/routing/outlier_detector.ts";
+import { PredictedWaitPolicy } from "@teaselrouter/core/routing/predicted_wait_policy.ts";
+import { RetryBudget } from "@teaselrouter/core/routing/retry_budget.ts";
+import { Router } from "@teaselrouter/core/routing/router.ts";
+import { RarestFirstPolicy } from "@teaselrouter/core/spread/rarest_first_policy.ts";
+import { versionName } from "@teaselrouter/core/spread/version_name.ts";
+import type { ControlState } from "@teaselrouter/core/state/control_state.ts";
+import { AgentService } from "@teaselrouter/messages/agent.ts";
+import type { StatsD } from "hot-shots";
+import { randomUUID } from "node:crypto";
+import { Result } from "true-myth";
+import type { EventLog } from "../log/event_log.ts";
+import type { Settings } from "../settings/settings.ts";
+import type { ClientPool } from "../transport/client_pool.ts";
+import { pause } from "../transport/pause.ts";
+import { toAsyncIterable } from "../transport/to_async_iterable.ts";
+import { AgentSession } from "./agent_session.ts";
+import { CallHandler } from "./call_handler.ts";
+import { ControlSession } from "./control_session.ts";
+import type { EntryWorld } from "./entry_world.ts";
+import { LimitsRegistry } from "./limits_registry.ts";
+import { OperatorApi } from "./operator_api.ts";
+import { PublicServer } from "./public_server.ts";
+import { SpreadCoordinator } from "./spread_coordinator.ts";
+import { readStatus } from "./read_status.ts";
+import { readTimeline } from "./read_timeline.ts";
+
+const REGISTER_MILLISECONDS = 1_000;
+const POLL_MILLISECONDS = 25;
+/** Longer than any grant that was made before this host had a floor. */
+const SETTLING_MILLISECONDS = 1_600;
+
+type Options = {
+  settings: Settings;
+  clients: ClientPool;
+  log: EventLog;
+  metrics: StatsD;
+};
+
+/** An entry host: callers, operators and agents meet here. */
+export class EntryApp {
+  #options: Options;
+  #world: EntryWorld;
+  #coordinator: SpreadCoordinator;
+  #calls: CallHandler;
+  #server: PublicServer;
+  #owners = new Map<string, AgentSession>();
+  #incarnation = randomUUID();
+  #registeredAt = Infinity;
+  #stopping = false;
+
+  constructor(options: Options) {
+    const { settings, clients, log, metrics } = options;
+    const entry = settings.entry!;
+    this.#options = options;
+    const limits = new LimitsRegistry();
+    const table = new BackendServerTable();
+    const outliers = new OutlierDetector();
+    const control = new ControlSession({
+      hello: this.#hello(),
+      controlHosts: entry.control_hosts,
+      clients,
+      log,
+      demands: () => limits.demands(Date.now()),
+    });
+    const policy = new PredictedWaitPolicy({
+      random: Math.random,
+      dataCentre: settings.data_centre,
+      crossingMilliseconds: entry.crossing_milliseconds,
+    });
+    this.#world = {
+      control,
+      table,
+      outliers,
+      limits,
+      clients,
+      router: new Router({ table, outliers, policy }),
+      retries: new RetryBudget(),
+    };
+    this.#coordinator = new SpreadCoordinator({
+      dataCentre: settings.data_centre,
+      policy: new RarestFirstPolicy({
+        weighing: entry.spread_weighing,
+        random: Math.random,
+        downloadsPerHost: 4,
+        uploadsPerHost: 4,
+        originTransfers: 4,
+        regionTransfers: 2,
+      }),
+    });
+    const idleMilliseconds = entry.request_idle_milliseconds;
+    this.#calls = new CallHandler(this.#world, { idleMilliseconds, metrics });
+    const operators = new OperatorApi({
+      control,
+      idleMilliseconds,
+      readStatus: () => readStatus(settings, this.#world),
+      readTimeline: (since) =>
+        readTimeline({ settings, world: this.#world, ring: log.ring }, since),
+    });
+    this.#server = new PublicServer({
+      idleMilliseconds,
+      isReady: () => this.#isReady(),
+      handleCall: (request, response) => this.#calls.handle(request, response),
+      handleOperator: (request, response) =>
+        operators.handle(request, response),
+      onFault: (error) => log.error("call-fault", { error }),
+    });
+    control.changed$.subscribe((state) => this.#follow(state));
+    control.allotted$.subscribe(({ allotment, sentAt }) =>
+      limits.allot(allotment, sentAt, Date.now())
+    );
+  }
+
+  routes(router: ConnectRouter): void {
+    router.service(AgentService, {
+      session: (messages) => {
+        const { settings, log } = this.#options;
+        const session = new AgentSession({
+          host: settings.name,
+          dataCentre: settings.data_centre,
+          control: this.#world.control,
+          table: this.#world.table,
+          coordinator: this.#coordinator,
+          log,
+          owners: this.#owners,
+        });
+        const outgoing = toAsyncIterable(session.outgoing$);
+        const reading = (async () => {
+          for await (const message of messages) session.take(message);
+        })();
+        reading.catch(() => undefined).finally(() => session.close());
+        return outgoing;
+      },
+    });
+  }
+
+  async start(): Promise<Result<void, string>> {
+    const address = this.#options.settings.entry!.listen;
+    const listening = await this.#server.listen(address);
+    if (listening.isErr) return listening;
+    this.#world.control.start();
+    this.#register();
+    return Result.ok(undefined);
+  }
+
+  /**
+   * `/ready` answers 503 from the first moment; listening ends only when the
+   * balancer has had time to see it, the process when every call is answered.
+   */
+  async stop(): Promise<void> {
+    this.#stopping = true;
+    await pause(this.#options.settings.entry!.drain_milliseconds);
+    this.#server.stopListening();
+    while (this.#calls.inProgress > 0) await pause(POLL_MILLISECONDS);
+    this.#server.close();
+    this.#world.control.stop();
+    this.#coordinator.stop();
+    for (const session of this.#owners.values()) session.close();
+  }
+
+  #isReady(): boolean {
+    const settled = Date.now() - this.#registeredAt > SETTLING_MILLISECONDS;
+    return settled && !this.#stopping;
+  }
+
+  #hello() {
+    const { settings } = this.#options;
+    return {
+      host: settings.name,
+      dataCentre: settings.data_centre,
+      incarnation: this.#incarnation,
+      publicAddress: settings.entry!.listen,
+      internalAddress: settings.internal.listen,
+    };
+  }
+
+  /**
+   * A host that was never registered has no floor of its own yet: until the
+   * grants made without it have run out, it must let nothing through.
+   */
+  async #register(): Promise<void> {
+    const { control } = this.#world;
+    while (!this.#stopping) {
+      const reply = await control.propose({
+        kind: "register-entry",
+        ...this.#hello(),
+      });
+      if (reply.kind === "committed" || this.#isKnown()) break;
+      await pause(REGISTER_MILLISECONDS / 4);
+    }
+    this.#registeredAt = Date.now();
+    this.#options.log.info("entry-registered");
+  }
+
+  /** Cut off, but registered before: it goes on with its floors. */
+  #isKnown(): boolean {
+    const { state } = this.#world.control;
+    return state.entryHosts.has(this.#options.settings.name);
+  }
+
+  #follow(state: ControlState): void {
+    this.#world.limits.follow(state, Date.now());
+    const versions = new Set<string>();
+    for (const weights of state.weights.values()) {
+      versions.add(versionName(weights.manifest));
+      this.#coordinator.addVersion(weights.manifest);
+    }
+    this.#coordinator.keepVersions(versions);
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/entry/operator_api.ts
@@ -0,0 +1,265 @@
+import { contractContentSchema } from "@teaselrouter/core/contracts/contract_content_schema.ts";
+import type { Command } from "@teaselrouter/core/state/command.ts";
+import { commandSchema } from "@teaselrouter/core/state/command_schema.ts";
+import { weightsManifestSchema } from "@teaselrouter/core/spread/weights_manifest_schema.ts";
+import type { WeightsManifest } from "@teaselrouter/core/spread/weights_manifest.ts";
+import { createHash } from "node:crypto";
+import type { IncomingMessage, ServerResponse } from "node:http";
+import { Result } from "true-myth";
+import { z } from "zod";
+import type { ControlSession } from "./control_session.ts";
+import { describeIssue } from "./describe_issue.ts";
+import type { Problem } from "./problem.ts";
+import { readBody } from "./read_body.ts";
+import { sendProblem } from "./send_problem.ts";
+
+const MOST_BODY_BYTES = 1_048_576;
+const STORE_MILLISECONDS = 5_000;
+
+const changeSchema = z.strictObject({
+  expected: z.number().int().min(0),
+  content: contractContentSchema,
+  retired: z.boolean().default(false),
+});
+
+const publishSchema = z.strictObject({
+  expected: z.number().int().min(0),
+  name: z.string().min(1).max(128),
+  version: z.string().min(1).max(128),
+  store: z.url().max(512),
+  serving_share: z.number().min(0).max(1).default(0.75),
+});
+
+const drainSchema = z.strictObject({ drained: z.boolean() });
+
+type Options = {
+  control: ControlSession;
+  idleMilliseconds: number;
+  /** Everything that `status` shows beside the replicated tables. */
+  readStatus: () => Promise<unknown>;
+  readTimeline: (since: number) => Promise<unknown>;
+};
+
+type Reply = Result<{ status: number; body: unknown }, Problem>;
+
+function invalid(field: string, detail: string): Problem {
+  return {
+    status: 400,
+    type: "bad-request",
+    field,
+    detail,
+    outcome: "not-run",
+  };
+}
+
+function digestOf(value: unknown): string {
+  return createHash("sha256").update(JSON.stringify(value)).digest("hex");
+}
+
+/** The operators' part of the public port. */
+export class OperatorApi {
+  #options: Options;
+
+  constructor(options: Options) {
+    this.#options = options;
+  }
+
+  async handle(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    const url = new URL(request.url ?? "", "http://entry");
+    const parts = url.pathname.split("/").slice(3).map(decodeURIComponent);
+    const reply = request.method === "GET"
+      ? await this.#get(parts, url.searchParams)
+      : await this.#change(request, parts);
+    if (reply.isErr) return sendProblem(response, reply.error);
+    response.writeHead(reply.value.status, {
+      "Content-Type": "application/json",
+    });
+    response.end(JSON.stringify(reply.value.body));
+  }
+
+  async #get(parts: string[], query: URLSearchParams): Promise<Reply> {
+    const { control } = this.#options;
+    const [table, name] = parts;
+    if (table === "status") {
+      return found(await this.#options.readStatus());
+    }
+    if (table === "timeline") {
+      const since = Number(query.get("since") ?? 0);
+      return found(await this.#options.readTimeline(since || 0));
+    }
+    // A cut-off entry host still shows what it last knew, and says so.
+    const current = await control.readCurrent();
+    if (table === "contracts" && name === undefined) {
+      return found({ current, rows: [...control.state.contracts.values()] });
+    }
+    if (table === "contracts") {
+      return foundRow(current, control.state.contracts.get(name!));
+    }
+    if (table === "weights" && name === undefined) {
+      return found({ current, rows: [...control.state.weights.values()] });
+    }
+    if (table === "weights") {
+      return foundRow(current, control.state.weights.get(name!));
+    }
+    return noSuchPath();
+  }
+
+  async #change(request: IncomingMessage, parts: string[]): Promise<Reply> {
+    const body = await this.#readJson(request);
+    if (body.isErr) return Result.err(body.error);
+    const [table, name, action] = parts;
+    if (request.method !== "PUT" || name === undefined) return noSuchPath();
+    if (table === "contracts") return this.#changeContract(name, body.value);
+    if (table === "weights") return this.#publish(name, body.value);
+    if (table === "backends" && action === "drain") {
+      return this.#drain(name, body.value);
+    }
+    if (table === "entries" && action === "remove") {
+      return this.#propose({ kind: "remove-entry", host: name });
+    }
+    return noSuchPath();
+  }
+
+  #changeContract(workspace: string, body: unknown): Promise<Reply> {
+    const checked = changeSchema.safeParse(body);
+    if (!checked.success) return refuseIssue(checked.error);
+    const { expected, content, retired } = checked.data;
+    return this.#propose({
+      kind: "change-contract",
+      workspace,
+      expected,
+      content,
+      retired,
+      digest: digestOf({ content, retired }),
+    });
+  }
+
+  async #publish(service: string, body: unknown): Promise<Reply> {
+    const checked = publishSchema.safeParse(body);
+    if (!checked.success) return refuseIssue(checked.error);
+    const { expected, name, version, store, serving_share } = checked.data;
+    const manifest = await fetchManifest(store, name, version);
+    if (manifest.isErr) return Result.err(manifest.error);
+    return this.#propose({
+      kind: "publish-weights",
+      service,
+      expected,
+      manifest: manifest.value,
+      store,
+      servingShare: serving_share,
+      digest: digestOf({ manifest: manifest.value, store, serving_share }),
+    });
+  }
+
+  #drain(backendServer: string, body: unknown): Promise<Reply> {
+    const checked = drainSchema.safeParse(body);
+    if (!checked.success) return refuseIssue(checked.error);
+    const { drained } = checked.data;
+    return this.#propose({ kind: "drain-backend", backendServer, drained });
+  }
+
+  async #propose(command: Command): Promise<Reply> {
+    const checked = commandSchema.safeParse(command);
+    if (!checked.success) return refuseIssue(checked.error);
+    const reply = await this.#options.control.propose(command);
+    if (reply.kind === "not-proposed") {
+      return Result.err({
+        status: 503,
+        type: "no-leader",
+        detail: "no leader can be reached; the change was not accepted",
+        outcome: "not-run",
+        retryAfterMilliseconds: 1_000,
+      });
+    }
+    if (reply.kind === "unknown") {
+      return Result.err({
+        status: 504,
+        type: "outcome-unknown",
+        detail: "the change may have been accepted; send the same again",
+        outcome: "unknown",
+        retryAfterMilliseconds: 1_000,
+      });
+    }
+    const { accepted, reason, value } = reply.answer;
+    return Result.ok({
+      status: accepted ? 200 : 409,
+      body: {
+        accepted,
+        reason,
+        stands: value,
+        in_force: reply.inForce,
+        hosts_without_lease: reply.hostsWithoutLease,
+      },
+    });
+  }
+
+  async #readJson(request: IncomingMessage): Promise<Result<unknown, Problem>> {
+    const body = await readBody(request, {
+      maximumBytes: MOST_BODY_BYTES,
+      idleMilliseconds: this.#options.idleMilliseconds,
+    });
+    if (body.isErr) return Result.err(body.error);
+    try {
+      return Result.ok(JSON.parse(body.value.toString("utf8")));
+    } catch {
+      return Result.err(invalid("body", "the body is not JSON"));
+    }
+  }
+}
+
+function found(body: unknown): Reply {
+  return Result.ok({ status: 200, body });
+}
+
+function foundRow(current: boolean, row: unknown): Reply {
+  return row === undefined
+    ? notFound("there is none under this name")
+    : found({ current, row });
+}
+
+function notFound(detail: string): Reply {
+  return Result.err({
+    status: 404,
+    type: "not-found",
+    detail,
+    outcome: "not-run",
+  });
+}
+
+function noSuchPath(): Reply {
+  return notFound("no such path");
+}
+
+function refuseIssue(error: z.ZodError): Promise<Reply> {
+  const { field, detail } = describeIssue(error);
+  return Promise.resolve(Result.err(invalid(field, detail)));
+}
+
+async function fetchManifest(
+  store: string,
+  name: string,
+  version: string,
+): Promise<Result<WeightsManifest, Problem>> {
+  const url = `${store}/manifests/${encodeURIComponent(name)}/${
+    encodeURIComponent(version)
+  }`;
+  const fault = (detail: string) =>
+    Result.err<WeightsManifest, Problem>(invalid("store", detail));
+  try {
+    const answer = await fetch(url, {
+      signal: AbortSignal.timeout(STORE_MILLISECONDS),
+    });
+    if (!answer.ok) return fault(`${url} answers ${answer.status}`);
+    const checked = weightsManifestSchema.safeParse(await answer.json());
+    if (!checked.success) return fault(describeIssue(checked.error).detail);
+    if (checked.data.name !== name || checked.data.version !== version) {
+      return fault(`${url} has another name or version`);
+    }
+    return Result.ok(checked.data);
+  } catch (error) {
+    return fault(`${url} can't be read: ${String(error)}`);
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/log/event_log.ts
@@ -0,0 +1,59 @@
+import { TimelineRing } from "@teaselrouter/core/timeline/timeline_ring.ts";
+import process from "node:process";
+import { Logger } from "tslog";
+import { formatFields } from "./format_fields.ts";
+
+const RING_CAPACITY = 2_000;
+const LEVELS = { debug: 2, info: 3, warn: 4, error: 5 } as const;
+
+type Level = keyof typeof LEVELS;
+type Fields = Record<string, unknown>;
+
+/**
+ * A process's events: one line of key=value pairs each on standard error,
+ * and, but for debug ones, an entry of the time line.
+ */
+export class EventLog {
+  readonly ring: TimelineRing;
+  #logger: Logger<unknown>;
+
+  constructor(processName: string, level: Level) {
+    this.ring = new TimelineRing(processName, RING_CAPACITY);
+    this.#logger = new Logger({ type: "hidden", minLevel: LEVELS[level] });
+    this.#logger.attachTransport((line) => {
+      const { _meta, ...rest } = line as unknown as {
+        _meta: { date: Date; logLevelName: string };
+        0: Fields;
+      };
+      const head = {
+        time: _meta.date.toISOString(),
+        level: _meta.logLevelName.toLowerCase(),
+        process: processName,
+      };
+      process.stderr.write(`${formatFields({ ...head, ...rest[0] })}\n`);
+    });
+  }
+
+  debug(event: string, fields: Fields = {}): void {
+    this.#logger.debug({ event, ...fields });
+  }
+
+  info(event: string, fields: Fields = {}): void {
+    this.#record(event, fields);
+    this.#logger.info({ event, ...fields });
+  }
+
+  warn(event: string, fields: Fields = {}): void {
+    this.#record(event, fields);
+    this.#logger.warn({ event, ...fields });
+  }
+
+  error(event: string, fields: Fields = {}): void {
+    this.#record(event, fields);
+    this.#logger.error({ event, ...fields });
+  }
+
+  #record(event: string, fields: Fields): void {
+    this.ring.record(Date.now(), event, formatFields(fields));
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/settings/settings.ts
@@ -0,0 +1,5 @@
+import type { z } from "zod";
+import type { settingsSchema } from "./settings_schema.ts";
+
+/** A daemon's checked settings. */
+export type Settings = z.infer<typeof settingsSchema>;
--- /dev/null
+++ b/packages/daemon/src/transport/pause.ts
@@ -0,0 +1,4 @@
+/** Waits. */
+export function pause(milliseconds: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, milliseconds));
+}
--- /dev/null
+++ b/packages/daemon/src/wiring/start_daemon.ts
@@ -0,0 +1,76 @@
+import type { ConnectRouter } from "@connectrpc/connect";
+import { TimelineService } from "@teaselrouter/messages/agent.ts";
+import { Result } from "true-myth";
+import { AgentApp } from "../agent/agent_app.ts";
+import { ControlApp } from "../control/control_app.ts";
+import { EntryApp } from "../entry/entry_app.ts";
+import { EventLog } from "../log/event_log.ts";
+import { createMetrics } from "../metrics/create_metrics.ts";
+import type { Settings } from "../settings/settings.ts";
+import { ClientPool } from "../transport/client_pool.ts";
+import { InternalServer } from "../transport/internal_server.ts";
+
+type Daemon = {
+  /** A planned stop: cuts off nothing, then ends. */
+  stop: () => Promise<void>;
+};
+
+type Options = {
+  settings: Settings;
+  /** Called when a broken invariant leaves no safe way to go on. */
+  stopProcess: (reason: string) => void;
+};
+
+/** Wires one process's parts, and starts them; the error says what failed. */
+export async function startDaemon(
+  options: Options,
+): Promise<Result<Daemon, string>> {
+  const { settings } = options;
+  const log = new EventLog(settings.name, settings.log.level);
+  const metrics = createMetrics(settings);
+  const clients = new ClientPool();
+  const stopProcess = (reason: string) => {
+    log.error("process-stops", { reason });
+    options.stopProcess(reason);
+  };
+  const has = (role: Settings["roles"][number]) =>
+    settings.roles.includes(role);
+
+  const opened = has("control")
+    ? await ControlApp.open({ settings, clients, log, stopProcess })
+    : undefined;
+  if (opened?.isErr) return Result.err(opened.error);
+  const control = opened?.value;
+  const parts = { settings, clients, log, metrics };
+  const entry = has("entry") ? new EntryApp(parts) : undefined;
+  const agent = has("agent") ? new AgentApp(parts) : undefined;
+
+  const server = new InternalServer((router: ConnectRouter) => {
+    router.service(TimelineService, {
+      read: ({ since }) => ({ events: log.ring.since(since) }),
+    });
+    control?.routes(router);
+    entry?.routes(router);
+    agent?.routes(router);
+  });
+  const listening = await server.listen(settings.internal.listen);
+  if (listening.isErr) return Result.err(listening.error);
+
+  control?.start();
+  for (const app of [entry, agent]) {
+    const started = await app?.start();
+    if (started?.isErr) return Result.err(started.error);
+  }
+  log.info("started", { roles: settings.roles.join(",") });
+
+  const stop = async () => {
+    log.info("stopping");
+    await Promise.all([entry?.stop(), agent?.stop()]);
+    await control?.stop();
+    server.close();
+    clients.close();
+    await new Promise<void>((resolve) => metrics.close(() => resolve()));
+    log.info("stopped");
+  };
+  return Result.ok({ stop });
+}
--- /dev/null
+++ b/packages/experiments/src/demo/print_demo_table.ts
@@ -0,0 +1,59 @@
+import type { LoadSummary } from "../load/load_summary.ts";
+import { formatTable } from "@teaselrouter/operator/output/format_table.ts";
+
+type Outcome = {
+  publications: { version: string; seconds: number; originCopies: number }[];
+  replicas: number;
+  summary: LoadSummary;
+  /** Faults against the services' own records. */
+  ranTwice: string[];
+  bounds: { originSeconds: number; hostSeconds: number };
+};
+
+function refusals(refused: Record<string, number>): string {
+  const parts = Object.entries(refused).map(([reason, count]) =>
+    `${count} ${reason}`
+  );
+  return parts.join(", ") || "-";
+}
+
+/** Prints the demo's table, and says whether all was as promised. */
+export function printDemoTable(outcome: Outcome): boolean {
+  const { summary, bounds, replicas, ranTwice } = outcome;
+  console.log();
+  console.log(formatTable(
+    ["VERSION", "LIVE ON", "SECONDS", "ORIGIN COPIES", "BOUND: ORIGIN", "HOST"],
+    outcome.publications.map(({ version, seconds, originCopies }) => [
+      version,
+      replicas,
+      seconds.toFixed(1),
+      originCopies.toFixed(2),
+      bounds.originSeconds.toFixed(1),
+      bounds.hostSeconds.toFixed(1),
+    ]),
+  ));
+  console.log();
+  console.log(formatTable(
+    ["SERVICE", "SENT", "WHOLE", "WRONG", "CUT", "P50 MS", "P95 MS", "REFUSED"],
+    Object.entries(summary.services).map(([service, row]) => [
+      service,
+      row.sent,
+      row.whole,
+      row.wrong,
+      row.cut,
+      row.p50,
+      row.p95,
+      refusals(row.refused),
+    ]),
+  ));
+  const { ran, notRun, unknown } = summary.unrepeatable;
+  console.log();
+  console.log(
+    `unrepeatable calls: ${ran.length} run once, ${notRun.length} not run, ` +
+      `${unknown.length} unknown, ${ranTwice.length} against the record`,
+  );
+  for (const line of [...ranTwice, ...summary.wrongDetails]) console.log(line);
+  const rows = Object.values(summary.services);
+  const wrong = rows.reduce((sum, row) => sum + row.wrong + row.cut, 0);
+  return wrong === 0 && ranTwice.length === 0;
+}
--- /dev/null
+++ b/packages/experiments/src/load/call_result.ts
@@ -0,0 +1,6 @@
+/** How one call of the load driver ended. */
+export type CallResult =
+  | { kind: "whole"; version: string; milliseconds: number }
+  | { kind: "refused"; reason: string; outcome: string; milliseconds: number }
+  | { kind: "wrong"; detail: string }
+  | { kind: "cut"; detail: string };
--- /dev/null
+++ b/packages/experiments/src/load/load_summary.ts
@@ -0,0 +1,21 @@
+/** What the load driver counted of one service. */
+type ServiceSummary = {
+  sent: number;
+  whole: number;
+  wrong: number;
+  /** Answers whose connection was broken before their end. */
+  cut: number;
+  refused: Record<string, number>;
+  p50: number;
+  p95: number;
+  p99: number;
+  byVersion: Record<string, number>;
+};
+
+/** What the load driver prints at its end. */
+export type LoadSummary = {
+  services: Record<string, ServiceSummary>;
+  /** Bodies of unrepeatable calls by their last reported outcome. */
+  unrepeatable: { ran: string[]; notRun: string[]; unknown: string[] };
+  wrongDetails: string[];
+};
--- /dev/null
+++ b/packages/operator/src/commands/system_status.ts
@@ -0,0 +1,37 @@
+/** What an entry host's status path answers. */
+export type SystemStatus = {
+  entry_host: string;
+  data_centre: string;
+  has_lease: boolean;
+  leader: string;
+  term: number;
+  applied_index: number;
+  entry_hosts: { host: string; dataCentre: string; publicAddress: string }[];
+  contracts: {
+    workspace: string;
+    number: number;
+    retired: boolean;
+    requests_per_second: number;
+    demand: number;
+  }[];
+  weights: {
+    service: string;
+    version: string;
+    number: number;
+    bytes: number;
+    live: number;
+    replicas: number;
+  }[];
+  backend_servers: {
+    backend_server: string;
+    data_centre: string;
+    service: string;
+    version: string;
+    accepting: boolean;
+    drained: boolean;
+    heard_milliseconds_ago: number;
+    in_flight: number;
+    running: number;
+    queued: number;
+  }[];
+};
--- /dev/null
+++ b/packages/operator/src/create_program.ts
@@ -0,0 +1,180 @@
+import process from "node:process";
+import sade, { type Sade } from "sade";
+import { OperatorClient } from "./client/operator_client.ts";
+import { changeContract } from "./commands/change_contract.ts";
+import type { CommandResult } from "./commands/command_result.ts";
+import { drainBackend } from "./commands/drain_backend.ts";
+import { listBackends } from "./commands/list_backends.ts";
+import { listContracts } from "./commands/list_contracts.ts";
+import { publishWeights } from "./commands/publish_weights.ts";
+import { showContract } from "./commands/show_contract.ts";
+import { showStatus } from "./commands/show_status.ts";
+import { showTimeline } from "./commands/show_timeline.ts";
+import { showWeights } from "./commands/show_weights.ts";
+import { contractFields } from "./contract_fields.ts";
+import { exitCode } from "./exit_code.ts";
+import { findEntry } from "./find_entry.ts";
+
+const DEFAULT_TIMELINE_SECONDS = 300;
+
+type Options = Record<string, unknown>;
+
+function print(result: CommandResult, options: Options): void {
+  const text = options["json"] ? JSON.stringify(result.json) : result.text;
+  const stream = result.exit === exitCode.done || options["json"]
+    ? process.stdout
+    : process.stderr;
+  stream.write(`${text}\n`, () => process.exit(result.exit));
+}
+
+async function runWith(
+  options: Options,
+  command: (client: OperatorClient) => Promise<CommandResult>,
+): Promise<void> {
+  const entry = findEntry(options["entry"] as string | undefined);
+  if (entry === undefined) {
+    const text = `--entry: "${options["entry"]}" is no URL or settings file`;
+    return print(
+      { exit: exitCode.usage, text, json: { error: text } },
+      options,
+    );
+  }
+  print(await command(new OperatorClient(entry)), options);
+}
+
+function numberOf(value: unknown): number | undefined {
+  return value === undefined ? undefined : Number(value);
+}
+
+function addContractCommands(program: Sade): void {
+  for (const kind of ["create", "change", "retire"] as const) {
+    program
+      .command(`contract ${kind} <workspace>`)
+      .describe(`${kind} a workspace's contract; waits until it is in force`)
+      .option("--rate", "Requests a second over all entry hosts")
+      .option("--burst", "Requests above the rate at one moment")
+      .option("--services", "Services it may call, comma separated")
+      .option("--guaranteed-share", "Part kept by cut-off hosts, 0 to 1")
+      .option("--deadline", "Answer time where none is named, ms")
+      .option("--priority", "0 to 9; larger goes first")
+      .option("--maximum-body", "Bytes")
+      .option("--number", "Number that this change replaces")
+      .option("--dry-run", "Only show the difference")
+      .example(
+        `contract ${kind} bakery ${kind === "retire" ? "" : "--rate 50"}`,
+      )
+      .action((workspace: string, options: Options) =>
+        runWith(options, (client) =>
+          changeContract(client, {
+            workspace,
+            kind,
+            fields: contractFields(options),
+            expected: numberOf(options["number"]),
+            dryRun: options["dry-run"] === true,
+          }))
+      );
+  }
+  program
+    .command("contract show <workspace>")
+    .describe("Show one contract as it stands")
+    .example("contract show bakery")
+    .action((workspace: string, options: Options) =>
+      runWith(options, (client) => showContract(client, workspace))
+    );
+  program
+    .command("contract list")
+    .describe("List all contracts")
+    .example("contract list --json")
+    .action((options: Options) => runWith(options, listContracts));
+}
+
+function addWeightsCommands(program: Sade): void {
+  program
+    .command("weights publish <name> <version>")
+    .describe("Publish a version for a service")
+    .option("--service", "Service whose backend servers are to serve it")
+    .option("--store", "URL of the weight store")
+    .option("--serving-share", "Part that serves at all times, 0 to 1")
+    .option("--number", "Number that this publication replaces")
+    .option("--wait", "Until every replica is live, with progress")
+    .example(
+      "weights publish drafter 7 --service drafter --store http://store:80 --wait",
+    )
+    .action((name: string, version: string, options: Options) => {
+      for (const needed of ["service", "store"]) {
+        if (typeof options[needed] === "string") continue;
+        const text = `--${needed} is needed`;
+        const json = { error: text };
+        return print({ exit: exitCode.usage, text, json }, options);
+      }
+      return runWith(options, (client) =>
+        publishWeights(client, {
+          service: String(options["service"]),
+          name,
+          version: String(version),
+          store: String(options["store"]),
+          servingShare: numberOf(options["serving-share"]),
+          expected: numberOf(options["number"]),
+          wait: options["wait"] === true,
+        }));
+    });
+  program
+    .command("weights status")
+    .describe("Show each service's version and its replicas")
+    .example("weights status")
+    .action((options: Options) => runWith(options, showWeights));
+}
+
+function addBackendCommands(program: Sade): void {
+  program
+    .command("backend list")
+    .describe("List the backend servers")
+    .example("backend list --json")
+    .action((options: Options) => runWith(options, listBackends));
+  program
+    .command("backend drain <backend>")
+    .describe("Give a backend server no new work")
+    .option("--undo", "Give it work again")
+    .example("backend drain worker-3")
+    .action((backend: string, options: Options) =>
+      runWith(
+        options,
+        (client) =>
+          drainBackend(client, backend, { undo: options["undo"] === true }),
+      )
+    );
+}
+
+function addViewCommands(program: Sade): void {
+  program
+    .command("status")
+    .describe("Show the system on one screen")
+    .example("status --entry http://10.0.0.4:8080")
+    .action((options: Options) => runWith(options, showStatus));
+  program
+    .command("timeline")
+    .describe("Show the events of all processes, merged")
+    .option("--since", "Seconds back", DEFAULT_TIMELINE_SECONDS)
+    .option("--trace", "As a file for a browser's trace viewer")
+    .example("timeline --since 60 --trace > trace.json")
+    .action((options: Options) =>
+      runWith(options, (client) =>
+        showTimeline(client, {
+          sinceSeconds: Number(options["since"]),
+          trace: options["trace"] === true,
+        }))
+    );
+}
+
+/** Builds the client's command line. */
+export function createProgram(): Sade {
+  const program = sade("teaselrouter")
+    .version("0.1.0")
+    .option("--entry", "URL of an entry host, or a file that names one")
+    .option("--json", "For programs");
+  addContractCommands(program);
+  addWeightsCommands(program);
+  addBackendCommands(program);
+  addViewCommands(program);
+  return program;
+}
--- /dev/null
+++ b/packages/operator/src/known_commands.ts
@@ -0,0 +1,14 @@
+/** Every command of the client. */
+export const knownCommands = [
+  "contract create",
+  "contract change",
+  "contract retire",
+  "contract show",
+  "contract list",
+  "weights publish",
+  "weights status",
+  "backend list",
+  "backend drain",
+  "status",
+  "timeline",
+];
--- /dev/null
+++ b/tools/setup.mjs
@@ -0,0 +1,7 @@
+// Installs the workspace when a fresh checkout has no packages yet.
+import { execFileSync } from "node:child_process";
+import { existsSync } from "node:fs";
+
+if (!existsSync("node_modules/.package-lock.json")) {
+  execFileSync("npm", ["ci", "--ignore-scripts"], { stdio: "inherit" });
+}
