Count an allotment as held only by its own number, prove limits, claims and storage

A host confirmed answer 15, and the leader took the cap of answer 9 for held although that answer had been lost.

Change: a confirmation counts for the answer of just that number; rows before it stay possible until they run out. The agent's memory of claims is a plain map in age order: the cache library set aside arrays for all 200,000 keys in every process, and 3,000 of them exhausted 4 GB in the property test.

Conclusion: limits sum to the contract under the failures listed in the test.

--- a/packages/core/src/claims/agent_claims.ts
+++ b/packages/core/src/claims/agent_claims.ts
@@ -1,9 +1,13 @@
-import { LRUCache } from "lru-cache";
+/** Six times the longest deadline: no copy of a call is on its way longer. */
+const KEPT_MILLISECONDS = 3_600_000;
+const DROPPED_PER_CALL = 4;
 
-const KEPT_MILLISECONDS = 24 * 3_600_000;
-const MOST_KEPT = 200_000;
-
-type Known = { claimIndex: number; requestId: string; tombstoned: boolean };
+type Known = {
+  claimIndex: number;
+  requestId: string;
+  tombstoned: boolean;
+  at: number;
+};
 
 type Verdict =
   | { kind: "run" }
@@ -16,10 +20,8 @@
  */
 export class AgentClaims {
   #incarnation: string;
-  #known = new LRUCache<string, Known>({
-    max: MOST_KEPT,
-    ttl: KEPT_MILLISECONDS,
-  });
+  /** By key, oldest first. */
+  #known = new Map<string, Known>();
 
   constructor(incarnation: string) {
     this.#incarnation = incarnation;
@@ -33,14 +35,22 @@
       incarnation: string;
       requestId: string;
     },
+    now: number,
   ): Verdict {
+    this.#drop(now);
     // The claim was for a process that may have run it before it died.
     if (claim.incarnation !== this.#incarnation) {
       return { kind: "refuse", outcome: "unknown", reason: "agent-restarted" };
     }
     const known = this.#known.get(claim.key);
     if (known === undefined || known.claimIndex < claim.claimIndex) {
-      this.#known.set(claim.key, { ...claim, tombstoned: false });
+      const { claimIndex, requestId } = claim;
+      this.#set(claim.key, {
+        claimIndex,
+        requestId,
+        tombstoned: false,
+        at: now,
+      });
       return { kind: "run" };
     }
     if (known.claimIndex > claim.claimIndex || known.tombstoned) {
@@ -58,16 +68,30 @@
    * Withdraws a claim that has not arrived, so that it never will run here.
    * Gives back the request that runs it if it has arrived.
    */
-  settle(key: string, claimIndex: number): string | undefined {
+  settle(key: string, claimIndex: number, now: number): string | undefined {
     const known = this.#known.get(key);
     const arrived = known !== undefined && known.claimIndex >= claimIndex;
     if (arrived) return known.tombstoned ? undefined : known.requestId;
-    this.#known.set(key, { claimIndex, requestId: "", tombstoned: true });
+    this.withdraw(key, claimIndex, now);
     return undefined;
   }
 
   /** A call that was admitted surely did not run and never will. */
-  withdraw(key: string, claimIndex: number): void {
-    this.#known.set(key, { claimIndex, requestId: "", tombstoned: true });
+  withdraw(key: string, claimIndex: number, now: number): void {
+    this.#set(key, { claimIndex, requestId: "", tombstoned: true, at: now });
+  }
+
+  #set(key: string, known: Known): void {
+    this.#known.delete(key);
+    this.#known.set(key, known);
+  }
+
+  #drop(now: number): void {
+    let looked = 0;
+    for (const [key, { at }] of this.#known) {
+      if (looked >= DROPPED_PER_CALL || now - at < KEPT_MILLISECONDS) return;
+      this.#known.delete(key);
+      looked += 1;
+    }
   }
 }
--- a/packages/core/src/limits/host_allotment_row.ts
+++ b/packages/core/src/limits/host_allotment_row.ts
@@ -4,4 +4,6 @@
   rate: number;
   grantUntil: number;
   capUntil: number;
+  /** The host said that it took on just this one. */
+  confirmed: boolean;
 };
--- a/packages/core/src/limits/host_ceiling.ts
+++ b/packages/core/src/limits/host_ceiling.ts
@@ -4,7 +4,6 @@
   floor: number;
   /** Allotments the host may be using: the last confirmed and all after. */
   allotments: HostAllotmentRow[];
-  confirmed: boolean;
   now: number;
   /** Until when the answer must hold. */
   until: number;
@@ -17,9 +16,9 @@
  * whatever is granted out of it.
  */
 export function hostCeiling(options: Ceiling): number {
-  const { floor, allotments, confirmed, now, until } = options;
-  const capped = confirmed && allotments.length > 0 &&
-    allotments[0]!.capUntil >= until;
+  const { floor, allotments, now, until } = options;
+  const oldest = allotments[0];
+  const capped = oldest?.confirmed === true && oldest.capUntil >= until;
   let ceiling = capped ? 0 : floor;
   for (const row of allotments) {
     const held = row.grantUntil > now ? row.rate : Math.min(row.rate, floor);
--- a/packages/core/src/limits/limit_allotter.ts
+++ b/packages/core/src/limits/limit_allotter.ts
@@ -17,7 +17,6 @@
   heardAt: number;
   appliedIndex: number;
   sequence: number;
-  confirmedSequence: number;
   demands: Map<string, number>;
   /** Floors the host may be using, by workspace. */
   floors: Map<string, number>;
@@ -72,7 +71,7 @@
     const host = this.#hostRow(report.host);
     host.heardAt = now;
     host.appliedIndex = report.appliedIndex;
-    host.confirmedSequence = report.allotmentSequence;
+    confirm(host.allotments, report.allotmentSequence);
     host.demands = new Map(
       report.demands.map(({ workspace, rate }) => [workspace, rate]),
     );
@@ -181,23 +180,8 @@
     const { host, workspace, now, until } = options;
     const row = this.#hosts.get(host);
     const floor = this.#floor(state, host, workspace);
-    if (row === undefined) {
-      return hostCeiling({
-        floor,
-        allotments: [],
-        confirmed: false,
-        now,
-        until,
-      });
-    }
-    const sent = row.allotments.get(workspace) ?? [];
-    const allotments = sent.filter((allotment) =>
-      allotment.sequence >= row.confirmedSequence ||
-      allotment === lastConfirmed(sent, row.confirmedSequence)
-    );
-    const confirmed =
-      (allotments[0]?.sequence ?? Infinity) <= row.confirmedSequence;
-    return hostCeiling({ floor, allotments, confirmed, now, until });
+    const allotments = row?.allotments.get(workspace) ?? [];
+    return hostCeiling({ floor, allotments, now, until });
   }
 
   #floor(state: ControlState, host: string, workspace: string): number {
@@ -222,18 +206,18 @@
     options: { rate: number; now: number },
   ): void {
     const row = this.#hosts.get(host)!;
-    const sent = row.allotments.get(workspace) ?? [];
-    const keep = lastConfirmed(sent, row.confirmedSequence);
-    const kept = sent.filter((allotment) =>
-      allotment === keep || allotment.sequence > row.confirmedSequence
+    const rows = row.allotments.get(workspace) ?? [];
+    const inUse = rows.filter(({ confirmed, capUntil }) =>
+      confirmed || capUntil > options.now
     );
-    kept.push({
+    inUse.push({
       sequence: row.sequence,
       rate: options.rate,
       grantUntil: options.now + GRANT_MILLISECONDS,
       capUntil: options.now + CAP_MILLISECONDS,
+      confirmed: false,
     });
-    row.allotments.set(workspace, kept);
+    row.allotments.set(workspace, inUse);
   }
 
   #hostRow(name: string): HostRow {
@@ -243,7 +227,6 @@
         heardAt: -Infinity,
         appliedIndex: 0,
         sequence: this.#firstSequence,
-        confirmedSequence: 0,
         demands: new Map(),
         floors: new Map(),
         allotments: new Map(),
@@ -254,9 +237,18 @@
   }
 }
 
-function lastConfirmed(
-  sent: HostAllotmentRow[],
+/**
+ * Takes a host's word that it holds the allotments of one answer. An earlier
+ * answer may have been lost, so it counts as held only by its own number.
+ */
+function confirm(
+  allotments: Map<string, HostAllotmentRow[]>,
   sequence: number,
-): HostAllotmentRow | undefined {
-  return sent.findLast((allotment) => allotment.sequence <= sequence);
+): void {
+  for (const [workspace, rows] of allotments) {
+    const at = rows.findIndex((row) => row.sequence === sequence);
+    if (at < 0) continue;
+    rows[at]!.confirmed = true;
+    allotments.set(workspace, rows.slice(at));
+  }
 }
--- a/packages/daemon/src/agent/call_routes.ts
+++ b/packages/daemon/src/agent/call_routes.ts
@@ -38,6 +38,7 @@
         const requestId = runner.claims.settle(
           request.claimKey,
           request.claimIndex,
+          Date.now(),
         );
         return {
           incarnation,
--- a/packages/daemon/src/agent/call_runner.ts
+++ b/packages/daemon/src/agent/call_runner.ts
@@ -74,7 +74,7 @@
         claimIndex: request.claimIndex,
         incarnation: request.claimIncarnation,
         requestId: request.requestId,
-      });
+      }, Date.now());
       if (verdict.kind === "attach") {
         const running = this.#exchanges.get(verdict.requestId);
         if (running !== undefined) return running;
@@ -163,7 +163,8 @@
   /** "Not run" is a promise: a late copy of the call must find it kept. */
   #withdraw(request: RunRequest): void {
     if (request.claimKey === "") return;
-    this.claims.withdraw(request.claimKey, request.claimIndex);
+    const { claimKey, claimIndex } = request;
+    this.claims.withdraw(claimKey, claimIndex, Date.now());
   }
 
   #refuse(exchange: Exchange, outcome: CallOutcome, reason: string): Exchange {
