Bring the spread near its bound: swap planning that looks at few, permits that wake

Cause: version 1 was live on 8 replicas after 12.9 s with a bound of 6.0 s. The time line showed the chunks in at 8.3 s of a rerun and 0.5 to 1.2 s lost in asking for leave to load; the fluid model of links showed the rest: data centres drew the same chunks from the origin at the same time and had nothing to give each other (0.00 crossings), thin links filled hosts' fetch slots, and hashing gave one of three data centres 28 of 64 chunks to draw.

Ruled out: engine load time (60 to 150 ms), pacing (the origin sent at its rate throughout), more transfers at once (4 and 5 fetches a host are slower in the model).

Change: planner looks at 16 chunks and 8 holders instead of all; chunks are dealt out to data centres in turn; crossings are counted apart from fetches; a thin link brings none of the last chunks; one permit request a service is proposed at a time, woken by the permit that was settled.

--- a/packages/core/src/spread/chunk_set.ts
+++ b/packages/core/src/spread/chunk_set.ts
@@ -30,14 +30,26 @@
     return true;
   }
 
-  missing(): number[] {
+  /** Up to `limit` missing chunks, from `start` on and around. */
+  missingFrom(start: number, limit: number): number[] {
     const chunks: number[] = [];
-    for (let chunk = 0; chunk < this.total; chunk += 1) {
-      if (!this.has(chunk)) chunks.push(chunk);
+    let at = this.#held.indexOf(0, start);
+    while (at >= 0 && chunks.length < limit) {
+      chunks.push(at);
+      at = this.#held.indexOf(0, at + 1);
+    }
+    at = this.#held.indexOf(0);
+    while (at >= 0 && at < start && chunks.length < limit) {
+      chunks.push(at);
+      at = this.#held.indexOf(0, at + 1);
     }
     return chunks;
   }
 
+  missing(): number[] {
+    return this.missingFrom(0, this.total);
+  }
+
   held(): number[] {
     const chunks: number[] = [];
     for (let chunk = 0; chunk < this.total; chunk += 1) {
--- a/packages/core/src/spread/spread_table.ts
+++ b/packages/core/src/spread/spread_table.ts
@@ -1,5 +1,9 @@
 import type { ChunkAssignment } from "./chunk_assignment.ts";
+import { HolderList } from "./holder_list.ts";
 import type { SpreadHostRow } from "./spread_host_row.ts";
+import { TransferTimes } from "./transfer_times.ts";
+
+const ORIGIN = "";
 
 type Transfer = ChunkAssignment & { startedAt: number };
 
@@ -9,14 +13,23 @@
   readonly totalChunks: number;
   readonly chunkBytes: number;
   readonly dataCentre: string;
+  readonly times = new TransferTimes();
+  /** Data centres ever seen, and those with hosts now; in order. */
+  knownDataCentres: string[] = [];
+  liveDataCentres: string[] = [];
   #hosts = new Map<string, SpreadHostRow>();
+  #hostsOfCentre = new Map<string, number>();
   #transfers = new Map<string, Map<number, Transfer>>();
   #uploads = new Map<string, number>();
-  /** Own data centre's holders of each chunk. */
-  #holders: Set<string>[];
-  /** Other data centres' holders of each chunk. */
-  #farHolders: Set<string>[];
+  /** Transfers under way from each other data centre. */
+  #crossing = new Map<string, number>();
+  #crossingTo = new Map<string, number>();
+  /** Own data centre's holders of each chunk, and other ones'. */
+  #near: HolderList[];
+  #far: HolderList[];
   #pending: Uint16Array;
+  /** Chunks that no host here holds or is fetching. */
+  #outside: number;
   #avoid = new Map<string, number>();
 
   constructor(
@@ -31,91 +44,102 @@
     this.totalChunks = options.totalChunks;
     this.chunkBytes = options.chunkBytes;
     this.dataCentre = options.dataCentre;
-    this.#holders = Array.from({ length: this.totalChunks }, () => new Set());
-    this.#farHolders = Array.from(
-      { length: this.totalChunks },
-      () => new Set(),
-    );
+    const lists = () =>
+      Array.from({ length: this.totalChunks }, () => new HolderList());
+    this.#near = lists();
+    this.#far = lists();
     this.#pending = new Uint16Array(this.totalChunks);
+    this.#outside = this.totalChunks;
+    this.#noteDataCentres();
   }
 
   get hosts(): SpreadHostRow[] {
     return [...this.#hosts.values()];
   }
 
-  host(name: string): SpreadHostRow | undefined {
-    return this.#hosts.get(name);
+  /** Chunks that are still to come in from outside. */
+  get outsideChunks(): number {
+    return this.#outside;
   }
 
-  dataCentres(): string[] {
-    const names = this.hosts.map((row) => row.dataCentre);
-    return [...new Set([this.dataCentre, ...names])].sort();
+  host(name: string): SpreadHostRow | undefined {
+    return this.#hosts.get(name);
   }
 
   setHost(row: SpreadHostRow): void {
     this.removeHost(row.host);
     this.#hosts.set(row.host, row);
-    for (const chunk of row.held.held()) this.#holdersFor(row, chunk);
+    const count = this.#hostsOfCentre.get(row.dataCentre) ?? 0;
+    this.#hostsOfCentre.set(row.dataCentre, count + 1);
+    if (count === 0) this.#noteDataCentres();
+    for (const chunk of row.held.held()) this.#addHolder(row, chunk);
   }
 
   /** A host that is gone holds nothing; what it gave or got is free again. */
   removeHost(name: string): void {
     const row = this.#hosts.get(name);
     if (row === undefined) return;
-    for (const chunk of row.held.held()) {
-      this.#holders[chunk]!.delete(name);
-      this.#farHolders[chunk]!.delete(name);
-    }
-    for (const chunk of [...this.transfersOf(name).keys()]) {
-      this.endTransfer(name, chunk);
-    }
-    for (const transfers of this.#transfers.values()) {
-      for (const transfer of [...transfers.values()]) {
-        if (transfer.source === name) {
-          this.endTransfer(transfer.host, transfer.chunk);
-        }
+    for (const transfer of this.allTransfers()) {
+      if (transfer.host === name || transfer.source === name) {
+        this.endTransfer(transfer.host, transfer.chunk);
       }
     }
+    const holders = this.#holderLists(row);
+    for (const chunk of row.held.held()) {
+      const wasInside = this.#isInside(chunk);
+      holders[chunk]!.remove(name);
+      this.#countOutside(chunk, wasInside);
+    }
     this.#hosts.delete(name);
+    const count = this.#hostsOfCentre.get(row.dataCentre)! - 1;
+    if (count > 0) {
+      this.#hostsOfCentre.set(row.dataCentre, count);
+      return;
+    }
+    this.#hostsOfCentre.delete(row.dataCentre);
+    this.#noteDataCentres();
   }
 
-  addChunk(host: string, chunk: number): void {
+  addChunk(host: string, chunk: number, now: number): void {
     const row = this.#hosts.get(host);
     if (row === undefined || chunk >= this.totalChunks) return;
+    const transfer = this.#transfers.get(host)?.get(chunk);
+    if (transfer !== undefined) {
+      const kind = this.#kindOf(transfer.source);
+      this.times.learn(kind, now - transfer.startedAt);
+    }
+    if (row.held.add(chunk)) this.#addHolder(row, chunk);
     this.endTransfer(host, chunk);
-    if (row.held.add(chunk)) this.#holdersFor(row, chunk);
   }
 
   startTransfer(transfer: Transfer): void {
     this.endTransfer(transfer.host, transfer.chunk);
+    const wasInside = this.#isInside(transfer.chunk);
     this.transfersOf(transfer.host).set(transfer.chunk, transfer);
     this.#pending[transfer.chunk]! += 1;
-    const uploads = this.#uploads.get(transfer.source) ?? 0;
-    this.#uploads.set(transfer.source, uploads + 1);
+    this.#countSource(transfer, 1);
+    this.#countOutside(transfer.chunk, wasInside);
   }
 
   endTransfer(host: string, chunk: number): void {
-    const transfers = this.transfersOf(host);
-    const transfer = transfers.get(chunk);
-    if (transfer === undefined) return;
+    const transfers = this.#transfers.get(host);
+    const transfer = transfers?.get(chunk);
+    if (transfers === undefined || transfer === undefined) return;
+    const wasInside = this.#isInside(chunk);
     transfers.delete(chunk);
     this.#pending[chunk]! -= 1;
-    const uploads = this.#uploads.get(transfer.source) ?? 1;
-    this.#uploads.set(transfer.source, uploads - 1);
+    this.#countSource(transfer, -1);
+    this.#countOutside(chunk, wasInside);
   }
 
   /** A host reported that a fetch failed: not that source again for a while. */
   failTransfer(host: string, chunk: number, avoidUntil: number): void {
-    const transfer = this.transfersOf(host).get(chunk);
+    const transfer = this.#transfers.get(host)?.get(chunk);
     if (transfer === undefined) return;
-    this.avoid(host, transfer.source, avoidUntil);
+    this.#avoid.set(`${host}\n${transfer.source}`, avoidUntil);
     this.endTransfer(host, chunk);
   }
 
-  avoid(host: string, source: string, until: number): void {
-    this.#avoid.set(`${host}\n${source}`, until);
-  }
-
   isAvoided(host: string, source: string, now: number): boolean {
     if (this.#avoid.size === 0) return false;
     return (this.#avoid.get(`${host}\n${source}`) ?? 0) > now;
@@ -136,37 +160,73 @@
     ]);
   }
 
-  /** Transfers under way from each other data centre. */
-  allFarTransfers(): Map<string, number> {
-    const counts = new Map<string, number>();
-    for (const [source, uploads] of this.#uploads) {
-      const from = this.#hosts.get(source)?.dataCentre;
-      if (from === undefined || from === this.dataCentre) continue;
-      counts.set(from, (counts.get(from) ?? 0) + uploads);
-    }
-    return counts;
-  }
-
   uploadsOf(source: string): number {
     return this.#uploads.get(source) ?? 0;
   }
 
-  holdersOf(chunk: number): Set<string> {
-    return this.#holders[chunk]!;
+  crossingsFrom(dataCentre: string): number {
+    return this.#crossing.get(dataCentre) ?? 0;
   }
 
-  farHoldersOf(chunk: number): Set<string> {
-    return this.#farHolders[chunk]!;
+  /** Transfers to a host from other data centres. */
+  crossingsTo(host: string): number {
+    return this.#crossingTo.get(host) ?? 0;
+  }
+
+  nearHolders(chunk: number): HolderList {
+    return this.#near[chunk]!;
+  }
+
+  farHolders(chunk: number): HolderList {
+    return this.#far[chunk]!;
   }
 
   pendingOf(chunk: number): number {
     return this.#pending[chunk]!;
   }
 
-  #holdersFor(row: SpreadHostRow, chunk: number): void {
-    const table = row.dataCentre === this.dataCentre
-      ? this.#holders
-      : this.#farHolders;
-    table[chunk]!.add(row.host);
+  #noteDataCentres(): void {
+    const live = new Set([this.dataCentre, ...this.#hostsOfCentre.keys()]);
+    this.liveDataCentres = [...live].sort();
+    this.knownDataCentres = [...new Set([...live, ...this.knownDataCentres])]
+      .sort();
+  }
+
+  #isInside(chunk: number): boolean {
+    return this.#near[chunk]!.count > 0 || this.#pending[chunk]! > 0;
+  }
+
+  #countOutside(chunk: number, wasInside: boolean): void {
+    const isInside = this.#isInside(chunk);
+    if (isInside === wasInside) return;
+    this.#outside += isInside ? -1 : 1;
+  }
+
+  #countSource(transfer: Transfer, change: number): void {
+    const { host, source } = transfer;
+    this.#uploads.set(source, this.uploadsOf(source) + change);
+    if (this.#kindOf(source) !== "far") return;
+    const { dataCentre } = this.#hosts.get(source)!;
+    const crossing = this.crossingsFrom(dataCentre) + change;
+    this.#crossing.set(dataCentre, crossing);
+    this.#crossingTo.set(host, this.crossingsTo(host) + change);
+  }
+
+  #kindOf(source: string): "near" | "far" | "origin" {
+    if (source === ORIGIN) return "origin";
+    const row = this.#hosts.get(source);
+    return row === undefined || row.dataCentre === this.dataCentre
+      ? "near"
+      : "far";
+  }
+
+  #holderLists(row: SpreadHostRow): HolderList[] {
+    return row.dataCentre === this.dataCentre ? this.#near : this.#far;
+  }
+
+  #addHolder(row: SpreadHostRow, chunk: number): void {
+    const wasInside = this.#isInside(chunk);
+    this.#holderLists(row)[chunk]!.add(row.host);
+    this.#countOutside(chunk, wasInside);
   }
 }
--- a/packages/daemon/src/agent/spread_client.ts
+++ b/packages/daemon/src/agent/spread_client.ts
@@ -17,6 +17,7 @@
   manifest: WeightsManifest;
   version: string;
   store: string;
+  startedAt: number;
   stop: AbortController;
 };
 
@@ -65,8 +66,10 @@
     if (this.#target?.version === version) return;
     this.#target?.stop.abort();
     this.#fetching = new Set();
-    this.#target = { manifest, version, store, stop: new AbortController() };
-    this.#plannedAt = Date.now();
+    const startedAt = Date.now();
+    const stop = new AbortController();
+    this.#target = { manifest, version, store, startedAt, stop };
+    this.#plannedAt = startedAt;
     this.#options.cache.begin(manifest);
   }
 
@@ -127,7 +130,10 @@
       this.originBytes += bytes.value.length;
     }
     const good = bytes.isOk && cache.add(version, chunk, bytes.value);
-    if (good) return this.#tell(target, { added: [chunk], failed: [] });
+    if (good) {
+      this.#noteWhenComplete(target);
+      return this.#tell(target, { added: [chunk], failed: [] });
+    }
     const reason = bytes.isOk ? "digest-differs" : bytes.error;
     log.warn("chunk-failed", {
       version,
@@ -139,6 +145,16 @@
     this.#tell(target, { added: [], failed: [chunk] });
   }
 
+  #noteWhenComplete(target: Target): void {
+    const { cache, log } = this.#options;
+    if (!cache.isComplete(target.version)) return;
+    log.info("weights-complete", {
+      version: target.version,
+      milliseconds: Date.now() - target.startedAt,
+      origin_bytes: this.originBytes,
+    });
+  }
+
   #tell(target: Target, change: { added: number[]; failed: number[] }): void {
     this.changed$.next({ version: target.version, ...change });
   }
--- a/packages/daemon/src/entry/agent_session.ts
+++ b/packages/daemon/src/entry/agent_session.ts
@@ -3,7 +3,6 @@
 import type { BackendServerRow } from "@teaselrouter/core/routing/backend_server_row.ts";
 import { versionName } from "@teaselrouter/core/spread/version_name.ts";
 import type { ControlState } from "@teaselrouter/core/state/control_state.ts";
-import type { PermitRow } from "@teaselrouter/core/rollout/permit_row.ts";
 import type {
   AgentToEntry,
   Announcement,
@@ -15,11 +14,11 @@
 import { Subject, Subscription } from "rxjs";
 import type { EventLog } from "../log/event_log.ts";
 import type { ControlSession } from "./control_session.ts";
+import type { PermitQueue } from "./permit_queue.ts";
 import type { SpreadCoordinator } from "./spread_coordinator.ts";
 
 const HEARTBEAT_MILLISECONDS = 500;
 const SILENT_MILLISECONDS = 3_000;
-const PERMIT_MILLISECONDS = 3_000;
 
 type Options = {
   host: string;
@@ -27,6 +26,7 @@
   control: ControlSession;
   table: BackendServerTable;
   coordinator: SpreadCoordinator;
+  permits: PermitQueue;
   log: EventLog;
   /** The newest session of each agent; an older one closes without effect. */
   owners: Map<string, AgentSession>;
@@ -66,8 +66,7 @@
       case "chunks":
         return this.#options.coordinator.takeReport(this.#name, body.value);
       case "permitRequest":
-        this.#takePermitRequest(body.value);
-        return;
+        return this.#takePermitRequest(body.value);
       case "loadSettled":
         this.#options.control.propose({
           kind: "settle-permit",
@@ -158,14 +157,14 @@
     };
   }
 
-  async #takePermitRequest(request: PermitRequest): Promise<void> {
+  #takePermitRequest(request: PermitRequest): void {
     const announcement = this.#announcement;
     if (announcement === undefined) return;
-    const { control, table } = this.#options;
+    const { permits, table } = this.#options;
     const now = Date.now();
     const live = table.ofService(announcement.service)
       .filter((row) => table.isLive(row, now)).length;
-    const reply = await control.propose({
+    permits.add({
       kind: "request-permit",
       service: announcement.service,
       backendServer: announcement.backendServer,
@@ -174,12 +173,8 @@
       wasServing: request.wasServing,
       live,
       at: 0,
-    }, PERMIT_MILLISECONDS);
-    if (reply.kind !== "committed" || !reply.answer.accepted) return;
-    const permit = reply.answer.value as PermitRow;
-    this.#send({
-      case: "permit",
-      value: { version: permit.version, fencingToken: permit.fencingToken },
+    }, ({ version, fencingToken }) => {
+      this.#send({ case: "permit", value: { version, fencingToken } });
     });
   }
 
--- a/packages/daemon/src/entry/entry_app.ts
+++ b/packages/daemon/src/entry/entry_app.ts
@@ -4,7 +4,9 @@
 import { PredictedWaitPolicy } from "@teaselrouter/core/routing/predicted_wait_policy.ts";
 import { RetryBudget } from "@teaselrouter/core/routing/retry_budget.ts";
 import { Router } from "@teaselrouter/core/routing/router.ts";
-import { RarestFirstPolicy } from "@teaselrouter/core/spread/rarest_first_policy.ts";
+import { defaultSpreadOptions } from "@teaselrouter/core/spread/default_spread_options.ts";
+import { RarestRanking } from "@teaselrouter/core/spread/rarest_ranking.ts";
+import { SwapPolicy } from "@teaselrouter/core/spread/swap_policy.ts";
 import { versionName } from "@teaselrouter/core/spread/version_name.ts";
 import type { ControlState } from "@teaselrouter/core/state/control_state.ts";
 import { AgentService } from "@teaselrouter/messages/agent.ts";
@@ -22,6 +24,7 @@
 import type { EntryWorld } from "./entry_world.ts";
 import { LimitsRegistry } from "./limits_registry.ts";
 import { OperatorApi } from "./operator_api.ts";
+import { PermitQueue } from "./permit_queue.ts";
 import { PublicServer } from "./public_server.ts";
 import { SpreadCoordinator } from "./spread_coordinator.ts";
 import { readStatus } from "./read_status.ts";
@@ -44,6 +47,7 @@
   #options: Options;
   #world: EntryWorld;
   #coordinator: SpreadCoordinator;
+  #permits: PermitQueue;
   #calls: CallHandler;
   #server: PublicServer;
   #owners = new Map<string, AgentSession>();
@@ -81,15 +85,14 @@
     };
     this.#coordinator = new SpreadCoordinator({
       dataCentre: settings.data_centre,
-      policy: new RarestFirstPolicy({
+      policy: new SwapPolicy({
         weighing: entry.spread_weighing,
         random: Math.random,
-        downloadsPerHost: 4,
-        uploadsPerHost: 4,
-        originTransfers: 4,
-        regionTransfers: 2,
+        ranking: new RarestRanking(),
+        ...defaultSpreadOptions,
       }),
     });
+    this.#permits = new PermitQueue(control);
     const idleMilliseconds = entry.request_idle_milliseconds;
     this.#calls = new CallHandler(this.#world, { idleMilliseconds, metrics });
     const operators = new OperatorApi({
@@ -123,6 +126,7 @@
           control: this.#world.control,
           table: this.#world.table,
           coordinator: this.#coordinator,
+          permits: this.#permits,
           log,
           owners: this.#owners,
         });
@@ -157,6 +161,7 @@
     this.#server.close();
     this.#world.control.stop();
     this.#coordinator.stop();
+    this.#permits.stop();
     for (const session of this.#owners.values()) session.close();
   }
 
--- a/packages/daemon/src/entry/spread_coordinator.ts
+++ b/packages/daemon/src/entry/spread_coordinator.ts
@@ -105,7 +105,10 @@
     for (const chunk of report.failed) {
       table.failTransfer(backendServer, chunk, avoidUntil);
     }
-    for (const chunk of report.added) table.addChunk(backendServer, chunk);
+    const now = Date.now();
+    for (const chunk of report.added) {
+      table.addChunk(backendServer, chunk, now);
+    }
     table.host(backendServer)!.followsPlans = report.followsPlans;
     this.#planSoon();
   }
--- a/packages/experiments/src/demo/demo.ts
+++ b/packages/experiments/src/demo/demo.ts
@@ -20,8 +20,8 @@
 
 const MEGABYTE = 1_048_576;
 const TOTAL_BYTES = 48 * MEGABYTE;
-const CHUNK_BYTES = MEGABYTE;
-const COMMON_CHUNKS = 12;
+const CHUNK_BYTES = MEGABYTE / 2;
+const COMMON_CHUNKS = 24;
 /** The origin carries four copies and a host two in the time of a spread. */
 const SPREAD_SECONDS = 12;
 const HOST_BYTES_PER_SECOND = 2 * TOTAL_BYTES / SPREAD_SECONDS;
@@ -71,6 +71,7 @@
     await load.exited;
     const summary = JSON.parse(load.output) as LoadSummary;
     const ranTwice = await this.#checkRuns(summary);
+    await this.#client(["timeline", "--since", "60"]);
     const badExits = await this.#cluster.stopAll();
     for (const line of badExits) console.log(line);
     const good = printDemoTable({
--- a/packages/experiments/src/harness/small_topology.ts
+++ b/packages/experiments/src/harness/small_topology.ts
@@ -1,8 +1,8 @@
 import type { Topology } from "./topology.ts";
 
 const REGION_BYTES_PER_SECOND = 18_000_000 / 8;
-/** Two other regions, two transfers to each at a time. */
-const REGION_TRANSFERS = 4;
+/** Two other regions, one transfer to each at a time. */
+const REGION_TRANSFERS = 2;
 
 /** Cedarline's places and services, as the brief has them. */
 export function smallTopology(linkBytesPerSecond: number): Topology {
