Give up links that swallow messages; planned stops wait for nobody's lease

Cause: failover showed a planned stop of the leader after which no change was accepted for 4 s, and one in which none was until the end (215 refused). With links logged: after a member restarted, another member's stream to its old process never ended and never failed; the answers to the restarted member, by then the leader, went into it. The http/2 ping ended that only after 3.5 s.

Ruled out: the lease wait (no leader at all in that time), the lock file (all processes ran), a failed transfer (the new leader had begun its term).

Change: the receiver of consensus messages acknowledges them; a link whose messages are not acknowledged within 500 ms is left for a new connection. Control hosts tell entry hosts at once who leads. An entry host that stops as planned says so in the log, so that nobody waits for its lease.

Also: log lines had lost their event and fields (a change of the log library's shape went unseen; now tested).

Tried and dropped: kept connections from agent to backend server.

--- a/packages/core/src/consensus/raft_node.ts
+++ b/packages/core/src/consensus/raft_node.ts
@@ -1,39 +1,29 @@
-import { create } from "@bufbuild/protobuf";
-import type {
-  AppendRequest,
-  AppendResponse,
-  HardState,
-  LogEntry,
-  Membership,
-  PeerMessage,
-  SnapshotData,
-  VoteRequest,
-  VoteResponse,
-} from "@teaselrouter/messages/control.ts";
+import { create, toBinary } from "@bufbuild/protobuf";
 import {
+  type AppendRequest,
   AppendResponseSchema,
   EntryKind,
+  type HardState,
   HardStateSchema,
-  LogEntrySchema,
+  type LogEntry,
+  type Membership,
   MembershipSchema,
+  type PeerMessage,
   PeerMessageSchema,
-  TransferRequestSchema,
+  type SnapshotData,
+  type VoteRequest,
   VoteRequestSchema,
+  type VoteResponse,
   VoteResponseSchema,
 } from "@teaselrouter/messages/control.ts";
-import { fromBinary, toBinary } from "@bufbuild/protobuf";
 import { Result } from "true-myth";
-import { MembershipHistory } from "./membership_history.ts";
-import { RaftLog } from "./raft_log.ts";
+import { Leadership } from "./leadership.ts";
+import { MemberLog } from "./member_log.ts";
 import type { RaftOptions } from "./raft_options.ts";
+import { RaftOutbox } from "./raft_outbox.ts";
 import type { RaftOutput } from "./raft_output.ts";
-import { Replicator } from "./replicator.ts";
 import { VoteTally } from "./vote_tally.ts";
 
-const NO_DATA = new Uint8Array(0);
-const TRANSFER_ELECTION_TIMES = 1;
-
-type Role = "follower" | "candidate" | "leader";
 type Refusal = "not-leading" | "change-under-way";
 
 /**
@@ -43,24 +33,17 @@
 export class RaftNode {
   readonly id: string;
   #options: RaftOptions;
-  #role: Role = "follower";
   #term: number;
   #votedFor: string;
   #leaderId = "";
-  #log: RaftLog;
-  #membership: MembershipHistory;
-  #snapshot: SnapshotData;
-  #commitIndex: number;
-  #handedOut: number;
-  #syncedIndex: number;
+  #member: MemberLog;
+  #outbox = new RaftOutbox();
   #heardLeaderAt = -Infinity;
   #electionAt = 0;
-  #heartbeatAt = 0;
+  /** Present while this member stands for election. */
   #tally: VoteTally | undefined;
-  #replicator: Replicator | undefined;
-  #transferTo = "";
-  #transferUntil = 0;
-  #output: RaftOutput;
+  /** Present while this member leads. */
+  #leadership: Leadership | undefined;
 
   constructor(options: RaftOptions) {
     const { snapshot, hardState } = options;
@@ -68,17 +51,7 @@
     this.#options = options;
     this.#term = hardState.term;
     this.#votedFor = hardState.votedFor;
-    this.#snapshot = snapshot;
-    this.#log = new RaftLog(snapshot.lastIndex, snapshot.lastTerm);
-    this.#membership = new MembershipHistory(
-      snapshot.lastIndex,
-      snapshot.membership ?? create(MembershipSchema),
-    );
-    for (const entry of options.entries) this.#takeIn(entry);
-    this.#syncedIndex = this.#log.lastIndex;
-    this.#commitIndex = snapshot.lastIndex;
-    this.#handedOut = snapshot.lastIndex;
-    this.#output = this.#emptyOutput();
+    this.#member = new MemberLog(snapshot, options.entries, this.#outbox);
     this.#resetElection(options.now);
   }
 
@@ -87,15 +60,15 @@
   }
 
   get commitIndex(): number {
-    return this.#commitIndex;
+    return this.#member.commitIndex;
   }
 
   get lastIndex(): number {
-    return this.#log.lastIndex;
+    return this.#member.log.lastIndex;
   }
 
   get firstIndex(): number {
-    return this.#log.firstIndex;
+    return this.#member.log.firstIndex;
   }
 
   get leaderId(): string {
@@ -103,15 +76,15 @@
   }
 
   get membership(): Membership {
-    return this.#membership.current;
+    return this.#member.membership.current;
   }
 
   get membershipIsCommitted(): boolean {
-    return this.#membership.changedAt <= this.#commitIndex;
+    return this.#member.membership.changedAt <= this.#member.commitIndex;
   }
 
   get regressedMembers(): string[] {
-    return this.#replicator?.regressed ?? [];
+    return this.#leadership?.regressedMembers ?? [];
   }
 
   /**
@@ -120,16 +93,12 @@
    * has run a single timer, so it answers nothing stale.
    */
   isLeading(now: number): boolean {
-    return this.#role === "leader" &&
-      this.#replicator!.hasQuorumContact(
-        now,
-        this.#options.electionMilliseconds,
-      );
+    return this.#leadership?.isHeld(now) ?? false;
   }
 
   /** Whether this leader's own term is committed, so its state is current. */
   get hasCommittedOwnTerm(): boolean {
-    return this.#log.termAt(this.#commitIndex) === this.#term;
+    return this.#member.log.termAt(this.#member.commitIndex) === this.#term;
   }
 
   get hardState(): HardState {
@@ -140,19 +109,22 @@
   }
 
   entriesAfter(index: number): LogEntry[] {
-    return this.#log.slice(index + 1, this.#log.lastIndex - index);
+    return this.#member.log.slice(
+      index + 1,
+      this.#member.log.lastIndex - index,
+    );
   }
 
   tick(now: number): void {
-    if (this.#role === "leader") this.#tickLeader(now);
+    if (this.#leadership !== undefined) this.#tickLeader(now);
     else if (now >= this.#electionAt) this.#campaign(now);
   }
 
   propose(data: Uint8Array, now: number): Result<number, Refusal> {
-    if (!this.isLeading(now) || this.#transferTo !== "") {
-      return Result.err("not-leading");
-    }
-    return Result.ok(this.#appendOwn(EntryKind.COMMAND, data));
+    const leadership = this.#leadership;
+    return leadership?.takesProposals(now)
+      ? Result.ok(leadership.append(EntryKind.COMMAND, data))
+      : Result.err("not-leading");
   }
 
   /** One change at a time, and only after this leader's term is committed. */
@@ -160,54 +132,39 @@
     membership: Membership,
     now: number,
   ): Result<number, Refusal> {
-    if (!this.isLeading(now) || this.#transferTo !== "") {
-      return Result.err("not-leading");
-    }
+    const leadership = this.#leadership;
+    if (!leadership?.takesProposals(now)) return Result.err("not-leading");
     if (!this.membershipIsCommitted || !this.hasCommittedOwnTerm) {
       return Result.err("change-under-way");
     }
     const data = toBinary(MembershipSchema, membership);
-    return Result.ok(this.#appendOwn(EntryKind.MEMBERSHIP, data));
+    return Result.ok(leadership.append(EntryKind.MEMBERSHIP, data));
   }
 
   /** Sends what was proposed since the last call, as one batch. */
   flush(now: number): void {
-    if (this.#role !== "leader") return;
-    this.#heartbeatAt = now + this.#options.heartbeatMilliseconds;
-    this.#replicator!.broadcast(this.#commitIndex, now);
+    this.#leadership?.flush(now);
   }
 
   /** Starts a round; a read is current once `confirmedRound` reaches it. */
   startReadRound(now: number): Result<number, Refusal> {
-    if (!this.isLeading(now) || !this.hasCommittedOwnTerm) {
-      return Result.err("not-leading");
-    }
-    return Result.ok(this.#replicator!.broadcast(this.#commitIndex, now));
+    const leadership = this.#leadership;
+    return leadership?.isHeld(now) && this.hasCommittedOwnTerm
+      ? Result.ok(leadership.flush(now))
+      : Result.err("not-leading");
   }
 
   get confirmedRound(): number {
-    return this.#replicator?.confirmedRound() ?? 0;
+    return this.#leadership?.confirmedRound ?? 0;
   }
 
   matchIndexOf(id: string): number {
-    return this.#replicator?.matchIndexOf(id) ?? 0;
+    return this.#leadership?.matchIndexOf(id) ?? 0;
   }
 
   /** Hands leadership to the most complete other voter, for a planned stop. */
   transferLeadership(now: number): boolean {
-    if (this.#role !== "leader") return false;
-    const others = this.#membership.voters
-      .filter((member) => member.id !== this.id)
-      .sort((left, right) =>
-        this.matchIndexOf(right.id) - this.matchIndexOf(left.id)
-      );
-    const target = others[0];
-    if (target === undefined) return false;
-    this.#transferTo = target.id;
-    this.#transferUntil = now +
-      this.#options.electionMilliseconds * TRANSFER_ELECTION_TIMES;
-    this.#continueTransfer();
-    return true;
+    return this.#leadership?.transfer(now) ?? false;
   }
 
   receive(message: PeerMessage, now: number): void {
@@ -221,38 +178,23 @@
 
   /** Reports that everything up to `index` of `term` is on disk. */
   markSynced(index: number, term: number): void {
-    if (this.#log.termAt(index) !== term) return;
-    this.#syncedIndex = Math.max(this.#syncedIndex, index);
-    this.#advanceCommit();
+    this.#member.markSynced(index, term);
+    this.#leadership?.advanceCommit();
   }
 
   /** Replaces the log up to the state machine's `state` at `index`. */
   compact(index: number, state: Uint8Array): SnapshotData {
-    this.#snapshot = {
-      ...this.#snapshot,
-      lastIndex: index,
-      lastTerm: this.#log.termAt(index) ?? this.#snapshot.lastTerm,
-      membership: this.#membership.at(index),
-      state,
-    };
-    this.#log.compact(index);
-    return this.#snapshot;
+    return this.#member.compact(index, state);
   }
 
   /** Messages that need not wait for the sync that may be under way. */
   takeImmediate(): PeerMessage[] {
-    return this.#output.immediate.splice(0);
+    return this.#outbox.takeImmediate();
   }
 
   takeOutput(): RaftOutput {
-    const output = this.#output;
-    this.#output = this.#emptyOutput();
-    while (this.#handedOut < this.#commitIndex) {
-      const entry = this.#log.entryAt(this.#handedOut + 1);
-      if (entry === undefined) break;
-      output.committed.push(entry);
-      this.#handedOut += 1;
-    }
+    const output = this.#outbox.take();
+    output.committed = this.#member.takeCommitted();
     return output;
   }
 
@@ -271,7 +213,7 @@
         return this.#takeSnapshot(from, body.value.snapshot!, now);
       case "appendResponse":
         if (message.term === this.#term) {
-          this.#takeAppendResponse(from, body.value, now);
+          this.#leadership?.takeResponse(from, body.value, now);
         }
         return;
       case "transferRequest":
@@ -288,7 +230,7 @@
   #isDisturbance(message: PeerMessage, now: number): boolean {
     if (message.body.case !== "voteRequest") return false;
     if (message.body.value.transfer) return false;
-    if (this.#role === "leader") return this.isLeading(now);
+    if (this.#leadership !== undefined) return this.isLeading(now);
     return now - this.#heardLeaderAt < this.#options.electionMilliseconds;
   }
 
@@ -302,30 +244,24 @@
   }
 
   #tickLeader(now: number): void {
-    if (!this.isLeading(now)) {
-      this.#becomeFollower(this.#term, now);
-      return;
-    }
-    if (this.#transferTo !== "" && now >= this.#transferUntil) {
-      this.#transferTo = "";
-    }
-    if (now >= this.#heartbeatAt) this.flush(now);
+    if (this.isLeading(now)) this.#leadership!.tick(now);
+    else this.#becomeFollower(this.#term, now);
   }
 
   #campaign(now: number): void {
     this.#resetElection(now);
-    if (!this.#membership.isVoter(this.id)) return;
-    this.#role = "candidate";
+    if (!this.#member.membership.isVoter(this.id)) return;
     this.#leaderId = "";
+    this.#leadership = undefined;
     this.#tally = new VoteTally({ preVote: true, transfer: false });
     this.#askForVotes(this.#term + 1, now);
   }
 
   #startElection(now: number, transfer: boolean): void {
-    if (!this.#membership.isVoter(this.id)) return;
+    if (!this.#member.membership.isVoter(this.id)) return;
     this.#resetElection(now);
-    this.#role = "candidate";
     this.#leaderId = "";
+    this.#leadership = undefined;
     this.#setTerm(this.#term + 1, this.id);
     this.#tally = new VoteTally({ preVote: false, transfer });
     this.#askForVotes(this.#term, now);
@@ -334,15 +270,15 @@
   #askForVotes(term: number, now: number): void {
     const tally = this.#tally!;
     tally.grant(this.id);
-    for (const member of this.#membership.voters) {
+    for (const member of this.#member.membership.voters) {
       if (member.id === this.id) continue;
-      this.#output.afterSync.push(this.#message(member.id, {
+      this.#outbox.sendAfterSync(this.#message(member.id, {
         case: "voteRequest",
         value: create(VoteRequestSchema, {
           preVote: tally.preVote,
           transfer: tally.transfer,
-          lastIndex: this.#log.lastIndex,
-          lastTerm: this.#log.lastTerm,
+          lastIndex: this.#member.log.lastIndex,
+          lastTerm: this.#member.log.lastTerm,
         }),
       }, term));
     }
@@ -354,7 +290,10 @@
     request: VoteRequest,
     now: number,
   ): void {
-    const upToDate = this.#log.isUpToDate(request.lastIndex, request.lastTerm);
+    const upToDate = this.#member.log.isUpToDate(
+      request.lastIndex,
+      request.lastTerm,
+    );
     const free = request.preVote
       ? message.term > this.#term
       : message.term === this.#term &&
@@ -364,7 +303,7 @@
       this.#setTerm(this.#term, message.from);
       this.#resetElection(now);
     }
-    this.#output.afterSync.push(this.#message(message.from, {
+    this.#outbox.sendAfterSync(this.#message(message.from, {
       case: "voteResponse",
       value: create(VoteResponseSchema, { preVote: request.preVote, granted }),
     }, granted ? message.term : this.#term));
@@ -376,7 +315,7 @@
     now: number,
   ): void {
     const tally = this.#tally;
-    if (this.#role !== "candidate" || tally === undefined) return;
+    if (tally === undefined) return;
     if (!response.granted || response.preVote !== tally.preVote) return;
     const asked = tally.preVote ? this.#term + 1 : this.#term;
     if (message.term !== asked) return;
@@ -386,177 +325,72 @@
 
   #countVotes(now: number): void {
     const tally = this.#tally!;
-    const granted = tally.count((id) => this.#membership.isVoter(id));
-    if (granted < this.#membership.quorum) return;
+    const granted = tally.count((id) => this.#member.membership.isVoter(id));
+    if (granted < this.#member.membership.quorum) return;
     if (tally.preVote) this.#startElection(now, false);
     else this.#becomeLeader(now);
   }
 
   #becomeLeader(now: number): void {
-    this.#role = "leader";
     this.#leaderId = this.id;
     this.#tally = undefined;
-    this.#transferTo = "";
-    this.#replicator = new Replicator({
-      selfId: this.id,
-      log: this.#log,
-      membership: this.#membership,
-      send: (to, body) => this.#output.immediate.push(this.#message(to, body)),
-      snapshot: () => this.#snapshot,
+    this.#leadership = new Leadership({
+      raft: this.#options,
+      term: this.#term,
+      member: this.#member,
+      outbox: this.#outbox,
+      message: (to, body) => this.#message(to, body),
       now,
     });
-    this.#appendOwn(EntryKind.BLANK, NO_DATA);
-    this.flush(now);
   }
 
   #becomeFollower(term: number, now: number): void {
     if (term > this.#term) this.#setTerm(term, "");
-    this.#role = "follower";
     this.#leaderId = "";
     this.#tally = undefined;
-    this.#replicator = undefined;
-    this.#transferTo = "";
+    this.#leadership = undefined;
     this.#resetElection(now);
   }
 
   #followLeader(from: string, now: number): void {
-    if (this.#role !== "follower") this.#becomeFollower(this.#term, now);
+    this.#becomeFollower(this.#term, now);
     this.#leaderId = from;
     this.#heardLeaderAt = now;
-    this.#resetElection(now);
   }
 
   #takeAppend(from: string, request: AppendRequest, now: number): void {
     this.#followLeader(from, now);
-    const { previousIndex, previousTerm, round } = request;
-    if (previousIndex > this.#log.lastIndex) {
-      return this.#answerAppend(from, false, this.#log.lastIndex, round);
-    }
-    const behindSnapshot = previousIndex < this.#log.firstIndex - 1;
-    if (
-      !behindSnapshot && this.#log.termAt(previousIndex) !== previousTerm
-    ) {
-      const hint = Math.max(this.#commitIndex, previousIndex - 1);
-      return this.#answerAppend(from, false, hint, round);
-    }
-    for (const entry of request.entries) this.#takeEntry(entry);
-    const matched = Math.max(
-      previousIndex + request.entries.length,
-      behindSnapshot ? this.#commitIndex : 0,
-    );
-    this.#commitTo(Math.min(request.commitIndex, matched));
-    this.#answerAppend(from, true, matched, round);
-  }
-
-  #takeEntry(entry: LogEntry): void {
-    if (entry.index < this.#log.firstIndex) return;
-    const held = this.#log.termAt(entry.index);
-    if (held === entry.term) return;
-    if (held !== undefined) this.#truncateFrom(entry.index);
-    this.#takeIn(entry);
-    this.#output.entries.push(entry);
-  }
-
-  #truncateFrom(index: number): void {
-    if (index <= this.#commitIndex) {
-      throw new Error(`a committed entry would be replaced at ${index}`);
-    }
-    this.#log.truncateFrom(index);
-    this.#membership.truncateFrom(index);
-    this.#syncedIndex = Math.min(this.#syncedIndex, index - 1);
-    const output = this.#output;
-    output.truncateFrom = Math.min(output.truncateFrom ?? index, index);
-    output.entries = output.entries.filter((entry) => entry.index < index);
+    this.#answerAppend(from, {
+      ...this.#member.accept(request),
+      round: request.round,
+    });
   }
 
   #takeSnapshot(from: string, snapshot: SnapshotData, now: number): void {
     this.#followLeader(from, now);
-    if (snapshot.lastIndex > this.#commitIndex) {
-      this.#snapshot = snapshot;
-      this.#log.reset(snapshot.lastIndex, snapshot.lastTerm);
-      this.#membership.truncateFrom(0);
-      this.#membership.record(snapshot.lastIndex, snapshot.membership!);
-      this.#commitIndex = snapshot.lastIndex;
-      this.#handedOut = snapshot.lastIndex;
-      this.#syncedIndex = snapshot.lastIndex;
-      this.#output.entries = [];
-      this.#output.truncateFrom = undefined;
-      this.#output.snapshot = snapshot;
-    }
-    this.#answerAppend(from, true, snapshot.lastIndex, 0);
-  }
-
-  #takeAppendResponse(
-    from: string,
-    response: AppendResponse,
-    now: number,
-  ): void {
-    if (this.#role !== "leader") return;
-    this.#replicator!.takeResponse(from, response, now);
-    this.#advanceCommit();
-    this.#replicator!.sendMore(from, this.#commitIndex, now);
-    this.#continueTransfer();
+    this.#member.install(snapshot);
+    const matchIndex = snapshot.lastIndex;
+    this.#answerAppend(from, { accepted: true, matchIndex, round: 0 });
   }
 
   #refuseAppend(to: string): void {
-    this.#answerAppend(to, false, this.#log.lastIndex, 0);
+    const matchIndex = this.lastIndex;
+    this.#answerAppend(to, { accepted: false, matchIndex, round: 0 });
   }
 
   #answerAppend(
     to: string,
-    accepted: boolean,
-    matchIndex: number,
-    round: number,
+    answer: { accepted: boolean; matchIndex: number; round: number },
   ): void {
-    this.#output.afterSync.push(this.#message(to, {
-      case: "appendResponse",
-      value: create(AppendResponseSchema, { accepted, matchIndex, round }),
-    }));
-  }
-
-  #continueTransfer(): void {
-    const target = this.#transferTo;
-    if (target === "") return;
-    if (this.matchIndexOf(target) < this.#log.lastIndex) return;
-    this.#output.afterSync.push(this.#message(target, {
-      case: "transferRequest",
-      value: create(TransferRequestSchema),
-    }));
-  }
-
-  #advanceCommit(): void {
-    if (this.#role !== "leader") return;
-    const index = this.#replicator!.majorityIndex(this.#syncedIndex);
-    // An entry of an older term can be replaced although a majority holds it,
-    // so only an entry of this leader's own term commits what precedes it.
-    if (this.#log.termAt(index) === this.#term) this.#commitTo(index);
-  }
-
-  #commitTo(index: number): void {
-    this.#commitIndex = Math.max(this.#commitIndex, index);
-  }
-
-  #appendOwn(kind: EntryKind, data: Uint8Array): number {
-    const index = this.#log.lastIndex + 1;
-    const term = this.#term;
-    const entry = create(LogEntrySchema, { index, term, kind, data });
-    this.#takeIn(entry);
-    this.#output.entries.push(entry);
-    return index;
-  }
-
-  #takeIn(entry: LogEntry): void {
-    this.#log.append(entry);
-    if (entry.kind === EntryKind.MEMBERSHIP) {
-      const membership = fromBinary(MembershipSchema, entry.data);
-      this.#membership.record(entry.index, membership);
-    }
+    const value = create(AppendResponseSchema, answer);
+    const body = { case: "appendResponse" as const, value };
+    this.#outbox.sendAfterSync(this.#message(to, body));
   }
 
   #setTerm(term: number, votedFor: string): void {
     this.#term = term;
     this.#votedFor = votedFor;
-    this.#output.hardState = create(HardStateSchema, { term, votedFor });
+    this.#outbox.storeVote(term, votedFor);
   }
 
   #resetElection(now: number): void {
@@ -571,16 +405,4 @@
   ): PeerMessage {
     return create(PeerMessageSchema, { from: this.id, to, term, body });
   }
-
-  #emptyOutput(): RaftOutput {
-    return {
-      hardState: undefined,
-      truncateFrom: undefined,
-      entries: [],
-      snapshot: undefined,
-      immediate: [],
-      afterSync: [],
-      committed: [],
-    };
-  }
 }
--- a/packages/core/src/limits/limits_test.ts
+++ b/packages/core/src/limits/limits_test.ts
@@ -91,6 +91,7 @@
         publicAddress: "x",
         internalAddress: "x",
         incarnation: "x",
+        stopped: false,
       });
     }
     this.commit(contractCommand(RATE, 0));
--- a/packages/core/src/membership/entry_host_row.ts
+++ b/packages/core/src/membership/entry_host_row.ts
@@ -5,4 +5,6 @@
   publicAddress: string;
   internalAddress: string;
   incarnation: string;
+  /** It stopped as planned: it takes no calls and holds no lease. */
+  stopped: boolean;
 };
--- a/packages/core/src/state/command_schema.ts
+++ b/packages/core/src/state/command_schema.ts
@@ -36,6 +36,7 @@
     publicAddress: text,
     internalAddress: text,
     incarnation: text,
+    stopped: z.boolean(),
   }),
   z.strictObject({ kind: z.literal("remove-entry"), host: text }),
   z.strictObject({
--- a/packages/daemon/src/agent/agent_app.ts
+++ b/packages/daemon/src/agent/agent_app.ts
@@ -77,6 +77,7 @@
         pacer: new LinkPacer(agent.link_bytes_per_second),
       }),
       log,
+      metrics: options.metrics,
       random: Math.random,
     });
     this.#loader = new EngineLoader({
@@ -144,6 +145,10 @@
     this.#loader.settled$.subscribe((settled) => {
       if (settled.loaded) {
         this.#metrics.increment("weights.live");
+        this.#metrics.timing(
+          "weights.live_milliseconds",
+          Date.now() - this.#spread.targetSince,
+        );
         this.#cache.keep(new Set([settled.version, this.#spread.version]));
       }
       const address = this.#links.anyConnected;
--- a/packages/daemon/src/agent/spread_client.ts
+++ b/packages/daemon/src/agent/spread_client.ts
@@ -1,6 +1,7 @@
 import { versionName } from "@teaselrouter/core/spread/version_name.ts";
 import type { WeightsManifest } from "@teaselrouter/core/spread/weights_manifest.ts";
 import type { SpreadPlan } from "@teaselrouter/messages/agent.ts";
+import type { StatsD } from "hot-shots";
 import { Subject } from "rxjs";
 import type { EventLog } from "../log/event_log.ts";
 import type { ChunkFetcher } from "./chunk_fetcher.ts";
@@ -27,6 +28,7 @@
   cache: WeightsCache;
   fetcher: ChunkFetcher;
   log: EventLog;
+  metrics: StatsD;
   random: () => number;
 };
 
@@ -56,6 +58,11 @@
     this.#target?.stop.abort();
   }
 
+  /** Since when the target is known here, milliseconds. */
+  get targetSince(): number {
+    return this.#target?.startedAt ?? Date.now();
+  }
+
   get version(): string {
     return this.#target?.version ?? "";
   }
@@ -107,7 +114,7 @@
   }
 
   async #fetch(target: Target, chunk: number, source: string): Promise<void> {
-    const { cache, fetcher, log } = this.#options;
+    const { cache, fetcher, log, metrics } = this.#options;
     const { version, manifest, store, stop } = target;
     if (cache.chunk(version, chunk) !== undefined) {
       return this.#tell(target, { added: [chunk], failed: [] });
@@ -128,6 +135,7 @@
     this.#fetching.delete(chunk);
     if (bytes.isOk && source === ORIGIN) {
       this.originBytes += bytes.value.length;
+      metrics.increment("weights.origin_bytes", bytes.value.length);
     }
     const good = bytes.isOk && cache.add(version, chunk, bytes.value);
     if (good) {
@@ -146,11 +154,13 @@
   }
 
   #noteWhenComplete(target: Target): void {
-    const { cache, log } = this.#options;
+    const { cache, log, metrics } = this.#options;
     if (!cache.isComplete(target.version)) return;
+    const milliseconds = Date.now() - target.startedAt;
+    metrics.timing("weights.complete_milliseconds", milliseconds);
     log.info("weights-complete", {
       version: target.version,
-      milliseconds: Date.now() - target.startedAt,
+      milliseconds,
       origin_bytes: this.originBytes,
     });
   }
--- a/packages/daemon/src/control/control_host.ts
+++ b/packages/daemon/src/control/control_host.ts
@@ -12,7 +12,7 @@
   type Membership,
   type SnapshotData,
 } from "@teaselrouter/messages/control.ts";
-import { Subject } from "rxjs";
+import { type Observable, Subject } from "rxjs";
 import type { EventLog } from "../log/event_log.ts";
 import { InForceWaiters } from "./in_force_waiters.ts";
 import type { ProposalOutcome } from "./proposal_outcome.ts";
@@ -55,6 +55,10 @@
     this.#driver.installed$.subscribe((snapshot) => this.#install(snapshot));
   }
 
+  get leadership$(): Observable<void> {
+    return this.#driver.leadership$;
+  }
+
   get state(): ControlState {
     return this.#state;
   }
@@ -138,8 +142,9 @@
     const allotter = this.allotter(now);
     if (allotter === undefined) return;
     const live = allotter.liveHosts(now);
-    const registered = [...this.#state.entryHosts.keys()];
-    const away = registered.filter((host) => !live.has(host));
+    const away = [...this.#state.entryHosts.values()]
+      .filter(({ host, stopped }) => !stopped && !live.has(host))
+      .map(({ host }) => host);
     // A new leader has not heard of the leases that its predecessor gave.
     if (away.length > 0 && now - this.#leadingSince < LEASE_MILLISECONDS) {
       return;
--- a/packages/daemon/src/control/control_routes.ts
+++ b/packages/daemon/src/control/control_routes.ts
@@ -8,6 +8,9 @@
 import { EntrySession } from "./entry_session.ts";
 import type { RaftDriver } from "./raft_driver.ts";
 
+/** Under load one acknowledgement stands for many messages. */
+const ACKNOWLEDGE_MILLISECONDS = 50;
+
 type Options = {
   self: Member;
   ring: TimelineRing;
@@ -23,11 +26,15 @@
   return (router: ConnectRouter): void => {
     router.service(PeerService, {
       introduce: () => ({ member: options.self, founded: options.founded() }),
-      async exchange(messages) {
+      async *exchange(messages) {
+        let acknowledgedAt = 0;
         for await (const message of messages) {
           options.driver()?.receive(message);
+          const now = Date.now();
+          if (now - acknowledgedAt < ACKNOWLEDGE_MILLISECONDS) continue;
+          acknowledgedAt = now;
+          yield {};
         }
-        return {};
       },
     });
     router.service(ControlService, {
--- a/packages/daemon/src/control/entry_session.ts
+++ b/packages/daemon/src/control/entry_session.ts
@@ -82,6 +82,9 @@
     this.#subscriptions.add(
       interval(WATCH_MILLISECONDS).subscribe(() => this.#watch()),
     );
+    this.#subscriptions.add(
+      control.leadership$.subscribe(() => this.#sendStatus(0)),
+    );
     this.#sendStatus(0);
   }
 
--- a/packages/daemon/src/control/raft_driver.ts
+++ b/packages/daemon/src/control/raft_driver.ts
@@ -38,11 +38,14 @@
 export class RaftDriver {
   readonly committed$ = new Subject<LogEntry>();
   readonly installed$ = new Subject<SnapshotData>();
+  /** Another member leads, or this one does or no longer does. */
+  readonly leadership$ = new Subject<void>();
   #options: Options;
   #addresses = new Map<string, string>();
   #running = false;
   #flushPlanned = false;
   #stopped = false;
+  #leadershipView = "";
   #timer: NodeJS.Timeout | undefined;
 
   constructor(options: Options) {
@@ -56,6 +59,7 @@
     this.#timer = setInterval(() => {
       this.#options.node.tick(Date.now());
       this.#pump();
+      this.#noteLeadership();
     }, TICK_MILLISECONDS);
     this.#pump();
   }
@@ -84,6 +88,15 @@
     });
   }
 
+  #noteLeadership(): void {
+    const { node } = this.#options;
+    const leads = node.isLeading(Date.now()) && node.hasCommittedOwnTerm;
+    const view = `${node.leaderId} ${leads}`;
+    if (view === this.#leadershipView) return;
+    this.#leadershipView = view;
+    this.leadership$.next();
+  }
+
   #pump(): void {
     this.#sendAll(this.#options.node.takeImmediate());
     if (this.#running || this.#stopped) return;
--- a/packages/daemon/src/entry/control_session.ts
+++ b/packages/daemon/src/entry/control_session.ts
@@ -22,14 +22,16 @@
 import { pause } from "../transport/pause.ts";
 import { toAsyncIterable } from "../transport/to_async_iterable.ts";
 import type { ProposalReply } from "./proposal_reply.ts";
+import { ProposalWaiters } from "./proposal_waiters.ts";
+import type { Proposer } from "./proposer.ts";
+import { ReportLedger } from "./report_ledger.ts";
 
 const HEARTBEAT_MILLISECONDS = 400;
 const SILENT_MILLISECONDS = 1_200;
-const RECONNECT_MILLISECONDS = 100;
-const LEASE_MILLISECONDS = 1_500;
+const LEADERLESS_MILLISECONDS = 1_000;
+const RECONNECT_MILLISECONDS = 50;
 const PROPOSAL_MILLISECONDS = 8_000;
 const RETRY_MILLISECONDS = 100;
-const REMEMBERED_REPORTS = 64;
 
 type Options = {
   hello: {
@@ -45,10 +47,8 @@
   demands: () => { workspace: string; rate: number }[];
 };
 
-type Waiter = (reply: ProposalReply) => void;
-
 /** An entry host's stream to the control hosts: follows, reports, proposes. */
-export class ControlSession {
+export class ControlSession implements Proposer {
   /** After every change of the tables. */
   readonly changed$ = new Subject<ControlState>();
   /** Allotments with the time that their report was sent. */
@@ -61,12 +61,11 @@
   #address = "";
   #term = 0;
   #heardAt = 0;
-  #leaseUntil = 0;
-  #reportSequence = 0;
+  #followedAt = 0;
+  #leave = () => {};
   #allotmentSequence = 0;
-  #reportsSentAt = new Map<number, number>();
-  #proposalNumber = 0;
-  #waiters = new Map<number, Waiter>();
+  #reports = new ReportLedger();
+  #proposals = new ProposalWaiters();
   #stopped = false;
   #timer: NodeJS.Timeout | undefined;
 
@@ -96,7 +95,7 @@
 
   /** Whether a leader confirmed this host's reports lately. */
   hasLease(now: number): boolean {
-    return now < this.#leaseUntil;
+    return this.#reports.hasLease(now);
   }
 
   /**
@@ -132,7 +131,7 @@
    * instead of letting callers wait for a leader that can't be reached.
    */
   #isLeaderLikely(): boolean {
-    return Date.now() - this.#leaseUntil < LEASE_MILLISECONDS;
+    return this.#reports.hadLeaseLately(Date.now());
   }
 
   #proposeOnce(
@@ -142,22 +141,12 @@
     if (this.#outgoing === undefined || !this.#leading) {
       return Promise.resolve({ kind: "not-proposed" });
     }
-    this.#proposalNumber += 1;
-    const number = this.#proposalNumber;
+    const { number, reply } = this.#proposals.add(milliseconds);
     const bytes = command === undefined
       ? new Uint8Array(0)
       : new TextEncoder().encode(JSON.stringify(command));
-    return new Promise((resolve) => {
-      const timer = setTimeout(() => {
-        this.#waiters.delete(number);
-        resolve({ kind: "unknown" });
-      }, Math.max(0, milliseconds));
-      this.#waiters.set(number, (reply) => {
-        clearTimeout(timer);
-        resolve(reply);
-      });
-      this.#send({ case: "proposal", value: { number, command: bytes } });
-    });
+    this.#send({ case: "proposal", value: { number, command: bytes } });
+    return reply;
   }
 
   async #run(): Promise<void> {
@@ -178,12 +167,14 @@
   async #follow(address: string): Promise<void> {
     const outgoing = new Subject<EntryToControl>();
     const stop = new AbortController();
+    this.#leave = () => stop.abort();
+    this.#followedAt = Date.now();
     this.#outgoing = outgoing;
     this.#address = address;
     this.#heardAt = Date.now();
     const client = this.#options.clients.client(ControlService, address);
     const watch = setInterval(() => {
-      if (this.#isToBeLeft(address)) stop.abort();
+      if (this.#isToBeLeft()) stop.abort();
     }, HEARTBEAT_MILLISECONDS);
     try {
       const incoming = client.session(
@@ -200,19 +191,18 @@
     }
   }
 
-  /** Silent, or not the leader while another is known to lead. */
-  #isToBeLeft(address: string): boolean {
+  /** Silent, or for long without a leader: another host may know one. */
+  #isToBeLeft(): boolean {
     if (this.#stopped) return true;
     if (Date.now() - this.#heardAt > SILENT_MILLISECONDS) return true;
-    if (this.#leading) return false;
-    return this.#leaderAddress !== address;
+    return !this.#leading &&
+      Date.now() - this.#followedAt > LEADERLESS_MILLISECONDS;
   }
 
   #lose(): void {
     this.#leading = false;
     this.#outgoing = undefined;
-    for (const waiter of this.#waiters.values()) waiter({ kind: "unknown" });
-    this.#waiters.clear();
+    this.#proposals.loseAll();
   }
 
   #hello(): EntryToControl {
@@ -235,12 +225,11 @@
       case "status":
         return this.#takeStatus(body.value);
       case "state":
-        this.state = decodeControlState(body.value.state);
-        return this.#applied();
+        return this.#takeState(body.value.index, body.value.state);
       case "command":
         return this.#takeCommand(body.value.index, body.value.command);
       case "result":
-        return this.#takeResult(body.value);
+        return this.#proposals.settle(body.value.number, replyOf(body.value));
       case "allotment":
         return this.#takeAllotment(body.value);
     }
@@ -252,16 +241,25 @@
       if (status.leading) this.#beat();
     }
     this.#leaderAddress = status.leaderAddress;
+    if (this.#knowsBetter(status)) this.#leave();
     this.#term = status.term;
     const { state } = this;
     state.appliedIndex = Math.max(state.appliedIndex, status.commitIndex);
-    const sentAt = this.#reportsSentAt.get(status.reportSequence);
-    if (status.leading && sentAt !== undefined) {
-      this.#leaseUntil = Math.max(
-        this.#leaseUntil,
-        sentAt + LEASE_MILLISECONDS,
-      );
-    }
+    if (status.leading) this.#reports.confirm(status.reportSequence);
+  }
+
+  /** Another control host leads: no need to wait for silence here. */
+  #knowsBetter({ leading, leaderAddress }: ControlStatus): boolean {
+    return !leading && leaderAddress !== "" &&
+      leaderAddress !== this.#address &&
+      this.#options.controlHosts.includes(leaderAddress);
+  }
+
+  /** A control host that lags may install a snapshot older than what stands. */
+  #takeState(index: number, bytes: Uint8Array): void {
+    if (index < this.state.appliedIndex) return;
+    this.state = decodeControlState(bytes);
+    this.#applied();
   }
 
   #takeCommand(index: number, bytes: Uint8Array): void {
@@ -277,14 +275,8 @@
     this.#beat();
   }
 
-  #takeResult(result: ProposalResult): void {
-    const waiter = this.#waiters.get(result.number);
-    this.#waiters.delete(result.number);
-    waiter?.(replyOf(result));
-  }
-
   #takeAllotment(allotment: Allotment): void {
-    const sentAt = this.#reportsSentAt.get(allotment.reportSequence);
+    const sentAt = this.#reports.sentAt(allotment.reportSequence);
     if (sentAt === undefined) return;
     if (allotment.sequence <= this.#allotmentSequence) return;
     this.allotted$.next({ allotment, sentAt });
@@ -293,13 +285,10 @@
 
   #beat(): void {
     if (this.#outgoing === undefined) return;
-    this.#reportSequence += 1;
-    this.#reportsSentAt.set(this.#reportSequence, Date.now());
-    this.#reportsSentAt.delete(this.#reportSequence - REMEMBERED_REPORTS);
     this.#send({
       case: "report",
       value: {
-        sequence: this.#reportSequence,
+        sequence: this.#reports.send(Date.now()),
         appliedIndex: this.state.appliedIndex,
         demands: this.#options.demands(),
         allotmentSequence: this.#allotmentSequence,
--- a/packages/daemon/src/entry/entry_app.ts
+++ b/packages/daemon/src/entry/entry_app.ts
@@ -32,6 +32,7 @@
 
 const REGISTER_MILLISECONDS = 1_000;
 const POLL_MILLISECONDS = 25;
+const GOODBYE_MILLISECONDS = 1_000;
 /** Longer than any grant that was made before this host had a floor. */
 const SETTLING_MILLISECONDS = 1_600;
 
@@ -160,12 +161,22 @@
     this.#server.stopListening();
     while (this.#calls.inProgress > 0) await pause(POLL_MILLISECONDS);
     this.#server.close();
+    await this.#sayStopped();
     this.#world.control.stop();
     this.#coordinator.stop();
     this.#permits.stop();
     for (const session of this.#owners.values()) session.close();
   }
 
+  /** Or a leader would wait for the lease of a host that is gone. */
+  async #sayStopped(): Promise<void> {
+    await this.#world.control.propose({
+      kind: "register-entry",
+      ...this.#hello(),
+      stopped: true,
+    }, GOODBYE_MILLISECONDS);
+  }
+
   #isReady(): boolean {
     const settled = Date.now() - this.#registeredAt > SETTLING_MILLISECONDS;
     return settled && !this.#stopping;
@@ -192,6 +203,7 @@
       const reply = await control.propose({
         kind: "register-entry",
         ...this.#hello(),
+        stopped: false,
       });
       if (reply.kind === "committed" || this.#isKnown()) break;
       await pause(REGISTER_MILLISECONDS / 4);
--- a/packages/daemon/src/entry/operator_api.ts
+++ b/packages/daemon/src/entry/operator_api.ts
@@ -1,8 +1,6 @@
 import { contractContentSchema } from "@teaselrouter/core/contracts/contract_content_schema.ts";
 import type { Command } from "@teaselrouter/core/state/command.ts";
 import { commandSchema } from "@teaselrouter/core/state/command_schema.ts";
-import { weightsManifestSchema } from "@teaselrouter/core/spread/weights_manifest_schema.ts";
-import type { WeightsManifest } from "@teaselrouter/core/spread/weights_manifest.ts";
 import { ControlService } from "@teaselrouter/messages/control.ts";
 import { createHash } from "node:crypto";
 import type { IncomingMessage, ServerResponse } from "node:http";
@@ -11,12 +9,13 @@
 import type { ClientPool } from "../transport/client_pool.ts";
 import type { ControlSession } from "./control_session.ts";
 import { describeIssue } from "./describe_issue.ts";
+import { fetchManifest } from "./fetch_manifest.ts";
+import { invalidRequest } from "./invalid_request.ts";
 import type { Problem } from "./problem.ts";
 import { readBody } from "./read_body.ts";
 import { sendProblem } from "./send_problem.ts";
 
 const MOST_BODY_BYTES = 1_048_576;
-const STORE_MILLISECONDS = 5_000;
 const REPLACE_MILLISECONDS = 40_000;
 
 const changeSchema = z.strictObject({
@@ -62,16 +61,6 @@
 
 type Reply = Result<{ status: number; body: unknown }, Problem>;
 
-function invalid(field: string, detail: string): Problem {
-  return {
-    status: 400,
-    type: "bad-request",
-    field,
-    detail,
-    outcome: "not-run",
-  };
-}
-
 function digestOf(value: unknown): string {
   return createHash("sha256").update(JSON.stringify(value)).digest("hex");
 }
@@ -229,7 +218,7 @@
     try {
       return Result.ok(JSON.parse(body.value.toString("utf8")));
     } catch {
-      return Result.err(invalid("body", "the body is not JSON"));
+      return Result.err(invalidRequest("body", "the body is not JSON"));
     }
   }
 }
@@ -259,31 +248,5 @@
 
 function refuseIssue(error: z.ZodError): Promise<Reply> {
   const { field, detail } = describeIssue(error);
-  return Promise.resolve(Result.err(invalid(field, detail)));
-}
-
-async function fetchManifest(
-  store: string,
-  name: string,
-  version: string,
-): Promise<Result<WeightsManifest, Problem>> {
-  const url = `${store}/manifests/${encodeURIComponent(name)}/${
-    encodeURIComponent(version)
-  }`;
-  const fault = (detail: string) =>
-    Result.err<WeightsManifest, Problem>(invalid("store", detail));
-  try {
-    const answer = await fetch(url, {
-      signal: AbortSignal.timeout(STORE_MILLISECONDS),
-    });
-    if (!answer.ok) return fault(`${url} answers ${answer.status}`);
-    const checked = weightsManifestSchema.safeParse(await answer.json());
-    if (!checked.success) return fault(describeIssue(checked.error).detail);
-    if (checked.data.name !== name || checked.data.version !== version) {
-      return fault(`${url} has another name or version`);
-    }
-    return Result.ok(checked.data);
-  } catch (error) {
-    return fault(`${url} can't be read: ${String(error)}`);
-  }
+  return Promise.resolve(Result.err(invalidRequest(field, detail)));
 }
--- a/packages/daemon/src/entry/unrepeatable_call.ts
+++ b/packages/daemon/src/entry/unrepeatable_call.ts
@@ -11,34 +11,26 @@
 import { Buffer } from "node:buffer";
 import { createHash, randomUUID } from "node:crypto";
 import type { ClientPool } from "../transport/client_pool.ts";
+import { callProblems } from "./call_problems.ts";
 import type { CheckedCall } from "./checked_call.ts";
-import type { ControlSession } from "./control_session.ts";
 import { ExchangeReader } from "./exchange_reader.ts";
 import type { Problem } from "./problem.ts";
+import type { Proposer } from "./proposer.ts";
+import { recordedOutcome } from "./recorded_outcome.ts";
+import type { UnrepeatableAnswer } from "./unrepeatable_answer.ts";
+import type { UnrepeatableOutcome } from "./unrepeatable_outcome.ts";
 
 const MOST_CLAIMS = 4;
 const SETTLE_MILLISECONDS = 2_000;
 const MOST_KEPT_BYTES = 65_536;
 
 type Services = {
-  control: ControlSession;
+  control: Proposer;
   router: Router;
   table: BackendServerTable;
   clients: ClientPool;
 };
 
-type RecordedAnswer = {
-  status: number;
-  contentType: string;
-  body: Buffer;
-};
-
-type Outcome =
-  | { kind: "answered"; answer: RecordedAnswer }
-  | { kind: "failed"; problem: Problem }
-  /** It surely did not run: it may be claimed anew. */
-  | { kind: "not-run"; problem: Problem };
-
 /**
  * One call that may not be repeated. It is claimed in the replicated log for
  * one agent process before it leaves, and its outcome is recorded there
@@ -58,7 +50,7 @@
       .update(`${call.path}\n`).update(call.body).digest("hex");
   }
 
-  async run(): Promise<Outcome> {
+  async run(): Promise<UnrepeatableOutcome> {
     const timer = setTimeout(() => this.#given.abort(), this.#remaining());
     try {
       return await this.#claimAndRun();
@@ -67,8 +59,10 @@
     }
   }
 
-  async #claimAndRun(): Promise<Outcome> {
-    let outcome: Outcome = failed(notRun("overloaded", 1_000));
+  async #claimAndRun(): Promise<UnrepeatableOutcome> {
+    let outcome: UnrepeatableOutcome = failed(
+      callProblems.notRun("overloaded", 1_000),
+    );
     for (let claims = 0; claims < MOST_CLAIMS; claims += 1) {
       outcome = await this.#claimOnce();
       if (outcome.kind !== "not-run") return outcome;
@@ -77,7 +71,7 @@
     return outcome;
   }
 
-  async #claimOnce(): Promise<Outcome> {
+  async #claimOnce(): Promise<UnrepeatableOutcome> {
     const { control, router } = this.#services;
     const decision = router.route(control.state, {
       service: this.#call.service,
@@ -87,7 +81,9 @@
       now: Date.now(),
     });
     if (decision.kind === "refuse") {
-      return failed(notRun(decision.reason, decision.retryAfterMilliseconds));
+      return failed(
+        callProblems.notRun(decision.reason, decision.retryAfterMilliseconds),
+      );
     }
     const row = decision.to;
     const requestId = randomUUID();
@@ -103,20 +99,27 @@
       at: 0,
     }, this.#remaining());
     if (reply.kind === "not-proposed") {
-      return failed(notRun("no-leader", 1_000));
+      return failed(callProblems.notRun("no-leader", 1_000));
+    }
+    if (reply.kind === "unknown") {
+      return failed(callProblems.unknown("claim-not-confirmed"));
     }
-    if (reply.kind === "unknown") return failed(unknown("claim-not-confirmed"));
     const { accepted, reason, value } = reply.answer;
     const claim = value as ClaimRow;
     // A claim that had to be proposed twice meets itself.
     if (accepted || claim.requestId === requestId) {
       return this.#runClaimed(claim, row);
     }
-    if (reason === "key-used-for-another-call") return failed(keyReused());
+    if (reason === "key-used-for-another-call") {
+      return failed(callProblems.keyReused());
+    }
     return this.#resolveStanding(claim);
   }
 
-  async #runClaimed(claim: ClaimRow, row: BackendServerRow): Promise<Outcome> {
+  async #runClaimed(
+    claim: ClaimRow,
+    row: BackendServerRow,
+  ): Promise<UnrepeatableOutcome> {
     row.ownInFlight += 1;
     try {
       return await this.#read(claim, row, false);
@@ -129,7 +132,7 @@
     claim: ClaimRow,
     row: BackendServerRow,
     attachOnly: boolean,
-  ): Promise<Outcome> {
+  ): Promise<UnrepeatableOutcome> {
     const reader = new ExchangeReader({
       clients: this.#services.clients,
       address: row.internalAddress,
@@ -162,14 +165,16 @@
           return this.#resolveStanding(claim);
       }
     }
-    return failed(unknown("deadline-exceeded"));
+    return failed(callProblems.unknown("deadline-exceeded"));
   }
 
   /** The key stands already, or its answer was lost on the way. */
-  async #resolveStanding(claim: ClaimRow): Promise<Outcome> {
+  async #resolveStanding(claim: ClaimRow): Promise<UnrepeatableOutcome> {
     if (claim.state !== "claimed") return recordedOutcome(claim);
     const row = this.#services.table.get(claim.backendServer);
-    if (row === undefined) return failed(unknown("backend-server-unreachable"));
+    if (row === undefined) {
+      return failed(callProblems.unknown("backend-server-unreachable"));
+    }
     if (row.incarnation !== claim.incarnation) {
       // The process that alone knew is gone; what it did can't be learned.
       return this.#recordUnknown(claim, "backend-server-restarted");
@@ -182,13 +187,16 @@
       }, { timeoutMs: SETTLE_MILLISECONDS })
       .catch(() => undefined);
     if (settled === undefined || settled.incarnation !== claim.incarnation) {
-      return failed(unknown("backend-server-unreachable"));
+      return failed(callProblems.unknown("backend-server-unreachable"));
     }
     if (settled.tombstoned) return this.#cancel(claim, "never-run", 100);
     return this.#read(claim, row, true);
   }
 
-  async #record(claim: ClaimRow, answer: RecordedAnswer): Promise<Outcome> {
+  async #record(
+    claim: ClaimRow,
+    answer: UnrepeatableAnswer,
+  ): Promise<UnrepeatableOutcome> {
     const kept = answer.body.length <= MOST_KEPT_BYTES;
     const reply = await this.#services.control.propose({
       kind: "settle-claim",
@@ -201,13 +209,16 @@
       answer: kept ? answer.body.toString("base64") : "",
     }, this.#remaining());
     if (reply.kind !== "committed") {
-      return failed(unknown("outcome-not-recorded"));
+      return failed(callProblems.unknown("outcome-not-recorded"));
     }
     if (!kept && reply.answer.accepted) return { kind: "answered", answer };
     return recordedOutcome(reply.answer.value as ClaimRow);
   }
 
-  async #recordUnknown(claim: ClaimRow, reason: string): Promise<Outcome> {
+  async #recordUnknown(
+    claim: ClaimRow,
+    reason: string,
+  ): Promise<UnrepeatableOutcome> {
     const reply = await this.#services.control.propose({
       kind: "settle-claim",
       workspace: claim.workspace,
@@ -221,14 +232,14 @@
     if (reply.kind === "committed" && reply.answer.accepted) {
       return recordedOutcome(reply.answer.value as ClaimRow);
     }
-    return failed(unknown(reason));
+    return failed(callProblems.unknown(reason));
   }
 
   async #cancel(
     claim: ClaimRow,
     reason: string,
     retryAfterMilliseconds: number,
-  ): Promise<Outcome> {
+  ): Promise<UnrepeatableOutcome> {
     const reply = await this.#services.control.propose({
       kind: "cancel-claim",
       workspace: claim.workspace,
@@ -236,13 +247,16 @@
       claimIndex: claim.claimIndex,
     }, Math.max(this.#remaining(), SETTLE_MILLISECONDS));
     if (reply.kind !== "committed") {
-      return failed(unknown("outcome-not-recorded"));
+      return failed(callProblems.unknown("outcome-not-recorded"));
     }
     const { accepted, value } = reply.answer;
     if (!accepted && value !== undefined) {
       return this.#resolveStanding(value as ClaimRow);
     }
-    return { kind: "not-run", problem: notRun(reason, retryAfterMilliseconds) };
+    return {
+      kind: "not-run",
+      problem: callProblems.notRun(reason, retryAfterMilliseconds),
+    };
   }
 
   #request(claim: ClaimRow): RunRequest {
@@ -269,64 +283,6 @@
   return `${claim.workspace}\n${claim.key}`;
 }
 
-function failed(problem: Problem): Outcome {
+function failed(problem: Problem): UnrepeatableOutcome {
   return { kind: "failed", problem };
 }
-
-function notRun(reason: string, retryAfterMilliseconds: number): Problem {
-  return {
-    status: 503,
-    type: reason,
-    detail: `the call was not run: ${reason}`,
-    outcome: "not-run",
-    retryAfterMilliseconds,
-  };
-}
-
-function unknown(reason: string): Problem {
-  return {
-    status: 504,
-    type: reason,
-    detail:
-      "whether the call ran is not known; ask again with the same Idempotency-Key",
-    outcome: "unknown",
-    retryAfterMilliseconds: 1_000,
-  };
-}
-
-function keyReused(): Problem {
-  return {
-    status: 422,
-    type: "idempotency-key-reused",
-    field: "Idempotency-Key",
-    detail: "this key was used for another call",
-    outcome: "not-run",
-  };
-}
-
-function recordedOutcome(claim: ClaimRow): Outcome {
-  if (claim.state === "unknown") {
-    return failed({
-      ...unknown("outcome-lost"),
-      status: 502,
-      detail: "whether the call ran can't be learned any more",
-      retryAfterMilliseconds: undefined,
-    });
-  }
-  if (claim.contentType === "" && claim.answer === "" && claim.status === 200) {
-    return failed({
-      status: 409,
-      type: "answer-not-kept",
-      detail: "the call ran; its answer was too large to be kept",
-      outcome: "ran",
-    });
-  }
-  return {
-    kind: "answered",
-    answer: {
-      status: claim.status,
-      contentType: claim.contentType,
-      body: Buffer.from(claim.answer, "base64"),
-    },
-  };
-}
--- a/packages/daemon/src/log/event_log.ts
+++ b/packages/daemon/src/log/event_log.ts
@@ -21,16 +21,15 @@
     this.ring = new TimelineRing(processName, RING_CAPACITY);
     this.#logger = new Logger({ type: "hidden", minLevel: LEVELS[level] });
     this.#logger.attachTransport((line) => {
-      const { _meta, ...rest } = line as unknown as {
+      const { _meta, ...fields } = line as unknown as Fields & {
         _meta: { date: Date; logLevelName: string };
-        0: Fields;
       };
       const head = {
         time: _meta.date.toISOString(),
         level: _meta.logLevelName.toLowerCase(),
         process: processName,
       };
-      process.stderr.write(`${formatFields({ ...head, ...rest[0] })}\n`);
+      process.stderr.write(`${formatFields({ ...head, ...fields })}\n`);
     });
   }
 
--- a/packages/experiments/src/fakes/fake_engine.ts
+++ b/packages/experiments/src/fakes/fake_engine.ts
@@ -30,10 +30,13 @@
 export class FakeEngine {
   /** Says "loaded" before it is. */
   liesAboutLoading = false;
+  /** Begins answers and never ends them. */
+  stallsAnswers = false;
   /** The next load stops with an error. */
   failsNextLoad = false;
-  /** Calls that it has begun. */
+  /** Calls that it has begun, and those whose caller left meanwhile. */
   calls = 0;
+  abandoned = 0;
   #options: Options;
   #announcer: Announcer | undefined;
   #version = "";
@@ -140,8 +143,12 @@
     response.setHeader("Content-Type", "text/plain");
     const before = this.#digest;
     const lines = expectedAnswer(before, body);
+    if (this.stallsAnswers) return void response.write(lines[0]);
     for (const [index, line] of lines.entries()) {
-      if (response.destroyed) return;
+      if (response.destroyed) {
+        this.abandoned += 1;
+        return;
+      }
       // A model that changes under an answer shows in the rest of it.
       const same = this.#digest === before;
       response.write(same ? line : expectedAnswer(this.#digest, body)[index]);
--- a/packages/experiments/src/main.ts
+++ b/packages/experiments/src/main.ts
@@ -4,6 +4,7 @@
 import { demo } from "./demo/demo.ts";
 import { footprintExperiment } from "./footprint/footprint_experiment.ts";
 import { overloadExperiment } from "./overload/overload_experiment.ts";
+import { requestExperiment } from "./requests/request_experiment.ts";
 import { spreadExperiment } from "./spread/spread_experiment.ts";
 
 const experiments: Record<string, () => Promise<boolean>> = {
@@ -12,6 +13,7 @@
   failover: failoverExperiment,
   footprint: footprintExperiment,
   overload: overloadExperiment,
+  requests: requestExperiment,
   spread: spreadExperiment,
 };
 
