--- a/packages/daemon/src/control/control_host.ts
+++ b/packages/daemon/src/control/control_host.ts
@@ -21,7 +21,8 @@
 const PROPOSAL_MILLISECONDS = 5_000;
 const READ_POLL_MILLISECONDS = 5;
 const FOLLOWED_KEPT = 4_096;
-const LEASE_MILLISECONDS = 2_000;
+/** An entry host's lease, and a little for the way to it. */
+const LEASE_MILLISECONDS = 1_600;
 
 type Waiter = { term: number; resolve: (outcome: ProposalOutcome) => void };
 type Followed = { index: number; bytes: Uint8Array };
@@ -51,6 +52,8 @@
     this.#log = options.log;
     this.#state = state;
     this.#followedFrom = state.appliedIndex;
+    // From the first moment: what a new leader waits for counts from there.
+    this.#driver.leadership$.subscribe(() => this.allotter(Date.now()));
     this.#driver.committed$.subscribe((entry) => this.#apply(entry));
     this.#driver.installed$.subscribe((snapshot) => this.#install(snapshot));
   }
