--- a/packages/daemon/src/agent/call_runner.ts
+++ b/packages/daemon/src/agent/call_runner.ts
@@ -16,7 +16,7 @@
 const FIRST_GUESS_MILLISECONDS = 50;
 const LOADING_RETRY_MILLISECONDS = 500;
 
-type Waiting = { exchange: Exchange; start: () => void };
+type Waiting = { exchange: Exchange; start: () => void; priority: number };
 
 /** Runs the calls of one backend server: no more at once than its slots. */
 export class CallRunner {
@@ -123,7 +123,7 @@
     }
     const start = () => this.#start(request, exchange);
     if (this.#running < slots) start();
-    else this.#queue.push({ exchange, start });
+    else this.#enqueue({ exchange, start, priority: request.priority });
   }
 
   async #start(request: RunRequest, exchange: Exchange): Promise<void> {
@@ -145,6 +145,15 @@
     this.#startNext();
   }
 
+  /** Larger priorities first; equal ones in the order they came. */
+  #enqueue(waiting: Waiting): void {
+    const behind = this.#queue.findIndex(({ priority }) =>
+      priority < waiting.priority
+    );
+    if (behind < 0) this.#queue.push(waiting);
+    else this.#queue.splice(behind, 0, waiting);
+  }
+
   /** A call left waiting while the engine began a load goes elsewhere. */
   #startNext(): void {
     const next = this.#queue.shift();
--- a/packages/daemon/src/entry/check_call.ts
+++ b/packages/daemon/src/entry/check_call.ts
@@ -100,6 +100,7 @@
     contentType: header(request, "content-type"),
     idempotencyKey,
     deadlineMilliseconds: deadline.value,
+    priority: contract.content.priority,
     receivedAt: world.now,
     maximumBodyBytes: contract.content.maximum_body_bytes,
   });
--- a/packages/daemon/src/entry/checked_call.ts
+++ b/packages/daemon/src/entry/checked_call.ts
@@ -9,5 +9,7 @@
   contentType: string;
   idempotencyKey: string;
   deadlineMilliseconds: number;
+  /** The contract's; larger goes first where calls wait. */
+  priority: number;
   receivedAt: number;
 };
--- a/packages/daemon/src/entry/repeatable_call.ts
+++ b/packages/daemon/src/entry/repeatable_call.ts
@@ -87,6 +87,7 @@
       body: this.#call.body,
       contentType: this.#call.contentType,
       deadlineMilliseconds: this.#remaining(),
+      priority: this.#call.priority,
     });
     const reader = new ExchangeReader({
       clients: this.#services.clients,
--- a/packages/daemon/src/entry/unrepeatable_call.ts
+++ b/packages/daemon/src/entry/unrepeatable_call.ts
@@ -267,6 +267,7 @@
       body: this.#call.body,
       contentType: this.#call.contentType,
       deadlineMilliseconds: this.#remaining(),
+      priority: this.#call.priority,
       claimKey: claimKeyOf(claim),
       claimIncarnation: claim.incarnation,
       claimIndex: claim.claimIndex,
--- a/packages/experiments/src/failures/claim_steps_test.ts
+++ b/packages/experiments/src/failures/claim_steps_test.ts
@@ -158,6 +158,7 @@
       contentType: "text/plain",
       idempotencyKey: "order-1",
       deadlineMilliseconds: milliseconds,
+      priority: 5,
       receivedAt: Date.now(),
     });
     const outcome = await call.run();
--- /dev/null
+++ b/packages/experiments/src/failures/waiting_calls_test.ts
@@ -0,0 +1,95 @@
+import { create } from "@bufbuild/protobuf";
+import { AgentState } from "@teaselrouter/daemon/agent/agent_state.ts";
+import { CallRunner } from "@teaselrouter/daemon/agent/call_runner.ts";
+import { EngineClient } from "@teaselrouter/daemon/agent/engine_client.ts";
+import { RunRequestSchema } from "@teaselrouter/messages/agent.ts";
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { FakeService } from "../fakes/fake_service.ts";
+import { freeAddresses } from "../harness/free_addresses.ts";
+import { waitUntil } from "../harness/wait_until.ts";
+
+const CHECK_MILLISECONDS = 10_000;
+const CALL_MILLISECONDS = 60;
+
+/** A service with one slot, and the runner in front of it. */
+async function withOneSlot(
+  story: (runner: CallRunner, service: FakeService) => Promise<void>,
+): Promise<void> {
+  const [address, agentAddress] = await freeAddresses(2);
+  const service = new FakeService({
+    address: address!,
+    agentAddress: agentAddress!,
+    service: "portal",
+    repeatable: true,
+    slots: 1,
+    callMilliseconds: CALL_MILLISECONDS,
+  });
+  await service.start();
+  const state = new AgentState();
+  state.announce({
+    service: "portal",
+    address: address!,
+    checks_fencing: false,
+    repeatable: true,
+    uses_weights: false,
+    slots: 1,
+  }, Date.now() + CHECK_MILLISECONDS);
+  const runner = new CallRunner({
+    state,
+    engine: new EngineClient(() => undefined),
+    incarnation: "one",
+  });
+  try {
+    await story(runner, service);
+  } finally {
+    runner.stop();
+    service.stop();
+  }
+}
+
+function call(body: string, priority: number, deadlineMilliseconds = 60_000) {
+  return create(RunRequestSchema, {
+    requestId: body,
+    path: "/look",
+    body: new TextEncoder().encode(body),
+    deadlineMilliseconds,
+    priority,
+  });
+}
+
+test("where calls wait, larger priorities go first, equal ones in order", async () => {
+  await withOneSlot(async (runner, service) => {
+    for (
+      const [body, priority] of [["a", 5], ["b", 1], ["c", 9], ["d", 5], [
+        "e",
+        9,
+      ]] as const
+    ) {
+      runner.run(call(body, priority));
+    }
+    const done = () => service.ran.length === 5;
+    assert.ok(await waitUntil(done, CHECK_MILLISECONDS));
+    assert.deepEqual(service.ran, ["a", "c", "e", "d", "b"]);
+  });
+});
+
+test("a call that would wait past its use is refused at once", async () => {
+  // Story: a burst comes to a busy backend server. Calls that can't be in
+  // time must not take slots from those that can; they hear so at once, with
+  // when to come back, and the service never sees them.
+  await withOneSlot(async (runner, service) => {
+    for (let count = 0; count < 10; count += 1) {
+      runner.run(call(`patient ${count}`, 5));
+    }
+    const exchange = runner.run(call("hurried", 5, 100));
+    assert.ok(exchange.endedAt > 0, "it was kept waiting");
+    for await (const { body } of exchange.read(0)) {
+      assert.equal(body.case, "refused");
+      if (body.case !== "refused") continue;
+      assert.equal(body.value.reason, "overloaded");
+      assert.ok(body.value.retryAfterMilliseconds > 0);
+    }
+    assert.ok(!service.ran.includes("hurried"));
+  });
+});
