--- a/packages/daemon/src/control/control_app.ts
+++ b/packages/daemon/src/control/control_app.ts
@@ -172,7 +172,9 @@
     const founder = settings.control!.founders.find((known) =>
       known.name === name
     );
-    if (founder === undefined) return Result.err("no-such-member");
+    if (founder === undefined) {
+      return Result.err(`no control host is named "${name}" in founders`);
+    }
     const answer = await clients.client(PeerService, founder.address)
       .introduce({ member: this.#self }, { timeoutMs: INTRODUCE_MILLISECONDS })
       .catch(() => undefined);
--- a/packages/daemon/src/entry/fetch_manifest.ts
+++ b/packages/daemon/src/entry/fetch_manifest.ts
@@ -30,6 +30,7 @@
     }
     return Result.ok(checked.data);
   } catch (error) {
-    return fault(`${url} can't be read: ${String(error)}`);
+    const { cause, message } = error as Error & { cause?: { code?: string } };
+    return fault(`${url} can't be read: ${cause?.code ?? message}`);
   }
 }
--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -40,4 +40,9 @@
   .option("--check", "Only check the settings; exits 0 or 2")
   .example("--settings /etc/teaselrouter/entry.toml")
   .action(run)
-  .parse(process.argv);
+  .parse(process.argv, {
+    unknown: (option) => {
+      process.stderr.write(`unknown option ${option}; see --help\n`);
+      process.exit(EXIT_SETTINGS);
+    },
+  });
--- a/packages/experiments/src/load/load_driver.ts
+++ b/packages/experiments/src/load/load_driver.ts
@@ -39,8 +39,11 @@
   async run(): Promise<LoadSummary> {
     await Promise.all(this.#plan.streams.map((stream) => this.#drive(stream)));
     await Promise.all(this.#underWay);
-    for (const [service, histogram] of this.#histograms) {
+    for (const service of Object.keys(this.#summary.services)) {
       const summary = this.#of(service);
+      const histogram = this.#histogram(service);
+      const refused = this.#histogram(`${service} refused`);
+      summary.refusedP99 = refused.getValueAtPercentile(99);
       summary.p50 = histogram.getValueAtPercentile(50);
       summary.p95 = histogram.getValueAtPercentile(95);
       summary.p99 = histogram.getValueAtPercentile(99);
@@ -125,6 +128,9 @@
         return;
       }
       case "refused":
+        this.#histogram(`${stream.service} refused`).recordValue(
+          Math.round(result.milliseconds),
+        );
         summary.refused[result.reason] = (summary.refused[result.reason] ?? 0) +
           1;
         return;
@@ -159,6 +165,7 @@
       cut: 0,
       unreached: 0,
       refused: {},
+      refusedP99: 0,
       p50: 0,
       p95: 0,
       p99: 0,
--- a/packages/experiments/src/load/load_summary.ts
+++ b/packages/experiments/src/load/load_summary.ts
@@ -8,6 +8,9 @@
   /** Calls to an entry host that no longer listened. */
   unreached: number;
   refused: Record<string, number>;
+  /** Until a refusal was answered, milliseconds. */
+  refusedP99: number;
+  /** Of whole answers, milliseconds. */
   p50: number;
   p95: number;
   p99: number;
--- a/packages/experiments/src/overload/overload_experiment.ts
+++ b/packages/experiments/src/overload/overload_experiment.ts
@@ -1,5 +1,6 @@
 import { formatTable } from "@teaselrouter/operator/output/format_table.ts";
 import { OverloadModel } from "./overload_model.ts";
+import { overloadProcesses } from "./overload_processes.ts";
 
 const SEEDS = [1, 2, 3];
 
@@ -17,7 +18,7 @@
 ];
 
 /** Goodput, late answers and refusals, ours beside the naive twin. */
-export function overloadExperiment(): Promise<boolean> {
+export async function overloadExperiment(): Promise<boolean> {
   const rows = SCENES.flatMap(({ name, ...scene }) =>
     [true, false].flatMap((ours) =>
       SEEDS.map((seed) => {
@@ -55,5 +56,5 @@
     ],
     rows,
   ));
-  return Promise.resolve(true);
+  return await overloadProcesses();
 }
