Wait for a coordinator that is there; carry clocks between control hosts

Cause: an agent that heard no plan for 2 s went on alone, also when its coordinator was connected and had nothing to order because a chunk waited for a thin link; weighing origin bytes that draws a second copy.

Change: alone only without a coordinator, or after 30 s. Consensus messages carry the hybrid clock like all others, so the time line orders control hosts' events too.

--- /dev/null
+++ b/packages/core/src/timeline/timeline_test.ts
@@ -0,0 +1,30 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { TimelineRing } from "./timeline_ring.ts";
+
+test("an effect never stands before its cause, however far clocks are apart", () => {
+  // Story: the clock of one host is a minute behind. An event there that
+  // follows a message from another host must still come after it.
+  const ahead = new TimelineRing("ahead", 10);
+  const behind = new TimelineRing("behind", 10);
+  ahead.record(60_000, "cause", "");
+  behind.observe(1_000, ahead.now(60_000));
+  behind.record(1_001, "effect", "");
+  ahead.observe(60_001, behind.now(1_002));
+  ahead.record(60_001, "end", "");
+  const merged = [...ahead.since(0), ...behind.since(0)].sort((one, other) =>
+    one.time - other.time || one.counter - other.counter
+  );
+  assert.deepEqual(merged.map(({ kind }) => kind), ["cause", "effect", "end"]);
+});
+
+test("a ring keeps its latest events only", () => {
+  const ring = new TimelineRing("one", 5);
+  for (let count = 1; count <= 40; count += 1) {
+    ring.record(count, "event", String(count));
+  }
+  assert.deepEqual(
+    ring.since(0).map(({ detail }) => detail),
+    ["36", "37", "38", "39", "40"],
+  );
+});
--- a/packages/daemon/src/agent/agent_app.ts
+++ b/packages/daemon/src/agent/agent_app.ts
@@ -11,6 +11,7 @@
 import type { Settings } from "../settings/settings.ts";
 import type { ClientPool } from "../transport/client_pool.ts";
 import { pause } from "../transport/pause.ts";
+import { announcementOf } from "./announcement_of.ts";
 import { AgentServer } from "./agent_server.ts";
 import { AgentState } from "./agent_state.ts";
 import { CallRunner } from "./call_runner.ts";
@@ -79,6 +80,7 @@
       log,
       metrics: options.metrics,
       random: Math.random,
+      hasCoordinator: () => this.#links.coordinator !== "",
     });
     this.#loader = new EngineLoader({
       state: this.#state,
@@ -191,26 +193,12 @@
   }
 
   #announcement() {
-    const { backend, servingVersion } = this.#state;
-    const settings = this.#settings;
-    return {
-      case: "announcement" as const,
-      value: {
-        backendServer: settings.name,
-        dataCentre: settings.data_centre,
-        service: backend!.service,
-        incarnation: this.#incarnation,
-        internalAddress: settings.internal.listen,
-        chunkAddress: settings.agent!.listen,
-        checksFencing: backend!.checks_fencing,
-        repeatable: backend!.repeatable,
-        slots: backend!.slots,
-        servingVersion,
-        accepting: this.#state.refusal(Date.now()) === undefined,
-        usesWeights: backend!.uses_weights,
-        linkBytesPerSecond: settings.agent!.link_bytes_per_second,
-      },
-    };
+    const value = announcementOf(
+      this.#settings,
+      this.#state,
+      this.#incarnation,
+    );
+    return { case: "announcement" as const, value };
   }
 
   #loadIfChanged() {
--- a/packages/daemon/src/agent/spread_client.ts
+++ b/packages/daemon/src/agent/spread_client.ts
@@ -9,6 +9,7 @@
 
 const ORIGIN = "";
 const UNPLANNED_MILLISECONDS = 2_000;
+const FORGOTTEN_MILLISECONDS = 30_000;
 const CHECK_MILLISECONDS = 250;
 const UNPLANNED_FETCHES = 2;
 const MOST_FETCHES = 16;
@@ -30,6 +31,8 @@
   log: EventLog;
   metrics: StatsD;
   random: () => number;
+  /** Whether an entry host that plans for this agent is connected. */
+  hasCoordinator: () => boolean;
 };
 
 /**
@@ -94,8 +97,9 @@
     const target = this.#target;
     if (target === undefined) return;
     const held = this.#options.cache.held(target.version)!;
-    const planned = Date.now() - this.#plannedAt < UNPLANNED_MILLISECONDS;
-    if (held.isComplete || planned || this.#fetching.size > 0) return;
+    if (held.isComplete || this.#fetching.size > 0 || this.#isPlanned()) {
+      return;
+    }
     const missing = held.missing();
     const { random } = this.#options;
     for (let count = 0; count < UNPLANNED_FETCHES; count += 1) {
@@ -104,6 +108,18 @@
     }
   }
 
+  /**
+   * A coordinator that is there may have nothing to order for a while, as
+   * when a chunk waits for a thin link: drawing it from the origin then would
+   * cost a second copy. Only one that is gone is not waited for.
+   */
+  #isPlanned(): boolean {
+    const patience = this.#options.hasCoordinator()
+      ? FORGOTTEN_MILLISECONDS
+      : UNPLANNED_MILLISECONDS;
+    return Date.now() - this.#plannedAt < patience;
+  }
+
   #pickSource(): string {
     const now = Date.now();
     const usable = [...this.#peers, ORIGIN].filter((source) =>
--- a/packages/daemon/src/control/raft_driver.ts
+++ b/packages/daemon/src/control/raft_driver.ts
@@ -73,6 +73,10 @@
 
   receive(message: PeerMessage): void {
     if (this.#stopped) return;
+    this.#options.log.ring.observe(Date.now(), {
+      time: message.clockTime,
+      counter: message.clockCounter,
+    });
     this.#options.node.receive(message, Date.now());
     this.#pump();
   }
@@ -183,7 +187,11 @@
   #sendAll(messages: PeerMessage[]): void {
     for (const message of messages) {
       const address = this.#addressOf(message.to);
-      if (address !== undefined) this.#options.links.send(address, message);
+      if (address === undefined) continue;
+      const clock = this.#options.log.ring.now(Date.now());
+      message.clockTime = clock.time;
+      message.clockCounter = clock.counter;
+      this.#options.links.send(address, message);
     }
   }
 
--- a/packages/experiments/src/failures/chunk_sources_test.ts
+++ b/packages/experiments/src/failures/chunk_sources_test.ts
@@ -51,6 +51,7 @@
       log: new EventLog("bench", "error"),
       metrics: createMetrics({ name: "bench" } as Settings),
       random: () => 0,
+      hasCoordinator: () => false,
     });
     this.client.changed$.subscribe(({ failed }) => this.failed.push(...failed));
   }
