Split the consensus member: log, ballot, leadership

Change: MemberLog takes entries in and hands committed ones out, Ballot holds term, vote and election, Leadership what a leader has for its term; RaftNode joins them. No rule changed.

--- a/packages/core/src/consensus/raft_node.ts
+++ b/packages/core/src/consensus/raft_node.ts
@@ -4,25 +4,20 @@
   AppendResponseSchema,
   EntryKind,
   type HardState,
-  HardStateSchema,
   type LogEntry,
   type Membership,
   MembershipSchema,
   type PeerMessage,
   PeerMessageSchema,
   type SnapshotData,
-  type VoteRequest,
-  VoteRequestSchema,
-  type VoteResponse,
-  VoteResponseSchema,
 } from "@teaselrouter/messages/control.ts";
 import { Result } from "true-myth";
+import { Ballot } from "./ballot.ts";
 import { Leadership } from "./leadership.ts";
 import { MemberLog } from "./member_log.ts";
 import type { RaftOptions } from "./raft_options.ts";
 import { RaftOutbox } from "./raft_outbox.ts";
 import type { RaftOutput } from "./raft_output.ts";
-import { VoteTally } from "./vote_tally.ts";
 
 type Refusal = "not-leading" | "change-under-way";
 
@@ -33,30 +28,24 @@
 export class RaftNode {
   readonly id: string;
   #options: RaftOptions;
-  #term: number;
-  #votedFor: string;
   #leaderId = "";
-  #member: MemberLog;
   #outbox = new RaftOutbox();
+  #member: MemberLog;
+  #ballot: Ballot;
   #heardLeaderAt = -Infinity;
-  #electionAt = 0;
-  /** Present while this member stands for election. */
-  #tally: VoteTally | undefined;
   /** Present while this member leads. */
   #leadership: Leadership | undefined;
 
   constructor(options: RaftOptions) {
-    const { snapshot, hardState } = options;
+    const { snapshot, entries } = options;
     this.id = options.id;
     this.#options = options;
-    this.#term = hardState.term;
-    this.#votedFor = hardState.votedFor;
-    this.#member = new MemberLog(snapshot, options.entries, this.#outbox);
-    this.#resetElection(options.now);
+    this.#member = new MemberLog(snapshot, entries, this.#outbox);
+    this.#ballot = new Ballot(options, this.#member, this.#outbox);
   }
 
   get term(): number {
-    return this.#term;
+    return this.#ballot.term;
   }
 
   get commitIndex(): number {
@@ -98,14 +87,11 @@
 
   /** Whether this leader's own term is committed, so its state is current. */
   get hasCommittedOwnTerm(): boolean {
-    return this.#member.log.termAt(this.#member.commitIndex) === this.#term;
+    return this.#member.log.termAt(this.#member.commitIndex) === this.term;
   }
 
   get hardState(): HardState {
-    return create(HardStateSchema, {
-      term: this.#term,
-      votedFor: this.#votedFor,
-    });
+    return this.#ballot.hardState;
   }
 
   entriesAfter(index: number): LogEntry[] {
@@ -117,7 +103,7 @@
 
   tick(now: number): void {
     if (this.#leadership !== undefined) this.#tickLeader(now);
-    else if (now >= this.#electionAt) this.#campaign(now);
+    else if (this.#ballot.isDue(now)) this.#campaign(now);
   }
 
   propose(data: Uint8Array, now: number): Result<number, Refusal> {
@@ -170,7 +156,7 @@
   receive(message: PeerMessage, now: number): void {
     if (message.to !== this.id) return;
     if (this.#isDisturbance(message, now)) return;
-    if (message.term > this.#term && !this.#keepsTerm(message)) {
+    if (message.term > this.term && !this.#keepsTerm(message)) {
       this.#becomeFollower(message.term, now);
     }
     this.#dispatch(message, now);
@@ -202,22 +188,25 @@
     const { body, from } = message;
     switch (body.case) {
       case "voteRequest":
-        return this.#takeVoteRequest(message, body.value, now);
+        return this.#ballot.answer(message, body.value, now);
       case "voteResponse":
-        return this.#takeVoteResponse(message, body.value, now);
+        if (this.#ballot.takeResponse(message, body.value, now)) {
+          this.#becomeLeader(now);
+        }
+        return;
       case "appendRequest":
-        if (message.term < this.#term) return this.#refuseAppend(from);
+        if (message.term < this.term) return this.#refuseAppend(from);
         return this.#takeAppend(from, body.value, now);
       case "snapshotRequest":
-        if (message.term < this.#term) return this.#refuseAppend(from);
+        if (message.term < this.term) return this.#refuseAppend(from);
         return this.#takeSnapshot(from, body.value.snapshot!, now);
       case "appendResponse":
-        if (message.term === this.#term) {
+        if (message.term === this.term) {
           this.#leadership?.takeResponse(from, body.value, now);
         }
         return;
       case "transferRequest":
-        if (message.term === this.#term) this.#startElection(now, true);
+        if (message.term === this.term) this.#takeTransfer(now);
         return;
     }
   }
@@ -245,98 +234,25 @@
 
   #tickLeader(now: number): void {
     if (this.isLeading(now)) this.#leadership!.tick(now);
-    else this.#becomeFollower(this.#term, now);
+    else this.#becomeFollower(this.term, now);
   }
 
   #campaign(now: number): void {
-    this.#resetElection(now);
-    if (!this.#member.membership.isVoter(this.id)) return;
     this.#leaderId = "";
-    this.#leadership = undefined;
-    this.#tally = new VoteTally({ preVote: true, transfer: false });
-    this.#askForVotes(this.#term + 1, now);
+    if (this.#ballot.askFirst(now)) this.#becomeLeader(now);
   }
 
-  #startElection(now: number, transfer: boolean): void {
-    if (!this.#member.membership.isVoter(this.id)) return;
-    this.#resetElection(now);
+  /** The leader stops as planned and hands its lead to this member. */
+  #takeTransfer(now: number): void {
     this.#leaderId = "";
-    this.#leadership = undefined;
-    this.#setTerm(this.#term + 1, this.id);
-    this.#tally = new VoteTally({ preVote: false, transfer });
-    this.#askForVotes(this.#term, now);
-  }
-
-  #askForVotes(term: number, now: number): void {
-    const tally = this.#tally!;
-    tally.grant(this.id);
-    for (const member of this.#member.membership.voters) {
-      if (member.id === this.id) continue;
-      this.#outbox.sendAfterSync(this.#message(member.id, {
-        case: "voteRequest",
-        value: create(VoteRequestSchema, {
-          preVote: tally.preVote,
-          transfer: tally.transfer,
-          lastIndex: this.#member.log.lastIndex,
-          lastTerm: this.#member.log.lastTerm,
-        }),
-      }, term));
-    }
-    this.#countVotes(now);
-  }
-
-  #takeVoteRequest(
-    message: PeerMessage,
-    request: VoteRequest,
-    now: number,
-  ): void {
-    const upToDate = this.#member.log.isUpToDate(
-      request.lastIndex,
-      request.lastTerm,
-    );
-    const free = request.preVote
-      ? message.term > this.#term
-      : message.term === this.#term &&
-        (this.#votedFor === "" || this.#votedFor === message.from);
-    const granted = upToDate && free;
-    if (granted && !request.preVote) {
-      this.#setTerm(this.#term, message.from);
-      this.#resetElection(now);
-    }
-    this.#outbox.sendAfterSync(this.#message(message.from, {
-      case: "voteResponse",
-      value: create(VoteResponseSchema, { preVote: request.preVote, granted }),
-    }, granted ? message.term : this.#term));
-  }
-
-  #takeVoteResponse(
-    message: PeerMessage,
-    response: VoteResponse,
-    now: number,
-  ): void {
-    const tally = this.#tally;
-    if (tally === undefined) return;
-    if (!response.granted || response.preVote !== tally.preVote) return;
-    const asked = tally.preVote ? this.#term + 1 : this.#term;
-    if (message.term !== asked) return;
-    tally.grant(message.from);
-    this.#countVotes(now);
-  }
-
-  #countVotes(now: number): void {
-    const tally = this.#tally!;
-    const granted = tally.count((id) => this.#member.membership.isVoter(id));
-    if (granted < this.#member.membership.quorum) return;
-    if (tally.preVote) this.#startElection(now, false);
-    else this.#becomeLeader(now);
+    if (this.#ballot.standForTransfer(now)) this.#becomeLeader(now);
   }
 
   #becomeLeader(now: number): void {
     this.#leaderId = this.id;
-    this.#tally = undefined;
     this.#leadership = new Leadership({
       raft: this.#options,
-      term: this.#term,
+      term: this.term,
       member: this.#member,
       outbox: this.#outbox,
       message: (to, body) => this.#message(to, body),
@@ -345,15 +261,13 @@
   }
 
   #becomeFollower(term: number, now: number): void {
-    if (term > this.#term) this.#setTerm(term, "");
     this.#leaderId = "";
-    this.#tally = undefined;
     this.#leadership = undefined;
-    this.#resetElection(now);
+    this.#ballot.follow(term, now);
   }
 
   #followLeader(from: string, now: number): void {
-    this.#becomeFollower(this.#term, now);
+    this.#becomeFollower(this.term, now);
     this.#leaderId = from;
     this.#heardLeaderAt = now;
   }
@@ -387,22 +301,8 @@
     this.#outbox.sendAfterSync(this.#message(to, body));
   }
 
-  #setTerm(term: number, votedFor: string): void {
-    this.#term = term;
-    this.#votedFor = votedFor;
-    this.#outbox.storeVote(term, votedFor);
-  }
-
-  #resetElection(now: number): void {
-    const span = this.#options.electionMilliseconds;
-    this.#electionAt = now + span * (1 + this.#options.random());
-  }
-
-  #message(
-    to: string,
-    body: PeerMessage["body"],
-    term = this.#term,
-  ): PeerMessage {
-    return create(PeerMessageSchema, { from: this.id, to, term, body });
+  #message(to: string, body: PeerMessage["body"]): PeerMessage {
+    const { id: from, term } = this;
+    return create(PeerMessageSchema, { from, to, term, body });
   }
 }
