Answer what is on its way when an entry host ends listening

The http server's close also closes idle kept connections, and the call was just on its way on one of them.

Ruled out: a call under way when listening ends (waited for all along), the split of the consensus member (the stopped host keeps no log).

Change: only the taking of new connections ends; kept ones are answered and told to close until none has asked for 500 ms, at most 10 s.

Conclusion: a planned stop cuts off nothing that was sent, unless a caller has paused longer than that on a kept connection and asks in the instant of the end.

--- a/packages/daemon/src/entry/entry_app.ts
+++ b/packages/daemon/src/entry/entry_app.ts
@@ -33,6 +33,7 @@
 const REGISTER_MILLISECONDS = 1_000;
 const POLL_MILLISECONDS = 25;
 const GOODBYE_MILLISECONDS = 1_000;
+const MOST_QUIET_MILLISECONDS = 10_000;
 /** Longer than any grant that was made before this host had a floor. */
 const SETTLING_MILLISECONDS = 1_600;
 
@@ -159,7 +160,7 @@
     this.#stopping = true;
     await pause(this.#options.settings.entry!.drain_milliseconds);
     this.#server.stopListening();
-    while (this.#calls.inProgress > 0) await pause(POLL_MILLISECONDS);
+    await this.#untilDone();
     this.#server.close();
     await this.#sayStopped();
     this.#world.control.stop();
@@ -168,6 +169,15 @@
     for (const session of this.#owners.values()) session.close();
   }
 
+  /** Callers that never pause on kept connections are not waited for. */
+  async #untilDone(): Promise<void> {
+    const until = Date.now() + MOST_QUIET_MILLISECONDS;
+    while (!this.#server.isQuiet(Date.now()) && Date.now() < until) {
+      await pause(POLL_MILLISECONDS);
+    }
+    while (this.#calls.inProgress > 0) await pause(POLL_MILLISECONDS);
+  }
+
   /** Or a leader would wait for the lease of a host that is gone. */
   async #sayStopped(): Promise<void> {
     await this.#world.control.propose({
--- a/packages/daemon/src/entry/public_server.ts
+++ b/packages/daemon/src/entry/public_server.ts
@@ -4,6 +4,7 @@
   type Server,
   type ServerResponse,
 } from "node:http";
+import { Server as NetServer } from "node:net";
 import type { Duplex } from "node:stream";
 import type { Result } from "true-myth";
 import { listen } from "../transport/listen.ts";
@@ -11,6 +12,7 @@
 
 const MOST_HEADER_BYTES = 16_384;
 const CHECK_MILLISECONDS = 500;
+const QUIET_MILLISECONDS = 500;
 
 type Handle = (
   request: IncomingMessage,
@@ -29,6 +31,7 @@
 export class PublicServer {
   #server: Server;
   #options: Options;
+  #askedAt = 0;
 
   constructor(options: Options) {
     this.#options = options;
@@ -45,10 +48,19 @@
     return listen(this.#server, address);
   }
 
-  /** Ends listening; calls under way go on. */
+  /**
+   * Takes no new connections. The http server's own `close` would also close
+   * idle ones, under calls that are just on their way: callers would see a
+   * broken connection and not know whether the call had run. They are
+   * answered instead, and told to close.
+   */
   stopListening(): void {
-    this.#server.close();
-    this.#server.closeIdleConnections();
+    NetServer.prototype.close.call(this.#server);
+  }
+
+  /** Whether no request has come for a while. */
+  isQuiet(now: number): boolean {
+    return now - this.#askedAt > QUIET_MILLISECONDS;
   }
 
   close(): void {
@@ -59,6 +71,7 @@
     request: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
+    this.#askedAt = Date.now();
     response.on("error", () => undefined);
     try {
       await this.#dispatch(request, response);
