--- a/packages/daemon/src/entry/public_server_test.ts
+++ b/packages/daemon/src/entry/public_server_test.ts
@@ -24,23 +24,19 @@
   });
 }
 
-function askOn(socket: Socket): Promise<string> {
+function askOn(socket: Socket, request = REQUEST): Promise<string> {
   return new Promise((resolve) => {
     socket.once("data", (bytes) => resolve(String(bytes)));
     socket.once("close", () => resolve("closed"));
     socket.once("error", () => resolve("broken"));
-    socket.write(REQUEST);
+    socket.write(request);
   });
 }
 
-test("after listening ended, a kept connection's next call is answered", async () => {
-  // Story: a caller's pool keeps an idle connection to a host that stops.
-  // Its next call is already on the way when the host ends listening; closed
-  // under it, the caller could not tell whether the call had run.
-  let ready = true;
-  const server = new PublicServer({
+function newServer(isReady: () => boolean): PublicServer {
+  return new PublicServer({
     idleMilliseconds: 5_000,
-    isReady: () => ready,
+    isReady,
     handleCall: (_request, response) => {
       response.end("whole");
       return Promise.resolve();
@@ -48,6 +44,35 @@
     handleOperator: () => Promise.resolve(),
     onFault: () => undefined,
   });
+}
+
+test("a planned stop shows in /ready first, while calls are still taken", async () => {
+  let ready = true;
+  const server = newServer(() => ready);
+  const port = await freePort();
+  assert.ok((await server.listen(`127.0.0.1:${port}`)).isOk);
+  const ask = async (request: string) => {
+    const socket = await open(port);
+    assert.ok(socket !== undefined);
+    return askOn(socket, request);
+  };
+  const readiness = "GET /ready HTTP/1.1\r\nHost: x\r\n\r\n";
+  const liveness = "GET /live HTTP/1.1\r\nHost: x\r\n\r\n";
+  assert.match(await ask(readiness), /^HTTP\/1\.1 200/);
+  ready = false;
+  assert.match(await ask(readiness), /^HTTP\/1\.1 503/);
+  assert.match(await ask(liveness), /^HTTP\/1\.1 200/);
+  assert.match(await ask(REQUEST), /200 OK.*whole/s);
+  server.stopListening();
+  server.close();
+});
+
+test("after listening ended, a kept connection's next call is answered", async () => {
+  // Story: a caller's pool keeps an idle connection to a host that stops.
+  // Its next call is already on the way when the host ends listening; closed
+  // under it, the caller could not tell whether the call had run.
+  let ready = true;
+  const server = newServer(() => ready);
   const port = await freePort();
   assert.ok((await server.listen(`127.0.0.1:${port}`)).isOk);
   const kept = await open(port);
