Say "not run" of a key only when the log says so

A call had run through one entry host, its caller lost the answer and asked again at a host that had just started; that one refused without asking the log and said "not run". The same could happen at a rate limit, an overload or a cut-off host. A caller told so would order again and pay twice.

Change: a refusal made without the log says "unknown" to a call that carries a key. Besides, a host that has just started refuses calls until its shares are its own, as docs/design/limits.md said.

--- a/packages/daemon/src/entry/call_handler.ts
+++ b/packages/daemon/src/entry/call_handler.ts
@@ -8,6 +8,7 @@
 import { RepeatableCall } from "./repeatable_call.ts";
 import { sendProblem } from "./send_problem.ts";
 import { UnrepeatableCall } from "./unrepeatable_call.ts";
+import { withoutPromise } from "./without_promise.ts";
 
 type Options = { idleMilliseconds: number; metrics: StatsD };
 
@@ -63,7 +64,7 @@
     });
     if (head.isErr) {
       response.setHeader("Connection", "close");
-      return head.error;
+      return withoutPromise(request, head.error);
     }
     const { maximumBodyBytes, ...fields } = head.value;
     const body = await readBody(request, {
@@ -72,11 +73,11 @@
     });
     if (body.isErr) {
       response.setHeader("Connection", "close");
-      return body.error;
+      return withoutPromise(request, body.error);
     }
     const limited = this.#limit(fields.workspace);
-    if (limited !== undefined) return limited;
-    return this.#route({ ...fields, body: body.value }, response);
+    if (limited !== undefined) return withoutPromise(request, limited);
+    return this.#route({ ...fields, body: body.value }, request, response);
   }
 
   #limit(workspace: string): Problem | undefined {
@@ -94,16 +95,22 @@
 
   async #route(
     call: CheckedCall,
+    request: IncomingMessage,
     response: ServerResponse,
   ): Promise<Problem | undefined> {
     const world = this.#world;
     const repeatable = world.table.ofService(call.service).at(0)?.repeatable;
     if (repeatable !== false) {
       const services = { ...world, state: () => world.control.state };
-      return new RepeatableCall(services, call, response).run();
+      const problem = await new RepeatableCall(services, call, response).run();
+      return problem && withoutPromise(request, problem);
     }
     const outcome = await new UnrepeatableCall(world, call).run();
-    if (outcome.kind !== "answered") return outcome.problem;
+    // Withdrawn in the log, "not run" is a promise; else it is a guess.
+    if (outcome.kind === "not-run") return outcome.problem;
+    if (outcome.kind === "failed") {
+      return withoutPromise(request, outcome.problem);
+    }
     const { status, contentType, body } = outcome.answer;
     response.writeHead(status, {
       "Content-Type": contentType,
--- a/packages/daemon/src/entry/entry_app.ts
+++ b/packages/daemon/src/entry/entry_app.ts
@@ -12,6 +12,7 @@
 import { AgentService } from "@teaselrouter/messages/agent.ts";
 import type { StatsD } from "hot-shots";
 import { randomUUID } from "node:crypto";
+import type { IncomingMessage, ServerResponse } from "node:http";
 import { Result } from "true-myth";
 import type { EventLog } from "../log/event_log.ts";
 import type { Settings } from "../settings/settings.ts";
@@ -25,10 +26,13 @@
 import { LimitsRegistry } from "./limits_registry.ts";
 import { OperatorApi } from "./operator_api.ts";
 import { PermitQueue } from "./permit_queue.ts";
+import type { Problem } from "./problem.ts";
 import { PublicServer } from "./public_server.ts";
 import { SpreadCoordinator } from "./spread_coordinator.ts";
 import { readStatus } from "./read_status.ts";
 import { readTimeline } from "./read_timeline.ts";
+import { sendProblem } from "./send_problem.ts";
+import { withoutPromise } from "./without_promise.ts";
 
 const REGISTER_MILLISECONDS = 1_000;
 const POLL_MILLISECONDS = 25;
@@ -37,6 +41,14 @@
 /** Longer than any grant that was made before this host had a floor. */
 const SETTLING_MILLISECONDS = 1_600;
 
+const STARTING: Problem = {
+  status: 503,
+  type: "starting",
+  detail: "this entry host has just started and has no shares yet",
+  outcome: "not-run",
+  retryAfterMilliseconds: SETTLING_MILLISECONDS,
+};
+
 type Options = {
   settings: Settings;
   clients: ClientPool;
@@ -108,7 +120,7 @@
     this.#server = new PublicServer({
       idleMilliseconds,
       isReady: () => this.#isReady(),
-      handleCall: (request, response) => this.#calls.handle(request, response),
+      handleCall: (request, response) => this.#takeCall(request, response),
       handleOperator: (request, response) =>
         operators.handle(request, response),
       onFault: (error) => log.error("call-fault", { error }),
@@ -188,8 +200,21 @@
   }
 
   #isReady(): boolean {
-    const settled = Date.now() - this.#registeredAt > SETTLING_MILLISECONDS;
-    return settled && !this.#stopping;
+    return this.#isSettled() && !this.#stopping;
+  }
+
+  #isSettled(): boolean {
+    return Date.now() - this.#registeredAt > SETTLING_MILLISECONDS;
+  }
+
+  /** A balancer may send calls before it has asked whether this is ready. */
+  async #takeCall(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    if (this.#isSettled()) return await this.#calls.handle(request, response);
+    response.setHeader("Connection", "close");
+    sendProblem(response, withoutPromise(request, STARTING));
   }
 
   #hello() {
--- a/packages/daemon/src/entry/problem.ts
+++ b/packages/daemon/src/entry/problem.ts
@@ -10,5 +10,7 @@
   /** Header or field that is at fault. */
   field?: string;
   outcome: Outcome;
+  /** The log itself says so, whatever other entry hosts did. */
+  consultedLog?: boolean;
   retryAfterMilliseconds?: number;
 };
