--- a/packages/core/src/consensus/leadership.ts
+++ b/packages/core/src/consensus/leadership.ts
@@ -63,6 +63,10 @@
     return this.#replicator.confirmedRound();
   }
 
+  heardAt(id: string): number {
+    return this.#replicator.heardAt(id);
+  }
+
   matchIndexOf(id: string): number {
     return this.#replicator.matchIndexOf(id);
   }
--- a/packages/core/src/consensus/raft_node.ts
+++ b/packages/core/src/consensus/raft_node.ts
@@ -144,6 +144,11 @@
     return this.#leadership?.confirmedRound ?? 0;
   }
 
+  /** When a member last answered this leader; -Infinity when not leading. */
+  heardAt(id: string): number {
+    return this.#leadership?.heardAt(id) ?? -Infinity;
+  }
+
   matchIndexOf(id: string): number {
     return this.#leadership?.matchIndexOf(id) ?? 0;
   }
--- a/packages/core/src/consensus/replicator.ts
+++ b/packages/core/src/consensus/replicator.ts
@@ -69,6 +69,11 @@
     return this.#progressOf(id).matchIndex;
   }
 
+  /** When a member last answered; a new leader counts from its start. */
+  heardAt(id: string): number {
+    return Math.max(this.#progressOf(id).heardAt, this.#startedAt);
+  }
+
   /** Members whose log went back behind what they had confirmed. */
   get regressed(): string[] {
     return [...this.#progress]
@@ -95,9 +100,7 @@
   /** Whether a majority was heard within the last `window` milliseconds. */
   hasQuorumContact(now: number, window: number): boolean {
     const heardAt = this.#majority((id) =>
-      id === this.#options.selfId
-        ? now
-        : Math.max(this.#progressOf(id).heardAt, this.#startedAt)
+      id === this.#options.selfId ? now : this.heardAt(id)
     );
     return now - heardAt <= window;
   }
--- /dev/null
+++ b/packages/core/src/gateway/choose_backend.ts
@@ -0,0 +1,53 @@
+import type { BackendChoice } from "./backend_choice.ts";
+import type { EngineDefinition } from "./engine_definition.ts";
+
+type Request = {
+  dataCentre: string;
+  promptTokens: number;
+  engine: EngineDefinition | undefined;
+  /** Uniform in [0, 1). */
+  random: () => number;
+  now: number;
+};
+
+/**
+ * What crossing to another data centre weighs, as a part of a backend
+ * server's slots: crossing costs bytes and a few milliseconds, so that only
+ * a clearly emptier backend server is worth it.
+ */
+const CROSSING_WEIGHT = 0.2;
+/** Breaks ties between hosts that see the same. */
+const NOISE_WEIGHT = 0.05;
+/** A cold backend server counts as so much fuller. */
+const COLD_WEIGHT = 0.3;
+
+/**
+ * The emptiest backend server by its slots, with prompts that are still to be
+ * read counted as what they hold up: an engine reads a prompt between the
+ * steps of all its requests.
+ */
+export function chooseBackend(
+  choices: BackendChoice[],
+  request: Request,
+): BackendChoice | undefined {
+  let best: BackendChoice | undefined;
+  let least = Infinity;
+  for (const choice of choices) {
+    const cost = costOf(choice, request);
+    if (cost < least) [best, least] = [choice, cost];
+  }
+  return best;
+}
+
+function costOf(choice: BackendChoice, request: Request): number {
+  const { standing, record } = choice;
+  const { dataCentre, engine, random, now } = request;
+  const slots = Math.max(1, standing.slots);
+  const fullness = record.estimateRequests(now) / slots;
+  const crossing = standing.dataCentre === dataCentre ? 0 : CROSSING_WEIGHT;
+  const cold = standing.coldMilliseconds > 0 ? COLD_WEIGHT : 0;
+  const reading = engine === undefined || engine.readTokensPerSecond === 0
+    ? 0
+    : record.unreadTokens / engine.readTokensPerSecond;
+  return fullness + crossing + cold + reading + NOISE_WEIGHT * random();
+}
--- /dev/null
+++ b/packages/core/src/gateway/routing_configuration.ts
@@ -0,0 +1,5 @@
+import type { z } from "zod";
+import type { routingConfigurationSchema } from "./routing_configuration_schema.ts";
+
+/** A checked routing configuration. */
+export type RoutingConfiguration = z.infer<typeof routingConfigurationSchema>;
--- /dev/null
+++ b/packages/core/src/rollout/named_weights_row.ts
@@ -0,0 +1,7 @@
+/** The version of a model's weights that an operator named last. */
+export type NamedWeightsRow = {
+  model: string;
+  version: number;
+  /** Log index of its acceptance. */
+  index: number;
+};
--- a/packages/core/src/state/apply_command.ts
+++ b/packages/core/src/state/apply_command.ts
@@ -3,6 +3,8 @@
 import { applyClaimSettlement } from "../claims/apply_claim_settlement.ts";
 import { applyContractChange } from "../contracts/apply_contract_change.ts";
 import { applyPermitRequest } from "../rollout/apply_permit_request.ts";
+import { applyRoutingReplacement } from "../gateway/apply_routing_replacement.ts";
+import { applyNamedWeights } from "../rollout/apply_named_weights.ts";
 import { applyPublication } from "../rollout/apply_publication.ts";
 import type { ChangeAnswer } from "./change_answer.ts";
 import type { Command } from "./command.ts";
@@ -46,6 +48,10 @@
       return applyClaimCancellation(state, command);
     case "request-permit":
       return applyPermitRequest(state, command, index);
+    case "replace-routing":
+      return applyRoutingReplacement(state, command, index);
+    case "name-weights":
+      return applyNamedWeights(state, command, index);
     case "settle-permit": {
       const permit = state.permits.get(command.backendServer);
       if (permit?.fencingToken !== command.fencingToken) {
--- a/packages/core/src/state/command_schema.ts
+++ b/packages/core/src/state/command_schema.ts
@@ -77,6 +77,17 @@
     live: number,
     at: z.number().default(0),
   }),
+  z.strictObject({
+    kind: z.literal("replace-routing"),
+    version: number,
+    /** As the operator sent it; decoded where it is used. */
+    document: z.string(),
+  }),
+  z.strictObject({
+    kind: z.literal("name-weights"),
+    model: text,
+    version: number,
+  }),
   z.strictObject({
     kind: z.literal("settle-permit"),
     backendServer: text,
--- a/packages/core/src/state/control_state.ts
+++ b/packages/core/src/state/control_state.ts
@@ -1,6 +1,8 @@
 import type { ClaimRow } from "../claims/claim_row.ts";
 import type { ContractRow } from "../contracts/contract_row.ts";
 import type { EntryHostRow } from "../membership/entry_host_row.ts";
+import type { RoutingRow } from "../gateway/routing_row.ts";
+import type { NamedWeightsRow } from "../rollout/named_weights_row.ts";
 import type { PermitRow } from "../rollout/permit_row.ts";
 import type { WeightsRow } from "../rollout/weights_row.ts";
 
@@ -19,6 +21,10 @@
   entryHosts: Map<string, EntryHostRow>;
   /** By backend server. */
   permits: Map<string, PermitRow>;
+  /** The newest routing configuration; undefined before the first. */
+  routing: RoutingRow | undefined;
+  /** Versions of weights that operators named last, by model. */
+  namedWeights: Map<string, NamedWeightsRow>;
   /** By workspace and key, oldest first. */
   claims: Map<string, ClaimRow>;
 };
--- a/packages/core/src/state/decode_control_state.ts
+++ b/packages/core/src/state/decode_control_state.ts
@@ -2,6 +2,8 @@
 import { claimId } from "../claims/claim_id.ts";
 import type { ContractRow } from "../contracts/contract_row.ts";
 import type { EntryHostRow } from "../membership/entry_host_row.ts";
+import type { RoutingRow } from "../gateway/routing_row.ts";
+import type { NamedWeightsRow } from "../rollout/named_weights_row.ts";
 import type { PermitRow } from "../rollout/permit_row.ts";
 import type { WeightsRow } from "../rollout/weights_row.ts";
 import type { ControlState } from "./control_state.ts";
@@ -15,6 +17,9 @@
   drained: string[];
   entryHosts: EntryHostRow[];
   permits: PermitRow[];
+  /** Missing in snapshots of versions that had no routing. */
+  routing?: RoutingRow;
+  namedWeights?: NamedWeightsRow[];
   claims: ClaimRow[];
 };
 
@@ -37,6 +42,8 @@
     drained: new Set(encoded.drained),
     entryHosts: tableOf(encoded.entryHosts, (row) => row.host),
     permits: tableOf(encoded.permits, (row) => row.backendServer),
+    routing: encoded.routing,
+    namedWeights: tableOf(encoded.namedWeights ?? [], (row) => row.model),
     claims: tableOf(encoded.claims, claimId),
   };
 }
--- a/packages/core/src/state/empty_control_state.ts
+++ b/packages/core/src/state/empty_control_state.ts
@@ -10,6 +10,8 @@
     drained: new Set(),
     entryHosts: new Map(),
     permits: new Map(),
+    routing: undefined,
+    namedWeights: new Map(),
     claims: new Map(),
   };
 }
--- a/packages/core/src/state/encode_control_state.ts
+++ b/packages/core/src/state/encode_control_state.ts
@@ -18,6 +18,8 @@
     drained: [...state.drained],
     entryHosts: [...state.entryHosts.values()],
     permits: [...state.permits.values()],
+    routing: state.routing,
+    namedWeights: [...state.namedWeights.values()],
     claims: options.withClaims ? [...state.claims.values()] : [],
   });
   return new TextEncoder().encode(text);
--- a/packages/core/src/state/is_followed_command.ts
+++ b/packages/core/src/state/is_followed_command.ts
@@ -1,7 +1,15 @@
 import type { Command } from "./command.ts";
 
-/** Whether entry hosts are sent this command; they hold no claims. */
+/** Most of the bytes, and of no use to entry hosts. */
+const NOT_FOLLOWED: ReadonlySet<Command["kind"]> = new Set([
+  "claim",
+  "settle-claim",
+  "cancel-claim",
+  "replace-routing",
+  "name-weights",
+]);
+
+/** Whether entry hosts are sent this command. */
 export function isFollowedCommand(command: Command): boolean {
-  return command.kind !== "claim" && command.kind !== "settle-claim" &&
-    command.kind !== "cancel-claim";
+  return !NOT_FOLLOWED.has(command.kind);
 }
--- /dev/null
+++ b/packages/daemon/src/cli/run_daemon.ts
@@ -0,0 +1,54 @@
+import process from "node:process";
+import sade from "sade";
+import type { PlatformEdge } from "../platform/platform_edge.ts";
+import { loadSettings } from "../settings/load_settings.ts";
+import { startDaemon } from "../wiring/start_daemon.ts";
+
+const EXIT_FAILED = 1;
+const EXIT_SETTINGS = 2;
+
+type Words = { settings?: string; check?: boolean };
+
+/** The daemon's command line; `platform` where it runs on one. */
+export function runDaemon(platform?: PlatformEdge): void {
+  sade("teaselrouterd", true)
+    .version("0.1.0")
+    .describe("One process of teaselrouter, in the roles of its settings")
+    .option("--settings", "TOML settings file")
+    .option("--check", "Only check the settings; exits 0 or 2")
+    .example("--settings /etc/teaselrouter/entry.toml")
+    .action((words: Words) => run(words, platform))
+    .parse(process.argv, {
+      unknown: (option) => {
+        process.stderr.write(`unknown option ${option}; see --help\n`);
+        process.exit(EXIT_SETTINGS);
+      },
+    });
+}
+
+async function run(words: Words, platform: PlatformEdge | undefined) {
+  if (words.settings === undefined) {
+    process.stderr.write("--settings FILE is needed\n");
+    process.exit(EXIT_SETTINGS);
+  }
+  const settings = await loadSettings(words.settings);
+  if (settings.isErr) {
+    for (const line of settings.error) process.stderr.write(`${line}\n`);
+    process.exit(EXIT_SETTINGS);
+  }
+  if (words.check) return;
+  const daemon = await startDaemon({
+    settings: settings.value,
+    platform,
+    stopProcess: () => process.exit(EXIT_FAILED),
+  });
+  if (daemon.isErr) {
+    process.stderr.write(`${daemon.error}\n`);
+    process.exit(EXIT_FAILED);
+  }
+  const stop = () => {
+    daemon.value.stop().then(() => process.exit(0));
+  };
+  process.once("SIGTERM", stop);
+  process.once("SIGINT", stop);
+}
--- a/packages/daemon/src/control/control_app.ts
+++ b/packages/daemon/src/control/control_app.ts
@@ -2,6 +2,7 @@
 import { create } from "@bufbuild/protobuf";
 import { RaftNode } from "@teaselrouter/core/consensus/raft_node.ts";
 import { decodeControlState } from "@teaselrouter/core/state/decode_control_state.ts";
+import { emptyControlState } from "@teaselrouter/core/state/empty_control_state.ts";
 import { encodeControlState } from "@teaselrouter/core/state/encode_control_state.ts";
 import {
   type Member,
@@ -11,15 +12,21 @@
   SnapshotDataSchema,
 } from "@teaselrouter/messages/control.ts";
 import { DataFolder } from "@teaselrouter/storage/data_folder.ts";
+import { Subject } from "rxjs";
 import { Result } from "true-myth";
 import type { EventLog } from "../log/event_log.ts";
+import type { PlatformEdge } from "../platform/platform_edge.ts";
 import type { Settings } from "../settings/settings.ts";
 import type { ClientPool } from "../transport/client_pool.ts";
+import { monotonicMilliseconds } from "../transport/monotonic_milliseconds.ts";
 import { pause } from "../transport/pause.ts";
 import { ControlHost } from "./control_host.ts";
 import { controlRoutes } from "./control_routes.ts";
 import { foundCluster } from "./found_cluster.ts";
+import { joinCluster } from "./join_cluster.ts";
+import { MembershipKeeper } from "./membership_keeper.ts";
 import { PeerLinks } from "./peer_links.ts";
+import { PlatformDesk } from "./platform_desk.ts";
 import { RaftDriver } from "./raft_driver.ts";
 import { replaceMember } from "./replace_member.ts";
 
@@ -32,6 +39,8 @@
   clients: ClientPool;
   log: EventLog;
   stopProcess: (reason: string) => void;
+  /** Present where a platform's operators and backend servers call. */
+  platform: PlatformEdge | undefined;
 };
 
 /** A control host: one member of the replicated log, and its services. */
@@ -44,6 +53,9 @@
   #knownMembers: Member[] = [];
   #driver: RaftDriver | undefined;
   #control: ControlHost | undefined;
+  #keeper: MembershipKeeper | undefined;
+  #desk: PlatformDesk | undefined;
+  #started$ = new Subject<ControlHost>();
   #stopped = false;
 
   private constructor(options: Options, folder: DataFolder) {
@@ -55,9 +67,13 @@
       id: folder.identity.id,
       name: settings.name,
       address: settings.internal.listen,
+      dataCentre: settings.data_centre,
     });
     const { membership } = folder.restored.snapshot;
     if ((membership?.members.length ?? 0) > 0) this.#founded = membership;
+    if (options.platform !== undefined) {
+      this.#desk = this.#openDesk(options.platform);
+    }
   }
 
   static async open(options: Options): Promise<Result<ControlApp, string>> {
@@ -79,26 +95,73 @@
       founded: () => this.#control?.node.membership ?? this.#founded,
       control: () => this.#control,
       driver: () => this.#driver,
+      takeCandidate: (member) => this.#keeper?.takeCandidate(member),
       replaceMember: (name) => this.#replaceMember(name),
     })(router);
+    this.#desk?.routes(router);
   }
 
   get control(): ControlHost | undefined {
     return this.#control;
   }
 
-  async start(): Promise<void> {
-    if (this.#founded === undefined && this.#isEmpty()) await this.#found();
+  /** Begins in the background: founding waits for the other founders. */
+  async start(): Promise<Result<void, string>> {
+    const opened = await this.#desk?.start();
+    if (opened?.isErr) return Result.err(opened.error);
+    this.#startMember().catch((error) =>
+      this.#options.stopProcess(String(error.stack ?? error))
+    );
+    return Result.ok(undefined);
+  }
+
+  /** Hands the lead on first, so that no change is refused meanwhile. */
+  async stop(): Promise<void> {
+    this.#stopped = true;
+    const node = this.#control?.node;
+    const until = monotonicMilliseconds() + TRANSFER_MILLISECONDS;
+    if (node?.transferLeadership(monotonicMilliseconds())) {
+      while (
+        node.isLeading(monotonicMilliseconds()) &&
+        monotonicMilliseconds() < until
+      ) {
+        await pause(POLL_MILLISECONDS);
+      }
+    }
+    this.#keeper?.stop();
+    this.#desk?.stop();
+    await this.#driver?.stop();
+    this.#links.close();
+  }
+
+  async #startMember(): Promise<void> {
+    const { settings } = this.#options;
+    if (this.#founded === undefined && this.#isEmpty() && this.#mayFound()) {
+      await this.#found();
+    }
     if (this.#stopped) return;
+    this.#openMember();
+    const { voters } = settings.control!;
+    if (voters === undefined) return;
+    this.#keeper = new MembershipKeeper({
+      control: this.#control!,
+      wantedVoters: voters,
+      log: this.#options.log,
+    });
+    await this.#join();
+  }
+
+  #openMember(): void {
     const { log, settings, stopProcess } = this.#options;
     const { restored } = this.#folder;
     const state = decodeControlState(restored.snapshot.state);
+    state.appliedIndex = restored.snapshot.lastIndex;
     const node = new RaftNode({
       id: this.#self.id,
       electionMilliseconds: settings.control!.election_milliseconds,
       heartbeatMilliseconds: settings.control!.heartbeat_milliseconds,
       random: Math.random,
-      now: Date.now(),
+      now: monotonicMilliseconds(),
       ...restored,
     });
     const driver = new RaftDriver({
@@ -113,6 +176,7 @@
     });
     this.#driver = driver;
     this.#control = new ControlHost({ node, driver, log }, state);
+    this.#started$.next(this.#control);
     driver.start();
     log.info("control-started", {
       member: node.id,
@@ -121,18 +185,51 @@
     });
   }
 
-  /** Hands the lead on first, so that no change is refused meanwhile. */
-  async stop(): Promise<void> {
-    this.#stopped = true;
-    const node = this.#control?.node;
-    const until = Date.now() + TRANSFER_MILLISECONDS;
-    if (node?.transferLeadership(Date.now())) {
-      while (node.isLeading(Date.now()) && Date.now() < until) {
-        await pause(POLL_MILLISECONDS);
-      }
-    }
-    await this.#driver?.stop();
-    this.#links.close();
+  #mayFound(): boolean {
+    const { may_found, voters, founders } = this.#options.settings.control!;
+    // Without automatic membership a host that is no founder waits likewise.
+    if (voters === undefined) return true;
+    return may_found &&
+      founders.some(({ address }) => address === this.#self.address);
+  }
+
+  #join(): Promise<void> {
+    const { clients, log } = this.#options;
+    return joinCluster({
+      self: this.#self,
+      clients,
+      log,
+      addresses: () => this.#controlAddresses(),
+      isHeard: () => this.#control!.node.leaderId !== "",
+      isStopped: () => this.#stopped,
+      learnMembers: ({ members }) => {
+        this.#knownMembers = members;
+        this.#driver?.learnMembers(members);
+      },
+    });
+  }
+
+  /** Members by the log, and what the settings and others' answers name. */
+  #controlAddresses(): string[] {
+    const members = this.#control?.node.membership.members ?? [];
+    const known = members.length > 0 ? members : this.#knownMembers;
+    const addresses = known.map(({ address }) => address);
+    if (this.#control?.node.leaderId) return addresses;
+    const founders = this.#options.settings.control!.founders;
+    return [
+      ...new Set([...addresses, ...founders.map(({ address }) => address)]),
+    ];
+  }
+
+  #openDesk(platform: PlatformEdge): PlatformDesk {
+    return new PlatformDesk({
+      ...this.#options,
+      platform,
+      started$: this.#started$,
+      control: () => this.#control,
+      logState: () => this.#control?.state ?? emptyControlState(),
+      controlAddresses: () => this.#controlAddresses(),
+    });
   }
 
   /** A member that was taken in has a log, though it founded nothing. */
--- a/packages/daemon/src/control/control_host.ts
+++ b/packages/daemon/src/control/control_host.ts
@@ -17,6 +17,7 @@
 import { InForceWaiters } from "./in_force_waiters.ts";
 import type { ProposalOutcome } from "./proposal_outcome.ts";
 import type { RaftDriver } from "./raft_driver.ts";
+import { monotonicMilliseconds } from "../transport/monotonic_milliseconds.ts";
 
 const PROPOSAL_MILLISECONDS = 5_000;
 const READ_POLL_MILLISECONDS = 5;
@@ -30,6 +31,8 @@
 /** A control host: the replicated state, and who may change it. */
 export class ControlHost {
   readonly followed$ = new Subject<Followed>();
+  /** The routing configuration or the named weights may have changed. */
+  readonly routing$ = new Subject<void>();
   /** The tables were replaced by a snapshot; followers start over. */
   readonly replaced$ = new Subject<void>();
   readonly node: RaftNode;
@@ -53,7 +56,9 @@
     this.#state = state;
     this.#followedFrom = state.appliedIndex;
     // From the first moment: what a new leader waits for counts from there.
-    this.#driver.leadership$.subscribe(() => this.allotter(Date.now()));
+    this.#driver.leadership$.subscribe(() =>
+      this.allotter(monotonicMilliseconds())
+    );
     this.#driver.committed$.subscribe((entry) => this.#apply(entry));
     this.#driver.installed$.subscribe((snapshot) => this.#install(snapshot));
   }
@@ -62,6 +67,12 @@
     return this.#driver.leadership$;
   }
 
+  /** Address of the member that leads; empty for none known. */
+  get leaderAddress(): string {
+    const { leaderId, membership } = this.node;
+    return membership.members.find(({ id }) => id === leaderId)?.address ?? "";
+  }
+
   get state(): ControlState {
     return this.#state;
   }
@@ -98,9 +109,9 @@
     command: Command,
     options: { untilInForce: boolean },
   ): Promise<ProposalOutcome> {
-    const now = Date.now();
+    const now = monotonicMilliseconds();
     if (!this.isLeading(now)) return { kind: "not-proposed" };
-    const stamped = "at" in command ? { ...command, at: now } : command;
+    const stamped = "at" in command ? { ...command, at: Date.now() } : command;
     const bytes = new TextEncoder().encode(JSON.stringify(stamped));
     const index = this.node.propose(bytes, now);
     if (index.isErr) return { kind: "not-proposed" };
@@ -112,19 +123,27 @@
 
   /** One membership change; whether it was begun shows in the node. */
   proposeMembership(membership: Membership): void {
-    const begun = this.node.proposeMembership(membership, Date.now());
+    const begun = this.node.proposeMembership(
+      membership,
+      monotonicMilliseconds(),
+    );
     if (begun.isOk) this.#driver.flushSoon();
   }
 
   /** Confirms that this host still leads; the state is then current. */
   async read(): Promise<ProposalOutcome> {
-    const round = this.node.startReadRound(Date.now());
+    const round = this.node.startReadRound(monotonicMilliseconds());
     if (round.isErr) return { kind: "not-proposed" };
     const index = this.node.commitIndex;
     this.#driver.flushSoon();
-    const until = Date.now() + PROPOSAL_MILLISECONDS;
-    while (this.node.confirmedRound < round.value) {
-      if (Date.now() > until || !this.isLeading(Date.now())) {
+    const until = monotonicMilliseconds() + PROPOSAL_MILLISECONDS;
+    while (
+      this.node.confirmedRound < round.value || this.#state.appliedIndex < index
+    ) {
+      if (
+        monotonicMilliseconds() > until ||
+        !this.isLeading(monotonicMilliseconds())
+      ) {
         return { kind: "not-proposed" };
       }
       await new Promise((resolve) =>
@@ -173,7 +192,7 @@
 
   #untilInForce(index: number) {
     const waiting = this.#inForce.wait(index, PROPOSAL_MILLISECONDS);
-    this.checkInForce(Date.now());
+    this.checkInForce(monotonicMilliseconds());
     return waiting;
   }
 
@@ -187,6 +206,9 @@
     }
     const command = JSON.parse(new TextDecoder().decode(entry.data)) as Command;
     const answer = applyCommand(this.#state, command, entry.index);
+    if (command.kind === "replace-routing" || command.kind === "name-weights") {
+      this.routing$.next();
+    }
     if (isFollowedCommand(command)) {
       this.#follow({ index: entry.index, bytes: entry.data });
     }
@@ -218,5 +240,6 @@
     this.#followed = [];
     this.#followedFrom = snapshot.lastIndex;
     this.replaced$.next();
+    this.routing$.next();
   }
 }
--- a/packages/daemon/src/control/control_routes.ts
+++ b/packages/daemon/src/control/control_routes.ts
@@ -7,6 +7,7 @@
 import type { ControlHost } from "./control_host.ts";
 import { EntrySession } from "./entry_session.ts";
 import type { RaftDriver } from "./raft_driver.ts";
+import { monotonicMilliseconds } from "../transport/monotonic_milliseconds.ts";
 
 /** Under load one acknowledgement stands for many messages. */
 const ACKNOWLEDGE_MILLISECONDS = 50;
@@ -18,6 +19,8 @@
   founded: () => Membership | undefined;
   control: () => ControlHost | undefined;
   driver: () => RaftDriver | undefined;
+  /** A host introduced itself, and may want to be taken in. */
+  takeCandidate: (member: Member) => void;
   replaceMember: (name: string) => Promise<Result<string, string>>;
 };
 
@@ -25,12 +28,15 @@
 export function controlRoutes(options: Options) {
   return (router: ConnectRouter): void => {
     router.service(PeerService, {
-      introduce: () => ({ member: options.self, founded: options.founded() }),
+      introduce: ({ member }) => {
+        if (member !== undefined) options.takeCandidate(member);
+        return { member: options.self, founded: options.founded() };
+      },
       async *exchange(messages) {
         let acknowledgedAt = 0;
         for await (const message of messages) {
           options.driver()?.receive(message);
-          const now = Date.now();
+          const now = monotonicMilliseconds();
           if (now - acknowledgedAt < ACKNOWLEDGE_MILLISECONDS) continue;
           acknowledgedAt = now;
           yield {};
@@ -50,7 +56,7 @@
         const session = new EntrySession({
           control,
           ring: options.ring,
-          leaderAddress: () => leaderAddress(control),
+          leaderAddress: () => control.leaderAddress,
         });
         const reading = (async () => {
           for await (const message of messages) session.take(message);
@@ -61,11 +67,3 @@
     });
   };
 }
-
-function leaderAddress(control: ControlHost): string {
-  const { node } = control;
-  const leader = node.membership.members.find((member) =>
-    member.id === node.leaderId
-  );
-  return leader?.address ?? "";
-}
--- a/packages/daemon/src/control/entry_session.ts
+++ b/packages/daemon/src/control/entry_session.ts
@@ -15,6 +15,7 @@
 import { interval, Subject, Subscription } from "rxjs";
 import type { ControlHost } from "./control_host.ts";
 import type { ProposalOutcome } from "./proposal_outcome.ts";
+import { monotonicMilliseconds } from "../transport/monotonic_milliseconds.ts";
 
 const WATCH_MILLISECONDS = 1_000;
 const SILENT_MILLISECONDS = 5_000;
@@ -36,7 +37,7 @@
   readonly outgoing$ = new Subject<ControlToEntry>();
   #options: Options;
   #host = "";
-  #heardAt = Date.now();
+  #heardAt = monotonicMilliseconds();
   #subscriptions = new Subscription();
 
   constructor(options: Options) {
@@ -44,8 +45,8 @@
   }
 
   take(message: EntryToControl): void {
-    this.#heardAt = Date.now();
-    this.#options.ring.observe(this.#heardAt, {
+    this.#heardAt = monotonicMilliseconds();
+    this.#options.ring.observe(Date.now(), {
       time: message.clockTime,
       counter: message.clockCounter,
     });
@@ -90,13 +91,14 @@
 
   /** An entry host that was cut off would be kept for, and sent to, forever. */
   #watch(): void {
-    const silent = Date.now() - this.#heardAt > SILENT_MILLISECONDS;
+    const silent =
+      monotonicMilliseconds() - this.#heardAt > SILENT_MILLISECONDS;
     if (silent) this.close();
   }
 
   #takeReport(report: EntryReport): void {
     const { control } = this.#options;
-    const now = Date.now();
+    const now = monotonicMilliseconds();
     const allotter = control.allotter(now);
     if (allotter === undefined) return this.#sendStatus(0);
     const allotment = allotter.takeReport(control.state, {
@@ -176,7 +178,7 @@
     this.#send({
       case: "status",
       value: {
-        leading: control.isLeading(Date.now()),
+        leading: control.isLeading(monotonicMilliseconds()),
         leaderAddress: leaderAddress(),
         // Everything followed up to here has been sent before this.
         commitIndex: control.state.appliedIndex,
--- /dev/null
+++ b/packages/daemon/src/control/follow_session.ts
@@ -0,0 +1,97 @@
+import { create, type MessageInitShape } from "@bufbuild/protobuf";
+import type { Backend, ControlUpdate } from "@teaselrouter/messages/follow.ts";
+import {
+  ControlUpdateSchema,
+  type FollowerToControl,
+} from "@teaselrouter/messages/follow.ts";
+import { interval, Subject, Subscription } from "rxjs";
+import { monotonicMilliseconds } from "../transport/monotonic_milliseconds.ts";
+import type { SharedView } from "./shared_view.ts";
+
+/** A third of what a follower bears in silence. */
+const HEARTBEAT_MILLISECONDS = 400;
+/** A follower that was cut off would be kept for, and sent to, for ever. */
+const SILENT_MILLISECONDS = 5_000;
+
+/** The control side of one follower's stream. */
+export class FollowSession {
+  readonly outgoing$ = new Subject<ControlUpdate>();
+  #view: SharedView;
+  #heardAt = monotonicMilliseconds();
+  #toldRouting = -1;
+  #toldWeights = new Map<string, number>();
+  #subscriptions = new Subscription();
+
+  constructor(view: SharedView) {
+    this.#view = view;
+  }
+
+  take(message: FollowerToControl): void {
+    this.#heardAt = monotonicMilliseconds();
+    if (message.body.case === "hello") {
+      this.#begin(message.body.value.isControl);
+    }
+  }
+
+  close(): void {
+    this.#subscriptions.unsubscribe();
+    this.outgoing$.complete();
+  }
+
+  #begin(isControl: boolean): void {
+    const view = this.#view;
+    this.#tellHosts();
+    this.#tellLog();
+    this.#tellBackends(true, view.allBackends());
+    for (const notice of view.engineNotices()) {
+      this.#send({ case: "engine", value: notice });
+    }
+    const backends$ = isControl ? view.heardHere$ : view.changed$;
+    this.#subscriptions.add(
+      backends$.subscribe((backends) => this.#tellBackends(false, backends)),
+    );
+    this.#subscriptions.add(
+      view.engine$.subscribe((value) => this.#send({ case: "engine", value })),
+    );
+    this.#subscriptions.add(view.log$.subscribe(() => this.#tellLog()));
+    this.#subscriptions.add(view.hosts$.subscribe(() => this.#tellHosts()));
+    this.#subscriptions.add(
+      interval(HEARTBEAT_MILLISECONDS).subscribe(() => this.#beat()),
+    );
+  }
+
+  #beat(): void {
+    const silence = monotonicMilliseconds() - this.#heardAt;
+    if (silence > SILENT_MILLISECONDS) return this.close();
+    this.#send({ case: "heartbeat", value: {} });
+  }
+
+  #tellHosts(): void {
+    const addresses = this.#view.controlAddresses();
+    this.#send({ case: "controlHosts", value: { addresses } });
+  }
+
+  /** Only what is newer than what this follower was told. */
+  #tellLog(): void {
+    const { routing, namedWeights } = this.#view.logState();
+    if (routing !== undefined && routing.version > this.#toldRouting) {
+      this.#toldRouting = routing.version;
+      const document = new TextEncoder().encode(routing.document);
+      const { version } = routing;
+      this.#send({ case: "routing", value: { version, document } });
+    }
+    for (const { model, version } of namedWeights.values()) {
+      if ((this.#toldWeights.get(model) ?? 0) >= version) continue;
+      this.#toldWeights.set(model, version);
+      this.#send({ case: "weights", value: { model, version } });
+    }
+  }
+
+  #tellBackends(whole: boolean, backends: Backend[]): void {
+    this.#send({ case: "backends", value: { whole, backends } });
+  }
+
+  #send(body: MessageInitShape<typeof ControlUpdateSchema>["body"]): void {
+    this.outgoing$.next(create(ControlUpdateSchema, { body }));
+  }
+}
--- a/packages/daemon/src/control/found_cluster.ts
+++ b/packages/daemon/src/control/found_cluster.ts
@@ -56,7 +56,7 @@
 ): Promise<Membership | undefined> {
   const founders = options.settings.control!.founders;
   const others = founders.filter((founder) =>
-    founder.name !== options.settings.name
+    founder.address !== options.self.address
   );
   while (!options.isStopped()) {
     const answers = await Promise.all(
--- a/packages/daemon/src/control/peer_links.ts
+++ b/packages/daemon/src/control/peer_links.ts
@@ -3,6 +3,7 @@
 import { Subject } from "rxjs";
 import type { ClientPool } from "../transport/client_pool.ts";
 import { toAsyncIterable } from "../transport/to_async_iterable.ts";
+import { monotonicMilliseconds } from "../transport/monotonic_milliseconds.ts";
 
 const RECONNECT_MILLISECONDS = 100;
 const UNANSWERED_MILLISECONDS = 500;
@@ -28,7 +29,7 @@
   }
 
   send(address: string, message: PeerMessage): void {
-    const now = Date.now();
+    const now = monotonicMilliseconds();
     const link = this.#working(address, now);
     if (link === undefined) return;
     if (link.unansweredSince === 0) link.unansweredSince = now;
@@ -84,7 +85,7 @@
     }
     link.outgoing.complete();
     if (this.#links.get(address) !== link) return;
-    this.#failed.set(address, Date.now());
+    this.#failed.set(address, monotonicMilliseconds());
     this.#links.delete(address);
   }
 }
--- /dev/null
+++ b/packages/daemon/src/control/platform_desk.ts
@@ -0,0 +1,116 @@
+import type { ConnectRouter } from "@connectrpc/connect";
+import type { ControlState } from "@teaselrouter/core/state/control_state.ts";
+import type { Observable } from "rxjs";
+import { Result } from "true-myth";
+import type { EventLog } from "../log/event_log.ts";
+import type { Closable } from "../platform/closable.ts";
+import type { PlatformEdge } from "../platform/platform_edge.ts";
+import type { Settings } from "../settings/settings.ts";
+import type { ClientPool } from "../transport/client_pool.ts";
+import { decodeBackend } from "../transport/decode_backend.ts";
+import { FollowSet } from "../transport/follow_set.ts";
+import { ControlGate } from "./control_gate.ts";
+import type { ControlHost } from "./control_host.ts";
+import { followRoutes } from "./follow_routes.ts";
+import { SharedView } from "./shared_view.ts";
+
+const HOSTS_CHECK_MILLISECONDS = 500;
+/** Control hosts all hear each other: there are at most so many. */
+const MOST_CONTROL_HOSTS = 10;
+
+type Options = {
+  settings: Settings;
+  clients: ClientPool;
+  log: EventLog;
+  platform: PlatformEdge;
+  started$: Observable<ControlHost>;
+  control: () => ControlHost | undefined;
+  logState: () => ControlState;
+  controlAddresses: () => string[];
+};
+
+/** What a control host does for a platform besides keeping the log. */
+export class PlatformDesk {
+  readonly view: SharedView;
+  #options: Options;
+  #gate: ControlGate;
+  #others: FollowSet;
+  #server: Closable | undefined;
+  #toldAddresses = "";
+  #timer: NodeJS.Timeout | undefined;
+
+  constructor(options: Options) {
+    const { settings, clients, log, platform, control } = options;
+    const selfAddress = settings.internal.listen;
+    this.#options = options;
+    this.view = new SharedView(options);
+    this.#gate = new ControlGate({
+      control,
+      leaderAddress: () => control()?.leaderAddress ?? "",
+      selfAddress,
+      view: this.view,
+      clients,
+      log,
+      decodeRouting: platform.decodeRouting,
+    });
+    this.#others = new FollowSet({
+      hello: {
+        host: settings.name,
+        dataCentre: settings.data_centre,
+        isControl: true,
+      },
+      selfAddress,
+      seeds: settings.control!.founders.map(({ address }) => address),
+      most: MOST_CONTROL_HOSTS,
+      clients,
+      log,
+    });
+    this.#others.updates$.subscribe(({ update }) => {
+      if (update.body.case !== "backends") return;
+      this.view.learn(update.body.value.backends.map(decodeBackend));
+    });
+    options.started$.subscribe((started) =>
+      started.routing$.subscribe(() => this.view.log$.next())
+    );
+  }
+
+  routes(router: ConnectRouter): void {
+    const { log } = this.#options;
+    followRoutes({ view: this.view, gate: this.#gate, log })(router);
+  }
+
+  async start(): Promise<Result<void, string>> {
+    const { platform, settings } = this.#options;
+    const { operations_listen } = settings.control!;
+    this.#others.start();
+    this.#timer = setInterval(
+      () => this.#noteHosts(),
+      HOSTS_CHECK_MILLISECONDS,
+    );
+    if (operations_listen === undefined) return Result.ok(undefined);
+    const server = await platform.serveOperations(
+      operations_listen,
+      this.#gate,
+    );
+    if (server.isErr) return Result.err(server.error);
+    this.#server = server.value;
+    return Result.ok(undefined);
+  }
+
+  stop(): void {
+    clearInterval(this.#timer);
+    this.#others.stop();
+    this.view.stop();
+    this.#server?.close();
+  }
+
+  /** Followers and other control hosts hear of new members. */
+  #noteHosts(): void {
+    const addresses = this.#options.controlAddresses();
+    const text = addresses.join(",");
+    if (text === this.#toldAddresses) return;
+    this.#toldAddresses = text;
+    this.#others.learn(addresses);
+    this.view.hosts$.next();
+  }
+}
--- a/packages/daemon/src/control/raft_driver.ts
+++ b/packages/daemon/src/control/raft_driver.ts
@@ -13,6 +13,7 @@
 import type { EventLog } from "../log/event_log.ts";
 import { pause } from "../transport/pause.ts";
 import type { PeerLinks } from "./peer_links.ts";
+import { monotonicMilliseconds } from "../transport/monotonic_milliseconds.ts";
 
 const TICK_MILLISECONDS = 20;
 const FULL_DISK_RETRY_MILLISECONDS = 500;
@@ -50,14 +51,17 @@
 
   constructor(options: Options) {
     this.#options = options;
-    for (const { id, address } of options.knownMembers) {
-      this.#addresses.set(id, address);
-    }
+    this.learnMembers(options.knownMembers);
+  }
+
+  /** Members that this host can answer before the log names them. */
+  learnMembers(members: Member[]): void {
+    for (const { id, address } of members) this.#addresses.set(id, address);
   }
 
   start(): void {
     this.#timer = setInterval(() => {
-      this.#options.node.tick(Date.now());
+      this.#options.node.tick(monotonicMilliseconds());
       this.#pump();
       this.#noteLeadership();
     }, TICK_MILLISECONDS);
@@ -77,7 +81,7 @@
       time: message.clockTime,
       counter: message.clockCounter,
     });
-    this.#options.node.receive(message, Date.now());
+    this.#options.node.receive(message, monotonicMilliseconds());
     this.#pump();
   }
 
@@ -87,14 +91,15 @@
     this.#flushPlanned = true;
     setImmediate(() => {
       this.#flushPlanned = false;
-      this.#options.node.flush(Date.now());
+      this.#options.node.flush(monotonicMilliseconds());
       this.#pump();
     });
   }
 
   #noteLeadership(): void {
     const { node } = this.#options;
-    const leads = node.isLeading(Date.now()) && node.hasCommittedOwnTerm;
+    const leads = node.isLeading(monotonicMilliseconds()) &&
+      node.hasCommittedOwnTerm;
     const view = `${node.leaderId} ${leads}`;
     if (view === this.#leadershipView) return;
     this.#leadershipView = view;
--- a/packages/daemon/src/control/replace_member.ts
+++ b/packages/daemon/src/control/replace_member.ts
@@ -7,6 +7,7 @@
 import { Result } from "true-myth";
 import { pause } from "../transport/pause.ts";
 import type { ControlHost } from "./control_host.ts";
+import { monotonicMilliseconds } from "../transport/monotonic_milliseconds.ts";
 
 const STEP_MILLISECONDS = 20;
 const REPLACE_MILLISECONDS = 30_000;
@@ -49,9 +50,11 @@
   control: ControlHost,
   joining: Member,
 ): Promise<Result<string, string>> {
-  const until = Date.now() + REPLACE_MILLISECONDS;
-  while (Date.now() < until) {
-    if (!control.isLeading(Date.now())) return Result.err("no-leader");
+  const until = monotonicMilliseconds() + REPLACE_MILLISECONDS;
+  while (monotonicMilliseconds() < until) {
+    if (!control.isLeading(monotonicMilliseconds())) {
+      return Result.err("no-leader");
+    }
     const { node } = control;
     if (node.membershipIsCommitted && isCaughtUp(control, joining)) {
       const members = nextMembers(control, joining);
--- /dev/null
+++ b/packages/daemon/src/control/shared_view.ts
@@ -0,0 +1,118 @@
+import { BackendRegistry } from "@teaselrouter/core/membership/backend_registry.ts";
+import type { BackendStanding } from "@teaselrouter/core/membership/backend_standing.ts";
+import type { ControlState } from "@teaselrouter/core/state/control_state.ts";
+import type { Backend, EngineNotice } from "@teaselrouter/messages/follow.ts";
+import { Subject } from "rxjs";
+import type { EventLog } from "../log/event_log.ts";
+import { monotonicMilliseconds } from "../transport/monotonic_milliseconds.ts";
+import { encodeBackend } from "../transport/encode_backend.ts";
+
+/** Five heartbeats of the slowest kind: they may come seconds late. */
+const SILENT_MILLISECONDS = 6_000;
+/** Longer than a partition holds up a heartbeat that was sent before an end. */
+const FORGET_MILLISECONDS = 60_000;
+const EXPIRE_EVERY_MILLISECONDS = 500;
+
+type Options = {
+  log: EventLog;
+  /** The replicated tables as far as this host has them. */
+  logState: () => ControlState;
+  controlAddresses: () => string[];
+};
+
+/** What a control host passes on to its followers. */
+export class SharedView {
+  /** Standings that changed in something that matters to routing. */
+  readonly changed$ = new Subject<Backend[]>();
+  /** Every word that a backend server said to this very host. */
+  readonly heardHere$ = new Subject<Backend[]>();
+  readonly engine$ = new Subject<EngineNotice>();
+  /** The replicated tables changed. */
+  readonly log$ = new Subject<void>();
+  readonly hosts$ = new Subject<void>();
+  #options: Options;
+  #registry = new BackendRegistry({
+    silentMilliseconds: SILENT_MILLISECONDS,
+    forgetMilliseconds: FORGET_MILLISECONDS,
+  });
+  #notices = new Map<string, EngineNotice>();
+  #timer: NodeJS.Timeout;
+
+  constructor(options: Options) {
+    this.#options = options;
+    this.#timer = setInterval(() => this.#expire(), EXPIRE_EVERY_MILLISECONDS);
+  }
+
+  stop(): void {
+    clearInterval(this.#timer);
+  }
+
+  logState(): ControlState {
+    return this.#options.logState();
+  }
+
+  controlAddresses(): string[] {
+    return this.#options.controlAddresses();
+  }
+
+  allBackends(): Backend[] {
+    return this.#registry.all().map(encodeBackend);
+  }
+
+  liveBackends(): BackendStanding[] {
+    return this.#registry.live();
+  }
+
+  engineNotices(): EngineNotice[] {
+    return [...this.#notices.values()];
+  }
+
+  /** A backend server's own word, said to this host. */
+  hear(standing: BackendStanding): void {
+    const changed = this.#registry.take(standing, monotonicMilliseconds());
+    this.heardHere$.next([encodeBackend(standing)]);
+    this.#tell(changed, "heard");
+  }
+
+  /** A backend server said to this host that it has left. */
+  hearLeaving(instance: string): void {
+    const changed = this.#registry.leave(instance, monotonicMilliseconds());
+    if (changed.length > 0) this.heardHere$.next(changed.map(encodeBackend));
+    this.#tell(changed, "heard");
+  }
+
+  /** What another control host heard. */
+  learn(standings: BackendStanding[]): void {
+    const now = monotonicMilliseconds();
+    for (const standing of standings) {
+      this.#tell(this.#registry.take(standing, now), "passed-on");
+    }
+  }
+
+  notice(notice: EngineNotice): void {
+    this.#notices.set(notice.engineAddress, notice);
+    this.engine$.next(notice);
+  }
+
+  #expire(): void {
+    this.#tell(this.#registry.expire(monotonicMilliseconds()), "silent");
+  }
+
+  #tell(changed: BackendStanding[], how: string): void {
+    if (changed.length === 0) return;
+    for (const standing of changed) {
+      this.#options.log.info("backend-server-changed", {
+        instance: standing.instance,
+        address: standing.address,
+        service: standing.service,
+        state: standing.state,
+        sequence: standing.sequence,
+        models: standing.models.map(({ name, version }) =>
+          `${name}@${version}`
+        ).join(",") || "none",
+        how,
+      });
+    }
+    this.changed$.next(changed.map(encodeBackend));
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/gateway/admit_call.ts
@@ -0,0 +1,97 @@
+import { pickTarget } from "@teaselrouter/core/gateway/pick_target.ts";
+import type { RequestFacts } from "@teaselrouter/core/gateway/request_facts.ts";
+import type { Route } from "@teaselrouter/core/gateway/route.ts";
+import type { RouteTable } from "@teaselrouter/core/gateway/route_table.ts";
+import type { IncomingMessage } from "node:http";
+import { Result } from "true-myth";
+import { readBody } from "../entry/read_body.ts";
+import { monotonicMilliseconds } from "../transport/monotonic_milliseconds.ts";
+import type { AdmittedCall } from "./admitted_call.ts";
+import type { CallRefusal } from "./call_refusal.ts";
+import type { GatewayWorld } from "./gateway_world.ts";
+
+/** A host that has just started hears the configuration within this time. */
+const UNCONFIGURED_RETRY_MILLISECONDS = 500;
+
+type Place = { route: Route; workspace: string | undefined };
+
+/** Checks a request and reads it whole; the refusal says what is wrong. */
+export async function admitCall(
+  world: GatewayWorld,
+  request: IncomingMessage,
+): Promise<Result<AdmittedCall, CallRefusal>> {
+  const startedAt = monotonicMilliseconds();
+  const table = world.feed.table;
+  if (table === undefined) {
+    return Result.err({
+      status: 503,
+      reason: "no routing configuration is known yet",
+      retryAfterMilliseconds: UNCONFIGURED_RETRY_MILLISECONDS,
+    });
+  }
+  const facts = world.format.readRequest(request.headers);
+  const place = findPlace(table, request, facts);
+  if (place.isErr) return Result.err(place.error);
+  if (facts.id === undefined) return refuse(400, "the attempt has no id");
+  const body = await readWhole(table, request);
+  if (body.isErr) return Result.err(body.error);
+  const { route, workspace } = place.value;
+  const service = table.service(pickTarget(route, world.random()))!;
+  const patience = Math.min(
+    route.timeoutMilliseconds,
+    facts.deadlineMilliseconds ?? Infinity,
+  );
+  return Result.ok({
+    id: facts.id,
+    facts,
+    route,
+    service,
+    workspace,
+    method: request.method ?? "GET",
+    path: request.url ?? "/",
+    rawHeaders: request.rawHeaders,
+    body: body.value,
+    startedAt,
+    endsAt: startedAt + patience,
+  });
+}
+
+function findPlace(
+  table: RouteTable,
+  request: IncomingMessage,
+  facts: RequestFacts,
+): Result<Place, CallRefusal> {
+  const host = (request.headers.host ?? "").toLowerCase().replace(/:\d+$/, "");
+  const route = table.match(host, request.url ?? "/");
+  if (route === undefined) return refuse(404, "no route matches");
+  if (!table.needsKey(route)) return Result.ok({ route, workspace: undefined });
+  const workspace = facts.key === undefined
+    ? undefined
+    : table.workspaceOf(facts.key);
+  if (workspace === undefined) return refuse(401, "the key is not known");
+  return Result.ok({ route, workspace: workspace.name });
+}
+
+async function readWhole(
+  table: RouteTable,
+  request: IncomingMessage,
+): Promise<Result<AdmittedCall["body"], CallRefusal>> {
+  const hasBody = request.headers["content-length"] !== undefined ||
+    request.headers["transfer-encoding"] !== undefined;
+  if (!hasBody) return Result.ok(undefined);
+  const { maxBodyBytes, idleTimeoutMilliseconds } =
+    table.configuration.callerLimits;
+  const body = await readBody(request, {
+    maximumBytes: maxBodyBytes,
+    idleMilliseconds: idleTimeoutMilliseconds,
+  });
+  if (body.isOk) return Result.ok(body.value);
+  return refuse(body.error.status, body.error.detail);
+}
+
+function refuse<Value>(
+  status: number,
+  reason: string,
+): Result<Value, CallRefusal> {
+  return Result.err({ status, reason });
+}
--- /dev/null
+++ b/packages/daemon/src/gateway/backend_attempt.ts
@@ -0,0 +1,116 @@
+import type { Buffer } from "node:buffer";
+import {
+  type ClientRequest,
+  type IncomingMessage,
+  request as openRequest,
+} from "node:http";
+import type { RequestFormat } from "../platform/request_format.ts";
+import { splitAddress } from "../transport/split_address.ts";
+import type { AttemptOutcome } from "./attempt_outcome.ts";
+import type { BackendAgent } from "./backend_agent.ts";
+
+/**
+ * A connection that is not there after so long won't come: ten times the
+ * longest round trip between two hosts, and one lost packet sent again.
+ */
+const CONNECT_MILLISECONDS = 350;
+
+type Options = {
+  address: string;
+  agent: BackendAgent;
+  method: string;
+  path: string;
+  headers: string[];
+  body: Buffer | undefined;
+  /** The attempt's id, which the answer has to bear. */
+  id: string;
+  format: RequestFormat;
+};
+
+/** One sending of a request to one backend server. */
+export class BackendAttempt {
+  /** Settles once; never rejects. */
+  readonly outcome: Promise<AttemptOutcome>;
+  #options: Options;
+  #request: ClientRequest;
+  #isSent = false;
+  #settle!: (outcome: AttemptOutcome) => void;
+  #connectTimer: NodeJS.Timeout | undefined;
+
+  constructor(options: Options) {
+    this.#options = options;
+    this.outcome = new Promise((resolve) => {
+      this.#settle = resolve;
+    });
+    const { address, agent, method, path, headers, body } = options;
+    this.#request = openRequest({
+      ...splitAddress(address),
+      agent,
+      method,
+      path,
+      headers: headers as unknown as Record<string, string>,
+      setHost: false,
+    });
+    this.#request.on("socket", (socket) => this.#takeSocket(socket));
+    this.#request.on("response", (message) => this.#takeResponse(message));
+    this.#request.on("error", (error) => this.#fail(error.message));
+    this.#request.on("close", () => this.#fail("closed without an answer"));
+    this.#request.setNoDelay(true);
+    this.#request.end(body);
+  }
+
+  /** Whether a byte of it may have reached the backend server. */
+  get isSent(): boolean {
+    return this.#isSent;
+  }
+
+  /** Ends it; the connection goes, so that the backend server stops work. */
+  abort(reason: string): void {
+    this.#fail(reason);
+    this.#request.destroy();
+  }
+
+  #takeSocket(socket: NonNullable<ClientRequest["socket"]>): void {
+    if (!socket.connecting) {
+      this.#isSent = true;
+      return;
+    }
+    this.#connectTimer = setTimeout(
+      () => this.abort("no connection in time"),
+      CONNECT_MILLISECONDS,
+    );
+    socket.once("connect", () => {
+      clearTimeout(this.#connectTimer);
+      this.#isSent = true;
+    });
+  }
+
+  #takeResponse(message: IncomingMessage): void {
+    const { format, id } = this.#options;
+    const facts = format.readAnswer(message.headers);
+    message.on("error", () => undefined);
+    if (facts.id !== undefined && facts.id !== id) {
+      this.abort("the answer is another request's");
+      return;
+    }
+    if (facts.isNotRun) {
+      message.resume();
+      this.#settle({
+        kind: "not-run",
+        reason: `refused with ${message.statusCode}`,
+        isUnreachable: false,
+      });
+      return;
+    }
+    this.#settle({ kind: "answer", message, facts });
+  }
+
+  #fail(reason: string): void {
+    clearTimeout(this.#connectTimer);
+    this.#settle(
+      this.#isSent
+        ? { kind: "broken", reason }
+        : { kind: "not-run", reason, isUnreachable: true },
+    );
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/gateway/backend_connections.ts
@@ -0,0 +1,31 @@
+import { BackendAgent } from "./backend_agent.ts";
+
+/** Well above what one host has under way at one backend server. */
+const MOST_SOCKETS = 64;
+
+/** The connections to backend servers, by address. */
+export class BackendConnections {
+  #agents = new Map<string, BackendAgent>();
+
+  agentFor(address: string): BackendAgent {
+    let agent = this.#agents.get(address);
+    if (agent === undefined) {
+      agent = new BackendAgent(MOST_SOCKETS);
+      this.#agents.set(address, agent);
+    }
+    return agent;
+  }
+
+  /** Closes idle connections to addresses that are not in use any more. */
+  keep(addresses: Set<string>): void {
+    for (const [address, agent] of [...this.#agents]) {
+      if (addresses.has(address)) continue;
+      agent.destroy();
+      this.#agents.delete(address);
+    }
+  }
+
+  close(): void {
+    this.keep(new Set());
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/gateway/backend_pool.ts
@@ -0,0 +1,84 @@
+import type { BackendChoice } from "@teaselrouter/core/gateway/backend_choice.ts";
+import { BackendRecord } from "@teaselrouter/core/gateway/backend_record.ts";
+import { chooseBackend } from "@teaselrouter/core/gateway/choose_backend.ts";
+import type { EngineDefinition } from "@teaselrouter/core/gateway/engine_definition.ts";
+import type { BackendStanding } from "@teaselrouter/core/membership/backend_standing.ts";
+import { monotonicMilliseconds } from "../transport/monotonic_milliseconds.ts";
+import type { ControlFeed } from "./control_feed.ts";
+
+type Want = {
+  service: string;
+  engine: EngineDefinition | undefined;
+  model: string | undefined;
+  promptTokens: number;
+  /** Instances that this request was sent to. */
+  tried: ReadonlySet<string>;
+  /** Only weights of this version; undefined for any. */
+  weightsVersion: number | undefined;
+};
+
+type Options = { feed: ControlFeed; dataCentre: string };
+
+/** The backend servers that requests can go to, with their records. */
+export class BackendPool {
+  #options: Options;
+  #records = new Map<string, BackendRecord>();
+
+  constructor(options: Options) {
+    this.#options = options;
+    options.feed.backends$.subscribe((changed) => {
+      for (const { instance, state } of changed) {
+        if (state === "gone") this.#records.delete(instance);
+      }
+    });
+  }
+
+  recordOf(instance: string): BackendRecord {
+    let record = this.#records.get(instance);
+    if (record === undefined) {
+      record = new BackendRecord();
+      this.#records.set(instance, record);
+    }
+    return record;
+  }
+
+  /** The best that may take the request; undefined when there is none. */
+  choose(want: Want): BackendChoice | undefined {
+    const now = monotonicMilliseconds();
+    const usable = this.#options.feed.backendsOf(want.service)
+      .filter((standing) => this.#mayTake(standing, want))
+      .map((standing) => ({
+        standing,
+        record: this.recordOf(standing.instance),
+      }));
+    const healthy = usable.filter(({ record }) => !record.isAside(now));
+    return chooseBackend(healthy, {
+      dataCentre: this.#options.dataCentre,
+      promptTokens: want.promptTokens,
+      engine: want.engine,
+      random: Math.random,
+      now,
+    });
+  }
+
+  #mayTake(standing: BackendStanding, want: Want): boolean {
+    if (standing.state !== "ready" || want.tried.has(standing.instance)) {
+      return false;
+    }
+    const notice = this.#options.feed.engineAt(standing.address);
+    if (notice !== undefined && !notice.accepting) return false;
+    if (want.model === undefined) return true;
+    return this.#holds(standing, want.model, want.weightsVersion);
+  }
+
+  /** An empty engine, or one that is loading, holds no whole model. */
+  #holds(
+    standing: BackendStanding,
+    model: string,
+    version: number | undefined,
+  ): boolean {
+    const held = standing.models.find(({ name }) => name === model);
+    if (held === undefined) return false;
+    return version === undefined || held.version === version;
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/gateway/control_feed.ts
@@ -0,0 +1,142 @@
+import { RouteTable } from "@teaselrouter/core/gateway/route_table.ts";
+import { BackendRegistry } from "@teaselrouter/core/membership/backend_registry.ts";
+import type { BackendStanding } from "@teaselrouter/core/membership/backend_standing.ts";
+import type {
+  ControlUpdate,
+  EngineNotice,
+  RoutingDocument,
+} from "@teaselrouter/messages/follow.ts";
+import { Subject } from "rxjs";
+import type { EventLog } from "../log/event_log.ts";
+import type { RoutingDecoder } from "../platform/routing_decoder.ts";
+import { decodeBackend } from "../transport/decode_backend.ts";
+import type { FollowSet } from "../transport/follow_set.ts";
+import { monotonicMilliseconds } from "../transport/monotonic_milliseconds.ts";
+
+const FORGET_MILLISECONDS = 60_000;
+
+type NamedVersion = { version: number; learnedAt: number };
+
+type Options = {
+  follows: FollowSet;
+  decodeRouting: RoutingDecoder;
+  log: EventLog;
+};
+
+/** All that a gateway believes, as the control hosts told it. */
+export class ControlFeed {
+  readonly backends$ = new Subject<BackendStanding[]>();
+  #options: Options;
+  #table: RouteTable | undefined;
+  #hasBackends = false;
+  #registry = new BackendRegistry({
+    // Control hosts say who is gone; alone, what was known goes on.
+    silentMilliseconds: Infinity,
+    forgetMilliseconds: FORGET_MILLISECONDS,
+  });
+  #engines = new Map<string, EngineNotice>();
+  #named = new Map<string, NamedVersion>();
+
+  constructor(options: Options) {
+    this.#options = options;
+    options.follows.updates$.subscribe(({ update }) => this.#take(update));
+  }
+
+  /** The newest configuration heard of; undefined before the first. */
+  get table(): RouteTable | undefined {
+    return this.#table;
+  }
+
+  /** Whether requests can be placed at all. */
+  get isComplete(): boolean {
+    return this.#table !== undefined && this.#hasBackends;
+  }
+
+  backendsOf(service: string): BackendStanding[] {
+    return this.#registry.live().filter((standing) =>
+      standing.service === service
+    );
+  }
+
+  liveAddresses(): Set<string> {
+    return new Set(this.#registry.live().map(({ address }) => address));
+  }
+
+  /** What the agent beside an engine said last; undefined without one. */
+  engineAt(address: string): EngineNotice | undefined {
+    return this.#engines.get(address);
+  }
+
+  /** The version of a model that an operator named last. */
+  namedVersion(model: string): NamedVersion | undefined {
+    return this.#named.get(model);
+  }
+
+  forget(): void {
+    this.#registry.expire(monotonicMilliseconds());
+  }
+
+  #take({ body }: ControlUpdate): void {
+    switch (body.case) {
+      case "routing":
+        return this.#takeRouting(body.value);
+      case "backends":
+        if (body.value.whole) this.#hasBackends = true;
+        return this.#takeBackends(body.value.backends.map(decodeBackend));
+      case "weights":
+        return this.#takeNamed(body.value.model, body.value.version);
+      case "engine":
+        return this.#takeEngine(body.value);
+    }
+  }
+
+  /** Control hosts may lag: only a later version replaces what stands. */
+  #takeRouting({ version, document }: RoutingDocument): void {
+    const { decodeRouting, log } = this.#options;
+    const standing = this.#table?.configuration.version ?? -1;
+    if (version <= standing) return;
+    const decoded = decodeRouting(new TextDecoder().decode(document));
+    if (decoded.isErr) {
+      return log.error("routing-unreadable", {
+        version,
+        reason: decoded.error,
+      });
+    }
+    this.#table = new RouteTable(decoded.value);
+    log.info("routing-in-force", { version, before: standing });
+  }
+
+  #takeBackends(standings: BackendStanding[]): void {
+    const now = monotonicMilliseconds();
+    const changed = standings.flatMap((standing) =>
+      this.#registry.take(standing, now)
+    );
+    if (changed.length === 0) return;
+    for (const { instance, address, state, sequence } of changed) {
+      this.#options.log.info("backend-server-changed", {
+        instance,
+        address,
+        state,
+        sequence,
+      });
+    }
+    this.backends$.next(changed);
+  }
+
+  #takeNamed(model: string, version: number): void {
+    if ((this.#named.get(model)?.version ?? 0) >= version) return;
+    this.#named.set(model, { version, learnedAt: monotonicMilliseconds() });
+    this.#options.log.info("weights-named", { model, version });
+  }
+
+  #takeEngine(notice: EngineNotice): void {
+    const known = this.#engines.get(notice.engineAddress);
+    if (known !== undefined && known.sequence >= notice.sequence) return;
+    this.#engines.set(notice.engineAddress, notice);
+    this.#options.log.info("engine-notice", {
+      address: notice.engineAddress,
+      accepting: notice.accepting,
+      version: notice.servingVersion || "none",
+    });
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/gateway/gateway_world.ts
@@ -0,0 +1,18 @@
+import type { SharedRetryBudget } from "@teaselrouter/core/gateway/shared_retry_budget.ts";
+import type { EventLog } from "../log/event_log.ts";
+import type { RequestFormat } from "../platform/request_format.ts";
+import type { BackendConnections } from "./backend_connections.ts";
+import type { BackendPool } from "./backend_pool.ts";
+import type { ControlFeed } from "./control_feed.ts";
+
+/** What all requests of a gateway share. */
+export type GatewayWorld = {
+  feed: ControlFeed;
+  pool: BackendPool;
+  connections: BackendConnections;
+  retries: SharedRetryBudget;
+  format: RequestFormat;
+  log: EventLog;
+  random: () => number;
+  isStopping: () => boolean;
+};
--- /dev/null
+++ b/packages/daemon/src/gateway/refuse_call.ts
@@ -0,0 +1,22 @@
+import type { ServerResponse } from "node:http";
+import type { CallRefusal } from "./call_refusal.ts";
+
+/** Answers a request with the system's own refusal, in plain words. */
+export function refuseCall(
+  response: ServerResponse,
+  refusal: CallRefusal,
+  options: { closes: boolean },
+): void {
+  const { status, reason, retryAfterMilliseconds } = refusal;
+  const body = `${reason}\n`;
+  const headers: Record<string, string | number> = {
+    "Content-Type": "text/plain; charset=utf-8",
+    "Content-Length": new TextEncoder().encode(body).length,
+  };
+  if (retryAfterMilliseconds !== undefined) {
+    headers["Retry-After"] = (retryAfterMilliseconds / 1_000).toFixed(2);
+  }
+  if (options.closes) headers["Connection"] = "close";
+  response.writeHead(status, headers);
+  response.end(body);
+}
--- a/packages/daemon/src/settings/parse_settings.ts
+++ b/packages/daemon/src/settings/parse_settings.ts
@@ -3,6 +3,7 @@
 import type { z } from "zod";
 import type { Settings } from "./settings.ts";
 import { settingsSchema } from "./settings_schema.ts";
+import { withPeerPort } from "./with_peer_port.ts";
 
 function valueAt(root: unknown, path: PropertyKey[]): unknown {
   let value = root;
@@ -38,7 +39,7 @@
     return Result.err([`not TOML: ${message.split("\n")[0]}`]);
   }
   const checked = settingsSchema.safeParse(root);
-  if (checked.success) return Result.ok(checked.data);
+  if (checked.success) return Result.ok(withPeerPort(checked.data));
   return Result.err(
     checked.error.issues.map((issue) => describe(issue, root)),
   );
--- a/packages/daemon/src/settings/settings_schema.ts
+++ b/packages/daemon/src/settings/settings_schema.ts
@@ -12,12 +12,18 @@
   /** This process's name, unlike any other's. */
   name,
   data_centre: name,
-  roles: z.array(z.enum(["control", "entry", "agent"])).min(1),
+  roles: z.array(z.enum(["control", "entry", "agent", "gateway", "stager"]))
+    .min(1),
   /** Where other processes of the system reach this one. */
   internal: z.strictObject({
     listen: addressSchema,
     /** Other addresses to dial, by the address that a process listens on. */
     dial: z.record(z.string(), addressSchema).default({}),
+    /**
+     * Port that other processes listen on, where the lists of addresses here
+     * name those hosts by another of their ports.
+     */
+    peer_port: z.number().int().min(1).max(65_535).optional(),
   }),
   log: z.strictObject({
     level: z.enum(["debug", "info", "warn", "error"]).default("info"),
@@ -29,8 +35,19 @@
   }).optional(),
   control: z.strictObject({
     data_folder: z.string().min(1),
-    /** The first voters, this one among them. */
-    founders: z.array(z.strictObject({ name, address: addressSchema })).min(1),
+    /**
+     * The first voters. With `voters` set this one need not be among them:
+     * it then asks them to be taken in.
+     */
+    founders: z.array(
+      z.strictObject({ name: name.optional(), address: addressSchema }),
+    ).min(1),
+    /** Whether an empty data folder may found the log. */
+    may_found: z.boolean().default(true),
+    /** Members are taken in and replaced without operators, up to so many. */
+    voters: z.number().int().min(1).max(9).optional(),
+    /** Where the platform's operators and backend servers call. */
+    operations_listen: addressSchema.optional(),
     election_milliseconds: z.number().int().min(50).max(60_000).default(600),
     heartbeat_milliseconds: z.number().int().min(10).max(10_000).default(200),
     /** A snapshot is taken when the log has grown by so much. */
@@ -58,6 +75,28 @@
     /** Between announcing the stop and ending. */
     drain_milliseconds: z.number().int().min(0).default(2_000),
   }).optional(),
+  /** Takes a platform's requests to backend servers directly. */
+  gateway: z.strictObject({
+    listen: addressSchema,
+    /** Where the balancer asks whether to send new connections. */
+    ready_listen: addressSchema,
+    control_hosts: z.array(addressSchema).min(1),
+    /** A planned stop ends within it: time until the process is killed. */
+    grace_milliseconds: z.number().int().min(1_000).default(8_000),
+    /** Extra sends for each request, over all hosts together. */
+    retry_ratio: z.number().min(0).max(1).default(0.1),
+  }).optional(),
+  /** Brings weights to the model engine beside it. */
+  stager: z.strictObject({
+    /** Where requests go to the engine; orders too. */
+    engine: addressSchema,
+    service: z.string().min(1),
+    /** Where other stagers fetch chunks. */
+    listen: addressSchema,
+    control_hosts: z.array(addressSchema).min(1),
+    /** Of this host's link, each way. */
+    link_bytes_per_second: z.number().min(0).default(0),
+  }).optional(),
 }).superRefine((settings, context) => {
   for (const role of settings.roles) {
     if (settings[role] !== undefined) continue;
--- /dev/null
+++ b/packages/daemon/src/transport/follow_link.ts
@@ -0,0 +1,121 @@
+import { create } from "@bufbuild/protobuf";
+import type { ControlUpdate } from "@teaselrouter/messages/follow.ts";
+import {
+  FollowerToControlSchema,
+  FollowService,
+} from "@teaselrouter/messages/follow.ts";
+import { interval, map, type Observable, startWith, Subject } from "rxjs";
+import type { EventLog } from "../log/event_log.ts";
+import type { ClientPool } from "./client_pool.ts";
+import { monotonicMilliseconds } from "./monotonic_milliseconds.ts";
+import { pause } from "./pause.ts";
+import { toAsyncIterable } from "./to_async_iterable.ts";
+
+const HEARTBEAT_MILLISECONDS = 1_000;
+/** Three of the other side's heartbeats: the connection may be dead. */
+const SILENT_MILLISECONDS = 1_200;
+const CHECK_MILLISECONDS = 200;
+const RECONNECT_MILLISECONDS = 200;
+
+type Options = {
+  address: string;
+  hello: { host: string; dataCentre: string; isControl: boolean };
+  clients: ClientPool;
+  log: EventLog;
+};
+
+/**
+ * Follows one control host for as long as it is not stopped: a stream that
+ * ends or falls silent is opened anew on a new connection.
+ */
+export class FollowLink {
+  readonly updates$ = new Subject<ControlUpdate>();
+  readonly address: string;
+  #options: Options;
+  #connected = false;
+  #heardAt = -Infinity;
+  #stop = new AbortController();
+
+  constructor(options: Options) {
+    this.#options = options;
+    this.address = options.address;
+  }
+
+  get isConnected(): boolean {
+    return this.#connected;
+  }
+
+  /** When this control host was last heard, monotonic milliseconds. */
+  get heardAt(): number {
+    return this.#heardAt;
+  }
+
+  start(): void {
+    this.#run();
+  }
+
+  stop(): void {
+    this.#stop.abort();
+  }
+
+  async #run(): Promise<void> {
+    while (!this.#stop.signal.aborted) {
+      await this.#follow();
+      await pause(RECONNECT_MILLISECONDS);
+    }
+  }
+
+  async #follow(): Promise<void> {
+    const { address, clients, log } = this.#options;
+    const stop = new AbortController();
+    const openedAt = monotonicMilliseconds();
+    const watch = setInterval(() => {
+      const since = Math.max(this.#heardAt, openedAt);
+      const silent = monotonicMilliseconds() - since > SILENT_MILLISECONDS;
+      if (silent || this.#stop.signal.aborted) stop.abort();
+    }, CHECK_MILLISECONDS);
+    let reason = "closed";
+    try {
+      const updates = clients.client(FollowService, address).follow(
+        toAsyncIterable(this.#outgoing()),
+        { signal: stop.signal },
+      );
+      for await (const update of updates) this.#take(update);
+    } catch (error) {
+      reason = error instanceof Error ? error.message : String(error);
+    }
+    clearInterval(watch);
+    clients.renew(address);
+    if (this.#connected) log.warn("control-host-lost", { address, reason });
+    this.#connected = false;
+  }
+
+  #outgoing(): Observable<MessageToControl> {
+    const hello = create(FollowerToControlSchema, {
+      body: { case: "hello", value: this.#options.hello },
+    });
+    return interval(HEARTBEAT_MILLISECONDS).pipe(
+      map(() =>
+        create(FollowerToControlSchema, {
+          body: { case: "heartbeat", value: {} },
+        })
+      ),
+      startWith(hello),
+    );
+  }
+
+  #take(update: ControlUpdate): void {
+    this.#heardAt = monotonicMilliseconds();
+    if (!this.#connected) {
+      this.#connected = true;
+      this.#options.log.info("control-host-followed", {
+        address: this.#options.address,
+      });
+    }
+    this.updates$.next(update);
+  }
+}
+
+type MessageToControl = ReturnType<
+  typeof create<typeof FollowerToControlSchema>
+>;
--- a/packages/daemon/src/wiring/start_daemon.ts
+++ b/packages/daemon/src/wiring/start_daemon.ts
@@ -4,8 +4,10 @@
 import { AgentApp } from "../agent/agent_app.ts";
 import { ControlApp } from "../control/control_app.ts";
 import { EntryApp } from "../entry/entry_app.ts";
+import { GatewayApp } from "../gateway/gateway_app.ts";
 import { EventLog } from "../log/event_log.ts";
 import { createMetrics } from "../metrics/create_metrics.ts";
+import type { PlatformEdge } from "../platform/platform_edge.ts";
 import type { Settings } from "../settings/settings.ts";
 import { ClientPool } from "../transport/client_pool.ts";
 import { InternalServer } from "../transport/internal_server.ts";
@@ -17,6 +19,8 @@
 
 type Options = {
   settings: Settings;
+  /** How the platform speaks that this process runs on, if on one. */
+  platform?: PlatformEdge | undefined;
   /** Called when a broken invariant leaves no safe way to go on. */
   stopProcess: (reason: string) => void;
 };
@@ -25,7 +29,7 @@
 export async function startDaemon(
   options: Options,
 ): Promise<Result<Daemon, string>> {
-  const { settings } = options;
+  const { settings, platform } = options;
   const log = new EventLog(settings.name, settings.log.level);
   const metrics = createMetrics(settings);
   const clients = new ClientPool(settings.internal.dial);
@@ -37,13 +41,19 @@
     settings.roles.includes(role);
 
   const opened = has("control")
-    ? await ControlApp.open({ settings, clients, log, stopProcess })
+    ? await ControlApp.open({ settings, clients, log, stopProcess, platform })
     : undefined;
   if (opened?.isErr) return Result.err(opened.error);
   const control = opened?.value;
   const parts = { settings, clients, log, metrics };
   const entry = has("entry") ? new EntryApp(parts) : undefined;
   const agent = has("agent") ? new AgentApp(parts) : undefined;
+  if (platform === undefined && (has("gateway") || has("stager"))) {
+    return Result.err("roles: gateway and stager need a platform's build");
+  }
+  const gateway = has("gateway")
+    ? new GatewayApp({ ...parts, platform: platform! })
+    : undefined;
 
   const server = new InternalServer((router: ConnectRouter) => {
     router.service(TimelineService, {
@@ -56,8 +66,7 @@
   const listening = await server.listen(settings.internal.listen);
   if (listening.isErr) return Result.err(listening.error);
 
-  control?.start();
-  for (const app of [entry, agent]) {
+  for (const app of [control, entry, agent, gateway]) {
     const started = await app?.start();
     if (started?.isErr) return Result.err(started.error);
   }
@@ -65,7 +74,7 @@
 
   const stop = async () => {
     log.info("stopping");
-    await Promise.all([entry?.stop(), agent?.stop()]);
+    await Promise.all([entry?.stop(), agent?.stop(), gateway?.stop()]);
     await control?.stop();
     server.close();
     clients.close();
--- a/packages/experiments/src/load/make_call.ts
+++ b/packages/experiments/src/load/make_call.ts
@@ -42,9 +42,11 @@
       },
     });
     request.on("error", (error) => {
-      const { code } = error as { code?: string };
+      // An error of connecting itself, a refusal or a reset, comes before any
+      // byte of the call was sent.
+      const { syscall } = error as { syscall?: string };
       resolve(
-        code === "ECONNREFUSED"
+        syscall === "connect"
           ? { kind: "unreached" }
           : { kind: "cut", detail: error.message },
       );
--- a/tools/run_tests.mjs
+++ b/tools/run_tests.mjs
@@ -1,38 +1,54 @@
 // Runs every compiled test file by node:test and exits with its verdict.
-// Tests listed in KNOWN-RED.txt are passed over and printed.
-import { spawnSync } from "node:child_process";
+// Tests named in KNOWN-RED.txt are passed over and printed. Words on the
+// command line choose the files whose paths have one of them.
 import { existsSync, readdirSync, readFileSync } from "node:fs";
-import { join } from "node:path";
+import { join, resolve } from "node:path";
 import process from "node:process";
+import { run } from "node:test";
+import { tap } from "node:test/reporters";
+import { judgeRun } from "./judge_run.mjs";
+
+const KNOWN_RED_FILE = "KNOWN-RED.txt";
+const CONCURRENCY = 4;
 
 function findTestFiles(folder) {
   return readdirSync(folder, { withFileTypes: true, recursive: true })
-    .filter((entry) => entry.isFile() && entry.name.endsWith("_test.js"))
+    .filter((entry) => entry.isFile() && /_test\.m?js$/.test(entry.name))
     .map((entry) => join(entry.parentPath, entry.name));
 }
 
-const KNOWN_RED_FILE = "KNOWN-RED.txt";
-const knownRed = existsSync(KNOWN_RED_FILE)
-  ? readFileSync(KNOWN_RED_FILE, "utf8").split("\n").filter(Boolean)
-  : [];
-for (const line of knownRed) console.log(`known red, passed over: ${line}`);
+/** A line begins with the test's name; the rest, behind " | ", says why. */
+function readKnownRed() {
+  if (!existsSync(KNOWN_RED_FILE)) return [];
+  return readFileSync(KNOWN_RED_FILE, "utf8")
+    .split("\n")
+    .filter(Boolean)
+    .map((line) => line.split(" | ")[0].trim());
+}
 
 const only = process.argv.slice(2);
-const files = readdirSync("packages")
-  .map((name) => join("packages", name, "dist"))
-  .filter((folder) => existsSync(folder))
+const members = readdirSync("packages").map((name) => join("packages", name));
+const folders = [...members, "platform"]
+  .map((member) => join(member, "dist"))
+  .filter((folder) => existsSync(folder));
+const files = [...folders, "tools"]
   .flatMap(findTestFiles)
   .filter((file) =>
     only.length === 0 || only.some((part) => file.includes(part))
   )
   .sort();
-const skip = knownRed.flatMap((line) => [
-  "--test-skip-pattern",
-  line.split(" | ")[0],
-]);
-const run = spawnSync(
-  process.execPath,
-  ["--test", "--test-concurrency=4", ...skip, ...files],
-  { stdio: "inherit" },
-);
-process.exit(run.status ?? 1);
+const passed = [];
+const failed = [];
+const events = run({
+  files: files.map((file) => resolve(file)),
+  concurrency: CONCURRENCY,
+});
+events.on("test:pass", ({ name }) => passed.push(name));
+events.on("test:fail", ({ name }) => failed.push(name));
+events.compose(tap).pipe(process.stdout);
+events.once("end", () => {
+  const knownRed = only.length === 0 ? readKnownRed() : [];
+  const { isGood, lines } = judgeRun({ passed, failed, knownRed });
+  for (const line of lines) console.log(line);
+  process.exitCode = isGood ? 0 : 1;
+});
