Spread weights to every engine and load them in turns

Cause: no engine got a named version, so requests began on an old one past its bound, and engines that came empty stayed idle.

Change: stagers beside the engines swap chunks by the product's own planner, kept by each control host for every data centre; chunks that lie staged already are taken as held; loads in turns, read back and verified right before.

--- a/packages/daemon/src/agent/agent_app.ts
+++ b/packages/daemon/src/agent/agent_app.ts
@@ -21,6 +21,7 @@
 import { EngineLoader } from "./engine_loader.ts";
 import { EntryLinks } from "./entry_links.ts";
 import { LinkPacer } from "./link_pacer.ts";
+import { rangeStoreFormat } from "./range_store_format.ts";
 import { SpreadClient } from "./spread_client.ts";
 import { WeightsCache } from "./weights_cache.ts";
 
@@ -76,6 +77,7 @@
       fetcher: new ChunkFetcher({
         dataCentre: settings.data_centre,
         pacer: new LinkPacer(agent.link_bytes_per_second),
+        storeFormat: rangeStoreFormat,
       }),
       log,
       metrics: options.metrics,
--- a/packages/daemon/src/agent/agent_server.ts
+++ b/packages/daemon/src/agent/agent_server.ts
@@ -13,10 +13,10 @@
 import { listen } from "../transport/listen.ts";
 import type { AgentState } from "./agent_state.ts";
 import { announceSchema } from "./announce_schema.ts";
-import { LinkPacer } from "./link_pacer.ts";
+import { ChunkSender } from "./chunk_sender.ts";
+import type { LinkPacer } from "./link_pacer.ts";
 import type { WeightsCache } from "./weights_cache.ts";
 
-const SLICE_BYTES = 65_536;
 const MOST_ANNOUNCEMENT_BYTES = 16_384;
 const IDLE_MILLISECONDS = 5_000;
 
@@ -34,10 +34,11 @@
 export class AgentServer {
   #options: Options;
   #server: Server;
-  #regionLinks = new Map<string, LinkPacer>();
+  #chunks: ChunkSender;
 
   constructor(options: Options) {
     this.#options = options;
+    this.#chunks = new ChunkSender(options);
     this.#server = createServer((request, response) => {
       response.on("error", () => undefined);
       this.#handle(request, response).catch(() => response.destroy());
@@ -63,7 +64,7 @@
       return await this.#announce(request, response);
     }
     if (request.method === "GET" && parts[0] === "chunks") {
-      return await this.#sendChunk(request, response, parts);
+      return await this.#chunks.send(request, response, parts);
     }
     if (request.method === "GET" && parts[0] === "weights") {
       return await this.#sendWeights(response, parts[1] ?? "");
@@ -98,34 +99,6 @@
     response.writeHead(204).end();
   }
 
-  async #sendChunk(
-    request: IncomingMessage,
-    response: ServerResponse,
-    parts: string[],
-  ): Promise<void> {
-    const chunk = this.#options.cache.chunk(parts[1] ?? "", Number(parts[2]));
-    if (chunk === undefined) {
-      response.writeHead(404).end();
-      return;
-    }
-    const { dataCentre, link } = this.#options;
-    const header = request.headers["teaselrouter-data-centre"];
-    const to = typeof header === "string" ? header : dataCentre;
-    const pacers = to === dataCentre ? [link] : [link, this.#regionLink(to)];
-    response.writeHead(200, { "Content-Length": chunk.length });
-    await sendPaced(response, chunk, pacers);
-    response.end();
-  }
-
-  #regionLink(dataCentre: string): LinkPacer {
-    let pacer = this.#regionLinks.get(dataCentre);
-    if (pacer === undefined) {
-      pacer = new LinkPacer(this.#options.regionBytesPerSecond);
-      this.#regionLinks.set(dataCentre, pacer);
-    }
-    return pacer;
-  }
-
   /** The engine on this host reads a complete version, never part of one. */
   async #sendWeights(
     response: ServerResponse,
@@ -147,19 +120,6 @@
   }
 }
 
-async function sendPaced(
-  response: ServerResponse,
-  bytes: Buffer,
-  pacers: LinkPacer[],
-): Promise<void> {
-  for (let at = 0; at < bytes.length; at += SLICE_BYTES) {
-    const slice = bytes.subarray(at, at + SLICE_BYTES);
-    for (const pacer of pacers) await pacer.take(slice.length);
-    if (response.destroyed) return;
-    if (!response.write(slice)) await once(response, "drain");
-  }
-}
-
 function parseJson(bytes: Buffer): unknown {
   try {
     return JSON.parse(bytes.toString("utf8"));
--- a/packages/daemon/src/agent/chunk_fetcher.ts
+++ b/packages/daemon/src/agent/chunk_fetcher.ts
@@ -2,10 +2,16 @@
 import { versionName } from "@teaselrouter/core/spread/version_name.ts";
 import type { Buffer } from "node:buffer";
 import type { Result } from "true-myth";
+import type { WeightStoreFormat } from "../platform/weight_store_format.ts";
 import { fetchBytes } from "./fetch_bytes.ts";
 import type { LinkPacer } from "./link_pacer.ts";
 
-type Options = { dataCentre: string; pacer: LinkPacer };
+type Options = {
+  dataCentre: string;
+  pacer: LinkPacer;
+  /** How the weight store is asked. */
+  storeFormat: WeightStoreFormat;
+};
 
 type Want = {
   manifest: WeightsManifest;
@@ -25,22 +31,16 @@
   }
 
   fetch(want: Want): Promise<Result<Buffer, string>> {
-    const { manifest, chunk, source, signal } = want;
-    const first = chunk * manifest.chunk_bytes;
+    const { manifest, chunk, source, signal, store } = want;
     const expectedBytes = Math.min(
       manifest.chunk_bytes,
-      manifest.total_bytes - first,
+      manifest.total_bytes - chunk * manifest.chunk_bytes,
     );
-    const { dataCentre, pacer } = this.#options;
+    const { dataCentre, pacer, storeFormat } = this.#options;
     const common = { expectedBytes, pacer, signal };
     if (source === "") {
-      const name = encodeURIComponent(manifest.name);
-      const version = encodeURIComponent(manifest.version);
-      return fetchBytes({
-        ...common,
-        url: `${want.store}/weights/${name}/${version}`,
-        headers: { Range: `bytes=${first}-${first + expectedBytes - 1}` },
-      });
+      const request = storeFormat.chunkRequest(store, manifest, chunk);
+      return fetchBytes({ ...common, ...request });
     }
     const version = encodeURIComponent(versionName(manifest));
     return fetchBytes({
--- a/packages/daemon/src/agent/entry_links.ts
+++ b/packages/daemon/src/agent/entry_links.ts
@@ -13,6 +13,7 @@
 import type { ClientPool } from "../transport/client_pool.ts";
 import { pause } from "../transport/pause.ts";
 import { toAsyncIterable } from "../transport/to_async_iterable.ts";
+import { monotonicMilliseconds } from "../transport/monotonic_milliseconds.ts";
 
 const BEAT_MILLISECONDS = 500;
 const SILENT_MILLISECONDS = 3_000;
@@ -27,8 +28,21 @@
   /** Known from the entry host's heartbeats. */
   host: string;
   dataCentre: string;
+  /** It is not among the hosts any more. */
+  isLeft: boolean;
 };
 
+function newLink(address: string): Link {
+  return {
+    address,
+    outgoing: undefined,
+    heardAt: 0,
+    host: "",
+    dataCentre: "",
+    isLeft: false,
+  };
+}
+
 type Options = {
   addresses: string[];
   dataCentre: string;
@@ -38,6 +52,8 @@
   greet: (address: string) => Body[];
   /** What every connection is told at a beat; undefined for nothing new. */
   beat: () => Body | undefined;
+  /** Whether a host of another data centre may plan where none is near. */
+  takesFarPlans?: boolean;
 };
 
 /** This agent's streams to the entry hosts. */
@@ -56,13 +72,7 @@
 
   constructor(options: Options) {
     this.#options = options;
-    this.#links = options.addresses.map((address) => ({
-      address,
-      outgoing: undefined,
-      heardAt: 0,
-      host: "",
-      dataCentre: "",
-    }));
+    this.#links = options.addresses.map(newLink);
   }
 
   start(): void {
@@ -70,6 +80,21 @@
     for (const link of this.#links) this.#run(link);
   }
 
+  /** Turns to the hosts that there are now. */
+  setAddresses(addresses: string[]): void {
+    if (this.#stopped || addresses.length === 0) return;
+    for (const link of this.#links) {
+      if (!addresses.includes(link.address)) link.isLeft = true;
+    }
+    this.#links = this.#links.filter((link) => !link.isLeft);
+    for (const address of addresses) {
+      if (this.#links.some((link) => link.address === address)) continue;
+      const link = newLink(address);
+      this.#links.push(link);
+      this.#run(link);
+    }
+  }
+
   stop(): void {
     this.#stopped = true;
     clearInterval(this.#timer);
@@ -107,7 +132,7 @@
   }
 
   async #run(link: Link): Promise<void> {
-    while (!this.#stopped) {
+    while (!this.#stopped && !link.isLeft) {
       await this.#connect(link);
       if (!this.#stopped) await pause(RECONNECT_MILLISECONDS);
     }
@@ -117,10 +142,10 @@
     const { clients, greet } = this.#options;
     const outgoing = new Subject<AgentToEntry>();
     const stop = new AbortController();
-    link.heardAt = Date.now();
+    link.heardAt = monotonicMilliseconds();
     const watch = setInterval(() => {
-      const silent = Date.now() - link.heardAt > SILENT_MILLISECONDS;
-      if (silent || this.#stopped) stop.abort();
+      const silent = monotonicMilliseconds() - link.heardAt > SILENT_MILLISECONDS;
+      if (silent || this.#stopped || link.isLeft) stop.abort();
     }, BEAT_MILLISECONDS);
     const client = clients.client(AgentService, link.address);
     try {
@@ -142,14 +167,15 @@
   }
 
   #take(link: Link, message: EntryToAgent): void {
-    link.heardAt = Date.now();
-    this.#options.ring.observe(link.heardAt, {
+    link.heardAt = monotonicMilliseconds();
+    this.#options.ring.observe(Date.now(), {
       time: message.clockTime,
       counter: message.clockCounter,
     });
     if (message.body.case === "heartbeat") {
-      const { host, dataCentre } = message.body.value;
+      const { host, dataCentre, addresses } = message.body.value;
       link.dataCentre = dataCentre;
+      this.setAddresses(addresses);
       if (link.host !== host) {
         link.host = host;
         this.#chooseCoordinator();
@@ -164,14 +190,12 @@
    * all turn to the next.
    */
   #chooseCoordinator(): void {
-    const near = this.#links.filter((link) =>
-      link.host !== "" && link.dataCentre === this.#options.dataCentre
-    );
-    const owner = rendezvousOwner(
-      this.#options.dataCentre,
-      near.map((link) => link.host),
-    );
-    const chosen = near.find((link) => link.host === owner)?.address ?? "";
+    const { dataCentre, takesFarPlans } = this.#options;
+    const connected = this.#links.filter((link) => link.host !== "");
+    const near = connected.filter((link) => link.dataCentre === dataCentre);
+    const choices = near.length === 0 && takesFarPlans ? connected : near;
+    const owner = rendezvousOwner(dataCentre, choices.map(({ host }) => host));
+    const chosen = choices.find(({ host }) => host === owner)?.address ?? "";
     if (chosen === this.#coordinator) return;
     this.#coordinator = chosen;
     this.coordinatorChanged$.next();
--- /dev/null
+++ b/packages/daemon/src/agent/range_store_format.ts
@@ -0,0 +1,15 @@
+import type { WeightStoreFormat } from "../platform/weight_store_format.ts";
+
+/** A weight store that serves a version as one file, by ranges. */
+export const rangeStoreFormat: WeightStoreFormat = {
+  chunkRequest(store, manifest, chunk) {
+    const first = chunk * manifest.chunk_bytes;
+    const end = Math.min(first + manifest.chunk_bytes, manifest.total_bytes);
+    const name = encodeURIComponent(manifest.name);
+    const version = encodeURIComponent(manifest.version);
+    return {
+      url: `${store}/weights/${name}/${version}`,
+      headers: { Range: `bytes=${first}-${end - 1}` },
+    };
+  },
+};
--- a/packages/daemon/src/agent/spread_client.ts
+++ b/packages/daemon/src/agent/spread_client.ts
@@ -6,6 +6,7 @@
 import type { EventLog } from "../log/event_log.ts";
 import type { ChunkFetcher } from "./chunk_fetcher.ts";
 import type { WeightsCache } from "./weights_cache.ts";
+import { monotonicMilliseconds } from "../transport/monotonic_milliseconds.ts";
 
 const ORIGIN = "";
 const UNPLANNED_MILLISECONDS = 2_000;
@@ -63,7 +64,7 @@
 
   /** Since when the target is known here, milliseconds. */
   get targetSince(): number {
-    return this.#target?.startedAt ?? Date.now();
+    return this.#target?.startedAt ?? monotonicMilliseconds();
   }
 
   get version(): string {
@@ -76,7 +77,7 @@
     if (this.#target?.version === version) return;
     this.#target?.stop.abort();
     this.#fetching = new Set();
-    const startedAt = Date.now();
+    const startedAt = monotonicMilliseconds();
     const stop = new AbortController();
     this.#target = { manifest, version, store, startedAt, stop };
     this.#plannedAt = startedAt;
@@ -86,7 +87,7 @@
   takePlan(plan: SpreadPlan): void {
     const target = this.#target;
     if (target === undefined || plan.version !== target.version) return;
-    this.#plannedAt = Date.now();
+    this.#plannedAt = monotonicMilliseconds();
     this.#peers = plan.peers;
     for (const { chunk, source } of plan.orders) {
       this.#fetch(target, chunk, source);
@@ -117,11 +118,11 @@
     const patience = this.#options.hasCoordinator()
       ? FORGOTTEN_MILLISECONDS
       : UNPLANNED_MILLISECONDS;
-    return Date.now() - this.#plannedAt < patience;
+    return monotonicMilliseconds() - this.#plannedAt < patience;
   }
 
   #pickSource(): string {
-    const now = Date.now();
+    const now = monotonicMilliseconds();
     const usable = [...this.#peers, ORIGIN].filter((source) =>
       (this.#aside.get(source) ?? 0) < now
     );
@@ -165,14 +166,14 @@
       source: source || "origin",
       reason,
     });
-    this.#aside.set(source, Date.now() + ASIDE_MILLISECONDS);
+    this.#aside.set(source, monotonicMilliseconds() + ASIDE_MILLISECONDS);
     this.#tell(target, { added: [], failed: [chunk] });
   }
 
   #noteWhenComplete(target: Target): void {
     const { cache, log, metrics } = this.#options;
     if (!cache.isComplete(target.version)) return;
-    const milliseconds = Date.now() - target.startedAt;
+    const milliseconds = monotonicMilliseconds() - target.startedAt;
     metrics.timing("weights.complete_milliseconds", milliseconds);
     log.info("weights-complete", {
       version: target.version,
--- a/packages/daemon/src/control/platform_desk.ts
+++ b/packages/daemon/src/control/platform_desk.ts
@@ -9,6 +9,8 @@
 import type { ClientPool } from "../transport/client_pool.ts";
 import { decodeBackend } from "../transport/decode_backend.ts";
 import { FollowSet } from "../transport/follow_set.ts";
+import { ManifestKeeper } from "../rollout/manifest_keeper.ts";
+import { RolloutHub } from "../rollout/rollout_hub.ts";
 import { ControlGate } from "./control_gate.ts";
 import type { ControlHost } from "./control_host.ts";
 import { followRoutes } from "./follow_routes.ts";
@@ -35,6 +37,8 @@
   #options: Options;
   #gate: ControlGate;
   #others: FollowSet;
+  #manifests: ManifestKeeper;
+  #rollout: RolloutHub;
   #server: Closable | undefined;
   #toldAddresses = "";
   #timer: NodeJS.Timeout | undefined;
@@ -53,6 +57,21 @@
       log,
       decodeRouting: platform.decodeRouting,
     });
+    this.#manifests = new ManifestKeeper({
+      store: platform.weightStore,
+      log,
+      namedVersion: (model) =>
+        options.logState().namedWeights.get(model)?.version,
+    });
+    this.#rollout = new RolloutHub({
+      host: settings.name,
+      dataCentre: settings.data_centre,
+      weighing: settings.control!.spread_weighing,
+      manifests: this.#manifests,
+      log,
+      controlAddresses: options.controlAddresses,
+      notice: (notice) => this.view.notice(notice),
+    });
     this.#others = new FollowSet({
       hello: {
         host: settings.name,
@@ -69,14 +88,16 @@
       if (update.body.case !== "backends") return;
       this.view.learn(update.body.value.backends.map(decodeBackend));
     });
-    options.started$.subscribe((started) =>
-      started.routing$.subscribe(() => this.view.log$.next())
-    );
+    options.started$.subscribe((started) => {
+      started.routing$.subscribe(() => this.#takeRouting());
+      this.#takeRouting();
+    });
   }
 
   routes(router: ConnectRouter): void {
     const { log } = this.#options;
     followRoutes({ view: this.view, gate: this.#gate, log })(router);
+    this.#rollout.routes(router);
   }
 
   async start(): Promise<Result<void, string>> {
@@ -101,9 +122,24 @@
     clearInterval(this.#timer);
     this.#others.stop();
     this.view.stop();
+    this.#manifests.stop();
+    this.#rollout.stop();
     this.#server?.close();
   }
 
+  #takeRouting(): void {
+    this.view.log$.next();
+    const { logState, platform, log } = this.#options;
+    const { routing } = logState();
+    if (routing === undefined) return;
+    const decoded = platform.decodeRouting(routing.document);
+    if (decoded.isOk) return this.#manifests.review(decoded.value);
+    log.error("routing-unreadable", {
+      version: routing.version,
+      reason: decoded.error,
+    });
+  }
+
   /** Followers and other control hosts hear of new members. */
   #noteHosts(): void {
     const addresses = this.#options.controlAddresses();
--- a/packages/daemon/src/entry/entry_app.ts
+++ b/packages/daemon/src/entry/entry_app.ts
@@ -28,7 +28,7 @@
 import { PermitQueue } from "./permit_queue.ts";
 import type { Problem } from "./problem.ts";
 import { PublicServer } from "./public_server.ts";
-import { SpreadCoordinator } from "./spread_coordinator.ts";
+import { SpreadCoordinator } from "../rollout/spread_coordinator.ts";
 import { readStatus } from "./read_status.ts";
 import { readTimeline } from "./read_timeline.ts";
 import { sendProblem } from "./send_problem.ts";
--- a/packages/daemon/src/gateway/backend_pool.ts
+++ b/packages/daemon/src/gateway/backend_pool.ts
@@ -77,8 +77,22 @@
     model: string,
     version: number | undefined,
   ): boolean {
-    const held = standing.models.find(({ name }) => name === model);
+    const held = this.#heldVersion(standing, model);
     if (held === undefined) return false;
-    return version === undefined || held.version === version;
+    return version === undefined || held === version;
+  }
+
+  /** The agent beside it knows sooner than the next heartbeat says. */
+  #heldVersion(standing: BackendStanding, model: string): number | undefined {
+    const notice = this.#options.feed.engineAt(standing.address);
+    const isOfThisStart = notice !== undefined &&
+      notice.engineBornAt === standing.bornAt;
+    if (!isOfThisStart) {
+      return standing.models.find(({ name }) => name === model)?.version;
+    }
+    const prefix = `${model}@`;
+    return notice.servingVersion.startsWith(prefix)
+      ? Number(notice.servingVersion.slice(prefix.length))
+      : undefined;
   }
 }
--- a/packages/daemon/src/entry/spread_coordinator.ts
+++ b/packages/daemon/src/rollout/spread_coordinator.ts
@@ -10,6 +10,7 @@
   EntryToAgent,
 } from "@teaselrouter/messages/agent.ts";
 import { EntryToAgentSchema } from "@teaselrouter/messages/agent.ts";
+import { monotonicMilliseconds } from "../transport/monotonic_milliseconds.ts";
 
 const REPLAN_MILLISECONDS = 100;
 const AVOID_MILLISECONDS = 5_000;
@@ -101,11 +102,11 @@
         followsPlans: report.followsPlans,
       });
     }
-    const avoidUntil = Date.now() + AVOID_MILLISECONDS;
+    const avoidUntil = monotonicMilliseconds() + AVOID_MILLISECONDS;
     for (const chunk of report.failed) {
       table.failTransfer(backendServer, chunk, avoidUntil);
     }
-    const now = Date.now();
+    const now = monotonicMilliseconds();
     for (const chunk of report.added) {
       table.addChunk(backendServer, chunk, now);
     }
@@ -129,7 +130,7 @@
 
   #plan(): void {
     for (const table of this.#tables.values()) {
-      const assignments = this.#options.policy.plan(table, Date.now());
+      const assignments = this.#options.policy.plan(table, monotonicMilliseconds());
       for (const [host, orders] of groupByHost(assignments)) {
         this.#send(table, host, orders);
       }
--- a/packages/daemon/src/settings/settings_schema.ts
+++ b/packages/daemon/src/settings/settings_schema.ts
@@ -50,6 +50,7 @@
     operations_listen: addressSchema.optional(),
     election_milliseconds: z.number().int().min(50).max(60_000).default(600),
     heartbeat_milliseconds: z.number().int().min(10).max(10_000).default(200),
+    spread_weighing: z.enum(["time", "origin-bytes"]).default("time"),
     /** A snapshot is taken when the log has grown by so much. */
     snapshot_bytes: z.number().int().min(4_096).default(16_777_216),
   }).optional(),
--- /dev/null
+++ b/packages/daemon/src/stager/staged_chunks.ts
@@ -0,0 +1,84 @@
+import type { WeightsManifest } from "@teaselrouter/core/spread/weights_manifest.ts";
+import { versionName } from "@teaselrouter/core/spread/version_name.ts";
+import { createHash } from "node:crypto";
+import type { WeightsCache } from "../agent/weights_cache.ts";
+import type { EventLog } from "../log/event_log.ts";
+import type { ModelEngine } from "../platform/model_engine.ts";
+
+type Options = { engine: ModelEngine; cache: WeightsCache; log: EventLog };
+
+/** The weights that lie staged beside the engine, one copy a model. */
+export class StagedChunks {
+  #options: Options;
+  /** Chunks of the cache's version known to have been written. */
+  #written = new Set<number>();
+  #version = "";
+
+  constructor(options: Options) {
+    this.#options = options;
+  }
+
+  /** Takes good chunks that lie there into the cache; gives their numbers. */
+  async recover(manifest: WeightsManifest): Promise<number[]> {
+    const { engine, cache, log } = this.#options;
+    const version = versionName(manifest);
+    const staged = await engine.stagedChunks(manifest.name);
+    if (staged.isErr) {
+      log.warn("staged-chunks-unreadable", { reason: staged.error });
+      return [];
+    }
+    this.#turnTo(version);
+    const added: number[] = [];
+    for (const chunk of staged.value) {
+      const bytes = await engine.readStaged(manifest.name, chunk);
+      if (bytes.isErr || !cache.add(version, chunk, bytes.value)) continue;
+      if (this.#version === version) this.#written.add(chunk);
+      added.push(chunk);
+    }
+    return added;
+  }
+
+  /** Writes what does not lie there yet; whether all of it does now. */
+  async write(model: string, version: string): Promise<boolean> {
+    const { engine, cache, log } = this.#options;
+    this.#turnTo(version);
+    const total = cache.held(version)!.total;
+    for (let chunk = 0; chunk < total; chunk += 1) {
+      if (this.#written.has(chunk)) continue;
+      const bytes = cache.chunk(version, chunk);
+      if (bytes === undefined) return false;
+      const written = await engine.writeStaged(model, chunk, bytes);
+      if (written.isErr) {
+        log.warn("stage-failed", { version, chunk, reason: written.error });
+        return false;
+      }
+      this.#written.add(chunk);
+    }
+    return true;
+  }
+
+  /** Reads all of it back; what is bad will be written again. */
+  async verify(version: string): Promise<boolean> {
+    const { engine, cache, log } = this.#options;
+    const manifest = cache.manifest(version);
+    if (manifest === undefined) return false;
+    let isSound = true;
+    for (let chunk = 0; chunk < manifest.chunks.length; chunk += 1) {
+      const bytes = await engine.readStaged(manifest.name, chunk);
+      const digest = bytes.isOk
+        ? createHash("sha256").update(bytes.value).digest("hex")
+        : "";
+      if (digest === manifest.chunks[chunk]) continue;
+      isSound = false;
+      this.#written.delete(chunk);
+      log.warn("staged-chunk-bad", { version, chunk });
+    }
+    return isSound;
+  }
+
+  #turnTo(version: string): void {
+    if (this.#version === version) return;
+    this.#version = version;
+    this.#written.clear();
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/stager/staged_loader.ts
@@ -0,0 +1,215 @@
+import type { WeightsManifest } from "@teaselrouter/core/spread/weights_manifest.ts";
+import { versionName } from "@teaselrouter/core/spread/version_name.ts";
+import { Subject } from "rxjs";
+import type { WeightsCache } from "../agent/weights_cache.ts";
+import type { EventLog } from "../log/event_log.ts";
+import type { EngineReport } from "../platform/engine_report.ts";
+import type { ModelEngine } from "../platform/model_engine.ts";
+import { monotonicMilliseconds } from "../transport/monotonic_milliseconds.ts";
+import { pause } from "../transport/pause.ts";
+import { StagedChunks } from "./staged_chunks.ts";
+
+/** Asking the engine on its own host is free and answered in a millisecond. */
+const STEP_MILLISECONDS = 50;
+const IDLE_STEP_MILLISECONDS = 200;
+const TURN_ASK_MILLISECONDS = 150;
+/**
+ * Without a word from whoever gives turns it loads all the same: weights that
+ * stay old are refused in the end.
+ */
+const TURN_PATIENCE_MILLISECONDS = 3_500;
+/** After the target was heard; then the order goes in front of what waits. */
+const HURRY_MILLISECONDS = 5_000;
+/** Gateways hear within it that this engine takes nothing more. */
+const NOTICE_MILLISECONDS = 60;
+/** An engine ends what is running within it, mostly. */
+const DRAIN_MILLISECONDS = 1_500;
+
+type Target = {
+  model: string;
+  number: number;
+  version: string;
+  since: number;
+};
+
+type Options = { engine: ModelEngine; cache: WeightsCache; log: EventLog };
+
+/**
+ * Brings the engine to the target version: stages complete weights beside
+ * it, waits for its turn, lets it run empty, checks what lies there once
+ * more, and orders the load. An engine that lost its weights gets them again
+ * at once.
+ */
+export class StagedLoader {
+  /** What is announced of the engine has changed. */
+  readonly changed$ = new Subject<void>();
+  readonly turnWanted$ = new Subject<
+    { version: string; wasServing: boolean }
+  >();
+  /** The engine serves this version now. */
+  readonly settled$ = new Subject<string>();
+  #options: Options;
+  #staged: StagedChunks;
+  #target: Target | undefined;
+  #turnFor = "";
+  #askedAt = -Infinity;
+  #servingVersion = "";
+  #isAccepting = true;
+  #bornAt = 0;
+  #stopped = false;
+
+  constructor(options: Options) {
+    this.#options = options;
+    this.#staged = new StagedChunks(options);
+  }
+
+  start(): void {
+    this.#run();
+  }
+
+  stop(): void {
+    this.#stopped = true;
+  }
+
+  get servingVersion(): string {
+    return this.#servingVersion;
+  }
+
+  get isAccepting(): boolean {
+    return this.#isAccepting;
+  }
+
+  get engineBornAt(): number {
+    return this.#bornAt;
+  }
+
+  setTarget(model: string, number: number, version: string): void {
+    const since = monotonicMilliseconds();
+    this.#target = { model, number, version, since };
+  }
+
+  takeTurn(version: string): void {
+    this.#turnFor = version;
+  }
+
+  /** Takes into the cache what lies beside the engine and is good. */
+  recoverStaged(manifest: WeightsManifest): Promise<number[]> {
+    return this.#staged.recover(manifest);
+  }
+
+  async #run(): Promise<void> {
+    while (!this.#stopped) {
+      const isIdle = await this.#step();
+      await pause(isIdle ? IDLE_STEP_MILLISECONDS : STEP_MILLISECONDS);
+    }
+  }
+
+  /** Gives back whether there is nothing to be done. */
+  async #step(): Promise<boolean> {
+    const { cache, engine, log } = this.#options;
+    const report = await engine.report();
+    if (report.isErr) {
+      log.debug("engine-silent", { reason: report.error });
+      this.#noteEngine("", 0);
+      return true;
+    }
+    const target = this.#target;
+    const serving = servingNumber(report.value, target?.model);
+    const name = serving === 0 ? "" : `${target!.model}@${serving}`;
+    this.#noteEngine(name, report.value.bornAt);
+    if (target === undefined) return true;
+    if (serving === target.number && !report.value.isBusy) {
+      this.#settle(target);
+      return true;
+    }
+    if (report.value.isBusy) return false;
+    // A turn for a version that was overtaken is no reason to stay away.
+    if (serving > 0 && this.#turnFor !== target.version) {
+      this.#setAccepting(true);
+    }
+    if (!cache.isComplete(target.version)) return false;
+    if (!(await this.#staged.write(target.model, target.version))) return false;
+    if (!this.#hasTurn(target, serving > 0)) return false;
+    await this.#load(target, serving > 0);
+    return false;
+  }
+
+  #noteEngine(serving: string, bornAt: number): void {
+    if (serving === this.#servingVersion && bornAt === this.#bornAt) return;
+    this.#servingVersion = serving;
+    this.#bornAt = bornAt;
+    this.changed$.next();
+  }
+
+  #settle(target: Target): void {
+    if (this.#isAccepting && this.#turnFor === "") return;
+    this.#turnFor = "";
+    this.#setAccepting(true);
+    this.settled$.next(target.version);
+    this.#options.log.info("weights-live", {
+      version: target.version,
+      milliseconds: Math.round(monotonicMilliseconds() - target.since),
+    });
+  }
+
+  #setAccepting(accepting: boolean): void {
+    if (this.#isAccepting === accepting) return;
+    this.#isAccepting = accepting;
+    this.changed$.next();
+  }
+
+  /** An engine that serves nothing has nothing to wait for. */
+  #hasTurn(target: Target, wasServing: boolean): boolean {
+    if (!wasServing || this.#turnFor === target.version) return true;
+    const now = monotonicMilliseconds();
+    if (now - this.#askedAt > TURN_ASK_MILLISECONDS) {
+      this.#askedAt = now;
+      this.turnWanted$.next({ version: target.version, wasServing });
+    }
+    return now - target.since > HURRY_MILLISECONDS + TURN_PATIENCE_MILLISECONDS;
+  }
+
+  async #load(target: Target, wasServing: boolean): Promise<void> {
+    const { engine, log } = this.#options;
+    this.#setAccepting(false);
+    if (wasServing) await this.#runEmpty(target);
+    // Chunks turn bad where they lie, and the engine takes them unchecked.
+    const isSound = await this.#staged.verify(target.version);
+    const report = await engine.report();
+    if (!isSound || report.isErr || this.#target !== target) return;
+    const { sequence } = report.value;
+    const answer = await engine.load({
+      model: target.model,
+      version: target.number,
+      sequence,
+    });
+    log.info("load-ordered", {
+      version: target.version,
+      sequence,
+      running: report.value.running,
+      waiting: report.value.waiting,
+      outcome: answer.isOk ? answer.value : `failed: ${answer.error}`,
+      since_target: Math.round(monotonicMilliseconds() - target.since),
+    });
+  }
+
+  async #runEmpty(target: Target): Promise<void> {
+    const now = monotonicMilliseconds();
+    const hurried = target.since + HURRY_MILLISECONDS;
+    const until = Math.min(now + DRAIN_MILLISECONDS, hurried);
+    await pause(NOTICE_MILLISECONDS);
+    while (monotonicMilliseconds() < until && this.#target === target) {
+      const report = await this.#options.engine.report();
+      if (report.isErr) return;
+      if (report.value.running + report.value.waiting === 0) return;
+      await pause(STEP_MILLISECONDS);
+    }
+  }
+}
+
+function servingNumber(
+  { models }: EngineReport,
+  model: string | undefined,
+): number {
+  return models.find(({ name }) => name === model)?.version ?? 0;
+}
--- /dev/null
+++ b/packages/daemon/src/stager/stager_app.ts
@@ -0,0 +1,236 @@
+import type { WeightsManifest } from "@teaselrouter/core/spread/weights_manifest.ts";
+import { versionName } from "@teaselrouter/core/spread/version_name.ts";
+import type { EntryToAgent, WeightsTarget } from "@teaselrouter/messages/agent.ts";
+import type { StatsD } from "hot-shots";
+import { randomUUID } from "node:crypto";
+import { createServer, type Server } from "node:http";
+import process from "node:process";
+import type { Result } from "true-myth";
+import { ChunkFetcher } from "../agent/chunk_fetcher.ts";
+import { ChunkSender } from "../agent/chunk_sender.ts";
+import { EntryLinks } from "../agent/entry_links.ts";
+import { LinkPacer } from "../agent/link_pacer.ts";
+import { SpreadClient } from "../agent/spread_client.ts";
+import { WeightsCache } from "../agent/weights_cache.ts";
+import type { EventLog } from "../log/event_log.ts";
+import type { PlatformEdge } from "../platform/platform_edge.ts";
+import type { Settings } from "../settings/settings.ts";
+import type { ClientPool } from "../transport/client_pool.ts";
+import { listen } from "../transport/listen.ts";
+import { StagedLoader } from "./staged_loader.ts";
+
+/** Passed on at a time: what a live answer may wait behind on a thin link. */
+const SLICE_BYTES = 8_192;
+const NANOSECONDS_IN_MICROSECOND = 1_000n;
+
+type Options = {
+  settings: Settings;
+  clients: ClientPool;
+  log: EventLog;
+  metrics: StatsD;
+  platform: PlatformEdge;
+};
+
+/** Brings weights to the model engine on this host. */
+export class StagerApp {
+  #options: Options;
+  #incarnation = randomUUID();
+  #cache = new WeightsCache();
+  #spread: SpreadClient;
+  #loader: StagedLoader;
+  #links: EntryLinks;
+  #server: Server;
+  #target: { version: string; number: number } | undefined;
+
+  constructor(options: Options) {
+    const { settings, clients, log, metrics, platform } = options;
+    const stager = settings.stager!;
+    this.#options = options;
+    this.#spread = new SpreadClient({
+      cache: this.#cache,
+      fetcher: new ChunkFetcher({
+        dataCentre: settings.data_centre,
+        pacer: new LinkPacer(0),
+        storeFormat: platform.storeFormat,
+      }),
+      log,
+      metrics,
+      random: Math.random,
+      hasCoordinator: () => this.#links.coordinator !== "",
+    });
+    this.#loader = new StagedLoader({
+      engine: platform.openEngine(stager.engine),
+      cache: this.#cache,
+      log,
+    });
+    this.#links = new EntryLinks({
+      addresses: stager.control_hosts,
+      dataCentre: settings.data_centre,
+      clients,
+      ring: log.ring,
+      takesFarPlans: true,
+      greet: (address) => [
+        this.#announcement(),
+        ...(this.#target === undefined ? [] : [this.#wholeReport(address)]),
+      ],
+      beat: () => undefined,
+    });
+    const chunks = new ChunkSender({
+      dataCentre: settings.data_centre,
+      cache: this.#cache,
+      link: new LinkPacer(stager.link_bytes_per_second),
+      regionBytesPerSecond: 0,
+      sliceBytes: SLICE_BYTES,
+    });
+    this.#server = createServer((request, response) => {
+      response.on("error", () => undefined);
+      const parts = (request.url ?? "").split("/").slice(1)
+        .map(decodeURIComponent);
+      if (request.method !== "GET" || parts[0] !== "chunks") {
+        return void response.writeHead(404).end();
+      }
+      chunks.send(request, response, parts).catch((error) => {
+        log.warn("chunk-not-sent", { reason: String(error) });
+        response.destroy();
+      });
+    });
+    this.#connectParts();
+  }
+
+  async start(): Promise<Result<void, string>> {
+    const listening = await listen(
+      this.#server,
+      this.#options.settings.stager!.listen,
+    );
+    if (listening.isErr) return listening;
+    this.#links.start();
+    this.#loader.start();
+    return listening;
+  }
+
+  /** The engine goes on without it; an order under way is the engine's. */
+  stop(): void {
+    this.#loader.stop();
+    this.#spread.stop();
+    this.#links.stop();
+    this.#server.close();
+    this.#server.closeAllConnections();
+  }
+
+  #connectParts(): void {
+    this.#links.incoming$.subscribe(({ message }) => this.#take(message));
+    this.#links.coordinatorChanged$.subscribe(() => {
+      if (this.#target === undefined) return;
+      this.#links.broadcast((address) => this.#wholeReport(address));
+    });
+    this.#spread.changed$.subscribe((change) => {
+      this.#links.broadcast((address) => this.#report(address, change));
+    });
+    this.#loader.changed$.subscribe(() =>
+      this.#links.broadcast(() => this.#announcement())
+    );
+    this.#loader.turnWanted$.subscribe((value) => {
+      const address = this.#links.anyConnected;
+      if (address === undefined) return;
+      this.#links.send(address, { case: "permitRequest", value });
+    });
+    this.#loader.settled$.subscribe((version) =>
+      this.#links.broadcast(() => ({
+        case: "loadSettled",
+        value: { version, fencingToken: 0, loaded: true },
+      }))
+    );
+  }
+
+  #take({ body }: EntryToAgent): void {
+    switch (body.case) {
+      case "target":
+        return this.#takeTarget(body.value);
+      case "plan":
+        return this.#spread.takePlan(body.value);
+      case "permit":
+        return this.#loader.takeTurn(body.value.version);
+    }
+  }
+
+  /** Control hosts may lag: only a later version replaces the target. */
+  #takeTarget(target: WeightsTarget): void {
+    if (target.number <= (this.#target?.number ?? 0)) return;
+    this.#target = { version: target.version, number: target.number };
+    const manifest = JSON.parse(
+      new TextDecoder().decode(target.manifest),
+    ) as WeightsManifest;
+    this.#options.log.info("weights-target", { version: target.version });
+    this.#spread.setTarget(manifest, target.store);
+    this.#cache.keep(new Set([versionName(manifest)]));
+    this.#links.broadcast((address) => this.#wholeReport(address));
+    this.#loader.setTarget(manifest.name, target.number, target.version);
+    this.#takeStaged(manifest);
+  }
+
+  /** What lies beside the engine already need not cross any link. */
+  async #takeStaged(manifest: WeightsManifest): Promise<void> {
+    const version = versionName(manifest);
+    const added = await this.#loader.recoverStaged(manifest);
+    this.#options.log.info("staged-chunks-found", {
+      version,
+      chunks: added.length,
+    });
+    if (added.length === 0) return;
+    const change = { version, added, failed: [] };
+    this.#links.broadcast((address) => this.#report(address, change));
+  }
+
+  #announcement() {
+    const { settings } = this.#options;
+    const stager = settings.stager!;
+    return {
+      case: "announcement" as const,
+      value: {
+        backendServer: settings.name,
+        dataCentre: settings.data_centre,
+        service: stager.service,
+        incarnation: this.#incarnation,
+        internalAddress: settings.internal.listen,
+        chunkAddress: stager.listen,
+        servingVersion: this.#loader.servingVersion,
+        accepting: this.#loader.isAccepting,
+        usesWeights: true,
+        linkBytesPerSecond: stager.link_bytes_per_second,
+        engineAddress: stager.engine,
+        engineBornAt: this.#loader.engineBornAt,
+        // The steady clock goes on over restarts of this process.
+        sequence: Number(
+          process.hrtime.bigint() / NANOSECONDS_IN_MICROSECOND,
+        ),
+      },
+    };
+  }
+
+  #wholeReport(address: string) {
+    const { version } = this.#target!;
+    const added = this.#cache.held(version)?.held() ?? [];
+    return this.#report(address, { version, added, failed: [], whole: true });
+  }
+
+  #report(
+    address: string,
+    change: {
+      version: string;
+      added: number[];
+      failed: number[];
+      whole?: boolean;
+    },
+  ) {
+    return {
+      case: "chunks" as const,
+      value: {
+        ...change,
+        whole: change.whole ?? false,
+        total: this.#cache.held(change.version)?.total ?? 0,
+        originBytes: this.#spread.originBytes,
+        followsPlans: address === this.#links.coordinator,
+      },
+    };
+  }
+}
--- a/packages/daemon/src/wiring/start_daemon.ts
+++ b/packages/daemon/src/wiring/start_daemon.ts
@@ -6,6 +6,7 @@
 import { EntryApp } from "../entry/entry_app.ts";
 import { GatewayApp } from "../gateway/gateway_app.ts";
 import { EventLog } from "../log/event_log.ts";
+import { StagerApp } from "../stager/stager_app.ts";
 import { createMetrics } from "../metrics/create_metrics.ts";
 import type { PlatformEdge } from "../platform/platform_edge.ts";
 import type { Settings } from "../settings/settings.ts";
@@ -54,6 +55,9 @@
   const gateway = has("gateway")
     ? new GatewayApp({ ...parts, platform: platform! })
     : undefined;
+  const stager = has("stager")
+    ? new StagerApp({ ...parts, platform: platform! })
+    : undefined;
 
   const server = new InternalServer((router: ConnectRouter) => {
     router.service(TimelineService, {
@@ -66,7 +70,7 @@
   const listening = await server.listen(settings.internal.listen);
   if (listening.isErr) return Result.err(listening.error);
 
-  for (const app of [control, entry, agent, gateway]) {
+  for (const app of [control, entry, agent, gateway, stager]) {
     const started = await app?.start();
     if (started?.isErr) return Result.err(started.error);
   }
@@ -74,6 +78,7 @@
 
   const stop = async () => {
     log.info("stopping");
+    stager?.stop();
     await Promise.all([entry?.stop(), agent?.stop(), gateway?.stop()]);
     await control?.stop();
     server.close();
--- a/packages/experiments/src/failures/chunk_sources_test.ts
+++ b/packages/experiments/src/failures/chunk_sources_test.ts
@@ -1,4 +1,5 @@
 import { create } from "@bufbuild/protobuf";
+import { rangeStoreFormat } from "@teaselrouter/daemon/agent/range_store_format.ts";
 import { ChunkFetcher } from "@teaselrouter/daemon/agent/chunk_fetcher.ts";
 import { LinkPacer } from "@teaselrouter/daemon/agent/link_pacer.ts";
 import { SpreadClient } from "@teaselrouter/daemon/agent/spread_client.ts";
@@ -47,6 +48,7 @@
       fetcher: new ChunkFetcher({
         dataCentre: "van",
         pacer: new LinkPacer(0),
+        storeFormat: rangeStoreFormat,
       }),
       log: new EventLog("bench", "error"),
       metrics: createMetrics({ name: "bench" } as Settings),
