Keep chunks from filling thin links; no request begins on weights past their bound

Cause: chunks at a link's full rate queued live events behind them (60 in 100 late at seconds 18 to 20); engines ran empty only after the last chunk.

Change: chunks take 0.85 of the link in slices of 4 KB; an engine begins to run empty at three quarters of the chunks; gateways leave old weights a second ahead of their bound.

--- a/packages/daemon/src/gateway/backend_pool.ts
+++ b/packages/daemon/src/gateway/backend_pool.ts
@@ -17,7 +17,18 @@
   weightsVersion: number | undefined;
 };
 
-type Options = { feed: ControlFeed; dataCentre: string };
+type Options = {
+  feed: ControlFeed;
+  dataCentre: string;
+  /** So long after a version is named no request may begin on an older one. */
+  weightsBoundMilliseconds: number;
+};
+
+/**
+ * What a request may wait in an engine's queue before it begins, and what a
+ * gateway may hear of a version later than its operator.
+ */
+const WAITING_MILLISECONDS = 1_000;
 
 /** The backend servers that requests can go to, with their records. */
 export class BackendPool {
@@ -79,7 +90,18 @@
   ): boolean {
     const held = this.#heldVersion(standing, model);
     if (held === undefined) return false;
-    return version === undefined || held === version;
+    if (version !== undefined) return held === version;
+    return held >= this.#oldestVersion(model);
+  }
+
+  /** The oldest weights that a request sent now may begin on. */
+  #oldestVersion(model: string): number {
+    const { feed, weightsBoundMilliseconds } = this.#options;
+    const named = feed.namedVersion(model);
+    if (named === undefined) return 0;
+    const age = monotonicMilliseconds() - named.learnedAt;
+    const isBound = age > weightsBoundMilliseconds - WAITING_MILLISECONDS;
+    return isBound ? named.version : 0;
   }
 
   /** The agent beside it knows sooner than the next heartbeat says. */
--- a/packages/daemon/src/gateway/gateway_app.ts
+++ b/packages/daemon/src/gateway/gateway_app.ts
@@ -66,7 +66,11 @@
     });
     this.#world = {
       feed,
-      pool: new BackendPool({ feed, dataCentre: settings.data_centre }),
+      pool: new BackendPool({
+        feed,
+        dataCentre: settings.data_centre,
+        weightsBoundMilliseconds: settings.gateway!.weights_bound_milliseconds,
+      }),
       connections: new BackendConnections(),
       retries: new SharedRetryBudget({
         ratio: settings.gateway!.retry_ratio,
--- a/packages/daemon/src/settings/settings_schema.ts
+++ b/packages/daemon/src/settings/settings_schema.ts
@@ -84,6 +84,8 @@
     control_hosts: z.array(addressSchema).min(1),
     /** A planned stop ends within it: time until the process is killed. */
     grace_milliseconds: z.number().int().min(1_000).default(8_000),
+    /** After it is named no request may begin on older weights. */
+    weights_bound_milliseconds: z.number().int().min(0).default(8_000),
     /** Extra sends for each request, over all hosts together. */
     retry_ratio: z.number().min(0).max(1).default(0.1),
   }).optional(),
@@ -95,8 +97,8 @@
     /** Where other stagers fetch chunks. */
     listen: addressSchema,
     control_hosts: z.array(addressSchema).min(1),
-    /** Of this host's link, each way. */
-    link_bytes_per_second: z.number().min(0).default(0),
+    /** Of this host's link, each way; 0 is not limited. */
+    link_megabits_per_second: z.number().min(0).default(0),
   }).optional(),
 }).superRefine((settings, context) => {
   for (const role of settings.roles) {
--- a/packages/daemon/src/stager/staged_chunks.ts
+++ b/packages/daemon/src/stager/staged_chunks.ts
@@ -38,15 +38,16 @@
     return added;
   }
 
-  /** Writes what does not lie there yet; whether all of it does now. */
+  /** Writes what is held and does not lie there yet; whether all does now. */
   async write(model: string, version: string): Promise<boolean> {
     const { engine, cache, log } = this.#options;
     this.#turnTo(version);
-    const total = cache.held(version)!.total;
-    for (let chunk = 0; chunk < total; chunk += 1) {
+    const held = cache.held(version);
+    if (held === undefined) return false;
+    for (const chunk of held.held()) {
       if (this.#written.has(chunk)) continue;
       const bytes = cache.chunk(version, chunk);
-      if (bytes === undefined) return false;
+      if (bytes === undefined || this.#version !== version) return false;
       const written = await engine.writeStaged(model, chunk, bytes);
       if (written.isErr) {
         log.warn("stage-failed", { version, chunk, reason: written.error });
@@ -54,7 +55,7 @@
       }
       this.#written.add(chunk);
     }
-    return true;
+    return held.isComplete && this.#written.size === held.total;
   }
 
   /** Reads all of it back; what is bad will be written again. */
--- a/packages/daemon/src/stager/staged_loader.ts
+++ b/packages/daemon/src/stager/staged_loader.ts
@@ -22,6 +22,11 @@
 const HURRY_MILLISECONDS = 5_000;
 /** Gateways hear within it that this engine takes nothing more. */
 const NOTICE_MILLISECONDS = 60;
+/**
+ * With so much held the rest comes within the time that an engine takes to
+ * run empty: it begins before the last chunk is there.
+ */
+const NEARLY_HELD_SHARE = 0.75;
 /** An engine ends what is running within it, mostly. */
 const DRAIN_MILLISECONDS = 1_500;
 
@@ -56,6 +61,9 @@
   #servingVersion = "";
   #isAccepting = true;
   #bornAt = 0;
+  /** Since when, and for which version, the engine takes nothing new. */
+  #emptyingFor = "";
+  #emptyingSince = 0;
   #stopped = false;
 
   constructor(options: Options) {
@@ -106,7 +114,7 @@
 
   /** Gives back whether there is nothing to be done. */
   async #step(): Promise<boolean> {
-    const { cache, engine, log } = this.#options;
+    const { engine, log } = this.#options;
     const report = await engine.report();
     if (report.isErr) {
       log.debug("engine-silent", { reason: report.error });
@@ -127,10 +135,11 @@
     if (serving > 0 && this.#turnFor !== target.version) {
       this.#setAccepting(true);
     }
-    if (!cache.isComplete(target.version)) return false;
-    if (!(await this.#staged.write(target.model, target.version))) return false;
+    const isStaged = await this.#staged.write(target.model, target.version);
+    if (!this.#isNearlyHeld(target)) return false;
     if (!this.#hasTurn(target, serving > 0)) return false;
-    await this.#load(target, serving > 0);
+    this.#startRunningEmpty(target);
+    if (isStaged) await this.#load(target, serving > 0);
     return false;
   }
 
@@ -169,9 +178,20 @@
     return now - target.since > HURRY_MILLISECONDS + TURN_PATIENCE_MILLISECONDS;
   }
 
+  #isNearlyHeld({ version }: Target): boolean {
+    const held = this.#options.cache.held(version);
+    return held !== undefined && held.count >= held.total * NEARLY_HELD_SHARE;
+  }
+
+  #startRunningEmpty(target: Target): void {
+    if (!this.#isAccepting && this.#emptyingFor === target.version) return;
+    this.#emptyingFor = target.version;
+    this.#emptyingSince = monotonicMilliseconds();
+    this.#setAccepting(false);
+  }
+
   async #load(target: Target, wasServing: boolean): Promise<void> {
     const { engine, log } = this.#options;
-    this.#setAccepting(false);
     if (wasServing) await this.#runEmpty(target);
     // Chunks turn bad where they lie, and the engine takes them unchecked.
     const isSound = await this.#staged.verify(target.version);
@@ -194,9 +214,10 @@
   }
 
   async #runEmpty(target: Target): Promise<void> {
-    const now = monotonicMilliseconds();
-    const hurried = target.since + HURRY_MILLISECONDS;
-    const until = Math.min(now + DRAIN_MILLISECONDS, hurried);
+    const until = Math.min(
+      this.#emptyingSince + DRAIN_MILLISECONDS,
+      target.since + HURRY_MILLISECONDS,
+    );
     await pause(NOTICE_MILLISECONDS);
     while (monotonicMilliseconds() < until && this.#target === target) {
       const report = await this.#options.engine.report();
--- a/packages/daemon/src/stager/stager_app.ts
+++ b/packages/daemon/src/stager/stager_app.ts
@@ -19,8 +19,14 @@
 import { listen } from "../transport/listen.ts";
 import { StagedLoader } from "./staged_loader.ts";
 
+/**
+ * Part of the link that chunks may fill. Live answers share it: with all of
+ * it filled their events wait in its queue for longer than clients bear.
+ */
+const CHUNKS_SHARE = 0.85;
+const BYTES_IN_MEGABIT = 125_000;
 /** Passed on at a time: what a live answer may wait behind on a thin link. */
-const SLICE_BYTES = 8_192;
+const SLICE_BYTES = 4_096;
 const NANOSECONDS_IN_MICROSECOND = 1_000n;
 
 type Options = {
@@ -50,7 +56,7 @@
       cache: this.#cache,
       fetcher: new ChunkFetcher({
         dataCentre: settings.data_centre,
-        pacer: new LinkPacer(0),
+        pacer: new LinkPacer(this.#chunksRate),
         storeFormat: platform.storeFormat,
       }),
       log,
@@ -78,7 +84,7 @@
     const chunks = new ChunkSender({
       dataCentre: settings.data_centre,
       cache: this.#cache,
-      link: new LinkPacer(stager.link_bytes_per_second),
+      link: new LinkPacer(this.#chunksRate),
       regionBytesPerSecond: 0,
       sliceBytes: SLICE_BYTES,
     });
@@ -97,6 +103,12 @@
     this.#connectParts();
   }
 
+  /** Bytes a second; 0 is not limited. */
+  get #chunksRate(): number {
+    const { link_megabits_per_second } = this.#options.settings.stager!;
+    return link_megabits_per_second * BYTES_IN_MEGABIT * CHUNKS_SHARE;
+  }
+
   async start(): Promise<Result<void, string>> {
     const listening = await listen(
       this.#server,
@@ -196,7 +208,7 @@
         servingVersion: this.#loader.servingVersion,
         accepting: this.#loader.isAccepting,
         usesWeights: true,
-        linkBytesPerSecond: stager.link_bytes_per_second,
+        linkBytesPerSecond: this.#chunksRate,
         engineAddress: stager.engine,
         engineBornAt: this.#loader.engineBornAt,
         // The steady clock goes on over restarts of this process.
