Keep no idle connections at the weight store; pass plain answers on whole; stop what waits for old weights

Cause: idle kept connections of fourteen stagers used up the store's 48, so that a second version named two seconds after the first had no source and was whole only after 13 s; 10 s of nearly everything refused followed. A reset ends an answer without a length like a proper close. A request sent to an engine behind a squeezed link began 1.5 s later, past the bound.

--- a/packages/core/src/rollout/named_versions.ts
+++ b/packages/core/src/rollout/named_versions.ts
@@ -26,9 +26,10 @@
       ?.namedAt;
   }
 
-  /** The latest version that was named at or before a time; 0 for none. */
-  latestBefore(model: string, time: number): number {
+  /** When the first version behind this one was named; Infinity for none. */
+  overtakenAt(model: string, version: number): number {
     const named = this.#named.get(model) ?? [];
-    return named.findLast(({ namedAt }) => namedAt <= time)?.version ?? 0;
+    const next = named.find((later) => later.version > version);
+    return next?.namedAt ?? Infinity;
   }
 }
--- a/packages/core/src/spread/source_faults.ts
+++ b/packages/core/src/spread/source_faults.ts
@@ -1,4 +1,9 @@
 const ORIGIN = "";
+/**
+ * There is only one origin: a host that could not draw from it tries again
+ * soon, where it would leave a peer's faults to others for longer.
+ */
+const ORIGIN_AVOIDED_MILLISECONDS = 300;
 /** Hosts that complain before a source is put aside for all. */
 const COMPLAINTS_TO_PUT_ASIDE = 2;
 
@@ -12,7 +17,14 @@
 export class SourceFaults {
   #bySource = new Map<string, Complaints>();
 
-  record(host: string, source: string, until: number): void {
+  record(
+    host: string,
+    source: string,
+    times: { now: number; until: number },
+  ): void {
+    const until = source === ORIGIN
+      ? Math.min(times.until, times.now + ORIGIN_AVOIDED_MILLISECONDS)
+      : times.until;
     const complaints = this.#bySource.get(source) ??
       { hosts: new Set(), until: 0 };
     complaints.hosts.add(host);
--- a/packages/core/src/spread/spread_table.ts
+++ b/packages/core/src/spread/spread_table.ts
@@ -136,10 +136,14 @@
   }
 
   /** A host reported that a fetch failed: not that source again for a while. */
-  failTransfer(host: string, chunk: number, avoidUntil: number): void {
+  failTransfer(
+    host: string,
+    chunk: number,
+    times: { now: number; until: number },
+  ): void {
     const transfer = this.#transfers.get(host)?.get(chunk);
     if (transfer === undefined) return;
-    this.#faults.record(host, transfer.source, avoidUntil);
+    this.#faults.record(host, transfer.source, times);
     this.endTransfer(host, chunk);
   }
 
--- a/packages/daemon/src/agent/chunk_fetcher.ts
+++ b/packages/daemon/src/agent/chunk_fetcher.ts
@@ -40,11 +40,12 @@
     const common = { expectedBytes, pacer, signal };
     if (source === "") {
       const request = storeFormat.chunkRequest(store, manifest, chunk);
-      return fetchBytes({ ...common, ...request });
+      return fetchBytes({ ...common, ...request, isFromStore: true });
     }
     const version = encodeURIComponent(versionName(manifest));
     return fetchBytes({
       ...common,
+      isFromStore: false,
       url: `http://${source}/chunks/${version}/${chunk}`,
       headers: { "Teaselrouter-Data-Centre": dataCentre },
     });
--- a/packages/daemon/src/agent/fetch_bytes.ts
+++ b/packages/daemon/src/agent/fetch_bytes.ts
@@ -6,12 +6,20 @@
 const STALLED_MILLISECONDS = 1_500;
 const connections = new Agent({ keepAlive: true, maxSockets: 16 });
 
+/**
+ * The weight store takes few connections from all hosts together: one kept
+ * idle here would be refused to a host that needs it.
+ */
+const storeConnections = new Agent({ keepAlive: false, maxSockets: 4 });
+
 type Options = {
   url: string;
   headers: Record<string, string>;
   expectedBytes: number;
   pacer: LinkPacer;
   signal: AbortSignal;
+  /** Whether it comes from the weight store, not from another host. */
+  isFromStore: boolean;
 };
 
 /**
@@ -27,7 +35,8 @@
       clearTimeout(timer);
       resolve(result);
     };
-    const request = get(url, { agent: connections, headers, signal });
+    const agent = options.isFromStore ? storeConnections : connections;
+    const request = get(url, { agent, headers, signal });
     const fail = (reason: string) => {
       settle(Result.err(reason));
       request.destroy();
--- a/packages/daemon/src/gateway/backend_pool.ts
+++ b/packages/daemon/src/gateway/backend_pool.ts
@@ -25,10 +25,12 @@
 };
 
 /**
- * What a request may wait in an engine's queue before it begins, and what a
- * gateway may hear of a version later than its operator.
+ * Taken off the bound: a gateway hears of a version a little later than its
+ * operator, and what is given up still takes its way to the engine.
  */
-const WAITING_MILLISECONDS = 1_000;
+const MARGIN_MILLISECONDS = 500;
+/** What a request takes to begin where nothing waits ahead of it. */
+const BEGIN_MILLISECONDS = 400;
 
 /** The backend servers that requests can go to, with their records. */
 export class BackendPool {
@@ -91,15 +93,23 @@
     const held = this.#heldVersion(standing, model);
     if (held === undefined) return false;
     if (version !== undefined) return held === version;
-    return held >= this.#oldestVersion(model);
+    const endsAt = this.#weightsEndAt(model, held);
+    return monotonicMilliseconds() < endsAt - BEGIN_MILLISECONDS;
   }
 
-  /** The oldest weights that a request sent now may begin on. */
-  #oldestVersion(model: string): number {
+  /**
+   * Until when a request may begin on what this engine holds; Infinity while
+   * no later version is named.
+   */
+  mayBeginUntil(standing: BackendStanding, model: string): number {
+    const held = this.#heldVersion(standing, model);
+    return held === undefined ? Infinity : this.#weightsEndAt(model, held);
+  }
+
+  #weightsEndAt(model: string, held: number): number {
     const { feed, weightsBoundMilliseconds } = this.#options;
-    const boundBefore = monotonicMilliseconds() - weightsBoundMilliseconds +
-      WAITING_MILLISECONDS;
-    return feed.namedVersions.latestBefore(model, boundBefore);
+    return feed.namedVersions.overtakenAt(model, held) +
+      weightsBoundMilliseconds - MARGIN_MILLISECONDS;
   }
 
   /** The agent beside it knows sooner than the next heartbeat says. */
--- a/packages/daemon/src/gateway/gateway_call.ts
+++ b/packages/daemon/src/gateway/gateway_call.ts
@@ -8,12 +8,16 @@
 import type { CallEnd } from "./call_end.ts";
 import type { CallRefusal } from "./call_refusal.ts";
 import type { GatewayWorld } from "./gateway_world.ts";
+import { collectAnswer } from "./collect_answer.ts";
 import { refuseCall } from "./refuse_call.ts";
 import { StreamRelay } from "./stream_relay.ts";
 
 /** What a client is told to wait where nothing better is known. */
 const RETRY_AFTER_MILLISECONDS = 500;
 
+/** Answers of plain services are some hundred bytes; larger ones stream. */
+const MOST_COLLECTED_BYTES = 65_536;
+
 type Options = {
   world: GatewayWorld;
   request: IncomingMessage;
@@ -141,7 +145,9 @@
         rank: undefined,
       }),
     });
+    const endWait = this.#boundWait(call, choice, this.#attempt);
     const outcome = await this.#attempt.outcome;
+    endWait();
     record.unreadTokens -= call.facts.promptTokens;
     if (outcome.kind === "answer") return outcome;
     record.inFlight -= 1;
@@ -157,6 +163,23 @@
     return outcome;
   }
 
+  /** One that waits in an engine's queue must not begin on weights too old. */
+  #boundWait(
+    call: AdmittedCall,
+    { standing }: BackendChoice,
+    attempt: BackendAttempt,
+  ): () => void {
+    const { model } = call.facts;
+    if (model === undefined) return () => {};
+    const until = this.#world.pool.mayBeginUntil(standing, model);
+    if (until === Infinity) return () => {};
+    const timer = setTimeout(
+      () => attempt.abort("its weights are too old to begin on"),
+      Math.max(0, until - monotonicMilliseconds()),
+    );
+    return () => clearTimeout(timer);
+  }
+
   #countFailure(
     { standing, record }: BackendChoice,
     outcome: Exclude<AttemptOutcome, { kind: "answer" }>,
@@ -177,9 +200,10 @@
   /** Passes an answer on; "again" when another is to go on with it. */
   async #pass(
     call: AdmittedCall,
-    { standing, record }: BackendChoice,
+    choice: BackendChoice,
     { message, facts }: Extract<AttemptOutcome, { kind: "answer" }>,
   ): Promise<"over" | "again"> {
+    const { standing, record } = choice;
     const status = message.statusCode ?? 502;
     if (facts.load !== undefined) {
       record.takeReport(facts.load, monotonicMilliseconds());
@@ -190,26 +214,80 @@
       this.#attempt!.abort("a success without a signature");
       return "again";
     }
+    if (status >= 500 && this.#canTryElsewhere(call)) {
+      record.inFlight -= 1;
+      record.countFailure(monotonicMilliseconds());
+      message.resume();
+      return "again";
+    }
+    if (call.route.kind !== "stream" && this.#relay === undefined) {
+      const whole = await this.#collect(call, choice, message);
+      if (whole !== "large") return whole;
+    }
     if (this.#relay === undefined) this.#begin(call, message);
     this.#weightsVersion ??= facts.weightsVersion;
     const end = await this.#relay!.relay(message);
     record.inFlight -= 1;
     if (this.#isOver) return "over";
-    if (end === "complete") {
-      if (status < 500) record.countSuccess();
-      else record.countFailure(monotonicMilliseconds());
+    if (end === "complete" && !this.#attempt!.hasFailed) {
       this.#response.end();
-      this.#finish(call, {
-        status,
-        reason: standing.instance,
-        outcome: "answered",
-      });
+      this.#noteAnswered(call, choice, status);
       return "over";
     }
     record.countFailure(monotonicMilliseconds());
     return "again";
   }
 
+  /**
+   * An answer that is no stream is passed on once it is whole: one that
+   * breaks off is then never seen, and may be asked for again elsewhere.
+   */
+  async #collect(
+    call: AdmittedCall,
+    choice: BackendChoice,
+    message: IncomingMessage,
+  ): Promise<"over" | "again" | "large"> {
+    const attempt = this.#attempt!;
+    const body = await collectAnswer(message, MOST_COLLECTED_BYTES);
+    if (this.#isOver) {
+      choice.record.inFlight -= 1;
+      return "over";
+    }
+    if (body.kind === "large") {
+      this.#begin(call, message);
+      this.#response.write(body.bytes);
+      return "large";
+    }
+    choice.record.inFlight -= 1;
+    if (body.kind === "broken" || attempt.hasFailed) {
+      choice.record.countFailure(monotonicMilliseconds());
+      return "again";
+    }
+    const status = message.statusCode ?? 502;
+    const headers = this.#world.format.returnHeaders(message.rawHeaders);
+    this.#response.writeHead(status, headers);
+    this.#response.end(body.bytes);
+    this.#noteAnswered(call, choice, status);
+    return "over";
+  }
+
+  #noteAnswered(
+    call: AdmittedCall,
+    { standing, record }: BackendChoice,
+    status: number,
+  ): void {
+    if (status < 500) record.countSuccess();
+    else record.countFailure(monotonicMilliseconds());
+    const reason = standing.instance;
+    this.#finish(call, { status, reason, outcome: "answered" });
+  }
+
+  /** Whether a failure that a backend server answered can be made good. */
+  #canTryElsewhere(call: AdmittedCall): boolean {
+    return this.#mayRepeat(call) && this.#tried.size < call.route.maxBackends &&
+      this.#choose(call) !== undefined;
+  }
+
   #begin(call: AdmittedCall, message: IncomingMessage): void {
     const { kind, resumable } = call.route;
     const status = message.statusCode ?? 502;
--- a/packages/daemon/src/rollout/spread_coordinator.ts
+++ b/packages/daemon/src/rollout/spread_coordinator.ts
@@ -102,11 +102,11 @@
         followsPlans: report.followsPlans,
       });
     }
-    const avoidUntil = monotonicMilliseconds() + AVOID_MILLISECONDS;
+    const now = monotonicMilliseconds();
     for (const chunk of report.failed) {
-      table.failTransfer(backendServer, chunk, avoidUntil);
+      const until = now + AVOID_MILLISECONDS;
+      table.failTransfer(backendServer, chunk, { now, until });
     }
-    const now = monotonicMilliseconds();
     for (const chunk of report.added) {
       table.addChunk(backendServer, chunk, now);
     }
--- a/packages/experiments/src/spread/fluid_spread.ts
+++ b/packages/experiments/src/spread/fluid_spread.ts
@@ -259,7 +259,10 @@
   failBlocked(avoidUntil: number): void {
     for (const flow of this.#flows) {
       if (!this.#isBlocked(flow)) continue;
-      flow.table.failTransfer(flow.host, flow.chunk, avoidUntil);
+      flow.table.failTransfer(flow.host, flow.chunk, {
+        now: avoidUntil,
+        until: avoidUntil,
+      });
     }
   }
 
