Prove the whole path on loopback from the bundle, against a stand-in of the platform

The bundle's programs start with settings rendered from the deploy templates; a stand-in speaks the platform's protocol. Covered: safe, unsafe, streaming, a stream gone on with elsewhere, a version spread and loaded, changes and faulty ones, bad input on the front port, leaving and a planned stop.

--- /dev/null
+++ b/acceptance/src/stand_in_server.ts
@@ -0,0 +1,181 @@
+import { Buffer } from "node:buffer";
+import { createHash } from "node:crypto";
+import {
+  createServer,
+  type IncomingMessage,
+  type ServerResponse,
+} from "node:http";
+import type { AddressInfo } from "node:net";
+import type { StandInStore } from "./stand_in_store.ts";
+
+const EVENTS = 8;
+const EVENT_MILLISECONDS = 10;
+
+type Options = { instance: string; store: StandInStore; model: string };
+
+/** A backend server of the platform: plain requests, streams, and weights. */
+export class StandInServer {
+  /** Ids of the requests that it ran, in order. */
+  readonly ran: string[] = [];
+  /** Events of a stream behind which it breaks off; each used once. */
+  breaksAfter: number[] = [];
+  version = 0;
+  readonly instance: string;
+  address = "";
+  #options: Options;
+  #staged = new Map<number, Buffer>();
+  #sequence = 0;
+  #beats = 0;
+  #server = createServer((request, response) => {
+    this.#handle(request, response).catch(() => response.destroy());
+  });
+
+  constructor(options: Options) {
+    this.#options = options;
+    this.instance = options.instance;
+  }
+
+  async listen(host: string): Promise<void> {
+    await new Promise<void>((resolve) =>
+      this.#server.listen(0, host, () => resolve())
+    );
+    const { port } = this.#server.address() as AddressInfo;
+    this.address = `${host}:${port}`;
+  }
+
+  close(): void {
+    this.#server.close();
+    this.#server.closeAllConnections();
+  }
+
+  /** What it says of itself at a heartbeat. */
+  heartbeat(service: string, state: "ready" | "draining") {
+    this.#beats += 1;
+    return {
+      service,
+      address: this.address,
+      zone: "here",
+      version: "v1",
+      slots: 4,
+      state,
+      coldRemainingMs: 0,
+      models: this.#models(),
+      sequence: this.#beats,
+      born: 1_000,
+    };
+  }
+
+  async #handle(request: IncomingMessage, response: ServerResponse) {
+    const body = await readAll(request);
+    const url = new URL(request.url ?? "", "http://server");
+    const chunk = url.searchParams.get("chunkCount");
+    if (url.pathname === "/report") return sendJson(response, this.#report());
+    if (url.pathname.startsWith("/stage-put/")) {
+      this.#staged.set(Number(chunk), body);
+      return sendJson(response, {});
+    }
+    if (url.pathname.startsWith("/stage-get/")) {
+      if (chunk === null) {
+        return sendJson(response, { held: [...this.#staged.keys()] });
+      }
+      const bytes = this.#staged.get(Number(chunk));
+      return void response.writeHead(bytes ? 200 : 404).end(bytes);
+    }
+    if (url.pathname === "/order") return this.#order(body, response);
+    return this.#run(request, body, response);
+  }
+
+  #order(body: Buffer, response: ServerResponse): void {
+    const order = JSON.parse(body.toString());
+    const { store } = this.#options;
+    const whole = Array.from({ length: store.chunks }, (_, chunk) => chunk)
+      .every((chunk) =>
+        digestOf(this.#staged.get(chunk)) ===
+          store.digest(order.version, chunk)
+      );
+    if (!whole || order.expected !== this.#sequence) {
+      return void response.writeHead(409).end();
+    }
+    this.#sequence += 1;
+    this.version = order.version;
+    response.writeHead(202).end();
+  }
+
+  async #run(
+    request: IncomingMessage,
+    body: Buffer,
+    response: ServerResponse,
+  ): Promise<void> {
+    const { headers } = request;
+    const id = String(headers["attempt-id"]);
+    if (headers["expected-instance"] !== this.#options.instance) {
+      return void response.writeHead(421, {
+        "Instance-Id": this.#options.instance,
+      }).end();
+    }
+    this.ran.push(id);
+    response.writeHead(200, {
+      "Attempt-Id": id,
+      "Server-Signature": this.#options.instance,
+      "Weight-Versions": String(this.version),
+      "Server-Load": "1,0,4",
+    });
+    if (headers["model"] === undefined) {
+      const seen = [request.method, request.url, headers["tenant"], body];
+      return void response.end(seen.join(" "));
+    }
+    await this.#stream(response, Number(headers["last-event-id"] ?? 0));
+  }
+
+  async #stream(response: ServerResponse, after: number): Promise<void> {
+    const breakAfter = this.breaksAfter.shift() ?? Infinity;
+    for (let event = after + 1; event <= EVENTS; event += 1) {
+      if (event > breakAfter) {
+        response.write(`id: ${event}\nda`);
+        await pause(EVENT_MILLISECONDS);
+        return void response.destroy();
+      }
+      response.write(`id: ${event}\ndata: t${event}\n\n`);
+      await pause(EVENT_MILLISECONDS);
+    }
+    response.end();
+  }
+
+  #report() {
+    return {
+      phase: "prefill_decode",
+      models: this.#models(),
+      busy: false,
+      sequence: this.#sequence,
+      queued: 0,
+      active: 0,
+      born: 1_000,
+    };
+  }
+
+  #models() {
+    const { model: name } = this.#options;
+    return this.version === 0 ? [] : [{ name, version: this.version }];
+  }
+}
+
+function pause(milliseconds: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, milliseconds));
+}
+
+function digestOf(bytes: Buffer | undefined): string {
+  return bytes === undefined
+    ? ""
+    : createHash("sha256").update(bytes).digest("hex");
+}
+
+function sendJson(response: ServerResponse, value: unknown): void {
+  response.writeHead(200, { "Content-Type": "application/json" });
+  response.end(JSON.stringify(value));
+}
+
+async function readAll(request: IncomingMessage): Promise<Buffer> {
+  const parts: Buffer[] = [];
+  for await (const part of request) parts.push(part);
+  return Buffer.concat(parts);
+}
--- a/packages/daemon/src/agent/entry_links.ts
+++ b/packages/daemon/src/agent/entry_links.ts
@@ -144,7 +144,8 @@
     const stop = new AbortController();
     link.heardAt = monotonicMilliseconds();
     const watch = setInterval(() => {
-      const silent = monotonicMilliseconds() - link.heardAt > SILENT_MILLISECONDS;
+      const silent =
+        monotonicMilliseconds() - link.heardAt > SILENT_MILLISECONDS;
       if (silent || this.#stopped || link.isLeft) stop.abort();
     }, BEAT_MILLISECONDS);
     const client = clients.client(AgentService, link.address);
--- a/packages/daemon/src/control/control_app.ts
+++ b/packages/daemon/src/control/control_app.ts
@@ -121,7 +121,9 @@
   /** Other founders may be named than at the start, as hosts to turn to. */
   reload(settings: Settings): void {
     const founders = settings.control?.founders ?? [];
-    if (founders.length > 0) this.#seeds = founders.map(({ address }) => address);
+    if (founders.length > 0) {
+      this.#seeds = founders.map(({ address }) => address);
+    }
   }
 
   /** Hands the lead on first, so that no change is refused meanwhile. */
--- a/packages/daemon/src/control/shared_view.ts
+++ b/packages/daemon/src/control/shared_view.ts
@@ -57,7 +57,9 @@
   /** The replicated tables changed while this process ran, or are the first. */
   noteLog({ isFirst }: { isFirst: boolean }): void {
     const now = monotonicMilliseconds();
-    for (const { model, version, at } of this.logState().namedWeights.values()) {
+    for (
+      const { model, version, at } of this.logState().namedWeights.values()
+    ) {
       const age = isFirst ? Math.max(0, Date.now() - at) : 0;
       this.#named.add(model, { version, namedAt: now - age });
     }
--- a/packages/daemon/src/gateway/backend_agent.ts
+++ b/packages/daemon/src/gateway/backend_agent.ts
@@ -24,6 +24,16 @@
     });
   }
 
+  get isUnused(): boolean {
+    return Object.keys(this.sockets).length === 0;
+  }
+
+  closeIdle(): void {
+    for (const sockets of Object.values(this.freeSockets)) {
+      for (const socket of [...(sockets ?? [])]) socket.destroy();
+    }
+  }
+
   override keepSocketAlive(socket: Socket): boolean {
     // Sets the timeout that the backend server announced, if it is shorter.
     super.keepSocketAlive(socket);
--- a/packages/daemon/src/gateway/backend_connections.ts
+++ b/packages/daemon/src/gateway/backend_connections.ts
@@ -16,16 +16,20 @@
     return agent;
   }
 
-  /** Closes idle connections to addresses that are not in use any more. */
+  /**
+   * Closes idle connections to addresses that are not in use any more. What
+   * is under way there goes on: a backend server that leaves ends its work.
+   */
   keep(addresses: Set<string>): void {
     for (const [address, agent] of [...this.#agents]) {
       if (addresses.has(address)) continue;
-      agent.destroy();
-      this.#agents.delete(address);
+      agent.closeIdle();
+      if (agent.isUnused) this.#agents.delete(address);
     }
   }
 
   close(): void {
-    this.keep(new Set());
+    for (const agent of this.#agents.values()) agent.destroy();
+    this.#agents.clear();
   }
 }
--- a/packages/daemon/src/gateway/backend_pool.ts
+++ b/packages/daemon/src/gateway/backend_pool.ts
@@ -28,9 +28,9 @@
  * Taken off the bound: a gateway hears of a version a little later than its
  * operator, and what is given up still takes its way to the engine.
  */
-const MARGIN_MILLISECONDS = 500;
+const MARGIN_MILLISECONDS = 900;
 /** What a request takes to begin where nothing waits ahead of it. */
-const BEGIN_MILLISECONDS = 400;
+const BEGIN_MILLISECONDS = 600;
 
 /** The backend servers that requests can go to, with their records. */
 export class BackendPool {
--- a/packages/daemon/src/gateway/control_feed.ts
+++ b/packages/daemon/src/gateway/control_feed.ts
@@ -132,7 +132,9 @@
   #takeEngine(notice: EngineNotice): void {
     const known = this.#engines.get(notice.engineAddress);
     if (known !== undefined && known.sequence > notice.sequence) return;
-    if (notice.agentGone) return void this.#engines.delete(notice.engineAddress);
+    if (notice.agentGone) {
+      return void this.#engines.delete(notice.engineAddress);
+    }
     if (known?.sequence === notice.sequence) return;
     this.#engines.set(notice.engineAddress, notice);
     this.#options.log.info("engine-notice", {
--- a/packages/daemon/src/log/line_writer.ts
+++ b/packages/daemon/src/log/line_writer.ts
@@ -37,7 +37,9 @@
   async flush(milliseconds: number): Promise<void> {
     const until = performance.now() + milliseconds;
     while (this.#isWriting && performance.now() < until) {
-      await new Promise((resolve) => setTimeout(resolve, FLUSH_POLL_MILLISECONDS));
+      await new Promise((resolve) =>
+        setTimeout(resolve, FLUSH_POLL_MILLISECONDS)
+      );
     }
   }
 
--- a/packages/daemon/src/log/line_writer_test.ts
+++ b/packages/daemon/src/log/line_writer_test.ts
@@ -1,6 +1,13 @@
 import assert from "node:assert/strict";
 import { execFileSync } from "node:child_process";
-import { closeSync, constants, mkdtempSync, openSync, readSync, rmSync } from "node:fs";
+import {
+  closeSync,
+  constants,
+  mkdtempSync,
+  openSync,
+  readSync,
+  rmSync,
+} from "node:fs";
 import { Buffer } from "node:buffer";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
--- a/packages/daemon/src/rollout/rollout_hub.ts
+++ b/packages/daemon/src/rollout/rollout_hub.ts
@@ -116,9 +116,10 @@
 
   takeTurn(session: StagerSession, wasServing: boolean, now: number): boolean {
     const { backendServer, dataCentre } = session.announcement!;
-    const hosts = [...this.#sessions.values()].filter((other) =>
-      other.announcement?.dataCentre === dataCentre
-    ).length;
+    const hosts =
+      [...this.#sessions.values()].filter((other) =>
+        other.announcement?.dataCentre === dataCentre
+      ).length;
     return this.#centreOf(dataCentre).turns.take(backendServer, {
       hosts,
       wasServing,
--- a/packages/daemon/src/rollout/spread_coordinator.ts
+++ b/packages/daemon/src/rollout/spread_coordinator.ts
@@ -130,7 +130,10 @@
 
   #plan(): void {
     for (const table of this.#tables.values()) {
-      const assignments = this.#options.policy.plan(table, monotonicMilliseconds());
+      const assignments = this.#options.policy.plan(
+        table,
+        monotonicMilliseconds(),
+      );
       for (const [host, orders] of groupByHost(assignments)) {
         this.#send(table, host, orders);
       }
--- a/packages/daemon/src/stager/stager_app.ts
+++ b/packages/daemon/src/stager/stager_app.ts
@@ -1,6 +1,9 @@
 import type { WeightsManifest } from "@teaselrouter/core/spread/weights_manifest.ts";
 import { versionName } from "@teaselrouter/core/spread/version_name.ts";
-import type { EntryToAgent, WeightsTarget } from "@teaselrouter/messages/agent.ts";
+import type {
+  EntryToAgent,
+  WeightsTarget,
+} from "@teaselrouter/messages/agent.ts";
 import type { StatsD } from "hot-shots";
 import { randomUUID } from "node:crypto";
 import { createServer, type Server } from "node:http";
