--- a/packages/daemon/src/gateway/gateway_call.ts
+++ b/packages/daemon/src/gateway/gateway_call.ts
@@ -203,7 +203,7 @@
     choice: BackendChoice,
     { message, facts }: Extract<AttemptOutcome, { kind: "answer" }>,
   ): Promise<"over" | "again"> {
-    const { standing, record } = choice;
+    const { record } = choice;
     const status = message.statusCode ?? 502;
     if (facts.load !== undefined) {
       record.takeReport(facts.load, monotonicMilliseconds());
--- a/packages/daemon/src/stager/staged_loader.ts
+++ b/packages/daemon/src/stager/staged_loader.ts
@@ -1,5 +1,4 @@
 import type { WeightsManifest } from "@teaselrouter/core/spread/weights_manifest.ts";
-import { versionName } from "@teaselrouter/core/spread/version_name.ts";
 import { Subject } from "rxjs";
 import type { WeightsCache } from "../agent/weights_cache.ts";
 import type { EventLog } from "../log/event_log.ts";
