--- a/packages/core/src/spread/spread_host_row.ts
+++ b/packages/core/src/spread/spread_host_row.ts
@@ -10,4 +10,6 @@
   /** Whether it fetches by this coordinator's plans. */
   followsPlans: boolean;
   linkBytesPerSecond: number;
+  /** It let a transfer pass its time and has said nothing since. */
+  isStalled?: boolean;
 };
--- a/packages/core/src/spread/spread_table.ts
+++ b/packages/core/src/spread/spread_table.ts
@@ -6,6 +6,13 @@
 
 const ORIGIN = "";
 
+/**
+ * A chunk comes from the origin in 0.1 to 0.3 s on a thin link, from a peer
+ * that gives three at once in up to 0.7 s: these are more than twice that.
+ */
+const ORIGIN_MILLISECONDS = 700;
+const PEER_MILLISECONDS = 1_600;
+
 type Transfer = ChunkAssignment & { startedAt: number };
 
 /** What a data centre's coordinator knows of one version's spread. */
@@ -135,6 +142,27 @@
     this.#countOutside(chunk, wasInside);
   }
 
+  /**
+   * Ends transfers that have taken too long. A host that froze reports no
+   * failure: what it was to draw would stay pending, and every other host
+   * would wait for it. It gets nothing more until it is heard again.
+   */
+  endOverdue(now: number): void {
+    for (const { host, chunk, source, startedAt } of this.allTransfers()) {
+      const most = source === ORIGIN
+        ? ORIGIN_MILLISECONDS
+        : PEER_MILLISECONDS;
+      if (now - startedAt <= most) continue;
+      this.endTransfer(host, chunk);
+      this.#hosts.get(host)!.isStalled = true;
+    }
+  }
+
+  noteHeard(host: string): void {
+    const row = this.#hosts.get(host);
+    if (row !== undefined) row.isStalled = false;
+  }
+
   /** A host reported that a fetch failed: not that source again for a while. */
   failTransfer(
     host: string,
--- a/packages/daemon/src/agent/spread_client.ts
+++ b/packages/daemon/src/agent/spread_client.ts
@@ -141,6 +141,7 @@
       return this.#tell(target, { added: [], failed: [chunk] });
     }
     this.#fetching.add(chunk);
+    const startedAt = monotonicMilliseconds();
     const bytes = await fetcher.fetch({
       manifest,
       store,
@@ -156,6 +157,12 @@
     }
     const good = bytes.isOk && cache.add(version, chunk, bytes.value);
     if (good) {
+      log.debug("chunk-held", {
+        version,
+        chunk,
+        source: source || "origin",
+        milliseconds: Math.round(monotonicMilliseconds() - startedAt),
+      });
       this.#noteWhenComplete(target);
       return this.#tell(target, { added: [chunk], failed: [] });
     }
--- a/packages/daemon/src/control/control_host.ts
+++ b/packages/daemon/src/control/control_host.ts
@@ -73,6 +73,15 @@
     return membership.members.find(({ id }) => id === leaderId)?.address ?? "";
   }
 
+  /**
+   * Whether the tables hold all that was accepted before the term that is
+   * led now: its first entry follows everything older.
+   */
+  get isCaughtUp(): boolean {
+    return this.node.leaderId !== "" && this.node.hasCommittedOwnTerm &&
+      this.#state.appliedIndex >= this.node.commitIndex;
+  }
+
   get state(): ControlState {
     return this.#state;
   }
--- a/packages/daemon/src/control/follow_session.ts
+++ b/packages/daemon/src/control/follow_session.ts
@@ -73,6 +73,7 @@
 
   /** Only what is newer than what this follower was told. */
   #tellLog(): void {
+    if (!this.#view.isCurrent) return;
     const { routing, namedWeights } = this.#view.logState();
     if (routing !== undefined && routing.version > this.#toldRouting) {
       this.#toldRouting = routing.version;
--- a/packages/daemon/src/control/platform_desk.ts
+++ b/packages/daemon/src/control/platform_desk.ts
@@ -16,7 +16,7 @@
 import { followRoutes } from "./follow_routes.ts";
 import { SharedView } from "./shared_view.ts";
 
-const HOSTS_CHECK_MILLISECONDS = 500;
+const REVIEW_MILLISECONDS = 50;
 /** Control hosts all hear each other: there are at most so many. */
 const MOST_CONTROL_HOSTS = 10;
 
@@ -40,6 +40,7 @@
   #manifests: ManifestKeeper;
   #rollout: RolloutHub;
   #server: Closable | undefined;
+  #isCurrent = false;
   #toldAddresses = "";
   #timer: NodeJS.Timeout | undefined;
 
@@ -47,7 +48,10 @@
     const { settings, clients, log, platform, control } = options;
     const selfAddress = settings.internal.listen;
     this.#options = options;
-    this.view = new SharedView(options);
+    this.view = new SharedView({
+      ...options,
+      isCurrent: () => this.#isCurrent,
+    });
     this.#gate = new ControlGate({
       control,
       leaderAddress: () => control()?.leaderAddress ?? "",
@@ -89,8 +93,7 @@
       this.view.learn(update.body.value.backends.map(decodeBackend));
     });
     options.started$.subscribe((started) => {
-      this.#takeRouting({ isFirst: true });
-      started.routing$.subscribe(() => this.#takeRouting({ isFirst: false }));
+      started.routing$.subscribe(() => this.#takeRouting());
     });
   }
 
@@ -105,8 +108,8 @@
     const { operations_listen } = settings.control!;
     this.#others.start();
     this.#timer = setInterval(
-      () => this.#noteHosts(),
-      HOSTS_CHECK_MILLISECONDS,
+      () => this.#review(),
+      REVIEW_MILLISECONDS,
     );
     if (operations_listen === undefined) return Result.ok(undefined);
     const server = await platform.serveOperations(
@@ -127,9 +130,18 @@
     this.#server?.close();
   }
 
-  #takeRouting(view: { isFirst: boolean }): void {
-    this.view.noteLog(view);
-    const { logState, platform, log } = this.#options;
+  /**
+   * A host that starts again applies its log from the last snapshot on, and
+   * may lack what was accepted while it was away. Told on as it goes, that
+   * would show followers configurations long replaced: nothing is told until
+   * this host has the first entry of a leader of now.
+   */
+  #takeRouting(): void {
+    const { control, logState, platform, log } = this.#options;
+    const isFirst = !this.#isCurrent;
+    this.#isCurrent ||= control()?.isCaughtUp ?? false;
+    if (!this.#isCurrent) return;
+    this.view.noteLog({ isFirst });
     const { routing } = logState();
     if (routing === undefined) return;
     const decoded = platform.decodeRouting(routing.document);
@@ -140,6 +152,12 @@
     });
   }
 
+  /** With nothing new to apply, being current shows at a look. */
+  #review(): void {
+    if (!this.#isCurrent) this.#takeRouting();
+    this.#noteHosts();
+  }
+
   /** Followers and other control hosts hear of new members. */
   #noteHosts(): void {
     const addresses = this.#options.controlAddresses();
--- a/packages/daemon/src/control/shared_view.ts
+++ b/packages/daemon/src/control/shared_view.ts
@@ -19,6 +19,8 @@
   /** The replicated tables as far as this host has them. */
   logState: () => ControlState;
   controlAddresses: () => string[];
+  /** Whether the tables hold all that was accepted when this host started. */
+  isCurrent: () => boolean;
 };
 
 /** What a control host passes on to its followers. */
@@ -50,6 +52,10 @@
     clearInterval(this.#timer);
   }
 
+  get isCurrent(): boolean {
+    return this.#options.isCurrent();
+  }
+
   logState(): ControlState {
     return this.#options.logState();
   }
--- a/packages/daemon/src/rollout/spread_coordinator.ts
+++ b/packages/daemon/src/rollout/spread_coordinator.ts
@@ -13,7 +13,8 @@
 import { monotonicMilliseconds } from "../transport/monotonic_milliseconds.ts";
 
 const REPLAN_MILLISECONDS = 100;
-const AVOID_MILLISECONDS = 5_000;
+/** A source that froze is back within seconds, and may hold what no other has. */
+const AVOID_MILLISECONDS = 1_500;
 const PEERS_TOLD = 8;
 const MOST_EARLY = 10_000;
 
@@ -111,6 +112,7 @@
       table.addChunk(backendServer, chunk, now);
     }
     table.host(backendServer)!.followsPlans = report.followsPlans;
+    table.noteHeard(backendServer);
     this.#planSoon();
   }
 
@@ -129,11 +131,10 @@
   }
 
   #plan(): void {
+    const now = monotonicMilliseconds();
     for (const table of this.#tables.values()) {
-      const assignments = this.#options.policy.plan(
-        table,
-        monotonicMilliseconds(),
-      );
+      table.endOverdue(now);
+      const assignments = this.#options.policy.plan(table, now);
       for (const [host, orders] of groupByHost(assignments)) {
         this.#send(table, host, orders);
       }
