--- a/packages/daemon/src/gateway/backend_attempt.ts
+++ b/packages/daemon/src/gateway/backend_attempt.ts
@@ -84,6 +84,7 @@
   }
 
   #takeSocket(socket: NonNullable<ClientRequest["socket"]>): void {
+    this.#watchEnd(socket);
     if (!socket.connecting) {
       this.#isSent = true;
       return;
@@ -98,6 +99,19 @@
     });
   }
 
+  /**
+   * Bytes and a reset that arrive together are read as bytes and a proper end;
+   * an answer without a length, cut in the middle, then looks whole. Only the
+   * connection's other end, which a reset takes away at once, still tells.
+   */
+  #watchEnd(socket: NonNullable<ClientRequest["socket"]>): void {
+    const noteReset = () => {
+      if (socket.remoteAddress === undefined) this.#hasFailed = true;
+    };
+    socket.prependListener("end", noteReset);
+    this.#request.once("close", () => socket.off("end", noteReset));
+  }
+
   #takeResponse(message: IncomingMessage): void {
     const { format, id } = this.#options;
     const facts = format.readAnswer(message.headers);
--- /dev/null
+++ b/packages/daemon/src/gateway/backend_attempt_test.ts
@@ -0,0 +1,118 @@
+import assert from "node:assert/strict";
+import { type AddressInfo, createServer, type Socket } from "node:net";
+import { test } from "node:test";
+import type { RequestFormat } from "../platform/request_format.ts";
+import { BackendAgent } from "./backend_agent.ts";
+import { BackendAttempt } from "./backend_attempt.ts";
+import { collectAnswer } from "./collect_answer.ts";
+
+const ADDRESS = "127.0.0.1";
+const HEAD = "HTTP/1.1 200 OK\r\nId: a1\r\n";
+
+const format: RequestFormat = {
+  readRequest: () => {
+    throw new Error("not used");
+  },
+  forwardHeaders: (raw) => raw,
+  readAnswer: (headers) => ({
+    id: headers["id"] as string | undefined,
+    isNotRun: headers["not-run"] !== undefined,
+    isSigned: true,
+    weightsVersion: undefined,
+    load: undefined,
+  }),
+  returnHeaders: (raw) => raw,
+  promisesNotRun: (status) => status === 503,
+};
+
+/** Sends one request to a backend server that does `answer`. */
+async function attempt(answer: (socket: Socket) => void) {
+  const server = createServer((socket) => {
+    socket.on("error", () => undefined);
+    socket.once("data", () => answer(socket));
+  });
+  await new Promise<void>((resolve) => server.listen(0, ADDRESS, resolve));
+  const { port } = server.address() as AddressInfo;
+  const agent = new BackendAgent(4);
+  const sent = new BackendAttempt({
+    address: `${ADDRESS}:${port}`,
+    agent,
+    method: "GET",
+    path: "/",
+    headers: ["Host", "a"],
+    body: undefined,
+    id: "a1",
+    format,
+  });
+  const outcome = await sent.outcome;
+  const body = outcome.kind === "answer"
+    ? await collectAnswer(outcome.message, 1_000)
+    : undefined;
+  agent.destroy();
+  server.close();
+  return { sent, outcome, body };
+}
+
+test("an answer without a length is whole only if its end is a proper one", async () => {
+  // Story: a backend server that sends no length crashes in the middle of its
+  // body. The reset must not pass for the end of the answer.
+  const whole = await attempt((socket) => {
+    socket.end(`${HEAD}\r\nall of it`);
+  });
+  assert.equal(whole.body?.kind, "whole");
+  assert.equal(whole.sent.hasFailed, false);
+  const atOnce = await attempt((socket) => {
+    socket.write(`${HEAD}\r\nall`, () => socket.resetAndDestroy());
+  });
+  assert.ok(atOnce.sent.hasFailed || atOnce.body?.kind === "broken");
+  const later = await attempt((socket) => {
+    socket.write(`${HEAD}\r\nall`);
+    setTimeout(() => socket.resetAndDestroy(), 20);
+  });
+  assert.ok(later.sent.hasFailed || later.body?.kind === "broken");
+});
+
+test("a body shorter than its length is broken", async () => {
+  const { body } = await attempt((socket) => {
+    socket.end(`${HEAD}Content-Length: 20\r\n\r\nall`);
+  });
+  assert.equal(body?.kind, "broken");
+});
+
+test("silence, nonsense and another's answer are all unknown", async () => {
+  const outcomes = [
+    await attempt((socket) => socket.destroy()),
+    await attempt((socket) => socket.end("nonsense\r\n\r\n")),
+    await attempt((socket) =>
+      socket.end("HTTP/1.1 200 OK\r\nId: a2\r\nContent-Length: 0\r\n\r\n")
+    ),
+  ];
+  for (const { outcome } of outcomes) assert.equal(outcome.kind, "broken");
+});
+
+test("only a refused connection or the backend server's word is not run", async () => {
+  const said = await attempt((socket) =>
+    socket.end(
+      "HTTP/1.1 503 No\r\nNot-Run: 1\r\nId: a1\r\nContent-Length: 0\r\n\r\n",
+    )
+  );
+  assert.equal(said.outcome.kind, "not-run");
+  const server = createServer();
+  await new Promise<void>((resolve) => server.listen(0, ADDRESS, resolve));
+  const { port } = server.address() as AddressInfo;
+  await new Promise<void>((resolve) => server.close(() => resolve()));
+  const agent = new BackendAgent(4);
+  const refused = new BackendAttempt({
+    address: `${ADDRESS}:${port}`,
+    agent,
+    method: "GET",
+    path: "/",
+    headers: [],
+    body: undefined,
+    id: "a1",
+    format,
+  });
+  const outcome = await refused.outcome;
+  assert.ok(outcome.kind === "not-run" && outcome.isUnreachable);
+  agent.destroy();
+});
