--- a/packages/core/src/consensus/ballot.ts
+++ b/packages/core/src/consensus/ballot.ts
@@ -14,6 +14,13 @@
 import type { RaftOutbox } from "./raft_outbox.ts";
 import { VoteTally } from "./vote_tally.ts";
 
+/**
+ * Part of the usual time before the first election after a start. Where all
+ * members lost power nobody leads, and every moment counts; where one leads,
+ * asking first disturbs nothing.
+ */
+const FIRST_SHARE = 0.4;
+
 /**
  * A member's term and vote, and the election it stands in: first a round
  * that asks whether it would win and changes no term, then the election.
@@ -33,7 +40,8 @@
     this.#outbox = outbox;
     this.#term = options.hardState.term;
     this.#votedFor = options.hardState.votedFor;
-    this.postpone(options.now);
+    this.#electionAt = options.now +
+      options.electionMilliseconds * FIRST_SHARE * (1 + options.random());
   }
 
   get term(): number {
--- a/packages/daemon/src/gateway/admit_call.ts
+++ b/packages/daemon/src/gateway/admit_call.ts
@@ -1,5 +1,6 @@
 import { pickTarget } from "@teaselrouter/core/gateway/pick_target.ts";
 import type { RequestFacts } from "@teaselrouter/core/gateway/request_facts.ts";
+import { retryAfter } from "@teaselrouter/core/gateway/retry_after.ts";
 import type { Route } from "@teaselrouter/core/gateway/route.ts";
 import type { RouteTable } from "@teaselrouter/core/gateway/route_table.ts";
 import type { IncomingMessage } from "node:http";
@@ -10,8 +11,8 @@
 import type { CallRefusal } from "./call_refusal.ts";
 import type { GatewayWorld } from "./gateway_world.ts";
 
-/** A host that has just started hears the configuration within this time. */
-const UNCONFIGURED_RETRY_MILLISECONDS = 500;
+/** Of a client that does not say. */
+const USUAL_PATIENCE_MILLISECONDS = 2_500;
 
 type Place = { route: Route; workspace: string | undefined };
 
@@ -21,15 +22,20 @@
   request: IncomingMessage,
 ): Promise<Result<AdmittedCall, CallRefusal>> {
   const startedAt = monotonicMilliseconds();
+  const facts = world.format.readRequest(request.headers);
   const table = world.feed.table;
   if (table === undefined) {
     return Result.err({
       status: 503,
       reason: "no routing configuration is known yet",
-      retryAfterMilliseconds: UNCONFIGURED_RETRY_MILLISECONDS,
+      retryAfterMilliseconds: retryAfter({
+        cause: "outage",
+        patienceMilliseconds: facts.deadlineMilliseconds ??
+          USUAL_PATIENCE_MILLISECONDS,
+        random: world.random(),
+      }),
     });
   }
-  const facts = world.format.readRequest(request.headers);
   const place = findPlace(table, request, facts);
   if (place.isErr) return Result.err(place.error);
   if (facts.id === undefined) return refuse(400, "the attempt has no id");
--- a/packages/daemon/src/gateway/gateway_call.ts
+++ b/packages/daemon/src/gateway/gateway_call.ts
@@ -1,4 +1,5 @@
 import type { BackendChoice } from "@teaselrouter/core/gateway/backend_choice.ts";
+import { retryAfter } from "@teaselrouter/core/gateway/retry_after.ts";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { monotonicMilliseconds } from "../transport/monotonic_milliseconds.ts";
 import { admitCall } from "./admit_call.ts";
@@ -12,9 +13,6 @@
 import { refuseCall } from "./refuse_call.ts";
 import { StreamRelay } from "./stream_relay.ts";
 
-/** What a client is told to wait where nothing better is known. */
-const RETRY_AFTER_MILLISECONDS = 500;
-
 /** Answers of plain services are some hundred bytes; larger ones stream. */
 const MOST_COLLECTED_BYTES = 65_536;
 
@@ -62,12 +60,16 @@
     while (!this.#isOver) {
       const choice = this.#choose(call);
       if (choice === undefined) {
-        const reason = lastReason || "no backend server takes it now";
-        return this.#refuse(call, this.#refusal(reason));
+        return this.#refuse(
+          call,
+          lastReason === ""
+            ? this.#refusal(call, "no backend server takes it now", "outage")
+            : this.#refusal(call, lastReason, "busy"),
+        );
       }
       if (this.#tried.size > 0 && !this.#maySendAgain(call)) {
         const reason = `${lastReason}; no further send is allowed`;
-        return this.#refuse(call, this.#refusal(reason));
+        return this.#refuse(call, this.#refusal(call, reason, "busy"));
       }
       const outcome = await this.#send(call, choice);
       if (this.#isOver) return;
@@ -84,12 +86,18 @@
   }
 
   /** "Not run" is said only of what no backend server can have begun. */
-  #refusal(reason: string): CallRefusal {
-    return this.#mayHaveRun ? { status: 502, reason } : {
-      status: 503,
-      reason,
-      retryAfterMilliseconds: RETRY_AFTER_MILLISECONDS,
-    };
+  #refusal(
+    call: AdmittedCall,
+    reason: string,
+    cause: "outage" | "busy",
+  ): CallRefusal {
+    if (this.#mayHaveRun) return { status: 502, reason };
+    const retryAfterMilliseconds = retryAfter({
+      cause,
+      patienceMilliseconds: call.endsAt - call.startedAt,
+      random: this.#world.random(),
+    });
+    return { status: 503, reason, retryAfterMilliseconds };
   }
 
   #choose(call: AdmittedCall): BackendChoice | undefined {
