--- a/packages/core/src/consensus/member_log.ts
+++ b/packages/core/src/consensus/member_log.ts
@@ -97,8 +97,9 @@
     }
     const behindSnapshot = previousIndex < this.log.firstIndex - 1;
     if (!behindSnapshot && this.log.termAt(previousIndex) !== previousTerm) {
-      const hint = Math.max(this.#commitIndex, previousIndex - 1);
-      return { accepted: false, matchIndex: hint };
+      // What is committed is equal in every log; one step back a round trip
+      // would take as many of those as the tail that differs is long.
+      return { accepted: false, matchIndex: this.#commitIndex };
     }
     for (const entry of request.entries) this.#takeEntry(entry);
     const matchIndex = Math.max(
--- a/packages/core/src/consensus/peer_progress.ts
+++ b/packages/core/src/consensus/peer_progress.ts
@@ -5,6 +5,10 @@
   /** Latest round sent when `matchIndex` was confirmed. */
   matchRound: number;
   nextIndex: number;
+  /** Round in which entries were sent again behind a refusal. */
+  resentRound: number;
+  /** It refused, and nothing was sent to it again since. */
+  isFallenBack: boolean;
   /** Largest round answered. */
   answeredRound: number;
   /** When it last answered, milliseconds; -Infinity for never. */
--- a/packages/core/src/consensus/raft_node.ts
+++ b/packages/core/src/consensus/raft_node.ts
@@ -301,7 +301,8 @@
     to: string,
     answer: { accepted: boolean; matchIndex: number; round: number },
   ): void {
-    const value = create(AppendResponseSchema, answer);
+    const { lastIndex } = this;
+    const value = create(AppendResponseSchema, { ...answer, lastIndex });
     const body = { case: "appendResponse" as const, value };
     this.#outbox.sendAfterSync(this.#message(to, body));
   }
--- a/packages/core/src/consensus/raft_node_test.ts
+++ b/packages/core/src/consensus/raft_node_test.ts
@@ -77,6 +77,7 @@
         accepted: true,
         matchIndex,
         round,
+        lastIndex: matchIndex,
       },
     }),
     now,
@@ -128,6 +129,7 @@
         accepted: false,
         matchIndex: 0,
         round: 99,
+        lastIndex: 0,
       },
     }),
     now + 2,
@@ -170,3 +172,89 @@
   assert.equal(node.term, 5);
   assert.deepEqual(node.takeOutput().afterSync, []);
 });
+
+test("a host that joins late is sent the log once, in pieces it can take", () => {
+  // Story: a control host with an empty disk joins behind sixty large
+  // configurations, over a link that takes 50 ms. Every heartbeat that it
+  // refuses meanwhile must not bring the whole log again: that filled its
+  // link, so that it never caught up, and the next lost disk lost a change.
+  const size = 10_000;
+  const count = 60;
+  const entries = Array.from({ length: count }, (_, at) => ({
+    ...entry(at + 1, 1),
+    data: new Uint8Array(size),
+  }));
+  const leader = newNode(entries, 1);
+  const start = elect(leader, 1);
+  const members = ["a", "b", "c"].map((id) => ({ id, name: id }));
+  const joining = new RaftNode({
+    id: "c",
+    electionMilliseconds: 10_000,
+    heartbeatMilliseconds: 20,
+    random: () => 0,
+    hardState: create(HardStateSchema),
+    snapshot: create(SnapshotDataSchema, {
+      membership: create(MembershipSchema, { members }),
+    }),
+    entries: [],
+    now: start,
+  });
+  const flying: { message: PeerMessage; at: number }[] = [];
+  let sentBytes = 0;
+  let largest = 0;
+  for (let now = start; now < start + 2_000; now += 5) {
+    leader.tick(now);
+    confirm(leader, {
+      from: "b",
+      matchIndex: leader.lastIndex,
+      round: 1e6,
+      now,
+    });
+    for (const node of [leader, joining]) {
+      const output = node.takeOutput();
+      for (const sent of [...output.immediate, ...output.afterSync]) {
+        if (sent.to === "b") continue;
+        if (sent.body.case === "appendRequest") {
+          const bytes = sent.body.value.entries.length * size;
+          sentBytes += bytes;
+          largest = Math.max(largest, bytes);
+        }
+        flying.push({ message: sent, at: now + 50 });
+      }
+    }
+    while (flying.length > 0 && flying[0]!.at <= now) {
+      const { message: arrived } = flying.shift()!;
+      (arrived.to === "c" ? joining : leader).receive(arrived, now);
+    }
+  }
+  assert.equal(joining.lastIndex, leader.lastIndex);
+  assert.ok(sentBytes <= 2 * count * size, `${sentBytes} bytes`);
+  assert.ok(largest <= 150_000, `${largest} bytes at once`);
+});
+
+test("a refusal behind its confirmation is no sign of an older log", () => {
+  // Story: a member holds ten confirmed entries and an uncommitted tail of an
+  // earlier leader. It refuses what follows with the index that is surely
+  // equal, its commit index. Taken for a log that went back, the member would
+  // be left alone for good.
+  const node = newNode([], 1);
+  const now = elect(node, 1);
+  const index = node.propose(new Uint8Array([1]), now);
+  assert.ok(index.isOk);
+  confirm(node, { from: "b", matchIndex: index.value, round: 1, now });
+  node.flush(now + 1);
+  node.receive(
+    message("b", node.term, {
+      case: "appendResponse",
+      value: {
+        $typeName: "teaselrouter.v1.AppendResponse",
+        accepted: false,
+        matchIndex: 0,
+        round: 99,
+        lastIndex: index.value + 3,
+      },
+    }),
+    now + 2,
+  );
+  assert.deepEqual(node.regressedMembers, []);
+});
--- a/packages/core/src/consensus/replicator.ts
+++ b/packages/core/src/consensus/replicator.ts
@@ -1,6 +1,7 @@
 import { create } from "@bufbuild/protobuf";
 import type {
   AppendResponse,
+  LogEntry,
   PeerMessage,
   SnapshotData,
 } from "@teaselrouter/messages/control.ts";
@@ -13,6 +14,11 @@
 import type { RaftLog } from "./raft_log.ts";
 
 const ENTRIES_PER_REQUEST = 256;
+/**
+ * A request that takes longer to send and to read than a link is borne in
+ * silence would never arrive; this much passes in some 10 ms.
+ */
+const BYTES_PER_REQUEST = 131_072;
 const SNAPSHOT_RETRY_MILLISECONDS = 2_000;
 
 type Send = (to: string, body: PeerMessage["body"]) => void;
@@ -116,14 +122,18 @@
   #fallBack(progress: PeerProgress, response: AppendResponse): void {
     // Sent before the latest confirmation came: it may have overtaken it.
     if (response.round <= progress.matchRound) return;
+    // Sent before what was sent again is there: each such answer would bring
+    // all of it once more.
+    if (response.round < progress.resentRound) return;
     // A folder put back from an older copy shows as a member whose log is
     // shorter than what it had confirmed. Counting it again could lose an
     // accepted change, so nothing more is sent to it or counted from it.
-    if (response.matchIndex < progress.matchIndex) {
+    if (response.lastIndex < progress.matchIndex) {
       progress.regressed = true;
       progress.matchIndex = 0;
       return;
     }
+    progress.isFallenBack = true;
     progress.nextIndex = Math.max(
       progress.matchIndex + 1,
       Math.min(response.matchIndex + 1, progress.nextIndex),
@@ -140,8 +150,14 @@
       this.#sendSnapshot(to, now);
       return;
     }
-    const entries = log.slice(progress.nextIndex, ENTRIES_PER_REQUEST);
+    const entries = withinBytes(
+      log.slice(progress.nextIndex, ENTRIES_PER_REQUEST),
+    );
     progress.nextIndex += entries.length;
+    if (entries.length > 0 && progress.isFallenBack) {
+      progress.isFallenBack = false;
+      progress.resentRound = this.#round;
+    }
     send(to, {
       case: "appendRequest",
       value: create(AppendRequestSchema, {
@@ -180,6 +196,8 @@
         matchRound: 0,
         nextIndex: this.#options.log.lastIndex + 1,
         answeredRound: 0,
+        resentRound: 0,
+        isFallenBack: false,
         heardAt: -Infinity,
         snapshotUntil: -Infinity,
         regressed: false,
@@ -189,3 +207,13 @@
     return progress;
   }
 }
+
+/** The first entries that fit one request; at least one, however large. */
+function withinBytes(entries: LogEntry[]): LogEntry[] {
+  let bytes = 0;
+  const end = entries.findIndex(({ data }) => {
+    bytes += data.length;
+    return bytes > BYTES_PER_REQUEST;
+  });
+  return end < 0 ? entries : entries.slice(0, Math.max(1, end));
+}
--- a/packages/core/src/spread/spread_table.ts
+++ b/packages/core/src/spread/spread_table.ts
@@ -149,9 +149,7 @@
    */
   endOverdue(now: number): void {
     for (const { host, chunk, source, startedAt } of this.allTransfers()) {
-      const most = source === ORIGIN
-        ? ORIGIN_MILLISECONDS
-        : PEER_MILLISECONDS;
+      const most = source === ORIGIN ? ORIGIN_MILLISECONDS : PEER_MILLISECONDS;
       if (now - startedAt <= most) continue;
       this.endTransfer(host, chunk);
       this.#hosts.get(host)!.isStalled = true;
--- a/packages/core/src/spread/swap_policy.ts
+++ b/packages/core/src/spread/swap_policy.ts
@@ -63,7 +63,8 @@
   /** Begins anywhere, so that no host is always the last to be served. */
   #hungryHosts(table: SpreadTable): SpreadHostRow[] {
     const hungry = table.hosts.filter((row) =>
-      row.followsPlans && !row.isStalled && row.dataCentre === table.dataCentre &&
+      row.followsPlans && !row.isStalled &&
+      row.dataCentre === table.dataCentre &&
       !row.held.isComplete && this.#hasRoom(table, row)
     );
     const start = Math.floor(this.#options.random() * hungry.length);
