Serve counters and latency histograms on a metrics address; voters follow from the losses to be borne

Each event of the log counts by its name, requests by kind and outcome, with histograms of the head and the end of answers; no label grows with requests.

--- a/packages/daemon/src/control/control_app.ts
+++ b/packages/daemon/src/control/control_app.ts
@@ -152,11 +152,11 @@
     }
     if (this.#stopped) return;
     this.#openMember();
-    const { voters } = settings.control!;
-    if (voters === undefined) return;
+    const { tolerated_losses } = settings.control!;
+    if (tolerated_losses === undefined) return;
     this.#keeper = new MembershipKeeper({
       control: this.#control!,
-      wantedVoters: voters,
+      wantedVoters: 2 * tolerated_losses + 1,
       log: this.#options.log,
     });
     await this.#join();
@@ -197,9 +197,10 @@
   }
 
   #mayFound(): boolean {
-    const { may_found, voters, founders } = this.#options.settings.control!;
+    const { may_found, tolerated_losses, founders } = this.#options.settings
+      .control!;
     // Without automatic membership a host that is no founder waits likewise.
-    if (voters === undefined) return true;
+    if (tolerated_losses === undefined) return true;
     return may_found &&
       founders.some(({ address }) => address === this.#self.address);
   }
--- a/packages/daemon/src/gateway/gateway_app.ts
+++ b/packages/daemon/src/gateway/gateway_app.ts
@@ -2,6 +2,7 @@
 import { createServer, type Server } from "node:http";
 import { Result } from "true-myth";
 import type { EventLog } from "../log/event_log.ts";
+import type { ProcessMetrics } from "../metrics/process_metrics.ts";
 import type { PlatformEdge } from "../platform/platform_edge.ts";
 import type { Settings } from "../settings/settings.ts";
 import type { ClientPool } from "../transport/client_pool.ts";
@@ -30,6 +31,7 @@
   settings: Settings;
   clients: ClientPool;
   log: EventLog;
+  counted: ProcessMetrics;
   platform: PlatformEdge;
 };
 
@@ -45,7 +47,7 @@
   #timer: NodeJS.Timeout | undefined;
 
   constructor(options: Options) {
-    const { settings, clients, log, platform } = options;
+    const { settings, clients, log, counted, platform } = options;
     this.#options = options;
     this.#follows = new FollowSet({
       hello: {
@@ -78,6 +80,7 @@
       }),
       format: platform.requestFormat,
       log,
+      counted,
       random: Math.random,
       isStopping: () => this.#isStopping,
     };
--- a/packages/daemon/src/gateway/gateway_call.ts
+++ b/packages/daemon/src/gateway/gateway_call.ts
@@ -305,6 +305,10 @@
     });
     const headers = this.#world.format.returnHeaders(message.rawHeaders);
     this.#response.writeHead(status, headers);
+    this.#world.counted.headMilliseconds.observe(
+      { kind },
+      monotonicMilliseconds() - call.startedAt,
+    );
     if (kind === "stream") this.#response.flushHeaders();
   }
 
@@ -349,6 +353,7 @@
   #finish(call: AdmittedCall | undefined, end: CallEnd): void {
     this.#isOver = true;
     clearTimeout(this.#timer);
+    this.#count(call, end);
     this.#world.log.info("request-ended", {
       id: call?.id ?? this.#world.format.readRequest(this.#request.headers).id,
       route: call?.route.name,
@@ -363,4 +368,13 @@
       configuration: this.#world.feed.table?.configuration.version,
     });
   }
+
+  #count(call: AdmittedCall | undefined, { outcome }: CallEnd): void {
+    const { counted } = this.#world;
+    const kind = call?.route.kind ?? "none";
+    counted.requests.inc({ kind, outcome });
+    if (call === undefined) return;
+    const milliseconds = monotonicMilliseconds() - call.startedAt;
+    counted.requestMilliseconds.observe({ kind }, milliseconds);
+  }
 }
--- a/packages/daemon/src/gateway/gateway_world.ts
+++ b/packages/daemon/src/gateway/gateway_world.ts
@@ -1,5 +1,6 @@
 import type { SharedRetryBudget } from "@teaselrouter/core/gateway/shared_retry_budget.ts";
 import type { EventLog } from "../log/event_log.ts";
+import type { ProcessMetrics } from "../metrics/process_metrics.ts";
 import type { RequestFormat } from "../platform/request_format.ts";
 import type { BackendConnections } from "./backend_connections.ts";
 import type { BackendPool } from "./backend_pool.ts";
@@ -13,6 +14,7 @@
   retries: SharedRetryBudget;
   format: RequestFormat;
   log: EventLog;
+  counted: ProcessMetrics;
   random: () => number;
   isStopping: () => boolean;
 };
--- a/packages/daemon/src/log/event_log.ts
+++ b/packages/daemon/src/log/event_log.ts
@@ -20,14 +20,18 @@
 export class EventLog {
   readonly ring: TimelineRing;
   #lines: Lines;
+  #countEvent: (event: string) => void;
   #logger: Logger<unknown>;
 
   constructor(
     processName: string,
     level: Level,
+    /** Told each event's name. */
+    countEvent: (event: string) => void = () => {},
     lines: Lines = new LineWriter(STANDARD_OUTPUT),
   ) {
     this.#lines = lines;
+    this.#countEvent = countEvent;
     this.ring = new TimelineRing(processName, RING_CAPACITY);
     this.#logger = new Logger({ type: "hidden", minLevel: LEVELS[level] });
     this.#logger.attachTransport((line) => {
@@ -72,6 +76,7 @@
   }
 
   #record(event: string, fields: Fields): void {
+    this.#countEvent(event);
     this.ring.record(Date.now(), event, formatFields(fields));
   }
 }
--- a/packages/daemon/src/log/event_log_test.ts
+++ b/packages/daemon/src/log/event_log_test.ts
@@ -4,7 +4,7 @@
 
 test("an event is one line of key=value pairs, and on the time line", () => {
   const lines: string[] = [];
-  const log = new EventLog("van-1", "info", {
+  const log = new EventLog("van-1", "info", undefined, {
     write: (line) => lines.push(line),
     flush: () => Promise.resolve(),
   });
--- /dev/null
+++ b/packages/daemon/src/metrics/process_metrics.ts
@@ -0,0 +1,63 @@
+import { Counter, Histogram, Registry } from "prom-client";
+
+/**
+ * From a fast plain answer to the longest stream: doubling steps, so that a
+ * target of some hundred milliseconds falls between close bounds.
+ */
+const MILLISECOND_BOUNDS = [
+  25,
+  50,
+  100,
+  200,
+  300,
+  400,
+  600,
+  1_000,
+  2_000,
+  4_000,
+  8_000,
+];
+
+type RequestLabels = "kind" | "outcome";
+
+/** A process's counters and histograms; no label grows with requests. */
+export class ProcessMetrics {
+  readonly registry = new Registry();
+  /** Events by the names of the log's vocabulary. */
+  readonly events: Counter<"event">;
+  /** Requests by kind and by how they ended. */
+  readonly requests: Counter<RequestLabels>;
+  readonly requestMilliseconds: Histogram<"kind">;
+  /** Until the head of an answer was passed on. */
+  readonly headMilliseconds: Histogram<"kind">;
+
+  constructor() {
+    const registers = [this.registry];
+    this.events = new Counter({
+      name: "teaselrouter_events_total",
+      help: "Log events by name, also those that were dropped",
+      labelNames: ["event"],
+      registers,
+    });
+    this.requests = new Counter({
+      name: "teaselrouter_requests_total",
+      help: "Requests by kind of route and outcome",
+      labelNames: ["kind", "outcome"],
+      registers,
+    });
+    this.requestMilliseconds = new Histogram({
+      name: "teaselrouter_request_milliseconds",
+      help: "From the head of a request to the end of its answer",
+      labelNames: ["kind"],
+      buckets: MILLISECOND_BOUNDS,
+      registers,
+    });
+    this.headMilliseconds = new Histogram({
+      name: "teaselrouter_answer_head_milliseconds",
+      help: "From the head of a request to the head of its answer",
+      labelNames: ["kind"],
+      buckets: MILLISECOND_BOUNDS,
+      registers,
+    });
+  }
+}
--- a/packages/daemon/src/settings/settings_schema.ts
+++ b/packages/daemon/src/settings/settings_schema.ts
@@ -30,22 +30,28 @@
   }).prefault({}),
   /** Off unless set. */
   metrics: z.strictObject({
-    statsd: addressSchema,
+    /** Where counters are sent; for deployments that collect them so. */
+    statsd: addressSchema.optional(),
     prefix: z.string().max(64).default("teaselrouter."),
+    /** Where counters and histograms are served as text. */
+    listen: addressSchema.optional(),
   }).optional(),
   control: z.strictObject({
     data_folder: z.string().min(1),
     /**
-     * The first voters. With `voters` set this one need not be among them:
-     * it then asks them to be taken in.
+     * The first voters. With `tolerated_losses` set this one need not be among
+     * them: it then asks them to be taken in.
      */
     founders: z.array(
       z.strictObject({ name: name.optional(), address: addressSchema }),
     ).min(1),
     /** Whether an empty data folder may found the log. */
     may_found: z.boolean().default(true),
-    /** Members are taken in and replaced without operators, up to so many. */
-    voters: z.number().int().min(1).max(9).optional(),
+    /**
+     * Hosts whose loss at the same time is to be borne. Members are then taken
+     * in and replaced without operators, to two voters for each and one more.
+     */
+    tolerated_losses: z.number().int().min(0).max(4).optional(),
     /** Where the platform's operators and backend servers call. */
     operations_listen: addressSchema.optional(),
     election_milliseconds: z.number().int().min(50).max(60_000).default(600),
--- a/packages/daemon/src/wiring/start_daemon.ts
+++ b/packages/daemon/src/wiring/start_daemon.ts
@@ -9,6 +9,8 @@
 import { StagerApp } from "../stager/stager_app.ts";
 import type { Daemon } from "./daemon.ts";
 import { createMetrics } from "../metrics/create_metrics.ts";
+import { MetricsServer } from "../metrics/metrics_server.ts";
+import { ProcessMetrics } from "../metrics/process_metrics.ts";
 import type { PlatformEdge } from "../platform/platform_edge.ts";
 import type { Settings } from "../settings/settings.ts";
 import { ClientPool } from "../transport/client_pool.ts";
@@ -27,7 +29,12 @@
   options: Options,
 ): Promise<Result<Daemon, string>> {
   const { settings, platform } = options;
-  const log = new EventLog(settings.name, settings.log.level);
+  const counted = new ProcessMetrics();
+  const log = new EventLog(
+    settings.name,
+    settings.log.level,
+    (event) => counted.events.inc({ event }),
+  );
   const metrics = createMetrics(settings);
   const clients = new ClientPool(settings.internal.dial);
   const stopProcess = (reason: string) => {
@@ -49,7 +56,7 @@
     return Result.err("roles: gateway and stager need a platform's build");
   }
   const gateway = has("gateway")
-    ? new GatewayApp({ ...parts, platform: platform! })
+    ? new GatewayApp({ ...parts, counted, platform: platform! })
     : undefined;
   const stager = has("stager")
     ? new StagerApp({ ...parts, platform: platform! })
@@ -66,6 +73,12 @@
   const listening = await server.listen(settings.internal.listen);
   if (listening.isErr) return Result.err(listening.error);
 
+  const metricsServer = new MetricsServer(counted);
+  const metricsAddress = settings.metrics?.listen;
+  if (metricsAddress !== undefined) {
+    const served = await metricsServer.listen(metricsAddress);
+    if (served.isErr) return Result.err(served.error);
+  }
   for (const app of [control, entry, agent, gateway, stager]) {
     const started = await app?.start();
     if (started?.isErr) return Result.err(started.error);
@@ -78,6 +91,7 @@
     await Promise.all([entry?.stop(), agent?.stop(), gateway?.stop()]);
     await control?.stop();
     server.close();
+    metricsServer.close();
     clients.close();
     await new Promise<void>((resolve) => metrics.close(() => resolve()));
     log.info("stopped");
