--- a/packages/daemon/src/agent/agent_server.ts
+++ b/packages/daemon/src/agent/agent_server.ts
@@ -7,15 +7,15 @@
 } from "node:http";
 import { once } from "node:events";
 import type { Result } from "true-myth";
-import { describeIssue } from "../entry/describe_issue.ts";
-import { readBody } from "../entry/read_body.ts";
-import { sendProblem } from "../entry/send_problem.ts";
+import { describeIssue } from "../http/describe_issue.ts";
+import { readBody } from "../http/read_body.ts";
+import { sendProblem } from "../http/send_problem.ts";
 import { listen } from "../transport/listen.ts";
 import type { AgentState } from "./agent_state.ts";
 import { announceSchema } from "./announce_schema.ts";
-import { ChunkSender } from "./chunk_sender.ts";
-import type { LinkPacer } from "./link_pacer.ts";
-import type { WeightsCache } from "./weights_cache.ts";
+import { ChunkSender } from "../spread/chunk_sender.ts";
+import type { LinkPacer } from "../spread/link_pacer.ts";
+import type { WeightsCache } from "../spread/weights_cache.ts";
 
 const MOST_ANNOUNCEMENT_BYTES = 16_384;
 const IDLE_MILLISECONDS = 5_000;
--- a/packages/daemon/src/agent/engine_loader.ts
+++ b/packages/daemon/src/agent/engine_loader.ts
@@ -4,7 +4,7 @@
 import type { AgentState } from "./agent_state.ts";
 import type { CallRunner } from "./call_runner.ts";
 import type { EngineClient } from "./engine_client.ts";
-import type { WeightsCache } from "./weights_cache.ts";
+import type { WeightsCache } from "../spread/weights_cache.ts";
 
 const STEP_MILLISECONDS = 100;
 const SETTLE_POLL_MILLISECONDS = 25;
--- a/packages/daemon/src/entry/call_handler.ts
+++ b/packages/daemon/src/entry/calls/call_handler.ts
@@ -1,12 +1,12 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { StatsD } from "hot-shots";
-import type { EntryWorld } from "./entry_world.ts";
+import type { EntryWorld } from "../entry_world.ts";
 import { checkCall } from "./check_call.ts";
 import type { CheckedCall } from "./checked_call.ts";
-import type { Problem } from "./problem.ts";
-import { readBody } from "./read_body.ts";
+import type { Problem } from "../../http/problem.ts";
+import { readBody } from "../../http/read_body.ts";
 import { RepeatableCall } from "./repeatable_call.ts";
-import { sendProblem } from "./send_problem.ts";
+import { sendProblem } from "../../http/send_problem.ts";
 import { UnrepeatableCall } from "./unrepeatable_call.ts";
 import { withoutPromise } from "./without_promise.ts";
 
--- a/packages/daemon/src/entry/call_problems.ts
+++ b/packages/daemon/src/entry/calls/call_problems.ts
@@ -1,4 +1,4 @@
-import type { Problem } from "./problem.ts";
+import type { Problem } from "../../http/problem.ts";
 
 /** Why a call that may not be repeated has no answer. */
 export const callProblems = {
--- a/packages/daemon/src/entry/check_call.ts
+++ b/packages/daemon/src/entry/calls/check_call.ts
@@ -2,7 +2,7 @@
 import type { IncomingMessage } from "node:http";
 import { Result } from "true-myth";
 import type { CheckedCall } from "./checked_call.ts";
-import type { Problem } from "./problem.ts";
+import type { Problem } from "../../http/problem.ts";
 
 const CALL_PATH = /^\/v1\/services\/([a-z0-9][a-z0-9._-]{0,62})(\/[^?#]*)?$/;
 const KEY = /^[\x21-\x7e]{1,200}$/;
--- a/packages/daemon/src/entry/exchange_reader.ts
+++ b/packages/daemon/src/entry/calls/exchange_reader.ts
@@ -4,8 +4,8 @@
   RunRequest,
 } from "@teaselrouter/messages/agent.ts";
 import { CallOutcome, CallService } from "@teaselrouter/messages/agent.ts";
-import type { ClientPool } from "../transport/client_pool.ts";
-import { pause } from "../transport/pause.ts";
+import type { ClientPool } from "../../transport/client_pool.ts";
+import { pause } from "../../transport/pause.ts";
 import type { AnswerPart } from "./answer_part.ts";
 
 const SILENT_MILLISECONDS = 1_500;
--- a/packages/daemon/src/entry/invalid_request.ts
+++ b/packages/daemon/src/entry/calls/invalid_request.ts
@@ -1,4 +1,4 @@
-import type { Problem } from "./problem.ts";
+import type { Problem } from "../../http/problem.ts";
 
 /** An operator's request that names a field that can't be so. */
 export function invalidRequest(field: string, detail: string): Problem {
--- a/packages/daemon/src/entry/repeatable_call.ts
+++ b/packages/daemon/src/entry/calls/repeatable_call.ts
@@ -8,10 +8,10 @@
 import { randomUUID } from "node:crypto";
 import { once } from "node:events";
 import type { ServerResponse } from "node:http";
-import type { ClientPool } from "../transport/client_pool.ts";
+import type { ClientPool } from "../../transport/client_pool.ts";
 import type { CheckedCall } from "./checked_call.ts";
 import { ExchangeReader } from "./exchange_reader.ts";
-import type { Problem } from "./problem.ts";
+import type { Problem } from "../../http/problem.ts";
 
 const PREFIX_BYTES = 256;
 const SERVER_ERROR = 500;
--- a/packages/daemon/src/entry/unrepeatable_call.ts
+++ b/packages/daemon/src/entry/calls/unrepeatable_call.ts
@@ -10,12 +10,12 @@
 } from "@teaselrouter/messages/agent.ts";
 import { Buffer } from "node:buffer";
 import { createHash, randomUUID } from "node:crypto";
-import type { ClientPool } from "../transport/client_pool.ts";
+import type { ClientPool } from "../../transport/client_pool.ts";
 import { callProblems } from "./call_problems.ts";
 import type { CheckedCall } from "./checked_call.ts";
 import { ExchangeReader } from "./exchange_reader.ts";
-import type { Problem } from "./problem.ts";
-import type { Proposer } from "./proposer.ts";
+import type { Problem } from "../../http/problem.ts";
+import type { Proposer } from "../sessions/proposer.ts";
 import { recordedOutcome } from "./recorded_outcome.ts";
 import type { UnrepeatableAnswer } from "./unrepeatable_answer.ts";
 import type { UnrepeatableOutcome } from "./unrepeatable_outcome.ts";
--- a/packages/daemon/src/entry/unrepeatable_outcome.ts
+++ b/packages/daemon/src/entry/calls/unrepeatable_outcome.ts
@@ -1,4 +1,4 @@
-import type { Problem } from "./problem.ts";
+import type { Problem } from "../../http/problem.ts";
 import type { UnrepeatableAnswer } from "./unrepeatable_answer.ts";
 
 /** What is known of a call that may not be repeated. */
--- a/packages/daemon/src/entry/without_promise.ts
+++ b/packages/daemon/src/entry/calls/without_promise.ts
@@ -1,5 +1,5 @@
 import type { IncomingMessage } from "node:http";
-import type { Problem } from "./problem.ts";
+import type { Problem } from "../../http/problem.ts";
 
 /**
  * A refusal made without asking the log. The same key may have been claimed,
--- a/packages/daemon/src/entry/entry_world.ts
+++ b/packages/daemon/src/entry/entry_world.ts
@@ -3,8 +3,8 @@
 import type { RetryBudget } from "@teaselrouter/core/routing/retry_budget.ts";
 import type { Router } from "@teaselrouter/core/routing/router.ts";
 import type { ClientPool } from "../transport/client_pool.ts";
-import type { ControlSession } from "./control_session.ts";
-import type { LimitsRegistry } from "./limits_registry.ts";
+import type { ControlSession } from "./sessions/control_session.ts";
+import type { LimitsRegistry } from "./sessions/limits_registry.ts";
 
 /** What an entry host's parts share. */
 export type EntryWorld = {
--- a/packages/daemon/src/entry/fetch_manifest.ts
+++ b/packages/daemon/src/entry/operators/fetch_manifest.ts
@@ -1,9 +1,9 @@
 import type { WeightsManifest } from "@teaselrouter/core/spread/weights_manifest.ts";
 import { weightsManifestSchema } from "@teaselrouter/core/spread/weights_manifest_schema.ts";
 import { Result } from "true-myth";
-import { describeIssue } from "./describe_issue.ts";
-import { invalidRequest } from "./invalid_request.ts";
-import type { Problem } from "./problem.ts";
+import { describeIssue } from "../../http/describe_issue.ts";
+import { invalidRequest } from "../calls/invalid_request.ts";
+import type { Problem } from "../../http/problem.ts";
 
 const STORE_MILLISECONDS = 5_000;
 
--- a/packages/daemon/src/entry/read_status.ts
+++ b/packages/daemon/src/entry/operators/read_status.ts
@@ -1,6 +1,6 @@
 import { versionName } from "@teaselrouter/core/spread/version_name.ts";
-import type { Settings } from "../settings/settings.ts";
-import type { EntryWorld } from "./entry_world.ts";
+import type { Settings } from "../../settings/settings.ts";
+import type { EntryWorld } from "../entry_world.ts";
 
 /** What `teaselrouter status` shows: the system as this entry host sees it. */
 export function readStatus(
--- a/packages/daemon/src/entry/read_timeline.ts
+++ b/packages/daemon/src/entry/operators/read_timeline.ts
@@ -1,7 +1,7 @@
 import type { TimelineRing } from "@teaselrouter/core/timeline/timeline_ring.ts";
 import { TimelineService } from "@teaselrouter/messages/agent.ts";
-import type { Settings } from "../settings/settings.ts";
-import type { EntryWorld } from "./entry_world.ts";
+import type { Settings } from "../../settings/settings.ts";
+import type { EntryWorld } from "../entry_world.ts";
 
 const CALL_MILLISECONDS = 1_500;
 
--- a/packages/daemon/src/entry/public_server.ts
+++ b/packages/daemon/src/entry/public_server.ts
@@ -8,7 +8,7 @@
 import type { Duplex } from "node:stream";
 import type { Result } from "true-myth";
 import { listen } from "../transport/listen.ts";
-import { sendProblem } from "./send_problem.ts";
+import { sendProblem } from "../http/send_problem.ts";
 
 const MOST_HEADER_BYTES = 16_384;
 const CHECK_MILLISECONDS = 500;
--- a/packages/daemon/src/entry/agent_session.ts
+++ b/packages/daemon/src/entry/sessions/agent_session.ts
@@ -13,10 +13,10 @@
 } from "@teaselrouter/messages/agent.ts";
 import { EntryToAgentSchema } from "@teaselrouter/messages/agent.ts";
 import { Subject, Subscription } from "rxjs";
-import type { EventLog } from "../log/event_log.ts";
+import type { EventLog } from "../../log/event_log.ts";
 import type { ControlSession } from "./control_session.ts";
 import type { PermitQueue } from "./permit_queue.ts";
-import type { SpreadCoordinator } from "../rollout/spread_coordinator.ts";
+import type { SpreadCoordinator } from "../../rollout/spread_coordinator.ts";
 
 const HEARTBEAT_MILLISECONDS = 1_000;
 const SILENT_MILLISECONDS = 3_000;
--- a/packages/daemon/src/entry/control_session.ts
+++ b/packages/daemon/src/entry/sessions/control_session.ts
@@ -17,10 +17,10 @@
   ProposalOutcome,
 } from "@teaselrouter/messages/control.ts";
 import { startWith, Subject } from "rxjs";
-import type { EventLog } from "../log/event_log.ts";
-import type { ClientPool } from "../transport/client_pool.ts";
-import { pause } from "../transport/pause.ts";
-import { toAsyncIterable } from "../transport/to_async_iterable.ts";
+import type { EventLog } from "../../log/event_log.ts";
+import type { ClientPool } from "../../transport/client_pool.ts";
+import { pause } from "../../transport/pause.ts";
+import { toAsyncIterable } from "../../transport/to_async_iterable.ts";
 import type { ProposalReply } from "./proposal_reply.ts";
 import { ProposalWaiters } from "./proposal_waiters.ts";
 import type { Proposer } from "./proposer.ts";
--- a/packages/daemon/src/gateway/admit_call.ts
+++ b/packages/daemon/src/gateway/admit_call.ts
@@ -5,7 +5,7 @@
 import type { RouteTable } from "@teaselrouter/core/gateway/route_table.ts";
 import type { IncomingMessage } from "node:http";
 import { Result } from "true-myth";
-import { readBody } from "../entry/read_body.ts";
+import { readBody } from "../http/read_body.ts";
 import { monotonicMilliseconds } from "../transport/monotonic_milliseconds.ts";
 import type { AdmittedCall } from "./admitted_call.ts";
 import type { CallRefusal } from "./call_refusal.ts";
--- /dev/null
+++ b/packages/daemon/src/gateway/call_sender.ts
@@ -0,0 +1,127 @@
+import type { BackendChoice } from "@teaselrouter/core/gateway/backend_choice.ts";
+import { monotonicMilliseconds } from "../transport/monotonic_milliseconds.ts";
+import type { AdmittedCall } from "./admitted_call.ts";
+import type { AttemptOutcome } from "./attempt_outcome.ts";
+import { BackendAttempt } from "./backend_attempt.ts";
+import type { GatewayWorld } from "./gateway_world.ts";
+
+/** Where a stream goes on that another backend server began. */
+type Continuation = {
+  weightsVersion: number | undefined;
+  resumesAfter: string | undefined;
+};
+
+/** Sends one request to backend servers, and remembers to which. */
+export class CallSender {
+  /** Instances that it was sent to. */
+  readonly tried = new Set<string>();
+  #world: GatewayWorld;
+  #call: AdmittedCall;
+  #attempt: BackendAttempt | undefined;
+
+  constructor(world: GatewayWorld, call: AdmittedCall) {
+    this.#world = world;
+    this.#call = call;
+  }
+
+  /** Whether a byte of it may have reached the latest backend server. */
+  get isSent(): boolean {
+    return this.#attempt?.isSent ?? false;
+  }
+
+  /** Whether the connection to the latest backend server failed. */
+  get hasFailed(): boolean {
+    return this.#attempt?.hasFailed ?? false;
+  }
+
+  abort(reason: string): void {
+    this.#attempt?.abort(reason);
+  }
+
+  /** Never rejects. The backend server's record counts what becomes of it. */
+  async send(
+    choice: BackendChoice,
+    continuation: Continuation,
+  ): Promise<AttemptOutcome> {
+    const { standing, record } = choice;
+    const { promptTokens } = this.#call.facts;
+    this.tried.add(standing.instance);
+    record.inFlight += 1;
+    record.unreadTokens += promptTokens;
+    const attempt = this.#open(choice, continuation);
+    this.#attempt = attempt;
+    const endWait = this.#boundWait(choice, attempt);
+    const outcome = await attempt.outcome;
+    endWait();
+    record.unreadTokens -= promptTokens;
+    if (outcome.kind !== "answer") record.inFlight -= 1;
+    return outcome;
+  }
+
+  /** Counts a failure that was not this host's own doing. */
+  noteFailure(
+    { standing, record }: BackendChoice,
+    outcome: Exclude<AttemptOutcome, { kind: "answer" }>,
+  ): void {
+    const { log } = this.#world;
+    log.info("send-failed", {
+      id: this.#call.id,
+      instance: standing.instance,
+      outcome: outcome.kind,
+      reason: outcome.reason,
+      sends: this.tried.size,
+    });
+    const now = monotonicMilliseconds();
+    const isUnreachable = outcome.kind === "not-run" && outcome.isUnreachable;
+    const isAside = isUnreachable
+      ? record.leaveAside(now)
+      : outcome.kind === "broken" && record.countFailure(now);
+    if (!isAside) return;
+    log.warn("backend-server-aside", {
+      instance: standing.instance,
+      address: standing.address,
+      reason: outcome.reason,
+    });
+  }
+
+  #open(
+    { standing }: BackendChoice,
+    continuation: Continuation,
+  ): BackendAttempt {
+    const { connections, format } = this.#world;
+    const call = this.#call;
+    const left = Math.floor(call.endsAt - monotonicMilliseconds());
+    return new BackendAttempt({
+      address: standing.address,
+      agent: connections.agentFor(standing.address),
+      method: call.method,
+      path: call.path,
+      body: call.body,
+      id: call.id,
+      format,
+      headers: format.forwardHeaders(call.rawHeaders, {
+        ...continuation,
+        deadlineMilliseconds: Math.max(1, left),
+        instance: standing.instance,
+        workspace: call.workspace,
+        rank: undefined,
+      }),
+    });
+  }
+
+  /** One that waits in an engine's queue must not begin on weights too old. */
+  #boundWait(
+    { standing }: BackendChoice,
+    attempt: BackendAttempt,
+  ): () => void {
+    const { model } = this.#call.facts;
+    if (model === undefined) return () => {};
+    const until = this.#world.pool.mayBeginUntil(standing, model);
+    if (until === Infinity) return () => {};
+    const timer = setTimeout(
+      () => attempt.abort("its weights are too old to begin on"),
+      Math.max(0, until - monotonicMilliseconds()),
+    );
+    return () => clearTimeout(timer);
+  }
+}
--- a/packages/daemon/src/stager/staged_chunks.ts
+++ b/packages/daemon/src/stager/staged_chunks.ts
@@ -1,7 +1,7 @@
 import type { WeightsManifest } from "@teaselrouter/core/spread/weights_manifest.ts";
 import { versionName } from "@teaselrouter/core/spread/version_name.ts";
 import { createHash } from "node:crypto";
-import type { WeightsCache } from "../agent/weights_cache.ts";
+import type { WeightsCache } from "../spread/weights_cache.ts";
 import type { EventLog } from "../log/event_log.ts";
 import type { ModelEngine } from "../platform/model_engine.ts";
 
--- a/packages/daemon/src/stager/staged_loader.ts
+++ b/packages/daemon/src/stager/staged_loader.ts
@@ -1,6 +1,6 @@
 import type { WeightsManifest } from "@teaselrouter/core/spread/weights_manifest.ts";
 import { Subject } from "rxjs";
-import type { WeightsCache } from "../agent/weights_cache.ts";
+import type { WeightsCache } from "../spread/weights_cache.ts";
 import type { EventLog } from "../log/event_log.ts";
 import type { EngineReport } from "../platform/engine_report.ts";
 import type { ModelEngine } from "../platform/model_engine.ts";
--- a/packages/daemon/src/agent/entry_links.ts
+++ b/packages/daemon/src/transport/entry_links.ts
@@ -10,10 +10,10 @@
   AgentToEntrySchema,
 } from "@teaselrouter/messages/agent.ts";
 import { Subject } from "rxjs";
-import type { ClientPool } from "../transport/client_pool.ts";
-import { pause } from "../transport/pause.ts";
-import { toAsyncIterable } from "../transport/to_async_iterable.ts";
-import { monotonicMilliseconds } from "../transport/monotonic_milliseconds.ts";
+import type { ClientPool } from "./client_pool.ts";
+import { pause } from "./pause.ts";
+import { toAsyncIterable } from "./to_async_iterable.ts";
+import { monotonicMilliseconds } from "./monotonic_milliseconds.ts";
 
 const BEAT_MILLISECONDS = 500;
 const SILENT_MILLISECONDS = 3_000;
--- a/packages/experiments/src/control/contract_experiment.ts
+++ b/packages/experiments/src/control/contract_experiment.ts
@@ -1,4 +1,4 @@
-import { ControlSession } from "@teaselrouter/daemon/entry/control_session.ts";
+import { ControlSession } from "@teaselrouter/daemon/entry/sessions/control_session.ts";
 import { EventLog } from "@teaselrouter/daemon/log/event_log.ts";
 import { ClientPool } from "@teaselrouter/daemon/transport/client_pool.ts";
 import { formatTable } from "@teaselrouter/operator/output/format_table.ts";
--- a/packages/experiments/src/failures/chunk_sources_test.ts
+++ b/packages/experiments/src/failures/chunk_sources_test.ts
@@ -1,9 +1,9 @@
 import { create } from "@bufbuild/protobuf";
-import { rangeStoreFormat } from "@teaselrouter/daemon/agent/range_store_format.ts";
-import { ChunkFetcher } from "@teaselrouter/daemon/agent/chunk_fetcher.ts";
-import { LinkPacer } from "@teaselrouter/daemon/agent/link_pacer.ts";
-import { SpreadClient } from "@teaselrouter/daemon/agent/spread_client.ts";
-import { WeightsCache } from "@teaselrouter/daemon/agent/weights_cache.ts";
+import { rangeStoreFormat } from "@teaselrouter/daemon/spread/range_store_format.ts";
+import { ChunkFetcher } from "@teaselrouter/daemon/spread/chunk_fetcher.ts";
+import { LinkPacer } from "@teaselrouter/daemon/spread/link_pacer.ts";
+import { SpreadClient } from "@teaselrouter/daemon/spread/spread_client.ts";
+import { WeightsCache } from "@teaselrouter/daemon/spread/weights_cache.ts";
 import { EventLog } from "@teaselrouter/daemon/log/event_log.ts";
 import { createMetrics } from "@teaselrouter/daemon/metrics/create_metrics.ts";
 import { listen } from "@teaselrouter/daemon/transport/listen.ts";
--- a/packages/experiments/src/fakes/weight_store.ts
+++ b/packages/experiments/src/fakes/weight_store.ts
@@ -1,4 +1,4 @@
-import { LinkPacer } from "@teaselrouter/daemon/agent/link_pacer.ts";
+import { LinkPacer } from "@teaselrouter/daemon/spread/link_pacer.ts";
 import { listen } from "@teaselrouter/daemon/transport/listen.ts";
 import { Buffer } from "node:buffer";
 import { createServer, type ServerResponse } from "node:http";
