--- a/packages/daemon/src/gateway/admit_call.ts
+++ b/packages/daemon/src/gateway/admit_call.ts
@@ -14,7 +14,10 @@
 /** Of a client that does not say. */
 const USUAL_PATIENCE_MILLISECONDS = 2_500;
 
-type Place = { route: Route; workspace: string | undefined };
+/** Ranks that backend servers know: 0 to 9. */
+const LAST_RANK = 9;
+
+type Place = { route: Route; workspace: string | undefined; rank: number };
 
 /** Checks a request and reads it whole; the refusal says what is wrong. */
 export async function admitCall(
@@ -41,7 +44,7 @@
   if (facts.id === undefined) return refuse(400, "the attempt has no id");
   const body = await readWhole(table, request);
   if (body.isErr) return Result.err(body.error);
-  const { route, workspace } = place.value;
+  const { route, workspace, rank } = place.value;
   const service = table.service(pickTarget(route, world.random()))!;
   const patience = Math.min(
     route.timeoutMilliseconds,
@@ -53,6 +56,7 @@
     route,
     service,
     workspace,
+    rank,
     method: request.method ?? "GET",
     path: request.url ?? "/",
     rawHeaders: request.rawHeaders,
@@ -70,12 +74,23 @@
   const host = (request.headers.host ?? "").toLowerCase().replace(/:\d+$/, "");
   const route = table.match(host, request.url ?? "/");
   if (route === undefined) return refuse(404, "no route matches");
-  if (!table.needsKey(route)) return Result.ok({ route, workspace: undefined });
+  if (!table.needsKey(route)) {
+    return Result.ok({
+      route,
+      workspace: undefined,
+      rank: rankOf(route.priority),
+    });
+  }
   const workspace = facts.key === undefined
     ? undefined
     : table.workspaceOf(facts.key);
   if (workspace === undefined) return refuse(401, "the key is not known");
-  return Result.ok({ route, workspace: workspace.name });
+  const rank = rankOf(workspace.priority ?? route.priority);
+  return Result.ok({ route, workspace: workspace.name, rank });
+}
+
+function rankOf(priority: number): number {
+  return Math.min(LAST_RANK, Math.max(0, Math.round(priority)));
 }
 
 async function readWhole(
--- a/packages/daemon/src/gateway/admitted_call.ts
+++ b/packages/daemon/src/gateway/admitted_call.ts
@@ -10,6 +10,8 @@
   route: Route;
   service: ServiceDefinition;
   workspace: string | undefined;
+  /** Rank in backend servers' queues, 0 first to 9. */
+  rank: number;
   method: string;
   path: string;
   rawHeaders: string[];
--- a/packages/daemon/src/gateway/backend_pool.ts
+++ b/packages/daemon/src/gateway/backend_pool.ts
@@ -65,7 +65,9 @@
         record: this.recordOf(standing.instance),
       }));
     const healthy = usable.filter(({ record }) => !record.isAside(now));
-    return chooseBackend(healthy, {
+    // With all of them aside, as where a service has three and a fault hits
+    // their zone, a try that may fail is worth more than a sure refusal.
+    return chooseBackend(healthy.length > 0 ? healthy : usable, {
       dataCentre: this.#options.dataCentre,
       promptTokens: want.promptTokens,
       engine: want.engine,
--- a/packages/daemon/src/gateway/call_sender.ts
+++ b/packages/daemon/src/gateway/call_sender.ts
@@ -104,7 +104,7 @@
         deadlineMilliseconds: Math.max(1, left),
         instance: standing.instance,
         workspace: call.workspace,
-        rank: undefined,
+        rank: call.rank,
       }),
     });
   }
--- a/packages/daemon/src/gateway/gateway_call.ts
+++ b/packages/daemon/src/gateway/gateway_call.ts
@@ -145,7 +145,15 @@
     if (end === "broken" || status >= 500) {
       record.countFailure(monotonicMilliseconds());
     } else record.countSuccess();
-    if (end === "broken") return "again";
+    if (end === "broken") {
+      this.#world.log.info("answer-broken", {
+        id: work.call.id,
+        instance: standing.instance,
+        last_event: passer.lastEventId,
+        sends: sender.tried.size,
+      });
+      return "again";
+    }
     this.#response.end();
     const reason = standing.instance;
     this.#finish(work, { status, reason, outcome: "answered" });
@@ -228,7 +236,7 @@
       route: call?.route.name,
       service: call?.service.name,
       workspace: call?.workspace,
-      sends: work?.sender.tried.size ?? 0,
+      instances: work && [...work.sender.tried].join(","),
       status: end.status,
       outcome: end.outcome,
       reason: end.reason,
--- a/packages/storage/src/data_folder.ts
+++ b/packages/storage/src/data_folder.ts
@@ -36,7 +36,7 @@
 function damaged(file: string, detail: string): StorageProblem {
   return {
     kind: "damaged",
-    detail: `${file} ${detail}; replace this member (docs/OPERATING.md)`,
+    detail: `${file} ${detail}; replace this member (docs/OPERATIONS.md)`,
   };
 }
 
--- a/packages/storage/src/data_folder_test.ts
+++ b/packages/storage/src/data_folder_test.ts
@@ -135,7 +135,7 @@
   assert.ok(opened.isErr);
   assert.equal(opened.error.kind, "damaged");
   assert.match(opened.error.detail, /log-\d+\.bin is damaged at byte \d+/);
-  assert.match(opened.error.detail, /OPERATING/);
+  assert.match(opened.error.detail, /OPERATIONS/);
   rmSync(path, { recursive: true });
 });
 
