--- /dev/null
+++ b/packages/core/src/gateway/choose_backend_test.ts
@@ -0,0 +1,84 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import type { BackendChoice } from "./backend_choice.ts";
+import { BackendRecord } from "./backend_record.ts";
+import { chooseBackend } from "./choose_backend.ts";
+import type { EngineDefinition } from "./engine_definition.ts";
+
+const ENGINE: EngineDefinition = {
+  models: ["m"],
+  slots: 16,
+  contextTokens: 1_000_000,
+  weightChunks: 48,
+  weightChunkBytes: 49_152,
+  stepMilliseconds: 7,
+  stepPerRequestMilliseconds: 0.02,
+  stepPerThousandTokensMilliseconds: 0.007,
+  readTokensPerSecond: 30_000,
+  stepsPerPass: 6,
+  reportLagMilliseconds: 200,
+};
+
+type Place = {
+  instance: string;
+  dataCentre?: string;
+  inFlight?: number;
+  unread?: number;
+  cold?: number;
+};
+
+function choice(place: Place): BackendChoice {
+  const record = new BackendRecord();
+  record.inFlight = place.inFlight ?? 0;
+  record.unreadTokens = place.unread ?? 0;
+  return {
+    record,
+    standing: {
+      instance: place.instance,
+      service: "s",
+      address: "10.0.0.1:80",
+      dataCentre: place.dataCentre ?? "here",
+      slots: 16,
+      state: "ready",
+      bornAt: 1,
+      sequence: 1,
+      coldMilliseconds: place.cold ?? 0,
+      models: [],
+    },
+  };
+}
+
+function choose(...places: Place[]): string | undefined {
+  return chooseBackend(places.map(choice), {
+    dataCentre: "here",
+    promptTokens: 1_000,
+    engine: ENGINE,
+    random: () => 0.5,
+    now: 0,
+  })?.standing.instance;
+}
+
+test("a near backend server is taken unless a far one is clearly emptier", () => {
+  // Pattern: bytes between data centres are dear; load differs a little all
+  // the time and a lot when one data centre's backend servers fail.
+  const far = { instance: "far", dataCentre: "there" };
+  assert.equal(choose(far, { instance: "near", inFlight: 2 }), "near");
+  assert.equal(choose(far, { instance: "near", inFlight: 8 }), "far");
+});
+
+test("prompts that are still to be read count as what they hold up", () => {
+  // Pattern: a burst of long prompts reaches one engine; the next request's
+  // first event would wait for all of them, however few its slots in use.
+  const reading = { instance: "reading", inFlight: 2, unread: 9_000 };
+  assert.equal(
+    choose(reading, { instance: "writing", inFlight: 5 }),
+    "writing",
+  );
+});
+
+test("one that just started is spared a little", () => {
+  const cold = { instance: "cold", cold: 500 };
+  assert.equal(choose(cold, { instance: "warm", inFlight: 3 }), "warm");
+  assert.equal(choose(cold, { instance: "warm", inFlight: 12 }), "cold");
+  assert.equal(choose(), undefined);
+});
--- /dev/null
+++ b/packages/core/src/spread/spread_table_test.ts
@@ -0,0 +1,83 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { seededRandom } from "../random/seeded_random.ts";
+import { ChunkSet } from "./chunk_set.ts";
+import { defaultSpreadOptions } from "./default_spread_options.ts";
+import { RarestRanking } from "./rarest_ranking.ts";
+import { SpreadTable } from "./spread_table.ts";
+import { SwapPolicy } from "./swap_policy.ts";
+
+const CHUNKS = 8;
+const ORIGIN = "";
+
+function tableWith(hosts: string[]): SpreadTable {
+  const table = new SpreadTable({
+    version: "m@2",
+    totalChunks: CHUNKS,
+    chunkBytes: 1,
+    dataCentre: "here",
+  });
+  for (const host of hosts) {
+    table.setHost({
+      host,
+      dataCentre: "here",
+      address: host,
+      held: new ChunkSet(CHUNKS),
+      linkBytesPerSecond: 0,
+      followsPlans: true,
+    });
+  }
+  return table;
+}
+
+function policy(): SwapPolicy {
+  return new SwapPolicy({
+    ...defaultSpreadOptions,
+    weighing: "origin-bytes",
+    random: seededRandom(4),
+    ranking: new RarestRanking(),
+  });
+}
+
+test("a host that freezes holds up nobody's chunks", () => {
+  // Story: a host freezes while it draws chunks from the origin. It reports
+  // no failure, so its draws stay pending; the others, which hold everything
+  // else, would wait until it wakes.
+  const table = tableWith(["frozen", "awake"]);
+  const plan = policy();
+  const first = plan.plan(table, 0);
+  const held = first.filter(({ host }) => host === "frozen");
+  assert.ok(held.length > 0 && held.every(({ source }) => source === ORIGIN));
+  for (let now = 100; now <= 3_000; now += 100) {
+    table.endOverdue(now);
+    for (const { host, chunk } of plan.plan(table, now)) {
+      if (host === "awake") table.addChunk(host, chunk, now);
+    }
+    for (const { host, chunk } of table.allTransfers()) {
+      if (host === "awake") table.addChunk(host, chunk, now);
+    }
+  }
+  assert.equal(table.host("awake")?.held.isComplete, true);
+  assert.equal(table.host("frozen")?.isStalled, true);
+  assert.deepEqual(
+    plan.plan(table, 3_100).filter(({ host }) => host === "frozen"),
+    [],
+  );
+  table.noteHeard("frozen");
+  assert.ok(plan.plan(table, 3_200).some(({ host }) => host === "frozen"));
+});
+
+test("an origin that refuses is asked again soon, a bad peer later", () => {
+  // Story: the weight store is down for some seconds. Each host finds out for
+  // itself, and none may still stay away from it once it is back.
+  const table = tableWith(["a", "b"]);
+  const until = 5_000;
+  table.startTransfer({ host: "a", chunk: 0, source: ORIGIN, startedAt: 0 });
+  table.failTransfer("a", 0, { now: 0, until });
+  assert.equal(table.isAvoided("a", ORIGIN, 200), true);
+  assert.equal(table.isAvoided("a", ORIGIN, 400), false);
+  assert.equal(table.isAvoided("b", ORIGIN, 200), false);
+  table.startTransfer({ host: "a", chunk: 1, source: "b", startedAt: 0 });
+  table.failTransfer("a", 1, { now: 0, until });
+  assert.equal(table.isAvoided("a", "b", 400), true);
+});
