Load without a turn once gateways leave an engine's weights alone

Cause: from 1.5 s ahead of the bound gateways send nothing to older weights, but engines waited for their turn up to 8.5 s after the version was named, idle.

Test: an engine without a turn loads; it failed before with a bound of 2.5 s.

--- a/packages/daemon/src/gateway/backend_pool.ts
+++ b/packages/daemon/src/gateway/backend_pool.ts
@@ -2,6 +2,7 @@
 import { BackendRecord } from "@teaselrouter/core/gateway/backend_record.ts";
 import { chooseBackend } from "@teaselrouter/core/gateway/choose_backend.ts";
 import type { EngineDefinition } from "@teaselrouter/core/gateway/engine_definition.ts";
+import { weightsMargins } from "@teaselrouter/core/rollout/weights_margins.ts";
 import type { BackendStanding } from "@teaselrouter/core/membership/backend_standing.ts";
 import { monotonicMilliseconds } from "../transport/monotonic_milliseconds.ts";
 import type { ControlFeed } from "./control_feed.ts";
@@ -24,14 +25,6 @@
   weightsBoundMilliseconds: number;
 };
 
-/**
- * Taken off the bound: a gateway hears of a version a little later than its
- * operator, and what is given up still takes its way to the engine.
- */
-const MARGIN_MILLISECONDS = 900;
-/** What a request takes to begin where nothing waits ahead of it. */
-const BEGIN_MILLISECONDS = 600;
-
 /** The backend servers that requests can go to, with their records. */
 export class BackendPool {
   #options: Options;
@@ -96,7 +89,7 @@
     if (held === undefined) return false;
     if (version !== undefined) return held === version;
     const endsAt = this.#weightsEndAt(model, held);
-    return monotonicMilliseconds() < endsAt - BEGIN_MILLISECONDS;
+    return monotonicMilliseconds() < endsAt - weightsMargins.beginMilliseconds;
   }
 
   /**
@@ -111,7 +104,7 @@
   #weightsEndAt(model: string, held: number): number {
     const { feed, weightsBoundMilliseconds } = this.#options;
     return feed.namedVersions.overtakenAt(model, held) +
-      weightsBoundMilliseconds - MARGIN_MILLISECONDS;
+      weightsBoundMilliseconds - weightsMargins.giveUpMilliseconds;
   }
 
   /** The agent beside it knows sooner than the next heartbeat says. */
--- a/packages/daemon/src/settings/settings_schema.ts
+++ b/packages/daemon/src/settings/settings_schema.ts
@@ -103,6 +103,8 @@
     /** Where other stagers fetch chunks. */
     listen: addressSchema,
     control_hosts: z.array(addressSchema).min(1),
+    /** After it is named no request may begin on older weights. */
+    weights_bound_milliseconds: z.number().int().min(0).default(8_000),
     /** Of this host's link, each way; 0 is not limited. */
     link_megabits_per_second: z.number().min(0).default(0),
   }).optional(),
--- a/packages/daemon/src/stager/staged_loader.ts
+++ b/packages/daemon/src/stager/staged_loader.ts
@@ -1,4 +1,5 @@
 import type { WeightsManifest } from "@teaselrouter/core/spread/weights_manifest.ts";
+import { weightsMargins } from "@teaselrouter/core/rollout/weights_margins.ts";
 import { Subject } from "rxjs";
 import type { WeightsCache } from "../spread/weights_cache.ts";
 import type { EventLog } from "../log/event_log.ts";
@@ -12,11 +13,6 @@
 const STEP_MILLISECONDS = 50;
 const IDLE_STEP_MILLISECONDS = 200;
 const TURN_ASK_MILLISECONDS = 150;
-/**
- * Without a word from whoever gives turns it loads all the same: weights that
- * stay old are refused in the end.
- */
-const TURN_PATIENCE_MILLISECONDS = 3_500;
 /** After the target was heard; then the order goes in front of what waits. */
 const HURRY_MILLISECONDS = 5_000;
 /** Gateways hear within it that this engine takes nothing more. */
@@ -36,7 +32,13 @@
   since: number;
 };
 
-type Options = { engine: ModelEngine; cache: WeightsCache; log: EventLog };
+type Options = {
+  engine: ModelEngine;
+  cache: WeightsCache;
+  log: EventLog;
+  /** After it is named no request may begin on older weights. */
+  weightsBoundMilliseconds: number;
+};
 
 /**
  * Brings the engine to the target version: stages complete weights beside
@@ -166,6 +168,16 @@
     this.changed$.next();
   }
 
+  /**
+   * From then on gateways send nothing to older weights: there is nothing left
+   * that a turn would spare, and waiting for one only idles the engine.
+   */
+  get #unusedAfter(): number {
+    const { giveUpMilliseconds, beginMilliseconds } = weightsMargins;
+    return this.#options.weightsBoundMilliseconds - giveUpMilliseconds -
+      beginMilliseconds;
+  }
+
   /** An engine that serves nothing has nothing to wait for. */
   #hasTurn(target: Target, wasServing: boolean): boolean {
     if (!wasServing || this.#turnFor === target.version) return true;
@@ -174,7 +186,7 @@
       this.#askedAt = now;
       this.turnWanted$.next({ version: target.version, wasServing });
     }
-    return now - target.since > HURRY_MILLISECONDS + TURN_PATIENCE_MILLISECONDS;
+    return now - target.since > this.#unusedAfter;
   }
 
   #isNearlyHeld({ version }: Target): boolean {
--- a/packages/daemon/src/stager/staged_loader_test.ts
+++ b/packages/daemon/src/stager/staged_loader_test.ts
@@ -13,6 +13,8 @@
 
 const MODEL = "m";
 const CHUNKS = 4;
+/** Short, so that a test sees its end. */
+const BOUND_MILLISECONDS = 2_500;
 const WAIT_MILLISECONDS = 5_000;
 
 function chunkOf(version: number, chunk: number): Buffer {
@@ -102,7 +104,12 @@
     write: () => undefined,
     flush: () => Promise.resolve(),
   });
-  const loader = new StagedLoader({ engine, cache, log });
+  const loader = new StagedLoader({
+    engine,
+    cache,
+    log,
+    weightsBoundMilliseconds: BOUND_MILLISECONDS,
+  });
   const bring = (version: number) => {
     const manifest = manifestOf(version);
     const name = `${MODEL}@${version}`;
@@ -185,3 +192,15 @@
   loader.stop();
   assert.deepEqual(engine.loaded, ["1", "1"]);
 });
+
+test("without a turn it loads once its weights are of no use any more", async () => {
+  // Story: whoever gives turns is cut off. Once gateways leave the old weights
+  // alone, an engine that still waits would serve nothing at all.
+  const { engine, loader, bring } = setUp();
+  engine.models = [{ name: MODEL, version: 1 }];
+  loader.start();
+  bring(2);
+  await until(() => engine.loaded.length > 0);
+  loader.stop();
+  assert.deepEqual(engine.loaded, ["2"]);
+});
--- a/packages/daemon/src/stager/stager_app.ts
+++ b/packages/daemon/src/stager/stager_app.ts
@@ -71,6 +71,7 @@
       engine: platform.openEngine(stager.engine),
       cache: this.#cache,
       log,
+      weightsBoundMilliseconds: stager.weights_bound_milliseconds,
     });
     this.#links = new EntryLinks({
       addresses: stager.control_hosts,
