--- a/packages/storage/src/data_folder_test.ts
+++ b/packages/storage/src/data_folder_test.ts
@@ -236,15 +236,15 @@
   const opened = await DataFolder.open(path, NAME);
   assert.ok(opened.isErr && opened.error.kind === "in-use");
   rmSync(path, { recursive: true });
+});
 
-  test("a lock whose process id is another process's now is taken over", async () => {
-    // Story: a control host is killed and starts again; meanwhile its process
-    // id was given to something else. The folder would stay locked, and the
-    // host would end itself at every start.
-    const path = temporaryFolder();
-    writeFileSync(join(path, "lock"), "1 0");
-    const opened = await DataFolder.open(path, NAME);
-    assert.ok(opened.isOk);
-    await opened.value.close();
-  });
+test("a lock whose process id is another process's now is taken over", async () => {
+  // Story: a control host is killed and starts again; meanwhile its process
+  // id was given to something else. The folder would stay locked, and the
+  // host would end itself at every start.
+  const path = temporaryFolder();
+  writeFileSync(join(path, "lock"), "1 0");
+  const opened = await DataFolder.open(path, NAME);
+  assert.ok(opened.isOk);
+  await opened.value.close();
 });
