Notice settings that change without a signal

Cause: a settings file was read at the start and on SIGHUP only. Where the platform replaces it silently, a gateway whose control hosts are all replaced goes on asking for hosts that are gone. Ruled out: watching the folder (inotify is not to be had on these machines).

--- a/packages/daemon/src/cli/run_daemon.ts
+++ b/packages/daemon/src/cli/run_daemon.ts
@@ -2,6 +2,7 @@
 import sade from "sade";
 import type { PlatformEdge } from "../platform/platform_edge.ts";
 import { loadSettings } from "../settings/load_settings.ts";
+import { SettingsWatch } from "../settings/settings_watch.ts";
 import type { Daemon } from "../wiring/daemon.ts";
 import { startDaemon } from "../wiring/start_daemon.ts";
 
@@ -51,7 +52,10 @@
     process.exit(EXIT_FAILED);
   }
   const path = words.settings;
-  process.on("SIGHUP", () => reload(path, daemon.value));
+  const takeOn = () => reload(path, daemon.value);
+  process.on("SIGHUP", takeOn);
+  const watch = new SettingsWatch({ path, changed: takeOn });
+  await watch.start();
   const stop = () => {
     daemon.value.stop().then(() => process.exit(0));
   };
