Load less at a start: a smaller bundle in the older module format

Cause: behind a final fault a control host takes 1.3 s to its first word and a gateway 0.8 s, almost all of it processor time for loading: Node alone 0.18 s of user time, our program 0.60 s. Of that, compiling was the largest part; zod brought 0.75 MB of languages, rxjs all its operators. Ruled out: minifying (no difference), a code cache (0.05 s more, for a loader of our own; may come later).

--- a/acceptance/src/stand_in_platform.ts
+++ b/acceptance/src/stand_in_platform.ts
@@ -7,7 +7,7 @@
 import { renderTemplate } from "./render_template.ts";
 
 const ROOT = join(dirname(fileURLToPath(import.meta.url)), "..", "..");
-const PROGRAM = join(ROOT, "target", "teaselrouterd.mjs");
+const PROGRAM = join(ROOT, "target", "teaselrouterd.cjs");
 
 type Role = "control" | "gateway" | "stager";
 type Host = { name: string; ip: string; child: Child };
--- a/packages/core/src/contracts/contract_content.ts
+++ b/packages/core/src/contracts/contract_content.ts
@@ -1,4 +1,4 @@
-import type { z } from "zod";
+import type * as z from "zod";
 import type { contractContentSchema } from "./contract_content_schema.ts";
 
 /** A contract's checked content. */
--- a/packages/core/src/contracts/contract_content_schema.ts
+++ b/packages/core/src/contracts/contract_content_schema.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 const NAME = /^[a-z0-9][a-z0-9._-]{0,62}$/;
 
--- a/packages/core/src/gateway/routing_configuration.ts
+++ b/packages/core/src/gateway/routing_configuration.ts
@@ -1,4 +1,4 @@
-import type { z } from "zod";
+import type * as z from "zod";
 import type { routingConfigurationSchema } from "./routing_configuration_schema.ts";
 
 /** A checked routing configuration. */
--- a/packages/core/src/gateway/routing_configuration_schema.ts
+++ b/packages/core/src/gateway/routing_configuration_schema.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 const name = z.string().min(1).max(256);
 const milliseconds = z.number().min(0);
--- a/packages/core/src/spread/weights_manifest.ts
+++ b/packages/core/src/spread/weights_manifest.ts
@@ -1,4 +1,4 @@
-import type { z } from "zod";
+import type * as z from "zod";
 import type { weightsManifestSchema } from "./weights_manifest_schema.ts";
 
 /** A checked manifest of one version of a model's weights. */
--- a/packages/core/src/spread/weights_manifest_schema.ts
+++ b/packages/core/src/spread/weights_manifest_schema.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 /** What a weight store says of one version: its chunks by SHA-256, in order. */
 export const weightsManifestSchema = z.strictObject({
--- a/packages/core/src/state/command.ts
+++ b/packages/core/src/state/command.ts
@@ -1,4 +1,4 @@
-import type { z } from "zod";
+import type * as z from "zod";
 import type { commandSchema } from "./command_schema.ts";
 
 /** A checked command of the replicated log. */
--- a/packages/core/src/state/command_schema.ts
+++ b/packages/core/src/state/command_schema.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 import { contractContentSchema } from "../contracts/contract_content_schema.ts";
 import { weightsManifestSchema } from "../spread/weights_manifest_schema.ts";
 
--- a/packages/daemon/src/agent/announce_schema.ts
+++ b/packages/daemon/src/agent/announce_schema.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 import { addressSchema } from "../settings/address_schema.ts";
 
 /** A backend server's announcement to the agent on its host. */
--- a/packages/daemon/src/agent/backend_server.ts
+++ b/packages/daemon/src/agent/backend_server.ts
@@ -1,4 +1,4 @@
-import type { z } from "zod";
+import type * as z from "zod";
 import type { announceSchema } from "./announce_schema.ts";
 
 /** What the backend server on this host said of itself. */
--- a/packages/daemon/src/agent/engine_client.ts
+++ b/packages/daemon/src/agent/engine_client.ts
@@ -1,5 +1,5 @@
 import { Result } from "true-myth";
-import { z } from "zod";
+import * as z from "zod";
 
 const CALL_MILLISECONDS = 2_000;
 const PROBE_PATH = "/v1/probe";
--- a/packages/daemon/src/entry/operators/operator_api.ts
+++ b/packages/daemon/src/entry/operators/operator_api.ts
@@ -5,7 +5,7 @@
 import { createHash } from "node:crypto";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { Result } from "true-myth";
-import { z } from "zod";
+import * as z from "zod";
 import type { ClientPool } from "../../transport/client_pool.ts";
 import type { ControlSession } from "../sessions/control_session.ts";
 import { describeIssue } from "../../http/describe_issue.ts";
--- a/packages/daemon/src/http/describe_issue.ts
+++ b/packages/daemon/src/http/describe_issue.ts
@@ -1,4 +1,4 @@
-import type { z } from "zod";
+import type * as z from "zod";
 
 /** Names the first fault that a schema found: which field, and why. */
 export function describeIssue(
--- a/packages/daemon/src/settings/address_schema.ts
+++ b/packages/daemon/src/settings/address_schema.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 const ADDRESS = /^([a-zA-Z0-9.-]+|\[[0-9a-f:]+\]):(\d{1,5})$/;
 
--- a/packages/daemon/src/settings/parse_settings.ts
+++ b/packages/daemon/src/settings/parse_settings.ts
@@ -1,6 +1,6 @@
 import { parse } from "smol-toml";
 import { Result } from "true-myth";
-import type { z } from "zod";
+import type * as z from "zod";
 import type { Settings } from "./settings.ts";
 import { settingsSchema } from "./settings_schema.ts";
 import { withPeerPort } from "./with_peer_port.ts";
--- a/packages/daemon/src/settings/settings.ts
+++ b/packages/daemon/src/settings/settings.ts
@@ -1,4 +1,4 @@
-import type { z } from "zod";
+import type * as z from "zod";
 import type { settingsSchema } from "./settings_schema.ts";
 
 /** A daemon's checked settings. */
--- a/packages/daemon/src/settings/settings_schema.ts
+++ b/packages/daemon/src/settings/settings_schema.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 import { addressSchema } from "./address_schema.ts";
 
 const name = z.string().regex(/^[a-z0-9][a-z0-9._-]{0,62}$/, {
--- a/packages/operator/src/find_entry.ts
+++ b/packages/operator/src/find_entry.ts
@@ -1,7 +1,7 @@
 import { readFileSync } from "node:fs";
 import process from "node:process";
 import { parse } from "smol-toml";
-import { z } from "zod";
+import * as z from "zod";
 
 const DEFAULT_ENTRY = "http://127.0.0.1:8080";
 const settingsSchema = z.object({ entry: z.url() });
--- a/packages/storage/src/member_identity.ts
+++ b/packages/storage/src/member_identity.ts
@@ -1,4 +1,4 @@
-import type { z } from "zod";
+import type * as z from "zod";
 import type { memberIdentitySchema } from "./member_identity_schema.ts";
 
 /** Whose data folder this is. */
--- a/packages/storage/src/member_identity_schema.ts
+++ b/packages/storage/src/member_identity_schema.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 /** The file that says whose data folder this is. */
 export const memberIdentitySchema = z.strictObject({
