Let requests that can be in time go ahead of those that are late

Cause: behind an outage, and at a peak above what the engines carry, each engine holds a queue of two dozen; in the order of arrival every request waits 1.5 to 2 s, so that all are late, also those that come once the engines could carry the load again. Change: the gateway predicts the first event from the slots, the requests that are ahead, the prompts still to be read and how long answers hold a slot. What can't be in time, or spent its time on an earlier try (its deadline is shorter than the route's usual), is ranked behind and takes what is left over; eight may wait so at an engine, more are refused with a time to come back. Ruled out by thought, not tried: a queue in the gateway (a second place to wait, and a price where it ends unserved); last come first served (sizes and sessions starve). A test plays the pattern without a network: in time over 0.85 of those that come behind a backlog, under 0.5 in the order of arrival.

--- a/packages/core/src/gateway/backend_record.ts
+++ b/packages/core/src/gateway/backend_record.ts
@@ -1,3 +1,5 @@
+import type { EngineDefinition } from "./engine_definition.ts";
+
 type Report = { running: number; waiting: number; slots: number };
 
 /** Weight of the latest result in the share of failures. */
@@ -10,12 +12,27 @@
 /** Says too little of the present after so long. */
 const REPORT_MILLISECONDS = 1_500;
 
+/** How long an answer holds a slot until the first was seen: 120 tokens. */
+const USUAL_HOLD_MILLISECONDS = 1_000;
+/** Weight of the latest answer in the mean. */
+const HOLD_WEIGHT = 0.1;
+/**
+ * Own requests tell how those of other hosts are made up; with few of them
+ * they say little, and no host carries less than an eighth of the load.
+ */
+const MOST_SCALE = 8;
+/** Ways to and from the engine, and what it takes to begin. */
+const BEGIN_MILLISECONDS = 40;
+
 /** What this host knows of one backend server by its own requests. */
 export class BackendRecord {
   /** Requests of this host that are under way there. */
   inFlight = 0;
   /** Prompt tokens of those that have not answered yet. */
   unreadTokens = 0;
+  /** Of those, how many can be in time: they go ahead of the others. */
+  timelyUnread = 0;
+  #holdMilliseconds = USUAL_HOLD_MILLISECONDS;
   #report: (Report & { at: number; ownThen: number }) | undefined;
   #failureShare = 0;
   #asideUntil = -Infinity;
@@ -39,6 +56,39 @@
     return Math.max(total, this.inFlight);
   }
 
+  /** An answer took so long from sending to its end. */
+  noteHold(milliseconds: number): void {
+    this.#holdMilliseconds += HOLD_WEIGHT *
+      (milliseconds - this.#holdMilliseconds);
+  }
+
+  /**
+   * When an engine would send the first event of a request that goes ahead
+   * of those that are late already, milliseconds from now: a slot has to get
+   * free behind those of its kind, and their prompts and its own are read.
+   */
+  predictFirstEvent(
+    { engine, slots, promptTokens, now }: {
+      engine: EngineDefinition;
+      slots: number;
+      promptTokens: number;
+      now: number;
+    },
+  ): number {
+    const total = this.estimateRequests(now);
+    const scale = Math.min(MOST_SCALE, total / Math.max(1, this.inFlight));
+    const ahead = this.timelyUnread * Math.max(1, scale);
+    const free = Math.max(0, slots - total);
+    const turns = total < slots ? 0 : Math.max(0, ahead - free) + 1;
+    const slotWait = turns * this.#holdMilliseconds / slots;
+    const unread = ahead * promptTokens + promptTokens;
+    const reading = engine.readTokensPerSecond === 0
+      ? 0
+      : unread / engine.readTokensPerSecond * 1_000;
+    const pass = engine.stepMilliseconds * engine.stepsPerPass;
+    return BEGIN_MILLISECONDS + pass + reading + slotWait;
+  }
+
   /** Whether it failed so often lately that it is not to be used now. */
   isAside(now: number): boolean {
     return now < this.#asideUntil;
--- /dev/null
+++ b/packages/core/src/gateway/decide_placement.ts
@@ -0,0 +1,41 @@
+import type { BackendChoice } from "./backend_choice.ts";
+import type { EngineDefinition } from "./engine_definition.ts";
+import type { Placement } from "./placement.ts";
+
+type Request = {
+  engine: EngineDefinition;
+  promptTokens: number;
+  /** What is left until its first event has lost its full worth, ms. */
+  targetLeftMilliseconds: number;
+  now: number;
+};
+
+/**
+ * Late requests that may wait at one engine. At 16 slots and 1.3 s an answer
+ * a place gets free every 80 ms, of which those in time take about three in
+ * four: the last of eight gets its turn within the 2.4 s after which clients
+ * give a silent stream up.
+ */
+const MOST_LATE_WAITING = 8;
+
+/**
+ * Whether a request can still be in time at the engine chosen for it.
+ *
+ * Pattern: behind an outage, or at a peak above what the engines carry, more
+ * waits than can be in time. Served in the order of arrival, every request
+ * waits as long as the whole queue, and all are late until the queue is gone,
+ * also those that come when the engines could carry them again. Those that
+ * can be in time therefore go first, and the others take what is left over.
+ */
+export function decidePlacement(
+  choice: BackendChoice,
+  request: Request,
+): Placement {
+  const { standing, record } = choice;
+  const { engine, promptTokens, now } = request;
+  const slots = Math.max(1, standing.slots);
+  const first = record.predictFirstEvent({ engine, slots, promptTokens, now });
+  if (first <= request.targetLeftMilliseconds) return "timely";
+  const waiting = record.estimateRequests(now) - slots;
+  return waiting < MOST_LATE_WAITING ? "late" : "refused";
+}
--- /dev/null
+++ b/packages/core/src/gateway/decide_placement_test.ts
@@ -0,0 +1,134 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { BackendRecord } from "./backend_record.ts";
+import { decidePlacement } from "./decide_placement.ts";
+import type { EngineDefinition } from "./engine_definition.ts";
+import type { Placement } from "./placement.ts";
+
+const ENGINE: EngineDefinition = {
+  models: ["m"],
+  slots: 16,
+  contextTokens: 1_000_000,
+  weightChunks: 48,
+  weightChunkBytes: 49_152,
+  stepMilliseconds: 6.73,
+  stepPerRequestMilliseconds: 0.02,
+  stepPerThousandTokensMilliseconds: 0.007,
+  readTokensPerSecond: 30_600,
+  stepsPerPass: 6,
+  reportLagMilliseconds: 200,
+};
+const TARGET_MILLISECONDS = 400;
+const HOLD_MILLISECONDS = 1_300;
+/** Seven tenths of what 16 slots of 1.3 s carry. */
+const GAP_MILLISECONDS = 116;
+
+const STANDING = {
+  instance: "i",
+  service: "s",
+  address: "10.0.0.1:80",
+  dataCentre: "here",
+  slots: ENGINE.slots,
+  state: "ready" as const,
+  bornAt: 1,
+  sequence: 1,
+  coldMilliseconds: 0,
+  models: [],
+};
+
+type Asked = { at: number; placement: Placement };
+
+/** One engine: slots, and a queue that takes those in time first, or not. */
+function play(options: { arrivals: number[]; ordersByPlacement: boolean }) {
+  const { arrivals, ordersByPlacement } = options;
+  const record = new BackendRecord();
+  const running: { endsAt: number }[] = [];
+  const queue: Asked[] = [];
+  const begun: { at: number; waited: number }[] = [];
+  let refused = 0;
+  const admit = (now: number) => {
+    for (let at = running.length - 1; at >= 0; at -= 1) {
+      if (running[at]!.endsAt > now) continue;
+      running.splice(at, 1);
+      record.inFlight -= 1;
+      record.noteHold(HOLD_MILLISECONDS);
+    }
+    while (running.length < ENGINE.slots && queue.length > 0) {
+      const timely = queue.findIndex(({ placement }) => placement === "timely");
+      const at = ordersByPlacement && timely >= 0 ? timely : 0;
+      const next = queue.splice(at, 1)[0]!;
+      running.push({ endsAt: now + HOLD_MILLISECONDS });
+      begun.push({ at: next.at, waited: now - next.at });
+      if (next.placement === "timely") record.timelyUnread -= 1;
+      const load = { running: running.length, waiting: queue.length };
+      record.takeReport({ ...load, slots: ENGINE.slots }, now);
+    }
+  };
+  const last = arrivals.at(-1)! + 10_000;
+  let next = 0;
+  for (let now = 0; now < last; now += 5) {
+    admit(now);
+    while (next < arrivals.length && arrivals[next]! <= now) {
+      next += 1;
+      const placement = decidePlacement({ standing: STANDING, record }, {
+        engine: ENGINE,
+        promptTokens: 960,
+        targetLeftMilliseconds: TARGET_MILLISECONDS,
+        now,
+      });
+      if (ordersByPlacement && placement === "refused") {
+        refused += 1;
+        continue;
+      }
+      if (placement === "timely") record.timelyUnread += 1;
+      record.inFlight += 1;
+      queue.push({ at: now, placement });
+      admit(now);
+    }
+  }
+  return { begun, refused };
+}
+
+function share(begun: { at: number; waited: number }[], since: number): number {
+  const asked = begun.filter(({ at }) => at >= since);
+  const timely = asked.filter(({ waited }) => waited < TARGET_MILLISECONDS);
+  return timely.length / asked.length;
+}
+
+// Pattern: hosts come back from an outage of two seconds; all that was refused
+// meanwhile returns at once, on top of seven tenths of what the engine
+// carries. In the order of arrival the queue makes everyone late for seconds.
+test("a backlog does not make those late that come behind it", () => {
+  const arrivals = [
+    ...Array.from({ length: 60 }, (_, index) => index * 5),
+    ...Array.from(
+      { length: 100 },
+      (_, index) => 300 + index * GAP_MILLISECONDS,
+    ),
+  ];
+  const ordered = play({ arrivals, ordersByPlacement: true });
+  const plain = play({ arrivals, ordersByPlacement: false });
+  const timely = share(ordered.begun, 300);
+  assert.ok(share(plain.begun, 300) < 0.5, `${share(plain.begun, 300)} plain`);
+  assert.ok(timely > 0.85, `${timely} ordered`);
+  assert.ok(ordered.refused < 50, `${ordered.refused} refused`);
+});
+
+test("what can't be in time takes what is left, and is refused without room", () => {
+  const record = new BackendRecord();
+  const place = (targetLeftMilliseconds: number) =>
+    decidePlacement({ standing: STANDING, record }, {
+      engine: ENGINE,
+      promptTokens: 960,
+      targetLeftMilliseconds,
+      now: 0,
+    });
+  assert.equal(place(400), "timely");
+  assert.equal(place(-500), "late", "it spent its time on an earlier try");
+  record.inFlight = ENGINE.slots + 9;
+  record.timelyUnread = 9;
+  assert.equal(place(400), "refused");
+  record.timelyUnread = 1;
+  assert.equal(place(400), "timely", "those that wait are late: it goes ahead");
+  assert.equal(place(-500), "refused");
+});
--- /dev/null
+++ b/packages/core/src/gateway/usual_patience_test.ts
@@ -0,0 +1,33 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import type { Route } from "./route.ts";
+import { UsualPatience } from "./usual_patience.ts";
+
+const ROUTE = { name: "r", timeoutMilliseconds: 6_000 } as Route;
+
+// A client is refused at a crowded gateway and comes back a second later with
+// a second less to wait. Taken for a first try, it would go ahead of requests
+// that can still be in time, though its own answer is late whatever happens.
+test("who comes back is known by the time that is missing", () => {
+  const patience = new UsualPatience();
+  for (let first = 0; first < 20; first += 1) {
+    assert.equal(patience.spentBefore(ROUTE, 6_030), 0);
+  }
+  assert.equal(patience.spentBefore(ROUTE, 5_030), 1_000);
+  assert.equal(patience.spentBefore(ROUTE, 6_030), 0);
+  assert.equal(patience.spentBefore(ROUTE, undefined), 0);
+});
+
+test("one client that waits unusually long makes no other late", () => {
+  const patience = new UsualPatience();
+  patience.spentBefore(ROUTE, 60_000);
+  for (let first = 0; first < 5; first += 1) {
+    patience.spentBefore(ROUTE, 6_030);
+  }
+  assert.equal(patience.spentBefore(ROUTE, 6_030), 0);
+});
+
+test("just started, the route's own bound tells", () => {
+  const patience = new UsualPatience();
+  assert.equal(patience.spentBefore(ROUTE, 4_500), 1_500);
+});
--- a/packages/daemon/src/gateway/admit_call.ts
+++ b/packages/daemon/src/gateway/admit_call.ts
@@ -62,6 +62,8 @@
     rawHeaders: request.rawHeaders,
     body: body.value,
     startedAt,
+    lateAt: startedAt + route.targetMilliseconds -
+      world.patience.spentBefore(route, facts.deadlineMilliseconds),
     endsAt: startedAt + patience,
   });
 }
--- a/packages/daemon/src/gateway/admitted_call.ts
+++ b/packages/daemon/src/gateway/admitted_call.ts
@@ -10,8 +10,10 @@
   route: Route;
   service: ServiceDefinition;
   workspace: string | undefined;
-  /** Rank in backend servers' queues, 0 first to 9. */
+  /** Rank in backend servers' queues, 0 first to 9, while it is in time. */
   rank: number;
+  /** Monotonic milliseconds: an answer, or its first event, is late then. */
+  lateAt: number;
   method: string;
   path: string;
   rawHeaders: string[];
--- a/packages/daemon/src/gateway/call_sender.ts
+++ b/packages/daemon/src/gateway/call_sender.ts
@@ -5,12 +5,18 @@
 import { BackendAttempt } from "./backend_attempt.ts";
 import type { GatewayWorld } from "./gateway_world.ts";
 
-/** Where a stream goes on that another backend server began. */
-type Continuation = {
+/** How it is sent, and where a stream goes on that another began. */
+type Sending = {
   weightsVersion: number | undefined;
   resumesAfter: string | undefined;
+  /** It can't be in time any more, and goes behind those that can. */
+  isLate: boolean;
 };
 
+/** Late requests go behind all that are in time, and keep their own order. */
+const LATE_RANKS = 5;
+const LAST_RANK = 9;
+
 /** Sends one request to backend servers, and remembers to which. */
 export class CallSender {
   /** Instances that it was sent to. */
@@ -41,19 +47,22 @@
   /** Never rejects. The backend server's record counts what becomes of it. */
   async send(
     choice: BackendChoice,
-    continuation: Continuation,
+    sending: Sending,
   ): Promise<AttemptOutcome> {
     const { standing, record } = choice;
     const { promptTokens } = this.#call.facts;
     this.tried.add(standing.instance);
     record.inFlight += 1;
+    const timely = sending.isLate ? 0 : 1;
     record.unreadTokens += promptTokens;
-    const attempt = this.#open(choice, continuation);
+    record.timelyUnread += timely;
+    const attempt = this.#open(choice, sending);
     this.#attempt = attempt;
     const endWait = this.#boundWait(choice, attempt);
     const outcome = await attempt.outcome;
     endWait();
     record.unreadTokens -= promptTokens;
+    record.timelyUnread -= timely;
     if (outcome.kind !== "answer") record.inFlight -= 1;
     return outcome;
   }
@@ -86,7 +95,7 @@
 
   #open(
     { standing }: BackendChoice,
-    continuation: Continuation,
+    { weightsVersion, resumesAfter, isLate }: Sending,
   ): BackendAttempt {
     const { connections, format } = this.#world;
     const call = this.#call;
@@ -100,11 +109,12 @@
       id: call.id,
       format,
       headers: format.forwardHeaders(call.rawHeaders, {
-        ...continuation,
+        weightsVersion,
+        resumesAfter,
         deadlineMilliseconds: Math.max(1, left),
         instance: standing.instance,
         workspace: call.workspace,
-        rank: call.rank,
+        rank: isLate ? Math.min(LAST_RANK, call.rank + LATE_RANKS) : call.rank,
       }),
     });
   }
--- a/packages/daemon/src/gateway/gateway_app.ts
+++ b/packages/daemon/src/gateway/gateway_app.ts
@@ -1,4 +1,5 @@
 import { SharedRetryBudget } from "@teaselrouter/core/gateway/shared_retry_budget.ts";
+import { UsualPatience } from "@teaselrouter/core/gateway/usual_patience.ts";
 import { createServer, type Server } from "node:http";
 import { Result } from "true-myth";
 import type { EventLog } from "../log/event_log.ts";
@@ -78,6 +79,7 @@
         ratio: settings.gateway!.retry_ratio,
         mostSaved: SAVED_RETRIES,
       }),
+      patience: new UsualPatience(),
       format: platform.requestFormat,
       log,
       counted,
--- a/packages/daemon/src/gateway/gateway_call.ts
+++ b/packages/daemon/src/gateway/gateway_call.ts
@@ -1,4 +1,6 @@
 import type { BackendChoice } from "@teaselrouter/core/gateway/backend_choice.ts";
+import { decidePlacement } from "@teaselrouter/core/gateway/decide_placement.ts";
+import type { Placement } from "@teaselrouter/core/gateway/placement.ts";
 import { retryAfter } from "@teaselrouter/core/gateway/retry_after.ts";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { monotonicMilliseconds } from "../transport/monotonic_milliseconds.ts";
@@ -71,7 +73,13 @@
         const reason = `${lastReason}; no further send is allowed`;
         return this.#refuse(work, this.#refusal(work, reason, "busy"));
       }
+      const placement = this.#placementAt(work, choice);
+      if (placement === "refused") {
+        const reason = "its backend servers have no room";
+        return this.#refuse(work, this.#refusal(work, reason, "busy"));
+      }
       const outcome = await sender.send(choice, {
+        isLate: placement === "late",
         weightsVersion: this.#weightsVersion,
         resumesAfter: passer.lastEventId,
       });
@@ -104,6 +112,22 @@
     });
   }
 
+  /** A stream that has begun goes on at once: its client is waiting. */
+  #placementAt(
+    { call, passer }: Work,
+    choice: BackendChoice,
+  ): Placement {
+    const { engine } = call.service;
+    if (engine === undefined || passer.hasBegun) return "timely";
+    const now = monotonicMilliseconds();
+    return decidePlacement(choice, {
+      engine,
+      promptTokens: call.facts.promptTokens,
+      targetLeftMilliseconds: call.lateAt - now,
+      now,
+    });
+  }
+
   #maySendAgain({ call, sender }: Work): boolean {
     return sender.tried.size < call.route.maxBackends &&
       this.#world.retries.trySpend();
@@ -144,7 +168,10 @@
     if (this.#isOver) return "over";
     if (end === "broken" || status >= 500) {
       record.countFailure(monotonicMilliseconds());
-    } else record.countSuccess();
+    } else {
+      record.countSuccess();
+      record.noteHold(monotonicMilliseconds() - now);
+    }
     if (end === "broken") {
       this.#world.log.info("answer-broken", {
         id: work.call.id,
--- a/packages/daemon/src/gateway/gateway_world.ts
+++ b/packages/daemon/src/gateway/gateway_world.ts
@@ -1,4 +1,5 @@
 import type { SharedRetryBudget } from "@teaselrouter/core/gateway/shared_retry_budget.ts";
+import type { UsualPatience } from "@teaselrouter/core/gateway/usual_patience.ts";
 import type { EventLog } from "../log/event_log.ts";
 import type { ProcessMetrics } from "../metrics/process_metrics.ts";
 import type { RequestFormat } from "../platform/request_format.ts";
@@ -12,6 +13,7 @@
   pool: BackendPool;
   connections: BackendConnections;
   retries: SharedRetryBudget;
+  patience: UsualPatience;
   format: RequestFormat;
   log: EventLog;
   counted: ProcessMetrics;
