Ask for votes again soon while nobody leads

Cause: control hosts that start together aren't reachable at the same moment; the first asks while the others do not listen, and asked again only after a whole election time. Change: a round that changes no term is repeated after 0.3 to 0.6 of the time. The test of a lost first question failed before.

--- a/packages/core/src/consensus/ballot.ts
+++ b/packages/core/src/consensus/ballot.ts
@@ -21,6 +21,15 @@
  */
 const FIRST_SHARE = 0.4;
 
+/**
+ * Part of the election time after which a member that leads nobody and hears
+ * nobody asks again whether it would win. Members that start together aren't
+ * reachable at the same moment, and what is sent ahead of that is lost: with
+ * the whole time between two askings the others were up for a second before
+ * they were asked again. Asking changes no term, so that it may be repeated.
+ */
+const ASK_AGAIN_SHARE = 0.3;
+
 /**
  * A member's term and vote, and the election it stands in: first a round
  * that asks whether it would win and changes no term, then the election.
@@ -74,7 +83,8 @@
 
   /** Asks who would vote for this member; true when it has won already. */
   askFirst(now: number): boolean {
-    this.postpone(now);
+    const span = this.#options.electionMilliseconds * ASK_AGAIN_SHARE;
+    this.#electionAt = now + span * (1 + this.#options.random());
     return this.#stand({ preVote: true, transfer: false }, now);
   }
 
--- a/packages/core/src/consensus/raft_node_test.ts
+++ b/packages/core/src/consensus/raft_node_test.ts
@@ -258,3 +258,25 @@
   );
   assert.deepEqual(node.regressedMembers, []);
 });
+
+// All members lose power. The first one back asks for votes while the others
+// do not listen yet, and its question is lost. Callers are refused for as long
+// as it waits to ask again, though a majority has been up for most of it.
+test("a vote that was asked for too early is soon asked for again", () => {
+  const node = newNode([entry(1, 1)], 1);
+  node.takeOutput();
+  const asks = () => {
+    const { immediate, afterSync } = node.takeOutput();
+    return [...immediate, ...afterSync].filter(({ body }) =>
+      body.case === "voteRequest"
+    ).length;
+  };
+  const first = 0.4 * ELECTION_MILLISECONDS;
+  node.tick(first);
+  assert.equal(asks(), 2, "both others are asked");
+  node.tick(first + 0.2 * ELECTION_MILLISECONDS);
+  assert.equal(asks(), 0, "they are given time to answer");
+  node.tick(first + 0.4 * ELECTION_MILLISECONDS);
+  assert.equal(asks(), 2);
+  assert.equal(node.term, 1, "asking changes no term");
+});
