Hold what reaches a gateway just after its start

Change: such requests are held until something is known, for 1.5 s at most and 512 at most, and for as long as backend servers may not have announced themselves; then they are refused as before. Ruled out: an earlier Retry-After (their last try is spent all the same).

--- a/packages/daemon/src/gateway/admit_call.ts
+++ b/packages/daemon/src/gateway/admit_call.ts
@@ -6,7 +6,6 @@
 import type { IncomingMessage } from "node:http";
 import { Result } from "true-myth";
 import { readBody } from "../http/read_body.ts";
-import { monotonicMilliseconds } from "../transport/monotonic_milliseconds.ts";
 import type { AdmittedCall } from "./admitted_call.ts";
 import type { CallRefusal } from "./call_refusal.ts";
 import type { GatewayWorld } from "./gateway_world.ts";
@@ -19,12 +18,16 @@
 
 type Place = { route: Route; workspace: string | undefined; rank: number };
 
-/** Checks a request and reads it whole; the refusal says what is wrong. */
+/**
+ * Checks a request and reads it whole; the refusal says what is wrong.
+ *
+ * @param startedAt when its head was read, monotonic milliseconds.
+ */
 export async function admitCall(
   world: GatewayWorld,
   request: IncomingMessage,
+  startedAt: number,
 ): Promise<Result<AdmittedCall, CallRefusal>> {
-  const startedAt = monotonicMilliseconds();
   const facts = world.format.readRequest(request.headers);
   const table = world.feed.table;
   if (table === undefined) {
--- a/packages/daemon/src/gateway/control_feed.ts
+++ b/packages/daemon/src/gateway/control_feed.ts
@@ -26,8 +26,11 @@
 /** All that a gateway believes, as the control hosts told it. */
 export class ControlFeed {
   readonly backends$ = new Subject<BackendStanding[]>();
+  /** Anything at all was heard. */
+  readonly news$ = new Subject<void>();
   #options: Options;
   #table: RouteTable | undefined;
+  #configuredAt: number | undefined;
   #hasBackends = false;
   #registry = new BackendRegistry({
     // Control hosts say who is gone; alone, what was known goes on.
@@ -40,7 +43,10 @@
 
   constructor(options: Options) {
     this.#options = options;
-    options.follows.updates$.subscribe(({ update }) => this.#take(update));
+    options.follows.updates$.subscribe(({ update }) => {
+      this.#take(update);
+      this.news$.next();
+    });
   }
 
   /** The newest configuration heard of; undefined before the first. */
@@ -48,6 +54,11 @@
     return this.#table;
   }
 
+  /** When the first was heard of; undefined before. */
+  get configuredAt(): number | undefined {
+    return this.#configuredAt;
+  }
+
   /** Whether requests can be placed at all. */
   get isComplete(): boolean {
     return this.#table !== undefined && this.#hasBackends;
@@ -99,6 +110,7 @@
       });
     }
     this.#table = new RouteTable(decoded.value);
+    this.#configuredAt ??= monotonicMilliseconds();
     log.info("routing-in-force", { version, before: standing });
   }
 
--- a/packages/daemon/src/gateway/gateway_app.ts
+++ b/packages/daemon/src/gateway/gateway_app.ts
@@ -16,6 +16,7 @@
 import { ControlFeed } from "./control_feed.ts";
 import { GatewayServer } from "./gateway_server.ts";
 import type { GatewayWorld } from "./gateway_world.ts";
+import { StartHold } from "./start_hold.ts";
 
 /** Any of these knows all; three are never lost together. */
 const FOLLOWED_CONTROL_HOSTS = 3;
@@ -67,8 +68,15 @@
       decodeRouting: platform.decodeRouting,
       log,
     });
+    const isStopping = () => this.#isStopping;
+    const startHold = new StartHold({
+      configuredAt: () => feed.configuredAt,
+      isStopping,
+    });
+    feed.news$.subscribe(() => startHold.noteNews());
     this.#world = {
       feed,
+      startHold,
       pool: new BackendPool({
         feed,
         dataCentre: settings.data_centre,
@@ -84,7 +92,7 @@
       log,
       counted,
       random: Math.random,
-      isStopping: () => this.#isStopping,
+      isStopping,
     };
     this.#server = new GatewayServer(this.#world);
     this.#readyServer = createServer((request, response) => {
--- a/packages/daemon/src/gateway/gateway_call.ts
+++ b/packages/daemon/src/gateway/gateway_call.ts
@@ -30,6 +30,7 @@
   #world: GatewayWorld;
   #request: IncomingMessage;
   #response: ServerResponse;
+  #startedAt = monotonicMilliseconds();
   #weightsVersion: number | undefined;
   /** A backend server may have begun to work on it. */
   #mayHaveRun = false;
@@ -46,7 +47,8 @@
   async run(): Promise<void> {
     const world = this.#world;
     const response = this.#response;
-    const admitted = await admitCall(world, this.#request);
+    await this.#holdUntilConfigured();
+    const admitted = await admitCall(world, this.#request, this.#startedAt);
     if (admitted.isErr) return this.#refuse(undefined, admitted.error);
     const call = admitted.value;
     const isOver = () => this.#isOver;
@@ -56,19 +58,32 @@
       passer: new AnswerPasser({ world, call, response, isOver }),
     };
     world.retries.countRequest();
+    // Its end came and went while it was held or read.
+    if (response.destroyed) return this.#noteLeft(work);
     response.once("close", () => this.#noteLeft(work));
     const left = call.endsAt - monotonicMilliseconds();
     this.#timer = setTimeout(() => this.#giveUp(work), Math.max(0, left));
     await this.#place(work);
   }
 
+  /** Nothing can be said of a request before a configuration is known. */
+  async #holdUntilConfigured(): Promise<void> {
+    const { feed, startHold } = this.#world;
+    while (feed.table === undefined && !this.#response.destroyed) {
+      if (!await startHold.wait(this.#startedAt)) return;
+    }
+  }
+
   /** Sends it, and again where that is allowed, until it is answered. */
   async #place(work: Work): Promise<void> {
     const { sender, passer } = work;
     let lastReason = "";
     while (!this.#isOver) {
       const choice = this.#choose(work);
-      if (choice === undefined) return this.#refuseUnplaced(work, lastReason);
+      if (choice === undefined) {
+        if (await this.#holdUnplaced(work)) continue;
+        return this.#refuseUnplaced(work, lastReason);
+      }
       if (sender.tried.size > 0 && !this.#maySendAgain(work)) {
         const reason = `${lastReason}; no further send is allowed`;
         return this.#refuse(work, this.#refusal(work, reason, "busy"));
@@ -101,6 +116,12 @@
     }
   }
 
+  /** Its backend servers may not have been heard of yet. */
+  #holdUnplaced({ call, sender }: Work): Promise<boolean> {
+    if (sender.tried.size > 0) return Promise.resolve(false);
+    return this.#world.startHold.wait(call.startedAt);
+  }
+
   #choose({ call, sender }: Work): BackendChoice | undefined {
     return this.#world.pool.choose({
       service: call.service.name,
--- a/packages/daemon/src/gateway/gateway_world.ts
+++ b/packages/daemon/src/gateway/gateway_world.ts
@@ -6,10 +6,12 @@
 import type { BackendConnections } from "./backend_connections.ts";
 import type { BackendPool } from "./backend_pool.ts";
 import type { ControlFeed } from "./control_feed.ts";
+import type { StartHold } from "./start_hold.ts";
 
 /** What all requests of a gateway share. */
 export type GatewayWorld = {
   feed: ControlFeed;
+  startHold: StartHold;
   pool: BackendPool;
   connections: BackendConnections;
   retries: SharedRetryBudget;
--- /dev/null
+++ b/packages/daemon/src/gateway/start_hold_test.ts
@@ -0,0 +1,51 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { monotonicMilliseconds } from "../transport/monotonic_milliseconds.ts";
+import { StartHold } from "./start_hold.ts";
+
+// All hosts lose power. The gateways are back a second ahead of the control
+// hosts and refuse whatever comes. Clients whose first try found no host at
+// all have then spent their second, and see a failure, though the system
+// serves again before their time is over.
+test("a request is held until the first configuration is known", async () => {
+  let configuredAt: number | undefined = undefined;
+  const hold = new StartHold({
+    configuredAt: () => configuredAt,
+    isStopping: () => false,
+  });
+  const waiting = hold.wait(monotonicMilliseconds());
+  configuredAt = monotonicMilliseconds();
+  hold.noteNews();
+  assert.equal(await waiting, true);
+});
+
+test("nothing is held for long, nor by a gateway that has settled", async () => {
+  const now = monotonicMilliseconds();
+  const unknown = new StartHold({
+    configuredAt: () => undefined,
+    isStopping: () => false,
+  });
+  assert.equal(await unknown.wait(now - 2_000), false);
+  const settled = new StartHold({
+    configuredAt: () => now - 10_000,
+    isStopping: () => false,
+  });
+  assert.equal(await settled.wait(now), false);
+  const stopping = new StartHold({
+    configuredAt: () => undefined,
+    isStopping: () => true,
+  });
+  assert.equal(await stopping.wait(now), false);
+});
+
+test("no more are held than a start may bring", async () => {
+  const hold = new StartHold({
+    configuredAt: () => undefined,
+    isStopping: () => false,
+  });
+  const since = monotonicMilliseconds();
+  const held = Array.from({ length: 512 }, () => hold.wait(since));
+  assert.equal(await hold.wait(since), false);
+  hold.noteNews();
+  assert.deepEqual(new Set(await Promise.all(held)), new Set([true]));
+});
