Pass on answers of plain services that are too large to be collected

Cause: the first 64 KiB are collected and the answer is paused; the listener that takes over does not start a paused answer, so the rest never came and the client waited until its time was over. The test hung before, and passes now.

--- /dev/null
+++ b/packages/daemon/src/gateway/large_answer_test.ts
@@ -0,0 +1,55 @@
+import assert from "node:assert/strict";
+import { Buffer } from "node:buffer";
+import {
+  createServer,
+  type IncomingMessage,
+  request,
+  type ServerResponse,
+} from "node:http";
+import type { AddressInfo } from "node:net";
+import { test } from "node:test";
+import { collectAnswer } from "./collect_answer.ts";
+import { StreamRelay } from "./stream_relay.ts";
+
+const BYTES = 300_000;
+const COLLECTED_BYTES = 65_536;
+
+/** Serves `handle` once, and asks it. */
+async function ask(
+  handle: (request: IncomingMessage, response: ServerResponse) => void,
+): Promise<{ message: IncomingMessage; close: () => void }> {
+  const server = createServer(handle);
+  await new Promise<void>((done) => server.listen(0, "127.0.0.1", done));
+  const { port } = server.address() as AddressInfo;
+  const message = await new Promise<IncomingMessage>((resolve) => {
+    request({ host: "127.0.0.1", port }, resolve).end();
+  });
+  return {
+    message,
+    close: () => {
+      server.closeAllConnections();
+      server.close();
+    },
+  };
+}
+
+// A plain service answers with a document of some hundred kilobytes. Its first
+// part is collected, the rest is to be passed on as it comes; the answer then
+// stopped after the first part, and its client waited until its time was over.
+test("an answer too large to be collected is passed on to its end", async () => {
+  const backend = await ask((_, response) => response.end(Buffer.alloc(BYTES)));
+  const collected = await collectAnswer(backend.message, COLLECTED_BYTES);
+  assert.equal(collected.kind, "large");
+  assert.ok(collected.kind === "large");
+  const gateway = await ask(async (_, response) => {
+    response.write(collected.bytes);
+    const relay = new StreamRelay({ response, wholeEvents: false });
+    assert.equal(await relay.relay(backend.message), "complete");
+    response.end();
+  });
+  let bytes = 0;
+  for await (const part of gateway.message) bytes += part.length;
+  assert.equal(bytes, BYTES);
+  backend.close();
+  gateway.close();
+});
--- a/packages/daemon/src/gateway/stream_relay.ts
+++ b/packages/daemon/src/gateway/stream_relay.ts
@@ -37,6 +37,9 @@
     this.#splitter = new EventSplitter();
     return new Promise((resolve) => {
       message.on("data", (bytes: Buffer) => this.#pass(message, bytes));
+      // Who read the first part has paused it; a listener alone does not start
+      // it again, and the rest would never come.
+      message.resume();
       message.once("end", () => {
         const whole = message.complete;
         if (whole) this.#write(message, this.#splitter.rest);
