Leave backend servers that fall silent, and go on elsewhere

Cause: a host that froze or was cut off takes requests on kept connections and never answers; no error tells, and each request waited until its client left (2.4 s for a stream). Change: a record knows when something last came from its backend server; with answers due and nothing for 0.7 s (or four times its usual time to a head) it gets nothing new, and what may be repeated goes on elsewhere where the budget allows. What may not be repeated stays: silence is no reason to end it. The end of a request has a module of its own. The acceptance test (a frozen host, six streams) failed before. In the seconds of a cut zone little is gained: there most time is lost on new connections that don't come about.

--- a/acceptance/src/stand_in_server.ts
+++ b/acceptance/src/stand_in_server.ts
@@ -19,6 +19,8 @@
   readonly ran: string[] = [];
   /** Events of a stream behind which it breaks off; each used once. */
   breaksAfter: number[] = [];
+  /** Takes requests and answers nothing more, as a host that froze does. */
+  isFrozen = false;
   version = 0;
   readonly instance: string;
   address = "";
@@ -113,6 +115,7 @@
         "Instance-Id": this.#options.instance,
       }).end();
     }
+    if (this.isFrozen) return;
     this.ran.push(id);
     response.writeHead(200, {
       "Attempt-Id": id,
@@ -130,6 +133,7 @@
   async #stream(response: ServerResponse, after: number): Promise<void> {
     const breakAfter = this.breaksAfter.shift() ?? Infinity;
     for (let event = after + 1; event <= EVENTS; event += 1) {
+      if (this.isFrozen) return;
       if (event > breakAfter) {
         response.write(`id: ${event}\nda`);
         await pause(EVENT_MILLISECONDS);
--- a/acceptance/src/whole_path_test.ts
+++ b/acceptance/src/whole_path_test.ts
@@ -84,6 +84,30 @@
   });
 });
 
+test("a stream goes on elsewhere when its engine's host freezes", async () => {
+  // Story: a host freezes with streams under way and connections kept to it.
+  // No error tells: each stream, and each request sent there afterwards, would
+  // wait until its client gives up. They go on at another engine within a
+  // second, behind the last event that was passed on.
+  await withWholePath(async (path) => {
+    const [frozen, other] = path.engines;
+    const patient = { "Deadline-Ms": "8000" };
+    const streams = Array.from(
+      { length: 6 },
+      (_, index) => path.write(`f${index}`, patient),
+    );
+    await waitUntil(() => frozen!.ran.length > 0, CHECK_MILLISECONDS);
+    frozen!.isFrozen = true;
+    for (const { status, text } of await Promise.all(streams)) {
+      assert.equal(status, 200);
+      assert.equal(text, STREAM);
+    }
+    assert.ok(other!.ran.length >= streams.length);
+    const later = await path.write("f-later", patient);
+    assert.equal(later.text, STREAM);
+  });
+});
+
 test("a named version is spread, checked and loaded everywhere", async () => {
   await withWholePath(async (path) => {
     assert.equal((await path.nameWeights(2)).status, 200);
--- a/packages/core/src/gateway/backend_record.ts
+++ b/packages/core/src/gateway/backend_record.ts
@@ -21,6 +21,14 @@
  * they say little, and no host carries less than an eighth of the load.
  */
 const MOST_SCALE = 8;
+/**
+ * Nothing heard for so long from where something is under way: an engine
+ * sends an event about every 50 ms, and a plain service of the sizes met
+ * answers within 220 ms.
+ */
+const SILENT_MILLISECONDS = 700;
+/** A service that takes longer to answer is given a multiple of its mean. */
+const SILENT_HEADS = 4;
 /** Ways to and from the engine, and what it takes to begin. */
 const BEGIN_MILLISECONDS = 40;
 
@@ -33,6 +41,10 @@
   /** Of those, how many can be in time: they go ahead of the others. */
   timelyUnread = 0;
   #holdMilliseconds = USUAL_HOLD_MILLISECONDS;
+  #headMilliseconds = 0;
+  #heardAt = -Infinity;
+  /** Since when something has been under way there without a pause. */
+  #busySince = -Infinity;
   #report: (Report & { at: number; ownThen: number }) | undefined;
   #failureShare = 0;
   #asideUntil = -Infinity;
@@ -56,7 +68,38 @@
     return Math.max(total, this.inFlight);
   }
 
-  /** An answer took so long from sending to its end. */
+  /** A request is about to be sent there; call it ahead of counting it. */
+  noteSend(now: number): void {
+    if (this.inFlight === 0) this.#busySince = now;
+  }
+
+  /** A part of some answer came from there. */
+  noteHeard(now: number): void {
+    this.#heardAt = now;
+  }
+
+  /** The head of an answer took so long from sending. */
+  noteHead(milliseconds: number): void {
+    this.#headMilliseconds += HOLD_WEIGHT *
+      (milliseconds - this.#headMilliseconds);
+  }
+
+  /**
+   * Whether nothing comes from there any more, though answers are due. A host
+   * that froze or was cut off takes requests on kept connections and never
+   * answers: no error tells, and each request sent there waits until its
+   * client has left.
+   */
+  isSilent(now: number): boolean {
+    if (this.inFlight === 0) return false;
+    const limit = Math.max(
+      SILENT_MILLISECONDS,
+      SILENT_HEADS * this.#headMilliseconds,
+    );
+    return now - Math.max(this.#heardAt, this.#busySince) > limit;
+  }
+
+  /** An answer took so long from its head to its end. */
   noteHold(milliseconds: number): void {
     this.#holdMilliseconds += HOLD_WEIGHT *
       (milliseconds - this.#holdMilliseconds);
--- a/packages/core/src/gateway/backend_record_test.ts
+++ b/packages/core/src/gateway/backend_record_test.ts
@@ -48,3 +48,30 @@
   }
   assert.ok(spent <= 1_000 * 0.1 + 8, `${spent}`);
 });
+
+test("one that says nothing more while answers are due is silent", () => {
+  // Story: a backend server's host freezes. Its kept connections stay open and
+  // take requests, and no error comes until each client has left.
+  const record = new BackendRecord();
+  assert.equal(record.isSilent(10_000), false, "nothing is due");
+  record.noteSend(10_000);
+  record.inFlight = 1;
+  assert.equal(record.isSilent(10_600), false);
+  record.noteHeard(10_650);
+  assert.equal(record.isSilent(11_300), false);
+  assert.equal(record.isSilent(11_400), true);
+  record.noteSend(11_400);
+  record.inFlight = 2;
+  assert.equal(record.isSilent(11_400), true, "a send says nothing of it");
+  record.inFlight = 0;
+  assert.equal(record.isSilent(11_500), false, "it may be tried again");
+});
+
+test("a service that takes long to answer is not silent for that", () => {
+  const record = new BackendRecord();
+  for (let answer = 0; answer < 30; answer += 1) record.noteHead(1_000);
+  record.noteSend(0);
+  record.inFlight = 1;
+  assert.equal(record.isSilent(2_000), false);
+  assert.equal(record.isSilent(5_000), true);
+});
--- a/packages/core/src/gateway/shared_retry_budget.ts
+++ b/packages/core/src/gateway/shared_retry_budget.ts
@@ -24,8 +24,12 @@
     this.#saved = Math.min(mostSaved, this.#saved + ratio);
   }
 
+  get mayBeSpent(): boolean {
+    return this.#saved >= 1;
+  }
+
   trySpend(): boolean {
-    if (this.#saved < 1) return false;
+    if (!this.mayBeSpent) return false;
     this.#saved -= 1;
     return true;
   }
--- a/packages/daemon/src/gateway/call_sender.ts
+++ b/packages/daemon/src/gateway/call_sender.ts
@@ -1,4 +1,5 @@
 import type { BackendChoice } from "@teaselrouter/core/gateway/backend_choice.ts";
+import type { BackendRecord } from "@teaselrouter/core/gateway/backend_record.ts";
 import { monotonicMilliseconds } from "../transport/monotonic_milliseconds.ts";
 import type { AdmittedCall } from "./admitted_call.ts";
 import type { AttemptOutcome } from "./attempt_outcome.ts";
@@ -51,7 +52,9 @@
   ): Promise<AttemptOutcome> {
     const { standing, record } = choice;
     const { promptTokens } = this.#call.facts;
+    const sentAt = monotonicMilliseconds();
     this.tried.add(standing.instance);
+    record.noteSend(sentAt);
     record.inFlight += 1;
     const timely = sending.isLate ? 0 : 1;
     record.unreadTokens += promptTokens;
@@ -63,7 +66,8 @@
     endWait();
     record.unreadTokens -= promptTokens;
     record.timelyUnread -= timely;
-    if (outcome.kind !== "answer") record.inFlight -= 1;
+    if (outcome.kind === "answer") this.#listen(record, outcome, sentAt);
+    else record.inFlight -= 1;
     return outcome;
   }
 
@@ -93,6 +97,18 @@
     });
   }
 
+  /** All that comes of an answer shows that its backend server is there. */
+  #listen(
+    record: BackendRecord,
+    { message }: Extract<AttemptOutcome, { kind: "answer" }>,
+    sentAt: number,
+  ): void {
+    const now = monotonicMilliseconds();
+    record.noteHead(now - sentAt);
+    record.noteHeard(now);
+    message.on("data", () => record.noteHeard(monotonicMilliseconds()));
+  }
+
   #open(
     { standing }: BackendChoice,
     { weightsVersion, resumesAfter, isLate }: Sending,
--- a/packages/daemon/src/gateway/gateway_call.ts
+++ b/packages/daemon/src/gateway/gateway_call.ts
@@ -8,11 +8,11 @@
 import type { AdmittedCall } from "./admitted_call.ts";
 import { AnswerPasser } from "./answer_passer.ts";
 import type { AttemptOutcome } from "./attempt_outcome.ts";
-import type { CallEnd } from "./call_end.ts";
+import { CallEnding } from "./call_ending.ts";
 import type { CallRefusal } from "./call_refusal.ts";
 import { CallSender } from "./call_sender.ts";
 import type { GatewayWorld } from "./gateway_world.ts";
-import { refuseCall } from "./refuse_call.ts";
+import { watchSilence } from "./watch_silence.ts";
 
 type Answer = Extract<AttemptOutcome, { kind: "answer" }>;
 
@@ -23,7 +23,13 @@
 };
 
 /** What a request is under way with, once it was admitted. */
-type Work = { call: AdmittedCall; sender: CallSender; passer: AnswerPasser };
+type Work = {
+  call: AdmittedCall;
+  sender: CallSender;
+  passer: AnswerPasser;
+  /** Instances that it was sent to. */
+  tried: ReadonlySet<string>;
+};
 
 /** One request of a client, from its head to the end of its answer. */
 export class GatewayCall {
@@ -34,13 +40,13 @@
   #weightsVersion: number | undefined;
   /** A backend server may have begun to work on it. */
   #mayHaveRun = false;
-  #isOver = false;
-  #timer: NodeJS.Timeout | undefined;
+  #ending: CallEnding;
 
   constructor(options: Options) {
     this.#world = options.world;
     this.#request = options.request;
     this.#response = options.response;
+    this.#ending = new CallEnding(options);
   }
 
   /** Never rejects; every way out ends the answer. */
@@ -49,12 +55,14 @@
     const response = this.#response;
     await this.#holdUntilConfigured();
     const admitted = await admitCall(world, this.#request, this.#startedAt);
-    if (admitted.isErr) return this.#refuse(undefined, admitted.error);
+    if (admitted.isErr) return this.#ending.refuse(undefined, admitted.error);
     const call = admitted.value;
-    const isOver = () => this.#isOver;
+    const isOver = () => this.#ending.isOver;
+    const sender = new CallSender(world, call);
     const work: Work = {
       call,
-      sender: new CallSender(world, call),
+      sender,
+      tried: sender.tried,
       passer: new AnswerPasser({ world, call, response, isOver }),
     };
     world.retries.countRequest();
@@ -62,7 +70,7 @@
     if (response.destroyed) return this.#noteLeft(work);
     response.once("close", () => this.#noteLeft(work));
     const left = call.endsAt - monotonicMilliseconds();
-    this.#timer = setTimeout(() => this.#giveUp(work), Math.max(0, left));
+    this.#ending.startTimer(left, () => this.#giveUp(work));
     await this.#place(work);
   }
 
@@ -78,7 +86,7 @@
   async #place(work: Work): Promise<void> {
     const { sender, passer } = work;
     let lastReason = "";
-    while (!this.#isOver) {
+    while (!this.#ending.isOver) {
       const choice = this.#choose(work);
       if (choice === undefined) {
         if (await this.#holdUnplaced(work)) continue;
@@ -86,32 +94,26 @@
       }
       if (sender.tried.size > 0 && !this.#maySendAgain(work)) {
         const reason = `${lastReason}; no further send is allowed`;
-        return this.#refuse(work, this.#refusal(work, reason, "busy"));
+        return this.#ending.refuse(work, this.#refusal(work, reason, "busy"));
       }
       const placement = this.#placementAt(work, choice);
       if (placement === "refused") {
         const reason = "its backend servers have no room";
-        return this.#refuse(work, this.#refusal(work, reason, "busy"));
+        return this.#ending.refuse(work, this.#refusal(work, reason, "busy"));
       }
+      const endWatch = this.#watchSilence(work, choice);
       const outcome = await sender.send(choice, {
         isLate: placement === "late",
         weightsVersion: this.#weightsVersion,
         resumesAfter: passer.lastEventId,
       });
-      if (this.#isOver) {
-        if (outcome.kind === "answer") choice.record.inFlight -= 1;
-        return;
-      }
-      if (outcome.kind === "answer") {
-        if (await this.#takeAnswer(work, choice, outcome) === "over") return;
-        lastReason = "the answer broke off";
-      } else {
-        sender.noteFailure(choice, outcome);
-        lastReason = outcome.reason;
-      }
+      const end = await this.#takeOutcome(work, choice, outcome);
+      endWatch();
+      if (end === "over") return;
+      lastReason = end;
       this.#mayHaveRun ||= outcome.kind !== "not-run";
       if (this.#mayHaveRun && !this.#mayRepeat(work)) {
-        return this.#refuse(work, { status: 502, reason: lastReason });
+        return this.#ending.refuse(work, { status: 502, reason: lastReason });
       }
     }
   }
@@ -133,6 +135,34 @@
     });
   }
 
+  /** Gives back why it is to be sent again, or "over". */
+  async #takeOutcome(
+    work: Work,
+    choice: BackendChoice,
+    outcome: AttemptOutcome,
+  ): Promise<string> {
+    if (this.#ending.isOver) {
+      if (outcome.kind === "answer") choice.record.inFlight -= 1;
+      return "over";
+    }
+    if (outcome.kind === "answer") {
+      const end = await this.#takeAnswer(work, choice, outcome);
+      return end === "over" ? end : "the answer broke off";
+    }
+    work.sender.noteFailure(choice, outcome);
+    return outcome.reason;
+  }
+
+  #watchSilence(work: Work, { record }: BackendChoice): () => void {
+    return watchSilence({
+      isSilent: () => record.isSilent(monotonicMilliseconds()),
+      mayGoElsewhere: () =>
+        !this.#ending.isOver && this.#canTryElsewhere(work) &&
+        this.#world.retries.mayBeSpent,
+      giveUp: () => work.sender.abort("its backend server has fallen silent"),
+    });
+  }
+
   /** A stream that has begun goes on at once: its client is waiting. */
   #placementAt(
     { call, passer }: Work,
@@ -186,7 +216,7 @@
     this.#weightsVersion ??= facts.weightsVersion;
     const end = await passer.pass(message, () => sender.hasFailed);
     record.inFlight -= 1;
-    if (this.#isOver) return "over";
+    if (this.#ending.isOver) return "over";
     if (end === "broken" || status >= 500) {
       record.countFailure(monotonicMilliseconds());
     } else {
@@ -204,7 +234,7 @@
     }
     this.#response.end();
     const reason = standing.instance;
-    this.#finish(work, { status, reason, outcome: "answered" });
+    this.#ending.finish(work, { status, reason, outcome: "answered" });
     return "over";
   }
 
@@ -217,17 +247,17 @@
   }
 
   #giveUp(work: Work): void {
-    if (this.#isOver) return;
+    if (this.#ending.isOver) return;
     const isSent = this.#mayHaveRun || work.sender.isSent;
     const reason = "the time for it is over";
-    this.#refuse(work, { status: isSent ? 504 : 503, reason });
+    this.#ending.refuse(work, { status: isSent ? 504 : 503, reason });
     work.sender.abort(reason);
   }
 
   #noteLeft(work: Work): void {
-    if (this.#isOver) return;
+    if (this.#ending.isOver) return;
     const reason = "the client closed its connection";
-    this.#finish(work, { status: 499, reason, outcome: "client-left" });
+    this.#ending.finish(work, { status: 499, reason, outcome: "client-left" });
     work.sender.abort("the client has left");
   }
 
@@ -235,7 +265,7 @@
     const refusal = lastReason === ""
       ? this.#refusal(work, "no backend server takes it now", "outage")
       : this.#refusal(work, lastReason, "busy");
-    this.#refuse(work, refusal);
+    this.#ending.refuse(work, refusal);
   }
 
   /** "Not run" is said only of what no backend server can have begun. */
@@ -252,44 +282,4 @@
     });
     return { status: 503, reason, retryAfterMilliseconds };
   }
-
-  /** The final answer, at once; an answer that began is broken off. */
-  #refuse(work: Work | undefined, refusal: CallRefusal): void {
-    if (this.#isOver) return;
-    const { status, reason } = refusal;
-    const { format, isStopping } = this.#world;
-    if (this.#response.headersSent) this.#response.destroy();
-    else {
-      refuseCall(this.#response, refusal, { closes: isStopping() });
-      if (!this.#request.complete) this.#request.resume();
-    }
-    const isNotRun = format.promisesNotRun(status) || status < 500;
-    const outcome = isNotRun ? "not-run" : "unknown";
-    this.#finish(work, { status, reason, outcome });
-  }
-
-  #finish(work: Work | undefined, end: CallEnd): void {
-    this.#isOver = true;
-    clearTimeout(this.#timer);
-    const { counted, feed, format, log } = this.#world;
-    const call = work?.call;
-    const kind = call?.route.kind ?? "none";
-    const milliseconds = call && monotonicMilliseconds() - call.startedAt;
-    counted.requests.inc({ kind, outcome: end.outcome });
-    if (milliseconds !== undefined) {
-      counted.requestMilliseconds.observe({ kind }, milliseconds);
-    }
-    log.info("request-ended", {
-      id: call?.id ?? format.readRequest(this.#request.headers).id,
-      route: call?.route.name,
-      service: call?.service.name,
-      workspace: call?.workspace,
-      instances: work && [...work.sender.tried].join(","),
-      status: end.status,
-      outcome: end.outcome,
-      reason: end.reason,
-      milliseconds: milliseconds && Math.round(milliseconds),
-      configuration: feed.table?.configuration.version,
-    });
-  }
 }
