Take the bound on callers' headers from the configuration

Cause: the front port's bound was fixed at 16 KiB when the process started; an operator who allowed more had proper requests refused with 431, one who allowed less was not obeyed. Change: the parser's own bound is 64 KiB, and the configuration's is looked at when the head was read; behind a 431 the connection is closed. The acceptance test failed before. A larger bound than 64 KiB is not obeyed.

--- a/acceptance/src/configuration_of.ts
+++ b/acceptance/src/configuration_of.ts
@@ -4,11 +4,13 @@
   model: string;
   chunks: number;
   keys?: string[];
+  maxHeaderBytes?: number;
 };
 
 /** A configuration as an operator sends it: one service of each kind. */
 export function configurationOf(options: Options) {
   const { version, store, model, chunks, keys = ["key-1"] } = options;
+  const { maxHeaderBytes = 16_384 } = options;
   const route = {
     timeoutMs: 2_000,
     sloMs: 100,
@@ -71,7 +73,7 @@
       },
     ],
     limits: {
-      maxHeaderBytes: 16_384,
+      maxHeaderBytes,
       maxBodyBytes: 65_536,
       headerTimeoutMs: 1_000,
       idleTimeoutMs: 5_000,
--- a/acceptance/src/stand_in_server.ts
+++ b/acceptance/src/stand_in_server.ts
@@ -28,7 +28,7 @@
   #staged = new Map<number, Buffer>();
   #sequence = 0;
   #beats = 0;
-  #server = createServer((request, response) => {
+  #server = createServer({ maxHeaderSize: 65_536 }, (request, response) => {
     this.#handle(request, response).catch(() => response.destroy());
   });
 
--- a/acceptance/src/whole_path.ts
+++ b/acceptance/src/whole_path.ts
@@ -63,13 +63,18 @@
     }
   }
 
-  async configure(version: number, keys?: string[]): Promise<boolean> {
+  async configure(
+    version: number,
+    keys?: string[],
+    maxHeaderBytes?: number,
+  ): Promise<boolean> {
     const configuration = configurationOf({
       version,
       store: this.#storeAddress,
       model: MODEL,
       chunks: this.store.chunks,
       ...(keys && { keys }),
+      ...(maxHeaderBytes !== undefined && { maxHeaderBytes }),
     });
     const answer = await this.operate("PUT", "/config", configuration);
     return answer.status === 200;
--- a/acceptance/src/whole_path_test.ts
+++ b/acceptance/src/whole_path_test.ts
@@ -194,6 +194,31 @@
   });
 });
 
+test("the bound on headers is the configuration's, larger or smaller", async () => {
+  // Story: an operator allows larger headers than before. Requests that keep to
+  // the new bound were refused with 431, for as long as the gateway ran.
+  await withWholePath(async (path) => {
+    const ask = async (id: string, bytes: number) => {
+      const headers = { Filler: "x".repeat(bytes) };
+      return (await path.ask("/look/", { id, headers })).status;
+    };
+    assert.equal(await ask("h1", 10_000), 200);
+    assert.equal(await ask("h2", 20_000), 431);
+    assert.ok(await path.configure(2, undefined, 32_768));
+    const allowed = await waitUntil(
+      async () => await ask("h3", 20_000) === 200,
+      CHECK_MILLISECONDS,
+    );
+    assert.ok(allowed);
+    assert.ok(await path.configure(3, undefined, 4_096));
+    const refused = await waitUntil(
+      async () => await ask("h4", 10_000) === 431,
+      CHECK_MILLISECONDS,
+    );
+    assert.ok(refused);
+  });
+});
+
 test("who leaves gets no new work, and a stop cuts off nothing", async () => {
   // Story: an engine announces that it leaves while it still answers; within
   // two seconds all new streams go elsewhere. Then the gateway is stopped as
--- a/packages/daemon/src/gateway/admit_call.ts
+++ b/packages/daemon/src/gateway/admit_call.ts
@@ -13,6 +13,8 @@
 /** Of a client that does not say. */
 const USUAL_PATIENCE_MILLISECONDS = 2_500;
 
+const LINE_END_BYTES = 2;
+
 /** Ranks that backend servers know: 0 to 9. */
 const LAST_RANK = 9;
 
@@ -42,6 +44,9 @@
       }),
     });
   }
+  if (headBytes(request) > table.configuration.callerLimits.maxHeaderBytes) {
+    return refuse(431, "its headers are larger than the configuration allows");
+  }
   const place = findPlace(table, request, facts);
   if (place.isErr) return Result.err(place.error);
   if (facts.id === undefined) return refuse(400, "the attempt has no id");
@@ -71,6 +76,13 @@
   });
 }
 
+/** The request line and headers as they came, in bytes. */
+function headBytes({ method, url, rawHeaders }: IncomingMessage): number {
+  const line = `${method} ${url} HTTP/1.1`.length + LINE_END_BYTES;
+  // A name is followed by a colon and a space, a value by the line's end.
+  return rawHeaders.reduce((sum, part) => sum + part.length + 2, line);
+}
+
 function findPlace(
   table: RouteTable,
   request: IncomingMessage,
--- a/packages/daemon/src/gateway/gateway_server.ts
+++ b/packages/daemon/src/gateway/gateway_server.ts
@@ -12,7 +12,11 @@
 /** Until a configuration says otherwise. */
 const HEADER_MILLISECONDS = 3_000;
 const IDLE_MILLISECONDS = 15_000;
-const MAX_HEADER_BYTES = 16_384;
+/**
+ * More than any configuration allows, which is looked at once the head was
+ * read: the parser's own bound can't be changed while the server listens.
+ */
+const MAX_HEADER_BYTES = 65_536;
 /** A body that comes slower than this is of no use to its sender. */
 const WHOLE_REQUEST_MILLISECONDS = 20_000;
 
--- a/packages/daemon/src/gateway/refuse_call.ts
+++ b/packages/daemon/src/gateway/refuse_call.ts
@@ -1,6 +1,9 @@
 import type { ServerResponse } from "node:http";
 import type { CallRefusal } from "./call_refusal.ts";
 
+/** Whoever sends heads so large would go on doing so on this connection. */
+const CLOSING_STATUS = 431;
+
 /** Answers a request with the system's own refusal, in plain words. */
 export function refuseCall(
   response: ServerResponse,
@@ -16,7 +19,9 @@
   if (retryAfterMilliseconds !== undefined) {
     headers["Retry-After"] = (retryAfterMilliseconds / 1_000).toFixed(2);
   }
-  if (options.closes) headers["Connection"] = "close";
+  if (options.closes || status === CLOSING_STATUS) {
+    headers["Connection"] = "close";
+  }
   response.writeHead(status, headers);
   response.end(body);
 }
