Try backend servers that failed one request at a time; wait less for connections

Each time an address had been aside for long enough, all requests of the moment went there again. Change: back from aside, one request at a time tries until one is answered well; 150 ms are waited for a connection, so that the request can still be in time elsewhere; where the process itself stood still, the connection is looked at before it is given up.

--- a/packages/core/src/gateway/backend_record.ts
+++ b/packages/core/src/gateway/backend_record.ts
@@ -49,6 +49,8 @@
   #failureShare = 0;
   #asideUntil = -Infinity;
   #asideMilliseconds = ASIDE_MILLISECONDS;
+  /** It was left aside and has not answered well since. */
+  #isOnTrial = false;
 
   takeReport(report: Report, now: number): void {
     this.#report = { ...report, at: now, ownThen: this.inFlight };
@@ -137,6 +139,21 @@
     return now < this.#asideUntil;
   }
 
+  /**
+   * Whether it can be expected to answer. Back from being left aside, one
+   * request at a time tries it: where a data centre is cut off, each that is
+   * sent there loses the time of a connection that does not come about.
+   */
+  isPromising(now: number): boolean {
+    if (this.isAside(now) || this.isSilent(now)) return false;
+    return !this.#isOnTrial || this.inFlight === 0;
+  }
+
+  /** A good answer has begun. */
+  endTrial(): void {
+    this.#isOnTrial = false;
+  }
+
   countSuccess(): void {
     this.#failureShare *= 1 - FAILURE_WEIGHT;
     if (this.#failureShare < MOST_FAILURES / 4) {
@@ -155,6 +172,7 @@
   leaveAside(now: number): boolean {
     if (this.isAside(now)) return false;
     this.#asideUntil = now + this.#asideMilliseconds;
+    this.#isOnTrial = true;
     this.#asideMilliseconds = Math.min(
       LONGEST_ASIDE_MILLISECONDS,
       this.#asideMilliseconds * 2,
--- a/packages/core/src/gateway/backend_record_test.ts
+++ b/packages/core/src/gateway/backend_record_test.ts
@@ -75,3 +75,25 @@
   assert.equal(record.isSilent(2_000), false);
   assert.equal(record.isSilent(5_000), true);
 });
+
+test("back from being left aside, one request at a time tries it", () => {
+  // Story: a data centre is cut off for seconds. Each time one of its backend
+  // servers has been left aside for long enough, all requests of the moment go
+  // there again, and each of them loses the time of a connection.
+  const record = new BackendRecord();
+  record.leaveAside(0);
+  assert.equal(record.isPromising(400), false);
+  assert.equal(record.isPromising(600), true);
+  record.noteSend(600);
+  record.inFlight = 1;
+  assert.equal(record.isPromising(610), false, "one is trying it already");
+  record.leaveAside(750);
+  record.inFlight = 0;
+  assert.equal(record.isPromising(1_700), false, "aside for twice as long");
+  assert.equal(record.isPromising(1_800), true);
+  record.inFlight = 1;
+  record.noteSend(1_800);
+  record.noteHeard(1_810);
+  record.endTrial();
+  assert.equal(record.isPromising(1_820), true);
+});
--- a/packages/daemon/src/gateway/backend_attempt.ts
+++ b/packages/daemon/src/gateway/backend_attempt.ts
@@ -10,10 +10,12 @@
 import type { BackendAgent } from "./backend_agent.ts";
 
 /**
- * A connection that is not there after so long won't come: ten times the
- * longest round trip between two hosts, and one lost packet sent again.
+ * A connection that is not there after so long won't come: thirty times the
+ * longest round trip between two hosts, and a full queue of a thin link. The
+ * request can then still be in time elsewhere. A lost first packet is sent
+ * again after a second only, which nobody waits for.
  */
-const CONNECT_MILLISECONDS = 350;
+const CONNECT_MILLISECONDS = 150;
 
 type Options = {
   address: string;
@@ -89,10 +91,13 @@
       this.#isSent = true;
       return;
     }
-    this.#connectTimer = setTimeout(
-      () => this.abort("no connection in time"),
-      CONNECT_MILLISECONDS,
-    );
+    // Where this process itself stood still, the timer is due ahead of the
+    // news that the connection is there: those are looked at first.
+    this.#connectTimer = setTimeout(() => {
+      setImmediate(() => {
+        if (socket.connecting) this.abort("no connection in time");
+      });
+    }, CONNECT_MILLISECONDS);
     socket.once("connect", () => {
       clearTimeout(this.#connectTimer);
       this.#isSent = true;
--- a/packages/daemon/src/gateway/backend_pool.ts
+++ b/packages/daemon/src/gateway/backend_pool.ts
@@ -57,9 +57,7 @@
         standing,
         record: this.recordOf(standing.instance),
       }));
-    const healthy = usable.filter(({ record }) =>
-      !record.isAside(now) && !record.isSilent(now)
-    );
+    const healthy = usable.filter(({ record }) => record.isPromising(now));
     // With all of them aside, as where a service has three and a fault hits
     // their zone, a try that may fail is worth more than a sure refusal.
     return chooseBackend(healthy.length > 0 ? healthy : usable, {
--- a/packages/daemon/src/gateway/gateway_call.ts
+++ b/packages/daemon/src/gateway/gateway_call.ts
@@ -213,6 +213,7 @@
       message.resume();
       return "again";
     }
+    if (isGood) record.endTrial();
     this.#weightsVersion ??= facts.weightsVersion;
     const end = await passer.pass(message, () => sender.hasFailed);
     record.inFlight -= 1;
