Don't stand beside a member that was promised a vote

Change: who grants a first asking puts its own off by 0.3 to 0.6 of the election time, never less than before. The test failed before; the schedules of consensus pass.

--- a/packages/core/src/consensus/ballot.ts
+++ b/packages/core/src/consensus/ballot.ts
@@ -74,6 +74,11 @@
     this.#electionAt = now + span * (1 + this.#options.random());
   }
 
+  #askAgainAt(now: number): number {
+    const span = this.#options.electionMilliseconds * ASK_AGAIN_SHARE;
+    return now + span * (1 + this.#options.random());
+  }
+
   /** Leaves an election, and takes on a larger term that was heard. */
   follow(term: number, now: number): void {
     if (term > this.#term) this.#setTerm(term, "");
@@ -83,8 +88,7 @@
 
   /** Asks who would vote for this member; true when it has won already. */
   askFirst(now: number): boolean {
-    const span = this.#options.electionMilliseconds * ASK_AGAIN_SHARE;
-    this.#electionAt = now + span * (1 + this.#options.random());
+    this.#electionAt = this.#askAgainAt(now);
     return this.#stand({ preVote: true, transfer: false }, now);
   }
 
@@ -117,6 +121,11 @@
       this.#setTerm(this.#term, message.from);
       this.postpone(now);
     }
+    // Who would win is about to stand: standing beside it would split the
+    // votes of members that started together, and cost a whole election time.
+    if (granted && request.preVote) {
+      this.#electionAt = Math.max(this.#electionAt, this.#askAgainAt(now));
+    }
     const value = create(VoteResponseSchema, {
       preVote: request.preVote,
       granted,
--- a/packages/core/src/consensus/raft_node_test.ts
+++ b/packages/core/src/consensus/raft_node_test.ts
@@ -8,6 +8,7 @@
   type PeerMessage,
   PeerMessageSchema,
   SnapshotDataSchema,
+  VoteRequestSchema,
   VoteResponseSchema,
 } from "@teaselrouter/messages/control.ts";
 import assert from "node:assert/strict";
@@ -280,3 +281,26 @@
   assert.equal(asks(), 2);
   assert.equal(node.term, 1, "asking changes no term");
 });
+
+// Two members come back from a loss of power within a few milliseconds and ask
+// each other whether they would win. Both would; both stand, each votes for
+// itself, and callers are refused for one more election time.
+test("who has promised its vote does not stand beside the other", () => {
+  const node = newNode([entry(1, 1)], 1);
+  const value = create(VoteRequestSchema, {
+    preVote: true,
+    lastIndex: 1,
+    lastTerm: 1,
+  });
+  const due = 0.4 * ELECTION_MILLISECONDS;
+  node.receive(message("b", 2, { case: "voteRequest", value }), due - 1);
+  node.takeOutput();
+  node.tick(due);
+  const { immediate, afterSync } = node.takeOutput();
+  const asked = [...immediate, ...afterSync].filter(({ body }) =>
+    body.case === "voteRequest"
+  );
+  assert.deepEqual(asked, []);
+  node.tick(due + 0.3 * ELECTION_MILLISECONDS);
+  assert.ok(node.takeOutput().afterSync.length > 0, "b did not stand: it asks");
+});
