--- a/packages/daemon/src/stager/staged_loader.ts
+++ b/packages/daemon/src/stager/staged_loader.ts
@@ -1,4 +1,5 @@
 import type { WeightsManifest } from "@teaselrouter/core/spread/weights_manifest.ts";
+import { isNearlyHeld } from "@teaselrouter/core/rollout/is_nearly_held.ts";
 import { weightsMargins } from "@teaselrouter/core/rollout/weights_margins.ts";
 import { Subject } from "rxjs";
 import type { WeightsCache } from "../spread/weights_cache.ts";
@@ -17,11 +18,6 @@
 const HURRY_MILLISECONDS = 5_000;
 /** Gateways hear within it that this engine takes nothing more. */
 const NOTICE_MILLISECONDS = 60;
-/**
- * With so much held the rest comes within the time that an engine takes to
- * run empty: it begins before the last chunk is there.
- */
-const NEARLY_HELD_SHARE = 0.75;
 /** An engine ends what is running within it, mostly. */
 const DRAIN_MILLISECONDS = 1_500;
 
@@ -189,9 +185,13 @@
     return now - target.since > this.#unusedAfter;
   }
 
-  #isNearlyHeld({ version }: Target): boolean {
+  #isNearlyHeld({ version, since }: Target): boolean {
     const held = this.#options.cache.held(version);
-    return held !== undefined && held.count >= held.total * NEARLY_HELD_SHARE;
+    return held !== undefined && isNearlyHeld({
+      held: held.count,
+      total: held.total,
+      elapsedMilliseconds: monotonicMilliseconds() - since,
+    });
   }
 
   #startRunningEmpty(target: Target): void {
