--- a/packages/core/src/consensus/member_log.ts
+++ b/packages/core/src/consensus/member_log.ts
@@ -113,6 +113,13 @@
   /** Starts over behind a leader's snapshot, when it is ahead. */
   install(snapshot: SnapshotData): void {
     if (snapshot.lastIndex <= this.#commitIndex) return;
+    if (this.log.termAt(snapshot.lastIndex) === snapshot.lastTerm) {
+      // All of it is held already, and maybe more. A member that restarted
+      // knows of nothing committed behind its own snapshot; starting over here
+      // would drop entries that it has confirmed, and that a majority without
+      // them could then replace.
+      return this.commitTo(snapshot.lastIndex);
+    }
     this.#snapshot = snapshot;
     this.log.reset(snapshot.lastIndex, snapshot.lastTerm);
     this.membership.truncateFrom(0);
--- a/packages/core/src/consensus/raft_node_test.ts
+++ b/packages/core/src/consensus/raft_node_test.ts
@@ -8,6 +8,7 @@
   type PeerMessage,
   PeerMessageSchema,
   SnapshotDataSchema,
+  SnapshotRequestSchema,
   VoteRequestSchema,
   VoteResponseSchema,
 } from "@teaselrouter/messages/control.ts";
@@ -304,3 +305,60 @@
   node.tick(due + 0.3 * ELECTION_MILLISECONDS);
   assert.ok(node.takeOutput().afterSync.length > 0, "b did not stand: it asks");
 });
+
+// Two members ask at the same moment: what each sends takes a tenth of a
+// second on hosts that have just started, so that neither hears the other
+// ahead of its own asking. Both would win, both stand, and nobody does.
+test("of two that ask at the same time the greater id goes first", () => {
+  const node = newNode([entry(1, 1)], 1);
+  const value = create(VoteRequestSchema, {
+    preVote: true,
+    lastIndex: 1,
+    lastTerm: 1,
+  });
+  const granted = (from: string) => {
+    node.takeOutput();
+    const request = message(from, 2, { case: "voteRequest", value });
+    node.receive(request, ELECTION_MILLISECONDS);
+    const answer = node.takeOutput().afterSync.find(({ body }) =>
+      body.case === "voteResponse"
+    );
+    assert.ok(answer?.body.case === "voteResponse");
+    return answer.body.value.granted;
+  };
+  assert.equal(granted("0"), true, "it does not ask itself");
+  node.tick(2 * ELECTION_MILLISECONDS);
+  assert.equal(granted("0"), false, "its own asking goes first");
+  assert.equal(granted("b"), true);
+});
+
+// An operator's change is acknowledged by members a and b. Both restart; c,
+// which leads then and lacks nothing up to its snapshot, takes a for far behind
+// and sends that snapshot. Starting over from it, a drops the change, votes for
+// a member that never had it, and the change is gone everywhere.
+test("an older snapshot takes no confirmed entries away", () => {
+  const node = newNode([1, 2, 3, 4].map((index) => entry(index, 1)), 2);
+  const snapshot = create(SnapshotDataSchema, {
+    lastIndex: 2,
+    lastTerm: 1,
+    membership: node.membership,
+  });
+  const value = create(SnapshotRequestSchema, { snapshot });
+  node.receive(message("c", 2, { case: "snapshotRequest", value }), 0);
+  const output = node.takeOutput();
+  assert.equal(output.snapshot, undefined);
+  assert.equal(node.lastIndex, 4);
+  assert.deepEqual(output.committed.map(({ index }) => Number(index)), [1, 2]);
+  const answer = output.afterSync[0]?.body;
+  assert.ok(answer?.case === "appendResponse" && answer.value.accepted);
+  assert.equal(answer.value.matchIndex, 2);
+
+  const other = newNode([1, 2, 3].map((index) => entry(index, 1)), 2);
+  const newer = { ...snapshot, lastIndex: 3, lastTerm: 2 };
+  const newerValue = create(SnapshotRequestSchema, { snapshot: newer });
+  other.receive(
+    message("c", 2, { case: "snapshotRequest", value: newerValue }),
+    0,
+  );
+  assert.equal(other.takeOutput().snapshot?.lastIndex, 3, "another log's");
+});
