--- a/packages/core/src/gateway/decide_placement.ts
+++ b/packages/core/src/gateway/decide_placement.ts
@@ -34,8 +34,15 @@
   const { standing, record } = choice;
   const { engine, promptTokens, now } = request;
   const slots = Math.max(1, standing.slots);
-  const first = record.predictFirstEvent({ engine, slots, promptTokens, now });
-  if (first <= request.targetLeftMilliseconds) return "timely";
+  const firstEventMilliseconds = record.predictFirstEvent({
+    engine,
+    slots,
+    promptTokens,
+    now,
+  });
+  const isTimely = firstEventMilliseconds <= request.targetLeftMilliseconds;
+  if (isTimely) return { kind: "timely", firstEventMilliseconds };
   const waiting = record.estimateRequests(now) - slots;
-  return waiting < MOST_LATE_WAITING ? "late" : "refused";
+  const kind = waiting < MOST_LATE_WAITING ? "late" : "refused";
+  return { kind, firstEventMilliseconds };
 }
--- a/packages/core/src/gateway/decide_placement_test.ts
+++ b/packages/core/src/gateway/decide_placement_test.ts
@@ -36,7 +36,7 @@
   models: [],
 };
 
-type Asked = { at: number; placement: Placement };
+type Asked = { at: number; placement: Placement["kind"] };
 
 /** One engine: slots, and a queue that takes those in time first, or not. */
 function play(options: { arrivals: number[]; ordersByPlacement: boolean }) {
@@ -70,7 +70,10 @@
     admit(now);
     while (next < arrivals.length && arrivals[next]! <= now) {
       next += 1;
-      const placement = decidePlacement({ standing: STANDING, record }, {
+      const { kind: placement } = decidePlacement({
+        standing: STANDING,
+        record,
+      }, {
         engine: ENGINE,
         promptTokens: 960,
         targetLeftMilliseconds: TARGET_MILLISECONDS,
@@ -122,7 +125,7 @@
       promptTokens: 960,
       targetLeftMilliseconds,
       now: 0,
-    });
+    }).kind;
   assert.equal(place(400), "timely");
   assert.equal(place(-500), "late", "it spent its time on an earlier try");
   record.inFlight = ENGINE.slots + 9;
--- a/packages/daemon/src/gateway/call_sender.ts
+++ b/packages/daemon/src/gateway/call_sender.ts
@@ -1,6 +1,7 @@
 import type { BackendChoice } from "@teaselrouter/core/gateway/backend_choice.ts";
 import type { BackendRecord } from "@teaselrouter/core/gateway/backend_record.ts";
 import { monotonicMilliseconds } from "../transport/monotonic_milliseconds.ts";
+import type { Placement } from "@teaselrouter/core/gateway/placement.ts";
 import type { AdmittedCall } from "./admitted_call.ts";
 import type { AttemptOutcome } from "./attempt_outcome.ts";
 import { BackendAttempt } from "./backend_attempt.ts";
@@ -10,8 +11,7 @@
 type Sending = {
   weightsVersion: number | undefined;
   resumesAfter: string | undefined;
-  /** It can't be in time any more, and goes behind those that can. */
-  isLate: boolean;
+  placement: Placement;
 };
 
 /** Late requests go behind all that are in time, and keep their own order. */
@@ -56,7 +56,7 @@
     this.tried.add(standing.instance);
     record.noteSend(sentAt);
     record.inFlight += 1;
-    const timely = sending.isLate ? 0 : 1;
+    const timely = sending.placement.kind === "timely" ? 1 : 0;
     record.unreadTokens += promptTokens;
     record.timelyUnread += timely;
     const attempt = this.#open(choice, sending);
@@ -66,8 +66,10 @@
     endWait();
     record.unreadTokens -= promptTokens;
     record.timelyUnread -= timely;
-    if (outcome.kind === "answer") this.#listen(record, outcome, sentAt);
-    else record.inFlight -= 1;
+    if (outcome.kind === "answer") {
+      this.#listen(record, outcome, sentAt);
+      notePrediction(record, sending.placement, sentAt);
+    } else record.inFlight -= 1;
     return outcome;
   }
 
@@ -111,7 +113,7 @@
 
   #open(
     { standing }: BackendChoice,
-    { weightsVersion, resumesAfter, isLate }: Sending,
+    { weightsVersion, resumesAfter, placement }: Sending,
   ): BackendAttempt {
     const { connections, format } = this.#world;
     const call = this.#call;
@@ -130,7 +132,9 @@
         deadlineMilliseconds: Math.max(1, left),
         instance: standing.instance,
         workspace: call.workspace,
-        rank: isLate ? Math.min(LAST_RANK, call.rank + LATE_RANKS) : call.rank,
+        rank: placement.kind === "late"
+          ? Math.min(LAST_RANK, call.rank + LATE_RANKS)
+          : call.rank,
       }),
     });
   }
@@ -151,3 +155,14 @@
     return () => clearTimeout(timer);
   }
 }
+
+/** Late requests wait behind others by design: they tell nothing of it. */
+function notePrediction(
+  record: BackendRecord,
+  { kind, firstEventMilliseconds: predicted }: Placement,
+  sentAt: number,
+): void {
+  if (kind !== "timely" || predicted === undefined) return;
+  const now = monotonicMilliseconds();
+  record.notePrediction({ predicted, actual: now - sentAt, now });
+}
--- a/packages/daemon/src/gateway/gateway_call.ts
+++ b/packages/daemon/src/gateway/gateway_call.ts
@@ -97,13 +97,13 @@
         return this.#ending.refuse(work, this.#refusal(work, reason, "busy"));
       }
       const placement = this.#placementAt(work, choice);
-      if (placement === "refused") {
+      if (placement.kind === "refused") {
         const reason = "its backend servers have no room";
         return this.#ending.refuse(work, this.#refusal(work, reason, "busy"));
       }
       const endWatch = this.#watchSilence(work, choice);
       const outcome = await sender.send(choice, {
-        isLate: placement === "late",
+        placement,
         weightsVersion: this.#weightsVersion,
         resumesAfter: passer.lastEventId,
       });
@@ -169,7 +169,9 @@
     choice: BackendChoice,
   ): Placement {
     const { engine } = call.service;
-    if (engine === undefined || passer.hasBegun) return "timely";
+    if (engine === undefined || passer.hasBegun) {
+      return { kind: "timely", firstEventMilliseconds: undefined };
+    }
     const now = monotonicMilliseconds();
     return decidePlacement(choice, {
       engine,
