Part a call's routing from its life; say in the log how it was placed

The last line of a request now says how it was placed and when its first event was expected, so that a late or refused one explains itself.

--- a/packages/daemon/src/gateway/call_ending.ts
+++ b/packages/daemon/src/gateway/call_ending.ts
@@ -3,6 +3,8 @@
 import type { AdmittedCall } from "./admitted_call.ts";
 import type { CallEnd } from "./call_end.ts";
 import type { CallRefusal } from "./call_refusal.ts";
+import type { CallRouting } from "./call_routing.ts";
+import type { CallSender } from "./call_sender.ts";
 import type { GatewayWorld } from "./gateway_world.ts";
 import { refuseCall } from "./refuse_call.ts";
 
@@ -13,7 +15,7 @@
 };
 
 /** What is known of the request when it ends. */
-type Ended = { call: AdmittedCall; tried: ReadonlySet<string> };
+type Ended = { call: AdmittedCall; sender: CallSender; routing: CallRouting };
 
 /** Ends one client's request: its last answer, its log line, its counts. */
 export class CallEnding {
@@ -56,6 +58,8 @@
     const { world, request } = this.#options;
     const { counted, feed, format, log } = world;
     const call = ended?.call;
+    const placement = ended?.routing.placement;
+    const expected = placement?.firstEventMilliseconds;
     const kind = call?.route.kind ?? "none";
     const milliseconds = call && monotonicMilliseconds() - call.startedAt;
     counted.requests.inc({ kind, outcome: end.outcome });
@@ -67,7 +71,9 @@
       route: call?.route.name,
       service: call?.service.name,
       workspace: call?.workspace,
-      instances: ended && [...ended.tried].join(","),
+      instances: ended && [...ended.sender.tried].join(","),
+      placement: placement?.kind,
+      expected_milliseconds: expected && Math.round(expected),
       status: end.status,
       outcome: end.outcome,
       reason: end.reason,
--- /dev/null
+++ b/packages/daemon/src/gateway/call_routing.ts
@@ -0,0 +1,79 @@
+import type { BackendChoice } from "@teaselrouter/core/gateway/backend_choice.ts";
+import { decidePlacement } from "@teaselrouter/core/gateway/decide_placement.ts";
+import type { Placement } from "@teaselrouter/core/gateway/placement.ts";
+import { monotonicMilliseconds } from "../transport/monotonic_milliseconds.ts";
+import type { AdmittedCall } from "./admitted_call.ts";
+import type { AnswerPasser } from "./answer_passer.ts";
+import type { GatewayWorld } from "./gateway_world.ts";
+
+type Options = {
+  world: GatewayWorld;
+  call: AdmittedCall;
+  passer: AnswerPasser;
+  /** Instances that it was sent to. */
+  tried: ReadonlySet<string>;
+};
+
+/** Where one request may go, and whether it may go there once more. */
+export class CallRouting {
+  /** How it was last placed; undefined before that. */
+  placement: Placement | undefined;
+  /** Weights that it began on; undefined before that. */
+  weightsVersion: number | undefined;
+  #options: Options;
+
+  constructor(options: Options) {
+    this.#options = options;
+  }
+
+  choose(): BackendChoice | undefined {
+    const { world, call, tried } = this.#options;
+    return world.pool.choose({
+      service: call.service.name,
+      engine: call.service.engine,
+      model: call.facts.model,
+      promptTokens: call.facts.promptTokens,
+      tried,
+      weightsVersion: this.weightsVersion,
+    });
+  }
+
+  /** A stream that has begun goes on at once: its client is waiting. */
+  place(choice: BackendChoice): Placement {
+    const { call, passer } = this.#options;
+    const { engine } = call.service;
+    const now = monotonicMilliseconds();
+    this.placement = engine === undefined || passer.hasBegun
+      ? { kind: "timely", firstEventMilliseconds: undefined }
+      : decidePlacement(choice, {
+        engine,
+        promptTokens: call.facts.promptTokens,
+        targetLeftMilliseconds: call.lateAt - now,
+        now,
+      });
+    return this.placement;
+  }
+
+  /** Whether it may run again: a stream only behind an event with an id. */
+  get mayRepeat(): boolean {
+    const { call, passer } = this.#options;
+    const { kind, resumable } = call.route;
+    if (kind === "safe") return !passer.hasBegun;
+    return kind === "stream" && resumable && passer.canBeGoneOnWith;
+  }
+
+  /** Takes one of the extra sends that all requests share, if there is one. */
+  trySendAgain(): boolean {
+    return this.#hasSendsLeft && this.#options.world.retries.trySpend();
+  }
+
+  /** Whether a failure of the backend server can be made good by another. */
+  canTryElsewhere(): boolean {
+    return this.mayRepeat && this.#hasSendsLeft && this.choose() !== undefined;
+  }
+
+  get #hasSendsLeft(): boolean {
+    const { call, tried } = this.#options;
+    return tried.size < call.route.maxBackends;
+  }
+}
--- a/packages/daemon/src/gateway/gateway_call.ts
+++ b/packages/daemon/src/gateway/gateway_call.ts
@@ -1,6 +1,4 @@
 import type { BackendChoice } from "@teaselrouter/core/gateway/backend_choice.ts";
-import { decidePlacement } from "@teaselrouter/core/gateway/decide_placement.ts";
-import type { Placement } from "@teaselrouter/core/gateway/placement.ts";
 import { retryAfter } from "@teaselrouter/core/gateway/retry_after.ts";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { monotonicMilliseconds } from "../transport/monotonic_milliseconds.ts";
@@ -10,6 +8,7 @@
 import type { AttemptOutcome } from "./attempt_outcome.ts";
 import { CallEnding } from "./call_ending.ts";
 import type { CallRefusal } from "./call_refusal.ts";
+import { CallRouting } from "./call_routing.ts";
 import { CallSender } from "./call_sender.ts";
 import type { GatewayWorld } from "./gateway_world.ts";
 import { watchSilence } from "./watch_silence.ts";
@@ -27,8 +26,7 @@
   call: AdmittedCall;
   sender: CallSender;
   passer: AnswerPasser;
-  /** Instances that it was sent to. */
-  tried: ReadonlySet<string>;
+  routing: CallRouting;
 };
 
 /** One request of a client, from its head to the end of its answer. */
@@ -37,7 +35,6 @@
   #request: IncomingMessage;
   #response: ServerResponse;
   #startedAt = monotonicMilliseconds();
-  #weightsVersion: number | undefined;
   /** A backend server may have begun to work on it. */
   #mayHaveRun = false;
   #ending: CallEnding;
@@ -59,12 +56,10 @@
     const call = admitted.value;
     const isOver = () => this.#ending.isOver;
     const sender = new CallSender(world, call);
-    const work: Work = {
-      call,
-      sender,
-      tried: sender.tried,
-      passer: new AnswerPasser({ world, call, response, isOver }),
-    };
+    const passer = new AnswerPasser({ world, call, response, isOver });
+    const { tried } = sender;
+    const routing = new CallRouting({ world, call, passer, tried });
+    const work: Work = { call, sender, passer, routing };
     world.retries.countRequest();
     // Its end came and went while it was held or read.
     if (response.destroyed) return this.#noteLeft(work);
@@ -84,19 +79,19 @@
 
   /** Sends it, and again where that is allowed, until it is answered. */
   async #place(work: Work): Promise<void> {
-    const { sender, passer } = work;
+    const { sender, passer, routing } = work;
     let lastReason = "";
     while (!this.#ending.isOver) {
-      const choice = this.#choose(work);
+      const choice = routing.choose();
       if (choice === undefined) {
         if (await this.#holdUnplaced(work)) continue;
         return this.#refuseUnplaced(work, lastReason);
       }
-      if (sender.tried.size > 0 && !this.#maySendAgain(work)) {
+      if (sender.tried.size > 0 && !routing.trySendAgain()) {
         const reason = `${lastReason}; no further send is allowed`;
         return this.#ending.refuse(work, this.#refusal(work, reason, "busy"));
       }
-      const placement = this.#placementAt(work, choice);
+      const placement = routing.place(choice);
       if (placement.kind === "refused") {
         const reason = "its backend servers have no room";
         return this.#ending.refuse(work, this.#refusal(work, reason, "busy"));
@@ -104,7 +99,7 @@
       const endWatch = this.#watchSilence(work, choice);
       const outcome = await sender.send(choice, {
         placement,
-        weightsVersion: this.#weightsVersion,
+        weightsVersion: routing.weightsVersion,
         resumesAfter: passer.lastEventId,
       });
       const end = await this.#takeOutcome(work, choice, outcome);
@@ -112,7 +107,7 @@
       if (end === "over") return;
       lastReason = end;
       this.#mayHaveRun ||= outcome.kind !== "not-run";
-      if (this.#mayHaveRun && !this.#mayRepeat(work)) {
+      if (this.#mayHaveRun && !routing.mayRepeat) {
         return this.#ending.refuse(work, { status: 502, reason: lastReason });
       }
     }
@@ -124,17 +119,6 @@
     return this.#world.startHold.wait(call.startedAt);
   }
 
-  #choose({ call, sender }: Work): BackendChoice | undefined {
-    return this.#world.pool.choose({
-      service: call.service.name,
-      engine: call.service.engine,
-      model: call.facts.model,
-      promptTokens: call.facts.promptTokens,
-      tried: sender.tried,
-      weightsVersion: this.#weightsVersion,
-    });
-  }
-
   /** Gives back why it is to be sent again, or "over". */
   async #takeOutcome(
     work: Work,
@@ -153,53 +137,26 @@
     return outcome.reason;
   }
 
-  #watchSilence(work: Work, { record }: BackendChoice): () => void {
+  #watchSilence(
+    { sender, routing }: Work,
+    { record }: BackendChoice,
+  ): () => void {
     return watchSilence({
       isSilent: () => record.isSilent(monotonicMilliseconds()),
       mayGoElsewhere: () =>
-        !this.#ending.isOver && this.#canTryElsewhere(work) &&
+        !this.#ending.isOver && routing.canTryElsewhere() &&
         this.#world.retries.mayBeSpent,
-      giveUp: () => work.sender.abort("its backend server has fallen silent"),
+      giveUp: () => sender.abort("its backend server has fallen silent"),
     });
   }
 
-  /** A stream that has begun goes on at once: its client is waiting. */
-  #placementAt(
-    { call, passer }: Work,
-    choice: BackendChoice,
-  ): Placement {
-    const { engine } = call.service;
-    if (engine === undefined || passer.hasBegun) {
-      return { kind: "timely", firstEventMilliseconds: undefined };
-    }
-    const now = monotonicMilliseconds();
-    return decidePlacement(choice, {
-      engine,
-      promptTokens: call.facts.promptTokens,
-      targetLeftMilliseconds: call.lateAt - now,
-      now,
-    });
-  }
-
-  #maySendAgain({ call, sender }: Work): boolean {
-    return sender.tried.size < call.route.maxBackends &&
-      this.#world.retries.trySpend();
-  }
-
-  /** Streams may go on elsewhere only behind an event that has an id. */
-  #mayRepeat({ call, passer }: Work): boolean {
-    const { kind, resumable } = call.route;
-    if (kind === "safe") return !passer.hasBegun;
-    return kind === "stream" && resumable && passer.canBeGoneOnWith;
-  }
-
   /** Passes an answer on; "again" when another is to be asked. */
   async #takeAnswer(
     work: Work,
     { standing, record }: BackendChoice,
     { message, facts }: Answer,
   ): Promise<"over" | "again"> {
-    const { sender, passer } = work;
+    const { sender, passer, routing } = work;
     const status = message.statusCode ?? 502;
     const now = monotonicMilliseconds();
     if (facts.load !== undefined) record.takeReport(facts.load, now);
@@ -209,14 +166,14 @@
       sender.abort("a success without a signature");
       return "again";
     }
-    if (status >= 500 && this.#canTryElsewhere(work)) {
+    if (status >= 500 && routing.canTryElsewhere()) {
       record.inFlight -= 1;
       record.countFailure(now);
       message.resume();
       return "again";
     }
     if (isGood) record.endTrial();
-    this.#weightsVersion ??= facts.weightsVersion;
+    routing.weightsVersion ??= facts.weightsVersion;
     const end = await passer.pass(message, () => sender.hasFailed);
     record.inFlight -= 1;
     if (this.#ending.isOver) return "over";
@@ -241,14 +198,6 @@
     return "over";
   }
 
-  /** Whether a failure that a backend server answered can be made good. */
-  #canTryElsewhere(work: Work): boolean {
-    const { call, sender } = work;
-    return this.#mayRepeat(work) &&
-      sender.tried.size < call.route.maxBackends &&
-      this.#choose(work) !== undefined;
-  }
-
   #giveUp(work: Work): void {
     if (this.#ending.isOver) return;
     const isSent = this.#mayHaveRun || work.sender.isSent;
