--- a/packages/core/src/gateway/backend_record.ts
+++ b/packages/core/src/gateway/backend_record.ts
@@ -29,13 +29,6 @@
 const SILENT_MILLISECONDS = 700;
 /** A service that takes longer to answer is given a multiple of its mean. */
 const SILENT_HEADS = 4;
-/** Weight of the latest miss in the mean by which predictions fall short. */
-const MISS_WEIGHT = 0.2;
-/**
- * What was seen loses half of its say in so long: the load changes, and while
- * nothing is expected to be in time, nothing new is seen.
- */
-const MISS_HALF_LIFE_MILLISECONDS = 1_000;
 /** Ways to and from the engine, and what it takes to begin. */
 const BEGIN_MILLISECONDS = 40;
 
@@ -49,7 +42,6 @@
   timelyUnread = 0;
   #holdMilliseconds = USUAL_HOLD_MILLISECONDS;
   #headMilliseconds = 0;
-  #miss = { milliseconds: 0, at: 0 };
   #heardAt = -Infinity;
   /** Since when something has been under way there without a pause. */
   #busySince = -Infinity;
@@ -94,28 +86,6 @@
       (milliseconds - this.#headMilliseconds);
   }
 
-  /**
-   * A first event that was predicted came after so long. Other hosts send
-   * there too, and the engine reads and writes in passes: predictions fall
-   * short where it is crowded, and are corrected by what they missed lately.
-   */
-  notePrediction(
-    { predicted, actual, now }: {
-      predicted: number;
-      actual: number;
-      now: number;
-    },
-  ): void {
-    const known = this.#missAt(now);
-    const milliseconds = known + MISS_WEIGHT * (actual - predicted - known);
-    this.#miss = { milliseconds, at: now };
-  }
-
-  #missAt(now: number): number {
-    const { milliseconds, at } = this.#miss;
-    return milliseconds * 0.5 ** ((now - at) / MISS_HALF_LIFE_MILLISECONDS);
-  }
-
   /**
    * Whether nothing comes from there any more, though answers are due. A host
    * that froze or was cut off takes requests on kept connections and never
@@ -161,8 +131,7 @@
       ? 0
       : unread / engine.readTokensPerSecond * 1_000;
     const pass = engine.stepMilliseconds * engine.stepsPerPass;
-    const miss = Math.max(0, this.#missAt(now));
-    return BEGIN_MILLISECONDS + pass + reading + slotWait + miss;
+    return BEGIN_MILLISECONDS + pass + reading + slotWait;
   }
 
   /** Whether it failed so often lately that it is not to be used now. */
--- a/packages/core/src/gateway/backend_record_test.ts
+++ b/packages/core/src/gateway/backend_record_test.ts
@@ -1,15 +1,8 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { BackendRecord } from "./backend_record.ts";
-import type { EngineDefinition } from "./engine_definition.ts";
 import { SharedRetryBudget } from "./shared_retry_budget.ts";
 
-const ENGINE = {
-  stepMilliseconds: 6.73,
-  stepsPerPass: 6,
-  readTokensPerSecond: 30_600,
-} as EngineDefinition;
-
 test("a report is corrected by what was sent and ended since", () => {
   const record = new BackendRecord();
   record.inFlight = 2;
@@ -104,27 +97,3 @@
   record.endTrial();
   assert.equal(record.isPromising(1_820), true);
 });
-
-test("predictions are corrected by what they missed, for a while", () => {
-  // Pattern: a version is loaded at the peak, and the engines that serve are
-  // crowded by four hosts at once. Each expects its first events 150 ms too
-  // early, so that all that it takes for timely is a little late.
-  const record = new BackendRecord();
-  const predict = (now: number) =>
-    record.predictFirstEvent({
-      engine: ENGINE,
-      slots: 16,
-      promptTokens: 960,
-      now,
-    });
-  const plain = predict(0);
-  for (let now = 0; now < 1_000; now += 50) {
-    record.notePrediction({ predicted: predict(now), actual: 450, now });
-  }
-  assert.ok(predict(1_000) > plain + 150, `${predict(1_000)} of ${plain}`);
-  assert.ok(predict(6_000) < plain + 20);
-  for (let now = 6_000; now < 8_000; now += 50) {
-    record.notePrediction({ predicted: predict(now), actual: 60, now });
-  }
-  assert.equal(predict(8_000), plain, "early ones make nobody hopeful");
-});
--- a/packages/daemon/src/gateway/call_sender.ts
+++ b/packages/daemon/src/gateway/call_sender.ts
@@ -66,10 +66,8 @@
     endWait();
     record.unreadTokens -= promptTokens;
     record.timelyUnread -= timely;
-    if (outcome.kind === "answer") {
-      this.#listen(record, outcome, sentAt);
-      notePrediction(record, sending.placement, sentAt);
-    } else record.inFlight -= 1;
+    if (outcome.kind === "answer") this.#listen(record, outcome, sentAt);
+    else record.inFlight -= 1;
     return outcome;
   }
 
@@ -155,14 +153,3 @@
     return () => clearTimeout(timer);
   }
 }
-
-/** Late requests wait behind others by design: they tell nothing of it. */
-function notePrediction(
-  record: BackendRecord,
-  { kind, firstEventMilliseconds: predicted }: Placement,
-  sentAt: number,
-): void {
-  if (kind !== "timely" || predicted === undefined) return;
-  const now = monotonicMilliseconds();
-  record.notePrediction({ predicted, actual: now - sentAt, now });
-}
