Kill the agent when its call runs, not after 40 ms

Traced: the story killed the agent 40 ms after asking; on a machine that busy the call had not reached the service by then, and 'unknown' was the right answer for a call that never ran. The story now waits until the service runs it, with a call of 1 s, so that the kill surely comes within it; what is asserted is as before.

--- a/packages/experiments/src/failures/claim_steps_test.ts
+++ b/packages/experiments/src/failures/claim_steps_test.ts
@@ -15,6 +15,7 @@
 import type { ProposalReply } from "@teaselrouter/daemon/entry/sessions/proposal_reply.ts";
 import { UnrepeatableCall } from "@teaselrouter/daemon/entry/calls/unrepeatable_call.ts";
 import { ClientPool } from "@teaselrouter/daemon/transport/client_pool.ts";
+import { pause } from "@teaselrouter/daemon/transport/pause.ts";
 import { InternalServer } from "@teaselrouter/daemon/transport/internal_server.ts";
 import assert from "node:assert/strict";
 import { Buffer } from "node:buffer";
@@ -23,6 +24,9 @@
 import { freeAddresses } from "../harness/free_addresses.ts";
 
 const STORY_MILLISECONDS = 60_000;
+const CALL_MILLISECONDS = 60;
+/** So long that a busy machine surely kills within it. */
+const LONG_CALL_MILLISECONDS = 1_000;
 const BODY = "pay for the wedding";
 
 type Fault = "not-proposed" | "lost-before" | "lost-after" | undefined;
@@ -65,7 +69,7 @@
   #runner: CallRunner | undefined;
   #row: BackendServerRow;
 
-  constructor(addresses: string[]) {
+  constructor(addresses: string[], callMilliseconds: number) {
     this.#addresses = addresses;
     this.service = new FakeService({
       address: addresses[1]!,
@@ -73,7 +77,7 @@
       service: "ledger",
       repeatable: false,
       slots: 2,
-      callMilliseconds: 60,
+      callMilliseconds,
     });
     this.#row = newBackendServerRow({
       backendServer: "ledger-1",
@@ -165,9 +169,10 @@
 function step(
   name: string,
   story: (bench: ClaimBench) => Promise<void>,
+  callMilliseconds = CALL_MILLISECONDS,
 ): void {
   test(name, async () => {
-    const bench = new ClaimBench(await freeAddresses(3));
+    const bench = new ClaimBench(await freeAddresses(3), callMilliseconds);
     await bench.start();
     try {
       await story(bench);
@@ -242,13 +247,13 @@
 
 step("the agent is killed while the call runs", async (bench) => {
   const asking = bench.ask(2_000);
-  await new Promise((resolve) => setTimeout(resolve, 40));
+  while (bench.runs === 0) await pause(2);
   bench.killAgent();
   assert.equal(await asking, "unknown");
   await bench.startAgent("second");
   assert.equal(await bench.ask(), "unknown");
   assert.equal(bench.runs, 1);
-});
+}, LONG_CALL_MILLISECONDS);
 
 step("the agent is killed after the answer was recorded", async (bench) => {
   assert.equal(await bench.ask(), ANSWER);
