Type the names of events, and list what each means

One union of 55 names; a name that isn't there doesn't compile, and a test holds docs/EVENTS.md, the list and the sources together.

--- a/packages/daemon/src/log/event_log.ts
+++ b/packages/daemon/src/log/event_log.ts
@@ -1,5 +1,6 @@
 import { TimelineRing } from "@teaselrouter/core/timeline/timeline_ring.ts";
 import { Logger } from "tslog";
+import type { EventName } from "./event_name.ts";
 import { formatFields } from "./format_fields.ts";
 import { LineWriter } from "./line_writer.ts";
 
@@ -20,14 +21,14 @@
 export class EventLog {
   readonly ring: TimelineRing;
   #lines: Lines;
-  #countEvent: (event: string) => void;
+  #countEvent: (event: EventName) => void;
   #logger: Logger<unknown>;
 
   constructor(
     processName: string,
     level: Level,
     /** Told each event's name. */
-    countEvent: (event: string) => void = () => {},
+    countEvent: (event: EventName) => void = () => {},
     lines: Lines = new LineWriter(STANDARD_OUTPUT),
   ) {
     this.#lines = lines;
@@ -56,26 +57,26 @@
     await this.#lines.flush(FLUSH_MILLISECONDS);
   }
 
-  debug(event: string, fields: Fields = {}): void {
+  debug(event: EventName, fields: Fields = {}): void {
     this.#logger.debug({ event, ...fields });
   }
 
-  info(event: string, fields: Fields = {}): void {
+  info(event: EventName, fields: Fields = {}): void {
     this.#record(event, fields);
     this.#logger.info({ event, ...fields });
   }
 
-  warn(event: string, fields: Fields = {}): void {
+  warn(event: EventName, fields: Fields = {}): void {
     this.#record(event, fields);
     this.#logger.warn({ event, ...fields });
   }
 
-  error(event: string, fields: Fields = {}): void {
+  error(event: EventName, fields: Fields = {}): void {
     this.#record(event, fields);
     this.#logger.error({ event, ...fields });
   }
 
-  #record(event: string, fields: Fields): void {
+  #record(event: EventName, fields: Fields): void {
     this.#countEvent(event);
     this.ring.record(Date.now(), event, formatFields(fields));
   }
--- a/packages/daemon/src/log/event_log_test.ts
+++ b/packages/daemon/src/log/event_log_test.ts
@@ -8,7 +8,7 @@
     write: (line) => lines.push(line),
     flush: () => Promise.resolve(),
   });
-  log.debug("quiet");
+  log.debug("engine-silent");
   log.info("weights-live", { version: "drafter@1", reason: 'not "that"' });
   assert.equal(lines.length, 1);
   assert.match(
