--- a/packages/core/src/gateway/backend_record.ts
+++ b/packages/core/src/gateway/backend_record.ts
@@ -12,13 +12,17 @@
 /** Says too little of the present after so long. */
 const REPORT_MILLISECONDS = 1_500;
 
-/** How long an answer holds a slot until the first was seen: 120 tokens. */
+/**
+ * How long an answer holds a slot, until one was seen: 120 tokens, the mean
+ * that services publish, at 7 to 8 ms each in a full batch.
+ */
 const USUAL_HOLD_MILLISECONDS = 1_000;
-/** Weight of the latest answer in the mean. */
+/** Weight of the latest answer in a mean: some ten answers, about a second. */
 const HOLD_WEIGHT = 0.1;
 /**
- * Own requests tell how those of other hosts are made up; with few of them
- * they say little, and no host carries less than an eighth of the load.
+ * A backend server's load report counts the requests of all hosts; that they
+ * are made up like this host's own is taken for granted only up to so many
+ * times its own, since a few requests say little of many.
  */
 const MOST_SCALE = 8;
 /**
@@ -38,7 +42,7 @@
   inFlight = 0;
   /** Prompt tokens of those that have not answered yet. */
   unreadTokens = 0;
-  /** Of those, how many can be in time: they go ahead of the others. */
+  /** Requests without an answer yet that can be in time: they go first. */
   timelyUnread = 0;
   #holdMilliseconds = USUAL_HOLD_MILLISECONDS;
   #headMilliseconds = 0;
