Say after how long a call of the load driver was cut

That the five were cut by their deadline is likely and not shown: the driver did not say when. It does now, and the test names them.

--- a/packages/experiments/src/failures/live_requests_test.ts
+++ b/packages/experiments/src/failures/live_requests_test.ts
@@ -30,10 +30,11 @@
       system.cluster.mesh.silenceOld();
     }
     await pause(STORY_MILLISECONDS);
-    const { drafter } = (await system.endLoad(load)).services;
+    const { services, wrongDetails } = await system.endLoad(load);
+    const { drafter } = services;
     console.log(`seed ${SEED}: ${JSON.stringify(drafter)}`);
     assert.equal(drafter!.wrong, 0);
-    assert.equal(drafter!.cut, 0);
+    assert.equal(drafter!.cut, 0, wrongDetails.join("\n"));
     assert.equal(drafter!.whole, drafter!.sent);
   });
 });
--- a/packages/experiments/src/load/make_call.ts
+++ b/packages/experiments/src/load/make_call.ts
@@ -30,6 +30,10 @@
 export function makeCall(call: Call): Promise<CallResult> {
   const startedAt = performance.now();
   const elapsed = () => performance.now() - startedAt;
+  const cut = (reason: string): CallResult => ({
+    kind: "cut",
+    detail: `${reason} after ${Math.round(elapsed())} ms`,
+  });
   return new Promise((resolve) => {
     const request = send(`${call.entry}/v1/services/${call.service}/run`, {
       method: "POST",
@@ -46,9 +50,7 @@
       // byte of the call was sent.
       const { syscall } = error as { syscall?: string };
       resolve(
-        syscall === "connect"
-          ? { kind: "unreached" }
-          : { kind: "cut", detail: error.message },
+        syscall === "connect" ? { kind: "unreached" } : cut(error.message),
       );
     });
     request.on("response", async (response) => {
@@ -70,7 +72,7 @@
             : { kind: "wrong", detail: `${call.service} ${version}` },
         );
       } catch (error) {
-        resolve({ kind: "cut", detail: String(error) });
+        resolve(cut(String(error)));
       }
     });
     request.end(call.body);
