Log when first events came, and what was expected of them

What a forecast is made up of (slot, reading, requests thought to be there) and what the client was taken to have spent stand in a request's line beside the time of its first event; a histogram keeps the error.

--- a/packages/core/src/gateway/backend_record.ts
+++ b/packages/core/src/gateway/backend_record.ts
@@ -1,4 +1,5 @@
 import type { EngineDefinition } from "./engine_definition.ts";
+import type { FirstEventForecast } from "./first_event_forecast.ts";
 
 type Report = { running: number; waiting: number; slots: number };
 
@@ -123,19 +124,25 @@
       promptTokens: number;
       now: number;
     },
-  ): number {
+  ): FirstEventForecast {
     const total = this.estimateRequests(now);
     const scale = Math.min(MOST_SCALE, total / Math.max(1, this.inFlight));
     const ahead = this.timelyUnread * Math.max(1, scale);
     const free = Math.max(0, slots - total);
     const turns = total < slots ? 0 : Math.max(0, ahead - free) + 1;
-    const slotWait = turns * this.#holdMilliseconds / slots;
+    const slotMilliseconds = turns * this.#holdMilliseconds / slots;
     const unread = ahead * promptTokens + promptTokens;
-    const reading = engine.readTokensPerSecond === 0
+    const readingMilliseconds = engine.readTokensPerSecond === 0
       ? 0
       : unread / engine.readTokensPerSecond * 1_000;
     const pass = engine.stepMilliseconds * engine.stepsPerPass;
-    return BEGIN_MILLISECONDS + pass + reading + slotWait;
+    return {
+      milliseconds: BEGIN_MILLISECONDS + pass + readingMilliseconds +
+        slotMilliseconds,
+      slotMilliseconds,
+      readingMilliseconds,
+      requests: total,
+    };
   }
 
   /** Whether it failed so often lately that it is not to be used now. */
--- a/packages/core/src/gateway/decide_placement.ts
+++ b/packages/core/src/gateway/decide_placement.ts
@@ -34,15 +34,16 @@
   const { standing, record } = choice;
   const { engine, promptTokens, now } = request;
   const slots = Math.max(1, standing.slots);
-  const firstEventMilliseconds = record.predictFirstEvent({
+  const forecast = record.predictFirstEvent({
     engine,
     slots,
     promptTokens,
     now,
   });
-  const isTimely = firstEventMilliseconds <= request.targetLeftMilliseconds;
-  if (isTimely) return { kind: "timely", firstEventMilliseconds };
+  const common = { forecast, placedAt: now };
+  const isTimely = forecast.milliseconds <= request.targetLeftMilliseconds;
+  if (isTimely) return { kind: "timely", ...common };
   const waiting = record.estimateRequests(now) - slots;
   const kind = waiting < MOST_LATE_WAITING ? "late" : "refused";
-  return { kind, firstEventMilliseconds };
+  return { kind, ...common };
 }
--- a/packages/core/src/gateway/placement.ts
+++ b/packages/core/src/gateway/placement.ts
@@ -1,3 +1,5 @@
+import type { FirstEventForecast } from "./first_event_forecast.ts";
+
 /** How a request goes to the backend server that was chosen for it. */
 export type Placement = {
   /**
@@ -6,6 +8,8 @@
    * room.
    */
   kind: "timely" | "late" | "refused";
-  /** When its first event is expected, milliseconds; without an engine none. */
-  firstEventMilliseconds: number | undefined;
+  /** Undefined without an engine, and for a stream that has begun. */
+  forecast: FirstEventForecast | undefined;
+  /** Monotonic milliseconds. */
+  placedAt: number;
 };
--- a/packages/daemon/src/gateway/admit_call.ts
+++ b/packages/daemon/src/gateway/admit_call.ts
@@ -58,6 +58,10 @@
     route.timeoutMilliseconds,
     facts.deadlineMilliseconds ?? Infinity,
   );
+  const spentBefore = world.patience.spentBefore(
+    route,
+    facts.deadlineMilliseconds,
+  );
   return Result.ok({
     id: facts.id,
     facts,
@@ -70,8 +74,8 @@
     rawHeaders: request.rawHeaders,
     body: body.value,
     startedAt,
-    lateAt: startedAt + route.targetMilliseconds -
-      world.patience.spentBefore(route, facts.deadlineMilliseconds),
+    spentBefore,
+    lateAt: startedAt + route.targetMilliseconds - spentBefore,
     endsAt: startedAt + patience,
   });
 }
--- a/packages/daemon/src/gateway/admitted_call.ts
+++ b/packages/daemon/src/gateway/admitted_call.ts
@@ -12,6 +12,8 @@
   workspace: string | undefined;
   /** Rank in backend servers' queues, 0 first to 9, while it is in time. */
   rank: number;
+  /** What its client spent on earlier tries, milliseconds. */
+  spentBefore: number;
   /** Monotonic milliseconds: an answer, or its first event, is late then. */
   lateAt: number;
   method: string;
--- a/packages/daemon/src/gateway/answer_passer.ts
+++ b/packages/daemon/src/gateway/answer_passer.ts
@@ -39,6 +39,11 @@
     return this.#relay?.lastEventId;
   }
 
+  /** When the first event of a stream was passed on; undefined before. */
+  get firstEventAt(): number | undefined {
+    return this.#relay?.firstPassedAt;
+  }
+
   /**
    * Passes one answer on, but for its end: "whole" leaves it to the caller to
    * finish, "broken" leaves what was passed as it is.
--- a/packages/daemon/src/gateway/call_ending.ts
+++ b/packages/daemon/src/gateway/call_ending.ts
@@ -1,6 +1,7 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { monotonicMilliseconds } from "../transport/monotonic_milliseconds.ts";
 import type { AdmittedCall } from "./admitted_call.ts";
+import type { AnswerPasser } from "./answer_passer.ts";
 import type { CallEnd } from "./call_end.ts";
 import type { CallRefusal } from "./call_refusal.ts";
 import type { CallRouting } from "./call_routing.ts";
@@ -15,7 +16,12 @@
 };
 
 /** What is known of the request when it ends. */
-type Ended = { call: AdmittedCall; sender: CallSender; routing: CallRouting };
+type Ended = {
+  call: AdmittedCall;
+  sender: CallSender;
+  passer: AnswerPasser;
+  routing: CallRouting;
+};
 
 /** Ends one client's request: its last answer, its log line, its counts. */
 export class CallEnding {
@@ -58,22 +64,32 @@
     const { world, request } = this.#options;
     const { counted, feed, format, log } = world;
     const call = ended?.call;
-    const placement = ended?.routing.placement;
-    const expected = placement?.firstEventMilliseconds;
+    const forecast = ended?.routing.placement?.forecast;
+    const firstEvent = ended && firstEventMilliseconds(ended);
     const kind = call?.route.kind ?? "none";
     const milliseconds = call && monotonicMilliseconds() - call.startedAt;
     counted.requests.inc({ kind, outcome: end.outcome });
     if (milliseconds !== undefined) {
       counted.requestMilliseconds.observe({ kind }, milliseconds);
     }
+    if (forecast !== undefined && firstEvent !== undefined) {
+      const placement = ended!.routing.placement!.kind;
+      const error = firstEvent - forecast.milliseconds;
+      counted.forecastErrorMilliseconds.observe({ placement }, error);
+    }
     log.info("request-ended", {
       id: call?.id ?? format.readRequest(request.headers).id,
       route: call?.route.name,
       service: call?.service.name,
       workspace: call?.workspace,
       instances: ended && [...ended.sender.tried].join(","),
-      placement: placement?.kind,
-      expected_milliseconds: expected && Math.round(expected),
+      placement: ended?.routing.placement?.kind,
+      expected_milliseconds: forecast && Math.round(forecast.milliseconds),
+      expected_slot: forecast && Math.round(forecast.slotMilliseconds),
+      expected_reading: forecast && Math.round(forecast.readingMilliseconds),
+      requests_there: forecast && Math.round(forecast.requests),
+      first_event_milliseconds: firstEvent && Math.round(firstEvent),
+      spent_before: call && Math.round(call.spentBefore),
       status: end.status,
       outcome: end.outcome,
       reason: end.reason,
@@ -82,3 +98,12 @@
     });
   }
 }
+
+/** From its last placing to the first event; undefined without one. */
+function firstEventMilliseconds(
+  { passer, routing }: Ended,
+): number | undefined {
+  const { firstEventAt } = passer;
+  if (firstEventAt === undefined || routing.placement === undefined) return;
+  return firstEventAt - routing.placement.placedAt;
+}
--- a/packages/daemon/src/gateway/call_routing.ts
+++ b/packages/daemon/src/gateway/call_routing.ts
@@ -44,7 +44,7 @@
     const { engine } = call.service;
     const now = monotonicMilliseconds();
     this.placement = engine === undefined || passer.hasBegun
-      ? { kind: "timely", firstEventMilliseconds: undefined }
+      ? { kind: "timely", forecast: undefined, placedAt: now }
       : decidePlacement(choice, {
         engine,
         promptTokens: call.facts.promptTokens,
--- a/packages/daemon/src/gateway/stream_relay.ts
+++ b/packages/daemon/src/gateway/stream_relay.ts
@@ -1,6 +1,7 @@
 import { EventSplitter } from "@teaselrouter/core/gateway/event_splitter.ts";
 import type { Buffer } from "node:buffer";
 import type { IncomingMessage, ServerResponse } from "node:http";
+import { monotonicMilliseconds } from "../transport/monotonic_milliseconds.ts";
 
 type RelayEnd = "complete" | "broken";
 
@@ -19,8 +20,8 @@
   #splitter = new EventSplitter();
   /** Id of the last event that was passed on; undefined before the first. */
   lastEventId: string | undefined;
-
-  #hasPassed = false;
+  /** Monotonic milliseconds of the first bytes passed on; undefined before. */
+  firstPassedAt: number | undefined;
 
   constructor(options: Options) {
     this.#options = options;
@@ -29,7 +30,7 @@
   /** Whether what the client has seen ends where another can go on. */
   get canBeGoneOnWith(): boolean {
     return this.#options.wholeEvents &&
-      (!this.#hasPassed || this.lastEventId !== undefined);
+      (this.firstPassedAt === undefined || this.lastEventId !== undefined);
   }
 
   /** Passes one backend server's body on to its end or its break. */
@@ -60,7 +61,7 @@
   #write(message: IncomingMessage, bytes: Buffer): void {
     const { response } = this.#options;
     if (bytes.length === 0 || response.destroyed) return;
-    this.#hasPassed = true;
+    this.firstPassedAt ??= monotonicMilliseconds();
     if (response.write(bytes)) return;
     message.pause();
     response.once("drain", () => message.resume());
--- a/packages/daemon/src/metrics/process_metrics.ts
+++ b/packages/daemon/src/metrics/process_metrics.ts
@@ -18,6 +18,21 @@
   8_000,
 ];
 
+/** Early is below 0: how far first events come from what was expected. */
+const ERROR_BOUNDS = [
+  -400,
+  -200,
+  -100,
+  -50,
+  0,
+  50,
+  100,
+  200,
+  400,
+  1_000,
+  3_000,
+];
+
 type RequestLabels = "kind" | "outcome";
 
 /** A process's counters and histograms; no label grows with requests. */
@@ -30,6 +45,8 @@
   readonly requestMilliseconds: Histogram<"kind">;
   /** Until the head of an answer was passed on. */
   readonly headMilliseconds: Histogram<"kind">;
+  /** First event of a stream: when it came less when it was expected. */
+  readonly forecastErrorMilliseconds: Histogram<"placement">;
 
   constructor() {
     const registers = [this.registry];
@@ -59,5 +76,12 @@
       buckets: MILLISECOND_BOUNDS,
       registers,
     });
+    this.forecastErrorMilliseconds = new Histogram({
+      name: "teaselrouter_forecast_error_milliseconds",
+      help: "When first events came, less when they were expected",
+      labelNames: ["placement"],
+      buckets: ERROR_BOUNDS,
+      registers,
+    });
   }
 }
