Take an engine that was not heard lately for as full as the others

Cause: a report says nothing after 1.5 s, and an engine without one passed for empty. It got the next requests of every gateway.

Change: a report counts in full for 0.3 s and ever less until 1.5 s; what is missing is the mean of its service.

--- a/packages/core/src/gateway/backend_record.ts
+++ b/packages/core/src/gateway/backend_record.ts
@@ -10,7 +10,9 @@
 /** First time aside; doubles while it goes on failing. */
 const ASIDE_MILLISECONDS = 500;
 const LONGEST_ASIDE_MILLISECONDS = 8_000;
-/** Says too little of the present after so long. */
+/** Until then a report is taken as it is, but for this host's own changes. */
+const FRESH_MILLISECONDS = 300;
+/** Says nothing of the present after so long: about the time of one answer. */
 const REPORT_MILLISECONDS = 1_500;
 
 /**
@@ -45,6 +47,11 @@
   unreadTokens = 0;
   /** Requests without an answer yet that can be in time: they go first. */
   timelyUnread = 0;
+  /**
+   * Requests that backend servers of its service have on average, as far as
+   * is known: what this one is taken to have while it has said nothing.
+   */
+  usualRequests = 0;
   #holdMilliseconds = USUAL_HOLD_MILLISECONDS;
   #headMilliseconds = 0;
   #heardAt = -Infinity;
@@ -63,16 +70,29 @@
 
   /**
    * Requests there of all callers: what it last said, corrected by what this
-   * host has sent and seen end since.
+   * host has sent and seen end since. The older that is, the more the usual
+   * counts: one that was not heard for a second is not empty for that.
    */
   estimateRequests(now: number): number {
-    const report = this.#report;
-    if (report === undefined || now - report.at > REPORT_MILLISECONDS) {
-      return this.inFlight;
-    }
-    const change = this.inFlight - report.ownThen;
-    const total = report.running + report.waiting + change;
-    return Math.max(total, this.inFlight);
+    const trust = this.reportTrust(now);
+    const expected = trust * this.reportedRequests +
+      (1 - trust) * this.usualRequests;
+    return Math.max(expected, this.inFlight);
+  }
+
+  /** From 1 for a report of just now to 0 for one that says nothing any more. */
+  reportTrust(now: number): number {
+    if (this.#report === undefined) return 0;
+    const age = now - this.#report.at - FRESH_MILLISECONDS;
+    const span = REPORT_MILLISECONDS - FRESH_MILLISECONDS;
+    return Math.min(1, Math.max(0, 1 - age / span));
+  }
+
+  /** What it last said, corrected by this host's own requests since. */
+  get reportedRequests(): number {
+    if (this.#report === undefined) return this.inFlight;
+    const { running, waiting, ownThen } = this.#report;
+    return Math.max(0, running + waiting + this.inFlight - ownThen);
   }
 
   /** A request is about to be sent there; call it ahead of counting it. */
--- a/packages/daemon/src/gateway/backend_pool.ts
+++ b/packages/daemon/src/gateway/backend_pool.ts
@@ -1,6 +1,7 @@
 import type { BackendChoice } from "@teaselrouter/core/gateway/backend_choice.ts";
 import { BackendRecord } from "@teaselrouter/core/gateway/backend_record.ts";
 import { chooseBackend } from "@teaselrouter/core/gateway/choose_backend.ts";
+import { noteUsualLoad } from "@teaselrouter/core/gateway/note_usual_load.ts";
 import type { EngineDefinition } from "@teaselrouter/core/gateway/engine_definition.ts";
 import { weightsMargins } from "@teaselrouter/core/rollout/weights_margins.ts";
 import type { BackendStanding } from "@teaselrouter/core/membership/backend_standing.ts";
@@ -57,6 +58,7 @@
         standing,
         record: this.recordOf(standing.instance),
       }));
+    noteUsualLoad(usable, now);
     const healthy = usable.filter(({ record }) => record.isPromising(now));
     // With all of them aside, as where a service has three and a fault hits
     // their zone, a try that may fail is worth more than a sure refusal.
