Let late requests wait only as far as those in time leave places

Cause: eight late requests could always wait at an engine. Behind an outage the same places are worth having.

The more often, the fewer places for late ones; a free slot is always theirs. No place at all would have been simpler, but a backlog worked off below capacity then loses answers that nobody else's would have replaced.

--- a/packages/core/src/gateway/decide_placement.ts
+++ b/packages/core/src/gateway/decide_placement.ts
@@ -7,14 +7,16 @@
   promptTokens: number;
   /** What is left until its first event has lost its full worth, ms. */
   targetLeftMilliseconds: number;
+  /** Part of the requests in time that found no free slot lately, 0 to 1. */
+  slotPressure: number;
   now: number;
 };
 
 /**
- * Late requests that may wait at one engine. At 16 slots and 1.3 s an answer
- * a place gets free every 80 ms, of which those in time take about three in
- * four: the last of eight gets its turn within the 2.4 s after which clients
- * give a silent stream up.
+ * Late requests that may wait at one engine while none that is in time does.
+ * At 16 slots and 1.3 s an answer a place gets free every 80 ms, of which
+ * those in time take about three in four: the last of eight gets its turn
+ * within the 2.4 s after which clients give a silent stream up.
  */
 const MOST_LATE_WAITING = 8;
 
@@ -25,7 +27,11 @@
  * waits than can be in time. Served in the order of arrival, every request
  * waits as long as the whole queue, and all are late until the queue is gone,
  * also those that come when the engines could carry them again. Those that
- * can be in time therefore go first, and the others take what is left over.
+ * can be in time therefore go first, and the others take what is left over:
+ * a free slot, and the fewer places in the queue the more often those in time
+ * have to wait themselves. With the same number of places always, those late
+ * get a slot in every short pause of a lasting peak, and each of these is then
+ * missing for one that could have been in time.
  */
 export function decidePlacement(
   choice: BackendChoice,
@@ -43,7 +49,8 @@
   const common = { forecast, placedAt: now };
   const isTimely = forecast.milliseconds <= request.targetLeftMilliseconds;
   if (isTimely) return { kind: "timely", ...common };
-  const waiting = record.estimateRequests(now) - slots;
-  const kind = waiting < MOST_LATE_WAITING ? "late" : "refused";
+  const waiting = forecast.requests - slots;
+  const places = MOST_LATE_WAITING * (1 - request.slotPressure);
+  const kind = waiting < 0 || waiting + 1 <= places ? "late" : "refused";
   return { kind, ...common };
 }
--- a/packages/core/src/gateway/decide_placement_test.ts
+++ b/packages/core/src/gateway/decide_placement_test.ts
@@ -4,6 +4,7 @@
 import { decidePlacement } from "./decide_placement.ts";
 import type { EngineDefinition } from "./engine_definition.ts";
 import type { Placement } from "./placement.ts";
+import { SlotPressure } from "./slot_pressure.ts";
 
 const ENGINE: EngineDefinition = {
   models: ["m"],
@@ -42,6 +43,7 @@
 function play(options: { arrivals: number[]; ordersByPlacement: boolean }) {
   const { arrivals, ordersByPlacement } = options;
   const record = new BackendRecord();
+  const pressure = new SlotPressure();
   const running: { endsAt: number }[] = [];
   const queue: Asked[] = [];
   const begun: { at: number; waited: number }[] = [];
@@ -70,15 +72,17 @@
     admit(now);
     while (next < arrivals.length && arrivals[next]! <= now) {
       next += 1;
-      const { kind: placement } = decidePlacement({
+      const { kind: placement, forecast } = decidePlacement({
         standing: STANDING,
         record,
       }, {
         engine: ENGINE,
         promptTokens: 960,
         targetLeftMilliseconds: TARGET_MILLISECONDS,
+        slotPressure: pressure.share,
         now,
       });
+      pressure.note(placement !== "timely" || forecast!.slotMilliseconds > 0);
       if (ordersByPlacement && placement === "refused") {
         refused += 1;
         continue;
@@ -119,11 +123,12 @@
 
 test("what can't be in time takes what is left, and is refused without room", () => {
   const record = new BackendRecord();
-  const place = (targetLeftMilliseconds: number) =>
+  const place = (targetLeftMilliseconds: number, slotPressure = 0) =>
     decidePlacement({ standing: STANDING, record }, {
       engine: ENGINE,
       promptTokens: 960,
       targetLeftMilliseconds,
+      slotPressure,
       now: 0,
     }).kind;
   assert.equal(place(400), "timely");
@@ -135,3 +140,20 @@
   assert.equal(place(400), "timely", "those that wait are late: it goes ahead");
   assert.equal(place(-500), "refused");
 });
+
+test("where those in time have to wait, those late take free slots only", () => {
+  const record = new BackendRecord();
+  record.inFlight = ENGINE.slots + 2;
+  const place = (slotPressure: number) =>
+    decidePlacement({ standing: STANDING, record }, {
+      engine: ENGINE,
+      promptTokens: 960,
+      targetLeftMilliseconds: -500,
+      slotPressure,
+      now: 0,
+    }).kind;
+  assert.equal(place(0), "late");
+  assert.equal(place(0.9), "refused");
+  record.inFlight = ENGINE.slots - 1;
+  assert.equal(place(0.9), "late");
+});
--- a/packages/daemon/src/gateway/backend_pool.ts
+++ b/packages/daemon/src/gateway/backend_pool.ts
@@ -3,6 +3,7 @@
 import { chooseBackend } from "@teaselrouter/core/gateway/choose_backend.ts";
 import { noteUsualLoad } from "@teaselrouter/core/gateway/note_usual_load.ts";
 import type { EngineDefinition } from "@teaselrouter/core/gateway/engine_definition.ts";
+import { SlotPressure } from "@teaselrouter/core/gateway/slot_pressure.ts";
 import { weightsMargins } from "@teaselrouter/core/rollout/weights_margins.ts";
 import type { BackendStanding } from "@teaselrouter/core/membership/backend_standing.ts";
 import { monotonicMilliseconds } from "../transport/monotonic_milliseconds.ts";
@@ -30,6 +31,7 @@
 export class BackendPool {
   #options: Options;
   #records = new Map<string, BackendRecord>();
+  #pressures = new Map<string, SlotPressure>();
 
   constructor(options: Options) {
     this.#options = options;
@@ -49,6 +51,16 @@
     return record;
   }
 
+  /** How often a service's requests find no free slot, as seen here. */
+  pressureOf(service: string): SlotPressure {
+    let pressure = this.#pressures.get(service);
+    if (pressure === undefined) {
+      pressure = new SlotPressure();
+      this.#pressures.set(service, pressure);
+    }
+    return pressure;
+  }
+
   /** The best that may take the request; undefined when there is none. */
   choose(want: Want): BackendChoice | undefined {
     const now = monotonicMilliseconds();
--- a/packages/daemon/src/gateway/call_routing.ts
+++ b/packages/daemon/src/gateway/call_routing.ts
@@ -40,18 +40,24 @@
 
   /** A stream that has begun goes on at once: its client is waiting. */
   place(choice: BackendChoice): Placement {
-    const { call, passer } = this.#options;
-    const { engine } = call.service;
+    const { world, call, passer } = this.#options;
+    const { engine, name } = call.service;
     const now = monotonicMilliseconds();
-    this.placement = engine === undefined || passer.hasBegun
-      ? { kind: "timely", forecast: undefined, placedAt: now }
-      : decidePlacement(choice, {
-        engine,
-        promptTokens: call.facts.promptTokens,
-        targetLeftMilliseconds: call.lateAt - now,
-        now,
-      });
-    return this.placement;
+    if (engine === undefined || passer.hasBegun) {
+      this.placement = { kind: "timely", forecast: undefined, placedAt: now };
+      return this.placement;
+    }
+    const pressure = world.pool.pressureOf(name);
+    const placement = decidePlacement(choice, {
+      engine,
+      promptTokens: call.facts.promptTokens,
+      targetLeftMilliseconds: call.lateAt - now,
+      slotPressure: pressure.share,
+      now,
+    });
+    if (call.spentBefore === 0) pressure.note(hadToWait(placement));
+    this.placement = placement;
+    return placement;
   }
 
   /** Whether it may run again: a stream only behind an event with an id. */
@@ -77,3 +83,7 @@
     return tried.size < call.route.maxBackends;
   }
 }
+
+function hadToWait({ kind, forecast }: Placement): boolean {
+  return kind !== "timely" || forecast!.slotMilliseconds > 0;
+}
