--- a/packages/daemon/src/spread/link_pacer.ts
+++ b/packages/daemon/src/spread/link_pacer.ts
@@ -11,10 +11,6 @@
     this.#bytesPerSecond = bytesPerSecond;
   }
 
-  setRate(bytesPerSecond: number): void {
-    this.#bytesPerSecond = bytesPerSecond;
-  }
-
   /** Waits until `bytes` may pass. */
   async take(bytes: number): Promise<void> {
     if (this.#bytesPerSecond === 0) return;
--- a/packages/daemon/src/stager/stager_app.ts
+++ b/packages/daemon/src/stager/stager_app.ts
@@ -27,12 +27,6 @@
  * it filled their events wait in its queue for longer than clients bear.
  */
 const CHUNKS_SHARE = 0.85;
-/**
- * While the engine holds no weights no answer shares the link, and each moment
- * until it serves is missed by the others: only what packets carry besides
- * their contents is left.
- */
-const IDLE_CHUNKS_SHARE = 0.96;
 const BYTES_IN_MEGABIT = 125_000;
 /** Passed on at a time: what a live answer may wait behind on a thin link. */
 const SLICE_BYTES = 4_096;
@@ -56,20 +50,16 @@
   #links: EntryLinks;
   #server: Server;
   #target: { version: string; number: number } | undefined;
-  #downlink: LinkPacer;
-  #uplink: LinkPacer;
 
   constructor(options: Options) {
     const { settings, clients, log, metrics, platform } = options;
     const stager = settings.stager!;
     this.#options = options;
-    this.#downlink = new LinkPacer(this.#chunksRate(CHUNKS_SHARE));
-    this.#uplink = new LinkPacer(this.#chunksRate(CHUNKS_SHARE));
     this.#spread = new SpreadClient({
       cache: this.#cache,
       fetcher: new ChunkFetcher({
         dataCentre: settings.data_centre,
-        pacer: this.#downlink,
+        pacer: new LinkPacer(this.#chunksRate),
         storeFormat: platform.storeFormat,
       }),
       log,
@@ -98,7 +88,7 @@
     const chunks = new ChunkSender({
       dataCentre: settings.data_centre,
       cache: this.#cache,
-      link: this.#uplink,
+      link: new LinkPacer(this.#chunksRate),
       regionBytesPerSecond: 0,
       sliceBytes: SLICE_BYTES,
     });
@@ -118,16 +108,9 @@
   }
 
   /** Bytes a second; 0 is not limited. */
-  #chunksRate(share: number): number {
+  get #chunksRate(): number {
     const { link_megabits_per_second } = this.#options.settings.stager!;
-    return link_megabits_per_second * BYTES_IN_MEGABIT * share;
-  }
-
-  #paceChunks(): void {
-    const isIdle = this.#loader.servingVersion === "";
-    const rate = this.#chunksRate(isIdle ? IDLE_CHUNKS_SHARE : CHUNKS_SHARE);
-    this.#downlink.setRate(rate);
-    this.#uplink.setRate(rate);
+    return link_megabits_per_second * BYTES_IN_MEGABIT * CHUNKS_SHARE;
   }
 
   async start(): Promise<Result<void, string>> {
@@ -165,7 +148,6 @@
     this.#spread.changed$.subscribe((change) => {
       this.#links.broadcast((address) => this.#report(address, change));
     });
-    this.#loader.changed$.subscribe(() => this.#paceChunks());
     this.#loader.changed$.subscribe(() =>
       this.#links.broadcast(() => this.#announcement())
     );
@@ -236,7 +218,7 @@
         servingVersion: this.#loader.servingVersion,
         accepting: this.#loader.isAccepting,
         usesWeights: true,
-        linkBytesPerSecond: this.#chunksRate(CHUNKS_SHARE),
+        linkBytesPerSecond: this.#chunksRate,
         engineAddress: stager.engine,
         engineBornAt: this.#loader.engineBornAt,
         // The steady clock goes on over restarts of this process.
