Tell gateways the engines' loads as the agents beside them see them

Cause: a gateway knew an engine's load from the heads of its own answers. With four gateways before ten engines most engines were last heard of 0.2 to 1.5 s ago; what the other gateways had sent there since was not known.

Change: stagers, who may ask their engine for nothing, say its load to control hosts when it has changed; these gather it for 50 ms and tell each gateway that chose them for it (one control host each, of its own data centre if it can). A report that was 60 ms on its way doesn't cover what was sent meanwhile.

Weighed: loads to every follower from every control host (three times the bytes); gateways asking engines (priced as probes, and 13 by 24 of them).

--- a/packages/core/src/gateway/backend_record.ts
+++ b/packages/core/src/gateway/backend_record.ts
@@ -3,6 +3,8 @@
 
 type Report = { running: number; waiting: number; slots: number };
 
+/** Oldest that a report can be when it arrives. */
+const UNSEEN_MILLISECONDS = 200;
 /** Weight of the latest result in the share of failures. */
 const FAILURE_WEIGHT = 0.25;
 /** Failing more often than this, a backend server is left aside. */
@@ -58,14 +60,25 @@
   /** Since when something has been under way there without a pause. */
   #busySince = -Infinity;
   #report: (Report & { at: number; ownThen: number }) | undefined;
+  /** Sends of the last moments, which reports on their way don't count. */
+  #sentAt: number[] = [];
   #failureShare = 0;
   #asideUntil = -Infinity;
   #asideMilliseconds = ASIDE_MILLISECONDS;
   /** It was left aside and has not answered well since. */
   #isOnTrial = false;
 
-  takeReport(report: Report, now: number): void {
-    this.#report = { ...report, at: now, ownThen: this.inFlight };
+  /**
+   * @param age how old the report is, milliseconds: what was sent since then
+   * is not in it.
+   */
+  takeReport(report: Report, now: number, age = 0): void {
+    const unseen = this.#sentAt.filter((sentAt) => sentAt > now - age).length;
+    this.#report = {
+      ...report,
+      at: now - age,
+      ownThen: this.inFlight - unseen,
+    };
   }
 
   /**
@@ -98,6 +111,10 @@
   /** A request is about to be sent there; call it ahead of counting it. */
   noteSend(now: number): void {
     if (this.inFlight === 0) this.#busySince = now;
+    this.#sentAt = this.#sentAt.filter((sentAt) =>
+      sentAt > now - UNSEEN_MILLISECONDS
+    );
+    this.#sentAt.push(now);
   }
 
   /** A part of some answer came from there. */
--- a/packages/core/src/gateway/backend_record_test.ts
+++ b/packages/core/src/gateway/backend_record_test.ts
@@ -97,3 +97,17 @@
   record.endTrial();
   assert.equal(record.isPromising(1_820), true);
 });
+
+test("what was sent while a report was on its way is counted besides", () => {
+  // Pattern: an agent's look at its engine reaches a gateway 60 ms later; at
+  // the peak the gateway has sent that engine another request meanwhile.
+  const record = new BackendRecord();
+  record.noteSend(0);
+  record.inFlight = 1;
+  record.noteSend(950);
+  record.inFlight = 2;
+  record.takeReport({ running: 9, waiting: 0, slots: 16 }, 1_000, 60);
+  assert.equal(record.estimateRequests(1_000), 10);
+  record.takeReport({ running: 9, waiting: 0, slots: 16 }, 1_100, 60);
+  assert.equal(record.estimateRequests(1_100), 9);
+});
--- a/packages/daemon/src/control/follow_session.ts
+++ b/packages/daemon/src/control/follow_session.ts
@@ -4,7 +4,7 @@
   ControlUpdateSchema,
   type FollowerToControl,
 } from "@teaselrouter/messages/follow.ts";
-import { interval, Subject, Subscription } from "rxjs";
+import { filter, interval, Subject, Subscription } from "rxjs";
 import { monotonicMilliseconds } from "../transport/monotonic_milliseconds.ts";
 import type { SharedView } from "./shared_view.ts";
 
@@ -21,6 +21,7 @@
   #toldRouting = -1;
   #toldWeights = new Map<string, number>();
   #subscriptions = new Subscription();
+  #wantsLoads = false;
 
   constructor(view: SharedView) {
     this.#view = view;
@@ -31,6 +32,9 @@
     if (message.body.case === "hello") {
       this.#begin(message.body.value.isControl);
     }
+    if (message.body.case === "heartbeat") {
+      this.#wantsLoads = message.body.value.wantsLoads;
+    }
   }
 
   close(): void {
@@ -53,6 +57,11 @@
     this.#subscriptions.add(
       view.engine$.subscribe((value) => this.#send({ case: "engine", value })),
     );
+    this.#subscriptions.add(
+      view.loads$.pipe(filter(() => this.#wantsLoads)).subscribe((loads) =>
+        this.#send({ case: "loads", value: { loads } })
+      ),
+    );
     this.#subscriptions.add(view.log$.subscribe(() => this.#tellLog()));
     this.#subscriptions.add(view.hosts$.subscribe(() => this.#tellHosts()));
     this.#subscriptions.add(
@@ -63,7 +72,8 @@
   #beat(): void {
     const silence = monotonicMilliseconds() - this.#heardAt;
     if (silence > SILENT_MILLISECONDS) return this.close();
-    this.#send({ case: "heartbeat", value: {} });
+    const { dataCentre } = this.#view;
+    this.#send({ case: "heartbeat", value: { dataCentre } });
   }
 
   #tellHosts(): void {
--- a/packages/daemon/src/control/platform_desk.ts
+++ b/packages/daemon/src/control/platform_desk.ts
@@ -50,6 +50,7 @@
     this.#options = options;
     this.view = new SharedView({
       ...options,
+      dataCentre: settings.data_centre,
       isCurrent: () => this.#isCurrent,
     });
     this.#gate = new ControlGate({
@@ -75,6 +76,7 @@
       log,
       controlAddresses: options.controlAddresses,
       notice: (notice) => this.view.notice(notice),
+      noteLoad: (load) => this.view.noteLoad(load),
     });
     this.#others = new FollowSet({
       hello: {
--- a/packages/daemon/src/control/shared_view.ts
+++ b/packages/daemon/src/control/shared_view.ts
@@ -2,7 +2,11 @@
 import type { BackendStanding } from "@teaselrouter/core/membership/backend_standing.ts";
 import { NamedVersions } from "@teaselrouter/core/rollout/named_versions.ts";
 import type { ControlState } from "@teaselrouter/core/state/control_state.ts";
-import type { Backend, EngineNotice } from "@teaselrouter/messages/follow.ts";
+import type {
+  Backend,
+  EngineLoad,
+  EngineNotice,
+} from "@teaselrouter/messages/follow.ts";
 import { Subject } from "rxjs";
 import type { EventLog } from "../log/event_log.ts";
 import { monotonicMilliseconds } from "../transport/monotonic_milliseconds.ts";
@@ -13,11 +17,14 @@
 /** Longer than a partition holds up a heartbeat that was sent before an end. */
 const FORGET_MILLISECONDS = 60_000;
 const EXPIRE_EVERY_MILLISECONDS = 500;
+/** Loads are told to followers at most so often, whatever their number. */
+const GATHER_LOADS_MILLISECONDS = 50;
 
 type Options = {
   log: EventLog;
   /** The replicated tables as far as this host has them. */
   logState: () => ControlState;
+  dataCentre: string;
   controlAddresses: () => string[];
   /** Whether the tables hold all that was accepted when this host started. */
   isCurrent: () => boolean;
@@ -30,6 +37,8 @@
   /** Every word that a backend server said to this very host. */
   readonly heardHere$ = new Subject<Backend[]>();
   readonly engine$ = new Subject<EngineNotice>();
+  /** Loads of engines that changed, gathered for a moment. */
+  readonly loads$ = new Subject<EngineLoad[]>();
   /** The replicated tables changed. */
   readonly log$ = new Subject<void>();
   readonly hosts$ = new Subject<void>();
@@ -41,6 +50,8 @@
   /** Versions whose naming this process saw, not those of before it. */
   #named = new NamedVersions();
   #notices = new Map<string, EngineNotice>();
+  #loads = new Map<string, EngineLoad>();
+  #loadsTimer: NodeJS.Timeout | undefined;
   #timer: NodeJS.Timeout;
 
   constructor(options: Options) {
@@ -50,6 +61,11 @@
 
   stop(): void {
     clearInterval(this.#timer);
+    clearTimeout(this.#loadsTimer);
+  }
+
+  get dataCentre(): string {
+    return this.#options.dataCentre;
   }
 
   get isCurrent(): boolean {
@@ -120,6 +136,17 @@
     this.engine$.next(notice);
   }
 
+  /** What an agent saw of its engine; followers hear of several at once. */
+  noteLoad(load: EngineLoad): void {
+    this.#loads.set(load.engineAddress, load);
+    this.#loadsTimer ??= setTimeout(() => {
+      this.#loadsTimer = undefined;
+      const loads = [...this.#loads.values()];
+      this.#loads.clear();
+      this.loads$.next(loads);
+    }, GATHER_LOADS_MILLISECONDS);
+  }
+
   #expire(): void {
     this.#tell(this.#registry.expire(monotonicMilliseconds()), "silent");
   }
--- a/packages/daemon/src/gateway/backend_pool.ts
+++ b/packages/daemon/src/gateway/backend_pool.ts
@@ -6,9 +6,13 @@
 import { SlotPressure } from "@teaselrouter/core/gateway/slot_pressure.ts";
 import { weightsMargins } from "@teaselrouter/core/rollout/weights_margins.ts";
 import type { BackendStanding } from "@teaselrouter/core/membership/backend_standing.ts";
+import type { EngineLoad } from "@teaselrouter/messages/follow.ts";
 import { monotonicMilliseconds } from "../transport/monotonic_milliseconds.ts";
 import type { ControlFeed } from "./control_feed.ts";
 
+/** From an agent's look at its engine to a gateway, milliseconds. */
+const LOADS_AGE = 60;
+
 type Want = {
   service: string;
   engine: EngineDefinition | undefined;
@@ -40,6 +44,7 @@
         if (state === "gone") this.#records.delete(instance);
       }
     });
+    options.feed.loads$.subscribe((loads) => this.#takeLoads(loads));
   }
 
   recordOf(instance: string): BackendRecord {
@@ -83,6 +88,16 @@
     });
   }
 
+  #takeLoads(loads: EngineLoad[]): void {
+    const now = monotonicMilliseconds();
+    for (const { engineAddress, running, waiting } of loads) {
+      const standing = this.#options.feed.backendAt(engineAddress);
+      if (standing === undefined) continue;
+      const report = { running, waiting, slots: standing.slots };
+      this.recordOf(standing.instance).takeReport(report, now, LOADS_AGE);
+    }
+  }
+
   #mayTake(standing: BackendStanding, want: Want): boolean {
     if (standing.state !== "ready" || want.tried.has(standing.instance)) {
       return false;
--- a/packages/daemon/src/gateway/control_feed.ts
+++ b/packages/daemon/src/gateway/control_feed.ts
@@ -4,6 +4,7 @@
 import type { BackendStanding } from "@teaselrouter/core/membership/backend_standing.ts";
 import type {
   ControlUpdate,
+  EngineLoad,
   EngineNotice,
   NamedWeights,
   RoutingDocument,
@@ -26,6 +27,8 @@
 /** All that a gateway believes, as the control hosts told it. */
 export class ControlFeed {
   readonly backends$ = new Subject<BackendStanding[]>();
+  /** What agents beside engines saw of their load. */
+  readonly loads$ = new Subject<EngineLoad[]>();
   /** Anything at all was heard. */
   readonly news$ = new Subject<void>();
   #options: Options;
@@ -45,7 +48,7 @@
     this.#options = options;
     options.follows.updates$.subscribe(({ update }) => {
       this.#take(update);
-      this.news$.next();
+      if (update.body.case !== "loads") this.news$.next();
     });
   }
 
@@ -70,6 +73,12 @@
     );
   }
 
+  backendAt(address: string): BackendStanding | undefined {
+    return this.#registry.live().find((standing) =>
+      standing.address === address
+    );
+  }
+
   liveAddresses(): Set<string> {
     return new Set(this.#registry.live().map(({ address }) => address));
   }
@@ -94,6 +103,8 @@
         return this.#takeNamed(body.value);
       case "engine":
         return this.#takeEngine(body.value);
+      case "loads":
+        return this.loads$.next(body.value.loads);
     }
   }
 
--- a/packages/daemon/src/rollout/rollout_hub.ts
+++ b/packages/daemon/src/rollout/rollout_hub.ts
@@ -7,7 +7,10 @@
 import { versionName } from "@teaselrouter/core/spread/version_name.ts";
 import type { ChunkReport } from "@teaselrouter/messages/agent.ts";
 import { AgentService } from "@teaselrouter/messages/agent.ts";
-import type { EngineNotice } from "@teaselrouter/messages/follow.ts";
+import type {
+  EngineLoad,
+  EngineNotice,
+} from "@teaselrouter/messages/follow.ts";
 import type { EventLog } from "../log/event_log.ts";
 import { toAsyncIterable } from "../transport/to_async_iterable.ts";
 import type { ManifestKeeper } from "./manifest_keeper.ts";
@@ -30,6 +33,7 @@
   log: EventLog;
   controlAddresses: () => string[];
   notice: (notice: EngineNotice) => void;
+  noteLoad: (load: EngineLoad) => void;
 };
 
 type Centre = { coordinator: SpreadCoordinator; turns: LoadTurns };
--- a/packages/daemon/src/rollout/stager_session.ts
+++ b/packages/daemon/src/rollout/stager_session.ts
@@ -4,10 +4,13 @@
   AgentToEntry,
   Announcement,
   EntryToAgent,
+  LoadReport,
   PermitRequest,
 } from "@teaselrouter/messages/agent.ts";
 import { EntryToAgentSchema } from "@teaselrouter/messages/agent.ts";
 import {
+  type EngineLoad,
+  EngineLoadSchema,
   type EngineNotice,
   EngineNoticeSchema,
 } from "@teaselrouter/messages/follow.ts";
@@ -29,6 +32,7 @@
   log: EventLog;
   controlAddresses: () => string[];
   notice: (notice: EngineNotice) => void;
+  noteLoad: (load: EngineLoad) => void;
 };
 
 /** The control side of one stager's stream. */
@@ -63,6 +67,8 @@
         return this.#takePermitRequest(body.value);
       case "loadSettled":
         return hub.endTurn(this);
+      case "load":
+        return this.#takeLoad(body.value);
     }
   }
 
@@ -104,6 +110,14 @@
     }));
   }
 
+  #takeLoad({ running, queued }: LoadReport): void {
+    this.#options.noteLoad(create(EngineLoadSchema, {
+      engineAddress: this.announcement!.engineAddress,
+      running,
+      waiting: queued,
+    }));
+  }
+
   #takePermitRequest({ version, wasServing }: PermitRequest): void {
     const { hub } = this.#options;
     const now = monotonicMilliseconds();
--- a/packages/daemon/src/stager/staged_loader.ts
+++ b/packages/daemon/src/stager/staged_loader.ts
@@ -45,6 +45,8 @@
 export class StagedLoader {
   /** What is announced of the engine has changed. */
   readonly changed$ = new Subject<void>();
+  /** The engine's own word on what it has, as often as it is asked. */
+  readonly report$ = new Subject<EngineReport>();
   readonly turnWanted$ = new Subject<
     { version: string; wasServing: boolean }
   >();
@@ -118,6 +120,7 @@
       this.#noteEngine("", 0);
       return true;
     }
+    this.report$.next(report.value);
     const target = this.#target;
     const serving = servingNumber(report.value, target?.model);
     const name = serving === 0 ? "" : `${target!.model}@${serving}`;
--- a/packages/daemon/src/stager/stager_app.ts
+++ b/packages/daemon/src/stager/stager_app.ts
@@ -8,6 +8,7 @@
 import { randomUUID } from "node:crypto";
 import { createServer, type Server } from "node:http";
 import process from "node:process";
+import { distinctUntilChanged, map } from "rxjs";
 import type { Result } from "true-myth";
 import { ChunkFetcher } from "../spread/chunk_fetcher.ts";
 import { ChunkSender } from "../spread/chunk_sender.ts";
@@ -151,6 +152,14 @@
     this.#loader.changed$.subscribe(() =>
       this.#links.broadcast(() => this.#announcement())
     );
+    this.#loader.report$.pipe(
+      map(({ running, waiting }) => ({ running, queued: waiting })),
+      distinctUntilChanged((left, right) =>
+        left.running === right.running && left.queued === right.queued
+      ),
+    ).subscribe((value) =>
+      this.#links.broadcast(() => ({ case: "load", value }))
+    );
     this.#loader.turnWanted$.subscribe((value) => {
       const address = this.#links.anyConnected;
       if (address === undefined) return;
--- a/packages/daemon/src/transport/follow_link.ts
+++ b/packages/daemon/src/transport/follow_link.ts
@@ -22,6 +22,8 @@
   hello: { host: string; dataCentre: string; isControl: boolean };
   clients: ClientPool;
   log: EventLog;
+  /** Whether this one is to tell the engines' loads. */
+  wantsLoads: () => boolean;
 };
 
 /**
@@ -33,6 +35,7 @@
   readonly address: string;
   #options: Options;
   #connected = false;
+  #dataCentre = "";
   #heardAt = -Infinity;
   #stop = new AbortController();
 
@@ -45,6 +48,11 @@
     return this.#connected;
   }
 
+  /** Where this control host says that it is; empty before it has. */
+  get dataCentre(): string {
+    return this.#dataCentre;
+  }
+
   /** When this control host was last heard, monotonic milliseconds. */
   get heardAt(): number {
     return this.#heardAt;
@@ -97,7 +105,10 @@
     return interval(HEARTBEAT_MILLISECONDS).pipe(
       map(() =>
         create(FollowerToControlSchema, {
-          body: { case: "heartbeat", value: {} },
+          body: {
+            case: "heartbeat",
+            value: { wantsLoads: this.#options.wantsLoads() },
+          },
         })
       ),
       startWith(hello),
@@ -112,6 +123,9 @@
         address: this.#options.address,
       });
     }
+    if (update.body.case === "heartbeat") {
+      this.#dataCentre = update.body.value.dataCentre;
+    }
     this.updates$.next(update);
   }
 }
--- a/packages/daemon/src/transport/follow_set.ts
+++ b/packages/daemon/src/transport/follow_set.ts
@@ -74,6 +74,20 @@
     this.#review();
   }
 
+  /**
+   * The one control host to hear the engines' loads from: they change all the
+   * time, and three times the same would cost as much as all else together.
+   */
+  #loadsFrom(): string {
+    const { host, dataCentre } = this.#options.hello;
+    const connected = [...this.#links.values()]
+      .map(({ link }) => link)
+      .filter(({ isConnected }) => isConnected);
+    const near = connected.filter((link) => link.dataCentre === dataCentre);
+    const choices = near.length > 0 ? near : connected;
+    return rendezvousOwner(host, choices.map(({ address }) => address));
+  }
+
   #candidates(): string[] {
     const { selfAddress } = this.#options;
     // With none of the known ones reached, the settings may know better.
@@ -122,7 +136,13 @@
 
   #open(address: string): void {
     const { hello, clients, log } = this.#options;
-    const link = new FollowLink({ address, hello, clients, log });
+    const link = new FollowLink({
+      address,
+      hello,
+      clients,
+      log,
+      wantsLoads: () => !hello.isControl && this.#loadsFrom() === address,
+    });
     this.#links.set(address, { link, openedAt: monotonicMilliseconds() });
     link.updates$.subscribe((update) => {
       if (update.body.case === "controlHosts") {
