--- a/packages/core/src/gateway/backend_record.ts
+++ b/packages/core/src/gateway/backend_record.ts
@@ -1,6 +1,3 @@
-import type { EngineDefinition } from "./engine_definition.ts";
-import type { FirstEventForecast } from "./first_event_forecast.ts";
-
 type Report = { running: number; waiting: number; slots: number };
 
 /** Oldest that a report can be when it arrives. */
@@ -24,12 +21,6 @@
 const USUAL_HOLD_MILLISECONDS = 1_000;
 /** Weight of the latest answer in a mean: some ten answers, about a second. */
 const HOLD_WEIGHT = 0.1;
-/**
- * A backend server's load report counts the requests of all hosts; that they
- * are made up like this host's own is taken for granted only up to so many
- * times its own, since a few requests say little of many.
- */
-const MOST_SCALE = 8;
 /**
  * Nothing heard for so long from where something is under way: an engine
  * sends an event about every 50 ms, and a plain service of the sizes met
@@ -38,9 +29,6 @@
 const SILENT_MILLISECONDS = 700;
 /** A service that takes longer to answer is given a multiple of its mean. */
 const SILENT_HEADS = 4;
-/** Ways to and from the engine, and what it takes to begin. */
-const BEGIN_MILLISECONDS = 40;
-
 /** What this host knows of one backend server by its own requests. */
 export class BackendRecord {
   /** Requests of this host that are under way there. */
@@ -54,6 +42,10 @@
    * is known: what this one is taken to have while it has said nothing.
    */
   usualRequests = 0;
+  /** Prompt tokens not read yet of a request under way, in its service's mean. */
+  usualUnreadTokens = 0;
+  /** Part of the requests under way that can be in time and wait for an answer. */
+  usualTimelyUnread = 0;
   #holdMilliseconds = USUAL_HOLD_MILLISECONDS;
   #headMilliseconds = 0;
   #heardAt = -Infinity;
@@ -149,37 +141,9 @@
       (milliseconds - this.#holdMilliseconds);
   }
 
-  /**
-   * When an engine would send the first event of a request that goes ahead
-   * of those that are late already, milliseconds from now: a slot has to get
-   * free behind those of its kind, and their prompts and its own are read.
-   */
-  predictFirstEvent(
-    { engine, slots, promptTokens, now }: {
-      engine: EngineDefinition;
-      slots: number;
-      promptTokens: number;
-      now: number;
-    },
-  ): FirstEventForecast {
-    const total = this.estimateRequests(now);
-    const scale = Math.min(MOST_SCALE, total / Math.max(1, this.inFlight));
-    const ahead = this.timelyUnread * Math.max(1, scale);
-    const free = Math.max(0, slots - total);
-    const turns = total < slots ? 0 : Math.max(0, ahead - free) + 1;
-    const slotMilliseconds = turns * this.#holdMilliseconds / slots;
-    const unread = ahead * promptTokens + promptTokens;
-    const readingMilliseconds = engine.readTokensPerSecond === 0
-      ? 0
-      : unread / engine.readTokensPerSecond * 1_000;
-    const pass = engine.stepMilliseconds * engine.stepsPerPass;
-    return {
-      milliseconds: BEGIN_MILLISECONDS + pass + readingMilliseconds +
-        slotMilliseconds,
-      slotMilliseconds,
-      readingMilliseconds,
-      requests: total,
-    };
+  /** How long its answers take from head to end, milliseconds. */
+  get holdMilliseconds(): number {
+    return this.#holdMilliseconds;
   }
 
   /** Whether it failed so often lately that it is not to be used now. */
--- a/packages/core/src/gateway/choose_backend.ts
+++ b/packages/core/src/gateway/choose_backend.ts
@@ -15,9 +15,11 @@
  * server's slots: crossing costs bytes and a few milliseconds, so that only
  * a clearly emptier backend server is worth it.
  */
-const CROSSING_WEIGHT = 0.2;
+const CROSSING_WEIGHT = 0.4;
+/** Waiting for a slot is worse than crossing to a free one. */
+const FULL_WEIGHT = 0.25;
 /** Breaks ties between hosts that see the same. */
-const NOISE_WEIGHT = 0.05;
+const NOISE_WEIGHT = 0.1;
 /** A cold backend server counts as so much fuller. */
 const COLD_WEIGHT = 0.3;
 
@@ -44,10 +46,11 @@
   const { dataCentre, engine, random, now } = request;
   const slots = Math.max(1, standing.slots);
   const fullness = record.estimateRequests(now) / slots;
+  const full = fullness >= 1 ? FULL_WEIGHT : 0;
   const crossing = standing.dataCentre === dataCentre ? 0 : CROSSING_WEIGHT;
   const cold = standing.coldMilliseconds > 0 ? COLD_WEIGHT : 0;
   const reading = engine === undefined || engine.readTokensPerSecond === 0
     ? 0
     : record.unreadTokens / engine.readTokensPerSecond;
-  return fullness + crossing + cold + reading + NOISE_WEIGHT * random();
+  return fullness + full + crossing + cold + reading + NOISE_WEIGHT * random();
 }
--- a/packages/core/src/gateway/choose_backend_test.ts
+++ b/packages/core/src/gateway/choose_backend_test.ts
@@ -66,6 +66,14 @@
   assert.equal(choose(far, { instance: "near", inFlight: 8 }), "far");
 });
 
+test("a slot that is free elsewhere goes before waiting for one here", () => {
+  // Pattern: more is asked in one data centre than its engines carry, while
+  // those of another have some room.
+  const far = { instance: "far", dataCentre: "there", inFlight: 12 };
+  assert.equal(choose(far, { instance: "near", inFlight: 16 }), "far");
+  assert.equal(choose(far, { instance: "near", inFlight: 15 }), "near");
+});
+
 test("prompts that are still to be read count as what they hold up", () => {
   // Pattern: a burst of long prompts reaches one engine; the next request's
   // first event would wait for all of them, however few its slots in use.
--- a/packages/core/src/gateway/decide_placement.ts
+++ b/packages/core/src/gateway/decide_placement.ts
@@ -1,5 +1,6 @@
 import type { BackendChoice } from "./backend_choice.ts";
 import type { EngineDefinition } from "./engine_definition.ts";
+import { forecastFirstEvent } from "./forecast_first_event.ts";
 import type { Placement } from "./placement.ts";
 
 type Request = {
@@ -40,7 +41,8 @@
   const { standing, record } = choice;
   const { engine, promptTokens, now } = request;
   const slots = Math.max(1, standing.slots);
-  const forecast = record.predictFirstEvent({
+  const forecast = forecastFirstEvent({
+    record,
     engine,
     slots,
     promptTokens,
--- a/packages/core/src/gateway/slot_pressure.ts
+++ b/packages/core/src/gateway/slot_pressure.ts
@@ -8,10 +8,15 @@
  * being worked off below capacity, slots get free that nobody else wants.
  */
 export class SlotPressure {
-  #share = 0;
+  /**
+   * A host that has just started may stand before a backlog that it has not
+   * seen: late requests that it lets wait then starve behind those in time.
+   */
+  #share = 1;
 
-  note(hadToWait: boolean): void {
-    const latest = hadToWait ? 1 : 0;
+  /** @param isFull whether the best backend server for it had no free slot. */
+  note(isFull: boolean): void {
+    const latest = isFull ? 1 : 0;
     this.#share += LATEST_WEIGHT * (latest - this.#share);
   }
 
--- a/packages/daemon/src/gateway/call_routing.ts
+++ b/packages/daemon/src/gateway/call_routing.ts
@@ -55,7 +55,10 @@
       slotPressure: pressure.share,
       now,
     });
-    if (call.spentBefore === 0) pressure.note(hadToWait(placement));
+    if (call.spentBefore === 0) {
+      const isFull = placement.forecast!.requests >= choice.standing.slots;
+      pressure.note(isFull);
+    }
     this.placement = placement;
     return placement;
   }
@@ -83,7 +86,3 @@
     return tried.size < call.route.maxBackends;
   }
 }
-
-function hadToWait({ kind, forecast }: Placement): boolean {
-  return kind !== "timely" || forecast!.slotMilliseconds > 0;
-}
