Let no engine stop for chunks that don't come, or wait for a turn when unused

With the weight store down, or the only holder of a chunk on a squeezed link, that rest took 3 to 6 s, and up to six of ten engines stood idle for it; - behind the end of old weights' use an engine with a version not yet whole changed between taking requests and not every 50 ms, each time told to all; - version 3, named while the store was down, came 5 s later: its turns were counted from then, and engines that nobody used loaded one after the other from second 31.2 to 32.4.

Change: nothing counts as nearly here after 0.6 s without a chunk, and the engine takes requests again; control tells with a target how long ago versions were named, and a stager knows from when on its engine is unused.

--- a/packages/core/src/rollout/is_nearly_held.ts
+++ b/packages/core/src/rollout/is_nearly_held.ts
@@ -3,6 +3,8 @@
   total: number;
   /** Since the version was heard of. */
   elapsedMilliseconds: number;
+  /** Since the latest chunk came. */
+  quietMilliseconds: number;
 };
 
 /**
@@ -10,6 +12,12 @@
  * mean answer of 120 tokens takes 0.9 s as the batch gets smaller.
  */
 const RUN_EMPTY_MILLISECONDS = 900;
+/**
+ * Several times what lies between two chunks on a thin link. Where the last
+ * chunks have no source, as while the weight store is down, what came before
+ * says nothing of when they will come.
+ */
+const STALLED_MILLISECONDS = 600;
 /** With less held, too little was seen to tell how fast the rest comes. */
 const LEAST_SHARE = 0.5;
 
@@ -26,6 +34,7 @@
   const { held, total, elapsedMilliseconds } = progress;
   if (held >= total) return true;
   if (held < total * LEAST_SHARE) return false;
+  if (progress.quietMilliseconds > STALLED_MILLISECONDS) return false;
   const left = elapsedMilliseconds * (total - held) / held;
   return left <= RUN_EMPTY_MILLISECONDS;
 }
--- a/packages/core/src/rollout/named_versions.ts
+++ b/packages/core/src/rollout/named_versions.ts
@@ -17,6 +17,10 @@
     return true;
   }
 
+  all(model: string): Named[] {
+    return this.#named.get(model) ?? [];
+  }
+
   latest(model: string): number | undefined {
     return this.#named.get(model)?.at(-1)?.version;
   }
--- a/packages/daemon/src/control/platform_desk.ts
+++ b/packages/daemon/src/control/platform_desk.ts
@@ -77,6 +77,7 @@
       controlAddresses: options.controlAddresses,
       notice: (notice) => this.view.notice(notice),
       noteLoad: (load) => this.view.noteLoad(load),
+      namedAges: (model) => this.view.namedAges(model),
     });
     this.#others = new FollowSet({
       hello: {
--- a/packages/daemon/src/control/shared_view.ts
+++ b/packages/daemon/src/control/shared_view.ts
@@ -93,6 +93,15 @@
     return now - (this.#named.namedAt(model, version) ?? now);
   }
 
+  /** Versions of a model named until now, and how long ago. */
+  namedAges(model: string): { version: number; ageMilliseconds: number }[] {
+    const now = monotonicMilliseconds();
+    return this.#named.all(model).map(({ version, namedAt }) => ({
+      version,
+      ageMilliseconds: now - namedAt,
+    }));
+  }
+
   controlAddresses(): string[] {
     return this.#options.controlAddresses();
   }
--- a/packages/daemon/src/rollout/rollout_hub.ts
+++ b/packages/daemon/src/rollout/rollout_hub.ts
@@ -34,6 +34,7 @@
   controlAddresses: () => string[];
   notice: (notice: EngineNotice) => void;
   noteLoad: (load: EngineLoad) => void;
+  namedAges: (model: string) => { version: number; ageMilliseconds: number }[];
 };
 
 type Centre = { coordinator: SpreadCoordinator; turns: LoadTurns };
--- a/packages/daemon/src/rollout/stager_session.ts
+++ b/packages/daemon/src/rollout/stager_session.ts
@@ -33,6 +33,7 @@
   controlAddresses: () => string[];
   notice: (notice: EngineNotice) => void;
   noteLoad: (load: EngineLoad) => void;
+  namedAges: (model: string) => { version: number; ageMilliseconds: number }[];
 };
 
 /** The control side of one stager's stream. */
@@ -127,7 +128,7 @@
 
   #tell(target: WeightsTargetRow): void {
     if (target.service !== this.announcement?.service) return;
-    const { manifest, store, version } = target;
+    const { manifest, model, store, version } = target;
     this.#send({
       case: "target",
       value: {
@@ -137,6 +138,7 @@
         store,
         number: version,
         servingShare: 0,
+        named: this.#options.namedAges(model),
       },
     });
   }
--- a/packages/daemon/src/stager/staged_loader.ts
+++ b/packages/daemon/src/stager/staged_loader.ts
@@ -1,5 +1,6 @@
 import type { WeightsManifest } from "@teaselrouter/core/spread/weights_manifest.ts";
 import { isNearlyHeld } from "@teaselrouter/core/rollout/is_nearly_held.ts";
+import type { NamedVersions } from "@teaselrouter/core/rollout/named_versions.ts";
 import { weightsMargins } from "@teaselrouter/core/rollout/weights_margins.ts";
 import { Subject } from "rxjs";
 import type { WeightsCache } from "../spread/weights_cache.ts";
@@ -14,8 +15,6 @@
 const STEP_MILLISECONDS = 50;
 const IDLE_STEP_MILLISECONDS = 200;
 const TURN_ASK_MILLISECONDS = 150;
-/** After the target was heard; then the order goes in front of what waits. */
-const HURRY_MILLISECONDS = 5_000;
 /** Gateways hear within it that this engine takes nothing more. */
 const NOTICE_MILLISECONDS = 60;
 /** An engine ends what is running within it, mostly. */
@@ -34,6 +33,8 @@
   log: EventLog;
   /** After it is named no request may begin on older weights. */
   weightsBoundMilliseconds: number;
+  /** Versions whose naming is known here. */
+  named: NamedVersions;
 };
 
 /**
@@ -59,6 +60,9 @@
   #askedAt = -Infinity;
   #servingVersion = "";
   #isAccepting = true;
+  /** Chunks of the target that are here, and since when so many. */
+  #heldChunks = 0;
+  #heldSince = 0;
   #bornAt = 0;
   /** Since when, and for which version, the engine takes nothing new. */
   #emptyingFor = "";
@@ -131,15 +135,13 @@
       return true;
     }
     if (report.value.isBusy) return false;
-    // A turn for a version that was overtaken is no reason to stay away.
-    if (serving > 0 && this.#turnFor !== target.version) {
+    const isStaged = await this.#staged.write(target.model, target.version);
+    if (serving > 0 && !this.#mayLeave(target, serving)) {
       this.#setAccepting(true);
+      return false;
     }
-    const isStaged = await this.#staged.write(target.model, target.version);
-    if (!this.#isNearlyHeld(target)) return false;
-    if (!this.#hasTurn(target, serving > 0)) return false;
     this.#startRunningEmpty(target);
-    if (isStaged) await this.#load(target, serving > 0);
+    if (isStaged) await this.#load(target, serving);
     return false;
   }
 
@@ -168,33 +170,54 @@
   }
 
   /**
-   * From then on gateways send nothing to older weights: there is nothing left
-   * that a turn would spare, and waiting for one only idles the engine.
+   * From then on gateways send nothing to what the engine serves: there is
+   * nothing left that a turn would spare, and waiting for one only idles the
+   * engine. The version that ends its use may have been named long ahead of
+   * the target, while the weight store was down or a later one was named.
    */
-  get #unusedAfter(): number {
+  #unusedAt({ model, since }: Target, serving: number): number {
+    const { named, weightsBoundMilliseconds } = this.#options;
     const { giveUpMilliseconds, beginMilliseconds } = weightsMargins;
-    return this.#options.weightsBoundMilliseconds - giveUpMilliseconds -
+    const overtakenAt = Math.min(since, named.overtakenAt(model, serving));
+    return overtakenAt + weightsBoundMilliseconds - giveUpMilliseconds -
       beginMilliseconds;
   }
 
-  /** An engine that serves nothing has nothing to wait for. */
-  #hasTurn(target: Target, wasServing: boolean): boolean {
-    if (!wasServing || this.#turnFor === target.version) return true;
+  /**
+   * Whether it is to stop serving for the target: its turn has come, and the
+   * rest of the weights is about to. A turn for a version that was overtaken
+   * or whose last chunks don't come is no reason to stay away.
+   */
+  #mayLeave(target: Target, serving: number): boolean {
+    if (monotonicMilliseconds() > this.#unusedAt(target, serving)) return true;
+    if (!this.#isNearlyHeld(target)) return false;
+    if (this.#turnFor === target.version) return true;
+    this.#askForTurn(target.version);
+    return false;
+  }
+
+  #askForTurn(version: string): void {
     const now = monotonicMilliseconds();
-    if (now - this.#askedAt > TURN_ASK_MILLISECONDS) {
-      this.#askedAt = now;
-      this.turnWanted$.next({ version: target.version, wasServing });
-    }
-    return now - target.since > this.#unusedAfter;
+    if (now - this.#askedAt <= TURN_ASK_MILLISECONDS) return;
+    this.#askedAt = now;
+    this.turnWanted$.next({ version, wasServing: true });
   }
 
   #isNearlyHeld({ version, since }: Target): boolean {
     const held = this.#options.cache.held(version);
-    return held !== undefined && isNearlyHeld({
+    if (held === undefined) return false;
+    const now = monotonicMilliseconds();
+    if (held.count !== this.#heldChunks) {
+      this.#heldChunks = held.count;
+      this.#heldSince = now;
+    }
+    const progress = {
       held: held.count,
       total: held.total,
-      elapsedMilliseconds: monotonicMilliseconds() - since,
-    });
+      elapsedMilliseconds: now - since,
+      quietMilliseconds: now - this.#heldSince,
+    };
+    return isNearlyHeld(progress);
   }
 
   #startRunningEmpty(target: Target): void {
@@ -204,9 +227,9 @@
     this.#setAccepting(false);
   }
 
-  async #load(target: Target, wasServing: boolean): Promise<void> {
+  async #load(target: Target, serving: number): Promise<void> {
     const { engine, log } = this.#options;
-    if (wasServing) await this.#runEmpty(target);
+    if (serving > 0) await this.#runEmpty(target, serving);
     // Chunks turn bad where they lie, and the engine takes them unchecked.
     const isSound = await this.#staged.verify(target.version);
     const report = await engine.report();
@@ -227,10 +250,10 @@
     });
   }
 
-  async #runEmpty(target: Target): Promise<void> {
+  async #runEmpty(target: Target, serving: number): Promise<void> {
     const until = Math.min(
       this.#emptyingSince + DRAIN_MILLISECONDS,
-      target.since + HURRY_MILLISECONDS,
+      this.#unusedAt(target, serving),
     );
     await pause(NOTICE_MILLISECONDS);
     while (monotonicMilliseconds() < until && this.#target === target) {
--- a/packages/daemon/src/stager/staged_loader_test.ts
+++ b/packages/daemon/src/stager/staged_loader_test.ts
@@ -1,3 +1,4 @@
+import { NamedVersions } from "@teaselrouter/core/rollout/named_versions.ts";
 import type { WeightsManifest } from "@teaselrouter/core/spread/weights_manifest.ts";
 import assert from "node:assert/strict";
 import { Buffer } from "node:buffer";
@@ -8,6 +9,7 @@
 import type { EngineReport } from "../platform/engine_report.ts";
 import type { ModelEngine } from "../platform/model_engine.ts";
 import { WeightsCache } from "../spread/weights_cache.ts";
+import { monotonicMilliseconds } from "../transport/monotonic_milliseconds.ts";
 import { pause } from "../transport/pause.ts";
 import { StagedLoader } from "./staged_loader.ts";
 
@@ -104,8 +106,10 @@
     write: () => undefined,
     flush: () => Promise.resolve(),
   });
+  const named = new NamedVersions();
   const loader = new StagedLoader({
     engine,
+    named,
     cache,
     log,
     weightsBoundMilliseconds: BOUND_MILLISECONDS,
@@ -119,7 +123,7 @@
       cache.add(name, chunk, chunkOf(version, chunk));
     }
   };
-  return { engine, cache, loader, bring };
+  return { engine, cache, loader, bring, named };
 }
 
 async function until(check: () => boolean): Promise<void> {
@@ -204,3 +208,20 @@
   loader.stop();
   assert.deepEqual(engine.loaded, ["2"]);
 });
+
+test("no turn is waited for by weights that were overtaken long ago", async () => {
+  // Story: version 3 is named while the weight store is down. When it arrives
+  // at last, no gateway has sent anything to version 2 for seconds; with all
+  // engines idle they still loaded one after the other.
+  const { engine, loader, bring, named } = setUp();
+  engine.models = [{ name: MODEL, version: 2 }];
+  const namedAt = monotonicMilliseconds() - BOUND_MILLISECONDS;
+  named.add(MODEL, { version: 3, namedAt });
+  loader.start();
+  const startedAt = performance.now();
+  bring(3);
+  await until(() => engine.loaded.length > 0);
+  loader.stop();
+  const milliseconds = performance.now() - startedAt;
+  assert.ok(milliseconds < BOUND_MILLISECONDS / 2, `${milliseconds} ms`);
+});
--- a/packages/daemon/src/stager/stager_app.ts
+++ b/packages/daemon/src/stager/stager_app.ts
@@ -1,7 +1,9 @@
+import { NamedVersions } from "@teaselrouter/core/rollout/named_versions.ts";
 import type { WeightsManifest } from "@teaselrouter/core/spread/weights_manifest.ts";
 import { versionName } from "@teaselrouter/core/spread/version_name.ts";
 import type {
   EntryToAgent,
+  NamedAge,
   WeightsTarget,
 } from "@teaselrouter/messages/agent.ts";
 import type { StatsD } from "hot-shots";
@@ -20,6 +22,7 @@
 import type { PlatformEdge } from "../platform/platform_edge.ts";
 import type { Settings } from "../settings/settings.ts";
 import type { ClientPool } from "../transport/client_pool.ts";
+import { monotonicMilliseconds } from "../transport/monotonic_milliseconds.ts";
 import { listen } from "../transport/listen.ts";
 import { StagedLoader } from "./staged_loader.ts";
 
@@ -51,6 +54,7 @@
   #links: EntryLinks;
   #server: Server;
   #target: { version: string; number: number } | undefined;
+  #named = new NamedVersions();
 
   constructor(options: Options) {
     const { settings, clients, log, metrics, platform } = options;
@@ -73,6 +77,7 @@
       cache: this.#cache,
       log,
       weightsBoundMilliseconds: stager.weights_bound_milliseconds,
+      named: this.#named,
     });
     this.#links = new EntryLinks({
       addresses: stager.control_hosts,
@@ -195,10 +200,18 @@
     this.#spread.setTarget(manifest, target.store);
     this.#cache.keep(new Set([versionName(manifest)]));
     this.#links.broadcast((address) => this.#wholeReport(address));
+    this.#noteNamed(manifest.name, target.named);
     this.#loader.setTarget(manifest.name, target.number, target.version);
     this.#takeStaged(manifest);
   }
 
+  #noteNamed(model: string, named: NamedAge[]): void {
+    const now = monotonicMilliseconds();
+    for (const { version, ageMilliseconds } of named) {
+      this.#named.add(model, { version, namedAt: now - ageMilliseconds });
+    }
+  }
+
   /** What lies beside the engine already need not cross any link. */
   async #takeStaged(manifest: WeightsManifest): Promise<void> {
     const version = versionName(manifest);
