Let the origin help a spread once every chunk has left it

Cause: ten hosts with links of 6.58 Mbit/s could hold a version after 3.4 s at 0.85 of their links, and did after 4.3 to 4.8 s: in the second half chunks came at 55 to 75 in 100 of that rate, each host's link out being asked for a little more or less than it carries, while the origin's 15 Mbit/s were idle. A chunk whose only holder is behind a squeezed link came two seconds later still.

Change: a third weighing, haste: one draw a chunk as with origin-bytes, and once all chunks are held somewhere the origin gives what no near host can give just now.

Ruled out: helping from the start (two data centres' first draws delay the last chunk's first; the store then went down without it, 9 s).

--- a/packages/core/src/spread/spread_table.ts
+++ b/packages/core/src/spread/spread_table.ts
@@ -72,6 +72,13 @@
     return this.#outside;
   }
 
+  /** Whether every chunk has left the origin, for here or anywhere else. */
+  get isDrawnWhole(): boolean {
+    return this.#near.every((near, chunk) =>
+      near.count > 0 || this.#far[chunk]!.count > 0
+    );
+  }
+
   host(name: string): SpreadHostRow | undefined {
     return this.#hosts.get(name);
   }
--- a/packages/core/src/spread/spread_table_test.ts
+++ b/packages/core/src/spread/spread_table_test.ts
@@ -5,6 +5,7 @@
 import { defaultSpreadOptions } from "./default_spread_options.ts";
 import { RarestRanking } from "./rarest_ranking.ts";
 import { SpreadTable } from "./spread_table.ts";
+import type { SpreadWeighing } from "./spread_weighing.ts";
 import { SwapPolicy } from "./swap_policy.ts";
 
 const CHUNKS = 8;
@@ -30,10 +31,10 @@
   return table;
 }
 
-function policy(): SwapPolicy {
+function policy(weighing: SpreadWeighing = "origin-bytes"): SwapPolicy {
   return new SwapPolicy({
     ...defaultSpreadOptions,
-    weighing: "origin-bytes",
+    weighing,
     random: seededRandom(4),
     ranking: new RarestRanking(),
   });
@@ -81,3 +82,30 @@
   table.failTransfer("a", 1, { now: 0, until });
   assert.equal(table.isAvoided("a", "b", 400), true);
 });
+
+// Pattern: each host's link out carries what another's link in takes, and a
+// little less wherever two want the same. The origin, whose link is idle once
+// every chunk has left it, makes up for that.
+test("in haste the origin helps, but not before all chunks have left it", () => {
+  const fromOrigin = (weighing: SpreadWeighing, drawn: number) => {
+    const table = tableWith(["full", "a", "b", "c"]);
+    for (let chunk = 0; chunk < drawn; chunk += 1) {
+      table.addChunk("full", chunk, 0);
+    }
+    const last = table.totalChunks - 1;
+    if (drawn <= last) {
+      table.startTransfer({
+        host: "full",
+        chunk: last,
+        source: ORIGIN,
+        startedAt: 0,
+      });
+    }
+    return policy(weighing).plan(table, 0)
+      .filter(({ source }) => source === ORIGIN).length;
+  };
+  const total = tableWith([]).totalChunks;
+  assert.equal(fromOrigin("origin-bytes", total), 0);
+  assert.ok(fromOrigin("haste", total) > 0);
+  assert.equal(fromOrigin("haste", total - 1), 0);
+});
--- a/packages/core/src/spread/swap_policy.ts
+++ b/packages/core/src/spread/swap_policy.ts
@@ -107,9 +107,11 @@
     const holders = table.nearHolders(want.chunk);
     if (holders.count > 0) {
       const near = this.#leastBusy(table, holders, want);
-      if (near !== undefined || !this.#allAvoided(table, holders, want)) {
-        return near;
+      if (near !== undefined) return near;
+      if (this.#options.weighing === "haste" && table.isDrawnWhole) {
+        return this.#fromOrigin(table, want);
       }
+      if (!this.#allAvoided(table, holders, want)) return undefined;
     }
     if (table.pendingOf(want.chunk) > 0) return undefined;
     const originFirst = this.#options.weighing === "time" &&
@@ -225,7 +227,9 @@
    * is cut off is no longer among the data centres, so its chunks pass on.
    */
   #mayDrawFromOrigin(table: SpreadTable, chunk: number): boolean {
-    if (this.#options.weighing === "time") return true;
+    const { weighing } = this.#options;
+    if (weighing === "time") return true;
+    if (weighing === "haste" && table.isDrawnWhole) return true;
     return this.#ownerOf(table, chunk) === table.dataCentre;
   }
 
--- a/packages/daemon/src/settings/settings_schema.ts
+++ b/packages/daemon/src/settings/settings_schema.ts
@@ -56,14 +56,14 @@
     operations_listen: addressSchema.optional(),
     election_milliseconds: z.number().int().min(50).max(60_000).default(600),
     heartbeat_milliseconds: z.number().int().min(10).max(10_000).default(200),
-    spread_weighing: z.enum(["time", "origin-bytes"]).default("time"),
+    spread_weighing: z.enum(["time", "origin-bytes", "haste"]).default("time"),
     /** A snapshot is taken when the log has grown by so much. */
     snapshot_bytes: z.number().int().min(4_096).default(16_777_216),
   }).optional(),
   entry: z.strictObject({
     listen: addressSchema,
     control_hosts: z.array(addressSchema).min(1),
-    spread_weighing: z.enum(["time", "origin-bytes"]).default("time"),
+    spread_weighing: z.enum(["time", "origin-bytes", "haste"]).default("time"),
     /** Between `/ready` turning 503 and the end of listening. */
     drain_milliseconds: z.number().int().min(0).default(2_000),
     /** Longest silence of a caller in the middle of its request. */
