Let clients come back later from overloaded engines

Change: as behind an outage clients are told almost a third of their time; a refusal of a single backend server stays at an eighth.

--- a/packages/core/src/gateway/retry_after.ts
+++ b/packages/core/src/gateway/retry_after.ts
@@ -1,5 +1,8 @@
-/** Nothing serves at all, or something has no room just now. */
-type Cause = "outage" | "busy";
+/**
+ * Nothing serves at all; more is asked than engines carry; or a backend server
+ * has no room just now.
+ */
+type Cause = "outage" | "overload" | "busy";
 
 type Refusal = {
   cause: Cause;
@@ -13,8 +16,12 @@
  * Clients wait at most a third of their time. Behind an outage the later of
  * their few tries has the better chance, so almost all of that is used: hosts
  * that lost power serve again about two seconds after they are back.
+ *
+ * The same where engines are overloaded: a peak, a version change or a backlog
+ * lasts for seconds, and whoever comes back within it is refused once more,
+ * mostly for good. Its answer is late at any rate.
  */
-const OUTAGE_SHARE = 0.31;
+const LASTING_SHARE = 0.31;
 /** A slot gets free within the time of one answer. */
 const BUSY_SHARE = 0.12;
 /** Clients that were refused together must not come back together. */
@@ -23,6 +30,6 @@
 /** When a refused client is to come back, milliseconds. */
 export function retryAfter(refusal: Refusal): number {
   const { cause, patienceMilliseconds, random } = refusal;
-  const share = cause === "outage" ? OUTAGE_SHARE : BUSY_SHARE;
+  const share = cause === "busy" ? BUSY_SHARE : LASTING_SHARE;
   return patienceMilliseconds * share * (1 - SPREAD * random);
 }
--- a/packages/core/src/gateway/retry_after_test.ts
+++ b/packages/core/src/gateway/retry_after_test.ts
@@ -21,3 +21,13 @@
   });
   assert.ok(busy > 300 && busy < 800);
 });
+
+test("from overloaded engines they come back when it may be over", () => {
+  // Pattern: behind a final fault the engines are full for two seconds. Those
+  // refused came back after half a second, into the same two seconds, and were
+  // refused for good.
+  const at = (random: number) =>
+    retryAfter({ cause: "overload", patienceMilliseconds: 6_000, random });
+  assert.ok(at(0) < 2_000);
+  assert.ok(at(0.99) > 1_200);
+});
--- a/packages/daemon/src/gateway/gateway_call.ts
+++ b/packages/daemon/src/gateway/gateway_call.ts
@@ -94,7 +94,8 @@
       const placement = routing.place(choice);
       if (placement.kind === "refused") {
         const reason = "its backend servers have no room";
-        return this.#ending.refuse(work, this.#refusal(work, reason, "busy"));
+        const refusal = this.#refusal(work, reason, "overload");
+        return this.#ending.refuse(work, refusal);
       }
       const endWatch = this.#watchSilence(work, choice);
       const outcome = await sender.send(choice, {
@@ -224,7 +225,7 @@
   #refusal(
     { call }: Work,
     reason: string,
-    cause: "outage" | "busy",
+    cause: "outage" | "overload" | "busy",
   ): CallRefusal {
     if (this.#mayHaveRun) return { status: 502, reason };
     const retryAfterMilliseconds = retryAfter({
