--- a/packages/core/src/gateway/backend_record.ts
+++ b/packages/core/src/gateway/backend_record.ts
@@ -29,7 +29,11 @@
 const SILENT_MILLISECONDS = 700;
 /** A service that takes longer to answer is given a multiple of its mean. */
 const SILENT_HEADS = 4;
-/** What this host knows of one backend server by its own requests. */
+
+/**
+ * What this host knows of one backend server: by its own requests there, and
+ * by what the backend server and the agent beside it report.
+ */
 export class BackendRecord {
   /** Requests of this host that are under way there. */
   inFlight = 0;
@@ -65,10 +69,11 @@
    * is not in it.
    */
   takeReport(report: Report, now: number, age = 0): void {
-    const unseen = this.#sentAt.filter((sentAt) => sentAt > now - age).length;
+    const seenUntil = now - age;
+    const unseen = this.#sentAt.filter((sentAt) => sentAt > seenUntil).length;
     this.#report = {
       ...report,
-      at: now - age,
+      at: seenUntil,
       ownThen: this.inFlight - unseen,
     };
   }
--- a/packages/daemon/src/control/shared_view.ts
+++ b/packages/daemon/src/control/shared_view.ts
@@ -17,7 +17,7 @@
 /** Longer than a partition holds up a heartbeat that was sent before an end. */
 const FORGET_MILLISECONDS = 60_000;
 const EXPIRE_EVERY_MILLISECONDS = 500;
-/** Loads are told to followers at most so often, whatever their number. */
+/** At most so often followers hear of loads, however many engines there are. */
 const GATHER_LOADS_MILLISECONDS = 50;
 
 type Options = {
--- a/packages/daemon/src/gateway/backend_pool.ts
+++ b/packages/daemon/src/gateway/backend_pool.ts
@@ -10,8 +10,8 @@
 import { monotonicMilliseconds } from "../transport/monotonic_milliseconds.ts";
 import type { ControlFeed } from "./control_feed.ts";
 
-/** From an agent's look at its engine to a gateway, milliseconds. */
-const LOADS_AGE = 60;
+/** From an agent's look at its engine to a gateway that hears of it. */
+const LOADS_AGE_MILLISECONDS = 60;
 
 type Want = {
   service: string;
@@ -94,7 +94,8 @@
       const standing = this.#options.feed.backendAt(engineAddress);
       if (standing === undefined) continue;
       const report = { running, waiting, slots: standing.slots };
-      this.recordOf(standing.instance).takeReport(report, now, LOADS_AGE);
+      const record = this.recordOf(standing.instance);
+      record.takeReport(report, now, LOADS_AGE_MILLISECONDS);
     }
   }
 
--- a/packages/daemon/src/stager/staged_loader.ts
+++ b/packages/daemon/src/stager/staged_loader.ts
@@ -1,5 +1,4 @@
 import type { WeightsManifest } from "@teaselrouter/core/spread/weights_manifest.ts";
-import { isNearlyHeld } from "@teaselrouter/core/rollout/is_nearly_held.ts";
 import type { NamedVersions } from "@teaselrouter/core/rollout/named_versions.ts";
 import { weightsMargins } from "@teaselrouter/core/rollout/weights_margins.ts";
 import { Subject } from "rxjs";
@@ -9,6 +8,7 @@
 import type { ModelEngine } from "../platform/model_engine.ts";
 import { monotonicMilliseconds } from "../transport/monotonic_milliseconds.ts";
 import { pause } from "../transport/pause.ts";
+import { ChunkArrival } from "./chunk_arrival.ts";
 import { StagedChunks } from "./staged_chunks.ts";
 
 /** Asking the engine on its own host is free and answered in a millisecond. */
@@ -55,14 +55,12 @@
   readonly settled$ = new Subject<string>();
   #options: Options;
   #staged: StagedChunks;
+  #arrival: ChunkArrival;
   #target: Target | undefined;
   #turnFor = "";
   #askedAt = -Infinity;
   #servingVersion = "";
   #isAccepting = true;
-  /** Chunks of the target that are here, and since when so many. */
-  #heldChunks = 0;
-  #heldSince = 0;
   #bornAt = 0;
   /** Since when, and for which version, the engine takes nothing new. */
   #emptyingFor = "";
@@ -72,6 +70,7 @@
   constructor(options: Options) {
     this.#options = options;
     this.#staged = new StagedChunks(options);
+    this.#arrival = new ChunkArrival(options.cache);
   }
 
   start(): void {
@@ -190,7 +189,7 @@
    */
   #mayLeave(target: Target, serving: number): boolean {
     if (monotonicMilliseconds() > this.#unusedAt(target, serving)) return true;
-    if (!this.#isNearlyHeld(target)) return false;
+    if (!this.#arrival.isNearlyHeld(target.version, target.since)) return false;
     if (this.#turnFor === target.version) return true;
     this.#askForTurn(target.version);
     return false;
@@ -203,23 +202,6 @@
     this.turnWanted$.next({ version, wasServing: true });
   }
 
-  #isNearlyHeld({ version, since }: Target): boolean {
-    const held = this.#options.cache.held(version);
-    if (held === undefined) return false;
-    const now = monotonicMilliseconds();
-    if (held.count !== this.#heldChunks) {
-      this.#heldChunks = held.count;
-      this.#heldSince = now;
-    }
-    const progress = {
-      held: held.count,
-      total: held.total,
-      elapsedMilliseconds: now - since,
-      quietMilliseconds: now - this.#heldSince,
-    };
-    return isNearlyHeld(progress);
-  }
-
   #startRunningEmpty(target: Target): void {
     if (!this.#isAccepting && this.#emptyingFor === target.version) return;
     this.#emptyingFor = target.version;
--- a/packages/daemon/src/stager/stager_app.ts
+++ b/packages/daemon/src/stager/stager_app.ts
@@ -8,7 +8,7 @@
 } from "@teaselrouter/messages/agent.ts";
 import type { StatsD } from "hot-shots";
 import { randomUUID } from "node:crypto";
-import { createServer, type Server } from "node:http";
+import type { Server } from "node:http";
 import process from "node:process";
 import { distinctUntilChanged, map } from "rxjs";
 import type { Result } from "true-myth";
@@ -24,6 +24,7 @@
 import type { ClientPool } from "../transport/client_pool.ts";
 import { monotonicMilliseconds } from "../transport/monotonic_milliseconds.ts";
 import { listen } from "../transport/listen.ts";
+import { createChunkServer } from "./create_chunk_server.ts";
 import { StagedLoader } from "./staged_loader.ts";
 
 /**
@@ -98,18 +99,7 @@
       regionBytesPerSecond: 0,
       sliceBytes: SLICE_BYTES,
     });
-    this.#server = createServer((request, response) => {
-      response.on("error", () => undefined);
-      const parts = (request.url ?? "").split("/").slice(1)
-        .map(decodeURIComponent);
-      if (request.method !== "GET" || parts[0] !== "chunks") {
-        return void response.writeHead(404).end();
-      }
-      chunks.send(request, response, parts).catch((error) => {
-        log.warn("chunk-not-sent", { reason: String(error) });
-        response.destroy();
-      });
-    });
+    this.#server = createChunkServer({ chunks, log });
     this.#connectParts();
   }
 
--- a/packages/daemon/src/transport/follow_link.ts
+++ b/packages/daemon/src/transport/follow_link.ts
@@ -22,7 +22,7 @@
   hello: { host: string; dataCentre: string; isControl: boolean };
   clients: ClientPool;
   log: EventLog;
-  /** Whether this one is to tell the engines' loads. */
+  /** Whether this control host is to tell the engines' loads. */
   wantsLoads: () => boolean;
 };
 
--- a/packages/daemon/src/transport/follow_set.ts
+++ b/packages/daemon/src/transport/follow_set.ts
@@ -75,10 +75,10 @@
   }
 
   /**
-   * The one control host to hear the engines' loads from: they change all the
-   * time, and three times the same would cost as much as all else together.
+   * The one control host to hear the engines' loads from, a near one if there
+   * is any: loads change all the time, and every host knows the same.
    */
-  #loadsFrom(): string {
+  get #loadsAddress(): string {
     const { host, dataCentre } = this.#options.hello;
     const connected = [...this.#links.values()]
       .map(({ link }) => link)
@@ -141,7 +141,7 @@
       hello,
       clients,
       log,
-      wantsLoads: () => !hello.isControl && this.#loadsFrom() === address,
+      wantsLoads: () => !hello.isControl && this.#loadsAddress === address,
     });
     this.#links.set(address, { link, openedAt: monotonicMilliseconds() });
     link.updates$.subscribe((update) => {
