Refuse nothing for want of room that a backend server has failed

Change: a request that was sent before is placed late where it would have been refused. The time of a first event is not logged any more against the placing of a resumed stream (it came out negative).

--- a/packages/daemon/src/gateway/call_ending.ts
+++ b/packages/daemon/src/gateway/call_ending.ts
@@ -99,11 +99,15 @@
   }
 }
 
-/** From its last placing to the first event; undefined without one. */
+/**
+ * From its last placing to the first event; undefined without one, and where
+ * another backend server goes on with a stream that had begun.
+ */
 function firstEventMilliseconds(
   { passer, routing }: Ended,
 ): number | undefined {
   const { firstEventAt } = passer;
-  if (firstEventAt === undefined || routing.placement === undefined) return;
-  return firstEventAt - routing.placement.placedAt;
+  const { placement } = routing;
+  if (firstEventAt === undefined || placement?.forecast === undefined) return;
+  return firstEventAt - placement.placedAt;
 }
--- a/packages/daemon/src/gateway/call_routing.ts
+++ b/packages/daemon/src/gateway/call_routing.ts
@@ -40,7 +40,7 @@
 
   /** A stream that has begun goes on at once: its client is waiting. */
   place(choice: BackendChoice): Placement {
-    const { world, call, passer } = this.#options;
+    const { world, call, passer, tried } = this.#options;
     const { engine, name } = call.service;
     const now = monotonicMilliseconds();
     if (engine === undefined || passer.hasBegun) {
@@ -59,8 +59,13 @@
       const isFull = placement.forecast!.requests >= choice.standing.slots;
       pressure.note(isFull);
     }
-    this.placement = placement;
-    return placement;
+    // A backend server failed it: to refuse it now would promise nothing, and
+    // lose an answer that its client has waited for.
+    const isSentBefore = tried.size > 0;
+    this.placement = placement.kind === "refused" && isSentBefore
+      ? { ...placement, kind: "late" }
+      : placement;
+    return this.placement;
   }
 
   /** Whether it may run again: a stream only behind an event with an id. */
