--- a/packages/core/src/gateway/usual_patience.ts
+++ b/packages/core/src/gateway/usual_patience.ts
@@ -13,7 +13,7 @@
  */
 const FEW_SAMPLES = 8;
 /**
- * First tries differ among themselves, by the clock of who waits behind them.
+ * First tries differ among themselves: not every caller waits equally long.
  * How much is seen from the middle half of them: spread evenly, the lowest is
  * 1.5 times its width below the upper quartile, and a little more is left for
  * chance. Without it every third client that asks for the first time counts
