Compare two engines a data centre for each request, not all

Cause: on Raíz grown 13 gateways hear the same loads of 34 engines at the same moments, and all chose the emptiest near one: its prompts then waited for each other.

Change: two near engines and two far ones are drawn at random, the cheapest of these is taken.

--- a/packages/core/src/gateway/choose_backend.ts
+++ b/packages/core/src/gateway/choose_backend.ts
@@ -20,27 +20,47 @@
 const FULL_WEIGHT = 0.25;
 /** Breaks ties between hosts that see the same. */
 const NOISE_WEIGHT = 0.1;
+/** Backend servers that are compared for one request in a data centre. */
+const COMPARED = 2;
 /** A cold backend server counts as so much fuller. */
 const COLD_WEIGHT = 0.3;
 
 /**
- * The emptiest backend server by its slots, with prompts that are still to be
- * read counted as what they hold up: an engine reads a prompt between the
- * steps of all its requests.
+ * The emptier of two backend servers drawn at random here, and of two drawn
+ * elsewhere, by their slots, with prompts that are still to be read counted as
+ * what they hold up: an engine reads a prompt between the steps of all its
+ * requests.
+ *
+ * Pattern: many hosts know the same loads, a moment old. Compared among all,
+ * the emptiest backend server gets what all of them send in that moment, and
+ * is the fullest in the next; of two at random it gets a fair part of it.
  */
 export function chooseBackend(
   choices: BackendChoice[],
   request: Request,
 ): BackendChoice | undefined {
+  const isNear = ({ standing }: BackendChoice) =>
+    standing.dataCentre === request.dataCentre;
+  const near = choices.filter(isNear);
+  const far = choices.filter((choice) => !isNear(choice));
+  const compared = [...draw(near, request), ...draw(far, request)];
   let best: BackendChoice | undefined;
   let least = Infinity;
-  for (const choice of choices) {
+  for (const choice of compared) {
     const cost = costOf(choice, request);
     if (cost < least) [best, least] = [choice, cost];
   }
   return best;
 }
 
+function draw(choices: BackendChoice[], { random }: Request): BackendChoice[] {
+  const left = [...choices];
+  while (left.length > COMPARED) {
+    left.splice(Math.floor(random() * left.length), 1);
+  }
+  return left;
+}
+
 function costOf(choice: BackendChoice, request: Request): number {
   const { standing, record } = choice;
   const { dataCentre, engine, random, now } = request;
--- a/packages/core/src/gateway/choose_backend_test.ts
+++ b/packages/core/src/gateway/choose_backend_test.ts
@@ -1,5 +1,6 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import { seededRandom } from "../random/seeded_random.ts";
 import type { BackendChoice } from "./backend_choice.ts";
 import { BackendRecord } from "./backend_record.ts";
 import { chooseBackend } from "./choose_backend.ts";
@@ -90,3 +91,29 @@
   assert.equal(choose(cold, { instance: "warm", inFlight: 12 }), "cold");
   assert.equal(choose(), undefined);
 });
+
+// Pattern: thirteen hosts hear the same loads every moment. One engine has a
+// few requests less than the others: all hosts sent there at once, and prompts
+// of a whole data centre waited at one engine to be read.
+test("hosts that know the same loads don't all choose the same engine", () => {
+  const random = seededRandom(3);
+  const engines = Array.from(
+    { length: 8 },
+    (_, index) =>
+      choice({ instance: `e${index}`, inFlight: index === 0 ? 4 : 8 }),
+  );
+  const taken = new Map<string, number>();
+  for (let request = 0; request < 800; request += 1) {
+    const chosen = chooseBackend(engines, {
+      dataCentre: "here",
+      promptTokens: 1_000,
+      engine: ENGINE,
+      random,
+      now: 0,
+    })!.standing.instance;
+    taken.set(chosen, (taken.get(chosen) ?? 0) + 1);
+  }
+  const most = Math.max(...taken.values());
+  assert.ok(most < 800 / 3, `${most} of 800 to one of eight`);
+  assert.equal(taken.size, 8);
+});
