Hold the broken rule on versions by a test, and a loosened check tight again

The new test fails with 350 ms with just that figure. It is exact again: 8, nine tenths of the mean of 11, 10 and 6.

No change of the product but one comment.

--- a/packages/core/src/gateway/note_usual_load_test.ts
+++ b/packages/core/src/gateway/note_usual_load_test.ts
@@ -45,7 +45,8 @@
   engines[2]!.record.takeReport(report(10), 2_000);
   engines[3]!.record.takeReport(report(6), 2_000);
   assert.equal(choose(engines, 2_010), "d");
-  assert.ok(engines[0]!.record.estimateRequests(2_010) > 6);
+  // Nine tenths of the mean of those heard.
+  assert.equal(Math.round(engines[0]!.record.estimateRequests(2_010)), 8);
 });
 
 // Story: a planned stop of two gateways leaves all requests to two others.
--- a/packages/core/src/rollout/rollout_rules_test.ts
+++ b/packages/core/src/rollout/rollout_rules_test.ts
@@ -2,6 +2,7 @@
 import { test } from "node:test";
 import { LoadTurns } from "./load_turns.ts";
 import { NamedVersions } from "./named_versions.ts";
+import { weightsMargins } from "./weights_margins.ts";
 
 test("each named version is bound by its own time", () => {
   // Story: version 3 is named two seconds after version 2. The time of the
@@ -35,3 +36,16 @@
   assert.equal(turns.take("b", { ...view, now: 7_000 }), false);
   assert.equal(turns.take("b", { ...view, now: 8_001 }), true);
 });
+
+// Story: one of six control hosts is slow and hears of a version 0.7 s late. A
+// gateway that it tells counts from then, and let a request begin on the old
+// weights 345 ms behind the time from which none may.
+test("a naming that is heard late lets nothing begin on old weights", () => {
+  const boundMilliseconds = 8_000;
+  const heardLateMilliseconds = 695;
+  const named = new NamedVersions();
+  named.add("m", { version: 2, namedAt: heardLateMilliseconds });
+  const givenUpAt = named.overtakenAt("m", 1) + boundMilliseconds -
+    weightsMargins.giveUpMilliseconds;
+  assert.ok(givenUpAt <= boundMilliseconds, `${givenUpAt}`);
+});
--- a/packages/core/src/rollout/weights_margins.ts
+++ b/packages/core/src/rollout/weights_margins.ts
@@ -1,8 +1,9 @@
 /** Kept off the time from which no request may begin on older weights. */
 export const weightsMargins = {
   /**
-   * A gateway hears of a version a little later than its operator, and what
-   * is given up still takes its way to the engine.
+   * A gateway counts from when the control host that told it first heard of
+   * the version, which a slow one does over half a second late. With less, a
+   * request begins on weights that it may not begin on any more.
    */
   giveUpMilliseconds: 900,
   /** What a request takes to begin where nothing waits ahead of it. */
