Tell an engine's load to one control host, which passes it on

Cause: each stager told each change of its engine's load, five a second, to every control host: with 76 engines and five control hosts 1,900 messages a second, so that stagers, which mostly wait, cost as much as the gateways.

Nothing goes round: what was passed on is not passed on again (test).

--- a/packages/daemon/src/control/follow_session.ts
+++ b/packages/daemon/src/control/follow_session.ts
@@ -57,8 +57,11 @@
     this.#subscriptions.add(
       view.engine$.subscribe((value) => this.#send({ case: "engine", value })),
     );
+    const loads$ = isControl
+      ? view.loadsHere$
+      : view.loads$.pipe(filter(() => this.#wantsLoads));
     this.#subscriptions.add(
-      view.loads$.pipe(filter(() => this.#wantsLoads)).subscribe((loads) =>
+      loads$.subscribe((loads) =>
         this.#send({ case: "loads", value: { loads } })
       ),
     );
--- a/packages/daemon/src/control/platform_desk.ts
+++ b/packages/daemon/src/control/platform_desk.ts
@@ -1,5 +1,6 @@
 import type { ConnectRouter } from "@connectrpc/connect";
 import type { ControlState } from "@teaselrouter/core/state/control_state.ts";
+import type { ControlUpdate } from "@teaselrouter/messages/follow.ts";
 import type { Observable } from "rxjs";
 import { Result } from "true-myth";
 import type { EventLog } from "../log/event_log.ts";
@@ -91,10 +92,7 @@
       clients,
       log,
     });
-    this.#others.updates$.subscribe(({ update }) => {
-      if (update.body.case !== "backends") return;
-      this.view.learn(update.body.value.backends.map(decodeBackend));
-    });
+    this.#others.updates$.subscribe(({ update }) => this.#learn(update));
     options.started$.subscribe((started) => {
       started.routing$.subscribe(() => this.#takeRouting());
     });
@@ -133,6 +131,14 @@
     this.#server?.close();
   }
 
+  /** What backend servers and agents told another control host. */
+  #learn({ body }: ControlUpdate): void {
+    if (body.case === "backends") {
+      this.view.learn(body.value.backends.map(decodeBackend));
+    }
+    if (body.case === "loads") this.view.learnLoads(body.value.loads);
+  }
+
   /**
    * A host that starts again applies its log from the last snapshot on, and
    * may lack what was accepted while it was away. Told on as it goes, that
--- a/packages/daemon/src/control/shared_view.ts
+++ b/packages/daemon/src/control/shared_view.ts
@@ -39,6 +39,8 @@
   readonly engine$ = new Subject<EngineNotice>();
   /** Loads of engines that changed, gathered for a moment. */
   readonly loads$ = new Subject<EngineLoad[]>();
+  /** Those of them that agents told this very host. */
+  readonly loadsHere$ = new Subject<EngineLoad[]>();
   /** The replicated tables changed. */
   readonly log$ = new Subject<void>();
   readonly hosts$ = new Subject<void>();
@@ -51,6 +53,7 @@
   #named = new NamedVersions();
   #notices = new Map<string, EngineNotice>();
   #loads = new Map<string, EngineLoad>();
+  #loadsHere = new Map<string, EngineLoad>();
   #loadsTimer: NodeJS.Timeout | undefined;
   #timer: NodeJS.Timeout;
 
@@ -110,10 +113,6 @@
     return this.#registry.all().map(encodeBackend);
   }
 
-  liveBackends(): BackendStanding[] {
-    return this.#registry.live();
-  }
-
   engineNotices(): EngineNotice[] {
     return [...this.#notices.values()];
   }
@@ -145,15 +144,29 @@
     this.engine$.next(notice);
   }
 
-  /** What an agent saw of its engine; followers hear of several at once. */
+  /** What an agent told this host of its engine. */
   noteLoad(load: EngineLoad): void {
-    this.#loads.set(load.engineAddress, load);
-    this.#loadsTimer ??= setTimeout(() => {
-      this.#loadsTimer = undefined;
-      const loads = [...this.#loads.values()];
-      this.#loads.clear();
-      this.loads$.next(loads);
-    }, GATHER_LOADS_MILLISECONDS);
+    this.#loadsHere.set(load.engineAddress, load);
+    this.learnLoads([load]);
+  }
+
+  /** What another control host was told; followers hear of several at once. */
+  learnLoads(loads: EngineLoad[]): void {
+    for (const load of loads) this.#loads.set(load.engineAddress, load);
+    this.#loadsTimer ??= setTimeout(
+      () => this.#tellLoads(),
+      GATHER_LOADS_MILLISECONDS,
+    );
+  }
+
+  #tellLoads(): void {
+    this.#loadsTimer = undefined;
+    const loads = [...this.#loads.values()];
+    const loadsHere = [...this.#loadsHere.values()];
+    this.#loads.clear();
+    this.#loadsHere.clear();
+    this.loads$.next(loads);
+    if (loadsHere.length > 0) this.loadsHere$.next(loadsHere);
   }
 
   #expire(): void {
--- a/packages/daemon/src/control/shared_view_test.ts
+++ b/packages/daemon/src/control/shared_view_test.ts
@@ -44,3 +44,25 @@
     [["a", 3], ["b", 3]],
   );
 });
+
+// Pattern: each agent tells its load to one control host only. A follower of
+// any other must hear it too, and no load may go round among control hosts.
+test("loads heard by another control host reach followers, and go no further", async () => {
+  const view = openView();
+  const told: string[][] = [];
+  const toldHere: string[][] = [];
+  const names = (loads: EngineLoad[]) =>
+    loads.map(({ engineAddress }) => engineAddress);
+  view.loads$.subscribe((loads) => told.push(names(loads)));
+  view.loadsHere$.subscribe((loads) => toldHere.push(names(loads)));
+  const load = (engineAddress: string) =>
+    create(EngineLoadSchema, { engineAddress, running: 1, waiting: 0 });
+  view.noteLoad(load("near"));
+  view.learnLoads([load("far")]);
+  await pause(200);
+  view.learnLoads([load("far")]);
+  await pause(200);
+  view.stop();
+  assert.deepEqual(told, [["near", "far"], ["far"]]);
+  assert.deepEqual(toldHere, [["near"]]);
+});
--- a/packages/daemon/src/stager/stager_app.ts
+++ b/packages/daemon/src/stager/stager_app.ts
@@ -152,14 +152,10 @@
       distinctUntilChanged((left, right) =>
         left.running === right.running && left.queued === right.queued
       ),
-    ).subscribe((value) =>
-      this.#links.broadcast(() => ({ case: "load", value }))
+    ).subscribe((value) => this.#sendToOne({ case: "load", value }));
+    this.#loader.turnWanted$.subscribe((value) =>
+      this.#sendToOne({ case: "permitRequest", value })
     );
-    this.#loader.turnWanted$.subscribe((value) => {
-      const address = this.#links.anyConnected;
-      if (address === undefined) return;
-      this.#links.send(address, { case: "permitRequest", value });
-    });
     this.#loader.settled$.subscribe((version) =>
       this.#links.broadcast(() => ({
         case: "loadSettled",
@@ -168,6 +164,12 @@
     );
   }
 
+  /** Control hosts pass it on to each other, or decide it by themselves. */
+  #sendToOne(body: Parameters<EntryLinks["send"]>[1]): void {
+    const address = this.#links.anyConnected;
+    if (address !== undefined) this.#links.send(address, body);
+  }
+
   #take({ body }: EntryToAgent): void {
     switch (body.case) {
       case "target":
