Wake processes less often

Cause: timers of their own for each stream of a stager (500 ms), each link of a gateway (200 ms), each request under way (200 ms) and each complete spread (250 ms); a plan of all data centres for each report of a chunk.

Change: one timer a process where all are looked at; chunks' reports of 10 ms are planned for together, and only data centres that lack something.

--- a/packages/core/src/spread/spread_table.ts
+++ b/packages/core/src/spread/spread_table.ts
@@ -67,6 +67,11 @@
     return [...this.#hosts.values()];
   }
 
+  /** Whether a host that follows this table's plans still lacks chunks. */
+  get hasWork(): boolean {
+    return this.hosts.some((row) => row.followsPlans && !row.held.isComplete);
+  }
+
   /** Chunks that are still to come in from outside. */
   get outsideChunks(): number {
     return this.#outside;
--- a/packages/daemon/src/gateway/gateway_app.ts
+++ b/packages/daemon/src/gateway/gateway_app.ts
@@ -16,6 +16,7 @@
 import { ControlFeed } from "./control_feed.ts";
 import { GatewayServer } from "./gateway_server.ts";
 import type { GatewayWorld } from "./gateway_world.ts";
+import { SilenceWatch } from "./silence_watch.ts";
 import { StartHold } from "./start_hold.ts";
 
 /** Any of these knows all; three are never lost together. */
@@ -88,6 +89,7 @@
         mostSaved: SAVED_RETRIES,
       }),
       patience: new UsualPatience(),
+      silence: new SilenceWatch(),
       format: platform.requestFormat,
       log,
       counted,
--- a/packages/daemon/src/gateway/gateway_call.ts
+++ b/packages/daemon/src/gateway/gateway_call.ts
@@ -11,7 +11,6 @@
 import { CallRouting } from "./call_routing.ts";
 import { CallSender } from "./call_sender.ts";
 import type { GatewayWorld } from "./gateway_world.ts";
-import { watchSilence } from "./watch_silence.ts";
 
 type Answer = Extract<AttemptOutcome, { kind: "answer" }>;
 
@@ -142,7 +141,7 @@
     { sender, routing }: Work,
     { record }: BackendChoice,
   ): () => void {
-    return watchSilence({
+    return this.#world.silence.watch({
       isSilent: () => record.isSilent(monotonicMilliseconds()),
       mayGoElsewhere: () =>
         !this.#ending.isOver && routing.canTryElsewhere() &&
--- a/packages/daemon/src/gateway/gateway_world.ts
+++ b/packages/daemon/src/gateway/gateway_world.ts
@@ -6,6 +6,7 @@
 import type { BackendConnections } from "./backend_connections.ts";
 import type { BackendPool } from "./backend_pool.ts";
 import type { ControlFeed } from "./control_feed.ts";
+import type { SilenceWatch } from "./silence_watch.ts";
 import type { StartHold } from "./start_hold.ts";
 
 /** What all requests of a gateway share. */
@@ -16,6 +17,7 @@
   connections: BackendConnections;
   retries: SharedRetryBudget;
   patience: UsualPatience;
+  silence: SilenceWatch;
   format: RequestFormat;
   log: EventLog;
   counted: ProcessMetrics;
--- a/packages/daemon/src/rollout/spread_coordinator.ts
+++ b/packages/daemon/src/rollout/spread_coordinator.ts
@@ -13,6 +13,8 @@
 import { monotonicMilliseconds } from "../transport/monotonic_milliseconds.ts";
 
 const REPLAN_MILLISECONDS = 100;
+/** Reports of many hosts are planned for together. */
+const GATHER_MILLISECONDS = 10;
 /** A source that froze is back within seconds, and may hold what no other has. */
 const AVOID_MILLISECONDS = 1_500;
 const PEERS_TOLD = 8;
@@ -124,15 +126,16 @@
   #planSoon(): void {
     if (this.#planned) return;
     this.#planned = true;
-    setImmediate(() => {
+    setTimeout(() => {
       this.#planned = false;
       this.#plan();
-    });
+    }, GATHER_MILLISECONDS);
   }
 
   #plan(): void {
     const now = monotonicMilliseconds();
     for (const table of this.#tables.values()) {
+      if (!table.hasWork) continue;
       table.endOverdue(now);
       const assignments = this.#options.policy.plan(table, now);
       for (const [host, orders] of groupByHost(assignments)) {
--- a/packages/daemon/src/spread/spread_client.ts
+++ b/packages/daemon/src/spread/spread_client.ts
@@ -50,11 +50,11 @@
   #peers: string[] = [];
   #plannedAt = 0;
   #aside = new Map<string, number>();
-  #timer: NodeJS.Timeout;
+  /** Runs while chunks are missing. */
+  #timer: NodeJS.Timeout | undefined;
 
   constructor(options: Options) {
     this.#options = options;
-    this.#timer = setInterval(() => this.#goOnAlone(), CHECK_MILLISECONDS);
   }
 
   stop(): void {
@@ -82,6 +82,7 @@
     this.#target = { manifest, version, store, startedAt, stop };
     this.#plannedAt = startedAt;
     this.#options.cache.begin(manifest);
+    this.#timer ??= setInterval(() => this.#goOnAlone(), CHECK_MILLISECONDS);
   }
 
   takePlan(plan: SpreadPlan): void {
@@ -98,9 +99,12 @@
     const target = this.#target;
     if (target === undefined) return;
     const held = this.#options.cache.held(target.version)!;
-    if (held.isComplete || this.#fetching.size > 0 || this.#isPlanned()) {
+    if (held.isComplete) {
+      clearInterval(this.#timer);
+      this.#timer = undefined;
       return;
     }
+    if (this.#fetching.size > 0 || this.#isPlanned()) return;
     const missing = held.missing();
     const { random } = this.#options;
     for (let count = 0; count < UNPLANNED_FETCHES; count += 1) {
--- a/packages/daemon/src/transport/entry_links.ts
+++ b/packages/daemon/src/transport/entry_links.ts
@@ -24,6 +24,8 @@
 type Link = {
   address: string;
   outgoing: Subject<AgentToEntry> | undefined;
+  /** Ends the stream that is open or being opened. */
+  stop: AbortController;
   heardAt: number;
   /** Known from the entry host's heartbeats. */
   host: string;
@@ -36,6 +38,7 @@
   return {
     address,
     outgoing: undefined,
+    stop: new AbortController(),
     heardAt: 0,
     host: "",
     dataCentre: "",
@@ -84,7 +87,9 @@
   setAddresses(addresses: string[]): void {
     if (this.#stopped || addresses.length === 0) return;
     for (const link of this.#links) {
-      if (!addresses.includes(link.address)) link.isLeft = true;
+      if (addresses.includes(link.address)) continue;
+      link.isLeft = true;
+      link.stop.abort();
     }
     this.#links = this.#links.filter((link) => !link.isLeft);
     for (const address of addresses) {
@@ -98,7 +103,10 @@
   stop(): void {
     this.#stopped = true;
     clearInterval(this.#timer);
-    for (const link of this.#links) link.outgoing?.complete();
+    for (const link of this.#links) {
+      link.outgoing?.complete();
+      link.stop.abort();
+    }
   }
 
   /** Address of the entry host whose plans are followed; empty for none. */
@@ -141,17 +149,12 @@
   async #connect(link: Link): Promise<void> {
     const { clients, greet } = this.#options;
     const outgoing = new Subject<AgentToEntry>();
-    const stop = new AbortController();
+    link.stop = new AbortController();
     link.heardAt = monotonicMilliseconds();
-    const watch = setInterval(() => {
-      const silent =
-        monotonicMilliseconds() - link.heardAt > SILENT_MILLISECONDS;
-      if (silent || this.#stopped || link.isLeft) stop.abort();
-    }, BEAT_MILLISECONDS);
     const client = clients.client(AgentService, link.address);
     try {
       const incoming = client.session(toAsyncIterable(outgoing), {
-        signal: stop.signal,
+        signal: link.stop.signal,
       });
       link.outgoing = outgoing;
       for (const body of greet(link.address)) this.send(link.address, body);
@@ -159,7 +162,6 @@
     } catch {
       clients.renew(link.address);
     } finally {
-      clearInterval(watch);
       outgoing.complete();
       link.outgoing = undefined;
       link.host = "";
@@ -202,8 +204,16 @@
     this.coordinatorChanged$.next();
   }
 
+  #dropSilent(): void {
+    const now = monotonicMilliseconds();
+    for (const { heardAt, stop } of this.#links) {
+      if (now - heardAt > SILENT_MILLISECONDS) stop.abort();
+    }
+  }
+
   /** With nothing new to say, every second beat only shows life. */
   #beat(): void {
+    this.#dropSilent();
     const body = this.#options.beat();
     this.#quietBeats = body === undefined ? this.#quietBeats + 1 : 0;
     if (body !== undefined) return this.broadcast(() => body);
--- a/packages/daemon/src/transport/follow_link.ts
+++ b/packages/daemon/src/transport/follow_link.ts
@@ -14,7 +14,6 @@
 const HEARTBEAT_MILLISECONDS = 1_000;
 /** Three of the other side's heartbeats: the connection may be dead. */
 const SILENT_MILLISECONDS = 1_200;
-const CHECK_MILLISECONDS = 200;
 const RECONNECT_MILLISECONDS = 200;
 
 type Options = {
@@ -38,6 +37,8 @@
   #dataCentre = "";
   #heardAt = -Infinity;
   #stop = new AbortController();
+  /** Of the stream that is open or being opened. */
+  #stream = { stop: new AbortController(), openedAt: -Infinity };
 
   constructor(options: Options) {
     this.#options = options;
@@ -64,6 +65,14 @@
 
   stop(): void {
     this.#stop.abort();
+    this.#stream.stop.abort();
+  }
+
+  /** Ends a stream on which nothing comes any more; called at short intervals. */
+  dropSilent(): void {
+    const since = Math.max(this.#heardAt, this.#stream.openedAt);
+    if (monotonicMilliseconds() - since <= SILENT_MILLISECONDS) return;
+    this.#stream.stop.abort();
   }
 
   async #run(): Promise<void> {
@@ -76,12 +85,7 @@
   async #follow(): Promise<void> {
     const { address, clients, log } = this.#options;
     const stop = new AbortController();
-    const openedAt = monotonicMilliseconds();
-    const watch = setInterval(() => {
-      const since = Math.max(this.#heardAt, openedAt);
-      const silent = monotonicMilliseconds() - since > SILENT_MILLISECONDS;
-      if (silent || this.#stop.signal.aborted) stop.abort();
-    }, CHECK_MILLISECONDS);
+    this.#stream = { stop, openedAt: monotonicMilliseconds() };
     let reason = "closed";
     try {
       const updates = clients.client(FollowService, address).follow(
@@ -92,7 +96,6 @@
     } catch (error) {
       reason = error instanceof Error ? error.message : String(error);
     }
-    clearInterval(watch);
     clients.renew(address);
     if (this.#connected) log.warn("control-host-lost", { address, reason });
     this.#connected = false;
--- a/packages/daemon/src/transport/follow_set.ts
+++ b/packages/daemon/src/transport/follow_set.ts
@@ -6,7 +6,8 @@
 import { FollowLink } from "./follow_link.ts";
 import { monotonicMilliseconds } from "./monotonic_milliseconds.ts";
 
-const REVIEW_MILLISECONDS = 500;
+/** Several times in what counts as silence of a control host. */
+const REVIEW_MILLISECONDS = 200;
 /** A host that can't be reached for so long is left for another, if any. */
 const UNREACHED_MILLISECONDS = 2_500;
 
@@ -98,6 +99,7 @@
   }
 
   #review(): void {
+    for (const { link } of this.#links.values()) link.dropSilent();
     const candidates = this.#candidates();
     this.#dropUnknown(candidates);
     this.#dropUnreached(candidates.length);
