Let first streams of all come ahead of anyone's second ones, and tell engines together

A stream costs a control host 3 ms of processor (128 streams: 480 ms, native), 7 ms at its share; 128 stagers and 39 gateways open one to each seed at once, each new follower was told 128 notices of engines in as many messages, and a gateway that had waited 1.2 s began anew behind all others.

Change: a follower or stager opens its next stream once the last is heard, or after half a second; a stream that is being opened gets 2 s; notices of engines go out gathered for 20 ms, in one message; that a backend server lives, with nothing new, is passed between control hosts each 200 ms. The end of a stager's earlier session is no longer taken for its last word.

Ruled out: the election (0.2 to 0.5 s), the spread (chunks were found staged).

--- a/packages/daemon/src/control/follow_session.ts
+++ b/packages/daemon/src/control/follow_session.ts
@@ -1,5 +1,9 @@
 import { create, type MessageInitShape } from "@bufbuild/protobuf";
-import type { Backend, ControlUpdate } from "@teaselrouter/messages/follow.ts";
+import type {
+  Backend,
+  ControlUpdate,
+  EngineNotice,
+} from "@teaselrouter/messages/follow.ts";
 import {
   ControlUpdateSchema,
   type FollowerToControl,
@@ -47,15 +51,13 @@
     this.#tellHosts();
     this.#tellLog();
     this.#tellBackends(true, view.allBackends());
-    for (const notice of view.engineNotices()) {
-      this.#send({ case: "engine", value: notice });
-    }
+    this.#tellEngines(view.engineNotices());
     const backends$ = isControl ? view.heardHere$ : view.changed$;
     this.#subscriptions.add(
       backends$.subscribe((backends) => this.#tellBackends(false, backends)),
     );
     this.#subscriptions.add(
-      view.engine$.subscribe((value) => this.#send({ case: "engine", value })),
+      view.engines$.subscribe((notices) => this.#tellEngines(notices)),
     );
     const loads$ = isControl
       ? view.loadsHere$
@@ -103,6 +105,10 @@
     }
   }
 
+  #tellEngines(notices: EngineNotice[]): void {
+    this.#send({ case: "engines", value: { notices } });
+  }
+
   #tellBackends(whole: boolean, backends: Backend[]): void {
     this.#send({ case: "backends", value: { whole, backends } });
   }
--- a/packages/daemon/src/control/shared_view.ts
+++ b/packages/daemon/src/control/shared_view.ts
@@ -7,10 +7,11 @@
   EngineLoad,
   EngineNotice,
 } from "@teaselrouter/messages/follow.ts";
-import { Subject } from "rxjs";
+import { type Observable, Subject } from "rxjs";
 import type { EventLog } from "../log/event_log.ts";
 import { monotonicMilliseconds } from "../transport/monotonic_milliseconds.ts";
 import { encodeBackend } from "../transport/encode_backend.ts";
+import { LatestGatherer } from "./latest_gatherer.ts";
 
 /** Five heartbeats of the slowest kind: they may come seconds late. */
 const SILENT_MILLISECONDS = 6_000;
@@ -19,6 +20,10 @@
 const EXPIRE_EVERY_MILLISECONDS = 500;
 /** At most so often followers hear of loads, however many engines there are. */
 const GATHER_LOADS_MILLISECONDS = 50;
+/** Many engines change at once when a version is loaded, or behind an outage. */
+const GATHER_NOTICES_MILLISECONDS = 20;
+/** A fraction of the silence after which a backend server counts as gone. */
+const GATHER_HEARD_MILLISECONDS = 200;
 
 type Options = {
   log: EventLog;
@@ -36,11 +41,6 @@
   readonly changed$ = new Subject<Backend[]>();
   /** Every word that a backend server said to this very host. */
   readonly heardHere$ = new Subject<Backend[]>();
-  readonly engine$ = new Subject<EngineNotice>();
-  /** Loads of engines that changed, gathered for a moment. */
-  readonly loads$ = new Subject<EngineLoad[]>();
-  /** Those of them that agents told this very host. */
-  readonly loadsHere$ = new Subject<EngineLoad[]>();
   /** The replicated tables changed. */
   readonly log$ = new Subject<void>();
   readonly hosts$ = new Subject<void>();
@@ -52,19 +52,46 @@
   /** Versions whose naming this process saw, not those of before it. */
   #named = new NamedVersions();
   #notices = new Map<string, EngineNotice>();
-  #loads = new Map<string, EngineLoad>();
-  #loadsHere = new Map<string, EngineLoad>();
-  #loadsTimer: NodeJS.Timeout | undefined;
+  #noticesSoon = gatherByEngine<EngineNotice>(GATHER_NOTICES_MILLISECONDS);
+  #loadsSoon = gatherByEngine<EngineLoad>(GATHER_LOADS_MILLISECONDS);
+  #loadsHereSoon = gatherByEngine<EngineLoad>(GATHER_LOADS_MILLISECONDS);
+  #heardSoon = new LatestGatherer<Backend>({
+    milliseconds: GATHER_HEARD_MILLISECONDS,
+    keyOf: ({ instance }) => instance,
+  });
   #timer: NodeJS.Timeout;
 
   constructor(options: Options) {
     this.#options = options;
     this.#timer = setInterval(() => this.#expire(), EXPIRE_EVERY_MILLISECONDS);
+    this.#heardSoon.gathered$.subscribe(this.heardHere$);
   }
 
   stop(): void {
     clearInterval(this.#timer);
-    clearTimeout(this.#loadsTimer);
+    for (
+      const gatherer of [
+        this.#noticesSoon,
+        this.#loadsSoon,
+        this.#loadsHereSoon,
+        this.#heardSoon,
+      ]
+    ) gatherer.stop();
+  }
+
+  /** What agents said of their engines, gathered for a moment. */
+  get engines$(): Observable<EngineNotice[]> {
+    return this.#noticesSoon.gathered$;
+  }
+
+  /** Loads of engines that changed, gathered for a moment. */
+  get loads$(): Observable<EngineLoad[]> {
+    return this.#loadsSoon.gathered$;
+  }
+
+  /** Those of them that agents told this very host. */
+  get loadsHere$(): Observable<EngineLoad[]> {
+    return this.#loadsHereSoon.gathered$;
   }
 
   get dataCentre(): string {
@@ -120,7 +147,10 @@
   /** A backend server's own word, said to this host. */
   hear(standing: BackendStanding): void {
     const changed = this.#registry.take(standing, monotonicMilliseconds());
-    this.heardHere$.next([encodeBackend(standing)]);
+    const heard = encodeBackend(standing);
+    // That it lives can wait; what it says anew is told ahead of its answer.
+    if (changed.length === 0) return this.#heardSoon.add(heard);
+    this.heardHere$.next([heard]);
     this.#tell(changed, "heard");
   }
 
@@ -139,34 +169,25 @@
     }
   }
 
+  /** A stager's earlier session may end after its next one has begun. */
   notice(notice: EngineNotice): void {
+    const known = this.#notices.get(notice.engineAddress);
+    const isOld = known !== undefined && !known.agentGone &&
+      known.sequence > notice.sequence;
+    if (isOld) return;
     this.#notices.set(notice.engineAddress, notice);
-    this.engine$.next(notice);
+    this.#noticesSoon.add(notice);
   }
 
   /** What an agent told this host of its engine. */
   noteLoad(load: EngineLoad): void {
-    this.#loadsHere.set(load.engineAddress, load);
-    this.learnLoads([load]);
+    this.#loadsHereSoon.add(load);
+    this.#loadsSoon.add(load);
   }
 
-  /** What another control host was told; followers hear of several at once. */
+  /** What another control host was told. */
   learnLoads(loads: EngineLoad[]): void {
-    for (const load of loads) this.#loads.set(load.engineAddress, load);
-    this.#loadsTimer ??= setTimeout(
-      () => this.#tellLoads(),
-      GATHER_LOADS_MILLISECONDS,
-    );
-  }
-
-  #tellLoads(): void {
-    this.#loadsTimer = undefined;
-    const loads = [...this.#loads.values()];
-    const loadsHere = [...this.#loadsHere.values()];
-    this.#loads.clear();
-    this.#loadsHere.clear();
-    this.loads$.next(loads);
-    if (loadsHere.length > 0) this.loadsHere$.next(loadsHere);
+    for (const load of loads) this.#loadsSoon.add(load);
   }
 
   #expire(): void {
@@ -191,3 +212,12 @@
     this.changed$.next(changed.map(encodeBackend));
   }
 }
+
+function gatherByEngine<Value extends { engineAddress: string }>(
+  milliseconds: number,
+): LatestGatherer<Value> {
+  return new LatestGatherer({
+    milliseconds,
+    keyOf: ({ engineAddress }) => engineAddress,
+  });
+}
--- a/packages/daemon/src/control/shared_view_test.ts
+++ b/packages/daemon/src/control/shared_view_test.ts
@@ -3,6 +3,8 @@
 import {
   type EngineLoad,
   EngineLoadSchema,
+  type EngineNotice,
+  EngineNoticeSchema,
 } from "@teaselrouter/messages/follow.ts";
 import assert from "node:assert/strict";
 import { test } from "node:test";
@@ -66,3 +68,24 @@
   assert.deepEqual(told, [["near", "far"], ["far"]]);
   assert.deepEqual(toldHere, [["near"]]);
 });
+
+// A stager that opened a new stream ends its old one, which says "gone" behind
+// it: taken for the latest word, the engine would look as if it had no stager.
+test("the end of a stager's earlier session is not taken for its last word", async () => {
+  const view = openView();
+  const told: EngineNotice[][] = [];
+  view.engines$.subscribe((notices) => told.push(notices));
+  const notice = (sequence: number, agentGone: boolean) =>
+    create(EngineNoticeSchema, { engineAddress: "a", sequence, agentGone });
+  view.notice(notice(1, false));
+  view.notice(notice(2, false));
+  view.notice(notice(1, true));
+  await pause(100);
+  assert.deepEqual(told.map(([first]) => first?.sequence), [2]);
+  assert.equal(view.engineNotices()[0]?.agentGone, false);
+  view.notice(notice(2, true));
+  view.notice(notice(1, false));
+  await pause(100);
+  view.stop();
+  assert.equal(view.engineNotices()[0]?.agentGone, false);
+});
--- a/packages/daemon/src/gateway/control_feed.ts
+++ b/packages/daemon/src/gateway/control_feed.ts
@@ -111,8 +111,9 @@
         return this.#takeBackends(body.value.backends.map(decodeBackend));
       case "weights":
         return this.#takeNamed(body.value);
-      case "engine":
-        return this.#takeEngine(body.value);
+      case "engines":
+        for (const notice of body.value.notices) this.#takeEngine(notice);
+        return;
       case "loads":
         return this.loads$.next(body.value.loads);
     }
--- a/packages/daemon/src/transport/entry_links.ts
+++ b/packages/daemon/src/transport/entry_links.ts
@@ -18,6 +18,9 @@
 const BEAT_MILLISECONDS = 500;
 const SILENT_MILLISECONDS = 3_000;
 const RECONNECT_MILLISECONDS = 200;
+/** A host that was not heard for so long may be lost: the next is turned to. */
+const OPENING_MILLISECONDS = 500;
+const TURN_MILLISECONDS = 40;
 
 type Body = MessageInitShape<typeof AgentToEntrySchema>["body"];
 
@@ -46,6 +49,13 @@
   };
 }
 
+function inRandomOrder(addresses: string[]): string[] {
+  return addresses
+    .map((address) => ({ address, place: Math.random() }))
+    .sort((left, right) => left.place - right.place)
+    .map(({ address }) => address);
+}
+
 type Options = {
   addresses: string[];
   dataCentre: string;
@@ -70,12 +80,13 @@
   #links: Link[];
   #coordinator = "";
   #quietBeats = 0;
+  #latestOpenedAt = -Infinity;
   #stopped = false;
   #timer: NodeJS.Timeout | undefined;
 
   constructor(options: Options) {
     this.#options = options;
-    this.#links = options.addresses.map(newLink);
+    this.#links = inRandomOrder(options.addresses).map(newLink);
   }
 
   start(): void {
@@ -141,16 +152,35 @@
 
   async #run(link: Link): Promise<void> {
     while (!this.#stopped && !link.isLeft) {
+      if (!this.#mayOpenNext()) {
+        await pause(TURN_MILLISECONDS);
+        continue;
+      }
       await this.#connect(link);
       if (!this.#stopped) await pause(RECONNECT_MILLISECONDS);
     }
   }
 
+  /**
+   * Pattern: behind an outage the agents of all engines turn to all hosts in
+   * one moment, and each stream costs these some milliseconds. Opened one
+   * after the other, in an order of each agent's own, the first streams of all
+   * agents come ahead of the second ones, and nobody waits for the last.
+   */
+  #mayOpenNext(): boolean {
+    const isAnyOpening = this.#links.some(({ outgoing, host }) =>
+      outgoing !== undefined && host === ""
+    );
+    const openingFor = monotonicMilliseconds() - this.#latestOpenedAt;
+    return !isAnyOpening || openingFor > OPENING_MILLISECONDS;
+  }
+
   async #connect(link: Link): Promise<void> {
     const { clients, greet } = this.#options;
     const outgoing = new Subject<AgentToEntry>();
     link.stop = new AbortController();
     link.heardAt = monotonicMilliseconds();
+    this.#latestOpenedAt = link.heardAt;
     const client = clients.client(AgentService, link.address);
     try {
       const incoming = client.session(toAsyncIterable(outgoing), {
--- a/packages/daemon/src/transport/follow_link.ts
+++ b/packages/daemon/src/transport/follow_link.ts
@@ -14,6 +14,12 @@
 const HEARTBEAT_MILLISECONDS = 1_000;
 /** Three of the other side's heartbeats: the connection may be dead. */
 const SILENT_MILLISECONDS = 1_200;
+/**
+ * Until the first word on a new stream. A control host that has just started
+ * takes in streams one after the other; to begin anew meanwhile would put
+ * this one behind all others, and the work done for it would be lost.
+ */
+const OPENING_MILLISECONDS = 2_000;
 const RECONNECT_MILLISECONDS = 200;
 
 type Options = {
@@ -70,9 +76,11 @@
 
   /** Ends a stream on which nothing comes any more; called at short intervals. */
   dropSilent(): void {
-    const since = Math.max(this.#heardAt, this.#stream.openedAt);
-    if (monotonicMilliseconds() - since <= SILENT_MILLISECONDS) return;
-    this.#stream.stop.abort();
+    const { openedAt, stop } = this.#stream;
+    const isOpening = this.#heardAt < openedAt;
+    const since = isOpening ? openedAt : this.#heardAt;
+    const limit = isOpening ? OPENING_MILLISECONDS : SILENT_MILLISECONDS;
+    if (monotonicMilliseconds() - since > limit) stop.abort();
   }
 
   async #run(): Promise<void> {
--- a/packages/daemon/src/transport/follow_set.ts
+++ b/packages/daemon/src/transport/follow_set.ts
@@ -8,6 +8,8 @@
 
 /** Several times in what counts as silence of a control host. */
 const REVIEW_MILLISECONDS = 200;
+/** One that was not heard for so long after it was turned to may be lost. */
+const OPENING_MILLISECONDS = 600;
 /** A host that can't be reached for so long is left for another, if any. */
 const UNREACHED_MILLISECONDS = 2_500;
 
@@ -26,6 +28,15 @@
   log: EventLog;
 };
 
+/**
+ * Pattern: behind an outage all followers turn to the control hosts in one
+ * moment, and each stream costs these some milliseconds. The first streams of
+ * all followers come ahead of the second ones: one is enough to serve.
+ */
+function opensOneByOne({ isControl }: Options["hello"]): boolean {
+  return !isControl;
+}
+
 /**
  * Follows some control hosts at once, so that what any of them knows arrives
  * by the quickest way, and the loss of one is not even noticed. Which ones is
@@ -103,7 +114,7 @@
     const candidates = this.#candidates();
     this.#dropUnknown(candidates);
     this.#dropUnreached(candidates.length);
-    while (this.#links.size < this.#options.most) {
+    while (this.#links.size < this.#options.most && this.#mayOpenNext()) {
       const free = candidates.filter((address) => !this.#links.has(address));
       if (free.length === 0) return;
       const now = monotonicMilliseconds();
@@ -118,6 +129,14 @@
     }
   }
 
+  #mayOpenNext(): boolean {
+    if (!opensOneByOne(this.#options.hello)) return true;
+    const now = monotonicMilliseconds();
+    return [...this.#links.values()].every(({ link, openedAt }) =>
+      link.isConnected || now - openedAt > OPENING_MILLISECONDS
+    );
+  }
+
   /** One that is no member any more can only tell what is old. */
   #dropUnknown(candidates: string[]): void {
     for (const address of [...this.#links.keys()]) {
