Let a leader be elected before followers are taken in

Change: a control host that has just started closes connections that are no control host's, until it knows a leader and all that was accepted, or for 1.5 s. Closing one costs hardly anything, taking in an HTTP/2 session some 2 to 3 ms.

Ruled out: a port of its own for control hosts, which would change every address that members tell.

--- a/packages/daemon/src/control/control_app.ts
+++ b/packages/daemon/src/control/control_app.ts
@@ -20,6 +20,7 @@
 import type { ClientPool } from "../transport/client_pool.ts";
 import { monotonicMilliseconds } from "../transport/monotonic_milliseconds.ts";
 import { pause } from "../transport/pause.ts";
+import { splitAddress } from "../transport/split_address.ts";
 import { ControlHost } from "./control_host.ts";
 import { controlRoutes } from "./control_routes.ts";
 import { foundCluster } from "./found_cluster.ts";
@@ -29,6 +30,7 @@
 import { PlatformDesk } from "./platform_desk.ts";
 import { RaftDriver } from "./raft_driver.ts";
 import { replaceMember } from "./replace_member.ts";
+import { StartGate } from "./start_gate.ts";
 
 const TRANSFER_MILLISECONDS = 3_000;
 const POLL_MILLISECONDS = 20;
@@ -59,6 +61,14 @@
   #desk: PlatformDesk | undefined;
   #started$ = new Subject<ControlHost>();
   #stopped = false;
+  #startGate = new StartGate({
+    startedAt: monotonicMilliseconds(),
+    isCurrent: () => this.#control?.isCaughtUp ?? false,
+    controlIps: () =>
+      [...this.#controlAddresses(), ...this.#seeds].map((address) =>
+        splitAddress(address).host
+      ),
+  });
 
   private constructor(options: Options, folder: DataFolder) {
     const { settings } = options;
@@ -104,6 +114,11 @@
     this.#desk?.routes(router);
   }
 
+  /** Whether a connection from this IP address is taken in now. */
+  mayConnect(ip: string): boolean {
+    return this.#startGate.admits(ip, monotonicMilliseconds());
+  }
+
   get control(): ControlHost | undefined {
     return this.#control;
   }
--- a/packages/daemon/src/wiring/start_daemon.ts
+++ b/packages/daemon/src/wiring/start_daemon.ts
@@ -62,13 +62,17 @@
     ? new StagerApp({ ...parts, platform: platform! })
     : undefined;
 
-  const server = new InternalServer((router: ConnectRouter) => {
+  const routes = (router: ConnectRouter) => {
     router.service(TimelineService, {
       read: ({ since }) => ({ events: log.ring.since(since) }),
     });
     control?.routes(router);
     entry?.routes(router);
     agent?.routes(router);
+  };
+  const server = new InternalServer({
+    routes,
+    ...(control && { mayConnect: (ip) => control.mayConnect(ip) }),
   });
   const listening = await server.listen(settings.internal.listen);
   if (listening.isErr) return Result.err(listening.error);
--- a/packages/experiments/src/failures/claim_steps_test.ts
+++ b/packages/experiments/src/failures/claim_steps_test.ts
@@ -117,7 +117,9 @@
       engine: new EngineClient(() => undefined),
       incarnation,
     });
-    this.#server = new InternalServer(callRoutes(this.#runner, incarnation));
+    this.#server = new InternalServer({
+      routes: callRoutes(this.#runner, incarnation),
+    });
     await this.#server.listen(this.#addresses[0]!);
     this.#row.incarnation = incarnation;
   }
