--- a/packages/core/src/gateway/decide_placement.ts
+++ b/packages/core/src/gateway/decide_placement.ts
@@ -8,21 +8,18 @@
   promptTokens: number;
   /** What is left until its first event has lost its full worth, ms. */
   targetLeftMilliseconds: number;
-  /** How much later than forecast first events may come, ms. */
-  marginMilliseconds: number;
   /** Part of the requests in time that found no free slot lately, 0 to 1. */
   slotPressure: number;
   now: number;
 };
 
 /**
- * Late requests that may wait at one engine while none that is in time does,
- * as a part of its slots. At 16 slots and 1.3 s an answer a place gets free
- * every 80 ms, of which those in time take about three in four: the last of
- * eight gets its turn within the 2.4 s after which clients give a silent
- * stream up, and with half of the slots half of the places get free.
+ * Late requests that may wait at one engine while none that is in time does.
+ * At 16 slots and 1.3 s an answer a place gets free every 80 ms, of which
+ * those in time take about three in four: the last of eight gets its turn
+ * within the 2.4 s after which clients give a silent stream up.
  */
-const LATE_WAITING_SHARE = 0.5;
+const MOST_LATE_WAITING = 8;
 
 /**
  * Whether a request can still be in time at the engine chosen for it.
@@ -52,12 +49,10 @@
     now,
   });
   const common = { forecast, placedAt: now };
-  const expected = forecast.milliseconds + request.marginMilliseconds;
-  if (expected <= request.targetLeftMilliseconds) {
-    return { kind: "timely", ...common };
-  }
+  const isTimely = forecast.milliseconds <= request.targetLeftMilliseconds;
+  if (isTimely) return { kind: "timely", ...common };
   const waiting = forecast.requests - slots;
-  const places = LATE_WAITING_SHARE * slots * (1 - request.slotPressure);
+  const places = MOST_LATE_WAITING * (1 - request.slotPressure);
   const kind = waiting < 0 || waiting + 1 <= places ? "late" : "refused";
   return { kind, ...common };
 }
--- a/packages/daemon/src/gateway/backend_pool.ts
+++ b/packages/daemon/src/gateway/backend_pool.ts
@@ -1,7 +1,6 @@
 import type { BackendChoice } from "@teaselrouter/core/gateway/backend_choice.ts";
 import { BackendRecord } from "@teaselrouter/core/gateway/backend_record.ts";
 import { chooseBackend } from "@teaselrouter/core/gateway/choose_backend.ts";
-import { ForecastMargin } from "@teaselrouter/core/gateway/forecast_margin.ts";
 import { noteUsualLoad } from "@teaselrouter/core/gateway/note_usual_load.ts";
 import type { EngineDefinition } from "@teaselrouter/core/gateway/engine_definition.ts";
 import { pickHomeBackends } from "@teaselrouter/core/gateway/pick_home_backends.ts";
@@ -46,7 +45,6 @@
   #options: Options;
   #records = new Map<string, BackendRecord>();
   #pressures = new Map<string, SlotPressure>();
-  #margins = new Map<string, ForecastMargin>();
   #homes = new Map<string, Home>();
 
   constructor(options: Options) {
@@ -78,16 +76,6 @@
     return pressure;
   }
 
-  /** How much later than forecast a service's first events come here. */
-  marginOf(service: string): ForecastMargin {
-    let margin = this.#margins.get(service);
-    if (margin === undefined) {
-      margin = new ForecastMargin();
-      this.#margins.set(service, margin);
-    }
-    return margin;
-  }
-
   /** The best that may take the request; undefined when there is none. */
   choose(want: Want): BackendChoice | undefined {
     const now = monotonicMilliseconds();
--- a/packages/daemon/src/gateway/call_ending.ts
+++ b/packages/daemon/src/gateway/call_ending.ts
@@ -75,7 +75,6 @@
     if (forecast !== undefined && firstEvent !== undefined) {
       const placement = ended!.routing.placement!.kind;
       const error = firstEvent - forecast.milliseconds;
-      if (placement === "timely") this.#noteError(ended!.call, error);
       counted.forecastErrorMilliseconds.observe({ placement }, error);
     }
     log.info("request-ended", {
@@ -98,10 +97,6 @@
       configuration: feed.table?.configuration.version,
     });
   }
-
-  #noteError({ service }: AdmittedCall, milliseconds: number): void {
-    this.#options.world.pool.marginOf(service.name).note(milliseconds);
-  }
 }
 
 /**
--- a/packages/daemon/src/gateway/call_routing.ts
+++ b/packages/daemon/src/gateway/call_routing.ts
@@ -52,7 +52,6 @@
       engine,
       promptTokens: call.facts.promptTokens,
       targetLeftMilliseconds: call.lateAt - now,
-      marginMilliseconds: world.pool.marginOf(name).milliseconds,
       slotPressure: pressure.share,
       now,
     });
