Test that a connection that may not come in is closed at once; comments

The test of the gate's own rule did not show that a connection is closed and that the same client gets in later. No change of the product but comments and a function that moved into its only caller.

--- a/packages/core/src/gateway/choose_backend.ts
+++ b/packages/core/src/gateway/choose_backend.ts
@@ -33,10 +33,10 @@
 const COLD_WEIGHT = 0.3;
 
 /**
- * The emptiest of the few near backend servers that this host sends to first,
- * of two others drawn at random here, and of two drawn elsewhere, by their slots, with prompts that are still to be read counted as
- * what they hold up: an engine reads a prompt between the steps of all its
- * requests.
+ * The emptiest, by their slots, of the few near backend servers that this host
+ * sends to first, of two others drawn at random here, and of two drawn
+ * elsewhere. Prompts that are still to be read count as what they hold up: an
+ * engine reads a prompt between the steps of all its requests.
  *
  * Pattern: many hosts know the same loads, a moment old. Compared among all,
  * the emptiest backend server gets what all of them send in that moment, and
--- a/packages/daemon/src/transport/entry_links.ts
+++ b/packages/daemon/src/transport/entry_links.ts
@@ -20,6 +20,7 @@
 const RECONNECT_MILLISECONDS = 200;
 /** A host that was not heard for so long may be lost: the next is turned to. */
 const OPENING_MILLISECONDS = 500;
+/** How often a link that waits for its turn looks whether it has come. */
 const TURN_MILLISECONDS = 40;
 
 type Body = MessageInitShape<typeof AgentToEntrySchema>["body"];
--- a/packages/daemon/src/transport/follow_set.ts
+++ b/packages/daemon/src/transport/follow_set.ts
@@ -28,15 +28,6 @@
   log: EventLog;
 };
 
-/**
- * Pattern: behind an outage all followers turn to the control hosts in one
- * moment, and each stream costs these some milliseconds. The first streams of
- * all followers come ahead of the second ones: one is enough to serve.
- */
-function opensOneByOne({ isControl }: Options["hello"]): boolean {
-  return !isControl;
-}
-
 /**
  * Follows some control hosts at once, so that what any of them knows arrives
  * by the quickest way, and the loss of one is not even noticed. Which ones is
@@ -129,8 +120,14 @@
     }
   }
 
+  /**
+   * Pattern: behind an outage all followers turn to the control hosts in one
+   * moment, and each stream costs these some milliseconds. The first streams
+   * of all followers come ahead of anyone's second one: one is enough to
+   * serve. Control hosts need each other at once, to elect a leader.
+   */
   #mayOpenNext(): boolean {
-    if (!opensOneByOne(this.#options.hello)) return true;
+    if (this.#options.hello.isControl) return true;
     const now = monotonicMilliseconds();
     return [...this.#links.values()].every(({ link, openedAt }) =>
       link.isConnected || now - openedAt > OPENING_MILLISECONDS
--- /dev/null
+++ b/packages/daemon/src/transport/internal_server_test.ts
@@ -0,0 +1,40 @@
+import { TimelineService } from "@teaselrouter/messages/agent.ts";
+import assert from "node:assert/strict";
+import { type AddressInfo, createServer } from "node:net";
+import { test } from "node:test";
+import { ClientPool } from "./client_pool.ts";
+import { InternalServer } from "./internal_server.ts";
+
+async function freeAddress(): Promise<string> {
+  const server = createServer();
+  await new Promise<void>((resolve) =>
+    server.listen(0, "127.0.0.1", () => resolve())
+  );
+  const { port } = server.address() as AddressInfo;
+  await new Promise((resolve) => server.close(resolve));
+  return `127.0.0.1:${port}`;
+}
+
+// Guards against a control host that takes in, ahead of an election, streams
+// of followers which wait for it.
+test("who may not connect yet is closed at once, and served later", async () => {
+  let mayConnect = false;
+  const server = new InternalServer({
+    routes: (router) => {
+      router.service(TimelineService, { read: () => ({ events: [] }) });
+    },
+    mayConnect: () => mayConnect,
+  });
+  const address = await freeAddress();
+  assert.ok((await server.listen(address)).isOk);
+  const clients = new ClientPool();
+  const read = () => clients.client(TimelineService, address).read({});
+  const askedAt = performance.now();
+  await assert.rejects(read());
+  assert.ok(performance.now() - askedAt < 1_000);
+  mayConnect = true;
+  clients.renew(address);
+  assert.deepEqual((await read()).events, []);
+  clients.close();
+  server.close();
+});
