--- a/packages/core/src/spread/spread_table_test.ts
+++ b/packages/core/src/spread/spread_table_test.ts
@@ -109,3 +109,16 @@
   assert.ok(fromOrigin("haste", total) > 0);
   assert.equal(fromOrigin("haste", total - 1), 0);
 });
+
+// Pattern: a control host keeps a plan for every data centre, and hears of
+// every chunk. Guards against planning where nobody follows or lacks anything,
+// and against leaving out who has just lost its chunks.
+test("only a follower that lacks chunks makes work", () => {
+  const table = tableWith(["a", "b"]);
+  assert.equal(table.hasWork, true);
+  table.host("a")!.followsPlans = false;
+  for (let chunk = 0; chunk < CHUNKS; chunk += 1) table.addChunk("b", chunk, 0);
+  assert.equal(table.hasWork, false, "one holds all, the other follows none");
+  table.setHost({ ...table.host("b")!, held: new ChunkSet(CHUNKS) });
+  assert.equal(table.hasWork, true);
+});
--- a/packages/daemon/src/control/shared_view.ts
+++ b/packages/daemon/src/control/shared_view.ts
@@ -39,7 +39,7 @@
 export class SharedView {
   /** Standings that changed in something that matters to routing. */
   readonly changed$ = new Subject<Backend[]>();
-  /** Every word that a backend server said to this very host. */
+  /** What backend servers said to this very host; that they live, gathered. */
   readonly heardHere$ = new Subject<Backend[]>();
   /** The replicated tables changed. */
   readonly log$ = new Subject<void>();
