Decide in core who may open a stream and who may connect; one rule, tested

Read as a newcomer: the rule by which streams are opened one after the other stood twice, in FollowSet and in EntryLinks, with two bounds (600 and 500 ms), and the second had no test. The gate of a control host that starts moves to core, too. Choosing a backend server took a missing set of home ones for none in one place and for all in another: the set is required.

--- a/packages/core/src/gateway/choose_backend.ts
+++ b/packages/core/src/gateway/choose_backend.ts
@@ -5,8 +5,8 @@
   dataCentre: string;
   promptTokens: number;
   engine: EngineDefinition | undefined;
-  /** Instances that this host sends to first; none where left out. */
-  home?: ReadonlySet<string>;
+  /** Instances that this host sends to first. */
+  home: ReadonlySet<string>;
   /** Uniform in [0, 1). */
   random: () => number;
   now: number;
@@ -49,7 +49,7 @@
   const isNear = ({ standing }: BackendChoice) =>
     standing.dataCentre === request.dataCentre;
   const isHome = ({ standing }: BackendChoice) =>
-    request.home?.has(standing.instance) ?? false;
+    request.home.has(standing.instance);
   const home = choices.filter(isHome);
   const near = choices.filter((choice) => isNear(choice) && !isHome(choice));
   const far = choices.filter((choice) => !isNear(choice));
@@ -82,7 +82,7 @@
   const fullness = record.estimateRequests(now) / slots;
   const full = fullness >= 1 ? FULL_WEIGHT : 0;
   const isNear = standing.dataCentre === dataCentre;
-  const isHome = home === undefined || home.has(standing.instance);
+  const isHome = home.has(standing.instance);
   const way = !isNear ? CROSSING_WEIGHT : isHome ? 0 : AWAY_WEIGHT;
   const cold = standing.coldMilliseconds > 0 ? COLD_WEIGHT : 0;
   const reading = engine === undefined || engine.readTokensPerSecond === 0
--- a/packages/core/src/gateway/choose_backend_test.ts
+++ b/packages/core/src/gateway/choose_backend_test.ts
@@ -53,6 +53,7 @@
   return chooseBackend(places.map(choice), {
     dataCentre: "here",
     promptTokens: 1_000,
+    home: new Set(),
     engine: ENGINE,
     random: () => 0.5,
     now: 0,
@@ -107,6 +108,7 @@
     const chosen = chooseBackend(engines, {
       dataCentre: "here",
       promptTokens: 1_000,
+      home: new Set(),
       engine: ENGINE,
       random,
       now: 0,
--- a/packages/core/src/gateway/note_usual_load_test.ts
+++ b/packages/core/src/gateway/note_usual_load_test.ts
@@ -28,6 +28,7 @@
   return chooseBackend(choices, {
     dataCentre: "here",
     promptTokens: 1_000,
+    home: new Set(),
     engine: undefined,
     random: () => 0.5,
     now,
--- a/packages/core/src/gateway/pick_home_backends.ts
+++ b/packages/core/src/gateway/pick_home_backends.ts
@@ -14,10 +14,10 @@
  * The near backend servers that a host sends to first, by rendezvous hashing:
  * without a word between hosts each backend server is preferred by a few.
  *
- * Pattern: dozens of hosts send to dozens of engines, each engine told of a
- * fifth of a second ago. In that time as many requests reach an engine as it
- * has places in its queue, and which of two is emptier is a matter of chance.
- * Of the few that a host prefers it knows a good part itself, at once.
+ * Pattern: dozens of hosts send to dozens of engines whose loads they hear some
+ * tenths of a second late. In that time about as many requests reach an engine
+ * as wait there, and which of two is emptier is a matter of chance. Of the load
+ * of the few that a host prefers it knows a good part itself, at once.
  */
 export function pickHomeBackends(
   standings: readonly BackendStanding[],
--- a/packages/daemon/src/control/control_app.ts
+++ b/packages/daemon/src/control/control_app.ts
@@ -1,6 +1,7 @@
 import type { ConnectRouter } from "@connectrpc/connect";
 import { create } from "@bufbuild/protobuf";
 import { RaftNode } from "@teaselrouter/core/consensus/raft_node.ts";
+import { StartGate } from "@teaselrouter/core/membership/start_gate.ts";
 import { decodeControlState } from "@teaselrouter/core/state/decode_control_state.ts";
 import { emptyControlState } from "@teaselrouter/core/state/empty_control_state.ts";
 import { encodeControlState } from "@teaselrouter/core/state/encode_control_state.ts";
@@ -30,7 +31,6 @@
 import { PlatformDesk } from "./platform_desk.ts";
 import { RaftDriver } from "./raft_driver.ts";
 import { replaceMember } from "./replace_member.ts";
-import { StartGate } from "./start_gate.ts";
 
 const TRANSFER_MILLISECONDS = 3_000;
 const POLL_MILLISECONDS = 20;
--- a/packages/daemon/src/transport/entry_links.ts
+++ b/packages/daemon/src/transport/entry_links.ts
@@ -1,4 +1,5 @@
 import { create, type MessageInitShape } from "@bufbuild/protobuf";
+import { mayOpenNext } from "@teaselrouter/core/membership/may_open_next.ts";
 import { rendezvousOwner } from "@teaselrouter/core/spread/rendezvous_owner.ts";
 import type { TimelineRing } from "@teaselrouter/core/timeline/timeline_ring.ts";
 import type {
@@ -18,8 +19,6 @@
 const BEAT_MILLISECONDS = 500;
 const SILENT_MILLISECONDS = 3_000;
 const RECONNECT_MILLISECONDS = 200;
-/** A host that was not heard for so long may be lost: the next is turned to. */
-const OPENING_MILLISECONDS = 500;
 /** How often a link that waits for its turn looks whether it has come. */
 const TURN_MILLISECONDS = 40;
 
@@ -30,6 +29,7 @@
   outgoing: Subject<AgentToEntry> | undefined;
   /** Ends the stream that is open or being opened. */
   stop: AbortController;
+  openedAt: number;
   heardAt: number;
   /** Known from the entry host's heartbeats. */
   host: string;
@@ -43,6 +43,7 @@
     address,
     outgoing: undefined,
     stop: new AbortController(),
+    openedAt: 0,
     heardAt: 0,
     host: "",
     dataCentre: "",
@@ -81,7 +82,6 @@
   #links: Link[];
   #coordinator = "";
   #quietBeats = 0;
-  #latestOpenedAt = -Infinity;
   #stopped = false;
   #timer: NodeJS.Timeout | undefined;
 
@@ -162,18 +162,11 @@
     }
   }
 
-  /**
-   * Pattern: behind an outage the agents of all engines turn to all hosts in
-   * one moment, and each stream costs these some milliseconds. Opened one
-   * after the other, in an order of each agent's own, the first streams of all
-   * agents come ahead of the second ones, and nobody waits for the last.
-   */
   #mayOpenNext(): boolean {
-    const isAnyOpening = this.#links.some(({ outgoing, host }) =>
-      outgoing !== undefined && host === ""
-    );
-    const openingFor = monotonicMilliseconds() - this.#latestOpenedAt;
-    return !isAnyOpening || openingFor > OPENING_MILLISECONDS;
+    const openings = this.#links
+      .filter(({ outgoing }) => outgoing !== undefined)
+      .map(({ openedAt, host }) => ({ openedAt, isHeard: host !== "" }));
+    return mayOpenNext(openings, monotonicMilliseconds());
   }
 
   async #connect(link: Link): Promise<void> {
@@ -181,7 +174,7 @@
     const outgoing = new Subject<AgentToEntry>();
     link.stop = new AbortController();
     link.heardAt = monotonicMilliseconds();
-    this.#latestOpenedAt = link.heardAt;
+    link.openedAt = link.heardAt;
     const client = clients.client(AgentService, link.address);
     try {
       const incoming = client.session(toAsyncIterable(outgoing), {
--- a/packages/daemon/src/transport/follow_set.ts
+++ b/packages/daemon/src/transport/follow_set.ts
@@ -1,3 +1,4 @@
+import { mayOpenNext } from "@teaselrouter/core/membership/may_open_next.ts";
 import { rendezvousOwner } from "@teaselrouter/core/spread/rendezvous_owner.ts";
 import type { ControlUpdate } from "@teaselrouter/messages/follow.ts";
 import { Subject } from "rxjs";
@@ -8,8 +9,6 @@
 
 /** Several times in what counts as silence of a control host. */
 const REVIEW_MILLISECONDS = 200;
-/** One that was not heard for so long after it was turned to may be lost. */
-const OPENING_MILLISECONDS = 600;
 /** A host that can't be reached for so long is left for another, if any. */
 const UNREACHED_MILLISECONDS = 2_500;
 
@@ -120,18 +119,14 @@
     }
   }
 
-  /**
-   * Pattern: behind an outage all followers turn to the control hosts in one
-   * moment, and each stream costs these some milliseconds. The first streams
-   * of all followers come ahead of anyone's second one: one is enough to
-   * serve. Control hosts need each other at once, to elect a leader.
-   */
+  /** Control hosts need each other at once, to elect a leader. */
   #mayOpenNext(): boolean {
     if (this.#options.hello.isControl) return true;
-    const now = monotonicMilliseconds();
-    return [...this.#links.values()].every(({ link, openedAt }) =>
-      link.isConnected || now - openedAt > OPENING_MILLISECONDS
-    );
+    const openings = [...this.#links.values()].map(({ link, openedAt }) => ({
+      openedAt,
+      isHeard: link.isConnected,
+    }));
+    return mayOpenNext(openings, monotonicMilliseconds());
   }
 
   /** One that is no member any more can only tell what is old. */
