--- a/packages/daemon/src/control/control_app.ts
+++ b/packages/daemon/src/control/control_app.ts
@@ -9,7 +9,6 @@
   type Member,
   MemberSchema,
   type Membership,
-  PeerService,
   SnapshotDataSchema,
 } from "@teaselrouter/messages/control.ts";
 import { DataFolder } from "@teaselrouter/storage/data_folder.ts";
@@ -26,15 +25,15 @@
 import { controlRoutes } from "./control_routes.ts";
 import { foundCluster } from "./found_cluster.ts";
 import { joinCluster } from "./join_cluster.ts";
+import { mayFoundCluster } from "./may_found_cluster.ts";
 import { MembershipKeeper } from "./membership_keeper.ts";
 import { PeerLinks } from "./peer_links.ts";
 import { PlatformDesk } from "./platform_desk.ts";
 import { RaftDriver } from "./raft_driver.ts";
-import { replaceMember } from "./replace_member.ts";
+import { replaceFounder } from "./replace_founder.ts";
 
 const TRANSFER_MILLISECONDS = 3_000;
 const POLL_MILLISECONDS = 20;
-const INTRODUCE_MILLISECONDS = 2_000;
 
 type Options = {
   settings: Settings;
@@ -162,9 +161,11 @@
 
   async #startMember(): Promise<void> {
     const { settings } = this.#options;
-    if (this.#founded === undefined && this.#isEmpty() && this.#mayFound()) {
-      await this.#found();
-    }
+    const { restored } = this.#folder;
+    if (
+      this.#founded === undefined &&
+      mayFoundCluster(settings, this.#self.address, restored)
+    ) await this.#found();
     if (this.#stopped) return;
     this.#openMember();
     const { tolerated_losses } = settings.control!;
@@ -211,15 +212,6 @@
     });
   }
 
-  #mayFound(): boolean {
-    const { may_found, tolerated_losses, founders } = this.#options.settings
-      .control!;
-    // Without automatic membership a host that is no founder waits likewise.
-    if (tolerated_losses === undefined) return true;
-    return may_found &&
-      founders.some(({ address }) => address === this.#self.address);
-  }
-
   #join(): Promise<void> {
     const { clients, log } = this.#options;
     return joinCluster({
@@ -256,13 +248,6 @@
     });
   }
 
-  /** A member that was taken in has a log, though it founded nothing. */
-  #isEmpty(): boolean {
-    const { entries, hardState, snapshot } = this.#folder.restored;
-    return entries.length === 0 && hardState.term === 0 &&
-      snapshot.lastIndex === 0;
-  }
-
   async #found(): Promise<void> {
     const membership = await foundCluster({
       settings: this.#options.settings,
@@ -289,20 +274,8 @@
   async #replaceMember(name: string): Promise<Result<string, string>> {
     const control = this.#control;
     if (control === undefined) return Result.err("no-leader");
-    const { settings, clients } = this.#options;
-    const founder = settings.control!.founders.find((known) =>
-      known.name === name
-    );
-    if (founder === undefined) {
-      return Result.err(`no control host is named "${name}" in founders`);
-    }
-    const answer = await clients.client(PeerService, founder.address)
-      .introduce({ member: this.#self }, { timeoutMs: INTRODUCE_MILLISECONDS })
-      .catch(() => undefined);
-    if (answer?.member === undefined) {
-      return Result.err("the new process can't be reached");
-    }
-    return replaceMember(control, answer.member);
+    const self = this.#self;
+    return await replaceFounder(name, { ...this.#options, control, self });
   }
 
   #encodeState(): { index: number; state: Uint8Array } {
