Tell the planner of chunks gathered, others rarely; check staged weights while the engine runs empty

Load: a version of 96 small chunks on 40 to 68 hosts. Cause, by profile of a stager and of a control host: each chunk was told to each of six control hosts in a message of its own (576 a version and host); each new version began by reading back all 96 staged chunks of the last one, which this process had written itself; the engine was asked for its report every 50 ms while nothing but arriving chunks was waited for; a part of 1 to 4 KB of a chunk was an await, a slice of 4 KB a timer. Besides, the staged chunks were read back one after the other once the engine had run empty, which kept it idle.

Now changes of chunks are gathered for 20 ms for the host that plans and for 250 ms for the others; chunks not written by this process are taken in once; they are read back six at a time while the engine runs empty, and again if that was two seconds ago (what turned bad within three seconds of a load is nobody's fault); slices go by what the link carries in 15 ms.

--- a/packages/daemon/src/spread/fetch_bytes.ts
+++ b/packages/daemon/src/spread/fetch_bytes.ts
@@ -44,23 +44,30 @@
     const stalled = () => fail("stalled");
     let timer = setTimeout(stalled, STALLED_MILLISECONDS);
     request.on("error", (error) => settle(Result.err(error.message)));
-    request.on("response", async (response) => {
+    request.on("close", () => settle(Result.err("closed")));
+    request.on("response", (response) => {
       const status = response.statusCode ?? 0;
       if (status !== 200 && status !== 206) return fail(`status-${status}`);
-      try {
-        for await (const part of response) {
-          clearTimeout(timer);
-          parts.push(part);
-          bytes += part.length;
-          if (bytes > expectedBytes) return fail("too-long");
-          await pacer.take(part.length);
+      response.on("data", (part: Buffer) => {
+        timer.refresh();
+        parts.push(part);
+        bytes += part.length;
+        if (bytes > expectedBytes) return fail("too-long");
+        const wait = pacer.delayOf(part.length);
+        if (wait === 0) return;
+        // What this host holds back itself is no silence of the source.
+        clearTimeout(timer);
+        response.pause();
+        setTimeout(() => {
           timer = setTimeout(stalled, STALLED_MILLISECONDS);
-        }
-      } catch (error) {
-        return settle(Result.err(String(error)));
-      }
-      if (bytes !== expectedBytes) return settle(Result.err("cut-short"));
-      settle(Result.ok(Buffer.concat(parts, bytes)));
+          response.resume();
+        }, wait);
+      });
+      response.on("error", (error) => settle(Result.err(error.message)));
+      response.on("end", () => {
+        if (bytes !== expectedBytes) return settle(Result.err("cut-short"));
+        settle(Result.ok(Buffer.concat(parts, bytes)));
+      });
     });
   });
 }
--- a/packages/daemon/src/spread/link_pacer.ts
+++ b/packages/daemon/src/spread/link_pacer.ts
@@ -13,11 +13,16 @@
 
   /** Waits until `bytes` may pass. */
   async take(bytes: number): Promise<void> {
-    if (this.#bytesPerSecond === 0) return;
+    const wait = this.delayOf(bytes);
+    if (wait > 0) await pause(wait);
+  }
+
+  /** Counts `bytes` in; how long they have to wait, milliseconds. */
+  delayOf(bytes: number): number {
+    if (this.#bytesPerSecond === 0) return 0;
     const now = performance.now();
     const begin = Math.max(now, this.#freeAt);
     this.#freeAt = begin + bytes * 1_000 / this.#bytesPerSecond;
-    const wait = this.#freeAt - now - LEAD_MILLISECONDS;
-    if (wait > 0) await pause(wait);
+    return Math.max(0, this.#freeAt - now - LEAD_MILLISECONDS);
   }
 }
--- /dev/null
+++ b/packages/daemon/src/stager/chunk_change.ts
@@ -0,0 +1,7 @@
+/** What became of some of a version's chunks on this host. */
+export type ChunkChange = {
+  version: string;
+  added: number[];
+  /** Could not be had. */
+  failed: number[];
+};
--- a/packages/daemon/src/stager/staged_chunks.ts
+++ b/packages/daemon/src/stager/staged_chunks.ts
@@ -4,6 +4,10 @@
 import type { WeightsCache } from "../spread/weights_cache.ts";
 import type { EventLog } from "../log/event_log.ts";
 import type { ModelEngine } from "../platform/model_engine.ts";
+import { forEachAtOnce } from "./for_each_at_once.ts";
+
+/** The engine's host answers from memory; each read is mostly waiting. */
+const READS_AT_ONCE = 6;
 
 type Options = { engine: ModelEngine; cache: WeightsCache; log: EventLog };
 
@@ -13,13 +17,19 @@
   /** Chunks of the cache's version known to have been written. */
   #written = new Set<number>();
   #version = "";
+  /** What this process did not write itself was taken in already. */
+  #isRecovered = false;
 
   constructor(options: Options) {
     this.#options = options;
   }
 
-  /** Takes good chunks that lie there into the cache; gives their numbers. */
+  /**
+   * Takes good chunks that lie there into the cache; gives their numbers.
+   * Later on only what came from the cache lies there.
+   */
   async recover(manifest: WeightsManifest): Promise<number[]> {
+    if (this.#isRecovered) return [];
     const { engine, cache, log } = this.#options;
     const version = versionName(manifest);
     const staged = await engine.stagedChunks(manifest.name);
@@ -27,14 +37,15 @@
       log.warn("staged-chunks-unreadable", { reason: staged.error });
       return [];
     }
+    this.#isRecovered = true;
     this.#turnTo(version);
     const added: number[] = [];
-    for (const chunk of staged.value) {
+    await forEachAtOnce(staged.value, READS_AT_ONCE, async (chunk) => {
       const bytes = await engine.readStaged(manifest.name, chunk);
-      if (bytes.isErr || !cache.add(version, chunk, bytes.value)) continue;
+      if (bytes.isErr || !cache.add(version, chunk, bytes.value)) return;
       if (this.#version === version) this.#written.add(chunk);
       added.push(chunk);
-    }
+    });
     return added;
   }
 
@@ -63,17 +74,18 @@
     const { engine, cache, log } = this.#options;
     const manifest = cache.manifest(version);
     if (manifest === undefined) return false;
+    const chunks = manifest.chunks.map((_, chunk) => chunk);
     let isSound = true;
-    for (let chunk = 0; chunk < manifest.chunks.length; chunk += 1) {
+    await forEachAtOnce(chunks, READS_AT_ONCE, async (chunk) => {
       const bytes = await engine.readStaged(manifest.name, chunk);
       const digest = bytes.isOk
         ? createHash("sha256").update(bytes.value).digest("hex")
         : "";
-      if (digest === manifest.chunks[chunk]) continue;
+      if (digest === manifest.chunks[chunk]) return;
       isSound = false;
       this.#written.delete(chunk);
       log.warn("staged-chunk-bad", { version, chunk });
-    }
+    });
     return isSound;
   }
 
--- a/packages/daemon/src/stager/staged_loader.ts
+++ b/packages/daemon/src/stager/staged_loader.ts
@@ -19,6 +19,8 @@
 const NOTICE_MILLISECONDS = 60;
 /** An engine ends what is running within it, mostly. */
 const DRAIN_MILLISECONDS = 1_500;
+/** Behind it the weights beside the engine are checked once more. */
+const CHECKED_MILLISECONDS = 2_000;
 
 type Target = {
   model: string;
@@ -137,7 +139,7 @@
     const isStaged = await this.#staged.write(target.model, target.version);
     if (serving > 0 && !this.#mayLeave(target, serving)) {
       this.#setAccepting(true);
-      return false;
+      return !this.#arrival.isNearlyHeld(target.version, target.since);
     }
     this.#startRunningEmpty(target);
     if (isStaged) await this.#load(target, serving);
@@ -211,9 +213,7 @@
 
   async #load(target: Target, serving: number): Promise<void> {
     const { engine, log } = this.#options;
-    if (serving > 0) await this.#runEmpty(target, serving);
-    // Chunks turn bad where they lie, and the engine takes them unchecked.
-    const isSound = await this.#staged.verify(target.version);
+    const isSound = await this.#prepare(target, serving);
     const report = await engine.report();
     if (!isSound || report.isErr || this.#target !== target) return;
     const { sequence } = report.value;
@@ -232,6 +232,21 @@
     });
   }
 
+  /**
+   * Chunks turn bad where they lie, and the engine takes them unchecked: they
+   * are read back while it runs empty, and again where that was long ago, as
+   * when this process stood still in between.
+   */
+  async #prepare(target: Target, serving: number): Promise<boolean> {
+    const checkedAt = monotonicMilliseconds();
+    const [isSound] = await Promise.all([
+      this.#staged.verify(target.version),
+      serving > 0 ? this.#runEmpty(target, serving) : undefined,
+    ]);
+    const isFresh = monotonicMilliseconds() - checkedAt < CHECKED_MILLISECONDS;
+    return isSound && (isFresh || await this.#staged.verify(target.version));
+  }
+
   async #runEmpty(target: Target, serving: number): Promise<void> {
     const until = Math.min(
       this.#emptyingSince + DRAIN_MILLISECONDS,
--- a/packages/daemon/src/stager/staged_loader_test.ts
+++ b/packages/daemon/src/stager/staged_loader_test.ts
@@ -50,7 +50,10 @@
   running = 0;
   /** Chunks that turn bad when they are written; each once. */
   rots: number[] = [];
+  /** What the first read of each chunk takes; it turns bad behind it. */
+  slowRotMilliseconds = 0;
   #sequence = 0;
+  #read = new Set<number>();
 
   report(): Promise<Result<EngineReport, string>> {
     return Promise.resolve(Result.ok({
@@ -67,11 +70,18 @@
     return Promise.resolve(Result.ok([...this.staged.keys()]));
   }
 
-  readStaged(_model: string, chunk: number): Promise<Result<Buffer, string>> {
+  async readStaged(
+    _model: string,
+    chunk: number,
+  ): Promise<Result<Buffer, string>> {
     const bytes = this.staged.get(chunk);
-    return Promise.resolve(
-      bytes === undefined ? Result.err("none") : Result.ok(bytes),
-    );
+    const isFirst = !this.#read.has(chunk);
+    this.#read.add(chunk);
+    if (this.slowRotMilliseconds > 0 && isFirst) {
+      this.staged.set(chunk, Buffer.from("rotten"));
+      await pause(this.slowRotMilliseconds);
+    }
+    return bytes === undefined ? Result.err("none") : Result.ok(bytes);
   }
 
   writeStaged(
@@ -146,6 +156,17 @@
   assert.deepEqual(engine.loaded, ["1"]);
 });
 
+test("weights that were checked long ago are checked again", async () => {
+  // Guards against loading what turned bad while this process stood still.
+  const { engine, loader, bring } = setUp();
+  engine.slowRotMilliseconds = 2_100;
+  loader.start();
+  bring(1);
+  await until(() => engine.loaded.length > 0);
+  loader.stop();
+  assert.deepEqual(engine.loaded, ["1"]);
+});
+
 test("a serving engine loads only in its turn, and runs empty before", async () => {
   const { engine, loader, bring } = setUp();
   engine.models = [{ name: MODEL, version: 1 }];
--- a/packages/daemon/src/stager/stager_app.ts
+++ b/packages/daemon/src/stager/stager_app.ts
@@ -24,6 +24,8 @@
 import type { ClientPool } from "../transport/client_pool.ts";
 import { monotonicMilliseconds } from "../transport/monotonic_milliseconds.ts";
 import { listen } from "../transport/listen.ts";
+import type { ChunkChange } from "./chunk_change.ts";
+import { ChunkChangeGatherer } from "./chunk_change_gatherer.ts";
 import { createChunkServer } from "./create_chunk_server.ts";
 import { StagedLoader } from "./staged_loader.ts";
 
@@ -33,8 +35,13 @@
  */
 const CHUNKS_SHARE = 0.85;
 const BYTES_IN_MEGABIT = 125_000;
-/** Passed on at a time: what a live answer may wait behind on a thin link. */
-const SLICE_BYTES = 4_096;
+/** Sent at a time: what a live answer may wait behind on a thin link. */
+const SLICE_MILLISECONDS = 15;
+const LEAST_SLICE_BYTES = 4_096;
+/** A fraction of what a chunk takes on a thin link; the plan waits for it. */
+const TELL_PLANNER_MILLISECONDS = 20;
+/** The others draw a chunk across regions once, and take over a plan rarely. */
+const TELL_OTHERS_MILLISECONDS = 250;
 const NANOSECONDS_IN_MICROSECOND = 1_000n;
 
 type Options = {
@@ -56,6 +63,8 @@
   #server: Server;
   #target: { version: string; number: number } | undefined;
   #named = new NamedVersions();
+  #toPlanner = new ChunkChangeGatherer(TELL_PLANNER_MILLISECONDS);
+  #toOthers = new ChunkChangeGatherer(TELL_OTHERS_MILLISECONDS);
 
   constructor(options: Options) {
     const { settings, clients, log, metrics, platform } = options;
@@ -97,7 +106,7 @@
       cache: this.#cache,
       link: new LinkPacer(this.#chunksRate),
       regionBytesPerSecond: 0,
-      sliceBytes: SLICE_BYTES,
+      sliceBytes: this.#sliceBytes,
     });
     this.#server = createChunkServer({ chunks, log });
     this.#connectParts();
@@ -109,6 +118,11 @@
     return link_megabits_per_second * BYTES_IN_MEGABIT * CHUNKS_SHARE;
   }
 
+  get #sliceBytes(): number {
+    const bytes = this.#chunksRate * SLICE_MILLISECONDS / 1_000;
+    return Math.max(LEAST_SLICE_BYTES, Math.round(bytes));
+  }
+
   async start(): Promise<Result<void, string>> {
     const listening = await listen(
       this.#server,
@@ -130,6 +144,8 @@
   stop(): void {
     this.#loader.stop();
     this.#spread.stop();
+    this.#toPlanner.stop();
+    this.#toOthers.stop();
     this.#links.stop();
     this.#server.close();
     this.#server.closeAllConnections();
@@ -142,8 +158,20 @@
       this.#links.broadcast((address) => this.#wholeReport(address));
     });
     this.#spread.changed$.subscribe((change) => {
-      this.#links.broadcast((address) => this.#report(address, change));
+      this.#toPlanner.add(change);
+      this.#toOthers.add(change);
     });
+    this.#toPlanner.gathered$.subscribe((change) => {
+      const { coordinator } = this.#links;
+      this.#links.send(coordinator, this.#report(coordinator, change));
+    });
+    this.#toOthers.gathered$.subscribe((change) =>
+      this.#links.broadcast((address) =>
+        address === this.#links.coordinator
+          ? undefined
+          : this.#report(address, change)
+      )
+    );
     this.#loader.changed$.subscribe(() =>
       this.#links.broadcast(() => this.#announcement())
     );
@@ -249,15 +277,7 @@
     return this.#report(address, { version, added, failed: [], whole: true });
   }
 
-  #report(
-    address: string,
-    change: {
-      version: string;
-      added: number[];
-      failed: number[];
-      whole?: boolean;
-    },
-  ) {
+  #report(address: string, change: ChunkChange & { whole?: boolean }) {
     return {
       case: "chunks" as const,
       value: {
--- a/packages/daemon/src/transport/entry_links.ts
+++ b/packages/daemon/src/transport/entry_links.ts
@@ -137,11 +137,11 @@
     }));
   }
 
-  broadcast(bodyFor: (address: string) => Body): void {
-    for (const link of this.#links) {
-      if (link.outgoing !== undefined) {
-        this.send(link.address, bodyFor(link.address));
-      }
+  /** `bodyFor` gives nothing for a host that need not be told. */
+  broadcast(bodyFor: (address: string) => Body | undefined): void {
+    for (const { address, outgoing } of this.#links) {
+      const body = outgoing && bodyFor(address);
+      if (body !== undefined) this.send(address, body);
     }
   }
 
