Ask since when a version is named, and use old weights until then

Cause: 0.9 s were kept for a control host that hears of a naming late, 0.6 s for a request to begin. The leader that commits a first naming knows since when; others now ask it, and gateways ask their control hosts. An answer is no older than its question, so whatever either waits for only makes the naming look earlier. Confirmed, 0.25 s are kept; unconfirmed, 0.9 s as before (the test of the late control host stands unchanged). A request that does not begin within 0.3 s is ended when the time comes, as before, and may go elsewhere.

Ruled out: the leader's time of day in the log (clocks may be seconds apart); the age told with the news (it may wait in a slow host's buffers). A leader that takes over with the naming in its log does not confirm: the acknowledgement may be older than its lead.

--- a/packages/daemon/src/gateway/backend_pool.ts
+++ b/packages/daemon/src/gateway/backend_pool.ts
@@ -154,8 +154,11 @@
 
   #weightsEndAt(model: string, held: number): number {
     const { feed, weightsBoundMilliseconds } = this.#options;
-    return feed.namedVersions.overtakenAt(model, held) +
-      weightsBoundMilliseconds - weightsMargins.giveUpMilliseconds;
+    return feed.namedVersions.usableUntil(
+      model,
+      held,
+      weightsBoundMilliseconds,
+    );
   }
 
   /** The agent beside it knows sooner than the next heartbeat says. */
--- a/packages/daemon/src/gateway/gateway_app.ts
+++ b/packages/daemon/src/gateway/gateway_app.ts
@@ -66,6 +66,7 @@
     });
     const feed = new ControlFeed({
       follows: this.#follows,
+      clients,
       decodeRouting: platform.decodeRouting,
       log,
     });
--- a/packages/daemon/src/log/event_name.ts
+++ b/packages/daemon/src/log/event_name.ts
@@ -54,4 +54,6 @@
   | "weights-complete"
   | "weights-live"
   | "weights-named"
+  | "weights-naming-confirmed"
+  | "weights-naming-unconfirmed"
   | "weights-target";
--- a/packages/daemon/src/stager/stager_app.ts
+++ b/packages/daemon/src/stager/stager_app.ts
@@ -228,7 +228,8 @@
   #noteNamed(model: string, named: NamedAge[]): void {
     const now = monotonicMilliseconds();
     for (const { version, ageMilliseconds } of named) {
-      this.#named.add(model, { version, namedAt: now - ageMilliseconds });
+      // Heard late, it only leaves the engine serving for longer.
+      this.#named.confirm(model, { version, namedAt: now - ageMilliseconds });
     }
   }
 
