Gather loads of engines for 100 ms, and beat only where nothing else was said

Load: 41 to 68 engines whose load changes at each look, five a second; a control host hears of its own stagers' 57 a second, tells them on to five others and to its gateways 20 times a second each, and hears as much: 300 of its messages a second, beside 25 heartbeats to and from other control hosts. Both fall to half. Loads are 50 ms older on average.

--- a/packages/daemon/src/control/follow_session.ts
+++ b/packages/daemon/src/control/follow_session.ts
@@ -14,6 +14,8 @@
 
 /** A third of what a follower bears in silence. */
 const HEARTBEAT_MILLISECONDS = 400;
+/** How often it is looked whether anything was said meanwhile. */
+const LOOK_MILLISECONDS = 200;
 /** A follower that was cut off would be kept for, and sent to, for ever. */
 const SILENT_MILLISECONDS = 5_000;
 
@@ -26,6 +28,7 @@
   #toldWeights = new Map<string, number>();
   #subscriptions = new Subscription();
   #wantsLoads = false;
+  #saidAt = monotonicMilliseconds();
 
   constructor(view: SharedView) {
     this.#view = view;
@@ -48,6 +51,7 @@
 
   #begin(isControl: boolean): void {
     const view = this.#view;
+    this.#sayAlive();
     this.#tellHosts();
     this.#tellLog();
     this.#tellBackends(true, view.allBackends());
@@ -70,13 +74,18 @@
     this.#subscriptions.add(view.log$.subscribe(() => this.#tellLog()));
     this.#subscriptions.add(view.hosts$.subscribe(() => this.#tellHosts()));
     this.#subscriptions.add(
-      interval(HEARTBEAT_MILLISECONDS).subscribe(() => this.#beat()),
+      interval(LOOK_MILLISECONDS).subscribe(() => this.#beat()),
     );
   }
 
+  /** Whatever else is said shows as well that this host is there. */
   #beat(): void {
-    const silence = monotonicMilliseconds() - this.#heardAt;
-    if (silence > SILENT_MILLISECONDS) return this.close();
+    const now = monotonicMilliseconds();
+    if (now - this.#heardAt > SILENT_MILLISECONDS) return this.close();
+    if (now - this.#saidAt >= HEARTBEAT_MILLISECONDS) this.#sayAlive();
+  }
+
+  #sayAlive(): void {
     const { dataCentre } = this.#view;
     this.#send({ case: "heartbeat", value: { dataCentre } });
   }
@@ -114,6 +123,7 @@
   }
 
   #send(body: MessageInitShape<typeof ControlUpdateSchema>["body"]): void {
+    this.#saidAt = monotonicMilliseconds();
     this.outgoing$.next(create(ControlUpdateSchema, { body }));
   }
 }
--- a/packages/daemon/src/control/shared_view.ts
+++ b/packages/daemon/src/control/shared_view.ts
@@ -19,8 +19,8 @@
 /** Longer than a partition holds up a heartbeat that was sent before an end. */
 const FORGET_MILLISECONDS = 60_000;
 const EXPIRE_EVERY_MILLISECONDS = 500;
-/** At most so often followers hear of loads, however many engines there are. */
-const GATHER_LOADS_MILLISECONDS = 50;
+/** Followers hear of loads so often at most; agents look at them half as often. */
+const GATHER_LOADS_MILLISECONDS = 100;
 /** Many engines change at once when a version is loaded, or behind an outage. */
 const GATHER_NOTICES_MILLISECONDS = 20;
 /** A fraction of the silence after which a backend server counts as gone. */
--- a/packages/daemon/src/gateway/backend_pool.ts
+++ b/packages/daemon/src/gateway/backend_pool.ts
@@ -12,7 +12,7 @@
 import type { ControlFeed } from "./control_feed.ts";
 
 /** From an agent's look at its engine to a gateway that hears of it. */
-const LOADS_AGE_MILLISECONDS = 60;
+const LOADS_AGE_MILLISECONDS = 100;
 
 type Want = {
   service: string;
