Let a version's small chunks go from host to host in blocks

Load: the shifted deployment cuts the same weights into 96 chunks of 24.6 KB where the others have 48 of 49.2 KB: twice as many exchanges between hosts, orders and reports for the same bytes. Chunks up to 49 KB together now make a block, which is ordered, asked for and told of as one; the store and the engine still give and take chunks, and what is good of a broken block is kept.

--- a/packages/core/src/consensus/member_log.ts
+++ b/packages/core/src/consensus/member_log.ts
@@ -68,6 +68,10 @@
     this.#commitIndex = Math.max(this.#commitIndex, index);
   }
 
+  get hasCommitted(): boolean {
+    return this.#handedOut < this.#commitIndex;
+  }
+
   /** Newly committed entries, each handed out once and in order. */
   takeCommitted(): LogEntry[] {
     const entries: LogEntry[] = [];
--- a/packages/core/src/consensus/raft_node.ts
+++ b/packages/core/src/consensus/raft_node.ts
@@ -183,6 +183,11 @@
     return this.#outbox.takeImmediate();
   }
 
+  /** Whether there is anything to write, to send or to hand out. */
+  get hasOutput(): boolean {
+    return !this.#outbox.isEmpty || this.#member.hasCommitted;
+  }
+
   takeOutput(): RaftOutput {
     const output = this.#outbox.take();
     output.committed = this.#member.takeCommitted();
--- a/packages/core/src/consensus/raft_outbox.ts
+++ b/packages/core/src/consensus/raft_outbox.ts
@@ -54,6 +54,13 @@
     this.#output.snapshot = snapshot;
   }
 
+  get isEmpty(): boolean {
+    const output = this.#output;
+    return output.immediate.length === 0 && output.afterSync.length === 0 &&
+      output.entries.length === 0 && output.hardState === undefined &&
+      output.truncateFrom === undefined && output.snapshot === undefined;
+  }
+
   takeImmediate(): PeerMessage[] {
     return this.#output.immediate.splice(0);
   }
--- /dev/null
+++ b/packages/core/src/spread/weight_blocks_test.ts
@@ -0,0 +1,29 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { ChunkSet } from "./chunk_set.ts";
+import { WeightBlocks } from "./weight_blocks.ts";
+
+function blocksOf(count: number, chunk_bytes: number): WeightBlocks {
+  return new WeightBlocks({ chunks: new Array(count).fill(""), chunk_bytes });
+}
+
+test("96 small chunks take as many exchanges as 48 of twice the size", () => {
+  assert.equal(blocksOf(96, 24_576).count, 48);
+  assert.equal(blocksOf(48, 49_152).count, 48);
+});
+
+test("large chunks go by themselves, and the last block may be short", () => {
+  assert.deepEqual(blocksOf(4, 1_000_000).chunksOf(3), [3]);
+  const blocks = blocksOf(5, 24_576);
+  assert.deepEqual(blocks.chunksOf(2), [4]);
+  assert.deepEqual(blocks.chunksOf(3), []);
+});
+
+test("a block counts as held only with its last chunk", () => {
+  // Guards against telling the planner of a source that lacks a part.
+  const blocks = blocksOf(5, 24_576);
+  const held = new ChunkSet(5);
+  for (const chunk of [0, 2, 3, 4]) held.add(chunk);
+  assert.deepEqual(blocks.wholeIn(held), [1, 2]);
+  assert.deepEqual(blocks.missingIn(held), [0]);
+});
--- a/packages/daemon/src/agent/agent_app.ts
+++ b/packages/daemon/src/agent/agent_app.ts
@@ -226,7 +226,7 @@
 
   #wholeChunkReport(address: string) {
     const { version } = this.#spread;
-    const added = this.#cache.held(version)!.held();
+    const added = this.#cache.wholeBlocks(version);
     const change = { version, added, failed: [], whole: true };
     return this.#chunkReport(address, change);
   }
@@ -244,7 +244,7 @@
       case: "chunks" as const,
       value: {
         version: change.version,
-        total: this.#cache.held(change.version)?.total ?? 0,
+        total: this.#cache.blocks(change.version)?.count ?? 0,
         added: change.added,
         failed: change.failed,
         whole: change.whole ?? false,
--- a/packages/daemon/src/control/raft_driver.ts
+++ b/packages/daemon/src/control/raft_driver.ts
@@ -46,7 +46,7 @@
   #running = false;
   #flushPlanned = false;
   #stopped = false;
-  #leadershipView = "";
+  #leadershipView = { leader: "", leads: false };
   #timer: NodeJS.Timeout | undefined;
 
   constructor(options: Options) {
@@ -100,15 +100,16 @@
     const { node } = this.#options;
     const leads = node.isLeading(monotonicMilliseconds()) &&
       node.hasCommittedOwnTerm;
-    const view = `${node.leaderId} ${leads}`;
-    if (view === this.#leadershipView) return;
-    this.#leadershipView = view;
+    const { leaderId: leader } = node;
+    const known = this.#leadershipView;
+    if (leader === known.leader && leads === known.leads) return;
+    this.#leadershipView = { leader, leads };
     this.leadership$.next();
   }
 
   #pump(): void {
     this.#sendAll(this.#options.node.takeImmediate());
-    if (this.#running || this.#stopped) return;
+    if (this.#running || this.#stopped || !this.#options.node.hasOutput) return;
     this.#running = true;
     this.#drain()
       .catch((error) => this.#options.stopProcess(String(error.stack ?? error)))
--- a/packages/daemon/src/log/event_name.ts
+++ b/packages/daemon/src/log/event_name.ts
@@ -9,7 +9,6 @@
   | "backend-server-silent"
   | "call-fault"
   | "chunk-failed"
-  | "chunk-held"
   | "chunk-not-sent"
   | "control-host-followed"
   | "control-host-lost"
--- a/packages/daemon/src/rollout/spread_coordinator.ts
+++ b/packages/daemon/src/rollout/spread_coordinator.ts
@@ -4,6 +4,7 @@
 import type { SpreadPolicy } from "@teaselrouter/core/spread/spread_policy.ts";
 import { SpreadTable } from "@teaselrouter/core/spread/spread_table.ts";
 import { versionName } from "@teaselrouter/core/spread/version_name.ts";
+import { WeightBlocks } from "@teaselrouter/core/spread/weight_blocks.ts";
 import type { WeightsManifest } from "@teaselrouter/core/spread/weights_manifest.ts";
 import type {
   ChunkReport,
@@ -57,12 +58,14 @@
   addVersion(manifest: WeightsManifest): void {
     const version = versionName(manifest);
     if (this.#tables.has(version)) return;
+    // What goes from host to host as one is one chunk to the plan.
+    const blocks = new WeightBlocks(manifest);
     this.#tables.set(
       version,
       new SpreadTable({
         version,
-        totalChunks: manifest.chunks.length,
-        chunkBytes: manifest.chunk_bytes,
+        totalChunks: blocks.count,
+        chunkBytes: manifest.chunk_bytes * blocks.chunksPerBlock,
         dataCentre: this.#options.dataCentre,
       }),
     );
--- a/packages/daemon/src/spread/chunk_sender.ts
+++ b/packages/daemon/src/spread/chunk_sender.ts
@@ -1,10 +1,12 @@
-import type { Buffer } from "node:buffer";
+import { Buffer } from "node:buffer";
 import { once } from "node:events";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { LinkPacer } from "./link_pacer.ts";
 import type { WeightsCache } from "./weights_cache.ts";
 
 const SLICE_BYTES = 65_536;
+/** In one exchange. */
+const MOST_CHUNKS = 64;
 
 type Options = {
   dataCentre: string;
@@ -26,14 +28,14 @@
     this.#options = options;
   }
 
-  /** Answers GET /chunks/{version}/{chunk}, given as its parts. */
+  /** Answers GET /chunks/{version}/{chunk,chunk}, given as its parts. */
   async send(
     request: IncomingMessage,
     response: ServerResponse,
     parts: string[],
   ): Promise<void> {
-    const chunk = this.#options.cache.chunk(parts[1] ?? "", Number(parts[2]));
-    if (chunk === undefined) {
+    const bytes = this.#bytesOf(parts[1] ?? "", parts[2] ?? "");
+    if (bytes === undefined) {
       response.writeHead(404).end();
       return;
     }
@@ -41,11 +43,21 @@
     const header = request.headers["teaselrouter-data-centre"];
     const to = typeof header === "string" ? header : dataCentre;
     const pacers = to === dataCentre ? [link] : [link, this.#regionLink(to)];
-    response.writeHead(200, { "Content-Length": chunk.length });
-    await this.#sendPaced(response, chunk, pacers);
+    response.writeHead(200, { "Content-Length": bytes.length });
+    await this.#sendPaced(response, bytes, pacers);
     response.end();
   }
 
+  /** Undefined where one of the chunks is not held. */
+  #bytesOf(version: string, chunks: string): Buffer | undefined {
+    const numbers = chunks.split(",").map(Number);
+    if (numbers.length > MOST_CHUNKS) return undefined;
+    const found = numbers.flatMap((chunk) =>
+      this.#options.cache.chunk(version, chunk) ?? []
+    );
+    return found.length === numbers.length ? Buffer.concat(found) : undefined;
+  }
+
   #regionLink(dataCentre: string): LinkPacer {
     let pacer = this.#regionLinks.get(dataCentre);
     if (pacer === undefined) {
--- a/packages/daemon/src/spread/spread_client.ts
+++ b/packages/daemon/src/spread/spread_client.ts
@@ -2,6 +2,7 @@
 import type { WeightsManifest } from "@teaselrouter/core/spread/weights_manifest.ts";
 import type { SpreadPlan } from "@teaselrouter/messages/agent.ts";
 import type { StatsD } from "hot-shots";
+import type { Buffer } from "node:buffer";
 import { Subject } from "rxjs";
 import type { EventLog } from "../log/event_log.ts";
 import type { ChunkFetcher } from "./chunk_fetcher.ts";
@@ -24,6 +25,7 @@
   stop: AbortController;
 };
 
+/** In blocks. */
 type Change = { version: string; added: number[]; failed: number[] };
 
 type Options = {
@@ -37,11 +39,11 @@
 };
 
 /**
- * Brings a version's chunks to this host: by a coordinator's plan, and by
+ * Brings a version's blocks to this host: by a coordinator's plan, and by
  * itself among the peers it knows when no plan comes.
  */
 export class SpreadClient {
-  /** Chunks that came in or could not be had. */
+  /** Blocks that came in or could not be had. */
   readonly changed$ = new Subject<Change>();
   originBytes = 0;
   #options: Options;
@@ -90,26 +92,27 @@
     if (target === undefined || plan.version !== target.version) return;
     this.#plannedAt = monotonicMilliseconds();
     this.#peers = plan.peers;
-    for (const { chunk, source } of plan.orders) {
-      this.#fetch(target, chunk, source);
+    for (const { chunk: block, source } of plan.orders) {
+      this.#fetch(target, block, source);
     }
   }
 
   #goOnAlone(): void {
     const target = this.#target;
     if (target === undefined) return;
-    const held = this.#options.cache.held(target.version)!;
+    const { cache } = this.#options;
+    const held = cache.held(target.version)!;
     if (held.isComplete) {
       clearInterval(this.#timer);
       this.#timer = undefined;
       return;
     }
     if (this.#fetching.size > 0 || this.#isPlanned()) return;
-    const missing = held.missing();
+    const missing = cache.blocks(target.version)!.missingIn(held);
     const { random } = this.#options;
     for (let count = 0; count < UNPLANNED_FETCHES; count += 1) {
-      const chunk = missing[Math.floor(random() * missing.length)]!;
-      this.#fetch(target, chunk, this.#pickSource());
+      const block = missing[Math.floor(random() * missing.length)]!;
+      this.#fetch(target, block, this.#pickSource());
     }
   }
 
@@ -134,51 +137,74 @@
     return usable[index] ?? ORIGIN;
   }
 
-  async #fetch(target: Target, chunk: number, source: string): Promise<void> {
-    const { cache, fetcher, log, metrics } = this.#options;
+  async #fetch(target: Target, block: number, source: string): Promise<void> {
+    const { cache, fetcher } = this.#options;
     const { version, manifest, store, stop } = target;
-    if (cache.chunk(version, chunk) !== undefined) {
-      return this.#tell(target, { added: [chunk], failed: [] });
+    const chunks = cache.blocks(version)!.chunksOf(block).filter((chunk) =>
+      cache.chunk(version, chunk) === undefined
+    );
+    if (chunks.length === 0) {
+      return this.#tell(target, { added: [block], failed: [] });
     }
-    if (this.#fetching.has(chunk)) return;
+    if (this.#fetching.has(block)) return;
     if (this.#fetching.size >= MOST_FETCHES) {
-      return this.#tell(target, { added: [], failed: [chunk] });
-    }
-    this.#fetching.add(chunk);
-    const startedAt = monotonicMilliseconds();
-    const bytes = await fetcher.fetch({
-      manifest,
-      store,
-      chunk,
-      source,
-      signal: stop.signal,
-    });
-    if (stop.signal.aborted) return;
-    this.#fetching.delete(chunk);
-    if (bytes.isOk && source === ORIGIN) {
-      this.originBytes += bytes.value.length;
-      metrics.increment("weights.origin_bytes", bytes.value.length);
+      return this.#tell(target, { added: [], failed: [block] });
     }
-    const good = bytes.isOk && cache.add(version, chunk, bytes.value);
-    if (good) {
-      log.debug("chunk-held", {
-        version,
-        chunk,
-        source: source || "origin",
-        milliseconds: Math.round(monotonicMilliseconds() - startedAt),
-      });
+    this.#fetching.add(block);
+    const { signal } = stop;
+    const want = { manifest, store, chunks, source, signal };
+    const bytes = await fetcher.fetch(want);
+    if (signal.aborted) return;
+    this.#fetching.delete(block);
+    const reason = bytes.isOk
+      ? this.#takeChunks(target, chunks, bytes.value)
+      : bytes.error;
+    if (bytes.isOk && source === ORIGIN) this.#countDrawn(bytes.value.length);
+    if (reason === undefined) {
       this.#noteWhenComplete(target);
-      return this.#tell(target, { added: [chunk], failed: [] });
+      return this.#tell(target, { added: [block], failed: [] });
+    }
+    this.#noteFailure(target, { block, source, reason });
+  }
+
+  /** Keeps what is good; gives back why not all of it is. */
+  #takeChunks(
+    { manifest, version }: Target,
+    chunks: number[],
+    bytes: Buffer,
+  ): string | undefined {
+    const { cache } = this.#options;
+    let at = 0;
+    let bad = 0;
+    for (const chunk of chunks) {
+      const part = bytes.subarray(at, at + manifest.chunk_bytes);
+      at += part.length;
+      if (!cache.add(version, chunk, part)) bad += 1;
     }
-    const reason = bytes.isOk ? "digest-differs" : bytes.error;
-    log.warn("chunk-failed", {
-      version,
-      chunk,
+    return bad === 0 ? undefined : "digest-differs";
+  }
+
+  #countDrawn(bytes: number): void {
+    this.originBytes += bytes;
+    this.#options.metrics.increment("weights.origin_bytes", bytes);
+  }
+
+  #noteFailure(
+    target: Target,
+    { block, source, reason }: {
+      block: number;
+      source: string;
+      reason: string;
+    },
+  ): void {
+    this.#options.log.warn("chunk-failed", {
+      version: target.version,
+      block,
       source: source || "origin",
       reason,
     });
     this.#aside.set(source, monotonicMilliseconds() + ASIDE_MILLISECONDS);
-    this.#tell(target, { added: [], failed: [chunk] });
+    this.#tell(target, { added: [], failed: [block] });
   }
 
   #noteWhenComplete(target: Target): void {
--- a/packages/daemon/src/spread/weights_cache.ts
+++ b/packages/daemon/src/spread/weights_cache.ts
@@ -1,4 +1,5 @@
 import { ChunkSet } from "@teaselrouter/core/spread/chunk_set.ts";
+import { WeightBlocks } from "@teaselrouter/core/spread/weight_blocks.ts";
 import { versionName } from "@teaselrouter/core/spread/version_name.ts";
 import type { WeightsManifest } from "@teaselrouter/core/spread/weights_manifest.ts";
 import type { Buffer } from "node:buffer";
@@ -6,6 +7,7 @@
 
 type Version = {
   manifest: WeightsManifest;
+  blocks: WeightBlocks;
   held: ChunkSet;
   chunks: (Buffer | undefined)[];
 };
@@ -21,6 +23,7 @@
     if (known !== undefined) return known.held;
     const version: Version = {
       manifest,
+      blocks: new WeightBlocks(manifest),
       held: new ChunkSet(manifest.chunks.length),
       chunks: new Array(manifest.chunks.length),
     };
@@ -39,6 +42,16 @@
     return this.#versions.get(version)?.manifest;
   }
 
+  blocks(version: string): WeightBlocks | undefined {
+    return this.#versions.get(version)?.blocks;
+  }
+
+  /** Blocks of a version that are whole here; none of one not begun. */
+  wholeBlocks(version: string): number[] {
+    const known = this.#versions.get(version);
+    return known === undefined ? [] : known.blocks.wholeIn(known.held);
+  }
+
   held(version: string): ChunkSet | undefined {
     return this.#versions.get(version)?.held;
   }
--- a/packages/daemon/src/stager/chunk_change.ts
+++ b/packages/daemon/src/stager/chunk_change.ts
@@ -1,4 +1,4 @@
-/** What became of some of a version's chunks on this host. */
+/** What became of some of a version's blocks on this host. */
 export type ChunkChange = {
   version: string;
   added: number[];
--- a/packages/daemon/src/stager/stager_app.ts
+++ b/packages/daemon/src/stager/stager_app.ts
@@ -242,8 +242,7 @@
       chunks: added.length,
     });
     if (added.length === 0) return;
-    const change = { version, added, failed: [] };
-    this.#links.broadcast((address) => this.#report(address, change));
+    this.#links.broadcast((address) => this.#wholeReport(address));
   }
 
   #announcement() {
@@ -274,7 +273,7 @@
 
   #wholeReport(address: string) {
     const { version } = this.#target!;
-    const added = this.#cache.held(version)?.held() ?? [];
+    const added = this.#cache.wholeBlocks(version);
     return this.#report(address, { version, added, failed: [], whole: true });
   }
 
@@ -284,7 +283,7 @@
       value: {
         ...change,
         whole: change.whole ?? false,
-        total: this.#cache.held(change.version)?.total ?? 0,
+        total: this.#cache.blocks(change.version)?.count ?? 0,
         originBytes: this.#spread.originBytes,
         followsPlans: address === this.#links.coordinator,
       },
