Wake control hosts and stagers less where nothing changes

Load: 68 stagers of which each keeps a stream to six control hosts. By strace, a control host that rests woke 300 times a second for 80 messages: the log's tick with its empty round of writing and sending (50), looks of each follower's and of each data centre's plan, reviews. Beats between stagers and control hosts come every 1.5 and 1.4 s instead of every second (3 s count as silence); an engine is looked at every 250 and 80 ms instead of 200 and 50.

--- a/packages/daemon/src/control/follow_session.ts
+++ b/packages/daemon/src/control/follow_session.ts
@@ -8,14 +8,12 @@
   ControlUpdateSchema,
   type FollowerToControl,
 } from "@teaselrouter/messages/follow.ts";
-import { filter, interval, Subject, Subscription } from "rxjs";
+import { filter, Subject, Subscription } from "rxjs";
 import { monotonicMilliseconds } from "../transport/monotonic_milliseconds.ts";
 import type { SharedView } from "./shared_view.ts";
 
 /** A third of what a follower bears in silence. */
 const HEARTBEAT_MILLISECONDS = 400;
-/** How often it is looked whether anything was said meanwhile. */
-const LOOK_MILLISECONDS = 200;
 /** A follower that was cut off would be kept for, and sent to, for ever. */
 const SILENT_MILLISECONDS = 5_000;
 
@@ -73,9 +71,7 @@
     );
     this.#subscriptions.add(view.log$.subscribe(() => this.#tellLog()));
     this.#subscriptions.add(view.hosts$.subscribe(() => this.#tellHosts()));
-    this.#subscriptions.add(
-      interval(LOOK_MILLISECONDS).subscribe(() => this.#beat()),
-    );
+    this.#subscriptions.add(view.look$.subscribe(() => this.#beat()));
   }
 
   /** Whatever else is said shows as well that this host is there. */
--- a/packages/daemon/src/control/platform_desk.ts
+++ b/packages/daemon/src/control/platform_desk.ts
@@ -21,7 +21,7 @@
 import { followRoutes } from "./follow_routes.ts";
 import { SharedView } from "./shared_view.ts";
 
-const REVIEW_MILLISECONDS = 50;
+const REVIEW_MILLISECONDS = 100;
 const ASK_MILLISECONDS = 1_000;
 /** Control hosts all hear each other: there are at most so many. */
 const MOST_CONTROL_HOSTS = 10;
--- a/packages/daemon/src/control/shared_view.ts
+++ b/packages/daemon/src/control/shared_view.ts
@@ -8,7 +8,7 @@
   EngineLoad,
   EngineNotice,
 } from "@teaselrouter/messages/follow.ts";
-import { type Observable, Subject } from "rxjs";
+import { interval, type Observable, share, Subject } from "rxjs";
 import type { EventLog } from "../log/event_log.ts";
 import { monotonicMilliseconds } from "../transport/monotonic_milliseconds.ts";
 import { encodeBackend } from "../transport/encode_backend.ts";
@@ -19,6 +19,8 @@
 /** Longer than a partition holds up a heartbeat that was sent before an end. */
 const FORGET_MILLISECONDS = 60_000;
 const EXPIRE_EVERY_MILLISECONDS = 500;
+/** Half of the time between heartbeats to a follower. */
+const LOOK_MILLISECONDS = 200;
 /** Followers hear of loads so often at most; agents look at them half as often. */
 const GATHER_LOADS_MILLISECONDS = 100;
 /** Many engines change at once when a version is loaded, or behind an outage. */
@@ -45,6 +47,8 @@
   /** The replicated tables changed. */
   readonly log$ = new Subject<void>();
   readonly hosts$ = new Subject<void>();
+  /** When followers' sessions look what they have to say; one timer for all. */
+  readonly look$ = interval(LOOK_MILLISECONDS).pipe(share());
   #options: Options;
   #registry = new BackendRegistry({
     silentMilliseconds: SILENT_MILLISECONDS,
--- a/packages/daemon/src/rollout/spread_coordinator.ts
+++ b/packages/daemon/src/rollout/spread_coordinator.ts
@@ -43,15 +43,16 @@
   /** Reports on versions that this entry host has not heard of yet. */
   #early: { backendServer: string; report: ChunkReport }[] = [];
   #planned = false;
-  #timer: NodeJS.Timeout;
+  /** Runs while a host here lacks something. */
+  #timer: NodeJS.Timeout | undefined;
 
   constructor(options: Options) {
     this.#options = options;
-    this.#timer = setInterval(() => this.#plan(), REPLAN_MILLISECONDS);
   }
 
   stop(): void {
-    clearInterval(this.#timer);
+    this.#tables.clear();
+    this.#rest();
   }
 
   /** Begins a version's table; older versions' are kept until dropped. */
@@ -135,8 +136,16 @@
     }, GATHER_MILLISECONDS);
   }
 
+  #rest(): void {
+    clearInterval(this.#timer);
+    this.#timer = undefined;
+  }
+
   #plan(): void {
     const now = monotonicMilliseconds();
+    const hasWork = [...this.#tables.values()].some((table) => table.hasWork);
+    if (!hasWork) return this.#rest();
+    this.#timer ??= setInterval(() => this.#plan(), REPLAN_MILLISECONDS);
     for (const table of this.#tables.values()) {
       if (!table.hasWork) continue;
       table.endOverdue(now);
--- a/packages/daemon/src/rollout/stager_session.ts
+++ b/packages/daemon/src/rollout/stager_session.ts
@@ -21,7 +21,8 @@
 import type { RolloutHub } from "./rollout_hub.ts";
 import type { WeightsTargetRow } from "./weights_target_row.ts";
 
-const HEARTBEAT_MILLISECONDS = 1_000;
+/** Two in what a stager bears in silence. */
+const HEARTBEAT_MILLISECONDS = 1_400;
 const SILENT_MILLISECONDS = 3_000;
 
 type Options = {
--- a/packages/daemon/src/stager/staged_loader.ts
+++ b/packages/daemon/src/stager/staged_loader.ts
@@ -12,8 +12,8 @@
 import { StagedChunks } from "./staged_chunks.ts";
 
 /** Asking the engine on its own host is free and answered in a millisecond. */
-const STEP_MILLISECONDS = 50;
-const IDLE_STEP_MILLISECONDS = 200;
+const STEP_MILLISECONDS = 80;
+const IDLE_STEP_MILLISECONDS = 250;
 const TURN_ASK_MILLISECONDS = 150;
 /** Gateways hear within it that this engine takes nothing more. */
 const NOTICE_MILLISECONDS = 60;
--- a/packages/daemon/src/transport/entry_links.ts
+++ b/packages/daemon/src/transport/entry_links.ts
@@ -17,6 +17,8 @@
 import { monotonicMilliseconds } from "./monotonic_milliseconds.ts";
 
 const BEAT_MILLISECONDS = 500;
+/** With nothing new to say; half of what counts as silence, and less. */
+const QUIET_BEATS = 3;
 const SILENT_MILLISECONDS = 3_000;
 const RECONNECT_MILLISECONDS = 200;
 /** How often a link that waits for its turn looks whether it has come. */
@@ -235,13 +237,13 @@
     }
   }
 
-  /** With nothing new to say, every second beat only shows life. */
+  /** With nothing new to say, every third beat only shows life. */
   #beat(): void {
     this.#dropSilent();
     const body = this.#options.beat();
     this.#quietBeats = body === undefined ? this.#quietBeats + 1 : 0;
     if (body !== undefined) return this.broadcast(() => body);
-    if (this.#quietBeats % 2 === 0) {
+    if (this.#quietBeats % QUIET_BEATS === 0) {
       this.broadcast(() => ({ case: "heartbeat", value: {} }));
     }
   }
