Weigh prompts to be read by what they hold up; a modelled fleet to compare policies on

Load: on the shifted work reading takes 0.45 of engines' time and slots only 0.7. Hypothesis: which engine is emptier is a matter of reading, and a second of prompts to read counted as little as all slots taken, so that hosts sent behind prompts that take 50 to 200 ms of the 400 in which a first event is due.

npm run experiment -- heavy plays named loads on modelled engines, with as many hosts deciding apart by the modules that gateways decide by; beside it a naive twin and a decider that knows all.

--- a/packages/core/src/gateway/choose_backend.ts
+++ b/packages/core/src/gateway/choose_backend.ts
@@ -25,6 +25,12 @@
 const AWAY_WEIGHT = 0.15;
 /** Waiting for a slot is worse than crossing to a free one. */
 const FULL_WEIGHT = 0.25;
+/**
+ * Prompts that take so long to read weigh as much as all slots taken: a third
+ * of the time in which first events are due, and no other request of the
+ * engine goes on meanwhile.
+ */
+const READING_MILLISECONDS = 120;
 /** Breaks ties between hosts that see the same. */
 const NOISE_WEIGHT = 0.1;
 /** Backend servers that are compared for one request in a data centre. */
@@ -85,8 +91,15 @@
   const isHome = home.has(standing.instance);
   const way = !isNear ? CROSSING_WEIGHT : isHome ? 0 : AWAY_WEIGHT;
   const cold = standing.coldMilliseconds > 0 ? COLD_WEIGHT : 0;
-  const reading = engine === undefined || engine.readTokensPerSecond === 0
-    ? 0
-    : record.unreadTokens / engine.readTokensPerSecond;
+  const reading = readingMilliseconds(choice, engine) / READING_MILLISECONDS;
   return fullness + full + way + cold + reading + NOISE_WEIGHT * random();
 }
+
+/** What this host's own prompts still take that it sent there. */
+function readingMilliseconds(
+  { record }: BackendChoice,
+  engine: EngineDefinition | undefined,
+): number {
+  if (engine === undefined || engine.readTokensPerSecond === 0) return 0;
+  return 1_000 * record.unreadTokens / engine.readTokensPerSecond;
+}
--- a/packages/core/src/gateway/choose_backend_test.ts
+++ b/packages/core/src/gateway/choose_backend_test.ts
@@ -140,3 +140,11 @@
   assert.equal(chooseFrom(6, 4), "home");
   assert.equal(chooseFrom(8, 4), "other");
 });
+
+test("an engine with prompts to read is left for one with more answers", () => {
+  // Load: reading takes nearly half of engines' time, and seven in ten slots
+  // are taken; which engine answers first is a matter of reading.
+  const reading = { instance: "reading", inFlight: 3, unread: 3_000 };
+  const writing = { instance: "writing", inFlight: 8 };
+  assert.equal(choose(reading, writing), "writing");
+});
--- /dev/null
+++ b/packages/experiments/src/heavy/modelled_call.ts
@@ -0,0 +1,18 @@
+import type { FleetSettings } from "./fleet_settings.ts";
+
+/** How a call ended for its caller. */
+export type CallEnd = "in-time" | "late" | "refused" | "left";
+
+/** One call of a modelled caller, over all of its tries. */
+export type ModelledCall = {
+  kind: FleetSettings["kinds"][number];
+  dataCentre: string;
+  promptTokens: number;
+  answerTokens: number;
+  startedAt: number;
+  /** Times in milliseconds of the model's clock. */
+  endsAt: number;
+  tries: number;
+  firstEventAt: number | undefined;
+  end: CallEnd | undefined;
+};
--- a/packages/experiments/src/main.ts
+++ b/packages/experiments/src/main.ts
@@ -3,6 +3,7 @@
 import { failoverExperiment } from "./control/failover_experiment.ts";
 import { demo } from "./demo/demo.ts";
 import { footprintExperiment } from "./footprint/footprint_experiment.ts";
+import { heavyExperiment } from "./heavy/heavy_experiment.ts";
 import { overloadExperiment } from "./overload/overload_experiment.ts";
 import { requestExperiment } from "./requests/request_experiment.ts";
 import { spreadExperiment } from "./spread/spread_experiment.ts";
@@ -12,6 +13,7 @@
   contract: contractExperiment,
   failover: failoverExperiment,
   footprint: footprintExperiment,
+  heavy: heavyExperiment,
   overload: overloadExperiment,
   requests: requestExperiment,
   spread: spreadExperiment,
