Revert "Ask since when a version is named, and use old weights until then"

The end of a connection overtakes nothing that was sent on it before, so that ending a request in time does not keep it from beginning late; what does is the 1.5 s for which nothing more is sent, which the change took to 0.55.

--- a/packages/core/src/rollout/rollout_rules_test.ts
+++ b/packages/core/src/rollout/rollout_rules_test.ts
@@ -17,26 +17,6 @@
   assert.equal(named.overtakenAt("m", 3), Infinity);
 });
 
-test("a confirmed naming leaves old weights in use for longer", () => {
-  // Load: the weight store is down until 1.5 s before old weights end; all
-  // engines stood unused for a second, with the last chunks on their way.
-  const named = new NamedVersions();
-  named.add("m", { version: 2, namedAt: 18_300 });
-  const heard = named.usableUntil("m", 1, 10_000);
-  named.confirm("m", { version: 2, namedAt: 18_000 });
-  assert.ok(named.usableUntil("m", 1, 10_000) > heard);
-  assert.ok(named.usableUntil("m", 1, 10_000) < 28_000);
-  assert.equal(named.usableUntil("m", 2, 10_000), Infinity);
-});
-
-test("what a second host says does not move a confirmed naming", () => {
-  const named = new NamedVersions();
-  named.confirm("m", { version: 2, namedAt: 18_000 });
-  named.confirm("m", { version: 2, namedAt: 19_000 });
-  named.add("m", { version: 2, namedAt: 20_000 });
-  assert.equal(named.namedAt("m", 2), 18_000);
-});
-
 test("most engines of a data centre serve while others load", () => {
   const turns = new LoadTurns({ outShare: 0.4, turnMilliseconds: 8_000 });
   const view = { hosts: 5, wasServing: true, now: 0 };
--- a/packages/core/src/rollout/weights_margins.ts
+++ b/packages/core/src/rollout/weights_margins.ts
@@ -6,14 +6,6 @@
    * request begins on weights that it may not begin on any more.
    */
   giveUpMilliseconds: 900,
-  /**
-   * The same where the time of the naming is known, not only when it was heard
-   * of: a late timer, and a request on its way.
-   */
-  confirmedGiveUpMilliseconds: 250,
-  /**
-   * What most requests take to begin where little waits ahead of them; one that
-   * takes longer is ended when the time comes, and may go elsewhere.
-   */
-  beginMilliseconds: 300,
+  /** What a request takes to begin where nothing waits ahead of it. */
+  beginMilliseconds: 600,
 } as const;
--- a/packages/daemon/src/control/control_gate.ts
+++ b/packages/daemon/src/control/control_gate.ts
@@ -79,7 +79,7 @@
 
   async nameWeights(named: { model: string; version: number }) {
     const { control, log } = this.#options;
-    const known = knownVersion(control(), named.model);
+    const known = control()?.state.namedWeights.get(named.model)?.version ?? 0;
     const done = named.version <= known ||
       (await this.#carryOut({ kind: "name-weights", ...named, at: 0 })) !==
         undefined;
@@ -167,17 +167,10 @@
     if (control === undefined) {
       return { outcome: ForwardOutcome.NOT_LEADING, standing: undefined };
     }
-    const proposedAt = monotonicMilliseconds();
-    const isFirst = command?.kind === "name-weights" &&
-      command.version > knownVersion(control, command.model);
     const outcome = command === undefined
       ? await control.read()
       : await control.propose(command, { untilInForce: false });
     if (outcome.kind === "committed") {
-      if (isFirst) {
-        const { model, version } = command;
-        this.#options.view.confirmNaming(model, version, proposedAt);
-      }
       return {
         outcome: ForwardOutcome.DONE,
         standing: control.state.routing,
@@ -218,7 +211,3 @@
     }
   }
 }
-
-function knownVersion(control: ControlHost | undefined, model: string): number {
-  return control?.state.namedWeights.get(model)?.version ?? 0;
-}
--- a/packages/daemon/src/control/follow_routes.ts
+++ b/packages/daemon/src/control/follow_routes.ts
@@ -13,10 +13,6 @@
   return (router: ConnectRouter): void => {
     router.service(FollowService, {
       forward: ({ command }) => gate.takeForwarded(command),
-      namedAge: ({ model, version }) => ({
-        confirmed: view.named.isConfirmed(model, version),
-        ageMilliseconds: view.ageOfWeights(model, version),
-      }),
       async *follow(messages) {
         const session = new FollowSession(view);
         const outgoing = toAsyncIterable(session.outgoing$);
--- a/packages/daemon/src/control/platform_desk.ts
+++ b/packages/daemon/src/control/platform_desk.ts
@@ -1,9 +1,6 @@
 import type { ConnectRouter } from "@connectrpc/connect";
 import type { ControlState } from "@teaselrouter/core/state/control_state.ts";
-import {
-  type ControlUpdate,
-  FollowService,
-} from "@teaselrouter/messages/follow.ts";
+import type { ControlUpdate } from "@teaselrouter/messages/follow.ts";
 import type { Observable } from "rxjs";
 import { Result } from "true-myth";
 import type { EventLog } from "../log/event_log.ts";
@@ -13,7 +10,6 @@
 import type { ClientPool } from "../transport/client_pool.ts";
 import { decodeBackend } from "../transport/decode_backend.ts";
 import { FollowSet } from "../transport/follow_set.ts";
-import { NamingConfirmer } from "../rollout/naming_confirmer.ts";
 import { ManifestKeeper } from "../rollout/manifest_keeper.ts";
 import { RolloutHub } from "../rollout/rollout_hub.ts";
 import { ControlGate } from "./control_gate.ts";
@@ -22,7 +18,6 @@
 import { SharedView } from "./shared_view.ts";
 
 const REVIEW_MILLISECONDS = 100;
-const ASK_MILLISECONDS = 1_000;
 /** Control hosts all hear each other: there are at most so many. */
 const MOST_CONTROL_HOSTS = 10;
 
@@ -45,7 +40,6 @@
   #others: FollowSet;
   #manifests: ManifestKeeper;
   #rollout: RolloutHub;
-  #namings: NamingConfirmer;
   #server: Closable | undefined;
   #isCurrent = false;
   #toldAddresses = "";
@@ -69,11 +63,6 @@
       log,
       decodeRouting: platform.decodeRouting,
     });
-    this.#namings = new NamingConfirmer({
-      named: this.view.named,
-      ask: (model, version) => this.#askLeader(model, version),
-      log,
-    });
     this.#manifests = new ManifestKeeper({
       store: platform.weightStore,
       log,
@@ -138,7 +127,6 @@
     this.#others.stop();
     this.view.stop();
     this.#manifests.stop();
-    this.#namings.stop();
     this.#rollout.stop();
     this.#server?.close();
   }
@@ -162,11 +150,7 @@
     const isFirst = !this.#isCurrent;
     this.#isCurrent ||= control()?.isCaughtUp ?? false;
     if (!this.#isCurrent) return;
-    const news = this.view.noteLog({ isFirst });
-    // Whoever led ahead of this start may be gone, and what it knew with it.
-    for (const { model, version } of isFirst ? [] : news) {
-      this.#namings.confirm(model, version);
-    }
+    this.view.noteLog({ isFirst });
     const { routing } = logState();
     if (routing === undefined) return;
     const decoded = platform.decodeRouting(routing.document);
@@ -177,15 +161,6 @@
     });
   }
 
-  /** Whoever led when it was named knows since when. */
-  async #askLeader(model: string, version: number) {
-    const { clients, control } = this.#options;
-    const leader = control()?.leaderAddress ?? "";
-    if (leader === "") return { confirmed: false, ageMilliseconds: 0 };
-    return await clients.client(FollowService, leader)
-      .namedAge({ model, version }, { timeoutMs: ASK_MILLISECONDS });
-  }
-
   /** With nothing new to apply, being current shows at a look. */
   #review(): void {
     if (!this.#isCurrent) this.#takeRouting();
--- a/packages/daemon/src/control/shared_view.ts
+++ b/packages/daemon/src/control/shared_view.ts
@@ -1,7 +1,6 @@
 import { BackendRegistry } from "@teaselrouter/core/membership/backend_registry.ts";
 import type { BackendStanding } from "@teaselrouter/core/membership/backend_standing.ts";
 import { NamedVersions } from "@teaselrouter/core/rollout/named_versions.ts";
-import type { NamedWeightsRow } from "@teaselrouter/core/rollout/named_weights_row.ts";
 import type { ControlState } from "@teaselrouter/core/state/control_state.ts";
 import type {
   Backend,
@@ -111,28 +110,16 @@
     return this.#options.logState();
   }
 
-  /**
-   * The replicated tables changed while this process ran, or are the first;
-   * gives back the versions that were not known to be named.
-   */
-  noteLog({ isFirst }: { isFirst: boolean }): NamedWeightsRow[] {
+  /** The replicated tables changed while this process ran, or are the first. */
+  noteLog({ isFirst }: { isFirst: boolean }): void {
     const now = monotonicMilliseconds();
-    const rows = [...this.logState().namedWeights.values()];
-    const news = rows.filter(({ model, version, at }) => {
+    for (
+      const { model, version, at } of this.logState().namedWeights.values()
+    ) {
       const age = isFirst ? Math.max(0, Date.now() - at) : 0;
-      return this.#named.add(model, { version, namedAt: now - age });
-    });
+      this.#named.add(model, { version, namedAt: now - age });
+    }
     this.log$.next();
-    return news;
-  }
-
-  /** This host led when it was named, and nobody had named it before. */
-  confirmNaming(model: string, version: number, namedAt: number): void {
-    this.#named.confirm(model, { version, namedAt });
-  }
-
-  get named(): NamedVersions {
-    return this.#named;
   }
 
   ageOfWeights(model: string, version: number): number {
--- a/packages/daemon/src/gateway/backend_pool.ts
+++ b/packages/daemon/src/gateway/backend_pool.ts
@@ -154,11 +154,8 @@
 
   #weightsEndAt(model: string, held: number): number {
     const { feed, weightsBoundMilliseconds } = this.#options;
-    return feed.namedVersions.usableUntil(
-      model,
-      held,
-      weightsBoundMilliseconds,
-    );
+    return feed.namedVersions.overtakenAt(model, held) +
+      weightsBoundMilliseconds - weightsMargins.giveUpMilliseconds;
   }
 
   /** The agent beside it knows sooner than the next heartbeat says. */
--- a/packages/daemon/src/gateway/control_feed.ts
+++ b/packages/daemon/src/gateway/control_feed.ts
@@ -2,25 +2,21 @@
 import { BackendRegistry } from "@teaselrouter/core/membership/backend_registry.ts";
 import { NamedVersions } from "@teaselrouter/core/rollout/named_versions.ts";
 import type { BackendStanding } from "@teaselrouter/core/membership/backend_standing.ts";
-import {
-  type ControlUpdate,
-  type EngineLoad,
-  type EngineNotice,
-  FollowService,
-  type NamedWeights,
-  type RoutingDocument,
+import type {
+  ControlUpdate,
+  EngineLoad,
+  EngineNotice,
+  NamedWeights,
+  RoutingDocument,
 } from "@teaselrouter/messages/follow.ts";
 import { Subject } from "rxjs";
 import type { EventLog } from "../log/event_log.ts";
 import type { RoutingDecoder } from "../platform/routing_decoder.ts";
-import { NamingConfirmer } from "../rollout/naming_confirmer.ts";
-import type { ClientPool } from "../transport/client_pool.ts";
 import { decodeBackend } from "../transport/decode_backend.ts";
 import type { FollowSet } from "../transport/follow_set.ts";
 import { monotonicMilliseconds } from "../transport/monotonic_milliseconds.ts";
 
 const FORGET_MILLISECONDS = 60_000;
-const ASK_MILLISECONDS = 1_000;
 
 type BackendLookup = {
   live: readonly BackendStanding[];
@@ -30,7 +26,6 @@
 
 type Options = {
   follows: FollowSet;
-  clients: ClientPool;
   decodeRouting: RoutingDecoder;
   log: EventLog;
 };
@@ -58,8 +53,8 @@
 
   constructor(options: Options) {
     this.#options = options;
-    options.follows.updates$.subscribe(({ address, update }) => {
-      this.#take(update, address);
+    options.follows.updates$.subscribe(({ update }) => {
+      this.#take(update);
       if (update.body.case !== "loads") this.news$.next();
     });
   }
@@ -107,7 +102,7 @@
     return this.#lookup;
   }
 
-  #take({ body }: ControlUpdate, from: string): void {
+  #take({ body }: ControlUpdate): void {
     switch (body.case) {
       case "routing":
         return this.#takeRouting(body.value);
@@ -115,7 +110,7 @@
         if (body.value.whole) this.#hasBackends = true;
         return this.#takeBackends(body.value.backends.map(decodeBackend));
       case "weights":
-        return this.#takeNamed(body.value, from);
+        return this.#takeNamed(body.value);
       case "engines":
         for (const notice of body.value.notices) this.#takeEngine(notice);
         return;
@@ -158,10 +153,7 @@
     this.backends$.next(changed);
   }
 
-  #takeNamed(
-    { model, version, ageMilliseconds }: NamedWeights,
-    from: string,
-  ): void {
+  #takeNamed({ model, version, ageMilliseconds }: NamedWeights): void {
     const namedAt = monotonicMilliseconds() - ageMilliseconds;
     if (!this.namedVersions.add(model, { version, namedAt })) return;
     this.#options.log.info("weights-named", {
@@ -169,14 +161,6 @@
       version,
       age_milliseconds: Math.round(ageMilliseconds),
     });
-    const { clients, log } = this.#options;
-    new NamingConfirmer({
-      named: this.namedVersions,
-      ask: (model, version) =>
-        clients.client(FollowService, from)
-          .namedAge({ model, version }, { timeoutMs: ASK_MILLISECONDS }),
-      log,
-    }).confirm(model, version);
   }
 
   #takeEngine(notice: EngineNotice): void {
--- a/packages/daemon/src/gateway/gateway_app.ts
+++ b/packages/daemon/src/gateway/gateway_app.ts
@@ -66,7 +66,6 @@
     });
     const feed = new ControlFeed({
       follows: this.#follows,
-      clients,
       decodeRouting: platform.decodeRouting,
       log,
     });
--- a/packages/daemon/src/log/event_name.ts
+++ b/packages/daemon/src/log/event_name.ts
@@ -53,6 +53,4 @@
   | "weights-complete"
   | "weights-live"
   | "weights-named"
-  | "weights-naming-confirmed"
-  | "weights-naming-unconfirmed"
   | "weights-target";
--- a/packages/daemon/src/stager/staged_loader.ts
+++ b/packages/daemon/src/stager/staged_loader.ts
@@ -178,10 +178,10 @@
    */
   #unusedAt({ model, since }: Target, serving: number): number {
     const { named, weightsBoundMilliseconds } = this.#options;
-    const { confirmedGiveUpMilliseconds, beginMilliseconds } = weightsMargins;
+    const { giveUpMilliseconds, beginMilliseconds } = weightsMargins;
     const overtakenAt = Math.min(since, named.overtakenAt(model, serving));
-    return overtakenAt + weightsBoundMilliseconds -
-      confirmedGiveUpMilliseconds - beginMilliseconds;
+    return overtakenAt + weightsBoundMilliseconds - giveUpMilliseconds -
+      beginMilliseconds;
   }
 
   /**
--- a/packages/daemon/src/stager/stager_app.ts
+++ b/packages/daemon/src/stager/stager_app.ts
@@ -228,8 +228,7 @@
   #noteNamed(model: string, named: NamedAge[]): void {
     const now = monotonicMilliseconds();
     for (const { version, ageMilliseconds } of named) {
-      // Heard late, it only leaves the engine serving for longer.
-      this.#named.confirm(model, { version, namedAt: now - ageMilliseconds });
+      this.#named.add(model, { version, namedAt: now - ageMilliseconds });
     }
   }
 
