--- a/tools/run_tests.mjs
+++ b/tools/run_tests.mjs
@@ -17,6 +17,12 @@
     .map((entry) => join(entry.parentPath, entry.name));
 }
 
+/** A compiled test outlives its source; the compiler takes none away. */
+function hasSource(file) {
+  const source = file.replace(/\/dist\//, "/src/").replace(/\.js$/, ".ts");
+  return existsSync(source);
+}
+
 /** A line begins with the test's name; the rest, behind " | ", says why. */
 function readKnownRed() {
   if (!existsSync(KNOWN_RED_FILE)) return [];
@@ -31,8 +37,10 @@
 const folders = [...members, "platform", "acceptance"]
   .map((member) => join(member, "dist"))
   .filter((folder) => existsSync(folder));
-const files = [...folders, "tools"]
-  .flatMap(findTestFiles)
+const files = [
+  ...folders.flatMap(findTestFiles).filter(hasSource),
+  ...findTestFiles("tools"),
+]
   .filter((file) =>
     only.length === 0 || only.some((part) => file.includes(part))
   )
