--- a/packages/experiments/src/heavy/fleet_tally.ts
+++ b/packages/experiments/src/heavy/fleet_tally.ts
@@ -1,6 +1,8 @@
+import { build } from "hdr-histogram-js";
 import type { ModelledCall } from "./modelled_call.ts";
 
 const WINDOW_MILLISECONDS = 2_000;
+const LONGEST_MILLISECONDS = 60_000;
 
 /** Figures of one run; shares are parts of the worth that was asked for. */
 export type FleetFigures = {
@@ -12,6 +14,9 @@
   left: number;
   /** Refused for good on a second try. */
   refusedAgain: number;
+  /** Until the first event of what was answered, milliseconds. */
+  firstEventP50: number;
+  firstEventP99: number;
   worstWindow: number;
   worstKind: number;
   /** Part of the sends that went to another data centre. */
@@ -27,6 +32,7 @@
   #sends = 0;
   #crossings = 0;
   #all: Sum = { earned: 0, owed: 0 };
+  #firstEvents = build({ highestTrackableValue: LONGEST_MILLISECONDS });
   #windows = new Map<number, Sum>();
   #kinds = new Map<string, Sum>();
 
@@ -35,8 +41,12 @@
     if (isCrossing) this.#crossings += 1;
   }
 
-  noteEnd({ kind, end, tries, startedAt }: ModelledCall): void {
+  noteEnd(call: ModelledCall): void {
+    const { kind, end, tries, startedAt, firstEventAt } = call;
     this.#ends[end!] += 1;
+    if (firstEventAt !== undefined) {
+      this.#firstEvents.recordValue(Math.round(firstEventAt - startedAt));
+    }
     if (end === "refused" && tries > 1) this.#refusedAgain += 1;
     const window = Math.floor(startedAt / WINDOW_MILLISECONDS);
     const earned = end === "in-time"
@@ -68,6 +78,8 @@
       refused: part(refused),
       left: part(left),
       refusedAgain: part(this.#refusedAgain),
+      firstEventP50: this.#firstEvents.getValueAtPercentile(50),
+      firstEventP99: this.#firstEvents.getValueAtPercentile(99),
       worstWindow: Math.min(...[...this.#windows.values()].map(shareOf)),
       worstKind: Math.min(...[...this.#kinds.values()].map(shareOf)),
       crossings: this.#crossings / Math.max(1, this.#sends),
--- a/packages/experiments/src/heavy/modelled_engine.ts
+++ b/packages/experiments/src/heavy/modelled_engine.ts
@@ -97,6 +97,7 @@
     events.after(Math.max(engine.step_ms, writing + reading), () => {
       this.#isPassing = false;
       this.#write(writers);
+      this.#begin(writers);
       this.#pass();
     });
   }
@@ -119,15 +120,30 @@
     return this.#options.engine.pass_tokens - left;
   }
 
+  /** A prompt that was read to its end gives its first token at once. */
+  #begin(writers: EngineWork[]): void {
+    const begun = this.#active.filter((work) =>
+      work.unread === 0 && !writers.includes(work)
+    );
+    for (const work of begun) {
+      work.unwritten -= 1;
+      work.onEvent();
+      if (work.unwritten <= 0) this.#end(work);
+    }
+  }
+
   #write(writers: EngineWork[]): void {
     const { steps_per_pass } = this.#options.engine;
     for (const work of writers) {
       if (!this.#active.includes(work)) continue;
       work.unwritten -= steps_per_pass;
       work.onEvent();
-      if (work.unwritten > 0) continue;
-      this.drop(work);
-      work.onEnd(true);
+      if (work.unwritten <= 0) this.#end(work);
     }
   }
+
+  #end(work: EngineWork): void {
+    this.drop(work);
+    work.onEnd(true);
+  }
 }
