--- a/packages/core/src/rollout/rollout_rules_test.ts
+++ b/packages/core/src/rollout/rollout_rules_test.ts
@@ -3,6 +3,7 @@
 import { LoadTurns } from "./load_turns.ts";
 import { NamedVersions } from "./named_versions.ts";
 import { weightsMargins } from "./weights_margins.ts";
+import { weightsUnusedAt } from "./weights_unused_at.ts";
 
 test("each named version is bound by its own time", () => {
   // Story: version 3 is named two seconds after version 2. The time of the
@@ -49,3 +50,10 @@
     weightsMargins.giveUpMilliseconds;
   assert.ok(givenUpAt <= boundMilliseconds, `${givenUpAt}`);
 });
+
+test("an engine waits for no turn once gateways leave its weights alone", () => {
+  // Guards against engines that stand idle, and against leaving too early.
+  const { giveUpMilliseconds, beginMilliseconds } = weightsMargins;
+  const lastSent = 8_000 - giveUpMilliseconds - beginMilliseconds;
+  assert.equal(weightsUnusedAt(18_000, 8_000), 18_000 + lastSent);
+});
--- a/packages/daemon/src/stager/chunk_change_gatherer_test.ts
+++ b/packages/daemon/src/stager/chunk_change_gatherer_test.ts
@@ -13,8 +13,8 @@
 }
 
 test("a version of 96 chunks that arrive together is told in one message", async () => {
-  // Load: 40 hosts x 96 chunks x 6 control hosts, a message each, took a
-  // control host seconds of its processor while engines waited for its plan.
+  // Load: dozens of hosts tell each control host of each of 96 chunks while
+  // engines wait for its plan.
   const changes = Array.from(
     { length: 96 },
     (_, chunk) => ({ version: "m@2", added: [chunk], failed: [] }),
--- a/packages/daemon/src/stager/staged_loader.ts
+++ b/packages/daemon/src/stager/staged_loader.ts
@@ -1,6 +1,6 @@
 import type { WeightsManifest } from "@teaselrouter/core/spread/weights_manifest.ts";
 import type { NamedVersions } from "@teaselrouter/core/rollout/named_versions.ts";
-import { weightsMargins } from "@teaselrouter/core/rollout/weights_margins.ts";
+import { weightsUnusedAt } from "@teaselrouter/core/rollout/weights_unused_at.ts";
 import { Subject } from "rxjs";
 import type { WeightsCache } from "../spread/weights_cache.ts";
 import type { EventLog } from "../log/event_log.ts";
@@ -9,6 +9,8 @@
 import { monotonicMilliseconds } from "../transport/monotonic_milliseconds.ts";
 import { pause } from "../transport/pause.ts";
 import { ChunkArrival } from "./chunk_arrival.ts";
+import type { LoadTarget } from "./load_target.ts";
+import { servingNumber } from "./serving_number.ts";
 import { StagedChunks } from "./staged_chunks.ts";
 
 /** Asking the engine on its own host is free and answered in a millisecond. */
@@ -22,13 +24,6 @@
 /** Behind it the weights beside the engine are checked once more. */
 const CHECKED_MILLISECONDS = 2_000;
 
-type Target = {
-  model: string;
-  number: number;
-  version: string;
-  since: number;
-};
-
 type Options = {
   engine: ModelEngine;
   cache: WeightsCache;
@@ -58,7 +53,7 @@
   #options: Options;
   #staged: StagedChunks;
   #arrival: ChunkArrival;
-  #target: Target | undefined;
+  #target: LoadTarget | undefined;
   #turnFor = "";
   #askedAt = -Infinity;
   #servingVersion = "";
@@ -153,7 +148,7 @@
     this.changed$.next();
   }
 
-  #settle(target: Target): void {
+  #settle(target: LoadTarget): void {
     if (this.#isAccepting && this.#turnFor === "") return;
     this.#turnFor = "";
     this.#setAccepting(true);
@@ -170,18 +165,10 @@
     this.changed$.next();
   }
 
-  /**
-   * From then on gateways send nothing to what the engine serves: there is
-   * nothing left that a turn would spare, and waiting for one only idles the
-   * engine. The version that ends its use may have been named long ahead of
-   * the target, while the weight store was down or a later one was named.
-   */
-  #unusedAt({ model, since }: Target, serving: number): number {
+  #unusedAt({ model, since }: LoadTarget, serving: number): number {
     const { named, weightsBoundMilliseconds } = this.#options;
-    const { giveUpMilliseconds, beginMilliseconds } = weightsMargins;
     const overtakenAt = Math.min(since, named.overtakenAt(model, serving));
-    return overtakenAt + weightsBoundMilliseconds - giveUpMilliseconds -
-      beginMilliseconds;
+    return weightsUnusedAt(overtakenAt, weightsBoundMilliseconds);
   }
 
   /**
@@ -189,7 +176,7 @@
    * rest of the weights is about to. A turn for a version that was overtaken
    * or whose last chunks don't come is no reason to stay away.
    */
-  #mayLeave(target: Target, serving: number): boolean {
+  #mayLeave(target: LoadTarget, serving: number): boolean {
     if (monotonicMilliseconds() > this.#unusedAt(target, serving)) return true;
     if (!this.#arrival.isNearlyHeld(target.version, target.since)) return false;
     if (this.#turnFor === target.version) return true;
@@ -204,14 +191,14 @@
     this.turnWanted$.next({ version, wasServing: true });
   }
 
-  #startRunningEmpty(target: Target): void {
+  #startRunningEmpty(target: LoadTarget): void {
     if (!this.#isAccepting && this.#emptyingFor === target.version) return;
     this.#emptyingFor = target.version;
     this.#emptyingSince = monotonicMilliseconds();
     this.#setAccepting(false);
   }
 
-  async #load(target: Target, serving: number): Promise<void> {
+  async #load(target: LoadTarget, serving: number): Promise<void> {
     const { engine, log } = this.#options;
     const isSound = await this.#prepare(target, serving);
     const report = await engine.report();
@@ -237,7 +224,7 @@
    * are read back while it runs empty, and again where that was long ago, as
    * when this process stood still in between.
    */
-  async #prepare(target: Target, serving: number): Promise<boolean> {
+  async #prepare(target: LoadTarget, serving: number): Promise<boolean> {
     const checkedAt = monotonicMilliseconds();
     const [isSound] = await Promise.all([
       this.#staged.verify(target.version),
@@ -247,7 +234,7 @@
     return isSound && (isFresh || await this.#staged.verify(target.version));
   }
 
-  async #runEmpty(target: Target, serving: number): Promise<void> {
+  async #runEmpty(target: LoadTarget, serving: number): Promise<void> {
     const until = Math.min(
       this.#emptyingSince + DRAIN_MILLISECONDS,
       this.#unusedAt(target, serving),
@@ -261,10 +248,3 @@
     }
   }
 }
-
-function servingNumber(
-  { models }: EngineReport,
-  model: string | undefined,
-): number {
-  return models.find(({ name }) => name === model)?.version ?? 0;
-}
--- /dev/null
+++ b/packages/experiments/src/heavy/call_end.ts
@@ -0,0 +1,2 @@
+/** How a call ended for its caller. */
+export type CallEnd = "in-time" | "late" | "refused" | "left";
--- a/packages/experiments/src/heavy/call_run.ts
+++ b/packages/experiments/src/heavy/call_run.ts
@@ -2,8 +2,10 @@
 import type { Decider } from "./decider.ts";
 import type { FleetSettings } from "./fleet_settings.ts";
 import type { FleetTally } from "./fleet_tally.ts";
-import type { CallEnd, ModelledCall } from "./modelled_call.ts";
-import type { EngineWork, ModelledEngine } from "./modelled_engine.ts";
+import type { CallEnd } from "./call_end.ts";
+import type { ModelledCall } from "./modelled_call.ts";
+import type { EngineWork } from "./engine_work.ts";
+import type { ModelledEngine } from "./modelled_engine.ts";
 
 /** Callers ask once more, on another host of their data centre. */
 const MOST_TRIES = 2;
--- a/packages/experiments/src/heavy/decider.ts
+++ b/packages/experiments/src/heavy/decider.ts
@@ -1,10 +1,6 @@
+import type { Decision } from "./decision.ts";
 import type { ModelledCall } from "./modelled_call.ts";
 
-/** Where a call goes, or when its caller is to come back. */
-export type Decision =
-  | { kind: "send"; engine: number; rank: number }
-  | { kind: "refuse"; retryAfterMilliseconds: number };
-
 /** One host's way of deciding; it is told what becomes of what it sent. */
 export interface Decider {
   decide(call: ModelledCall, now: number): Decision;
--- a/packages/experiments/src/heavy/fleet_run.ts
+++ b/packages/experiments/src/heavy/fleet_run.ts
@@ -7,7 +7,8 @@
 import type { FleetPattern } from "./fleet_pattern.ts";
 import { fleetPolicies } from "./fleet_policies.ts";
 import type { FleetSettings } from "./fleet_settings.ts";
-import { type FleetFigures, FleetTally } from "./fleet_tally.ts";
+import type { FleetFigures } from "./fleet_figures.ts";
+import { FleetTally } from "./fleet_tally.ts";
 import type { ModelledCall } from "./modelled_call.ts";
 import { ModelledEngine } from "./modelled_engine.ts";
 
--- a/packages/experiments/src/heavy/heavy_experiment.ts
+++ b/packages/experiments/src/heavy/heavy_experiment.ts
@@ -5,7 +5,7 @@
 import { fleetPatterns } from "./fleet_patterns.ts";
 import { fleetPolicies } from "./fleet_policies.ts";
 import { FleetRun } from "./fleet_run.ts";
-import type { FleetFigures } from "./fleet_tally.ts";
+import type { FleetFigures } from "./fleet_figures.ts";
 import { loadFleetSettings } from "./load_fleet_settings.ts";
 
 const HEADINGS = [
--- a/packages/experiments/src/heavy/knowing_decider.ts
+++ b/packages/experiments/src/heavy/knowing_decider.ts
@@ -1,5 +1,6 @@
 import { retryAfter } from "@teaselrouter/core/gateway/retry_after.ts";
-import type { Decider, Decision } from "./decider.ts";
+import type { Decider } from "./decider.ts";
+import type { Decision } from "./decision.ts";
 import type { FleetSettings } from "./fleet_settings.ts";
 import type { ModelledCall } from "./modelled_call.ts";
 import type { ModelledEngine } from "./modelled_engine.ts";
--- a/packages/experiments/src/heavy/modelled_call.ts
+++ b/packages/experiments/src/heavy/modelled_call.ts
@@ -1,8 +1,6 @@
+import type { CallEnd } from "./call_end.ts";
 import type { FleetSettings } from "./fleet_settings.ts";
 
-/** How a call ended for its caller. */
-export type CallEnd = "in-time" | "late" | "refused" | "left";
-
 /** One call of a modelled caller, over all of its tries. */
 export type ModelledCall = {
   kind: FleetSettings["kinds"][number];
--- a/packages/experiments/src/heavy/modelled_engine.ts
+++ b/packages/experiments/src/heavy/modelled_engine.ts
@@ -1,18 +1,6 @@
 import type { EventQueue } from "../overload/event_queue.ts";
+import type { EngineWork } from "./engine_work.ts";
 import type { FleetSettings } from "./fleet_settings.ts";
-import type { ModelledCall } from "./modelled_call.ts";
-
-/** A call as an engine has it. */
-export type EngineWork = {
-  call: ModelledCall;
-  /** Smaller goes first. */
-  rank: number;
-  unread: number;
-  unwritten: number;
-  onEvent: () => void;
-  /** `isWhole` unless the engine went away. */
-  onEnd: (isWhole: boolean) => void;
-};
 
 type Options = { events: EventQueue; engine: FleetSettings["engine"] };
 
--- a/packages/experiments/src/heavy/naive_decider.ts
+++ b/packages/experiments/src/heavy/naive_decider.ts
@@ -1,4 +1,5 @@
-import type { Decider, Decision } from "./decider.ts";
+import type { Decider } from "./decider.ts";
+import type { Decision } from "./decision.ts";
 
 /** Each engine in turn, first come first served, nothing refused here. */
 export class NaiveDecider implements Decider {
--- a/packages/experiments/src/heavy/product_decider.ts
+++ b/packages/experiments/src/heavy/product_decider.ts
@@ -10,7 +10,8 @@
 import { SlotPressure } from "@teaselrouter/core/gateway/slot_pressure.ts";
 import { UsualPatience } from "@teaselrouter/core/gateway/usual_patience.ts";
 import type { BackendStanding } from "@teaselrouter/core/membership/backend_standing.ts";
-import type { Decider, Decision } from "./decider.ts";
+import type { Decider } from "./decider.ts";
+import type { Decision } from "./decision.ts";
 import type { FleetSettings } from "./fleet_settings.ts";
 import type { ModelledCall } from "./modelled_call.ts";
 
--- a/tools/plain_headers.mjs
+++ b/tools/plain_headers.mjs
@@ -1,3 +1,3 @@
-// Node's own Headers loads its whole fetch client at the first use, a tenth of
-// what a start costs; the bundle calls others without it.
+// Node's own Headers loads its whole fetch client at the first use, which no
+// process here needs; the bundle calls these instead.
 export { Headers } from "headers-polyfill";
