--- a/packages/experiments/src/heavy/fleet_pattern.ts
+++ b/packages/experiments/src/heavy/fleet_pattern.ts
@@ -3,6 +3,6 @@
   seconds: number;
   /** Calls a second as a multiple of what the engines carry. */
   load: (second: number) => number;
-  /** Engines that go away, the first ones of the fleet by share. */
+  /** From one second to another; the engines between two parts of the fleet. */
   away: { from: number; to: number; first: number; last: number }[];
 };
