--- a/packages/daemon/src/gateway/attempt_outcome.ts
+++ b/packages/daemon/src/gateway/attempt_outcome.ts
@@ -8,4 +8,4 @@
   /** No byte of it reached the backend server, or it says that it didn't run. */
   | { kind: "not-run"; reason: string; isUnreachable: boolean }
   /** It was sent and there is no answer: it may have run. */
-  | { kind: "broken"; reason: string };
+  | { kind: "broken"; reason: string; isGivenUp: boolean };
--- a/packages/daemon/src/gateway/backend_agent.ts
+++ b/packages/daemon/src/gateway/backend_agent.ts
@@ -28,6 +28,13 @@
     return Object.keys(this.sockets).length === 0;
   }
 
+  get hasOpen(): boolean {
+    return [this.sockets, this.freeSockets]
+      .flatMap((byName) => Object.values(byName))
+      .flatMap((sockets) => sockets ?? [])
+      .some((socket) => !socket.destroyed && !socket.connecting);
+  }
+
   closeIdle(): void {
     for (const sockets of Object.values(this.freeSockets)) {
       for (const socket of [...(sockets ?? [])]) socket.destroy();
--- a/packages/daemon/src/gateway/backend_attempt.ts
+++ b/packages/daemon/src/gateway/backend_attempt.ts
@@ -37,6 +37,7 @@
   #request: ClientRequest;
   #isSent = false;
   #hasFailed = false;
+  #isGivenUp = false;
   #settle!: (outcome: AttemptOutcome) => void;
   #connectTimer: NodeJS.Timeout | undefined;
 
@@ -79,8 +80,14 @@
     return this.#hasFailed;
   }
 
+  /** Whether this host ended it, not the backend server. */
+  get isGivenUp(): boolean {
+    return this.#isGivenUp;
+  }
+
   /** Ends it; the connection goes, so that the backend server stops work. */
   abort(reason: string): void {
+    this.#isGivenUp = true;
     this.#fail(reason);
     this.#request.destroy();
   }
@@ -141,7 +148,7 @@
     clearTimeout(this.#connectTimer);
     this.#settle(
       this.#isSent
-        ? { kind: "broken", reason }
+        ? { kind: "broken", reason, isGivenUp: this.#isGivenUp }
         : { kind: "not-run", reason, isUnreachable: true },
     );
   }
--- a/packages/daemon/src/gateway/backend_connections.ts
+++ b/packages/daemon/src/gateway/backend_connections.ts
@@ -16,6 +16,11 @@
     return agent;
   }
 
+  /** Whether any connection there is open now, used or idle. */
+  hasOpen(address: string): boolean {
+    return this.#agents.get(address)?.hasOpen ?? false;
+  }
+
   /**
    * Closes idle connections to addresses that are not in use any more. What
    * is under way there goes on: a backend server that leaves ends its work.
--- a/packages/daemon/src/gateway/call_sender.ts
+++ b/packages/daemon/src/gateway/call_sender.ts
@@ -41,6 +41,11 @@
     return this.#attempt?.hasFailed ?? false;
   }
 
+  /** Whether this host ended the latest sending, not the backend server. */
+  get isGivenUp(): boolean {
+    return this.#attempt?.isGivenUp ?? false;
+  }
+
   abort(reason: string): void {
     this.#attempt?.abort(reason);
   }
--- a/packages/daemon/src/gateway/gateway_app.ts
+++ b/packages/daemon/src/gateway/gateway_app.ts
@@ -14,6 +14,7 @@
 import { BackendConnections } from "./backend_connections.ts";
 import { BackendPool } from "./backend_pool.ts";
 import { ControlFeed } from "./control_feed.ts";
+import { CrashWatch } from "./crash_watch.ts";
 import { GatewayServer } from "./gateway_server.ts";
 import type { GatewayWorld } from "./gateway_world.ts";
 import { SilenceWatch } from "./silence_watch.ts";
@@ -75,6 +76,12 @@
       isStopping,
     });
     feed.news$.subscribe(() => startHold.noteNews());
+    const connections = new BackendConnections();
+    const crashes = new CrashWatch({
+      hasOpenConnection: (address) => connections.hasOpen(address),
+      backends$: feed.backends$,
+      log,
+    });
     this.#world = {
       feed,
       startHold,
@@ -84,13 +91,14 @@
         dataCentre: settings.data_centre,
         weightsBoundMilliseconds: settings.gateway!.weights_bound_milliseconds,
       }),
-      connections: new BackendConnections(),
+      connections,
       retries: new SharedRetryBudget({
         ratio: settings.gateway!.retry_ratio,
         mostSaved: SAVED_RETRIES,
       }),
       patience: new UsualPatience(),
       silence: new SilenceWatch(),
+      crashes,
       format: platform.requestFormat,
       log,
       counted,
--- a/packages/daemon/src/gateway/gateway_call.ts
+++ b/packages/daemon/src/gateway/gateway_call.ts
@@ -134,6 +134,9 @@
       return end === "over" ? end : "the answer broke off";
     }
     work.sender.noteFailure(choice, outcome);
+    if (outcome.kind === "broken" && !outcome.isGivenUp) {
+      this.#noteBreak(work, choice, undefined);
+    }
     return outcome.reason;
   }
 
@@ -184,6 +187,7 @@
       record.noteHold(monotonicMilliseconds() - now);
     }
     if (end === "broken") {
+      if (!sender.isGivenUp) this.#noteBreak(work, { standing, record }, now);
       this.#world.log.info("answer-broken", {
         id: work.call.id,
         instance: standing.instance,
@@ -198,6 +202,14 @@
     return "over";
   }
 
+  #noteBreak(
+    { call }: Work,
+    { standing }: BackendChoice,
+    begunAt: number | undefined,
+  ): void {
+    this.#world.crashes.note({ call, standing, begunAt });
+  }
+
   #giveUp(work: Work): void {
     if (this.#ending.isOver) return;
     const isSent = this.#mayHaveRun || work.sender.isSent;
--- a/packages/daemon/src/log/event_name.ts
+++ b/packages/daemon/src/log/event_name.ts
@@ -5,6 +5,7 @@
   | "backend-server-announced"
   | "backend-server-aside"
   | "backend-server-changed"
+  | "backend-server-ended"
   | "backend-server-gone"
   | "backend-server-silent"
   | "call-fault"
