--- /dev/null
+++ b/acceptance/src/crashing_requests_test.ts
@@ -0,0 +1,69 @@
+import { waitUntil } from "@teaselrouter/experiments/harness/wait_until.ts";
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { WholePath } from "./whole_path.ts";
+
+const CRASHING = "crash";
+const ENGINES = 4;
+const GATEWAYS = 2;
+const ROUNDS = 14;
+const ROUND_MILLISECONDS = 300;
+/** Three ends to learn from, and three more that news may be too late for. */
+const MOST_CRASHES = 6;
+const CHECK_MILLISECONDS = 10_000;
+
+function pause(milliseconds: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, milliseconds));
+}
+
+/** Its status, or 0 where the answer broke off. */
+async function ask(
+  path: WholePath,
+  options: { id: string; gateway: string; body: string },
+): Promise<{ status: number; retryAfter: string | null }> {
+  try {
+    const { status, headers } = await path.ask("/write/x", {
+      ...options,
+      method: "POST",
+      headers: { Model: "model-1", "Token-Usage": "100,8" },
+    });
+    return { status, retryAfter: headers.get("retry-after") };
+  } catch {
+    return { status: 0, retryAfter: null };
+  }
+}
+
+// Guards against a request that ends each backend server which runs it, comes
+// again at all gateways, and takes one backend server after the other.
+test("a request that ends backend servers is refused by every gateway", async () => {
+  const path = new WholePath({ engines: ENGINES, gateways: GATEWAYS });
+  try {
+    await path.start();
+    for (const engine of path.engines) engine.crashesOn = CRASHING;
+    const answers = [];
+    for (let round = 0; round < ROUNDS; round += 1) {
+      const gateway = path.gatewayIps[round % GATEWAYS]!;
+      const id = `crash-${round}`;
+      answers.push(await ask(path, { id, gateway, body: CRASHING }));
+      await pause(ROUND_MILLISECONDS);
+    }
+    const crashes = path.engines
+      .reduce((sum, engine) => sum + engine.crashes, 0);
+    assert.ok(crashes <= MOST_CRASHES, `${crashes} ends`);
+    for (const { status, retryAfter } of answers.slice(-GATEWAYS)) {
+      assert.equal(status, 503);
+      assert.ok(Number(retryAfter) > 60, `Retry-After ${retryAfter}`);
+    }
+    for (const gateway of path.gatewayIps) {
+      const served = await waitUntil(
+        async () =>
+          (await ask(path, { id: "other", gateway, body: "prompt" })).status ===
+            200,
+        CHECK_MILLISECONDS,
+      );
+      assert.ok(served, "the caller's other requests are served");
+    }
+  } finally {
+    await path.stop();
+  }
+});
--- a/acceptance/src/stand_in_platform.ts
+++ b/acceptance/src/stand_in_platform.ts
@@ -9,6 +9,9 @@
 const ROOT = join(dirname(fileURLToPath(import.meta.url)), "..", "..");
 const PROGRAM = join(ROOT, "target", "teaselrouterd.cjs");
 
+/** Second number of the first host's address; those below are in use. */
+const FIRST_HOST_NETWORK = 128;
+
 type Role = "control" | "gateway" | "stager";
 type Host = { name: string; ip: string; child: Child };
 
@@ -46,10 +49,13 @@
     );
   }
 
-  /** A loopback address of its own for each host. */
+  /**
+   * A loopback address of its own for each host, also beside other tests:
+   * some ports are the same on all.
+   */
   ipOf(index: number): string {
-    const [first, second, third, last] = this.#ip.split(".").map(Number);
-    return `${first}.${second}.${third! ^ 1}.${(last! + index) % 254 + 1}`;
+    const [first, , third, last] = this.#ip.split(".").map(Number);
+    return `${first}.${FIRST_HOST_NETWORK + index}.${third}.${last}`;
   }
 
   get operations(): string[] {
--- a/acceptance/src/stand_in_server.ts
+++ b/acceptance/src/stand_in_server.ts
@@ -10,6 +10,10 @@
 
 const EVENTS = 8;
 const EVENT_MILLISECONDS = 10;
+/** From the beginning of an answer to the end of the process under it. */
+const CRASH_MILLISECONDS = 20;
+const DOWN_MILLISECONDS = 400;
+const FIRST_BORN = 1_000;
 
 type Options = { instance: string; store: StandInStore; model: string };
 
@@ -21,8 +25,13 @@
   breaksAfter: number[] = [];
   /** Takes requests and answers nothing more, as a host that froze does. */
   isFrozen = false;
+  /** Body of requests under which it ends; undefined for none. */
+  crashesOn: string | undefined;
+  /** Times that it has ended. */
+  crashes = 0;
+  isDown = false;
+  #isClosed = false;
   version = 0;
-  readonly instance: string;
   address = "";
   #options: Options;
   #staged = new Map<number, Buffer>();
@@ -34,7 +43,16 @@
 
   constructor(options: Options) {
     this.#options = options;
-    this.instance = options.instance;
+  }
+
+  /** Each start is a new one, under a name of its own. */
+  get instance(): string {
+    const { instance } = this.#options;
+    return this.crashes === 0 ? instance : `${instance}-${this.crashes}`;
+  }
+
+  get #born(): number {
+    return FIRST_BORN + this.crashes;
   }
 
   async listen(host: string): Promise<void> {
@@ -46,6 +64,7 @@
   }
 
   close(): void {
+    this.#isClosed = true;
     this.#server.close();
     this.#server.closeAllConnections();
   }
@@ -63,7 +82,7 @@
       coldRemainingMs: 0,
       models: this.#models(),
       sequence: this.#beats,
-      born: 1_000,
+      born: this.#born,
     };
   }
 
@@ -110,19 +129,24 @@
   ): Promise<void> {
     const { headers } = request;
     const id = String(headers["attempt-id"]);
-    if (headers["expected-instance"] !== this.#options.instance) {
+    if (headers["expected-instance"] !== this.instance) {
       return void response.writeHead(421, {
-        "Instance-Id": this.#options.instance,
+        "Instance-Id": this.instance,
       }).end();
     }
     if (this.isFrozen) return;
     this.ran.push(id);
     response.writeHead(200, {
       "Attempt-Id": id,
-      "Server-Signature": this.#options.instance,
+      "Server-Signature": this.instance,
       "Weight-Versions": String(this.version),
       "Server-Load": "1,0,4",
     });
+    if (body.toString() === this.crashesOn) {
+      response.flushHeaders();
+      await pause(CRASH_MILLISECONDS);
+      return this.#crash();
+    }
     if (headers["model"] === undefined) {
       const seen = [request.method, request.url, headers["tenant"], body];
       return void response.end(seen.join(" "));
@@ -130,6 +154,26 @@
     await this.#stream(response, Number(headers["last-event-id"] ?? 0));
   }
 
+  /** All connections go at once, and nothing listens until it is back. */
+  async #crash(): Promise<void> {
+    if (this.isDown) return;
+    const [host, port] = this.address.split(":");
+    this.isDown = true;
+    this.crashes += 1;
+    this.version = 0;
+    this.#sequence = 0;
+    this.#beats = 0;
+    const closed = new Promise((resolve) => this.#server.close(resolve));
+    this.#server.closeAllConnections();
+    await closed;
+    await pause(DOWN_MILLISECONDS);
+    if (this.#isClosed) return;
+    await new Promise<void>((resolve) =>
+      this.#server.listen(Number(port), host, () => resolve())
+    );
+    this.isDown = false;
+  }
+
   async #stream(response: ServerResponse, after: number): Promise<void> {
     const breakAfter = this.breaksAfter.shift() ?? Infinity;
     for (let event = after + 1; event <= EVENTS; event += 1) {
@@ -153,7 +197,7 @@
       sequence: this.#sequence,
       queued: 0,
       active: 0,
-      born: 1_000,
+      born: this.#born,
     };
   }
 
--- a/acceptance/src/whole_path.ts
+++ b/acceptance/src/whole_path.ts
@@ -8,6 +8,11 @@
 const START_MILLISECONDS = 20_000;
 const HEARTBEAT_MILLISECONDS = 200;
 const ENGINES = 2;
+/** Numbers of hosts: control, gateways, and those beside engines. */
+const FIRST_GATEWAY = 1;
+const FIRST_ENGINE = 20;
+
+type Options = { engines?: number; gateways?: number };
 
 /** The whole path on loopback: every program, and what surrounds them. */
 export class WholePath {
@@ -15,20 +20,27 @@
   readonly store = new StandInStore();
   readonly engines: StandInServer[] = [];
   readonly plain: StandInServer;
-  gatewayIp = "";
+  /** Addresses of the gateways; most tests know the first alone. */
+  readonly gatewayIps: string[] = [];
+  #gateways: number;
   #storeAddress = "";
   #timer: NodeJS.Timeout | undefined;
   #leaving = new Set<StandInServer>();
 
-  constructor() {
+  constructor({ engines = ENGINES, gateways = 1 }: Options = {}) {
     const { store } = this;
-    for (let index = 0; index < ENGINES; index += 1) {
+    this.#gateways = gateways;
+    for (let index = 0; index < engines; index += 1) {
       const instance = `engine-${index}`;
       this.engines.push(new StandInServer({ instance, store, model: MODEL }));
     }
     this.plain = new StandInServer({ instance: "plain-0", store, model: "" });
   }
 
+  get gatewayIp(): string {
+    return this.gatewayIps[0]!;
+  }
+
   /** Starts all of it; serves once this resolves. */
   async start(): Promise<void> {
     const { platform } = this;
@@ -39,12 +51,17 @@
     for (const [index, engine] of this.engines.entries()) {
       await engine.listen("127.0.0.1");
       const extra = { app: engine.address, service: "writer" };
-      platform.start("stager", 2 + index, extra);
+      platform.start("stager", FIRST_ENGINE + index, extra);
+    }
+    for (let index = 0; index < this.#gateways; index += 1) {
+      const host = platform.start("gateway", FIRST_GATEWAY + index);
+      this.gatewayIps.push(host.ip);
     }
-    this.gatewayIp = platform.start("gateway", 1).ip;
     this.#timer = setInterval(() => this.#beat(), HEARTBEAT_MILLISECONDS);
     await this.#until(() => this.configure(1), "configured");
-    await this.#until(() => this.isReady(), "ready");
+    for (const ip of this.gatewayIps) {
+      await this.#until(() => this.isReady(ip), "ready");
+    }
     await this.#until(
       () => this.engines.every(({ version }) => version === 1),
       "weights loaded",
@@ -102,9 +119,9 @@
     }
   }
 
-  async isReady(): Promise<boolean> {
+  async isReady(ip = this.gatewayIp): Promise<boolean> {
     try {
-      const answer = await fetch(this.platform.readyOf(this.gatewayIp));
+      const answer = await fetch(this.platform.readyOf(ip));
       return answer.status === 200;
     } catch {
       return false;
@@ -121,11 +138,14 @@
       host?: string;
       headers?: Record<string, string>;
       body?: string;
+      /** Address of the gateway to ask. */
+      gateway?: string;
     },
   ): Promise<{ status: number; text: string; headers: Headers }> {
     const { id, method = "GET", key = "key-1", body } = options;
     const { request } = await import("node:http");
-    const url = new URL(this.platform.frontOf(this.gatewayIp) + path);
+    const { gateway = this.gatewayIp } = options;
+    const url = new URL(this.platform.frontOf(gateway) + path);
     return await new Promise((resolve, reject) => {
       const sent = request(url, {
         method,
@@ -171,6 +191,7 @@
       [this.plain, "plain"] as const,
     ];
     for (const [server, service] of all) {
+      if (server.isDown) continue;
       const state = this.#leaving.has(server) ? "draining" : "ready";
       const { instance } = server;
       this.operate(
