--- /dev/null
+++ b/packages/daemon/src/control/crash_judge.ts
@@ -0,0 +1,135 @@
+import { create } from "@bufbuild/protobuf";
+import type { Blame } from "@teaselrouter/core/crashes/blame.ts";
+import { CrashLedger } from "@teaselrouter/core/crashes/crash_ledger.ts";
+import type { CrashReport } from "@teaselrouter/core/crashes/crash_report.ts";
+import {
+  type CrashNews,
+  CrashNewsSchema,
+} from "@teaselrouter/messages/follow.ts";
+import { Subject } from "rxjs";
+import type { EventLog } from "../log/event_log.ts";
+import { decodeBlame } from "../transport/decode_blame.ts";
+import { decodeCrashReport } from "../transport/decode_crash_report.ts";
+import { encodeBlame } from "../transport/encode_blame.ts";
+import { encodeCrashReport } from "../transport/encode_crash_report.ts";
+import { monotonicMilliseconds } from "../transport/monotonic_milliseconds.ts";
+
+/** Two ways between hosts, and the moments in which news are gathered. */
+const SETTLE_MILLISECONDS = 300;
+const GATHER_MILLISECONDS = 100;
+/** Told to other control hosts in one message. */
+const MOST_REPORTS_TOLD = 64;
+/** Told to a host that has just come; the latest. */
+const MOST_BLAMED_TOLD = 128;
+const EXPIRE_MILLISECONDS = 10_000;
+
+type Options = { log: EventLog };
+
+/** A control host's part in finding requests that end what runs them. */
+export class CrashJudge {
+  /** Verdicts, for all that follow this host. */
+  readonly verdicts$ = new Subject<CrashNews>();
+  /** What gateways reported to this very host, for other control hosts. */
+  readonly heardHere$ = new Subject<CrashNews>();
+  #options: Options;
+  #ledger = new CrashLedger({ settleMilliseconds: SETTLE_MILLISECONDS });
+  #reports: CrashReport[] = [];
+  #gatherTimer: NodeJS.Timeout | undefined;
+  #decideTimer: NodeJS.Timeout | undefined;
+  #expireTimer: NodeJS.Timeout;
+
+  constructor(options: Options) {
+    this.#options = options;
+    this.#expireTimer = setInterval(
+      () => this.#ledger.expire(monotonicMilliseconds()),
+      EXPIRE_MILLISECONDS,
+    );
+  }
+
+  stop(): void {
+    clearTimeout(this.#gatherTimer);
+    clearTimeout(this.#decideTimer);
+    clearInterval(this.#expireTimer);
+  }
+
+  /** What a gateway says. */
+  hear(news: CrashNews): void {
+    const fresh = this.#takeReports(news);
+    this.#gather(fresh);
+    this.#takeVerdicts(news);
+  }
+
+  /** What another control host says. */
+  learn(news: CrashNews): void {
+    this.#takeReports(news);
+    this.#takeVerdicts(news);
+  }
+
+  /** The verdicts that stand, for who has just come; undefined for none. */
+  standing(): CrashNews | undefined {
+    const blames = this.#ledger.blames().slice(-MOST_BLAMED_TOLD);
+    return blames.length === 0 ? undefined : this.#newsOf(blames);
+  }
+
+  #takeReports(news: CrashNews): CrashReport[] {
+    const now = monotonicMilliseconds();
+    const fresh = news.reports.map(decodeCrashReport)
+      .filter((report) => this.#ledger.report(report, now));
+    if (fresh.length > 0) this.#decideSoon();
+    return fresh;
+  }
+
+  #takeVerdicts({ blamed, cleared }: CrashNews): void {
+    const now = monotonicMilliseconds();
+    const learnt = blamed
+      .map((request) => decodeBlame(request, now))
+      .filter((blame) => this.#ledger.learn(blame));
+    if (learnt.length > 0) this.#tell(learnt, "told");
+    const lifted = cleared
+      .filter((fingerprint) => this.#ledger.clear(fingerprint));
+    if (lifted.length === 0) return;
+    this.verdicts$.next(create(CrashNewsSchema, { cleared: lifted }));
+  }
+
+  #decideSoon(): void {
+    this.#decideTimer ??= setTimeout(() => {
+      this.#decideTimer = undefined;
+      const blames = this.#ledger.decide(monotonicMilliseconds());
+      if (blames.length > 0) this.#tell(blames, "decided");
+      if (this.#ledger.isUndecided) this.#decideSoon();
+    }, SETTLE_MILLISECONDS);
+  }
+
+  #tell(blames: Blame[], how: "decided" | "told"): void {
+    for (const { fingerprint, crashes, incarnations, endsAt } of blames) {
+      this.#options.log.warn("request-blamed", {
+        fingerprint,
+        crashes,
+        incarnations: incarnations.join(","),
+        left_milliseconds: Math.round(endsAt - monotonicMilliseconds()),
+        how,
+      });
+    }
+    this.verdicts$.next(this.#newsOf(blames));
+  }
+
+  #gather(fresh: CrashReport[]): void {
+    if (fresh.length === 0) return;
+    this.#reports.push(...fresh);
+    this.#gatherTimer ??= setTimeout(() => {
+      this.#gatherTimer = undefined;
+      const reports = this.#reports.slice(0, MOST_REPORTS_TOLD);
+      this.#reports = [];
+      this.heardHere$.next(
+        create(CrashNewsSchema, { reports: reports.map(encodeCrashReport) }),
+      );
+    }, GATHER_MILLISECONDS);
+  }
+
+  #newsOf(blames: Blame[]): CrashNews {
+    const now = monotonicMilliseconds();
+    return create(CrashNewsSchema, {
+      blamed: blames.map((blame) => encodeBlame(blame, now)),
+    });
+  }
+}
--- a/packages/daemon/src/control/follow_session.ts
+++ b/packages/daemon/src/control/follow_session.ts
@@ -2,13 +2,14 @@
 import type {
   Backend,
   ControlUpdate,
+  CrashNews,
   EngineNotice,
 } from "@teaselrouter/messages/follow.ts";
 import {
   ControlUpdateSchema,
   type FollowerToControl,
 } from "@teaselrouter/messages/follow.ts";
-import { filter, Subject, Subscription } from "rxjs";
+import { filter, merge, Subject, Subscription } from "rxjs";
 import { monotonicMilliseconds } from "../transport/monotonic_milliseconds.ts";
 import type { SharedView } from "./shared_view.ts";
 
@@ -37,6 +38,9 @@
     if (message.body.case === "hello") {
       this.#begin(message.body.value.isControl);
     }
+    if (message.body.case === "crashes") {
+      this.#view.crashes.hear(message.body.value);
+    }
     if (message.body.case === "heartbeat") {
       this.#wantsLoads = message.body.value.wantsLoads;
     }
@@ -69,11 +73,24 @@
         this.#send({ case: "loads", value: { loads } })
       ),
     );
+    this.#followCrashes(isControl);
     this.#subscriptions.add(view.log$.subscribe(() => this.#tellLog()));
     this.#subscriptions.add(view.hosts$.subscribe(() => this.#tellHosts()));
     this.#subscriptions.add(view.look$.subscribe(() => this.#beat()));
   }
 
+  #followCrashes(isControl: boolean): void {
+    const { crashes } = this.#view;
+    const standing = crashes.standing();
+    if (standing !== undefined) this.#tellCrashes(standing);
+    const news$ = isControl
+      ? merge(crashes.verdicts$, crashes.heardHere$)
+      : crashes.verdicts$;
+    this.#subscriptions.add(
+      news$.subscribe((news) => this.#tellCrashes(news)),
+    );
+  }
+
   /** Whatever else is said shows as well that this host is there. */
   #beat(): void {
     const now = monotonicMilliseconds();
@@ -114,6 +131,10 @@
     this.#send({ case: "engines", value: { notices } });
   }
 
+  #tellCrashes(news: CrashNews): void {
+    this.#send({ case: "crashes", value: news });
+  }
+
   #tellBackends(whole: boolean, backends: Backend[]): void {
     this.#send({ case: "backends", value: { whole, backends } });
   }
--- a/packages/daemon/src/control/platform_desk.ts
+++ b/packages/daemon/src/control/platform_desk.ts
@@ -136,6 +136,7 @@
     if (body.case === "backends") {
       this.view.learn(body.value.backends.map(decodeBackend));
     }
+    if (body.case === "crashes") this.view.crashes.learn(body.value);
     if (body.case === "loads") this.view.learnLoads(body.value.loads);
   }
 
--- a/packages/daemon/src/control/shared_view.ts
+++ b/packages/daemon/src/control/shared_view.ts
@@ -11,6 +11,7 @@
 import type { EventLog } from "../log/event_log.ts";
 import { monotonicMilliseconds } from "../transport/monotonic_milliseconds.ts";
 import { encodeBackend } from "../transport/encode_backend.ts";
+import { CrashJudge } from "./crash_judge.ts";
 import { LatestGatherer } from "./latest_gatherer.ts";
 
 /** Five heartbeats of the slowest kind: they may come seconds late. */
@@ -48,6 +49,8 @@
   readonly hosts$ = new Subject<void>();
   /** When followers' sessions look what they have to say; one timer for all. */
   readonly look$ = interval(LOOK_MILLISECONDS).pipe(share());
+  /** Which requests end the backend servers that run them. */
+  readonly crashes: CrashJudge;
   #options: Options;
   #registry = new BackendRegistry({
     silentMilliseconds: SILENT_MILLISECONDS,
@@ -67,12 +70,14 @@
 
   constructor(options: Options) {
     this.#options = options;
+    this.crashes = new CrashJudge(options);
     this.#timer = setInterval(() => this.#expire(), EXPIRE_EVERY_MILLISECONDS);
     this.#heardSoon.gathered$.subscribe(this.heardHere$);
   }
 
   stop(): void {
     clearInterval(this.#timer);
+    this.crashes.stop();
     for (
       const gatherer of [
         this.#noticesSoon,
--- a/packages/daemon/src/gateway/call_routing.ts
+++ b/packages/daemon/src/gateway/call_routing.ts
@@ -78,7 +78,9 @@
 
   /** Takes one of the extra sends that all requests share, if there is one. */
   trySendAgain(): boolean {
-    return this.#hasSendsLeft && this.#options.world.retries.trySpend();
+    const { world, call } = this.#options;
+    return this.#hasSendsLeft && world.crashes.maySendAgain(call) &&
+      world.retries.trySpend();
   }
 
   /** Whether a failure of the backend server can be made good by another. */
--- a/packages/daemon/src/gateway/control_feed.ts
+++ b/packages/daemon/src/gateway/control_feed.ts
@@ -4,6 +4,7 @@
 import type { BackendStanding } from "@teaselrouter/core/membership/backend_standing.ts";
 import type {
   ControlUpdate,
+  CrashNews,
   EngineLoad,
   EngineNotice,
   NamedWeights,
@@ -35,6 +36,8 @@
   readonly backends$ = new Subject<BackendStanding[]>();
   /** What agents beside engines saw of their load. */
   readonly loads$ = new Subject<EngineLoad[]>();
+  /** Which requests end what runs them. */
+  readonly crashes$ = new Subject<CrashNews>();
   /** Anything at all was heard. */
   readonly news$ = new Subject<void>();
   #options: Options;
@@ -114,6 +117,8 @@
       case "engines":
         for (const notice of body.value.notices) this.#takeEngine(notice);
         return;
+      case "crashes":
+        return this.crashes$.next(body.value);
       case "loads":
         return this.loads$.next(body.value.loads);
     }
--- a/packages/daemon/src/gateway/gateway_app.ts
+++ b/packages/daemon/src/gateway/gateway_app.ts
@@ -14,6 +14,7 @@
 import { BackendConnections } from "./backend_connections.ts";
 import { BackendPool } from "./backend_pool.ts";
 import { ControlFeed } from "./control_feed.ts";
+import { CrashReporter } from "./crash_reporter.ts";
 import { CrashWatch } from "./crash_watch.ts";
 import { GatewayServer } from "./gateway_server.ts";
 import type { GatewayWorld } from "./gateway_world.ts";
@@ -64,6 +65,7 @@
       most: FOLLOWED_CONTROL_HOSTS,
       clients,
       log,
+      standingNews: () => this.#world.crashes.standing(),
     });
     const feed = new ControlFeed({
       follows: this.#follows,
@@ -77,7 +79,7 @@
     });
     feed.news$.subscribe(() => startHold.noteNews());
     const connections = new BackendConnections();
-    const crashes = new CrashWatch({
+    const crashWatch = new CrashWatch({
       hasOpenConnection: (address) => connections.hasOpen(address),
       backends$: feed.backends$,
       log,
@@ -98,7 +100,13 @@
       }),
       patience: new UsualPatience(),
       silence: new SilenceWatch(),
-      crashes,
+      crashWatch,
+      crashes: new CrashReporter({
+        ended$: crashWatch.ended$,
+        news$: feed.crashes$,
+        tell: (news) => this.#follows.tell(news),
+        log,
+      }),
       format: platform.requestFormat,
       log,
       counted,
@@ -153,6 +161,7 @@
     this.#readyServer.close();
     this.#readyServer.closeAllConnections();
     clearInterval(this.#timer);
+    this.#world.crashes.stop();
     this.#follows.stop();
     this.#world.connections.close();
   }
@@ -164,6 +173,7 @@
   #keepHouse(): void {
     const { feed, connections, log } = this.#world;
     feed.forget();
+    this.#world.crashes.forget();
     connections.keep(feed.liveAddresses());
     this.#server.adoptLimits();
     if (this.#isReady() === this.#wasReady) return;
--- a/packages/daemon/src/gateway/gateway_call.ts
+++ b/packages/daemon/src/gateway/gateway_call.ts
@@ -1,3 +1,4 @@
+import type { Blame } from "@teaselrouter/core/crashes/blame.ts";
 import type { BackendChoice } from "@teaselrouter/core/gateway/backend_choice.ts";
 import { retryAfter } from "@teaselrouter/core/gateway/retry_after.ts";
 import type { IncomingMessage, ServerResponse } from "node:http";
@@ -65,7 +66,12 @@
     response.once("close", () => this.#noteLeft(work));
     const left = call.endsAt - monotonicMilliseconds();
     this.#ending.startTimer(left, () => this.#giveUp(work));
+    const endWatch = world.crashes.watch({
+      call,
+      end: (blame) => this.#endBlamed(work, blame),
+    });
     await this.#place(work);
+    endWatch();
   }
 
   /** Nothing can be said of a request before a configuration is known. */
@@ -81,6 +87,8 @@
     const { sender, passer, routing } = work;
     let lastReason = "";
     while (!this.#ending.isOver) {
+      const blame = this.#world.crashes.refusal(work.call);
+      if (blame !== undefined) return this.#refuseBlamed(work, blame);
       const choice = routing.choose();
       if (choice === undefined) {
         if (await this.#holdUnplaced(work)) continue;
@@ -197,6 +205,7 @@
       return "again";
     }
     this.#response.end();
+    if (isGood) this.#world.crashes.noteGoodEnd(work.call);
     const reason = standing.instance;
     this.#ending.finish(work, { status, reason, outcome: "answered" });
     return "over";
@@ -207,7 +216,35 @@
     { standing }: BackendChoice,
     begunAt: number | undefined,
   ): void {
-    this.#world.crashes.note({ call, standing, begunAt });
+    this.#world.crashWatch.note({ call, standing, begunAt });
+  }
+
+  /** What has begun to answer goes on: it is too late to keep it off. */
+  #endBlamed(work: Work, blame: Blame): void {
+    if (this.#ending.isOver || work.passer.hasBegun) return;
+    if (work.sender.isSent) this.#mayHaveRun = true;
+    this.#refuseBlamed(work, blame);
+    work.sender.abort("it ends what runs it");
+  }
+
+  #refuseBlamed(work: Work, blame: Blame): void {
+    const { fingerprint, crashes, incarnations, endsAt } = blame;
+    const left = endsAt - monotonicMilliseconds();
+    const reason = `${crashes} backend servers ended under it`;
+    this.#world.log.info("blamed-request-refused", {
+      id: work.call.id,
+      fingerprint,
+      crashes,
+      incarnations: incarnations.join(","),
+      left_milliseconds: Math.round(left),
+      outcome: this.#mayHaveRun ? "unknown" : "not-run",
+    });
+    this.#ending.refuse(
+      work,
+      this.#mayHaveRun
+        ? { status: 502, reason }
+        : { status: 503, reason, retryAfterMilliseconds: left },
+    );
   }
 
   #giveUp(work: Work): void {
--- a/packages/daemon/src/gateway/gateway_world.ts
+++ b/packages/daemon/src/gateway/gateway_world.ts
@@ -6,6 +6,7 @@
 import type { BackendConnections } from "./backend_connections.ts";
 import type { BackendPool } from "./backend_pool.ts";
 import type { ControlFeed } from "./control_feed.ts";
+import type { CrashReporter } from "./crash_reporter.ts";
 import type { CrashWatch } from "./crash_watch.ts";
 import type { SilenceWatch } from "./silence_watch.ts";
 import type { StartHold } from "./start_hold.ts";
@@ -19,7 +20,8 @@
   retries: SharedRetryBudget;
   patience: UsualPatience;
   silence: SilenceWatch;
-  crashes: CrashWatch;
+  crashWatch: CrashWatch;
+  crashes: CrashReporter;
   format: RequestFormat;
   log: EventLog;
   counted: ProcessMetrics;
--- /dev/null
+++ b/packages/daemon/src/transport/decode_crash_report.ts
@@ -0,0 +1,12 @@
+import type { CrashReport } from "@teaselrouter/core/crashes/crash_report.ts";
+import type { CrashReport as CrashReportMessage } from "@teaselrouter/messages/follow.ts";
+
+/** Reads a report that another process wrote. */
+export function decodeCrashReport(message: CrashReportMessage): CrashReport {
+  const { fingerprint, incarnation, begunMilliseconds } = message;
+  return {
+    fingerprint,
+    incarnation,
+    begunMilliseconds: begunMilliseconds < 0 ? undefined : begunMilliseconds,
+  };
+}
--- a/packages/daemon/src/transport/follow_link.ts
+++ b/packages/daemon/src/transport/follow_link.ts
@@ -1,10 +1,20 @@
 import { create } from "@bufbuild/protobuf";
-import type { ControlUpdate } from "@teaselrouter/messages/follow.ts";
+import type {
+  ControlUpdate,
+  CrashNews,
+} from "@teaselrouter/messages/follow.ts";
 import {
   FollowerToControlSchema,
   FollowService,
 } from "@teaselrouter/messages/follow.ts";
-import { interval, map, type Observable, startWith, Subject } from "rxjs";
+import {
+  interval,
+  map,
+  merge,
+  type Observable,
+  startWith,
+  Subject,
+} from "rxjs";
 import type { EventLog } from "../log/event_log.ts";
 import type { ClientPool } from "./client_pool.ts";
 import { monotonicMilliseconds } from "./monotonic_milliseconds.ts";
@@ -29,6 +39,8 @@
   log: EventLog;
   /** Whether this control host is to tell the engines' loads. */
   wantsLoads: () => boolean;
+  /** What this host has to tell one that may know nothing; undefined: naught. */
+  standingNews: () => CrashNews | undefined;
 };
 
 /**
@@ -38,6 +50,8 @@
 export class FollowLink {
   readonly updates$ = new Subject<ControlUpdate>();
   readonly address: string;
+  /** Of this host, for the control host. */
+  #news$ = new Subject<CrashNews>();
   #options: Options;
   #connected = false;
   #dataCentre = "";
@@ -74,6 +88,11 @@
     this.#stream.stop.abort();
   }
 
+  /** Tells the control host, if it is there now. */
+  tell(news: CrashNews): void {
+    this.#news$.next(news);
+  }
+
   /** Ends a stream on which nothing comes any more; called at short intervals. */
   dropSilent(): void {
     const { openedAt, stop } = this.#stream;
@@ -113,7 +132,7 @@
     const hello = create(FollowerToControlSchema, {
       body: { case: "hello", value: this.#options.hello },
     });
-    return interval(HEARTBEAT_MILLISECONDS).pipe(
+    const heartbeats$ = interval(HEARTBEAT_MILLISECONDS).pipe(
       map(() =>
         create(FollowerToControlSchema, {
           body: {
@@ -122,8 +141,11 @@
           },
         })
       ),
-      startWith(hello),
     );
+    const standing = this.#options.standingNews();
+    const first = standing === undefined ? [] : [encodeNews(standing)];
+    return merge(heartbeats$, this.#news$.pipe(map(encodeNews)))
+      .pipe(startWith(hello, ...first));
   }
 
   #take(update: ControlUpdate): void {
@@ -144,3 +166,9 @@
 type MessageToControl = ReturnType<
   typeof create<typeof FollowerToControlSchema>
 >;
+
+function encodeNews(value: CrashNews): MessageToControl {
+  return create(FollowerToControlSchema, {
+    body: { case: "crashes", value },
+  });
+}
--- a/packages/daemon/src/transport/follow_set.ts
+++ b/packages/daemon/src/transport/follow_set.ts
@@ -1,6 +1,9 @@
 import { mayOpenNext } from "@teaselrouter/core/membership/may_open_next.ts";
 import { rendezvousOwner } from "@teaselrouter/core/spread/rendezvous_owner.ts";
-import type { ControlUpdate } from "@teaselrouter/messages/follow.ts";
+import type {
+  ControlUpdate,
+  CrashNews,
+} from "@teaselrouter/messages/follow.ts";
 import { Subject } from "rxjs";
 import type { EventLog } from "../log/event_log.ts";
 import type { ClientPool } from "./client_pool.ts";
@@ -25,6 +28,8 @@
   most: number;
   clients: ClientPool;
   log: EventLog;
+  /** What this host tells a control host that it turns to. */
+  standingNews?: () => CrashNews | undefined;
 };
 
 /**
@@ -69,6 +74,11 @@
     if (seeds.length > 0) this.#seeds = seeds;
   }
 
+  /** Tells all control hosts that are followed. */
+  tell(news: CrashNews): void {
+    for (const { link } of this.#links.values()) link.tell(news);
+  }
+
   /** The control hosts that one of them knows. */
   learn(addresses: string[]): void {
     if (addresses.length === 0) return;
@@ -148,12 +158,13 @@
   }
 
   #open(address: string): void {
-    const { hello, clients, log } = this.#options;
+    const { hello, clients, log, standingNews } = this.#options;
     const link = new FollowLink({
       address,
       hello,
       clients,
       log,
+      standingNews: standingNews ?? (() => undefined),
       wantsLoads: () => !hello.isControl && this.#loadsAddress === address,
     });
     this.#links.set(address, { link, openedAt: monotonicMilliseconds() });
