--- a/acceptance/src/crashing_requests_test.ts
+++ b/acceptance/src/crashing_requests_test.ts
@@ -33,27 +33,53 @@
   }
 }
 
-// Guards against a request that ends each backend server which runs it, comes
-// again at all gateways, and takes one backend server after the other.
-test("a request that ends backend servers is refused by every gateway", async () => {
+type Answer = Awaited<ReturnType<typeof ask>>;
+
+async function withCrashingEngines(
+  story: (path: WholePath) => Promise<void>,
+): Promise<void> {
   const path = new WholePath({ engines: ENGINES, gateways: GATEWAYS });
   try {
     await path.start();
     for (const engine of path.engines) engine.crashesOn = CRASHING;
-    const answers = [];
-    for (let round = 0; round < ROUNDS; round += 1) {
-      const gateway = path.gatewayIps[round % GATEWAYS]!;
-      const id = `crash-${round}`;
-      answers.push(await ask(path, { id, gateway, body: CRASHING }));
-      await pause(ROUND_MILLISECONDS);
-    }
-    const crashes = path.engines
-      .reduce((sum, engine) => sum + engine.crashes, 0);
+    await story(path);
+  } finally {
+    await path.stop();
+  }
+}
+
+/** Sends the request at fault to the gateways in turn. */
+async function askInTurn(path: WholePath, rounds: number): Promise<Answer[]> {
+  const answers = [];
+  for (let round = 0; round < rounds; round += 1) {
+    const gateway = path.gatewayIps[round % GATEWAYS]!;
+    const id = `crash-${round}`;
+    answers.push(await ask(path, { id, gateway, body: CRASHING }));
+    await pause(ROUND_MILLISECONDS);
+  }
+  return answers;
+}
+
+function countCrashes(path: WholePath): number {
+  return path.engines.reduce((sum, engine) => sum + engine.crashes, 0);
+}
+
+function assertRefused(answers: Answer[]): void {
+  for (const { status, retryAfter } of answers) {
+    assert.equal(status, 503);
+    assert.ok(Number(retryAfter) > 60, `Retry-After ${retryAfter}`);
+  }
+}
+
+// Guards against a request that ends each backend server which runs it, comes
+// again at all gateways, and takes one backend server after the other.
+test("a request that ends backend servers is refused by every gateway", async () => {
+  await withCrashingEngines(async (path) => {
+    const answers = await askInTurn(path, ROUNDS);
+    const crashes = countCrashes(path);
+    console.log(`${crashes} ends under ${ROUNDS} arrivals`);
     assert.ok(crashes <= MOST_CRASHES, `${crashes} ends`);
-    for (const { status, retryAfter } of answers.slice(-GATEWAYS)) {
-      assert.equal(status, 503);
-      assert.ok(Number(retryAfter) > 60, `Retry-After ${retryAfter}`);
-    }
+    assertRefused(answers.slice(-GATEWAYS));
     for (const gateway of path.gatewayIps) {
       const served = await waitUntil(
         async () =>
@@ -63,7 +89,17 @@
       );
       assert.ok(served, "the caller's other requests are served");
     }
-  } finally {
-    await path.stop();
-  }
+  });
+});
+
+// Guards against a loss of all power after which everything is learnt anew,
+// at the cost of three more backend servers.
+test("a request that ends backend servers is known after a loss of power", async () => {
+  await withCrashingEngines(async (path) => {
+    await askInTurn(path, ROUNDS);
+    const before = countCrashes(path);
+    await path.restartAll();
+    assertRefused(await askInTurn(path, GATEWAYS));
+    assert.equal(countCrashes(path), before);
+  });
 });
--- a/acceptance/src/stand_in_platform.ts
+++ b/acceptance/src/stand_in_platform.ts
@@ -112,6 +112,18 @@
     return host;
   }
 
+  /** Ends hosts without a word and starts them anew with the same settings. */
+  async restart(names: string[]): Promise<void> {
+    const ended = names.map((name) => this.find(name));
+    for (const { child } of ended) child.signal("SIGKILL");
+    await Promise.all(ended.map(({ child }) => child.exited));
+    this.#hosts = this.#hosts.filter((host) => !ended.includes(host));
+    for (const name of names) {
+      const [role, index] = name.split("-");
+      this.start(role as Role, Number(index), { bootstrap: false });
+    }
+  }
+
   find(name: string): Host {
     const host = this.#hosts.find((known) => known.name === name);
     if (host === undefined) throw new Error(`no host ${name} was started`);
--- a/acceptance/src/whole_path.ts
+++ b/acceptance/src/whole_path.ts
@@ -72,6 +72,21 @@
     );
   }
 
+  /** Ends control and gateways at one moment, and starts them again. */
+  async restartAll(): Promise<void> {
+    const { platform } = this;
+    await platform.restart(["control-0", ...this.#gatewayNames]);
+    for (const ip of this.gatewayIps) {
+      await this.#until(() => this.isReady(ip), "ready");
+    }
+  }
+
+  get #gatewayNames(): string[] {
+    return this.gatewayIps.map((_, index) =>
+      `gateway-${FIRST_GATEWAY + index}`
+    );
+  }
+
   async stop(): Promise<void> {
     clearInterval(this.#timer);
     await this.platform.stop();
--- a/packages/core/src/state/apply_command.ts
+++ b/packages/core/src/state/apply_command.ts
@@ -1,6 +1,7 @@
 import { applyClaim } from "../claims/apply_claim.ts";
 import { applyClaimCancellation } from "../claims/apply_claim_cancellation.ts";
 import { applyClaimSettlement } from "../claims/apply_claim_settlement.ts";
+import { applyBlame } from "../crashes/apply_blame.ts";
 import { applyContractChange } from "../contracts/apply_contract_change.ts";
 import { applyPermitRequest } from "../rollout/apply_permit_request.ts";
 import { applyRoutingReplacement } from "../gateway/apply_routing_replacement.ts";
@@ -52,6 +53,11 @@
       return applyRoutingReplacement(state, command, index);
     case "name-weights":
       return applyNamedWeights(state, command, index);
+    case "blame-request":
+      return applyBlame(state, command);
+    case "lift-blame":
+      state.blamedRequests.delete(command.fingerprint);
+      return ACCEPTED;
     case "settle-permit": {
       const permit = state.permits.get(command.backendServer);
       if (permit?.fencingToken !== command.fencingToken) {
--- a/packages/core/src/state/command_schema.ts
+++ b/packages/core/src/state/command_schema.ts
@@ -89,6 +89,15 @@
     version: number,
     at: z.number().default(0),
   }),
+  z.strictObject({
+    kind: z.literal("blame-request"),
+    fingerprint: text,
+    crashes: number,
+    incarnations: z.array(text).max(16),
+    termMilliseconds: z.number().min(0),
+    at: z.number().default(0),
+  }),
+  z.strictObject({ kind: z.literal("lift-blame"), fingerprint: text }),
   z.strictObject({
     kind: z.literal("settle-permit"),
     backendServer: text,
--- a/packages/core/src/state/decode_control_state.ts
+++ b/packages/core/src/state/decode_control_state.ts
@@ -1,5 +1,6 @@
 import type { ClaimRow } from "../claims/claim_row.ts";
 import { claimId } from "../claims/claim_id.ts";
+import type { BlamedRequestRow } from "../crashes/blamed_request_row.ts";
 import type { ContractRow } from "../contracts/contract_row.ts";
 import type { EntryHostRow } from "../membership/entry_host_row.ts";
 import type { RoutingRow } from "../gateway/routing_row.ts";
@@ -20,6 +21,8 @@
   /** Missing in snapshots of versions that had no routing. */
   routing?: RoutingRow;
   namedWeights?: NamedWeightsRow[];
+  /** Missing in snapshots of versions that blamed none. */
+  blamedRequests?: BlamedRequestRow[];
   claims: ClaimRow[];
 };
 
@@ -44,6 +47,10 @@
     permits: tableOf(encoded.permits, (row) => row.backendServer),
     routing: encoded.routing,
     namedWeights: tableOf(encoded.namedWeights ?? [], (row) => row.model),
+    blamedRequests: tableOf(
+      encoded.blamedRequests ?? [],
+      (row) => row.fingerprint,
+    ),
     claims: tableOf(encoded.claims, claimId),
   };
 }
--- a/packages/daemon/src/control/control_gate.ts
+++ b/packages/daemon/src/control/control_gate.ts
@@ -1,4 +1,5 @@
 import { create } from "@bufbuild/protobuf";
+import type { BlamedRequestRow } from "@teaselrouter/core/crashes/blamed_request_row.ts";
 import { findConfigurationFault } from "@teaselrouter/core/gateway/find_configuration_fault.ts";
 import type { BackendStanding } from "@teaselrouter/core/membership/backend_standing.ts";
 import type { Command } from "@teaselrouter/core/state/command.ts";
@@ -90,6 +91,17 @@
     return done ? "accepted" as const : "unavailable" as const;
   }
 
+  /** Keeps a blame over a loss of all power; tried for a moment only. */
+  async keepBlame(row: BlamedRequestRow): Promise<boolean> {
+    const command = { kind: "blame-request" as const, ...row };
+    return await this.#carryOut(command) !== undefined;
+  }
+
+  async liftBlame(fingerprint: string): Promise<boolean> {
+    const command = { kind: "lift-blame" as const, fingerprint };
+    return await this.#carryOut(command) !== undefined;
+  }
+
   hearStanding(standing: BackendStanding): void {
     this.#options.view.hear(standing);
   }
--- a/packages/daemon/src/control/crash_judge.ts
+++ b/packages/daemon/src/control/crash_judge.ts
@@ -14,9 +14,9 @@
 import { encodeCrashReport } from "../transport/encode_crash_report.ts";
 import { monotonicMilliseconds } from "../transport/monotonic_milliseconds.ts";
 
-/** Two ways between hosts, and the moments in which news are gathered. */
-const SETTLE_MILLISECONDS = 300;
-const GATHER_MILLISECONDS = 100;
+/** Gateways hear and tell of the same end within so long of each other. */
+const SETTLE_MILLISECONDS = 120;
+const GATHER_MILLISECONDS = 50;
 /** Told to other control hosts in one message. */
 const MOST_REPORTS_TOLD = 64;
 /** Told to a host that has just come; the latest. */
@@ -31,6 +31,10 @@
   readonly verdicts$ = new Subject<CrashNews>();
   /** What gateways reported to this very host, for other control hosts. */
   readonly heardHere$ = new Subject<CrashNews>();
+  /** Blames that were decided, or told by a gateway: to be kept durably. */
+  readonly found$ = new Subject<Blame>();
+  /** Fingerprints whose blame a good end took away. */
+  readonly lifted$ = new Subject<string>();
   #options: Options;
   #ledger = new CrashLedger({ settleMilliseconds: SETTLE_MILLISECONDS });
   #reports: CrashReport[] = [];
@@ -56,7 +60,13 @@
   hear(news: CrashNews): void {
     const fresh = this.#takeReports(news);
     this.#gather(fresh);
-    this.#takeVerdicts(news);
+    for (const blame of this.#takeVerdicts(news)) this.found$.next(blame);
+  }
+
+  /** What the replicated tables keep, at the start of this host. */
+  recall(blames: Blame[]): void {
+    const learnt = blames.filter((blame) => this.#ledger.learn(blame));
+    if (learnt.length > 0) this.#tell(learnt, "kept");
   }
 
   /** What another control host says. */
@@ -79,16 +89,28 @@
     return fresh;
   }
 
-  #takeVerdicts({ blamed, cleared }: CrashNews): void {
+  /** Gives back the blames that were news. */
+  #takeVerdicts({ blamed, cleared }: CrashNews): Blame[] {
     const now = monotonicMilliseconds();
     const learnt = blamed
       .map((request) => decodeBlame(request, now))
       .filter((blame) => this.#ledger.learn(blame));
     if (learnt.length > 0) this.#tell(learnt, "told");
-    const lifted = cleared
+    this.#clear(cleared);
+    return learnt;
+  }
+
+  #clear(fingerprints: string[]): void {
+    const standing = new Set(
+      this.#ledger.blames().map(({ fingerprint }) => fingerprint),
+    );
+    const blamed = fingerprints
+      .filter((fingerprint) => standing.has(fingerprint));
+    const cleared = fingerprints
       .filter((fingerprint) => this.#ledger.clear(fingerprint));
-    if (lifted.length === 0) return;
-    this.verdicts$.next(create(CrashNewsSchema, { cleared: lifted }));
+    if (cleared.length === 0) return;
+    this.verdicts$.next(create(CrashNewsSchema, { cleared }));
+    for (const fingerprint of blamed) this.lifted$.next(fingerprint);
   }
 
   #decideSoon(): void {
@@ -96,11 +118,12 @@
       this.#decideTimer = undefined;
       const blames = this.#ledger.decide(monotonicMilliseconds());
       if (blames.length > 0) this.#tell(blames, "decided");
+      for (const blame of blames) this.found$.next(blame);
       if (this.#ledger.isUndecided) this.#decideSoon();
     }, SETTLE_MILLISECONDS);
   }
 
-  #tell(blames: Blame[], how: "decided" | "told"): void {
+  #tell(blames: Blame[], how: "decided" | "told" | "kept"): void {
     for (const { fingerprint, crashes, incarnations, endsAt } of blames) {
       this.#options.log.warn("request-blamed", {
         fingerprint,
--- a/packages/daemon/src/control/platform_desk.ts
+++ b/packages/daemon/src/control/platform_desk.ts
@@ -1,4 +1,5 @@
 import type { ConnectRouter } from "@connectrpc/connect";
+import type { Blame } from "@teaselrouter/core/crashes/blame.ts";
 import type { ControlState } from "@teaselrouter/core/state/control_state.ts";
 import type { ControlUpdate } from "@teaselrouter/messages/follow.ts";
 import type { Observable } from "rxjs";
@@ -93,6 +94,10 @@
       log,
     });
     this.#others.updates$.subscribe(({ update }) => this.#learn(update));
+    this.view.crashes.found$.subscribe((blame) => this.#keepBlame(blame));
+    this.view.crashes.lifted$.subscribe((fingerprint) =>
+      this.#gate.liftBlame(fingerprint)
+    );
     options.started$.subscribe((started) => {
       started.routing$.subscribe(() => this.#takeRouting());
     });
@@ -131,6 +136,13 @@
     this.#server?.close();
   }
 
+  /** Told to gateways already; without a leader it goes with this process. */
+  async #keepBlame({ endsAt: _endsAt, ...blame }: Blame): Promise<void> {
+    const isKept = await this.#gate.keepBlame({ ...blame, at: Date.now() });
+    const { fingerprint } = blame;
+    this.#options.log.info("blame-kept", { fingerprint, kept: isKept });
+  }
+
   /** What backend servers and agents told another control host. */
   #learn({ body }: ControlUpdate): void {
     if (body.case === "backends") {
--- a/packages/daemon/src/control/shared_view.ts
+++ b/packages/daemon/src/control/shared_view.ts
@@ -1,3 +1,4 @@
+import { blameOfRow } from "@teaselrouter/core/crashes/blame_of_row.ts";
 import { BackendRegistry } from "@teaselrouter/core/membership/backend_registry.ts";
 import type { BackendStanding } from "@teaselrouter/core/membership/backend_standing.ts";
 import { NamedVersions } from "@teaselrouter/core/rollout/named_versions.ts";
@@ -124,9 +125,20 @@
       const age = isFirst ? Math.max(0, Date.now() - at) : 0;
       this.#named.add(model, { version, namedAt: now - age });
     }
+    if (isFirst) this.#recallBlames(now);
     this.log$.next();
   }
 
+  /** Ahead of the routing that lets gateways take requests. */
+  #recallBlames(monotonic: number): void {
+    const rows = [...this.logState().blamedRequests.values()];
+    const timeOfDay = Date.now();
+    this.crashes.recall(
+      rows.map((row) => blameOfRow(row, { timeOfDay, monotonic }))
+        .filter(({ endsAt }) => endsAt > monotonic),
+    );
+  }
+
   ageOfWeights(model: string, version: number): number {
     const now = monotonicMilliseconds();
     return now - (this.#named.namedAt(model, version) ?? now);
--- a/packages/daemon/src/gateway/crash_reporter.ts
+++ b/packages/daemon/src/gateway/crash_reporter.ts
@@ -20,8 +20,8 @@
  * Control hosts hear of an end from all gateways, and judge better: their
  * verdict comes sooner than this, unless the gateway is cut off from them.
  */
-const SETTLE_MILLISECONDS = 900;
-const GATHER_MILLISECONDS = 100;
+const SETTLE_MILLISECONDS = 500;
+const GATHER_MILLISECONDS = 50;
 /** Told to each control host that is followed, in one message. */
 const MOST_REPORTS_TOLD = 16;
 const MOST_BLAMED_TOLD = 64;
--- a/packages/daemon/src/log/event_name.ts
+++ b/packages/daemon/src/log/event_name.ts
@@ -8,6 +8,7 @@
   | "backend-server-ended"
   | "backend-server-gone"
   | "backend-server-silent"
+  | "blame-kept"
   | "blamed-request-refused"
   | "call-fault"
   | "chunk-failed"
