--- a/acceptance/src/crashing_requests_test.ts
+++ b/acceptance/src/crashing_requests_test.ts
@@ -4,6 +4,8 @@
 import { WholePath } from "./whole_path.ts";
 
 const CRASHING = "crash";
+const STREAMING = "/write/x";
+const MODEL_HEADERS = { Model: "model-1", "Token-Usage": "100,8" };
 const ENGINES = 4;
 const GATEWAYS = 2;
 const ROUNDS = 14;
@@ -19,13 +21,14 @@
 /** Its status, or 0 where the answer broke off. */
 async function ask(
   path: WholePath,
-  options: { id: string; gateway: string; body: string },
+  options: { id: string; gateway: string; body: string; place?: string },
 ): Promise<{ status: number; retryAfter: string | null }> {
   try {
-    const { status, headers } = await path.ask("/write/x", {
+    const { place = STREAMING } = options;
+    const { status, headers } = await path.ask(place, {
       ...options,
       method: "POST",
-      headers: { Model: "model-1", "Token-Usage": "100,8" },
+      ...(place === STREAMING && { headers: MODEL_HEADERS }),
     });
     return { status, retryAfter: headers.get("retry-after") };
   } catch {
@@ -49,12 +52,23 @@
 }
 
 /** Sends the request at fault to the gateways in turn. */
-async function askInTurn(path: WholePath, rounds: number): Promise<Answer[]> {
+async function askInTurn(
+  path: WholePath,
+  rounds: number,
+  place?: string,
+): Promise<Answer[]> {
   const answers = [];
   for (let round = 0; round < rounds; round += 1) {
     const gateway = path.gatewayIps[round % GATEWAYS]!;
     const id = `crash-${round}`;
-    answers.push(await ask(path, { id, gateway, body: CRASHING }));
+    answers.push(
+      await ask(path, {
+        id,
+        gateway,
+        body: CRASHING,
+        ...(place !== undefined && { place }),
+      }),
+    );
     await pause(ROUND_MILLISECONDS);
   }
   return answers;
@@ -103,3 +117,15 @@
     assert.equal(countCrashes(path), before);
   });
 });
+
+// Guards against a fault that shows only where an answer's head comes first:
+// plain answers come whole or not at all.
+test("one that doesn't stream and ends backend servers is refused as well", async () => {
+  await withCrashingEngines(async (path) => {
+    path.plain.crashesOn = CRASHING;
+    const answers = await askInTurn(path, ROUNDS, "/look/x");
+    assert.ok(path.plain.crashes >= 3);
+    assert.ok(path.plain.crashes <= MOST_CRASHES, `${path.plain.crashes} ends`);
+    assertRefused(answers.slice(-GATEWAYS));
+  });
+});
--- a/packages/daemon/src/agent/call_runner.ts
+++ b/packages/daemon/src/agent/call_runner.ts
@@ -4,8 +4,10 @@
 import { CallOutcome } from "@teaselrouter/messages/agent.ts";
 import type { AgentState } from "./agent_state.ts";
 import { BackendCall } from "./backend_call.ts";
+import { BackendEnds } from "./backend_ends.ts";
 import type { EngineClient } from "./engine_client.ts";
 import { Exchange } from "./exchange.ts";
+import { monotonicMilliseconds } from "../transport/monotonic_milliseconds.ts";
 
 const KEPT_MILLISECONDS = 60_000;
 /** The longest deadline: an asked-for answer may be read again so long. */
@@ -24,6 +26,7 @@
   readonly claims: AgentClaims;
   #state: AgentState;
   #engine: EngineClient;
+  #ends: BackendEnds;
   #exchanges = new Map<string, Exchange>();
   #running = 0;
   #queue: Waiting[] = [];
@@ -35,6 +38,7 @@
   ) {
     this.#state = options.state;
     this.#engine = options.engine;
+    this.#ends = new BackendEnds(options.incarnation);
     this.claims = new AgentClaims(options.incarnation);
     this.#timer = setInterval(() => this.#sweep(), SWEEP_MILLISECONDS);
   }
@@ -138,6 +142,7 @@
   async #start(request: RunRequest, exchange: Exchange): Promise<void> {
     this.#running += 1;
     const startedAt = Date.now();
+    const begunAt = monotonicMilliseconds();
     const [state, engine] = [this.#state, this.#engine];
     const call = new BackendCall({ state, engine, request, exchange });
     const outcome = await call.run();
@@ -146,7 +151,9 @@
       this.#finishRefused(exchange, CallOutcome.NOT_RUN, outcome.reason);
     } else if (outcome.kind === "failed") {
       const ran = outcome.ran ? CallOutcome.RAN : CallOutcome.UNKNOWN;
-      this.#finishRefused(exchange, ran, outcome.reason);
+      const { address } = state.backend!;
+      const ended = await this.#ends.nameEnd(address, begunAt);
+      this.#finishRefused(exchange, ran, outcome.reason, ended);
     } else {
       this.#learn(Date.now() - startedAt);
     }
@@ -180,7 +187,11 @@
     refusal: { reason: string; retryAfterMilliseconds: number },
   ): void {
     this.#withdraw(request);
-    exchange.refuse({ outcome: CallOutcome.NOT_RUN, ...refusal });
+    exchange.refuse({
+      outcome: CallOutcome.NOT_RUN,
+      ...refusal,
+      endedIncarnation: "",
+    });
   }
 
   /** "Not run" is a promise: a late copy of the call must find it kept. */
@@ -199,8 +210,14 @@
     exchange: Exchange,
     outcome: CallOutcome,
     reason: string,
+    endedIncarnation = "",
   ): void {
-    exchange.refuse({ outcome, reason, retryAfterMilliseconds: 1_000 });
+    exchange.refuse({
+      outcome,
+      reason,
+      retryAfterMilliseconds: 1_000,
+      endedIncarnation,
+    });
   }
 
   #learn(milliseconds: number): void {
--- a/packages/daemon/src/agent/exchange.ts
+++ b/packages/daemon/src/agent/exchange.ts
@@ -11,6 +11,7 @@
   outcome: number;
   reason: string;
   retryAfterMilliseconds: number;
+  endedIncarnation: string;
 };
 
 /** One call's answer, kept with offsets so that a reader can come back. */
--- a/packages/daemon/src/entry/calls/answer_part.ts
+++ b/packages/daemon/src/entry/calls/answer_part.ts
@@ -8,6 +8,8 @@
     outcome: "not-run" | "ran" | "unknown";
     reason: string;
     retryAfterMilliseconds: number;
+    /** The start of the backend server that ended; empty if none did. */
+    endedIncarnation: string;
   }
   /** The answer can't be had whole any more. */
   | { kind: "broken"; reason: string };
--- a/packages/daemon/src/entry/calls/call_handler.ts
+++ b/packages/daemon/src/entry/calls/call_handler.ts
@@ -99,6 +99,8 @@
     response: ServerResponse,
   ): Promise<Problem | undefined> {
     const world = this.#world;
+    const refusal = world.crashes.refusal(call);
+    if (refusal !== undefined) return withoutPromise(request, refusal);
     const repeatable = world.table.ofService(call.service).at(0)?.repeatable;
     if (repeatable !== false) {
       const services = { ...world, state: () => world.control.state };
--- a/packages/daemon/src/entry/calls/exchange_reader.ts
+++ b/packages/daemon/src/entry/calls/exchange_reader.ts
@@ -126,5 +126,6 @@
     outcome: OUTCOMES[refused.outcome],
     reason: refused.reason,
     retryAfterMilliseconds: refused.retryAfterMilliseconds,
+    endedIncarnation: refused.endedIncarnation,
   };
 }
--- a/packages/daemon/src/entry/calls/repeatable_call.ts
+++ b/packages/daemon/src/entry/calls/repeatable_call.ts
@@ -9,6 +9,8 @@
 import { once } from "node:events";
 import type { ServerResponse } from "node:http";
 import type { ClientPool } from "../../transport/client_pool.ts";
+import { monotonicMilliseconds } from "../../transport/monotonic_milliseconds.ts";
+import type { CallCrashes } from "./call_crashes.ts";
 import type { CheckedCall } from "./checked_call.ts";
 import { ExchangeReader } from "./exchange_reader.ts";
 import type { Problem } from "../../http/problem.ts";
@@ -22,6 +24,7 @@
   outliers: OutlierDetector;
   retries: RetryBudget;
   clients: ClientPool;
+  crashes: CallCrashes;
 };
 
 type Attempt =
@@ -75,6 +78,9 @@
       last = attempt.problem;
       this.#tried.add(decision.to.backendServer);
       if (!attempt.mayMove || this.#given.signal.aborted) return last;
+      const { crashes } = this.#services;
+      if (!crashes.maySendAgain(this.#call)) return last;
+      if (crashes.refusal(this.#call) !== undefined) return last;
       if (!this.#services.retries.tryRetry()) return last;
     }
   }
@@ -111,12 +117,16 @@
     row: BackendServerRow,
   ): Promise<Attempt> {
     const response = this.#response;
+    const { crashes } = this.#services;
+    // An agent names an end only to calls that its backend server had.
+    let begunAt = monotonicMilliseconds();
     for await (const part of reader.read()) {
       switch (part.kind) {
         case "start":
           if (part.status >= SERVER_ERROR) {
             return this.#fail(row, "backend-server-error", "ran");
           }
+          begunAt = monotonicMilliseconds();
           response.statusCode = part.status;
           response.setHeader("Content-Type", part.contentType);
           if (part.version !== "") {
@@ -129,8 +139,12 @@
         case "end":
           response.end();
           this.#services.outliers.recordSuccess(row);
+          crashes.noteGoodEnd(this.#call);
           return { kind: "answered" };
         case "refused":
+          if (part.endedIncarnation !== "") {
+            crashes.noteEnd(this.#call, part.endedIncarnation, begunAt);
+          }
           return this.#refused(part.reason, part.retryAfterMilliseconds);
         case "broken":
           return this.#fail(row, part.reason, "unknown");
--- a/packages/daemon/src/entry/calls/unrepeatable_call.ts
+++ b/packages/daemon/src/entry/calls/unrepeatable_call.ts
@@ -11,7 +11,9 @@
 import { Buffer } from "node:buffer";
 import { createHash, randomUUID } from "node:crypto";
 import type { ClientPool } from "../../transport/client_pool.ts";
+import { monotonicMilliseconds } from "../../transport/monotonic_milliseconds.ts";
 import { callProblems } from "./call_problems.ts";
+import type { CallCrashes } from "./call_crashes.ts";
 import type { CheckedCall } from "./checked_call.ts";
 import { ExchangeReader } from "./exchange_reader.ts";
 import type { Problem } from "../../http/problem.ts";
@@ -29,6 +31,7 @@
   router: Router;
   table: BackendServerTable;
   clients: ClientPool;
+  crashes: CallCrashes;
 };
 
 /**
@@ -140,6 +143,7 @@
       signal: this.#given.signal,
       attachOnly,
     });
+    const begunAt = monotonicMilliseconds();
     const parts: Uint8Array[] = [];
     let head = { status: 0, contentType: "" };
     for await (const part of reader.read()) {
@@ -151,8 +155,13 @@
           parts.push(part.bytes);
           break;
         case "end":
+          this.#services.crashes.noteGoodEnd(this.#call);
           return this.#record(claim, { ...head, body: Buffer.concat(parts) });
         case "refused":
+          if (part.endedIncarnation !== "") {
+            const { crashes } = this.#services;
+            crashes.noteEnd(this.#call, part.endedIncarnation, begunAt);
+          }
           if (part.outcome === "not-run") {
             return this.#cancel(
               claim,
--- a/packages/daemon/src/entry/entry_app.ts
+++ b/packages/daemon/src/entry/entry_app.ts
@@ -20,6 +20,7 @@
 import { pause } from "../transport/pause.ts";
 import { toAsyncIterable } from "../transport/to_async_iterable.ts";
 import { AgentSession } from "./sessions/agent_session.ts";
+import { CallCrashes } from "./calls/call_crashes.ts";
 import { CallHandler } from "./calls/call_handler.ts";
 import { ControlSession } from "./sessions/control_session.ts";
 import type { EntryWorld } from "./entry_world.ts";
@@ -96,6 +97,7 @@
       clients,
       router: new Router({ table, outliers, policy }),
       retries: new RetryBudget(),
+      crashes: new CallCrashes({ control, log }),
     };
     this.#coordinator = new SpreadCoordinator({
       dataCentre: settings.data_centre,
@@ -178,6 +180,7 @@
     this.#world.control.stop();
     this.#coordinator.stop();
     this.#permits.stop();
+    this.#world.crashes.stop();
     for (const session of this.#owners.values()) session.close();
   }
 
@@ -255,6 +258,7 @@
 
   #follow(state: ControlState): void {
     this.#world.limits.follow(state, Date.now());
+    this.#world.crashes.follow(state);
     const versions = new Set<string>();
     for (const weights of state.weights.values()) {
       versions.add(versionName(weights.manifest));
--- a/packages/daemon/src/gateway/call_sender.ts
+++ b/packages/daemon/src/gateway/call_sender.ts
@@ -25,6 +25,8 @@
   #world: GatewayWorld;
   #call: AdmittedCall;
   #attempt: BackendAttempt | undefined;
+  /** When the latest sending began, monotonic milliseconds. */
+  sentAt = -Infinity;
 
   constructor(world: GatewayWorld, call: AdmittedCall) {
     this.#world = world;
@@ -58,6 +60,7 @@
     const { standing, record } = choice;
     const { promptTokens } = this.#call.facts;
     const sentAt = monotonicMilliseconds();
+    this.sentAt = sentAt;
     this.tried.add(standing.instance);
     record.noteSend(sentAt);
     record.inFlight += 1;
--- a/packages/daemon/src/gateway/crash_watch.ts
+++ b/packages/daemon/src/gateway/crash_watch.ts
@@ -1,9 +1,9 @@
 import type { BackendStanding } from "@teaselrouter/core/membership/backend_standing.ts";
 import { type Observable, Subject } from "rxjs";
 import type { EventLog } from "../log/event_log.ts";
+import { askWhetherEnded } from "../transport/ask_whether_ended.ts";
 import { monotonicMilliseconds } from "../transport/monotonic_milliseconds.ts";
 import type { AdmittedCall } from "./admitted_call.ts";
-import { askWhetherEnded } from "./ask_whether_ended.ts";
 import { fingerprintCall } from "./fingerprint_call.ts";
 
 /** All connections of a process that ends close together. */
--- a/packages/daemon/src/gateway/gateway_call.ts
+++ b/packages/daemon/src/gateway/gateway_call.ts
@@ -212,10 +212,12 @@
   }
 
   #noteBreak(
-    { call }: Work,
+    { call, sender }: Work,
     { standing }: BackendChoice,
-    begunAt: number | undefined,
+    headAt: number | undefined,
   ): void {
+    // Only a stream's head tells that it had begun: others answer at the end.
+    const begunAt = call.route.kind === "stream" ? headAt : sender.sentAt;
     this.#world.crashWatch.note({ call, standing, begunAt });
   }
 
--- a/packages/daemon/src/gateway/ask_whether_ended.ts
+++ b/packages/daemon/src/transport/ask_whether_ended.ts
@@ -1,5 +1,5 @@
 import { createConnection } from "node:net";
-import { splitAddress } from "../transport/split_address.ts";
+import { splitAddress } from "./split_address.ts";
 
 /** Well above the way there and back; without an answer nothing is known. */
 const ASK_MILLISECONDS = 150;
--- a/packages/experiments/src/failures/claim_steps_test.ts
+++ b/packages/experiments/src/failures/claim_steps_test.ts
@@ -13,6 +13,8 @@
 import { EngineClient } from "@teaselrouter/daemon/agent/engine_client.ts";
 import type { Proposer } from "@teaselrouter/daemon/entry/sessions/proposer.ts";
 import type { ProposalReply } from "@teaselrouter/daemon/entry/sessions/proposal_reply.ts";
+import { CallCrashes } from "@teaselrouter/daemon/entry/calls/call_crashes.ts";
+import { EventLog } from "@teaselrouter/daemon/log/event_log.ts";
 import { UnrepeatableCall } from "@teaselrouter/daemon/entry/calls/unrepeatable_call.ts";
 import { ClientPool } from "@teaselrouter/daemon/transport/client_pool.ts";
 import { pause } from "@teaselrouter/daemon/transport/pause.ts";
@@ -141,8 +143,13 @@
     const outliers = new OutlierDetector();
     const policy = new RoundRobinPolicy();
     const { log: control, table, clients } = this;
+    const crashes = new CallCrashes({
+      control,
+      log: new EventLog("entry", "error"),
+    });
     const call = new UnrepeatableCall({
       control,
+      crashes,
       table,
       clients,
       router: new Router({ table, outliers, policy }),
@@ -158,6 +165,7 @@
       receivedAt: Date.now(),
     });
     const outcome = await call.run();
+    crashes.stop();
     return outcome.kind === "answered"
       ? outcome.answer.body.toString("utf8")
       : outcome.problem.outcome;
--- /dev/null
+++ b/packages/experiments/src/failures/crashing_calls_test.ts
@@ -0,0 +1,204 @@
+import { BackendServerTable } from "@teaselrouter/core/routing/backend_server_table.ts";
+import { newBackendServerRow } from "@teaselrouter/core/routing/new_backend_server_row.ts";
+import { OutlierDetector } from "@teaselrouter/core/routing/outlier_detector.ts";
+import { RetryBudget } from "@teaselrouter/core/routing/retry_budget.ts";
+import { RoundRobinPolicy } from "@teaselrouter/core/routing/round_robin_policy.ts";
+import { Router } from "@teaselrouter/core/routing/router.ts";
+import { applyCommand } from "@teaselrouter/core/state/apply_command.ts";
+import type { Command } from "@teaselrouter/core/state/command.ts";
+import { emptyControlState } from "@teaselrouter/core/state/empty_control_state.ts";
+import { AgentState } from "@teaselrouter/daemon/agent/agent_state.ts";
+import { CallRunner } from "@teaselrouter/daemon/agent/call_runner.ts";
+import { callRoutes } from "@teaselrouter/daemon/agent/call_routes.ts";
+import { EngineClient } from "@teaselrouter/daemon/agent/engine_client.ts";
+import { CallCrashes } from "@teaselrouter/daemon/entry/calls/call_crashes.ts";
+import type { CheckedCall } from "@teaselrouter/daemon/entry/calls/checked_call.ts";
+import { RepeatableCall } from "@teaselrouter/daemon/entry/calls/repeatable_call.ts";
+import type { Problem } from "@teaselrouter/daemon/http/problem.ts";
+import { EventLog } from "@teaselrouter/daemon/log/event_log.ts";
+import { ClientPool } from "@teaselrouter/daemon/transport/client_pool.ts";
+import { InternalServer } from "@teaselrouter/daemon/transport/internal_server.ts";
+import { pause } from "@teaselrouter/daemon/transport/pause.ts";
+import { Buffer } from "node:buffer";
+import { EventEmitter } from "node:events";
+import type { ServerResponse } from "node:http";
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { EndingService } from "../fakes/ending_service.ts";
+import { freeAddresses } from "../harness/free_addresses.ts";
+
+const CRASHING = "crash";
+const SERVERS = 4;
+const ENTRY_HOSTS = 2;
+const ROUNDS = 8;
+const ROUND_MILLISECONDS = 400;
+const LIVE_MILLISECONDS = 60_000;
+/** Three seen by one entry host, and two by the other before it is told. */
+const MOST_ENDS = 5;
+
+/** The replicated log, applied at once, and who follows it. */
+class Log {
+  readonly state = emptyControlState();
+  readonly followers: CallCrashes[] = [];
+  #index = 0;
+
+  propose(command: Command) {
+    this.#index += 1;
+    const index = this.#index;
+    const answer = applyCommand(this.state, command, index);
+    for (const follower of this.followers) follower.follow(this.state);
+    return Promise.resolve({
+      kind: "committed" as const,
+      index,
+      answer,
+      inForce: true,
+      hostsWithoutLease: [],
+    });
+  }
+}
+
+/** Backend servers with their agents, and entry hosts that share the log. */
+class Bench {
+  readonly services: EndingService[] = [];
+  readonly crashes: CallCrashes[] = [];
+  #table = new BackendServerTable();
+  #clients = new ClientPool();
+  #runners: CallRunner[] = [];
+  #servers: InternalServer[] = [];
+  #log = new Log();
+
+  async start(): Promise<void> {
+    for (let index = 0; index < SERVERS; index += 1) {
+      await this.#startServer(`portal-${index}`);
+    }
+    const log = new EventLog("entry", "error", undefined, {
+      write: () => undefined,
+      flush: () => Promise.resolve(),
+    });
+    for (let index = 0; index < ENTRY_HOSTS; index += 1) {
+      this.crashes.push(new CallCrashes({ control: this.#log, log }));
+    }
+    this.#log.followers.push(...this.crashes);
+  }
+
+  stop(): void {
+    for (const runner of this.#runners) runner.stop();
+    for (const server of this.#servers) server.close();
+    for (const service of this.services) service.stop();
+    for (const crashes of this.crashes) crashes.stop();
+    this.#clients.close();
+  }
+
+  get ends(): number {
+    return this.services.reduce((sum, { ends }) => sum + ends, 0);
+  }
+
+  /** What an entry host does with a call; undefined once it is answered. */
+  async ask(host: number, body: string): Promise<Problem | undefined> {
+    const crashes = this.crashes[host]!;
+    const call = callOf(body);
+    const refusal = crashes.refusal(call);
+    if (refusal !== undefined) return refusal;
+    const outliers = new OutlierDetector();
+    const policy = new RoundRobinPolicy();
+    const table = this.#table;
+    return await new RepeatableCall(
+      {
+        state: () => this.#log.state,
+        router: new Router({ table, outliers, policy }),
+        outliers,
+        retries: new RetryBudget(),
+        clients: this.#clients,
+        crashes,
+      },
+      call,
+      quietResponse(),
+    ).run();
+  }
+
+  async #startServer(name: string): Promise<void> {
+    const [address, agentAddress] = await freeAddresses(2);
+    const service = new EndingService({ address: address!, endsOn: CRASHING });
+    await service.start();
+    this.services.push(service);
+    const state = new AgentState();
+    state.announce({
+      service: "portal",
+      address: address!,
+      checks_fencing: false,
+      repeatable: true,
+      uses_weights: false,
+      slots: 2,
+    }, Date.now() + LIVE_MILLISECONDS);
+    const runner = new CallRunner({
+      state,
+      engine: new EngineClient(() => undefined),
+      incarnation: name,
+    });
+    this.#runners.push(runner);
+    const server = new InternalServer({ routes: callRoutes(runner, name) });
+    await server.listen(agentAddress!);
+    this.#servers.push(server);
+    this.#table.set(newBackendServerRow({
+      backendServer: name,
+      dataCentre: "here",
+      service: "portal",
+      incarnation: name,
+      internalAddress: agentAddress!,
+      chunkAddress: "",
+      checksFencing: false,
+      repeatable: true,
+      usesWeights: false,
+      slots: 2,
+      servingVersion: "",
+      accepting: true,
+      linkBytesPerSecond: 0,
+    }, Date.now() + LIVE_MILLISECONDS));
+  }
+}
+
+function callOf(body: string): CheckedCall {
+  return {
+    workspace: "desk",
+    service: "portal",
+    path: "/look",
+    body: Buffer.from(body),
+    contentType: "text/plain",
+    idempotencyKey: "",
+    deadlineMilliseconds: 3_000,
+    priority: 5,
+    receivedAt: Date.now(),
+  };
+}
+
+function quietResponse(): ServerResponse {
+  return Object.assign(new EventEmitter(), {
+    headersSent: false,
+    setHeader: () => undefined,
+    write: () => true,
+    end: () => undefined,
+  }) as unknown as ServerResponse;
+}
+
+// Guards against a call that ends one backend server after the other through
+// entry hosts and agents.
+test("a call that ends backend servers is refused by every entry host", async () => {
+  const bench = new Bench();
+  try {
+    await bench.start();
+    const answers = [];
+    for (let round = 0; round < ROUNDS; round += 1) {
+      answers.push(await bench.ask(round % ENTRY_HOSTS, CRASHING));
+      await pause(ROUND_MILLISECONDS);
+    }
+    assert.ok(bench.ends <= MOST_ENDS, `${bench.ends} ends`);
+    assert.ok(bench.ends >= 3);
+    assert.deepEqual(
+      answers.slice(-ENTRY_HOSTS).map((problem) => problem?.type),
+      Array.from({ length: ENTRY_HOSTS }, () => "ends-backend-servers"),
+    );
+    assert.equal(await bench.ask(0, "a bag list"), undefined);
+  } finally {
+    bench.stop();
+  }
+});
