--- a/packages/daemon/src/entry/calls/repeatable_call.ts
+++ b/packages/daemon/src/entry/calls/repeatable_call.ts
@@ -10,6 +10,7 @@
 import type { ServerResponse } from "node:http";
 import type { ClientPool } from "../../transport/client_pool.ts";
 import { monotonicMilliseconds } from "../../transport/monotonic_milliseconds.ts";
+import type { AnswerPart } from "./answer_part.ts";
 import type { CallCrashes } from "./call_crashes.ts";
 import type { CheckedCall } from "./checked_call.ts";
 import { ExchangeReader } from "./exchange_reader.ts";
@@ -27,6 +28,8 @@
   crashes: CallCrashes;
 };
 
+type Refused = Extract<AnswerPart, { kind: "refused" }>;
+
 type Attempt =
   | { kind: "answered" }
   | { kind: "failed"; mayMove: boolean; problem: Problem };
@@ -75,7 +78,7 @@
       if (decision.kind === "refuse") return last ?? refusalProblem(decision);
       const attempt = await this.#attempt(decision.to);
       if (attempt.kind === "answered") return undefined;
-      last = attempt.problem;
+      last = afterEarlier(last, attempt.problem);
       this.#tried.add(decision.to.backendServer);
       if (!attempt.mayMove || this.#given.signal.aborted) return last;
       const { crashes } = this.#services;
@@ -145,7 +148,7 @@
           if (part.endedIncarnation !== "") {
             crashes.noteEnd(this.#call, part.endedIncarnation, begunAt);
           }
-          return this.#refused(part.reason, part.retryAfterMilliseconds);
+          return this.#refused(part);
         case "broken":
           return this.#fail(row, part.reason, "unknown");
       }
@@ -158,16 +161,16 @@
       .catch(() => undefined);
   }
 
-  /** The agent is busy or loading: no fault of the backend server. */
-  #refused(reason: string, retryAfterMilliseconds: number): Attempt {
+  /** The agent gives no whole answer, and says whether the call has run. */
+  #refused({ reason, outcome, retryAfterMilliseconds }: Refused): Attempt {
     return {
       kind: "failed",
       mayMove: !this.#response.headersSent,
       problem: {
-        status: 503,
+        status: outcome === "not-run" ? 503 : 502,
         type: reason,
         detail: `the backend server refused the call: ${reason}`,
-        outcome: "not-run",
+        outcome,
         retryAfterMilliseconds,
       },
     };
@@ -218,6 +221,15 @@
   }
 }
 
+/** What an earlier backend server had begun is not undone by a refusal. */
+function afterEarlier(earlier: Problem | undefined, problem: Problem): Problem {
+  const isPromise = problem.outcome === "not-run";
+  if (!isPromise || earlier === undefined || earlier.outcome === "not-run") {
+    return problem;
+  }
+  return { ...problem, status: 502, outcome: earlier.outcome };
+}
+
 function refusalProblem(
   refusal: { reason: string; retryAfterMilliseconds: number },
 ): Problem {
--- a/packages/experiments/src/failures/crashing_calls_test.ts
+++ b/packages/experiments/src/failures/crashing_calls_test.ts
@@ -202,3 +202,17 @@
     bench.stop();
   }
 });
+
+// Guards against a promise that a call has not run which a backend server had
+// begun when it ended.
+test("a call that a backend server ended under is not said not to have run", async () => {
+  const bench = new Bench();
+  try {
+    await bench.start();
+    const problem = await bench.ask(0, CRASHING);
+    assert.ok(bench.ends > 0);
+    assert.equal(problem?.outcome, "unknown");
+  } finally {
+    bench.stop();
+  }
+});
