--- a/packages/daemon/src/gateway/backend_pool.ts
+++ b/packages/daemon/src/gateway/backend_pool.ts
@@ -8,6 +8,7 @@
 import { weightsMargins } from "@teaselrouter/core/rollout/weights_margins.ts";
 import type { BackendStanding } from "@teaselrouter/core/membership/backend_standing.ts";
 import type { EngineLoad } from "@teaselrouter/messages/follow.ts";
+import type { Observable } from "rxjs";
 import { monotonicMilliseconds } from "../transport/monotonic_milliseconds.ts";
 import type { ControlFeed } from "./control_feed.ts";
 
@@ -38,25 +39,43 @@
   dataCentre: string;
   /** So long after a version is named no request may begin on an older one. */
   weightsBoundMilliseconds: number;
+  /** Backend servers that were found to have ended. */
+  endedServers$: Observable<BackendStanding>;
 };
 
 /** The backend servers that requests can go to, with their records. */
 export class BackendPool {
   #options: Options;
   #records = new Map<string, BackendRecord>();
+  /** Start that each record is of, Unix milliseconds, by instance. */
+  #bornAt = new Map<string, number>();
   #pressures = new Map<string, SlotPressure>();
   #homes = new Map<string, Home>();
 
   constructor(options: Options) {
     this.#options = options;
     options.feed.backends$.subscribe((changed) => {
-      for (const { instance, state } of changed) {
-        if (state === "gone") this.#records.delete(instance);
-      }
+      for (const standing of changed) this.#dropPast(standing);
     });
+    options.endedServers$.subscribe((standing) => this.#noteEnded(standing));
     options.feed.loads$.subscribe((loads) => this.#takeLoads(loads));
   }
 
+  /** One that starts anew under its id has nothing of its past. */
+  #dropPast({ instance, state, bornAt }: BackendStanding): void {
+    const known = this.#bornAt.get(instance);
+    const isNewStart = known !== undefined && known !== bornAt;
+    if (state === "gone" || isNewStart) this.#records.delete(instance);
+    if (state === "gone") this.#bornAt.delete(instance);
+    else this.#bornAt.set(instance, bornAt);
+  }
+
+  /** Its heartbeats are missed only seconds later. */
+  #noteEnded({ instance, bornAt }: BackendStanding): void {
+    if (this.#bornAt.get(instance) !== bornAt) return;
+    this.recordOf(instance).leaveAside(monotonicMilliseconds());
+  }
+
   recordOf(instance: string): BackendRecord {
     let record = this.#records.get(instance);
     if (record === undefined) {
--- /dev/null
+++ b/packages/daemon/src/gateway/backend_pool_test.ts
@@ -0,0 +1,57 @@
+import type { BackendStanding } from "@teaselrouter/core/membership/backend_standing.ts";
+import type { EngineLoad } from "@teaselrouter/messages/follow.ts";
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { Subject } from "rxjs";
+import { monotonicMilliseconds } from "../transport/monotonic_milliseconds.ts";
+import { BackendPool } from "./backend_pool.ts";
+import type { ControlFeed } from "./control_feed.ts";
+
+const STANDING: BackendStanding = {
+  instance: "one",
+  service: "ledger",
+  address: "10.0.0.1:80",
+  dataCentre: "here",
+  slots: 4,
+  state: "ready",
+  bornAt: 1_000,
+  sequence: 1,
+  coldMilliseconds: 0,
+  models: [],
+};
+
+function openPool() {
+  const backends$ = new Subject<BackendStanding[]>();
+  const loads$ = new Subject<EngineLoad[]>();
+  const endedServers$ = new Subject<BackendStanding>();
+  const pool = new BackendPool({
+    feed: { backends$, loads$ } as unknown as ControlFeed,
+    host: "gateway",
+    dataCentre: "here",
+    weightsBoundMilliseconds: 8_000,
+    endedServers$,
+  });
+  backends$.next([STANDING]);
+  return { pool, backends$, endedServers$ };
+}
+
+function isAside(pool: BackendPool): boolean {
+  return pool.recordOf(STANDING.instance).isAside(monotonicMilliseconds());
+}
+
+// Guards against sending on to a backend server that is known to have ended.
+test("one that ended is left aside until it starts anew", () => {
+  const { pool, backends$, endedServers$ } = openPool();
+  endedServers$.next(STANDING);
+  assert.equal(isAside(pool), true);
+  backends$.next([{ ...STANDING, bornAt: 5_000 }]);
+  assert.equal(isAside(pool), false);
+});
+
+// Guards against news of an end that come behind the next start.
+test("an end that is heard of late does not touch the next start", () => {
+  const { pool, backends$, endedServers$ } = openPool();
+  backends$.next([{ ...STANDING, bornAt: 5_000 }]);
+  endedServers$.next(STANDING);
+  assert.equal(isAside(pool), false);
+});
--- a/packages/daemon/src/gateway/gateway_app.ts
+++ b/packages/daemon/src/gateway/gateway_app.ts
@@ -1,6 +1,7 @@
 import { SharedRetryBudget } from "@teaselrouter/core/gateway/shared_retry_budget.ts";
 import { UsualPatience } from "@teaselrouter/core/gateway/usual_patience.ts";
 import { createServer, type Server } from "node:http";
+import { map } from "rxjs";
 import { Result } from "true-myth";
 import type { EventLog } from "../log/event_log.ts";
 import type { ProcessMetrics } from "../metrics/process_metrics.ts";
@@ -92,6 +93,7 @@
         host: settings.name,
         dataCentre: settings.data_centre,
         weightsBoundMilliseconds: settings.gateway!.weights_bound_milliseconds,
+        endedServers$: crashWatch.ended$.pipe(map(({ standing }) => standing)),
       }),
       connections,
       retries: new SharedRetryBudget({
