--- a/packages/core/src/gateway/answer_facts.ts
+++ b/packages/core/src/gateway/answer_facts.ts
@@ -8,5 +8,7 @@
   isSigned: boolean;
   /** Version of the weights that it began on. */
   weightsVersion: number | undefined;
+  /** Requests a second that it takes from all hosts; undefined for any. */
+  limitPerSecond: number | undefined;
   load: { running: number; waiting: number; slots: number } | undefined;
 };
--- a/packages/daemon/src/gateway/backend_attempt.ts
+++ b/packages/daemon/src/gateway/backend_attempt.ts
@@ -1,3 +1,4 @@
+import type { AnswerFacts } from "@teaselrouter/core/gateway/answer_facts.ts";
 import type { Buffer } from "node:buffer";
 import {
   type ClientRequest,
@@ -17,6 +18,9 @@
  */
 const CONNECT_MILLISECONDS = 150;
 
+/** The answer of another backend server than the one that was asked. */
+const MISDIRECTED_STATUS = 421;
+
 type Options = {
   address: string;
   agent: BackendAgent;
@@ -27,6 +31,8 @@
   /** The attempt's id, which the answer has to bear. */
   id: string;
   format: RequestFormat;
+  /** Told what the backend server itself says with its answer. */
+  noteFacts: (facts: AnswerFacts) => void;
 };
 
 /** One sending of a request to one backend server. */
@@ -125,8 +131,9 @@
   }
 
   #takeResponse(message: IncomingMessage): void {
-    const { format, id } = this.#options;
+    const { format, id, noteFacts } = this.#options;
     const facts = format.readAnswer(message.headers);
+    if (message.statusCode !== MISDIRECTED_STATUS) noteFacts(facts);
     message.on("error", () => undefined);
     if (facts.id !== undefined && facts.id !== id) {
       this.abort("the answer is another request's");
--- a/packages/daemon/src/gateway/backend_attempt_test.ts
+++ b/packages/daemon/src/gateway/backend_attempt_test.ts
@@ -19,6 +19,7 @@
     isNotRun: headers["not-run"] !== undefined,
     isSigned: true,
     weightsVersion: undefined,
+    limitPerSecond: undefined,
     load: undefined,
   }),
   returnHeaders: (raw) => raw,
@@ -43,6 +44,7 @@
     body: undefined,
     id: "a1",
     format,
+    noteFacts: () => undefined,
   });
   const outcome = await sent.outcome;
   const body = outcome.kind === "answer"
@@ -111,6 +113,7 @@
     body: undefined,
     id: "a1",
     format,
+    noteFacts: () => undefined,
   });
   const outcome = await refused.outcome;
   assert.ok(outcome.kind === "not-run" && outcome.isUnreachable);
--- a/packages/daemon/src/gateway/call_sender.ts
+++ b/packages/daemon/src/gateway/call_sender.ts
@@ -121,7 +121,7 @@
     { standing }: BackendChoice,
     { weightsVersion, resumesAfter, placement }: Sending,
   ): BackendAttempt {
-    const { connections, format } = this.#world;
+    const { connections, format, namedLimits } = this.#world;
     const call = this.#call;
     const left = Math.floor(call.endsAt - monotonicMilliseconds());
     return new BackendAttempt({
@@ -132,6 +132,7 @@
       body: call.body,
       id: call.id,
       format,
+      noteFacts: (facts) => namedLimits.hear(standing, facts),
       headers: format.forwardHeaders(call.rawHeaders, {
         weightsVersion,
         resumesAfter,
--- a/packages/daemon/src/gateway/gateway_app.ts
+++ b/packages/daemon/src/gateway/gateway_app.ts
@@ -19,6 +19,7 @@
 import { CrashWatch } from "./crash_watch.ts";
 import { GatewayServer } from "./gateway_server.ts";
 import type { GatewayWorld } from "./gateway_world.ts";
+import { NamedLimits } from "./named_limits.ts";
 import { SilenceWatch } from "./silence_watch.ts";
 import { StartHold } from "./start_hold.ts";
 
@@ -96,6 +97,7 @@
         endedServers$: crashWatch.ended$.pipe(map(({ standing }) => standing)),
       }),
       connections,
+      namedLimits: new NamedLimits(log),
       retries: new SharedRetryBudget({
         ratio: settings.gateway!.retry_ratio,
         mostSaved: SAVED_RETRIES,
--- a/packages/daemon/src/gateway/gateway_world.ts
+++ b/packages/daemon/src/gateway/gateway_world.ts
@@ -8,6 +8,7 @@
 import type { ControlFeed } from "./control_feed.ts";
 import type { CrashReporter } from "./crash_reporter.ts";
 import type { CrashWatch } from "./crash_watch.ts";
+import type { NamedLimits } from "./named_limits.ts";
 import type { SilenceWatch } from "./silence_watch.ts";
 import type { StartHold } from "./start_hold.ts";
 
@@ -17,6 +18,7 @@
   startHold: StartHold;
   pool: BackendPool;
   connections: BackendConnections;
+  namedLimits: NamedLimits;
   retries: SharedRetryBudget;
   patience: UsualPatience;
   silence: SilenceWatch;
--- a/packages/daemon/src/log/event_name.ts
+++ b/packages/daemon/src/log/event_name.ts
@@ -28,6 +28,7 @@
   | "gateway-drained"
   | "introduction-failed"
   | "leading"
+  | "limit-named"
   | "load-failed"
   | "load-ordered"
   | "manifest-failed"
