--- a/acceptance/src/stand_in_server.ts
+++ b/acceptance/src/stand_in_server.ts
@@ -6,6 +6,7 @@
   type ServerResponse,
 } from "node:http";
 import type { AddressInfo } from "node:net";
+import { performance } from "node:perf_hooks";
 import type { StandInStore } from "./stand_in_store.ts";
 
 const EVENTS = 8;
@@ -30,6 +31,10 @@
   /** Times that it has ended. */
   crashes = 0;
   isDown = false;
+  /** Requests a second that it names with its answers; undefined for none. */
+  limitPerSecond: number | undefined;
+  /** When requests reached it, milliseconds of `performance`. */
+  readonly arrivedAt: number[] = [];
   #isClosed = false;
   version = 0;
   address = "";
@@ -134,6 +139,7 @@
         "Instance-Id": this.instance,
       }).end();
     }
+    this.arrivedAt.push(performance.now());
     if (this.isFrozen) return;
     this.ran.push(id);
     response.writeHead(200, {
@@ -141,6 +147,9 @@
       "Server-Signature": this.instance,
       "Weight-Versions": String(this.version),
       "Server-Load": "1,0,4",
+      ...(this.limitPerSecond !== undefined && {
+        "Server-Limit": String(this.limitPerSecond),
+      }),
     });
     if (body.toString() === this.crashesOn) {
       response.flushHeaders();
