--- a/packages/daemon/src/control/follow_session.ts
+++ b/packages/daemon/src/control/follow_session.ts
@@ -4,6 +4,8 @@
   ControlUpdate,
   CrashNews,
   EngineNotice,
+  FollowerHello,
+  LimitNews,
 } from "@teaselrouter/messages/follow.ts";
 import {
   ControlUpdateSchema,
@@ -36,11 +38,14 @@
   take(message: FollowerToControl): void {
     this.#heardAt = monotonicMilliseconds();
     if (message.body.case === "hello") {
-      this.#begin(message.body.value.isControl);
+      this.#begin(message.body.value);
     }
     if (message.body.case === "crashes") {
       this.#view.crashes.hear(message.body.value);
     }
+    if (message.body.case === "limits") {
+      this.#view.limits.hear(message.body.value);
+    }
     if (message.body.case === "heartbeat") {
       this.#wantsLoads = message.body.value.wantsLoads;
     }
@@ -51,7 +56,7 @@
     this.outgoing$.complete();
   }
 
-  #begin(isControl: boolean): void {
+  #begin({ isControl, host }: FollowerHello): void {
     const view = this.#view;
     this.#sayAlive();
     this.#tellHosts();
@@ -74,6 +79,7 @@
       ),
     );
     this.#followCrashes(isControl);
+    this.#followLimits(isControl, host);
     this.#subscriptions.add(view.log$.subscribe(() => this.#tellLog()));
     this.#subscriptions.add(view.hosts$.subscribe(() => this.#tellHosts()));
     this.#subscriptions.add(view.look$.subscribe(() => this.#beat()));
@@ -91,6 +97,19 @@
     );
   }
 
+  #followLimits(isControl: boolean, host: string): void {
+    const { limits } = this.#view;
+    const tell = (news: LimitNews | undefined) => {
+      if (news !== undefined) this.#send({ case: "limits", value: news });
+    };
+    tell(isControl ? limits.standing() : limits.partsOf(host));
+    this.#subscriptions.add(
+      isControl
+        ? limits.heardHere$.subscribe(tell)
+        : limits.changed$.subscribe(() => tell(limits.partsOf(host))),
+    );
+  }
+
   /** Whatever else is said shows as well that this host is there. */
   #beat(): void {
     const now = monotonicMilliseconds();
--- a/packages/daemon/src/control/platform_desk.ts
+++ b/packages/daemon/src/control/platform_desk.ts
@@ -149,6 +149,7 @@
       this.view.learn(body.value.backends.map(decodeBackend));
     }
     if (body.case === "crashes") this.view.crashes.learn(body.value);
+    if (body.case === "limits") this.view.limits.learn(body.value);
     if (body.case === "loads") this.view.learnLoads(body.value.loads);
   }
 
--- a/packages/daemon/src/control/shared_view.ts
+++ b/packages/daemon/src/control/shared_view.ts
@@ -13,6 +13,7 @@
 import { monotonicMilliseconds } from "../transport/monotonic_milliseconds.ts";
 import { encodeBackend } from "../transport/encode_backend.ts";
 import { CrashJudge } from "./crash_judge.ts";
+import { LimitDivider } from "./limit_divider.ts";
 import { LatestGatherer } from "./latest_gatherer.ts";
 
 /** Five heartbeats of the slowest kind: they may come seconds late. */
@@ -52,6 +53,8 @@
   readonly look$ = interval(LOOK_MILLISECONDS).pipe(share());
   /** Which requests end the backend servers that run them. */
   readonly crashes: CrashJudge;
+  /** What backend servers in need take, and who wants it. */
+  readonly limits = new LimitDivider();
   #options: Options;
   #registry = new BackendRegistry({
     silentMilliseconds: SILENT_MILLISECONDS,
@@ -79,6 +82,7 @@
   stop(): void {
     clearInterval(this.#timer);
     this.crashes.stop();
+    this.limits.stop();
     for (
       const gatherer of [
         this.#noticesSoon,
--- a/packages/daemon/src/gateway/backend_pool.ts
+++ b/packages/daemon/src/gateway/backend_pool.ts
@@ -11,11 +11,16 @@
 import type { Observable } from "rxjs";
 import { monotonicMilliseconds } from "../transport/monotonic_milliseconds.ts";
 import type { ControlFeed } from "./control_feed.ts";
+import type { NamedLimits } from "./named_limits.ts";
 
 /** From an agent's look at its engine to a gateway that hears of it. */
 const LOADS_AGE_MILLISECONDS = 100;
 
 type Want = {
+  /** The request's. */
+  id: string;
+  /** Whether it will be sent there, and not only asked whether it could. */
+  forSending: boolean;
   service: string;
   engine: EngineDefinition | undefined;
   model: string | undefined;
@@ -39,6 +44,7 @@
   dataCentre: string;
   /** So long after a version is named no request may begin on an older one. */
   weightsBoundMilliseconds: number;
+  namedLimits: NamedLimits;
   /** Backend servers that were found to have ended. */
   endedServers$: Observable<BackendStanding>;
 };
@@ -97,14 +103,48 @@
 
   /** The best that may take the request; undefined when there is none. */
   choose(want: Want): BackendChoice | undefined {
-    const now = monotonicMilliseconds();
-    const usable = this.#options.feed.backendsOf(want.service)
+    const usable = this.#usable(want);
+    noteUsualLoad(usable, monotonicMilliseconds());
+    const best = this.#best(usable, want);
+    const { namedLimits } = this.#options;
+    if (best === undefined || !namedLimits.isLimited(best.standing)) {
+      return best;
+    }
+    if (want.forSending) namedLimits.want(best.standing);
+    if (!namedLimits.isFull(best.standing)) return best;
+    const withRoom = usable.filter(({ standing }) =>
+      !namedLimits.isFull(standing)
+    );
+    const other = this.#best(withRoom, want);
+    if (want.forSending) {
+      namedLimits.notePassedOver(want.id, best.standing, other?.standing);
+    }
+    return other;
+  }
+
+  /**
+   * When one of those that have used up what they take has room next,
+   * milliseconds from now; undefined when none is kept off for that.
+   */
+  untilRoom(want: Want): number | undefined {
+    const { namedLimits } = this.#options;
+    const waits = this.#usable(want)
+      .filter(({ standing }) => namedLimits.isFull(standing))
+      .map(({ standing }) => namedLimits.untilRoom(standing));
+    return waits.length === 0 ? undefined : Math.min(...waits);
+  }
+
+  #usable(want: Want): BackendChoice[] {
+    return this.#options.feed.backendsOf(want.service)
       .filter((standing) => this.#mayTake(standing, want))
       .map((standing) => ({
         standing,
         record: this.recordOf(standing.instance),
       }));
-    noteUsualLoad(usable, now);
+  }
+
+  #best(usable: BackendChoice[], want: Want): BackendChoice | undefined {
+    const now = monotonicMilliseconds();
     const healthy = usable.filter(({ record }) => record.isPromising(now));
     // With all of them aside, as where a service has three and a fault hits
     // their zone, a try that may fail is worth more than a sure refusal.
--- a/packages/daemon/src/gateway/backend_pool_test.ts
+++ b/packages/daemon/src/gateway/backend_pool_test.ts
@@ -6,6 +6,7 @@
 import { monotonicMilliseconds } from "../transport/monotonic_milliseconds.ts";
 import { BackendPool } from "./backend_pool.ts";
 import type { ControlFeed } from "./control_feed.ts";
+import type { NamedLimits } from "./named_limits.ts";
 
 const STANDING: BackendStanding = {
   instance: "one",
@@ -29,6 +30,7 @@
     host: "gateway",
     dataCentre: "here",
     weightsBoundMilliseconds: 8_000,
+    namedLimits: { isLimited: () => false } as unknown as NamedLimits,
     endedServers$,
   });
   backends$.next([STANDING]);
--- a/packages/daemon/src/gateway/call_routing.ts
+++ b/packages/daemon/src/gateway/call_routing.ts
@@ -26,16 +26,30 @@
     this.#options = options;
   }
 
+  /** For a request that is to be sent there now. */
   choose(): BackendChoice | undefined {
-    const { world, call, tried } = this.#options;
-    return world.pool.choose({
+    return this.#options.world.pool.choose(this.#want({ forSending: true }));
+  }
+
+  /** When a backend server that names a limit has room; see the pool. */
+  untilRoom(): number | undefined {
+    return this.#options.world.pool.untilRoom(
+      this.#want({ forSending: false }),
+    );
+  }
+
+  #want({ forSending }: { forSending: boolean }) {
+    const { call, tried } = this.#options;
+    return {
+      id: call.id,
+      forSending,
       service: call.service.name,
       engine: call.service.engine,
       model: call.facts.model,
       promptTokens: call.facts.promptTokens,
       tried,
       weightsVersion: this.weightsVersion,
-    });
+    };
   }
 
   /** A stream that has begun goes on at once: its client is waiting. */
@@ -85,7 +99,9 @@
 
   /** Whether a failure of the backend server can be made good by another. */
   canTryElsewhere(): boolean {
-    return this.mayRepeat && this.#hasSendsLeft && this.choose() !== undefined;
+    return this.mayRepeat && this.#hasSendsLeft &&
+      this.#options.world.pool.choose(this.#want({ forSending: false })) !==
+        undefined;
   }
 
   get #hasSendsLeft(): boolean {
--- a/packages/daemon/src/gateway/call_sender.ts
+++ b/packages/daemon/src/gateway/call_sender.ts
@@ -62,6 +62,7 @@
     const sentAt = monotonicMilliseconds();
     this.sentAt = sentAt;
     this.tried.add(standing.instance);
+    this.#world.namedLimits.take(standing);
     record.noteSend(sentAt);
     record.inFlight += 1;
     const timely = sending.placement.kind === "timely" ? 1 : 0;
--- a/packages/daemon/src/gateway/control_feed.ts
+++ b/packages/daemon/src/gateway/control_feed.ts
@@ -7,6 +7,7 @@
   CrashNews,
   EngineLoad,
   EngineNotice,
+  LimitNews,
   NamedWeights,
   RoutingDocument,
 } from "@teaselrouter/messages/follow.ts";
@@ -38,6 +39,8 @@
   readonly loads$ = new Subject<EngineLoad[]>();
   /** Which requests end what runs them. */
   readonly crashes$ = new Subject<CrashNews>();
+  /** What this host may send to backend servers in need. */
+  readonly limits$ = new Subject<LimitNews>();
   /** Anything at all was heard. */
   readonly news$ = new Subject<void>();
   #options: Options;
@@ -119,6 +122,8 @@
         return;
       case "crashes":
         return this.crashes$.next(body.value);
+      case "limits":
+        return this.limits$.next(body.value);
       case "loads":
         return this.loads$.next(body.value.loads);
     }
--- a/packages/daemon/src/gateway/gateway_app.ts
+++ b/packages/daemon/src/gateway/gateway_app.ts
@@ -67,7 +67,10 @@
       most: FOLLOWED_CONTROL_HOSTS,
       clients,
       log,
-      standingNews: () => this.#world.crashes.standing(),
+      standingNews: () => {
+        const value = this.#world.crashes.standing();
+        return value && { case: "crashes", value };
+      },
     });
     const feed = new ControlFeed({
       follows: this.#follows,
@@ -86,6 +89,13 @@
       backends$: feed.backends$,
       log,
     });
+    const namedLimits = new NamedLimits({
+      host: settings.name,
+      backends$: feed.backends$,
+      news$: feed.limits$,
+      tell: (value) => this.#follows.tell({ case: "limits", value }),
+      log,
+    });
     this.#world = {
       feed,
       startHold,
@@ -94,10 +104,11 @@
         host: settings.name,
         dataCentre: settings.data_centre,
         weightsBoundMilliseconds: settings.gateway!.weights_bound_milliseconds,
+        namedLimits,
         endedServers$: crashWatch.ended$.pipe(map(({ standing }) => standing)),
       }),
       connections,
-      namedLimits: new NamedLimits(log),
+      namedLimits,
       retries: new SharedRetryBudget({
         ratio: settings.gateway!.retry_ratio,
         mostSaved: SAVED_RETRIES,
@@ -108,7 +119,7 @@
       crashes: new CrashReporter({
         ended$: crashWatch.ended$,
         news$: feed.crashes$,
-        tell: (news) => this.#follows.tell(news),
+        tell: (value) => this.#follows.tell({ case: "crashes", value }),
         log,
       }),
       format: platform.requestFormat,
@@ -166,6 +177,7 @@
     this.#readyServer.closeAllConnections();
     clearInterval(this.#timer);
     this.#world.crashes.stop();
+    this.#world.namedLimits.stop();
     this.#follows.stop();
     this.#world.connections.close();
   }
--- a/packages/daemon/src/gateway/gateway_call.ts
+++ b/packages/daemon/src/gateway/gateway_call.ts
@@ -265,6 +265,14 @@
   }
 
   #refuseUnplaced(work: Work, lastReason: string): void {
+    const untilRoom = work.routing.untilRoom();
+    if (untilRoom !== undefined && !this.#mayHaveRun) {
+      return this.#ending.refuse(work, {
+        status: 503,
+        reason: "its backend servers have named limits",
+        retryAfterMilliseconds: untilRoom,
+      });
+    }
     const refusal = lastReason === ""
       ? this.#refusal(work, "no backend server takes it now", "outage")
       : this.#refusal(work, lastReason, "busy");
--- a/packages/daemon/src/log/event_name.ts
+++ b/packages/daemon/src/log/event_name.ts
@@ -29,6 +29,7 @@
   | "introduction-failed"
   | "leading"
   | "limit-named"
+  | "limited-server-passed-over"
   | "load-failed"
   | "load-ordered"
   | "manifest-failed"
--- a/packages/daemon/src/transport/follow_link.ts
+++ b/packages/daemon/src/transport/follow_link.ts
@@ -1,8 +1,5 @@
 import { create } from "@bufbuild/protobuf";
-import type {
-  ControlUpdate,
-  CrashNews,
-} from "@teaselrouter/messages/follow.ts";
+import type { ControlUpdate } from "@teaselrouter/messages/follow.ts";
 import {
   FollowerToControlSchema,
   FollowService,
@@ -18,6 +15,7 @@
 import type { EventLog } from "../log/event_log.ts";
 import type { ClientPool } from "./client_pool.ts";
 import { monotonicMilliseconds } from "./monotonic_milliseconds.ts";
+import type { News } from "./news.ts";
 import { pause } from "./pause.ts";
 import { toAsyncIterable } from "./to_async_iterable.ts";
 
@@ -40,7 +38,7 @@
   /** Whether this control host is to tell the engines' loads. */
   wantsLoads: () => boolean;
   /** What this host has to tell one that may know nothing; undefined: naught. */
-  standingNews: () => CrashNews | undefined;
+  standingNews: () => News | undefined;
 };
 
 /**
@@ -51,7 +49,7 @@
   readonly updates$ = new Subject<ControlUpdate>();
   readonly address: string;
   /** Of this host, for the control host. */
-  #news$ = new Subject<CrashNews>();
+  #news$ = new Subject<News>();
   #options: Options;
   #connected = false;
   #dataCentre = "";
@@ -89,7 +87,7 @@
   }
 
   /** Tells the control host, if it is there now. */
-  tell(news: CrashNews): void {
+  tell(news: News): void {
     this.#news$.next(news);
   }
 
@@ -167,8 +165,6 @@
   typeof create<typeof FollowerToControlSchema>
 >;
 
-function encodeNews(value: CrashNews): MessageToControl {
-  return create(FollowerToControlSchema, {
-    body: { case: "crashes", value },
-  });
+function encodeNews(body: News): MessageToControl {
+  return create(FollowerToControlSchema, { body });
 }
--- a/packages/daemon/src/transport/follow_set.ts
+++ b/packages/daemon/src/transport/follow_set.ts
@@ -1,14 +1,12 @@
 import { mayOpenNext } from "@teaselrouter/core/membership/may_open_next.ts";
 import { rendezvousOwner } from "@teaselrouter/core/spread/rendezvous_owner.ts";
-import type {
-  ControlUpdate,
-  CrashNews,
-} from "@teaselrouter/messages/follow.ts";
+import type { ControlUpdate } from "@teaselrouter/messages/follow.ts";
 import { Subject } from "rxjs";
 import type { EventLog } from "../log/event_log.ts";
 import type { ClientPool } from "./client_pool.ts";
 import { FollowLink } from "./follow_link.ts";
 import { monotonicMilliseconds } from "./monotonic_milliseconds.ts";
+import type { News } from "./news.ts";
 
 /** Several times in what counts as silence of a control host. */
 const REVIEW_MILLISECONDS = 200;
@@ -29,7 +27,7 @@
   clients: ClientPool;
   log: EventLog;
   /** What this host tells a control host that it turns to. */
-  standingNews?: () => CrashNews | undefined;
+  standingNews?: () => News | undefined;
 };
 
 /**
@@ -75,7 +73,7 @@
   }
 
   /** Tells all control hosts that are followed. */
-  tell(news: CrashNews): void {
+  tell(news: News): void {
     for (const { link } of this.#links.values()) link.tell(news);
   }
 
