--- a/packages/daemon/src/agent/backend_call.ts
+++ b/packages/daemon/src/agent/backend_call.ts
@@ -2,6 +2,7 @@
 import { Agent, type IncomingMessage, request as send } from "node:http";
 import type { Buffer } from "node:buffer";
 import { splitAddress } from "../transport/split_address.ts";
+import type { AgentLimit } from "./agent_limit.ts";
 import type { AgentState } from "./agent_state.ts";
 import type { EngineClient } from "./engine_client.ts";
 import type { Exchange } from "./exchange.ts";
@@ -14,8 +15,12 @@
   | { kind: "not-run"; reason: string }
   | { kind: "failed"; ran: boolean; reason: string };
 
+/** Requests a second that a backend server in need takes, with its answers. */
+const LIMIT_HEADER = "teaselrouter-limit";
+
 type Options = {
   state: AgentState;
+  limit: AgentLimit;
   engine: EngineClient;
   request: RunRequest;
   exchange: Exchange;
@@ -24,6 +29,7 @@
 /** One call to the backend server on this host. */
 export class BackendCall {
   #state: AgentState;
+  #limit: AgentLimit;
   #engine: EngineClient;
   #request: RunRequest;
   #exchange: Exchange;
@@ -33,6 +39,7 @@
   constructor(options: Options) {
     const { state } = options;
     this.#state = state;
+    this.#limit = options.limit;
     this.#engine = options.engine;
     this.#request = options.request;
     this.#exchange = options.exchange;
@@ -77,6 +84,7 @@
   }
 
   #take(response: IncomingMessage): Promise<CallEnd> {
+    this.#limit.hear(limitIn(response.headers[LIMIT_HEADER]));
     const version = String(response.headers["engine-version"] ?? "");
     // The engine obeyed an order that this agent did not give, as one that
     // ignores fencing tokens may: its answer is of weights nobody vouches for.
@@ -134,3 +142,10 @@
       read.value.version !== this.#version;
   }
 }
+
+function limitIn(header: string | string[] | undefined): number | undefined {
+  const text = typeof header === "string" ? header.trim() : "";
+  const perSecond = Number(text);
+  const isSound = text !== "" && Number.isFinite(perSecond) && perSecond >= 0;
+  return isSound ? perSecond : undefined;
+}
--- a/packages/daemon/src/agent/call_runner.ts
+++ b/packages/daemon/src/agent/call_runner.ts
@@ -2,6 +2,7 @@
 import { admitToQueue } from "@teaselrouter/core/routing/admit_to_queue.ts";
 import type { RunRequest } from "@teaselrouter/messages/agent.ts";
 import { CallOutcome } from "@teaselrouter/messages/agent.ts";
+import { AgentLimit } from "./agent_limit.ts";
 import type { AgentState } from "./agent_state.ts";
 import { BackendCall } from "./backend_call.ts";
 import { BackendEnds } from "./backend_ends.ts";
@@ -27,6 +28,7 @@
   #state: AgentState;
   #engine: EngineClient;
   #ends: BackendEnds;
+  #limit = new AgentLimit();
   #exchanges = new Map<string, Exchange>();
   #running = 0;
   #queue: Waiting[] = [];
@@ -134,6 +136,13 @@
       const refusal = { reason: "overloaded", retryAfterMilliseconds };
       return this.#refuseUnrun(request, exchange, refusal);
     }
+    const untilRoom = this.#limit.take();
+    if (untilRoom > 0) {
+      return this.#refuseUnrun(request, exchange, {
+        reason: "limited",
+        retryAfterMilliseconds: untilRoom,
+      });
+    }
     const start = () => this.#start(request, exchange);
     if (this.#running < slots) start();
     else this.#enqueue({ exchange, start, priority: request.priority });
@@ -143,16 +152,22 @@
     this.#running += 1;
     const startedAt = Date.now();
     const begunAt = monotonicMilliseconds();
-    const [state, engine] = [this.#state, this.#engine];
-    const call = new BackendCall({ state, engine, request, exchange });
+    const call = new BackendCall({
+      state: this.#state,
+      engine: this.#engine,
+      limit: this.#limit,
+      request,
+      exchange,
+    });
     const outcome = await call.run();
     if (outcome.kind === "not-run") {
       this.#withdraw(request);
       this.#finishRefused(exchange, CallOutcome.NOT_RUN, outcome.reason);
     } else if (outcome.kind === "failed") {
       const ran = outcome.ran ? CallOutcome.RAN : CallOutcome.UNKNOWN;
-      const { address } = state.backend!;
+      const { address } = this.#state.backend!;
       const ended = await this.#ends.nameEnd(address, begunAt);
+      if (ended !== "") this.#limit.reset();
       this.#finishRefused(exchange, ran, outcome.reason, ended);
     } else {
       this.#learn(Date.now() - startedAt);
--- a/packages/experiments/src/failures/waiting_calls_test.ts
+++ b/packages/experiments/src/failures/waiting_calls_test.ts
@@ -1,3 +1,4 @@
+import { pause } from "@teaselrouter/daemon/transport/pause.ts";
 import { create } from "@bufbuild/protobuf";
 import { AgentState } from "@teaselrouter/daemon/agent/agent_state.ts";
 import { CallRunner } from "@teaselrouter/daemon/agent/call_runner.ts";
@@ -93,3 +94,36 @@
     assert.ok(!service.ran.includes("hurried"));
   });
 });
+
+// Guards against an agent that sends its backend server more than this one
+// says that it takes.
+test("a limit that a backend server names holds at its agent, and ends", async () => {
+  await withOneSlot(async (runner, service) => {
+    const ask = async (id: string) => {
+      const exchange = runner.run(call(id, 5));
+      for await (const { body } of exchange.read(0)) {
+        if (body.case === "refused") return body.value.reason;
+        if (body.case === "end") return "answered";
+      }
+    };
+    service.limitPerSecond = 2;
+    assert.equal(await ask("first"), "answered");
+    const reasons = [];
+    for (let index = 0; index < 15; index += 1) {
+      reasons.push(await ask(`limited-${index}`));
+      await pause(100);
+    }
+    const ran = reasons.filter((reason) => reason === "answered").length;
+    assert.ok(ran >= 1 && ran <= 5, `${ran} in 1.5 s`);
+    assert.ok(reasons.includes("limited"));
+    service.limitPerSecond = undefined;
+    assert.ok(
+      await waitUntil(
+        async () => await ask(`end-${Math.random()}`) === "answered",
+        CHECK_MILLISECONDS,
+      ),
+    );
+    assert.equal(await ask("behind"), "answered");
+    assert.equal(await ask("behind it"), "answered");
+  });
+});
--- a/packages/experiments/src/fakes/fake_service.ts
+++ b/packages/experiments/src/fakes/fake_service.ts
@@ -17,6 +17,8 @@
 /** A plain service that keeps a record of every body it ran. */
 export class FakeService {
   readonly ran: string[] = [];
+  /** Requests a second that it names with its answers; undefined for none. */
+  limitPerSecond: number | undefined;
   #options: Options;
   #announcer: Announcer | undefined;
   #server = createServer(async (request, response) => {
@@ -27,6 +29,9 @@
     this.ran.push(body);
     await pause(this.#options.callMilliseconds);
     response.setHeader("Content-Type", "text/plain");
+    if (this.limitPerSecond !== undefined) {
+      response.setHeader("Teaselrouter-Limit", String(this.limitPerSecond));
+    }
     response.end(FakeService.answerTo(body));
   });
 
