--- a/acceptance/src/crashing_requests_test.ts
+++ b/acceptance/src/crashing_requests_test.ts
@@ -44,7 +44,7 @@
   const path = new WholePath({ engines: ENGINES, gateways: GATEWAYS });
   try {
     await path.start();
-    for (const engine of path.engines) engine.crashesOn = CRASHING;
+    for (const engine of path.engines) engine.crashesOn = [CRASHING];
     await story(path);
   } finally {
     await path.stop();
@@ -122,7 +122,7 @@
 // plain answers come whole or not at all.
 test("one that doesn't stream and ends backend servers is refused as well", async () => {
   await withCrashingEngines(async (path) => {
-    path.plain.crashesOn = CRASHING;
+    path.plain.crashesOn = [CRASHING];
     const answers = await askInTurn(path, ROUNDS, "/look/x");
     assert.ok(path.plain.crashes >= 3);
     assert.ok(path.plain.crashes <= MOST_CRASHES, `${path.plain.crashes} ends`);
--- a/acceptance/src/named_limits_test.ts
+++ b/acceptance/src/named_limits_test.ts
@@ -51,6 +51,7 @@
     await path.start();
     const all = path.gatewayIps;
     const [inNeed] = path.engines;
+    const arrivals = () => inNeed!.arrivals.map(({ at }) => at);
     await load(path, { gateways: all, milliseconds: 1_000 });
 
     inNeed!.limitPerSecond = 1;
@@ -59,9 +60,7 @@
       gateways: all,
       milliseconds: PHASE_MILLISECONDS,
     });
-    const told = inNeed!.arrivedAt.filter((at) =>
-      at > namedAt + TOLD_MILLISECONDS
-    );
+    const told = arrivals().filter((at) => at > namedAt + TOLD_MILLISECONDS);
     const most = mostWithin(told, WINDOW_MILLISECONDS);
     console.log(`limit 1: ${most} in 4 s`);
     assert.ok(most <= mostAllowed(1), `${most} in 4 s`);
@@ -72,7 +71,7 @@
     inNeed!.limitPerSecond = 2;
     namedAt = performance.now();
     await load(path, { gateways: [all[0]!], milliseconds: PHASE_MILLISECONDS });
-    const alone = inNeed!.arrivedAt.filter((at) =>
+    const alone = arrivals().filter((at) =>
       at > namedAt + PHASE_MILLISECONDS - WINDOW_MILLISECONDS
     ).length;
     console.log(`limit 2, one gateway: ${alone} in 4 s`);
@@ -80,9 +79,9 @@
 
     inNeed!.limitPerSecond = undefined;
     await load(path, { gateways: all, milliseconds: 2_000 });
-    const before = inNeed!.arrivedAt.length;
+    const before = inNeed!.arrivals.length;
     await load(path, { gateways: all, milliseconds: 2_000 });
-    const after = inNeed!.arrivedAt.length - before;
+    const after = inNeed!.arrivals.length - before;
     assert.ok(after >= 8, `${after} in 2 s behind the limit`);
   } finally {
     await path.stop();
--- a/acceptance/src/stand_in_server.ts
+++ b/acceptance/src/stand_in_server.ts
@@ -26,15 +26,15 @@
   breaksAfter: number[] = [];
   /** Takes requests and answers nothing more, as a host that froze does. */
   isFrozen = false;
-  /** Body of requests under which it ends; undefined for none. */
-  crashesOn: string | undefined;
-  /** Times that it has ended. */
-  crashes = 0;
+  /** Bodies of requests under which it ends. */
+  crashesOn: readonly string[] = [];
   isDown = false;
   /** Requests a second that it names with its answers; undefined for none. */
   limitPerSecond: number | undefined;
-  /** When requests reached it, milliseconds of `performance`. */
-  readonly arrivedAt: number[] = [];
+  /** Requests that reached it, with the moment in `performance`'s ms. */
+  readonly arrivals: { id: string; at: number }[] = [];
+  /** When it ended, and under which request; undefined for none. */
+  readonly ends: { at: number; id: string | undefined }[] = [];
   #isClosed = false;
   version = 0;
   address = "";
@@ -56,6 +56,11 @@
     return this.crashes === 0 ? instance : `${instance}-${this.crashes}`;
   }
 
+  /** Times that it has ended. */
+  get crashes(): number {
+    return this.ends.length;
+  }
+
   get #born(): number {
     return FIRST_BORN + this.crashes;
   }
@@ -139,7 +144,7 @@
         "Instance-Id": this.instance,
       }).end();
     }
-    this.arrivedAt.push(performance.now());
+    this.arrivals.push({ id, at: performance.now() });
     if (this.isFrozen) return;
     this.ran.push(id);
     response.writeHead(200, {
@@ -151,10 +156,10 @@
         "Server-Limit": String(this.limitPerSecond),
       }),
     });
-    if (body.toString() === this.crashesOn) {
+    if (this.crashesOn.includes(body.toString())) {
       response.flushHeaders();
       await pause(CRASH_MILLISECONDS);
-      return this.#crash();
+      return this.crash(id);
     }
     if (headers["model"] === undefined) {
       const seen = [request.method, request.url, headers["tenant"], body];
@@ -164,11 +169,11 @@
   }
 
   /** All connections go at once, and nothing listens until it is back. */
-  async #crash(): Promise<void> {
+  async crash(id?: string): Promise<void> {
     if (this.isDown) return;
+    this.ends.push({ at: performance.now(), id });
     const [host, port] = this.address.split(":");
     this.isDown = true;
-    this.crashes += 1;
     this.version = 0;
     this.#sequence = 0;
     this.#beats = 0;
--- a/acceptance/src/whole_path.ts
+++ b/acceptance/src/whole_path.ts
@@ -7,12 +7,13 @@
 const MODEL = "model-1";
 const START_MILLISECONDS = 20_000;
 const HEARTBEAT_MILLISECONDS = 200;
+const OPERATION_MILLISECONDS = 1_000;
 const ENGINES = 2;
 /** Numbers of hosts: control, gateways, and those beside engines. */
-const FIRST_GATEWAY = 1;
-const FIRST_ENGINE = 20;
+const FIRST_GATEWAY = 10;
+const FIRST_ENGINE = 40;
 
-type Options = { engines?: number; gateways?: number };
+type Options = { engines?: number; gateways?: number; controlHosts?: number };
 
 /** The whole path on loopback: every program, and what surrounds them. */
 export class WholePath {
@@ -23,13 +24,17 @@
   /** Addresses of the gateways; most tests know the first alone. */
   readonly gatewayIps: string[] = [];
   #gateways: number;
+  #controlHosts: number;
   #storeAddress = "";
   #timer: NodeJS.Timeout | undefined;
   #leaving = new Set<StandInServer>();
 
-  constructor({ engines = ENGINES, gateways = 1 }: Options = {}) {
+  constructor(
+    { engines = ENGINES, gateways = 1, controlHosts = 1 }: Options = {},
+  ) {
     const { store } = this;
     this.#gateways = gateways;
+    this.#controlHosts = controlHosts;
     for (let index = 0; index < engines; index += 1) {
       const instance = `engine-${index}`;
       this.engines.push(new StandInServer({ instance, store, model: MODEL }));
@@ -44,10 +49,12 @@
   /** Starts all of it; serves once this resolves. */
   async start(): Promise<void> {
     const { platform } = this;
-    await platform.prepare(1);
+    await platform.prepare(this.#controlHosts);
     this.#storeAddress = await this.store.listen("127.0.0.1");
     await this.plain.listen("127.0.0.1");
-    platform.start("control", 0);
+    for (let index = 0; index < this.#controlHosts; index += 1) {
+      platform.start("control", index);
+    }
     for (const [index, engine] of this.engines.entries()) {
       await engine.listen("127.0.0.1");
       const extra = { app: engine.address, service: "writer" };
@@ -75,13 +82,20 @@
   /** Ends control and gateways at one moment, and starts them again. */
   async restartAll(): Promise<void> {
     const { platform } = this;
-    await platform.restart(["control-0", ...this.#gatewayNames]);
+    await platform.restart([...this.controlNames, ...this.gatewayNames]);
     for (const ip of this.gatewayIps) {
       await this.#until(() => this.isReady(ip), "ready");
     }
   }
 
-  get #gatewayNames(): string[] {
+  get controlNames(): string[] {
+    return Array.from(
+      { length: this.#controlHosts },
+      (_, index) => `control-${index}`,
+    );
+  }
+
+  get gatewayNames(): string[] {
     return this.gatewayIps.map((_, index) =>
       `gateway-${FIRST_GATEWAY + index}`
     );
@@ -121,12 +135,25 @@
     path: string,
     body?: unknown,
   ): Promise<{ status: number; text: string }> {
-    const url = `${this.platform.operations[0]}${path}`;
     const text = typeof body === "string" ? body : JSON.stringify(body);
+    let answer = { status: 0, text: "" };
+    for (const base of this.platform.operations) {
+      answer = await this.#operateAt(`${base}${path}`, method, text);
+      if (answer.status !== 0 && answer.status !== 503) return answer;
+    }
+    return answer;
+  }
+
+  async #operateAt(
+    url: string,
+    method: string,
+    text: string | undefined,
+  ): Promise<{ status: number; text: string }> {
     try {
       const answer = await fetch(url, {
         method,
-        ...(body !== undefined && { body: text }),
+        ...(text !== undefined && { body: text }),
+        signal: AbortSignal.timeout(OPERATION_MILLISECONDS),
       });
       return { status: answer.status, text: await answer.text() };
     } catch (error) {
--- a/acceptance/src/whole_path_test.ts
+++ b/acceptance/src/whole_path_test.ts
@@ -232,7 +232,7 @@
     assert.equal(leaving!.ran.length, before);
     assert.ok(staying!.ran.length >= 10);
 
-    const gateway = path.platform.find("gateway-1");
+    const gateway = path.platform.find(path.gatewayNames[0]!);
     const stream = path.write("f-last");
     gateway.child.signal("SIGTERM");
     assert.equal((await stream).text, STREAM);
