--- a/packages/daemon/src/gateway/gateway_call.ts
+++ b/packages/daemon/src/gateway/gateway_call.ts
@@ -1,6 +1,5 @@
 import type { Blame } from "@teaselrouter/core/crashes/blame.ts";
 import type { BackendChoice } from "@teaselrouter/core/gateway/backend_choice.ts";
-import { retryAfter } from "@teaselrouter/core/gateway/retry_after.ts";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { monotonicMilliseconds } from "../transport/monotonic_milliseconds.ts";
 import { admitCall } from "./admit_call.ts";
@@ -8,7 +7,7 @@
 import { AnswerPasser } from "./answer_passer.ts";
 import type { AttemptOutcome } from "./attempt_outcome.ts";
 import { CallEnding } from "./call_ending.ts";
-import type { CallRefusal } from "./call_refusal.ts";
+import { CallRefuser } from "./call_refuser.ts";
 import { CallRouting } from "./call_routing.ts";
 import { CallSender } from "./call_sender.ts";
 import type { GatewayWorld } from "./gateway_world.ts";
@@ -27,6 +26,7 @@
   sender: CallSender;
   passer: AnswerPasser;
   routing: CallRouting;
+  refuser: CallRefuser;
 };
 
 /** One request of a client, from its head to the end of its answer. */
@@ -35,8 +35,6 @@
   #request: IncomingMessage;
   #response: ServerResponse;
   #startedAt = monotonicMilliseconds();
-  /** A backend server may have begun to work on it. */
-  #mayHaveRun = false;
   #ending: CallEnding;
 
   constructor(options: Options) {
@@ -59,7 +57,8 @@
     const passer = new AnswerPasser({ world, call, response, isOver });
     const { tried } = sender;
     const routing = new CallRouting({ world, call, passer, tried });
-    const work: Work = { call, sender, passer, routing };
+    const refuser = new CallRefuser(world, call);
+    const work: Work = { call, sender, passer, routing, refuser };
     world.retries.countRequest();
     // Its end came and went while it was held or read.
     if (response.destroyed) return this.#noteLeft(work);
@@ -70,8 +69,11 @@
       call,
       end: (blame) => this.#endBlamed(work, blame),
     });
-    await this.#place(work);
-    endWatch();
+    try {
+      await this.#place(work);
+    } finally {
+      endWatch();
+    }
   }
 
   /** Nothing can be said of a request before a configuration is known. */
@@ -84,7 +86,7 @@
 
   /** Sends it, and again where that is allowed, until it is answered. */
   async #place(work: Work): Promise<void> {
-    const { sender, passer, routing } = work;
+    const { sender, passer, routing, refuser } = work;
     let lastReason = "";
     while (!this.#ending.isOver) {
       const blame = this.#world.crashes.refusal(work.call);
@@ -96,13 +98,12 @@
       }
       if (sender.tried.size > 0 && !routing.trySendAgain()) {
         const reason = `${lastReason}; no further send is allowed`;
-        return this.#ending.refuse(work, this.#refusal(work, reason, "busy"));
+        return this.#ending.refuse(work, refuser.refusal(reason, "busy"));
       }
       const placement = routing.place(choice);
       if (placement.kind === "refused") {
         const reason = "its backend servers have no room";
-        const refusal = this.#refusal(work, reason, "overload");
-        return this.#ending.refuse(work, refusal);
+        return this.#ending.refuse(work, refuser.refusal(reason, "overload"));
       }
       const endWatch = this.#watchSilence(work, choice);
       const outcome = await sender.send(choice, {
@@ -114,8 +115,8 @@
       endWatch();
       if (end === "over") return;
       lastReason = end;
-      this.#mayHaveRun ||= outcome.kind !== "not-run";
-      if (this.#mayHaveRun && !routing.mayRepeat) {
+      refuser.mayHaveRun ||= outcome.kind !== "not-run";
+      if (refuser.mayHaveRun && !routing.mayRepeat) {
         return this.#ending.refuse(work, { status: 502, reason: lastReason });
       }
     }
@@ -224,34 +225,18 @@
   /** What has begun to answer goes on: it is too late to keep it off. */
   #endBlamed(work: Work, blame: Blame): void {
     if (this.#ending.isOver || work.passer.hasBegun) return;
-    if (work.sender.isSent) this.#mayHaveRun = true;
+    work.refuser.mayHaveRun ||= work.sender.isSent;
     this.#refuseBlamed(work, blame);
     work.sender.abort("it ends what runs it");
   }
 
   #refuseBlamed(work: Work, blame: Blame): void {
-    const { fingerprint, crashes, incarnations, endsAt } = blame;
-    const left = endsAt - monotonicMilliseconds();
-    const reason = `${crashes} backend servers ended under it`;
-    this.#world.log.info("blamed-request-refused", {
-      id: work.call.id,
-      fingerprint,
-      crashes,
-      incarnations: incarnations.join(","),
-      left_milliseconds: Math.round(left),
-      outcome: this.#mayHaveRun ? "unknown" : "not-run",
-    });
-    this.#ending.refuse(
-      work,
-      this.#mayHaveRun
-        ? { status: 502, reason }
-        : { status: 503, reason, retryAfterMilliseconds: left },
-    );
+    this.#ending.refuse(work, work.refuser.blamed(blame));
   }
 
   #giveUp(work: Work): void {
     if (this.#ending.isOver) return;
-    const isSent = this.#mayHaveRun || work.sender.isSent;
+    const isSent = work.refuser.mayHaveRun || work.sender.isSent;
     const reason = "the time for it is over";
     this.#ending.refuse(work, { status: isSent ? 504 : 503, reason });
     work.sender.abort(reason);
@@ -265,32 +250,14 @@
   }
 
   #refuseUnplaced(work: Work, lastReason: string): void {
-    const untilRoom = work.routing.untilRoom();
-    if (untilRoom !== undefined && !this.#mayHaveRun) {
-      return this.#ending.refuse(work, {
-        status: 503,
-        reason: "its backend servers have named limits",
-        retryAfterMilliseconds: untilRoom,
-      });
+    const { refuser, routing } = work;
+    const untilRoom = routing.untilRoom();
+    if (untilRoom !== undefined) {
+      return this.#ending.refuse(work, refuser.limited(untilRoom));
     }
     const refusal = lastReason === ""
-      ? this.#refusal(work, "no backend server takes it now", "outage")
-      : this.#refusal(work, lastReason, "busy");
+      ? refuser.refusal("no backend server takes it now", "outage")
+      : refuser.refusal(lastReason, "busy");
     this.#ending.refuse(work, refusal);
   }
-
-  /** "Not run" is said only of what no backend server can have begun. */
-  #refusal(
-    { call }: Work,
-    reason: string,
-    cause: "outage" | "overload" | "busy",
-  ): CallRefusal {
-    if (this.#mayHaveRun) return { status: 502, reason };
-    const retryAfterMilliseconds = retryAfter({
-      cause,
-      patienceMilliseconds: call.endsAt - call.startedAt,
-      random: this.#world.random(),
-    });
-    return { status: 503, reason, retryAfterMilliseconds };
-  }
 }
--- a/packages/daemon/src/gateway/named_limits.ts
+++ b/packages/daemon/src/gateway/named_limits.ts
@@ -17,6 +17,8 @@
 const TELL_MILLISECONDS = 250;
 /** Told in one message; more backend servers in need are told in turn. */
 const MOST_TOLD = 32;
+/** An end of a limit is told for so long, should news of it be lost. */
+const END_MILLISECONDS = 3_000;
 /** An end of a limit is remembered against news that come late. */
 const FORGET_MILLISECONDS = 60_000;
 
@@ -154,6 +156,9 @@
       return;
     }
     const demands = [...this.#known]
+      .filter(([, { limit, part }]) =>
+        part !== undefined || now - limit.saidAt < END_MILLISECONDS
+      )
       .map(([incarnation, known]) => ({ incarnation, ...known }))
       .sort((left, right) => right.limit.saidAt - left.limit.saidAt)
       .slice(0, MOST_TOLD)
@@ -162,6 +167,7 @@
         host: this.#options.host,
         wantedPerSecond: part?.wantedPerSecond(now) ?? 0,
       }));
+    if (demands.length === 0) return;
     this.#options.tell(create(LimitNewsSchema, { demands }));
   }
 
