--- a/packages/daemon/src/control/crash_judge.ts
+++ b/packages/daemon/src/control/crash_judge.ts
@@ -2,6 +2,7 @@
 import type { Blame } from "@teaselrouter/core/crashes/blame.ts";
 import { CrashLedger } from "@teaselrouter/core/crashes/crash_ledger.ts";
 import type { CrashReport } from "@teaselrouter/core/crashes/crash_report.ts";
+import { NewsBudget } from "@teaselrouter/core/crashes/news_budget.ts";
 import {
   type CrashNews,
   CrashNewsSchema,
@@ -17,8 +18,8 @@
 /** Gateways hear and tell of the same end within so long of each other. */
 const SETTLE_MILLISECONDS = 120;
 const GATHER_MILLISECONDS = 50;
-/** Told to other control hosts in one message. */
-const MOST_REPORTS_TOLD = 64;
+/** Told to each other control host: 10 KB. */
+const MOST_REPORTS_PER_SECOND = 150;
 /** Told to a host that has just come; the latest. */
 const MOST_BLAMED_TOLD = 128;
 const EXPIRE_MILLISECONDS = 10_000;
@@ -38,6 +39,7 @@
   #options: Options;
   #ledger = new CrashLedger({ settleMilliseconds: SETTLE_MILLISECONDS });
   #reports: CrashReport[] = [];
+  #budget = new NewsBudget(MOST_REPORTS_PER_SECOND);
   #gatherTimer: NodeJS.Timeout | undefined;
   #decideTimer: NodeJS.Timeout | undefined;
   #expireTimer: NodeJS.Timeout;
@@ -141,8 +143,11 @@
     this.#reports.push(...fresh);
     this.#gatherTimer ??= setTimeout(() => {
       this.#gatherTimer = undefined;
-      const reports = this.#reports.slice(0, MOST_REPORTS_TOLD);
+      const now = monotonicMilliseconds();
+      const most = this.#budget.take(this.#reports.length, now);
+      const reports = this.#reports.slice(0, most);
       this.#reports = [];
+      if (reports.length === 0) return;
       this.heardHere$.next(
         create(CrashNewsSchema, { reports: reports.map(encodeCrashReport) }),
       );
--- a/packages/daemon/src/gateway/crash_reporter.ts
+++ b/packages/daemon/src/gateway/crash_reporter.ts
@@ -2,6 +2,7 @@
 import type { Blame } from "@teaselrouter/core/crashes/blame.ts";
 import { CrashLedger } from "@teaselrouter/core/crashes/crash_ledger.ts";
 import type { CrashReport } from "@teaselrouter/core/crashes/crash_report.ts";
+import { NewsBudget } from "@teaselrouter/core/crashes/news_budget.ts";
 import {
   type CrashNews,
   CrashNewsSchema,
@@ -22,8 +23,8 @@
  */
 const SETTLE_MILLISECONDS = 500;
 const GATHER_MILLISECONDS = 50;
-/** Told to each control host that is followed, in one message. */
-const MOST_REPORTS_TOLD = 16;
+/** Told to each control host that is followed: 3 KB. */
+const MOST_REPORTS_PER_SECOND = 48;
 const MOST_BLAMED_TOLD = 64;
 
 type UnderWay = {
@@ -45,6 +46,7 @@
   #ledger = new CrashLedger({ settleMilliseconds: SETTLE_MILLISECONDS });
   #underWay = new Set<UnderWay>();
   #reports: CrashReport[] = [];
+  #budget = new NewsBudget(MOST_REPORTS_PER_SECOND);
   #gatherTimer: NodeJS.Timeout | undefined;
   #decideTimer: NodeJS.Timeout | undefined;
 
@@ -112,9 +114,10 @@
   /** With too many to tell, those of whom most is known already go first. */
   #tellReports(): void {
     this.#gatherTimer = undefined;
+    const now = monotonicMilliseconds();
     const told = this.#reports
       .sort((left, right) => this.#weigh(right) - this.#weigh(left))
-      .slice(0, MOST_REPORTS_TOLD);
+      .slice(0, this.#budget.take(this.#reports.length, now));
     const leftOut = this.#reports.length - told.length;
     this.#reports = [];
     if (leftOut > 0) {
