--- a/packages/core/src/named_limits/limit_division.ts
+++ b/packages/core/src/named_limits/limit_division.ts
@@ -52,7 +52,7 @@
     if (entry === undefined) return;
     const { host, perSecond } = wanted;
     entry.wanted.delete(host);
-    if (perSecond > 0) entry.wanted.set(host, { perSecond, at: now });
+    entry.wanted.set(host, { perSecond, at: now });
     if (entry.wanted.size > MOST_HOSTS) {
       entry.wanted.delete(entry.wanted.keys().next().value!);
     }
@@ -61,15 +61,14 @@
   /** A host's part of each limit, from 0 to 1. */
   partsOf(host: string, now: number): { limit: NamedLimit; part: number }[] {
     return [...this.#entries.values()].map(({ limit, wanted }) => {
-      const live = [...wanted].filter(([, { at }]) =>
+      const live = [...wanted.entries()].filter(([, { at }]) =>
         now - at <= SILENT_MILLISECONDS
       );
-      const sum = live.reduce(
-        (total, [, { perSecond }]) => total + perSecond,
-        0,
-      );
-      const own = live.find(([name]) => name === host)?.[1].perSecond ?? 0;
-      return { limit, part: sum === 0 ? 0 : own / sum };
+      const own = live.find(([name]) => name === host)?.[1];
+      const part = own === undefined
+        ? 0
+        : partOf(own, live.map(([, each]) => each), limit);
+      return { limit, part };
     });
   }
 
@@ -101,3 +100,11 @@
     return entry;
   }
 }
+
+/** In proportion to what is wanted; all share what nobody wants alike. */
+function partOf(own: Wanted, all: Wanted[], limit: NamedLimit): number {
+  const sum = all.reduce((total, { perSecond }) => total + perSecond, 0);
+  const most = Math.max(sum, limit.perSecond ?? 0);
+  if (most === 0) return 1 / all.length;
+  return own.perSecond / most + (1 - sum / most) / all.length;
+}
--- a/packages/core/src/named_limits/limit_part.ts
+++ b/packages/core/src/named_limits/limit_part.ts
@@ -8,11 +8,18 @@
 const UNTOLD_PART = 0.125;
 /** Nobody would learn that a limit of naught has ended. */
 const LEAST_PER_SECOND = 0.1;
-/** Saved up beside one request: arrivals come unevenly. */
+/** Saved up by all hosts together: a number, and a time at the limit. */
+const SAVED_REQUESTS = 3;
+const SAVED_SECONDS = 1;
+/** Of a host's own rate, as arrivals come unevenly. */
 const BURST_SECONDS = 0.5;
-const WINDOW_MILLISECONDS = 1_000;
-/** Who wanted nothing for so long has saved nothing. */
-const IDLE_MILLISECONDS = 3_000;
+/** So long a request that was kept off is taken to be followed by others. */
+const KEPT_OFF_MILLISECONDS = 6_000;
+/** Wants so long ago count a third of one of now. */
+const WANT_MILLISECONDS = 6_000;
+
+/** With so many missing behind the last one, less is wanted than before. */
+const PAUSE_WANTS = 2;
 
 type Told = { part: number; at: number };
 
@@ -21,20 +28,33 @@
  *
  * Pattern: parts follow the traffic, and each host hears of a change a moment
  * apart. A part that shrinks does so at once; one that grows waits until all
- * others have shrunk, so that together they hold the limit meanwhile too.
+ * others have shrunk, so that together they hold the limit meanwhile too. Of
+ * many hosts each has a fraction of a request a second: were each to save up a
+ * whole one, as many as there are hosts would be sent once traffic comes to
+ * all. A host sends at a threshold drawn anew for each request, with a debt of
+ * what is missing; and while nothing is kept off, it saves a fraction only.
  */
 export class LimitPart {
   #perSecond: number;
+  #random: () => number;
+  /** Of a request, at which the next is sent. */
+  #threshold: number;
+  #keptOffAt = -Infinity;
+  /** Earned and not saved since the threshold was drawn. */
+  #unsaved = 0;
   #told: Told[] = [];
   #tokens = 0;
   #filledAt: number;
+  #wanted = { sum: 0, at: 0 };
   #wantedAt = -Infinity;
-  #window = { startedAt: 0, count: 0, before: 0 };
 
-  constructor(perSecond: number, now: number) {
+  /** @param random uniform in [0, 1). */
+  constructor(perSecond: number, now: number, random: () => number) {
     this.#perSecond = perSecond;
+    this.#random = random;
+    this.#threshold = random();
     this.#filledAt = now;
-    this.#window.startedAt = now;
+    this.#wanted.at = now;
   }
 
   get perSecond(): number {
@@ -59,18 +79,17 @@
 
   /** A request would go there, had it room. */
   want(now: number): void {
-    if (now - this.#wantedAt > IDLE_MILLISECONDS) this.#tokens = 0;
-    this.#fill(now);
+    this.#decayWanted(now);
+    this.#wanted.sum += 1;
     this.#wantedAt = now;
-    this.#roll(now);
-    this.#window.count += 1;
   }
 
   /** Requests a second that this host wanted to send there lately. */
   wantedPerSecond(now: number): number {
-    this.#roll(now);
-    const { count, before } = this.#window;
-    return Math.max(before, count) * 1_000 / WINDOW_MILLISECONDS;
+    this.#decayWanted(now);
+    const lately = this.#wanted.sum * 1_000 / WANT_MILLISECONDS;
+    const pause = Math.max(1, now - this.#wantedAt);
+    return Math.min(lately, PAUSE_WANTS * 1_000 / pause);
   }
 
   /** Requests a second that this host may send there now. */
@@ -92,41 +111,58 @@
     return now - latest.at > STALE_MILLISECONDS ? least * STALE_SHARE : least;
   }
 
+  /** Whether a request that would go there is to be sent there. */
+  admits(now: number): boolean {
+    const hasRoom = this.hasRoom(now);
+    if (!hasRoom) this.#keptOffAt = now;
+    return hasRoom;
+  }
+
   hasRoom(now: number): boolean {
     this.#fill(now);
-    return this.#tokens >= 1;
+    return this.#tokens >= this.#threshold;
   }
 
   /** A request is sent there. */
   take(now: number): void {
     this.#fill(now);
     this.#tokens -= 1;
+    this.#drawThreshold();
   }
 
   /** When there is room next, from now, milliseconds. */
   untilRoom(now: number): number {
     this.#fill(now);
-    if (this.#tokens >= 1) return 0;
     const rate = Math.max(this.rate(now), LEAST_PER_SECOND * UNTOLD_PART);
-    return (1 - this.#tokens) / rate * 1_000;
+    return Math.max(0, this.#threshold - this.#tokens) / rate * 1_000;
   }
 
   #fill(now: number): void {
     const rate = this.rate(now);
     const earned = rate * Math.max(0, now - this.#filledAt) / 1_000;
-    const most = 1 + rate * BURST_SECONDS;
-    this.#tokens = Math.min(most, this.#tokens + earned);
+    const saved = Math.min(this.#most(now), this.#tokens + earned);
+    this.#unsaved += this.#tokens + earned - saved;
+    this.#tokens = saved;
     this.#filledAt = now;
+    // What can't be saved up is another chance to send.
+    if (this.#unsaved >= 1) this.#drawThreshold();
+  }
+
+  #drawThreshold(): void {
+    this.#threshold = this.#random();
+    this.#unsaved = 0;
+  }
+
+  #most(now: number): number {
+    const burst = this.rate(now) * BURST_SECONDS;
+    if (now - this.#keptOffAt <= KEPT_OFF_MILLISECONDS) return 1 + burst;
+    const all = SAVED_REQUESTS + SAVED_SECONDS * this.#perSecond;
+    return Math.min(1, this.part(now) * all) + burst;
   }
 
-  #roll(now: number): void {
-    const elapsed = now - this.#window.startedAt;
-    if (elapsed < WINDOW_MILLISECONDS) return;
-    const isNext = elapsed < 2 * WINDOW_MILLISECONDS;
-    this.#window = {
-      startedAt: now,
-      count: 0,
-      before: isNext ? this.#window.count * WINDOW_MILLISECONDS / elapsed : 0,
-    };
+  #decayWanted(now: number): void {
+    const age = Math.max(0, now - this.#wanted.at);
+    this.#wanted.sum *= Math.exp(-age / WANT_MILLISECONDS);
+    this.#wanted.at = now;
   }
 }
--- a/packages/daemon/src/agent/agent_limit.ts
+++ b/packages/daemon/src/agent/agent_limit.ts
@@ -12,7 +12,11 @@
   hear(perSecond: number | undefined): void {
     if (perSecond === undefined) this.#part = undefined;
     else if (this.#part !== undefined) this.#part.perSecond = perSecond;
-    else this.#part = new LimitPart(perSecond, monotonicMilliseconds());
+    else {this.#part = new LimitPart(
+        perSecond,
+        monotonicMilliseconds(),
+        Math.random,
+      );}
   }
 
   /** A call is to run there: 0, or when there is room, milliseconds. */
@@ -22,7 +26,7 @@
     if (part === undefined) return 0;
     part.tell(WHOLE, now);
     part.want(now);
-    if (!part.hasRoom(now)) return part.untilRoom(now);
+    if (!part.admits(now)) return Math.max(1, part.untilRoom(now));
     part.take(now);
     return 0;
   }
--- a/packages/daemon/src/gateway/backend_pool.ts
+++ b/packages/daemon/src/gateway/backend_pool.ts
@@ -106,30 +106,45 @@
     const usable = this.#usable(want);
     noteUsualLoad(usable, monotonicMilliseconds());
     const best = this.#best(usable, want);
+    const isLimited = best !== undefined &&
+      this.#options.namedLimits.isLimited(best.standing);
+    return isLimited ? this.#withinLimits(usable, want) : best;
+  }
+
+  /** Who has no room now is passed over for the next best. */
+  #withinLimits(
+    usable: BackendChoice[],
+    want: Want,
+  ): BackendChoice | undefined {
     const { namedLimits } = this.#options;
-    if (best === undefined || !namedLimits.isLimited(best.standing)) {
-      return best;
-    }
-    if (want.forSending) namedLimits.want(best.standing);
-    if (!namedLimits.isFull(best.standing)) return best;
-    const withRoom = usable.filter(({ standing }) =>
-      !namedLimits.isFull(standing)
-    );
-    const other = this.#best(withRoom, want);
-    if (want.forSending) {
-      namedLimits.notePassedOver(want.id, best.standing, other?.standing);
+    let left = usable;
+    const passedOver: BackendChoice[] = [];
+    while (true) {
+      const best = this.#best(left, want);
+      const isAdmitted = best === undefined ||
+        (want.forSending
+          ? namedLimits.admits(best.standing)
+          : namedLimits.mayAdmit(best.standing));
+      if (isAdmitted) {
+        if (!want.forSending) return best;
+        for (const { standing } of passedOver) {
+          namedLimits.notePassedOver(want.id, standing, best?.standing);
+        }
+        return best;
+      }
+      passedOver.push(best);
+      left = left.filter((choice) => choice !== best);
     }
-    return other;
   }
 
   /**
-   * When one of those that have used up what they take has room next,
-   * milliseconds from now; undefined when none is kept off for that.
+   * When one of those that name a limit has room next, milliseconds from now;
+   * undefined when none that could take it names one.
    */
   untilRoom(want: Want): number | undefined {
     const { namedLimits } = this.#options;
     const waits = this.#usable(want)
-      .filter(({ standing }) => namedLimits.isFull(standing))
+      .filter(({ standing }) => namedLimits.isLimited(standing))
       .map(({ standing }) => namedLimits.untilRoom(standing));
     return waits.length === 0 ? undefined : Math.min(...waits);
   }
--- a/packages/daemon/src/gateway/gateway_app.ts
+++ b/packages/daemon/src/gateway/gateway_app.ts
@@ -94,6 +94,7 @@
       backends$: feed.backends$,
       news$: feed.limits$,
       tell: (value) => this.#follows.tell({ case: "limits", value }),
+      random: Math.random,
       log,
     });
     this.#world = {
--- a/packages/daemon/src/gateway/named_limits.ts
+++ b/packages/daemon/src/gateway/named_limits.ts
@@ -30,6 +30,7 @@
   news$: Observable<LimitNews>;
   tell: (news: LimitNews) => void;
   log: EventLog;
+  random: () => number;
 };
 
 /** Keeps this host's part of what backend servers in need say they take. */
@@ -64,15 +65,18 @@
     return this.#partOf(standing) !== undefined;
   }
 
-  /** Whether this host has used up what it may send there. */
-  isFull(standing: BackendStanding): boolean {
+  /** Whether one request that would best go there is sent there. */
+  admits(standing: BackendStanding): boolean {
     const part = this.#partOf(standing);
-    return part !== undefined && !part.hasRoom(monotonicMilliseconds());
+    if (part === undefined) return true;
+    const now = monotonicMilliseconds();
+    part.want(now);
+    return part.admits(now);
   }
 
-  /** A request would go there, had it room. */
-  want(standing: BackendStanding): void {
-    this.#partOf(standing)?.want(monotonicMilliseconds());
+  /** Whether a request could be sent there now. */
+  mayAdmit(standing: BackendStanding): boolean {
+    return this.#partOf(standing)?.hasRoom(monotonicMilliseconds()) ?? true;
   }
 
   /** A request is sent there. */
@@ -129,7 +133,11 @@
     if (known !== undefined && known.limit.saidAt >= saidAt) return;
     const isChange = known?.limit.perSecond !== perSecond;
     const part = perSecond === undefined ? undefined : known?.part ??
-      new LimitPart(perSecond, monotonicMilliseconds());
+      new LimitPart(
+        perSecond,
+        monotonicMilliseconds(),
+        this.#options.random,
+      );
     if (part !== undefined) part.perSecond = perSecond!;
     this.#known.set(incarnation, { limit, part });
     if (!isChange) return;
