--- a/acceptance/src/incident_day.ts
+++ b/acceptance/src/incident_day.ts
@@ -1,6 +1,7 @@
 import { hashText } from "@teaselrouter/core/random/hash_text.ts";
 import { seededRandom } from "@teaselrouter/core/random/seeded_random.ts";
 import { performance } from "node:perf_hooks";
+import { findBoundArrivals, type Limited } from "./find_bound_arrivals.ts";
 import { findDayFaults } from "./find_day_faults.ts";
 import { mostWithin } from "./most_within.ts";
 import type { StandInServer } from "./stand_in_server.ts";
@@ -22,7 +23,6 @@
 
 type Answer = { status: number; text: string; isBroken: boolean };
 type Trouble = { name: string; strike: (path: WholePath) => Promise<unknown> };
-type Limited = { perSecond: number; from: number; to: number };
 
 /** What a day showed. */
 export type DayFigures = {
@@ -57,6 +57,9 @@
   });
   #answers: Promise<Answer>[] = [];
   #limited: Limited[] = [];
+  /** Gateways asked, by request; and when each started anew. */
+  #gatewayAsked = new Map<string, string>();
+  #restarts: { gateway: string; at: number }[] = [];
   #sent = 0;
 
   constructor(seed: number) {
@@ -87,13 +90,16 @@
   #drawTroubles(): Trouble[] {
     const gateway = () => this.#pick(this.#path.gatewayNames);
     const all: Trouble[] = [
-      { name: "gateway killed", strike: (path) => restart(path, gateway()) },
+      {
+        name: "gateway killed",
+        strike: (path) => this.#restartGateway(path, gateway()),
+      },
       { name: "gateway frozen", strike: (path) => freeze(path, gateway()) },
       {
         name: "control host killed",
         strike: (path) => restart(path, this.#pick(path.controlNames)),
       },
-      { name: "all power lost", strike: (path) => path.restartAll() },
+      { name: "all power lost", strike: (path) => this.#restartAll(path) },
       { name: "version named", strike: (path) => path.nameWeights(2) },
       {
         name: "engine ended by itself",
@@ -110,6 +116,20 @@
     return Array.from({ length: TROUBLES }, () => this.#pick(all));
   }
 
+  async #restartGateway(path: WholePath, name: string): Promise<void> {
+    const gateway = path.gatewayIps[path.gatewayNames.indexOf(name)]!;
+    await restart(path, name);
+    this.#restarts.push({ gateway, at: performance.now() });
+  }
+
+  async #restartAll(path: WholePath): Promise<void> {
+    await path.restartAll();
+    const at = performance.now();
+    for (const gateway of path.gatewayIps) {
+      this.#restarts.push({ gateway, at });
+    }
+  }
+
   #pick<Value>(values: Value[]): Value {
     return values[Math.floor(this.#random() * values.length)]!;
   }
@@ -168,6 +188,7 @@
   async #ask(kind: string, gateway: string, body: string): Promise<Answer> {
     this.#sent += 1;
     const id = `${kind}-${this.#sent}`;
+    this.#gatewayAsked.set(id, gateway);
     try {
       const { status, text } = await this.#path.ask("/write/x", {
         id,
@@ -194,13 +215,18 @@
       arrivals: arrivals.filter(({ id }) => ofFault(index)(id))
         .map(({ at }) => at),
     }));
-    const limits = this.#limited.map(({ perSecond, from, to }) => ({
+    const limitedArrivals = engines.at(-1)!.arrivals
+      .map(({ id, at }) => ({ at, gateway: this.#gatewayAsked.get(id)! }));
+    const limits = this.#limited.map((limited) => ({
       most: mostWithin(
-        engines.at(-1)!.arrivals.map(({ at }) => at)
-          .filter((at) => at > from + TOLD_MILLISECONDS && at < to),
+        findBoundArrivals({
+          limited,
+          arrivals: limitedArrivals,
+          restarts: this.#restarts,
+        }),
         WINDOW_MILLISECONDS,
       ),
-      allowed: 1.5 * perSecond * WINDOW_MILLISECONDS / 1_000 + 5,
+      allowed: 1.5 * limited.perSecond * WINDOW_MILLISECONDS / 1_000 + 5,
     }));
     const worst = limits.sort((left, right) =>
       right.most / right.allowed - left.most / left.allowed
