--- a/acceptance/src/find_bound_arrivals.ts
+++ b/acceptance/src/find_bound_arrivals.ts
@@ -1,11 +1,10 @@
+import type { Limited } from "./limited.ts";
+
 /** From an answer that names a limit until its gateway is bound by it. */
 const BOUND_MILLISECONDS = 500;
 /** From the first naming until any gateway is. */
 const TOLD_MILLISECONDS = 3_000;
 
-/** A limit that a backend server named; moments in `performance`'s ms. */
-export type Limited = { perSecond: number; from: number; to: number };
-
 type Happened = {
   limited: Limited;
   arrivals: { at: number; gateway: string }[];
--- a/acceptance/src/find_day_faults.ts
+++ b/acceptance/src/find_day_faults.ts
@@ -1,4 +1,4 @@
-import type { DayFigures } from "./incident_day.ts";
+import type { DayFigures } from "./day_figures.ts";
 
 /** Repeats of a request that is known to end what runs it. */
 const MOST_LATE_ARRIVALS = 3;
--- a/acceptance/src/incident_day.ts
+++ b/acceptance/src/incident_day.ts
@@ -1,8 +1,10 @@
 import { hashText } from "@teaselrouter/core/random/hash_text.ts";
 import { seededRandom } from "@teaselrouter/core/random/seeded_random.ts";
 import { performance } from "node:perf_hooks";
-import { findBoundArrivals, type Limited } from "./find_bound_arrivals.ts";
+import type { DayFigures } from "./day_figures.ts";
+import { findBoundArrivals } from "./find_bound_arrivals.ts";
 import { findDayFaults } from "./find_day_faults.ts";
+import type { Limited } from "./limited.ts";
 import { mostWithin } from "./most_within.ts";
 import type { StandInServer } from "./stand_in_server.ts";
 import { WholePath } from "./whole_path.ts";
@@ -24,24 +26,6 @@
 type Answer = { status: number; text: string; isBroken: boolean };
 type Trouble = { name: string; strike: (path: WholePath) => Promise<unknown> };
 
-/** What a day showed. */
-export type DayFigures = {
-  seed: number;
-  troubles: string[];
-  served: number;
-  refused: number;
-  broken: number;
-  /** Requests of others that were refused as if they ended backend servers. */
-  wronglyBlamed: number;
-  /** Ends under the requests at fault, and late arrivals of each. */
-  ends: number[];
-  lateArrivals: number[];
-  /** Most in 4 s at the engine in need, and what its limit allows. */
-  mostLimited: number;
-  allowedLimited: number;
-  faults: string[];
-};
-
 /**
  * A day on loopback with ten gateways and uneven arrival: requests that end
  * engines come again everywhere, one engine names a limit, and hosts, engines
--- a/packages/core/src/crashes/crash_evidence.ts
+++ b/packages/core/src/crashes/crash_evidence.ts
@@ -1,7 +1,5 @@
 import type { CrashReport } from "./crash_report.ts";
 
-/** So many backend servers have to end under one request. */
-export const CRASHES_TO_BLAME = 3;
 /**
  * What still waited there has hardly ended it; but an answer's beginning can
  * be lost with the connection, so that it counts for something.
--- a/packages/core/src/crashes/crash_ledger.ts
+++ b/packages/core/src/crashes/crash_ledger.ts
@@ -1,5 +1,6 @@
 import type { Blame } from "./blame.ts";
-import { CRASHES_TO_BLAME, CrashEvidence } from "./crash_evidence.ts";
+import { CrashEvidence } from "./crash_evidence.ts";
+import { CRASHES_TO_BLAME } from "./crashes_to_blame.ts";
 import type { CrashReport } from "./crash_report.ts";
 
 /** Time for whoever sends it to mend it, or what runs it. */
--- a/packages/daemon/src/control/crash_judge.ts
+++ b/packages/daemon/src/control/crash_judge.ts
@@ -8,6 +8,7 @@
   CrashNewsSchema,
 } from "@teaselrouter/messages/follow.ts";
 import { Subject } from "rxjs";
+import { blameFields } from "../log/blame_fields.ts";
 import type { EventLog } from "../log/event_log.ts";
 import { decodeBlame } from "../transport/decode_blame.ts";
 import { decodeCrashReport } from "../transport/decode_crash_report.ts";
@@ -126,14 +127,10 @@
   }
 
   #tell(blames: Blame[], how: "decided" | "told" | "kept"): void {
-    for (const { fingerprint, crashes, incarnations, endsAt } of blames) {
-      this.#options.log.warn("request-blamed", {
-        fingerprint,
-        crashes,
-        incarnations: incarnations.join(","),
-        left_milliseconds: Math.round(endsAt - monotonicMilliseconds()),
-        how,
-      });
+    const now = monotonicMilliseconds();
+    for (const blame of blames) {
+      const fields = { ...blameFields(blame, now), how };
+      this.#options.log.warn("request-blamed", fields);
     }
     this.verdicts$.next(this.#newsOf(blames));
   }
--- a/packages/daemon/src/entry/calls/call_crashes.ts
+++ b/packages/daemon/src/entry/calls/call_crashes.ts
@@ -3,6 +3,7 @@
 import { CrashLedger } from "@teaselrouter/core/crashes/crash_ledger.ts";
 import type { ControlState } from "@teaselrouter/core/state/control_state.ts";
 import { createHash } from "node:crypto";
+import { blameFields } from "../../log/blame_fields.ts";
 import type { EventLog } from "../../log/event_log.ts";
 import type { Problem } from "../../http/problem.ts";
 import { monotonicMilliseconds } from "../../transport/monotonic_milliseconds.ts";
@@ -63,21 +64,15 @@
     const now = monotonicMilliseconds();
     const blame = this.#ledger.refusal(fingerprintOf(call), now);
     if (blame === undefined) return undefined;
-    const { fingerprint, crashes, incarnations, endsAt } = blame;
-    const retryAfterMilliseconds = Math.round(endsAt - now);
-    this.#options.log.info("blamed-request-refused", {
-      fingerprint,
-      crashes,
-      incarnations: incarnations.join(","),
-      left_milliseconds: retryAfterMilliseconds,
-      outcome: "not-run",
-    });
+    const { log } = this.#options;
+    const fields = { ...blameFields(blame, now), outcome: "not-run" };
+    log.info("blamed-request-refused", fields);
     return {
       status: 503,
       type: "ends-backend-servers",
-      detail: `${crashes} backend servers ended under this call`,
+      detail: `${blame.crashes} backend servers ended under this call`,
       outcome: "not-run",
-      retryAfterMilliseconds,
+      retryAfterMilliseconds: Math.round(blame.endsAt - now),
     };
   }
 
@@ -122,20 +117,12 @@
     }, SETTLE_MILLISECONDS);
   }
 
-  #keep({ endsAt, ...blame }: Blame): void {
-    const { fingerprint, crashes, incarnations } = blame;
-    this.#options.log.warn("request-blamed", {
-      fingerprint,
-      crashes,
-      incarnations: incarnations.join(","),
-      left_milliseconds: Math.round(endsAt - monotonicMilliseconds()),
-      how: "decided",
-    });
-    this.#options.control.propose({
-      kind: "blame-request",
-      ...blame,
-      at: Date.now(),
-    });
+  #keep(blame: Blame): void {
+    const { control, log } = this.#options;
+    const fields = blameFields(blame, monotonicMilliseconds());
+    log.warn("request-blamed", { ...fields, how: "decided" });
+    const { endsAt: _endsAt, ...kept } = blame;
+    control.propose({ kind: "blame-request", ...kept, at: Date.now() });
   }
 }
 
--- a/packages/daemon/src/gateway/call_refuser.ts
+++ b/packages/daemon/src/gateway/call_refuser.ts
@@ -1,5 +1,6 @@
 import type { Blame } from "@teaselrouter/core/crashes/blame.ts";
 import { retryAfter } from "@teaselrouter/core/gateway/retry_after.ts";
+import { blameFields } from "../log/blame_fields.ts";
 import { monotonicMilliseconds } from "../transport/monotonic_milliseconds.ts";
 import type { AdmittedCall } from "./admitted_call.ts";
 import type { CallRefusal } from "./call_refusal.ts";
@@ -34,17 +35,14 @@
 
   /** It ends what runs it: it is of no use to come back within the term. */
   blamed(blame: Blame): CallRefusal {
-    const { fingerprint, crashes, incarnations, endsAt } = blame;
-    const left = endsAt - monotonicMilliseconds();
+    const now = monotonicMilliseconds();
     this.#world.log.info("blamed-request-refused", {
       id: this.#call.id,
-      fingerprint,
-      crashes,
-      incarnations: incarnations.join(","),
-      left_milliseconds: Math.round(left),
+      ...blameFields(blame, now),
       outcome: this.mayHaveRun ? "unknown" : "not-run",
     });
-    return this.#promise(`${crashes} backend servers ended under it`, left);
+    const reason = `${blame.crashes} backend servers ended under it`;
+    return this.#promise(reason, blame.endsAt - now);
   }
 
   /** Backend servers that could take it have used up what they named. */
--- a/packages/daemon/src/gateway/crash_reporter.ts
+++ b/packages/daemon/src/gateway/crash_reporter.ts
@@ -8,13 +8,14 @@
   CrashNewsSchema,
 } from "@teaselrouter/messages/follow.ts";
 import type { Observable } from "rxjs";
+import { blameFields } from "../log/blame_fields.ts";
 import type { EventLog } from "../log/event_log.ts";
 import { decodeBlame } from "../transport/decode_blame.ts";
 import { encodeBlame } from "../transport/encode_blame.ts";
 import { encodeCrashReport } from "../transport/encode_crash_report.ts";
 import { monotonicMilliseconds } from "../transport/monotonic_milliseconds.ts";
 import type { AdmittedCall } from "./admitted_call.ts";
-import type { EndedServer } from "./crash_watch.ts";
+import type { EndedServer } from "./ended_server.ts";
 import { fingerprintCall } from "./fingerprint_call.ts";
 
 /**
@@ -157,15 +158,10 @@
   }
 
   #takeBlames(blames: Blame[], how: "decided" | "told"): void {
+    const now = monotonicMilliseconds();
     for (const blame of blames) {
-      const { fingerprint, crashes, incarnations, endsAt } = blame;
-      this.#options.log.warn("request-blamed", {
-        fingerprint,
-        crashes,
-        incarnations: incarnations.join(","),
-        left_milliseconds: Math.round(endsAt - monotonicMilliseconds()),
-        how,
-      });
+      const fields = { ...blameFields(blame, now), how };
+      this.#options.log.warn("request-blamed", fields);
       this.#endUnderWay(blame);
     }
   }
--- a/packages/daemon/src/gateway/crash_watch.ts
+++ b/packages/daemon/src/gateway/crash_watch.ts
@@ -4,6 +4,7 @@
 import { askWhetherEnded } from "../transport/ask_whether_ended.ts";
 import { monotonicMilliseconds } from "../transport/monotonic_milliseconds.ts";
 import type { AdmittedCall } from "./admitted_call.ts";
+import type { EndedServer } from "./ended_server.ts";
 import { fingerprintCall } from "./fingerprint_call.ts";
 
 /** All connections of a process that ends close together. */
@@ -19,20 +20,6 @@
   begunAt: number | undefined;
 };
 
-/** A request that was under way where a backend server ended. */
-type Interrupted = {
-  call: AdmittedCall;
-  fingerprint: string;
-  /** From the beginning of its answer to the end; undefined without one. */
-  begunMilliseconds: number | undefined;
-};
-
-/** The end of one start of a backend server, with what it had of this host. */
-export type EndedServer = {
-  standing: BackendStanding;
-  interrupted: Interrupted[];
-};
-
 type Suspected = EndedServer & { at: number };
 
 type Options = {
