--- a/packages/experiments/src/failures/with_system.ts
+++ b/packages/experiments/src/failures/with_system.ts
@@ -44,6 +44,7 @@
     commonChunks: 0,
     originBytesPerSecond: all.originBytesPerSecond,
   });
+  let keepsLogs = true;
   try {
     await system.start();
     await system.client([
@@ -51,7 +52,8 @@
       ...["--services", "drafter,ledger,portal"],
     ]);
     await story(system);
+    keepsLogs = false;
   } finally {
-    await system.destroy();
+    await system.destroy({ keepsLogs });
   }
 }
--- a/packages/experiments/src/harness/cluster.ts
+++ b/packages/experiments/src/harness/cluster.ts
@@ -114,11 +114,12 @@
     return bad;
   }
 
-  /** Ends what still runs, and drops the folder. */
-  async destroy(): Promise<void> {
+  /** Ends what still runs, and drops the folder unless its logs are kept. */
+  async destroy({ keepsLogs = false } = {}): Promise<void> {
     for (const child of this.children) child.signal("SIGKILL");
     await Promise.all(this.children.map((child) => child.exited));
     this.mesh.stop();
+    if (keepsLogs) return console.error(`logs are kept in ${this.folder}`);
     rmSync(this.folder, { recursive: true, force: true });
   }
 
--- a/packages/experiments/src/harness/running_system.ts
+++ b/packages/experiments/src/harness/running_system.ts
@@ -69,11 +69,11 @@
     await this.#untilReady();
   }
 
-  /** Ends everything that was started, and drops the folder. */
-  async destroy(): Promise<void> {
+  /** Ends everything that was started, and drops the folder unless kept. */
+  async destroy(options: { keepsLogs?: boolean } = {}): Promise<void> {
     for (const child of this.#helpers) child.signal("SIGKILL");
     await Promise.all(this.#helpers.map((child) => child.exited));
-    await this.cluster.destroy();
+    await this.cluster.destroy(options);
   }
 
   helper(name: string, script: string, plan: object): Child {
