--- a/packages/core/src/named_limits/limit_part.ts
+++ b/packages/core/src/named_limits/limit_part.ts
@@ -68,8 +68,8 @@
   /** A control host says which part this host may use, from 0 to 1. */
   tell(part: number, now: number): void {
     this.#fill(now);
-    this.#told = this.#told.filter(({ at }) => now - at <= SETTLE_MILLISECONDS);
     this.#told.push({ part, at: now });
+    this.#told = this.#heldLately(now);
   }
 
   /** When it was last told, monotonic milliseconds; undefined for never. */
@@ -101,10 +101,7 @@
   part(now: number): number {
     const latest = this.#told.at(-1);
     if (latest === undefined) return UNTOLD_PART;
-    const recent = this.#told.filter(({ at }) =>
-      now - at <= SETTLE_MILLISECONDS
-    );
-    const least = recent.reduce(
+    const least = this.#heldLately(now).reduce(
       (low, { part }) => Math.min(low, part),
       latest.part,
     );
@@ -137,6 +134,13 @@
     return Math.max(0, this.#threshold - this.#tokens) / rate * 1_000;
   }
 
+  /** What held at some moment of the time that others need to shrink. */
+  #heldLately(now: number): Told[] {
+    return this.#told.filter((_, index) =>
+      (this.#told[index + 1]?.at ?? Infinity) > now - SETTLE_MILLISECONDS
+    );
+  }
+
   #fill(now: number): void {
     const rate = this.rate(now);
     const earned = rate * Math.max(0, now - this.#filledAt) / 1_000;
--- a/packages/core/src/named_limits/named_limits_test.ts
+++ b/packages/core/src/named_limits/named_limits_test.ts
@@ -1,6 +1,7 @@
 import fc from "fast-check";
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import { DueNews } from "../news/due_news.ts";
 import { seededRandom } from "../random/seeded_random.ts";
 import { LimitDivision } from "./limit_division.ts";
 import { LimitPart } from "./limit_part.ts";
@@ -12,6 +13,7 @@
 const DAY_MILLISECONDS = 24_000;
 /** From the first naming until it has to hold; see the rule's own bound. */
 const SETTLED_MILLISECONDS = 3_000;
+const DUE = { restMilliseconds: 1_000, mostPerSecond: 55 };
 const INCARNATION = "one@1";
 const JUMP = 100;
 const MOVE_MILLISECONDS = 2_000;
@@ -21,6 +23,8 @@
 type Host = {
   name: string;
   part: LimitPart;
+  /** What control told it lately. */
+  due: DueNews;
   /** Requests a second that would go to the backend server. */
   wants: number;
   cutUntil: number;
@@ -55,6 +59,7 @@
     this.hosts = plan.wants.map((wants, index) => ({
       name: `host-${index}`,
       part: new LimitPart(plan.perSecond, 0, this.#random),
+      due: new DueNews(DUE),
       wants,
       cutUntil: -1,
       sent: [],
@@ -132,6 +137,8 @@
     for (const host of this.hosts) {
       const [told] = this.#division.partsOf(host.name, this.#now);
       if (told === undefined) continue;
+      const item = { key: INCARNATION, value: told.part };
+      if (host.due.select([item], this.#now).length === 0) continue;
       this.#send(host, () => host.part.tell(told.part, this.#now));
     }
   }
--- a/packages/daemon/src/control/crash_judge.ts
+++ b/packages/daemon/src/control/crash_judge.ts
@@ -2,7 +2,7 @@
 import type { Blame } from "@teaselrouter/core/crashes/blame.ts";
 import { CrashLedger } from "@teaselrouter/core/crashes/crash_ledger.ts";
 import type { CrashReport } from "@teaselrouter/core/crashes/crash_report.ts";
-import { NewsBudget } from "@teaselrouter/core/crashes/news_budget.ts";
+import { NewsBudget } from "@teaselrouter/core/news/news_budget.ts";
 import {
   type CrashNews,
   CrashNewsSchema,
--- a/packages/daemon/src/control/follow_session.ts
+++ b/packages/daemon/src/control/follow_session.ts
@@ -102,11 +102,12 @@
     const tell = (news: LimitNews | undefined) => {
       if (news !== undefined) this.#send({ case: "limits", value: news });
     };
-    tell(isControl ? limits.standing() : limits.partsOf(host));
+    const due = limits.openDue();
+    tell(isControl ? limits.standing() : limits.partsOf(host, due));
     this.#subscriptions.add(
       isControl
         ? limits.heardHere$.subscribe(tell)
-        : limits.changed$.subscribe(() => tell(limits.partsOf(host))),
+        : limits.changed$.subscribe(() => tell(limits.partsOf(host, due))),
     );
   }
 
--- a/packages/daemon/src/control/limit_divider.ts
+++ b/packages/daemon/src/control/limit_divider.ts
@@ -1,5 +1,6 @@
 import { create } from "@bufbuild/protobuf";
 import { LimitDivision } from "@teaselrouter/core/named_limits/limit_division.ts";
+import { DueNews } from "@teaselrouter/core/news/due_news.ts";
 import {
   type LimitDemand,
   type LimitNews,
@@ -14,6 +15,10 @@
 const GATHER_HEARD_MILLISECONDS = 50;
 /** A fraction of the time in which hosts that are told let a part grow. */
 const GATHER_PARTS_MILLISECONDS = 150;
+/** Half of what a host bears without news. */
+const REST_MILLISECONDS = 1_000;
+/** Told to each follower: 3 KB. */
+const MOST_PARTS_PER_SECOND = 55;
 const EXPIRE_MILLISECONDS = 10_000;
 
 /** A control host's part in dividing what backend servers in need take. */
@@ -67,13 +72,26 @@
     }, GATHER_PARTS_MILLISECONDS);
   }
 
-  /** The parts of one follower; undefined while no limit is named. */
-  partsOf(host: string): LimitNews | undefined {
+  /** One follower's parts that are to be told now; undefined for none. */
+  partsOf(host: string, due: DueNews): LimitNews | undefined {
     if (this.#division.isEmpty) return undefined;
     const now = monotonicMilliseconds();
-    const parts = this.#division.partsOf(host, now)
-      .map(({ limit, part }) => ({ ...encodeLimit(limit, now), part }));
-    return create(LimitNewsSchema, { parts });
+    const all = this.#division.partsOf(host, now).map(({ limit, part }) => ({
+      key: `${limit.incarnation} ${limit.perSecond ?? "any"}`,
+      value: part,
+      limit,
+    }));
+    const parts = due.select(all, now)
+      .map(({ limit, value }) => ({ ...encodeLimit(limit, now), part: value }));
+    return parts.length === 0 ? undefined : create(LimitNewsSchema, { parts });
+  }
+
+  /** What one follower was told; it begins with nothing. */
+  openDue(): DueNews {
+    return new DueNews({
+      restMilliseconds: REST_MILLISECONDS,
+      mostPerSecond: MOST_PARTS_PER_SECOND,
+    });
   }
 
   /** All that is known, for another control host that has just come. */
--- a/packages/daemon/src/gateway/named_limits.ts
+++ b/packages/daemon/src/gateway/named_limits.ts
@@ -3,6 +3,7 @@
 import type { BackendStanding } from "@teaselrouter/core/membership/backend_standing.ts";
 import { LimitPart } from "@teaselrouter/core/named_limits/limit_part.ts";
 import type { NamedLimit } from "@teaselrouter/core/named_limits/named_limit.ts";
+import { DueNews } from "@teaselrouter/core/news/due_news.ts";
 import {
   type LimitNews,
   LimitNewsSchema,
@@ -15,8 +16,10 @@
 
 /** Several times in what others take to grow into what this host left. */
 const TELL_MILLISECONDS = 250;
-/** Told in one message; more backend servers in need are told in turn. */
-const MOST_TOLD = 32;
+/** A part falls for who is silent for twice as long. */
+const REST_MILLISECONDS = 1_000;
+/** Told to each control host that is followed: 3 KB. */
+const MOST_DEMANDS_PER_SECOND = 40;
 /** An end of a limit is told for so long, should news of it be lost. */
 const END_MILLISECONDS = 3_000;
 /** An end of a limit is remembered against news that come late. */
@@ -38,6 +41,10 @@
   #options: Options;
   /** By start of a backend server. */
   #known = new Map<string, Known>();
+  #due = new DueNews({
+    restMilliseconds: REST_MILLISECONDS,
+    mostPerSecond: MOST_DEMANDS_PER_SECOND,
+  });
   #timer: NodeJS.Timeout | undefined;
 
   constructor(options: Options) {
@@ -163,17 +170,20 @@
       this.#timer = undefined;
       return;
     }
-    const demands = [...this.#known]
+    const wanted = [...this.#known]
       .filter(([, { limit, part }]) =>
         part !== undefined || now - limit.saidAt < END_MILLISECONDS
       )
-      .map(([incarnation, known]) => ({ incarnation, ...known }))
-      .sort((left, right) => right.limit.saidAt - left.limit.saidAt)
-      .slice(0, MOST_TOLD)
-      .map(({ limit, part }) => ({
+      .map(([incarnation, { limit, part }]) => ({
+        key: `${incarnation} ${limit.perSecond ?? "any"}`,
+        value: part?.wantedPerSecond(now) ?? 0,
+        limit,
+      }));
+    const demands = this.#due.select(wanted, now)
+      .map(({ limit, value }) => ({
         ...encodeLimit(limit, now),
         host: this.#options.host,
-        wantedPerSecond: part?.wantedPerSecond(now) ?? 0,
+        wantedPerSecond: value,
       }));
     if (demands.length === 0) return;
     this.#options.tell(create(LimitNewsSchema, { demands }));
