--- a/packages/daemon/src/gateway/backend_pool.ts
+++ b/packages/daemon/src/gateway/backend_pool.ts
@@ -121,6 +121,10 @@
     const passedOver: BackendChoice[] = [];
     while (true) {
       const best = this.#best(left, want);
+      // One that was left aside is no place with room: better to be told when.
+      const isLastResort = passedOver.length > 0 && best !== undefined &&
+        !best.record.isPromising(monotonicMilliseconds());
+      if (isLastResort) return undefined;
       const isAdmitted = best === undefined ||
         (want.forSending
           ? namedLimits.admits(best.standing)
--- a/packages/daemon/src/gateway/backend_pool_test.ts
+++ b/packages/daemon/src/gateway/backend_pool_test.ts
@@ -21,19 +21,26 @@
   models: [],
 };
 
-function openPool() {
+const OTHER = { ...STANDING, instance: "two", address: "10.0.0.2:80" };
+
+function openPool(namedLimits = { isLimited: () => false } as object) {
   const backends$ = new Subject<BackendStanding[]>();
   const loads$ = new Subject<EngineLoad[]>();
   const endedServers$ = new Subject<BackendStanding>();
   const pool = new BackendPool({
-    feed: { backends$, loads$ } as unknown as ControlFeed,
+    feed: {
+      backends$,
+      loads$,
+      backendsOf: () => [STANDING, OTHER],
+      engineAt: () => undefined,
+    } as unknown as ControlFeed,
     host: "gateway",
     dataCentre: "here",
     weightsBoundMilliseconds: 8_000,
-    namedLimits: { isLimited: () => false } as unknown as NamedLimits,
+    namedLimits: namedLimits as NamedLimits,
     endedServers$,
   });
-  backends$.next([STANDING]);
+  backends$.next([STANDING, OTHER]);
   return { pool, backends$, endedServers$ };
 }
 
@@ -57,3 +64,25 @@
   endedServers$.next(STANDING);
   assert.equal(isAside(pool), false);
 });
+
+// Guards against a try that is likely to fail where a time could be named.
+test("with the sound one at its limit, one left aside is not tried", () => {
+  const { pool, endedServers$ } = openPool({
+    isLimited: ({ instance }: BackendStanding) => instance === "one",
+    mayAdmit: ({ instance }: BackendStanding) => instance !== "one",
+    untilRoom: () => 400,
+  });
+  endedServers$.next(OTHER);
+  const want = {
+    id: "a",
+    forSending: false,
+    service: "ledger",
+    engine: undefined,
+    model: undefined,
+    promptTokens: 0,
+    tried: new Set<string>(),
+    weightsVersion: undefined,
+  };
+  assert.equal(pool.choose(want), undefined);
+  assert.equal(pool.untilRoom(want), 400);
+});
