--- a/acceptance/src/crashing_requests_test.ts
+++ b/acceptance/src/crashing_requests_test.ts
@@ -118,6 +118,20 @@
   });
 });
 
+// Guards against a loss of power ahead of the verdict, behind which as many
+// backend servers have to end as before.
+test("ends ahead of a blame are known after a loss of power", async () => {
+  await withCrashingEngines(async (path) => {
+    await askInTurn(path, 1);
+    assert.equal(countCrashes(path), 2, "the gateway's own second send");
+    await pause(ROUND_MILLISECONDS);
+    await path.restartAll();
+    await askInTurn(path, ROUNDS / 2);
+    const crashes = countCrashes(path);
+    assert.ok(crashes <= MOST_CRASHES - 2, `${crashes} ends`);
+  });
+});
+
 // Guards against a fault that shows only where an answer's head comes first:
 // plain answers come whole or not at all.
 test("one that doesn't stream and ends backend servers is refused as well", async () => {
--- a/packages/core/src/state/apply_command.ts
+++ b/packages/core/src/state/apply_command.ts
@@ -2,6 +2,7 @@
 import { applyClaimCancellation } from "../claims/apply_claim_cancellation.ts";
 import { applyClaimSettlement } from "../claims/apply_claim_settlement.ts";
 import { applyBlame } from "../crashes/apply_blame.ts";
+import { applySuspicion } from "../crashes/apply_suspicion.ts";
 import { applyContractChange } from "../contracts/apply_contract_change.ts";
 import { applyPermitRequest } from "../rollout/apply_permit_request.ts";
 import { applyRoutingReplacement } from "../gateway/apply_routing_replacement.ts";
@@ -55,7 +56,10 @@
       return applyNamedWeights(state, command, index);
     case "blame-request":
       return applyBlame(state, command);
+    case "suspect-request":
+      return applySuspicion(state, command);
     case "lift-blame":
+      state.suspectedRequests.delete(command.fingerprint);
       state.blamedRequests.delete(command.fingerprint);
       return ACCEPTED;
     case "settle-permit": {
--- a/packages/core/src/state/command_schema.ts
+++ b/packages/core/src/state/command_schema.ts
@@ -97,6 +97,12 @@
     termMilliseconds: z.number().min(0),
     at: z.number().default(0),
   }),
+  z.strictObject({
+    kind: z.literal("suspect-request"),
+    fingerprint: text,
+    incarnations: z.array(text).max(16),
+    at: z.number().default(0),
+  }),
   z.strictObject({ kind: z.literal("lift-blame"), fingerprint: text }),
   z.strictObject({
     kind: z.literal("settle-permit"),
--- a/packages/core/src/state/control_state.ts
+++ b/packages/core/src/state/control_state.ts
@@ -1,5 +1,6 @@
 import type { ClaimRow } from "../claims/claim_row.ts";
 import type { BlamedRequestRow } from "../crashes/blamed_request_row.ts";
+import type { SuspectedRequestRow } from "../crashes/suspected_request_row.ts";
 import type { ContractRow } from "../contracts/contract_row.ts";
 import type { EntryHostRow } from "../membership/entry_host_row.ts";
 import type { RoutingRow } from "../gateway/routing_row.ts";
@@ -26,6 +27,8 @@
   routing: RoutingRow | undefined;
   /** Versions of weights that operators named last, by model. */
   namedWeights: Map<string, NamedWeightsRow>;
+  /** Requests that may end what runs them, by fingerprint, oldest first. */
+  suspectedRequests: Map<string, SuspectedRequestRow>;
   /** Requests that end what runs them, by fingerprint, oldest first. */
   blamedRequests: Map<string, BlamedRequestRow>;
   /** By workspace and key, oldest first. */
--- a/packages/core/src/state/decode_control_state.ts
+++ b/packages/core/src/state/decode_control_state.ts
@@ -1,6 +1,7 @@
 import type { ClaimRow } from "../claims/claim_row.ts";
 import { claimId } from "../claims/claim_id.ts";
 import type { BlamedRequestRow } from "../crashes/blamed_request_row.ts";
+import type { SuspectedRequestRow } from "../crashes/suspected_request_row.ts";
 import type { ContractRow } from "../contracts/contract_row.ts";
 import type { EntryHostRow } from "../membership/entry_host_row.ts";
 import type { RoutingRow } from "../gateway/routing_row.ts";
@@ -22,6 +23,7 @@
   routing?: RoutingRow;
   namedWeights?: NamedWeightsRow[];
   /** Missing in snapshots of versions that blamed none. */
+  suspectedRequests?: SuspectedRequestRow[];
   blamedRequests?: BlamedRequestRow[];
   claims: ClaimRow[];
 };
@@ -47,6 +49,10 @@
     permits: tableOf(encoded.permits, (row) => row.backendServer),
     routing: encoded.routing,
     namedWeights: tableOf(encoded.namedWeights ?? [], (row) => row.model),
+    suspectedRequests: tableOf(
+      encoded.suspectedRequests ?? [],
+      (row) => row.fingerprint,
+    ),
     blamedRequests: tableOf(
       encoded.blamedRequests ?? [],
       (row) => row.fingerprint,
--- a/packages/core/src/state/is_followed_command.ts
+++ b/packages/core/src/state/is_followed_command.ts
@@ -7,6 +7,7 @@
   "cancel-claim",
   "replace-routing",
   "name-weights",
+  "suspect-request",
 ]);
 
 /** Whether entry hosts are sent this command. */
--- a/packages/daemon/src/control/control_gate.ts
+++ b/packages/daemon/src/control/control_gate.ts
@@ -1,5 +1,6 @@
 import { create } from "@bufbuild/protobuf";
 import type { BlamedRequestRow } from "@teaselrouter/core/crashes/blamed_request_row.ts";
+import type { SuspectedRequestRow } from "@teaselrouter/core/crashes/suspected_request_row.ts";
 import { findConfigurationFault } from "@teaselrouter/core/gateway/find_configuration_fault.ts";
 import type { BackendStanding } from "@teaselrouter/core/membership/backend_standing.ts";
 import type { Command } from "@teaselrouter/core/state/command.ts";
@@ -97,6 +98,12 @@
     return await this.#carryOut(command) !== undefined;
   }
 
+  /** Keeps what speaks against a request ahead of a blame. */
+  async keepSuspicion(row: SuspectedRequestRow): Promise<boolean> {
+    const command = { kind: "suspect-request" as const, ...row };
+    return await this.#carryOut(command) !== undefined;
+  }
+
   async liftBlame(fingerprint: string): Promise<boolean> {
     const command = { kind: "lift-blame" as const, fingerprint };
     return await this.#carryOut(command) !== undefined;
--- a/packages/daemon/src/control/crash_judge.ts
+++ b/packages/daemon/src/control/crash_judge.ts
@@ -23,10 +23,16 @@
 const MOST_REPORTS_PER_SECOND = 150;
 /** Told to a host that has just come; the latest. */
 const MOST_BLAMED_TOLD = 128;
+/** As many as the tables keep. */
+const MOST_KEPT = 256;
+/** Many requests stand beside an end; each that is kept is a commit. */
+const MOST_SUSPICIONS_PER_SECOND = 10;
 const EXPIRE_MILLISECONDS = 10_000;
 
 type Options = { log: EventLog };
 
+type Suspicion = { fingerprint: string; incarnations: string[] };
+
 /** A control host's part in finding requests that end what runs them. */
 export class CrashJudge {
   /** Verdicts, for all that follow this host. */
@@ -35,10 +41,15 @@
   readonly heardHere$ = new Subject<CrashNews>();
   /** Blames that were decided, or told by a gateway: to be kept durably. */
   readonly found$ = new Subject<Blame>();
+  /** One end short of a blame: to be kept durably as well. */
+  readonly suspected$ = new Subject<Suspicion>();
   /** Fingerprints whose blame a good end took away. */
   readonly lifted$ = new Subject<string>();
   #options: Options;
   #ledger = new CrashLedger({ settleMilliseconds: SETTLE_MILLISECONDS });
+  /** Fingerprints of suspicions that were to be kept. */
+  #kept = new Set<string>();
+  #suspicionBudget = new NewsBudget(MOST_SUSPICIONS_PER_SECOND);
   #reports: CrashReport[] = [];
   #budget = new NewsBudget(MOST_REPORTS_PER_SECOND);
   #gatherTimer: NodeJS.Timeout | undefined;
@@ -62,6 +73,7 @@
   /** What a gateway says. */
   hear(news: CrashNews): void {
     const fresh = this.#takeReports(news);
+    for (const { fingerprint } of fresh) this.#keepSuspicion(fingerprint);
     this.#gather(fresh);
     for (const blame of this.#takeVerdicts(news)) this.found$.next(blame);
   }
@@ -84,6 +96,30 @@
     return blames.length === 0 ? undefined : this.#newsOf(blames);
   }
 
+  /** What the tables keep of requests that are not blamed yet. */
+  recallSuspicions(suspicions: Suspicion[]): void {
+    const now = monotonicMilliseconds();
+    for (const { fingerprint, incarnations } of suspicions) {
+      this.#kept.add(fingerprint);
+      for (const incarnation of incarnations) {
+        const report = { fingerprint, incarnation, begunMilliseconds: 0 };
+        this.#ledger.report(report, now);
+      }
+    }
+  }
+
+  #keepSuspicion(fingerprint: string): void {
+    const isKept = this.#kept.has(fingerprint);
+    if (isKept || this.#ledger.maySendAgain(fingerprint)) return;
+    if (this.#suspicionBudget.take(1, monotonicMilliseconds()) === 0) return;
+    this.#kept.add(fingerprint);
+    if (this.#kept.size > MOST_KEPT) {
+      this.#kept.delete(this.#kept.values().next().value!);
+    }
+    const incarnations = this.#ledger.incarnationsOf(fingerprint);
+    this.suspected$.next({ fingerprint, incarnations });
+  }
+
   #takeReports(news: CrashNews): CrashReport[] {
     const now = monotonicMilliseconds();
     const fresh = news.reports.map(decodeCrashReport)
@@ -104,16 +140,18 @@
   }
 
   #clear(fingerprints: string[]): void {
-    const standing = new Set(
-      this.#ledger.blames().map(({ fingerprint }) => fingerprint),
-    );
-    const blamed = fingerprints
+    const standing = new Set([
+      ...this.#ledger.blames().map(({ fingerprint }) => fingerprint),
+      ...this.#kept,
+    ]);
+    const kept = fingerprints
       .filter((fingerprint) => standing.has(fingerprint));
+    for (const fingerprint of kept) this.#kept.delete(fingerprint);
     const cleared = fingerprints
       .filter((fingerprint) => this.#ledger.clear(fingerprint));
     if (cleared.length === 0) return;
     this.verdicts$.next(create(CrashNewsSchema, { cleared }));
-    for (const fingerprint of blamed) this.lifted$.next(fingerprint);
+    for (const fingerprint of kept) this.lifted$.next(fingerprint);
   }
 
   #decideSoon(): void {
--- a/packages/daemon/src/control/platform_desk.ts
+++ b/packages/daemon/src/control/platform_desk.ts
@@ -22,6 +22,9 @@
 /** Control hosts all hear each other: there are at most so many. */
 const MOST_CONTROL_HOSTS = 10;
 
+/** Of one suspicion, in the tables. */
+const MOST_INCARNATIONS = 8;
+
 type Options = {
   settings: Settings;
   clients: ClientPool;
@@ -95,6 +98,13 @@
     });
     this.#others.updates$.subscribe(({ update }) => this.#learn(update));
     this.view.crashes.found$.subscribe((blame) => this.#keepBlame(blame));
+    this.view.crashes.suspected$.subscribe((suspicion) =>
+      this.#gate.keepSuspicion({
+        ...suspicion,
+        incarnations: suspicion.incarnations.slice(0, MOST_INCARNATIONS),
+        at: Date.now(),
+      })
+    );
     this.view.crashes.lifted$.subscribe((fingerprint) =>
       this.#gate.liftBlame(fingerprint)
     );
--- a/packages/daemon/src/control/shared_view.ts
+++ b/packages/daemon/src/control/shared_view.ts
@@ -20,6 +20,8 @@
 const SILENT_MILLISECONDS = 6_000;
 /** Longer than a partition holds up a heartbeat that was sent before an end. */
 const FORGET_MILLISECONDS = 60_000;
+/** Ends longer ago say nothing of a request that has not been blamed. */
+const SUSPICION_MILLISECONDS = 600_000;
 const EXPIRE_EVERY_MILLISECONDS = 500;
 /** Half of the time between heartbeats to a follower. */
 const LOOK_MILLISECONDS = 200;
@@ -137,6 +139,10 @@
   #recallBlames(monotonic: number): void {
     const rows = [...this.logState().blamedRequests.values()];
     const timeOfDay = Date.now();
+    this.crashes.recallSuspicions(
+      [...this.logState().suspectedRequests.values()]
+        .filter(({ at }) => timeOfDay - at < SUSPICION_MILLISECONDS),
+    );
     this.crashes.recall(
       rows.map((row) => blameOfRow(row, { timeOfDay, monotonic }))
         .filter(({ endsAt }) => endsAt > monotonic),
