Read and log what a backend server asks for when it turns requests away

The logs couldn't tell the three hypotheses apart: a gateway's lines name neither the pause that a backend server asked for, nor when, nor its end. The platform's adapter now decodes both fields, once, with a stated meaning for what can't be read; gateways log each change (pause-requested, pushback-ended, shutdown-announced, answer-field-unreadable). Nothing is routed by it yet.

--- a/packages/core/src/gateway/answer_metadata.ts
+++ b/packages/core/src/gateway/answer_metadata.ts
@@ -20,6 +20,15 @@
    * limit only if `isSigned`.
    */
   limitPerSecond: number | undefined;
+  /**
+   * How long the backend server, which turned the request away, wants no
+   * further request from this host, milliseconds; undefined if it didn't ask.
+   */
+  requestedPause: number | "unreadable" | undefined;
+  /** Whether the backend server says that it is shutting down. */
+  isShuttingDown: boolean;
+  /** Fields that were ignored, in part or whole, with their values. */
+  unreadableFields: readonly string[];
   /**
    * Requests running and waiting at the backend server, and its slots;
    * undefined if not reported.
--- a/packages/daemon/src/gateway/backend_attempt.ts
+++ b/packages/daemon/src/gateway/backend_attempt.ts
@@ -138,8 +138,13 @@
 
   #handleResponse(message: IncomingMessage): void {
     const { format, id, onMetadata } = this.#options;
-    const metadata = format.readAnswer(message.headers);
-    if (message.statusCode !== MISDIRECTED_STATUS) onMetadata(metadata);
+    const status = message.statusCode ?? 0;
+    const metadata = format.readAnswer(
+      message.headers,
+      status,
+      message.rawHeaders,
+    );
+    if (status !== MISDIRECTED_STATUS) onMetadata(metadata);
     message.on("error", () => undefined);
     if (metadata.id !== undefined && metadata.id !== id) {
       this.abort("the answer is another request's");
@@ -149,7 +154,7 @@
       message.resume();
       this.#settle({
         kind: "not-run",
-        reason: `refused with ${message.statusCode}`,
+        reason: `refused with ${status}`,
         isUnreachable: false,
       });
       return;
--- a/packages/daemon/src/gateway/call_sender.ts
+++ b/packages/daemon/src/gateway/call_sender.ts
@@ -147,7 +147,7 @@
     { announcement }: BackendCandidate,
     { weightsVersion, resumesAfter, placement }: SendOptions,
   ): BackendAttempt {
-    const { connections, format, namedLimits } = this.#context;
+    const { connections, format, namedLimits, pushbacks } = this.#context;
     const call = this.#call;
     const left = Math.floor(call.deadlineAt - monotonicMilliseconds());
     return new BackendAttempt({
@@ -158,8 +158,10 @@
       body: call.body,
       id: call.id,
       format,
-      onMetadata: (metadata) =>
-        namedLimits.recordAnswer(announcement, metadata),
+      onMetadata: (metadata) => {
+        namedLimits.recordAnswer(announcement, metadata);
+        pushbacks.recordAnswer(announcement, metadata, call.id);
+      },
       headers: format.buildForwardHeaders(call.rawHeaders, {
         weightsVersion,
         resumesAfter,
--- a/packages/daemon/src/gateway/crash_reporter.ts
+++ b/packages/daemon/src/gateway/crash_reporter.ts
@@ -3,6 +3,7 @@
 import { CrashLedger } from "@teaselrouter/core/crashes/crash_ledger.ts";
 import type { CrashReport } from "@teaselrouter/core/crashes/crash_report.ts";
 import { NewsRateLimiter } from "@teaselrouter/core/news/news_rate_limiter.ts";
+import { incarnationOf } from "@teaselrouter/core/membership/incarnation_of.ts";
 import {
   type CrashNews,
   CrashNewsSchema,
@@ -116,7 +117,7 @@
   #recordEnd({ announcement, interrupted }: EndedServer): void {
     const now = monotonicMilliseconds();
     // One start of one backend server.
-    const incarnation = `${announcement.instance}@${announcement.bornAt}`;
+    const incarnation = incarnationOf(announcement);
     for (const { fingerprint, begunMilliseconds } of interrupted) {
       const report = { fingerprint, incarnation, begunMilliseconds };
       if (this.#ledger.recordReport(report, now)) this.#reports.push(report);
--- a/packages/daemon/src/gateway/gateway_app.ts
+++ b/packages/daemon/src/gateway/gateway_app.ts
@@ -20,6 +20,7 @@
 import type { GatewayContext } from "./gateway_context.ts";
 import { GatewayServer } from "./gateway_server.ts";
 import { NamedLimits } from "./named_limits.ts";
+import { ServerPushbacks } from "./server_pushbacks.ts";
 import { SilenceWatch } from "./silence_watch.ts";
 import { StartHold } from "./start_hold.ts";
 
@@ -108,6 +109,7 @@
       random: Math.random,
       log,
     });
+    const pushbacks = new ServerPushbacks({ random: Math.random, log });
     this.#context = {
       feed,
       startHold,
@@ -123,6 +125,7 @@
       }),
       connections,
       namedLimits,
+      pushbacks,
       retries: new SharedRetryBudget({
         ratio: settings.gateway!.retry_ratio,
         maxSavedRetries: MAX_SAVED_RETRIES,
@@ -211,6 +214,7 @@
     const { feed, connections, log } = this.#context;
     feed.expire();
     this.#context.crashes.expire();
+    this.#context.pushbacks.expire();
     connections.retainOnly(feed.liveAddresses());
     this.#server.applyLimits();
     if (this.#isReady() === this.#wasReady) return;
--- a/packages/daemon/src/gateway/gateway_context.ts
+++ b/packages/daemon/src/gateway/gateway_context.ts
@@ -9,6 +9,7 @@
 import type { CrashReporter } from "./crash_reporter.ts";
 import type { CrashWatch } from "./crash_watch.ts";
 import type { NamedLimits } from "./named_limits.ts";
+import type { ServerPushbacks } from "./server_pushbacks.ts";
 import type { SilenceWatch } from "./silence_watch.ts";
 import type { StartHold } from "./start_hold.ts";
 
@@ -19,6 +20,7 @@
   pool: BackendPool;
   connections: BackendConnections;
   namedLimits: NamedLimits;
+  pushbacks: ServerPushbacks;
   retries: SharedRetryBudget;
   patience: PatienceEstimator;
   silence: SilenceWatch;
--- a/packages/daemon/src/gateway/named_limits.ts
+++ b/packages/daemon/src/gateway/named_limits.ts
@@ -1,6 +1,7 @@
 import { create } from "@bufbuild/protobuf";
 import type { AnswerMetadata } from "@teaselrouter/core/gateway/answer_metadata.ts";
 import type { BackendAnnouncement } from "@teaselrouter/core/membership/backend_announcement.ts";
+import { incarnationOf } from "@teaselrouter/core/membership/incarnation_of.ts";
 import { LimitPartBucket } from "@teaselrouter/core/named_limits/limit_part_bucket.ts";
 import type { NamedLimit } from "@teaselrouter/core/named_limits/named_limit.ts";
 import { DueNewsSelector } from "@teaselrouter/core/news/due_news_selector.ts";
@@ -248,8 +249,3 @@
     }
   }
 }
-
-/** Identifies one start of one backend server: `instance@bornAt`. */
-function incarnationOf({ instance, bornAt }: BackendAnnouncement): string {
-  return `${instance}@${bornAt}`;
-}
--- a/packages/daemon/src/log/event_name.ts
+++ b/packages/daemon/src/log/event_name.ts
@@ -1,6 +1,7 @@
 /** Names of all events that processes log; docs/EVENTS.md explains each. */
 export type EventName =
   | "answer-broken"
+  | "answer-field-unreadable"
   | "asks-to-be-taken-in"
   | "backend-server-announced"
   | "backend-server-aside"
@@ -34,7 +35,9 @@
   | "load-ordered"
   | "manifest-failed"
   | "membership-change"
+  | "pause-requested"
   | "process-stops"
+  | "pushback-ended"
   | "readiness"
   | "reload-refused"
   | "reloaded"
@@ -46,6 +49,7 @@
   | "routing-in-force"
   | "routing-unreadable"
   | "send-failed"
+  | "shutdown-announced"
   | "stage-failed"
   | "staged-chunk-bad"
   | "staged-chunks-found"
--- a/packages/daemon/src/platform/request_format.ts
+++ b/packages/daemon/src/platform/request_format.ts
@@ -17,7 +17,11 @@
    */
   buildForwardHeaders(raw: RawHeaders, metadata: ForwardMetadata): RawHeaders;
   /** Reads the metadata in the headers of a backend server's answer. */
-  readAnswer(headers: IncomingHttpHeaders): AnswerMetadata;
+  readAnswer(
+    headers: IncomingHttpHeaders,
+    status: number,
+    raw: RawHeaders,
+  ): AnswerMetadata;
   /** Returns the headers of a backend server to forward to the client. */
   filterAnswerHeaders(raw: RawHeaders): RawHeaders;
   /** Whether a status guarantees that the request has not run and won't run. */
