Failing tests: a backend server that wants no requests gets them all the same

Four engines and two gateways on loopback, at half load. An engine that turns all away and asks for two seconds without requests got 53 of them from one gateway between half a second behind such an answer and the end of the two seconds; two are allowed. One whose answers say that it shuts down got 100 requests that clients had sent more than two seconds later.

--- a/acceptance/src/fake_backend_server.ts
+++ b/acceptance/src/fake_backend_server.ts
@@ -35,6 +35,17 @@
   isDown = false;
   /** Requests per second announced in responses; undefined for no limit. */
   limitPerSecond: number | undefined;
+  /**
+   * Value of Retry-After with which the server turns requests away; undefined
+   * while it accepts them.
+   */
+  retryAfter: string | undefined;
+  /** Whether responses say that the server is shutting down. */
+  isLeaving = false;
+  /** Requests turned away with Retry-After; times as in `arrivals`. */
+  readonly turnedAway: { id: string; at: number; seconds: number }[] = [];
+  /** Responses that said that the server is shutting down. */
+  readonly leavingNotices: { id: string; at: number }[] = [];
   /** Requests received; times are from `performance.now()`, milliseconds. */
   readonly arrivals: { id: string; at: number }[] = [];
   /** Time and request of each crash; the id is undefined without a request. */
@@ -151,6 +162,11 @@
     }
     this.arrivals.push({ id, at: performance.now() });
     if (this.isFrozen) return;
+    if (this.isLeaving) {
+      response.setHeader("Server-Leaving", "1");
+      this.leavingNotices.push({ id, at: performance.now() });
+    }
+    if (this.retryAfter !== undefined) return this.#turnAway(id, response);
     this.ranRequestIds.push(id);
     response.writeHead(200, {
       "Attempt-Id": id,
@@ -173,6 +189,17 @@
     await this.#streamEvents(response, Number(headers["last-event-id"] ?? 0));
   }
 
+  #turnAway(id: string, response: ServerResponse): void {
+    const retryAfter = this.retryAfter!;
+    const seconds = Number(retryAfter);
+    this.turnedAway.push({ id, at: performance.now(), seconds });
+    response.writeHead(503, {
+      "Attempt-Id": id,
+      "Not-Executed": "1",
+      "Retry-After": retryAfter,
+    }).end();
+  }
+
   /**
    * Closes all connections at once and forgets the loaded weights. Nothing
    * listens until the server has restarted.
