Keep requests away from a backend server for as long as it asks

What callers saw: streams refused while most backend servers had room, as two that turned all away at once got two to five times their share of the requests and each of these cost one of the retries that all share.

Cause: a gateway took 'not run' from a 503 and looked at nothing else, and a server that turns all away has nothing in flight and so looks the most idle.

A server that asked for a pause is no candidate until its end, for first sends, second sends, resumed streams and as a reason to give up a silent one alike: all of them choose from the same list. A request that still waits for its connection is taken back and goes elsewhere. It costs the server nothing in its health record. With no other server left, the caller is refused at once, and told the end of the pause of one of them, drawn at random. Nothing is told to other gateways: a pause is asked of one.

That all pause at once has a test of its own.

--- a/acceptance/src/backend_pushback_test.ts
+++ b/acceptance/src/backend_pushback_test.ts
@@ -70,6 +70,48 @@
   }
 });
 
+// Guards against requests that wait, or are sent anyway, while all backend
+// servers have asked for a pause, and against clients that all return together.
+test("with all backend servers pausing, clients are told when to return", async () => {
+  const system = new EndToEndSystem({ engines: ENGINES, gateways: GATEWAYS });
+  try {
+    await system.start();
+    const pauseSeconds = 3;
+    for (const engine of system.engines) {
+      engine.retryAfter = String(pauseSeconds);
+    }
+    const load = {
+      gateways: system.gatewayIps,
+      intervalMilliseconds: INTERVAL_MILLISECONDS,
+    };
+    const requests = await sendSteadily(system, {
+      ...load,
+      milliseconds: 2_500,
+    });
+    for (const engine of system.engines) engine.retryAfter = undefined;
+    const after = await sendSteadily(system, { ...load, milliseconds: 6_000 });
+
+    const all = [...requests, ...after];
+    for (const engine of system.engines) {
+      const unwanted = countUnwanted(engine, all);
+      assert.ok(
+        unwanted <= MAX_UNWANTED,
+        `${unwanted} requests from a gateway`,
+      );
+    }
+    assert.ok(requests.every(({ status }) => status === 503));
+    const told = requests.slice(requests.length / 2)
+      .map(({ retryAfter }) => Number(retryAfter));
+    assert.ok(told.every((seconds) => seconds > 0));
+    assert.ok(Math.max(...told) <= 2 * pauseSeconds);
+    assert.ok(new Set(told).size > told.length / 4, "the times are spread");
+    const served = after.slice(-50).filter(({ status }) => status === 200);
+    assert.equal(served.length, 50, "all servers are used again");
+  } finally {
+    await system.stop();
+  }
+});
+
 // Guards against gateways that go on sending requests to a backend server whose
 // answers say that it is shutting down.
 test("a backend server whose answers say that it shuts down gets no more requests", async () => {
--- a/packages/core/src/pushback/pushback_table.ts
+++ b/packages/core/src/pushback/pushback_table.ts
@@ -17,6 +17,10 @@
     this.#random = random;
   }
 
+  get isEmpty(): boolean {
+    return this.#entries.size === 0;
+  }
+
   /** Undefined while the incarnation wants nothing special. */
   find(incarnation: string): ServerPushback | undefined {
     return this.#entries.get(incarnation);
--- a/packages/daemon/src/gateway/backend_attempt.ts
+++ b/packages/daemon/src/gateway/backend_attempt.ts
@@ -104,6 +104,18 @@
     this.#request.destroy();
   }
 
+  /**
+   * Ends the attempt as not run if no byte of it can have been sent, otherwise
+   * does nothing.
+   */
+  withdraw(reason: string): void {
+    if (this.#isSent) return;
+    this.#isAborted = true;
+    this.#settle({ kind: "not-run", reason, isUnreachable: false });
+    clearTimeout(this.#connectTimer);
+    this.#request.destroy();
+  }
+
   #handleSocket(socket: NonNullable<ClientRequest["socket"]>): void {
     this.#detectReset(socket);
     if (!socket.connecting) {
--- a/packages/daemon/src/gateway/backend_attempt_test.ts
+++ b/packages/daemon/src/gateway/backend_attempt_test.ts
@@ -29,6 +29,16 @@
   guaranteesNotRun: (status) => status === 503,
 };
 
+/** Options of a request whose body and metadata don't matter. */
+const REQUEST = {
+  method: "GET",
+  path: "/",
+  body: undefined,
+  id: "a1",
+  format,
+  onMetadata: () => undefined,
+};
+
 /** Sends one request to a backend server that handles it with `answer`. */
 async function attempt(answer: (socket: Socket) => void) {
   const server = createServer((socket) => {
@@ -122,3 +132,40 @@
   assert.ok(outcome.kind === "not-run" && outcome.isUnreachable);
   agent.destroy();
 });
+
+// Guards against a request that waits for a connection and reaches a backend
+// server seconds after that server has asked for a pause.
+test("only an attempt of which nothing was sent can be withdrawn", async () => {
+  let arrived = 0;
+  const server = createServer((socket) => {
+    socket.on("error", () => undefined);
+    socket.on("data", () => arrived += 1);
+  });
+  await new Promise<void>((resolve) => server.listen(0, ADDRESS, resolve));
+  const { port } = server.address() as AddressInfo;
+  const agent = new BackendAgent(1);
+  const open = () =>
+    new BackendAttempt({
+      ...REQUEST,
+      address: `${ADDRESS}:${port}`,
+      agent,
+      headers: ["Host", "a"],
+    });
+  const running = open();
+  const waiting = open();
+  await new Promise((resolve) => setTimeout(resolve, 50));
+  running.withdraw("paused");
+  waiting.withdraw("paused");
+  const outcome = await waiting.outcome;
+  assert.deepEqual(outcome, {
+    kind: "not-run",
+    reason: "paused",
+    isUnreachable: false,
+  });
+  assert.equal(running.isAborted, false, "it was sent");
+  running.abort("over");
+  await new Promise((resolve) => setTimeout(resolve, 50));
+  assert.equal(arrived, 1);
+  agent.destroy();
+  server.close();
+});
--- a/packages/daemon/src/gateway/backend_pool.ts
+++ b/packages/daemon/src/gateway/backend_pool.ts
@@ -12,6 +12,7 @@
 import { monotonicMilliseconds } from "../transport/monotonic_milliseconds.ts";
 import type { ControlFeed } from "./control_feed.ts";
 import type { NamedLimits } from "./named_limits.ts";
+import type { ServerPushbacks } from "./server_pushbacks.ts";
 
 /**
  * Age of a load report on arrival: from a stager's query of its engine to the
@@ -51,6 +52,7 @@
    */
   weightsBoundMilliseconds: number;
   namedLimits: NamedLimits;
+  pushbacks: ServerPushbacks;
   /** Emits backend servers whose process was found to have ended. */
   endedServers$: Observable<BackendAnnouncement>;
 };
@@ -175,9 +177,20 @@
     return waits.length === 0 ? undefined : Math.min(...waits);
   }
 
+  /** Eligible backend servers that want no requests now. */
+  listPushingBack(query: BackendQuery): BackendAnnouncement[] {
+    const { feed, pushbacks } = this.#options;
+    return feed.backendsOf(query.service).filter((announcement) =>
+      this.#isEligible(announcement, query) && !pushbacks.admits(announcement)
+    );
+  }
+
   #findUsable(query: BackendQuery): BackendCandidate[] {
-    return this.#options.feed.backendsOf(query.service)
-      .filter((announcement) => this.#isEligible(announcement, query))
+    const { feed, pushbacks } = this.#options;
+    return feed.backendsOf(query.service)
+      .filter((announcement) =>
+        this.#isEligible(announcement, query) && pushbacks.admits(announcement)
+      )
       .map((announcement) => ({
         announcement,
         record: this.recordOf(announcement.instance),
--- a/packages/daemon/src/gateway/backend_pool_test.ts
+++ b/packages/daemon/src/gateway/backend_pool_test.ts
@@ -1,3 +1,4 @@
+import type { AnswerMetadata } from "@teaselrouter/core/gateway/answer_metadata.ts";
 import type { BackendAnnouncement } from "@teaselrouter/core/membership/backend_announcement.ts";
 import type { EngineLoad } from "@teaselrouter/messages/follow.ts";
 import assert from "node:assert/strict";
@@ -6,7 +7,9 @@
 import { monotonicMilliseconds } from "../transport/monotonic_milliseconds.ts";
 import { BackendPool } from "./backend_pool.ts";
 import type { ControlFeed } from "./control_feed.ts";
+import { EventLog } from "../log/event_log.ts";
 import type { NamedLimits } from "./named_limits.ts";
+import { ServerPushbacks } from "./server_pushbacks.ts";
 
 const ANNOUNCEMENT: BackendAnnouncement = {
   instance: "one",
@@ -23,10 +26,37 @@
 
 const OTHER = { ...ANNOUNCEMENT, instance: "two", address: "10.0.0.2:80" };
 
+const QUERY = {
+  id: "a",
+  willSend: false,
+  service: "ledger",
+  engine: undefined,
+  model: undefined,
+  promptTokens: 0,
+  tried: new Set<string>(),
+  weightsVersion: undefined,
+};
+
+const PAUSE: AnswerMetadata = {
+  id: "a",
+  isNotRun: true,
+  isSigned: false,
+  weightsVersion: undefined,
+  limitPerSecond: undefined,
+  load: undefined,
+  requestedPause: 60_000,
+  isShuttingDown: false,
+  unreadableFields: [],
+};
+
 function openPool(namedLimits = { isLimited: () => false } as object) {
   const backends$ = new Subject<BackendAnnouncement[]>();
   const loads$ = new Subject<EngineLoad[]>();
   const endedServers$ = new Subject<BackendAnnouncement>();
+  const pushbacks = new ServerPushbacks({
+    random: () => 0.5,
+    log: new EventLog("gateway", "error"),
+  });
   const pool = new BackendPool({
     feed: {
       backends$,
@@ -38,10 +68,11 @@
     dataCentre: "here",
     weightsBoundMilliseconds: 8_000,
     namedLimits: namedLimits as NamedLimits,
+    pushbacks,
     endedServers$,
   });
   backends$.next([ANNOUNCEMENT, OTHER]);
-  return { pool, backends$, endedServers$ };
+  return { pool, pushbacks, backends$, endedServers$ };
 }
 
 function isEjected(pool: BackendPool): boolean {
@@ -77,16 +108,37 @@
     millisecondsUntilCapacity: () => 400,
   });
   endedServers$.next(OTHER);
-  const query = {
-    id: "a",
-    willSend: false,
-    service: "ledger",
-    engine: undefined,
-    model: undefined,
-    promptTokens: 0,
-    tried: new Set<string>(),
-    weightsVersion: undefined,
-  };
-  assert.equal(pool.choose(query), undefined);
-  assert.equal(pool.millisecondsUntilCapacity(query), 400);
+  assert.equal(pool.choose(QUERY), undefined);
+  assert.equal(pool.millisecondsUntilCapacity(QUERY), 400);
+});
+
+// Guards against requests to a backend server that has asked for a pause, against
+// a refusal while another one has room, and against a pause that is laid to the
+// next start at the same address.
+test("a backend server that asked for a pause is no candidate, its next start is", () => {
+  const { pool, pushbacks } = openPool();
+  pushbacks.recordAnswer(ANNOUNCEMENT, PAUSE, "a");
+  const chosen = () => pool.choose(QUERY)?.announcement.instance;
+  assert.equal(chosen(), "two");
+  assert.deepEqual(pool.listPushingBack(QUERY), [ANNOUNCEMENT]);
+  pushbacks.recordAnswer(OTHER, PAUSE, "b");
+  assert.equal(chosen(), undefined);
+  assert.equal(isEjected(pool), false, "a pause is no failure");
+  assert.equal(pushbacks.admits({ ...ANNOUNCEMENT, bornAt: 5_000 }), true);
+});
+
+// Guards against a request that still waits for its connection when its backend
+// server asks for a pause.
+test("a pause withdraws the requests that are not sent yet", () => {
+  const { pushbacks } = openPool();
+  const withdrawn: string[] = [];
+  const stop = pushbacks.onRequested(
+    ANNOUNCEMENT,
+    () => withdrawn.push("ended before"),
+  );
+  stop();
+  pushbacks.onRequested(ANNOUNCEMENT, () => withdrawn.push("one"));
+  pushbacks.onRequested(OTHER, () => withdrawn.push("two"));
+  pushbacks.recordAnswer(ANNOUNCEMENT, PAUSE, "a");
+  assert.deepEqual(withdrawn, ["one"]);
 });
--- a/packages/daemon/src/gateway/call_routing.ts
+++ b/packages/daemon/src/gateway/call_routing.ts
@@ -1,4 +1,5 @@
 import type { BackendCandidate } from "@teaselrouter/core/gateway/backend_candidate.ts";
+import type { BackendAnnouncement } from "@teaselrouter/core/membership/backend_announcement.ts";
 import { decidePlacement } from "@teaselrouter/core/gateway/decide_placement.ts";
 import type { Placement } from "@teaselrouter/core/gateway/placement.ts";
 import { monotonicMilliseconds } from "../transport/monotonic_milliseconds.ts";
@@ -49,6 +50,17 @@
     );
   }
 
+  /**
+   * Backend servers that want no requests now and that a new request could be
+   * sent to later, those included that this one was sent to.
+   */
+  listPushingBack(): BackendAnnouncement[] {
+    return this.#options.context.pool.listPushingBack({
+      ...this.#query({ willSend: false }),
+      tried: new Set(),
+    });
+  }
+
   #query({ willSend }: { willSend: boolean }) {
     const { call, tried } = this.#options;
     return {
--- a/packages/daemon/src/gateway/call_sender.ts
+++ b/packages/daemon/src/gateway/call_sender.ts
@@ -82,11 +82,19 @@
     const timelyCount = options.placement.kind === "timely" ? 1 : 0;
     record.pendingPromptTokens += promptTokens;
     record.timelyUnanswered += timelyCount;
+    const { pushbacks } = this.#context;
+    const settleSend = pushbacks.countSend(announcement);
     const attempt = this.#openAttempt(candidate, options);
     this.#attempt = attempt;
     const cancelWeightsTimer = this.#abortWhenWeightsExpire(candidate, attempt);
+    const stopWithdrawing = pushbacks.onRequested(
+      announcement,
+      () => attempt.withdraw("its backend server wants no requests now"),
+    );
     const outcome = await attempt.outcome;
+    stopWithdrawing();
     cancelWeightsTimer();
+    settleSend(outcome.kind === "answer");
     record.pendingPromptTokens -= promptTokens;
     record.timelyUnanswered -= timelyCount;
     if (outcome.kind === "answer") this.#trackLiveness(record, outcome, sentAt);
--- a/packages/daemon/src/gateway/gateway_app.ts
+++ b/packages/daemon/src/gateway/gateway_app.ts
@@ -119,6 +119,7 @@
         dataCentre: settings.data_centre,
         weightsBoundMilliseconds: settings.gateway!.weights_bound_milliseconds,
         namedLimits,
+        pushbacks,
         endedServers$: crashWatch.ended$.pipe(
           map(({ announcement }) => announcement),
         ),
--- a/packages/daemon/src/gateway/gateway_call.ts
+++ b/packages/daemon/src/gateway/gateway_call.ts
@@ -143,11 +143,14 @@
 
   /**
    * Waits for an update after the gateway's start, as the request's backend
-   * servers may not be known yet. False if the request was sent before or may
-   * not be held.
+   * servers may not be known yet. False if the request was sent before, if
+   * backend servers are known that want no requests now, or if it may not be
+   * held.
    */
-  #waitForBackends({ call, sender }: ActiveCall): Promise<boolean> {
-    if (sender.tried.size > 0) return Promise.resolve(false);
+  #waitForBackends({ call, sender, routing }: ActiveCall): Promise<boolean> {
+    const mayWait = sender.tried.size === 0 &&
+      routing.listPushingBack().length === 0;
+    if (!mayWait) return Promise.resolve(false);
     return this.#context.startHold.wait(call.startedAt);
   }
 
@@ -207,9 +210,11 @@
       sender.abort("a success without a signature");
       return "again";
     }
+    // A backend server that wants no requests is not a failing one.
+    const wantsRequests = metadata.requestedPause === undefined;
     if (status >= 500 && routing.canFailOver()) {
       record.inFlight -= 1;
-      record.recordFailure(now);
+      if (wantsRequests) record.recordFailure(now);
       message.resume();
       return "again";
     }
@@ -219,7 +224,7 @@
     record.inFlight -= 1;
     if (this.#finisher.isOver) return "over";
     if (end === "broken" || status >= 500) {
-      record.recordFailure(monotonicMilliseconds());
+      if (wantsRequests) record.recordFailure(monotonicMilliseconds());
     } else {
       record.recordSuccess();
       record.recordSlotHoldTime(monotonicMilliseconds() - now);
@@ -301,6 +306,8 @@
         refusals.buildLimited(waitMilliseconds),
       );
     }
+    const paused = refusals.buildPaused(routing.listPushingBack());
+    if (paused !== undefined) return this.#finisher.refuse(active, paused);
     const refusal = lastReason === ""
       ? refusals.build("no backend server takes it now", "outage")
       : refusals.build(lastReason, "busy");
--- a/packages/daemon/src/gateway/refusal_builder.ts
+++ b/packages/daemon/src/gateway/refusal_builder.ts
@@ -1,4 +1,5 @@
 import type { Blame } from "@teaselrouter/core/crashes/blame.ts";
+import type { BackendAnnouncement } from "@teaselrouter/core/membership/backend_announcement.ts";
 import { retryAfter } from "@teaselrouter/core/gateway/retry_after.ts";
 import { toBlameFields } from "../log/to_blame_fields.ts";
 import { monotonicMilliseconds } from "../transport/monotonic_milliseconds.ts";
@@ -12,6 +13,9 @@
  */
 const LIMIT_JITTER = 0.5;
 
+/** As LIMIT_JITTER; the ends of the pauses themselves are spread already. */
+const PAUSE_JITTER = 0.25;
+
 type Cause = "outage" | "overload" | "busy";
 
 /** Builds the refusals of one request, depending on whether it may have run. */
@@ -64,6 +68,26 @@
     );
   }
 
+  /**
+   * Refusal for when the eligible backend servers want no requests now;
+   * undefined if none of them will take any again. Each call draws one of the
+   * servers, so that refused clients are spread over the moments at which these
+   * take requests again.
+   */
+  buildPaused(paused: BackendAnnouncement[]): CallRefusal | undefined {
+    const { pushbacks, random } = this.#context;
+    const waits = paused
+      .map((announcement) => pushbacks.millisecondsUntilOpen(announcement))
+      .filter((wait) => wait !== Infinity);
+    const wait = waits[Math.floor(waits.length * random())];
+    if (wait === undefined) return undefined;
+    pushbacks.logRefusal(this.#call.id, paused);
+    return this.#withRetryAfter(
+      "its backend servers want no requests now",
+      wait * (1 + PAUSE_JITTER * random()),
+    );
+  }
+
   #withRetryAfter(reason: string, retryAfterMilliseconds: number): CallRefusal {
     return this.mayHaveRun
       ? { status: 502, reason }
--- a/packages/daemon/src/gateway/server_pushbacks.ts
+++ b/packages/daemon/src/gateway/server_pushbacks.ts
@@ -2,6 +2,7 @@
 import type { BackendAnnouncement } from "@teaselrouter/core/membership/backend_announcement.ts";
 import { incarnationOf } from "@teaselrouter/core/membership/incarnation_of.ts";
 import { PushbackTable } from "@teaselrouter/core/pushback/pushback_table.ts";
+import type { ServerPushback } from "@teaselrouter/core/pushback/server_pushback.ts";
 import type { EventLog } from "../log/event_log.ts";
 import { monotonicMilliseconds } from "../transport/monotonic_milliseconds.ts";
 
@@ -25,6 +26,8 @@
   #options: Options;
   #table: PushbackTable;
   #sources = new Map<string, Source>();
+  /** Of requests that are not sent yet, by incarnation of their server. */
+  #withdrawals = new Map<string, Set<() => void>>();
   /** Incarnations with an unreadable field, so that each is logged once. */
   #unreadable = new Set<string>();
 
@@ -53,6 +56,75 @@
     if (isShuttingDown) this.#recordShutdown(announcement, id);
   }
 
+  /** Whether a request may be sent to the backend server now. */
+  admits(announcement: BackendAnnouncement): boolean {
+    const pushback = this.#find(announcement);
+    return pushback === undefined || pushback.admits(monotonicMilliseconds());
+  }
+
+  /**
+   * Milliseconds until a request may be sent; 0 if it may be sent now, Infinity
+   * if the backend server is shutting down.
+   */
+  millisecondsUntilOpen(announcement: BackendAnnouncement): number {
+    return this.#find(announcement)?.millisecondsUntilOpen(
+      monotonicMilliseconds(),
+    ) ?? 0;
+  }
+
+  /**
+   * Counts a request that is about to be sent. The returned function is to be
+   * called once, when the attempt has an answer or has failed.
+   */
+  countSend(
+    announcement: BackendAnnouncement,
+  ): (isAnswered: boolean) => void {
+    return this.#find(announcement)?.countSend(
+      announcement.slots,
+      monotonicMilliseconds(),
+    ) ?? ignoreAnswer;
+  }
+
+  /**
+   * Calls `withdraw` when the backend server asks for no more requests. The
+   * returned function ends that.
+   */
+  onRequested(
+    announcement: BackendAnnouncement,
+    withdraw: () => void,
+  ): () => void {
+    const incarnation = incarnationOf(announcement);
+    let withdrawals = this.#withdrawals.get(incarnation);
+    if (withdrawals === undefined) {
+      withdrawals = new Set();
+      this.#withdrawals.set(incarnation, withdrawals);
+    }
+    withdrawals.add(withdraw);
+    return () => {
+      withdrawals.delete(withdraw);
+      const isLast = withdrawals.size === 0 &&
+        this.#withdrawals.get(incarnation) === withdrawals;
+      if (isLast) this.#withdrawals.delete(incarnation);
+    };
+  }
+
+  /** Logs which backend servers a refused request was kept away from, and why. */
+  logRefusal(id: string, kept: readonly BackendAnnouncement[]): void {
+    const now = monotonicMilliseconds();
+    const servers = kept.map((announcement) => {
+      const incarnation = incarnationOf(announcement);
+      const source = this.#sources.get(incarnation);
+      const left = this.millisecondsUntilOpen(announcement);
+      const askedAgo = source && Math.round(now - source.askedAt);
+      return `${incarnation}:left:${Math.round(left)}:asked-ago:${askedAgo}` +
+        `:by:${source?.id}`;
+    });
+    this.#options.log.info("paused-servers-refused", {
+      id,
+      servers: servers.join(","),
+    });
+  }
+
   /** Logs the pushbacks that have ended, and forgets them. */
   expire(): void {
     const now = monotonicMilliseconds();
@@ -80,6 +152,7 @@
     const incarnation = incarnationOf(announcement);
     const pushback = this.#table.open(incarnation);
     const change = pushback.requestPause(requestedPause, now);
+    this.#withdrawUnsent(incarnation);
     if (change === "unchanged") return;
     const milliseconds = Math.round(pushback.millisecondsUntilOpen(now));
     this.#sources.set(incarnation, { askedAt: now, milliseconds, id });
@@ -96,8 +169,7 @@
   #recordShutdown(announcement: BackendAnnouncement, id: string): void {
     const now = monotonicMilliseconds();
     const incarnation = incarnationOf(announcement);
-    const pushback = this.#table.open(incarnation);
-    if (pushback.announceShutdown(now) === "unchanged") return;
+    if (this.#sources.has(incarnation)) return;
     this.#sources.set(incarnation, {
       askedAt: now,
       milliseconds: Infinity,
@@ -110,6 +182,18 @@
     });
   }
 
+  #withdrawUnsent(incarnation: string): void {
+    if (this.#table.find(incarnation)?.admits(monotonicMilliseconds())) return;
+    for (const withdraw of [...this.#withdrawals.get(incarnation) ?? []]) {
+      withdraw();
+    }
+  }
+
+  #find(announcement: BackendAnnouncement): ServerPushback | undefined {
+    if (this.#table.isEmpty) return undefined;
+    return this.#table.find(incarnationOf(announcement));
+  }
+
   #logUnreadable(
     announcement: BackendAnnouncement,
     fields: readonly string[],
@@ -126,3 +210,5 @@
     });
   }
 }
+
+function ignoreAnswer(): void {}
--- a/packages/daemon/src/log/event_name.ts
+++ b/packages/daemon/src/log/event_name.ts
@@ -36,6 +36,7 @@
   | "manifest-failed"
   | "membership-change"
   | "pause-requested"
+  | "paused-servers-refused"
   | "process-stops"
   | "pushback-ended"
   | "readiness"
