Send nothing more to a backend server whose answers say that it shuts down

What callers would see: a request sent to a process that is about to exit, and so an answer cut off. Its heartbeat tells that it leaves too, but later, or not at all.

Cause: of the class of the pause that was not obeyed; what a backend server says of itself in an answer was read for some fields only.

What waits for a connection there is taken back. That such a process breaks off answers counts neither against it nor as a sign that a request has crashed it.

--- a/packages/daemon/src/gateway/backend_pool_test.ts
+++ b/packages/daemon/src/gateway/backend_pool_test.ts
@@ -142,3 +142,16 @@
   pushbacks.recordAnswer(ANNOUNCEMENT, PAUSE, "a");
   assert.deepEqual(withdrawn, ["one"]);
 });
+
+// Guards against requests to a backend server that is shutting down, though its
+// heartbeats still call it ready or it was reported gone for a while.
+test("a backend server that announced its shutdown gets no more requests", () => {
+  const { pool, pushbacks, backends$ } = openPool();
+  const notice = { ...PAUSE, requestedPause: undefined, isShuttingDown: true };
+  pushbacks.recordAnswer(ANNOUNCEMENT, notice, "a");
+  backends$.next([{ ...ANNOUNCEMENT, state: "gone" }]);
+  backends$.next([{ ...ANNOUNCEMENT, sequence: 2 }]);
+  assert.equal(pool.choose(QUERY)?.announcement.instance, "two");
+  assert.equal(pushbacks.millisecondsUntilOpen(ANNOUNCEMENT), Infinity);
+  assert.equal(pushbacks.isShuttingDown(OTHER), false);
+});
--- a/packages/daemon/src/gateway/call_sender.ts
+++ b/packages/daemon/src/gateway/call_sender.ts
@@ -106,13 +106,14 @@
    * Logs a failed attempt and counts it against its backend server, also if
    * this gateway aborted the attempt. Ejects the backend server if no
    * connection to it was made, or once its failure rate is too high. An attempt
-   * that the backend server refused as not run is only logged.
+   * that the backend server refused as not run, or broke off after it had
+   * announced its shutdown, is only logged.
    */
   recordFailedAttempt(
     { announcement, record }: BackendCandidate,
     outcome: Exclude<AttemptOutcome, { kind: "answer" }>,
   ): void {
-    const { log } = this.#context;
+    const { log, pushbacks } = this.#context;
     log.info("send-failed", {
       id: this.#call.id,
       instance: announcement.instance,
@@ -120,6 +121,7 @@
       reason: outcome.reason,
       sends: this.tried.size,
     });
+    if (pushbacks.isShuttingDown(announcement)) return;
     const now = monotonicMilliseconds();
     const isUnreachable = outcome.kind === "not-run" && outcome.isUnreachable;
     const isEjected = isUnreachable
--- a/packages/daemon/src/gateway/gateway_call.ts
+++ b/packages/daemon/src/gateway/gateway_call.ts
@@ -211,10 +211,12 @@
       return "again";
     }
     // A backend server that wants no requests is not a failing one.
-    const wantsRequests = metadata.requestedPause === undefined;
+    const wantsRequests = () =>
+      metadata.requestedPause === undefined &&
+      !this.#context.pushbacks.isShuttingDown(announcement);
     if (status >= 500 && routing.canFailOver()) {
       record.inFlight -= 1;
-      if (wantsRequests) record.recordFailure(now);
+      if (wantsRequests()) record.recordFailure(now);
       message.resume();
       return "again";
     }
@@ -224,7 +226,7 @@
     record.inFlight -= 1;
     if (this.#finisher.isOver) return "over";
     if (end === "broken" || status >= 500) {
-      if (wantsRequests) record.recordFailure(monotonicMilliseconds());
+      if (wantsRequests()) record.recordFailure(monotonicMilliseconds());
     } else {
       record.recordSuccess();
       record.recordSlotHoldTime(monotonicMilliseconds() - now);
@@ -253,6 +255,8 @@
     { announcement }: BackendCandidate,
     headAt: number | undefined,
   ): void {
+    // The end of a process that shuts down is no sign that a request crashed it.
+    if (this.#context.pushbacks.isShuttingDown(announcement)) return;
     // Only streams send their head when work on them begins. Other answers are
     // sent at the end: for these, work counts from the sending of the request.
     const begunAt = call.route.kind === "stream" ? headAt : sender.sentAt;
--- a/packages/daemon/src/gateway/server_pushbacks.ts
+++ b/packages/daemon/src/gateway/server_pushbacks.ts
@@ -62,6 +62,12 @@
     return pushback === undefined || pushback.admits(monotonicMilliseconds());
   }
 
+  /** Whether the backend server's end is to be expected. */
+  isShuttingDown(announcement: BackendAnnouncement): boolean {
+    return this.#find(announcement)?.isShuttingDown(monotonicMilliseconds()) ??
+      false;
+  }
+
   /**
    * Milliseconds until a request may be sent; 0 if it may be sent now, Infinity
    * if the backend server is shutting down.
@@ -169,7 +175,10 @@
   #recordShutdown(announcement: BackendAnnouncement, id: string): void {
     const now = monotonicMilliseconds();
     const incarnation = incarnationOf(announcement);
-    if (this.#sources.has(incarnation)) return;
+    const pushback = this.#table.open(incarnation);
+    const change = pushback.announceShutdown(now);
+    this.#withdrawUnsent(incarnation);
+    if (change === "unchanged") return;
     this.#sources.set(incarnation, {
       askedAt: now,
       milliseconds: Infinity,
