Probe no backend server that has asked for a pause or shuts down

A gateway asks the port of a backend server once, behind a request that broke off there, whether the process has ended. One that has asked for a pause wants no contact; its end is then told by its next start at the same address, as for one that can't be reached. That way the evidence against a crashing request comes later, not never.

--- a/packages/core/src/pushback/server_pushback.ts
+++ b/packages/core/src/pushback/server_pushback.ts
@@ -97,9 +97,14 @@
     return now < this.#shutdownEndsAt;
   }
 
+  /** Whether the backend server wants nothing at all from this host now. */
+  isClosed(now: number): boolean {
+    return now < this.#endsAt;
+  }
+
   /** Whether a request may be sent now. */
   admits(now: number): boolean {
-    if (this.isPaused(now) || this.isShuttingDown(now)) return false;
+    if (this.isClosed(now)) return false;
     return !this.#isRecovering(now) || this.#unanswered < this.#recoveryLimit;
   }
 
@@ -134,7 +139,7 @@
 
   /** Whether nothing is left that keeps a request away. */
   isOver(now: number): boolean {
-    return now >= this.#endsAt && this.#unanswered === 0 &&
+    return !this.isClosed(now) && this.#unanswered === 0 &&
       !this.#isRecovering(now);
   }
 
--- a/packages/daemon/src/gateway/crash_watch.ts
+++ b/packages/daemon/src/gateway/crash_watch.ts
@@ -32,6 +32,8 @@
 
 type Options = {
   hasOpenConnection: (address: string) => boolean;
+  /** Whether the backend server has asked not to be called now. */
+  isClosed: (announcement: BackendAnnouncement) => boolean;
   backends$: Observable<BackendAnnouncement[]>;
   log: EventLog;
 };
@@ -47,7 +49,7 @@
   #gathering = new Map<string, SuspectedEnd>();
   /**
    * Suspected ends whose backend server neither accepted nor refused the
-   * check's connection, by instance.
+   * check's connection, or was not to be checked, by instance.
    */
   #pending = new Map<string, SuspectedEnd>();
 
@@ -76,7 +78,8 @@
     const { instance, address } = suspected.announcement;
     this.#gathering.delete(instance);
     if (this.#options.hasOpenConnection(address)) return;
-    const answer = await probeProcessEnd(address);
+    const mayProbe = !this.#options.isClosed(suspected.announcement);
+    const answer = mayProbe ? await probeProcessEnd(address) : "unknown";
     if (answer === "ended") return this.#confirmEnd(suspected, "refuses");
     if (answer === "unknown") this.#pending.set(instance, suspected);
   }
--- a/packages/daemon/src/gateway/gateway_app.ts
+++ b/packages/daemon/src/gateway/gateway_app.ts
@@ -96,8 +96,10 @@
     });
     feed.updates$.subscribe(() => startHold.wakeHeldRequests());
     const connections = new BackendConnections();
+    const pushbacks = new ServerPushbacks({ random: Math.random, log });
     const crashWatch = new CrashWatch({
       hasOpenConnection: (address) => connections.hasOpen(address),
+      isClosed: (announcement) => pushbacks.isClosed(announcement),
       backends$: feed.backends$,
       log,
     });
@@ -109,7 +111,6 @@
       random: Math.random,
       log,
     });
-    const pushbacks = new ServerPushbacks({ random: Math.random, log });
     this.#context = {
       feed,
       startHold,
--- a/packages/daemon/src/gateway/server_pushbacks.ts
+++ b/packages/daemon/src/gateway/server_pushbacks.ts
@@ -62,6 +62,12 @@
     return pushback === undefined || pushback.admits(monotonicMilliseconds());
   }
 
+  /** Whether the backend server wants nothing at all from this host now. */
+  isClosed(announcement: BackendAnnouncement): boolean {
+    return this.#find(announcement)?.isClosed(monotonicMilliseconds()) ??
+      false;
+  }
+
   /** Whether the backend server's end is to be expected. */
   isShuttingDown(announcement: BackendAnnouncement): boolean {
     return this.#find(announcement)?.isShuttingDown(monotonicMilliseconds()) ??
@@ -136,9 +142,7 @@
     const now = monotonicMilliseconds();
     for (const [incarnation, source] of [...this.#sources]) {
       const pushback = this.#table.find(incarnation);
-      const isEnded = pushback === undefined ||
-        !pushback.isPaused(now) && !pushback.isShuttingDown(now);
-      if (!isEnded) continue;
+      if (pushback?.isClosed(now)) continue;
       this.#sources.delete(incarnation);
       this.#options.log.info("pushback-ended", {
         incarnation,
@@ -192,7 +196,9 @@
   }
 
   #withdrawUnsent(incarnation: string): void {
-    if (this.#table.find(incarnation)?.admits(monotonicMilliseconds())) return;
+    if (!this.#table.find(incarnation)?.isClosed(monotonicMilliseconds())) {
+      return;
+    }
     for (const withdraw of [...this.#withdrawals.get(incarnation) ?? []]) {
       withdraw();
     }
