Agents obey a backend server that wants no calls

The other way into the product had the same gap: an agent passed a 503 with Retry-After on as an answer, entry hosts counted it as a failure of the backend server, and calls that waited at the agent went to it one after the other.

An agent now keeps the same rules as a gateway, by the same module in core: a call that was turned away is reported as not run, with the time; what waits is refused at once, so that entry hosts try elsewhere; the agent announces that it accepts none, and that it does again. An announced shutdown holds until the next start (started_at in the backend server's announcement, a silence, or an end that the agent saw); such an end is no sign of a crash. Retry-After is parsed at one place for both ways.

--- a/packages/daemon/src/agent/agent_app.ts
+++ b/packages/daemon/src/agent/agent_app.ts
@@ -148,10 +148,14 @@
     this.#spread.stop();
     this.#links.stop();
     this.#runner.stop();
+    this.#state.pushback.stop();
     this.#server.close();
   }
 
   #subscribeParts(): void {
+    this.#state.pushback.changes$.subscribe(({ kind, ...fields }) =>
+      this.#log.info("backend-server-pushback", { change: kind, ...fields })
+    );
     this.#state.changed$.subscribe(() => this.#broadcastAnnouncement());
     this.#links.incoming$.subscribe(({ message }) =>
       this.#handleMessage(message)
--- a/packages/daemon/src/agent/agent_state.ts
+++ b/packages/daemon/src/agent/agent_state.ts
@@ -1,4 +1,5 @@
 import { Subject } from "rxjs";
+import { BackendPushback } from "./backend_pushback.ts";
 import type { BackendServer } from "./backend_server.ts";
 
 const SILENCE_TIMEOUT_MILLISECONDS = 3_000;
@@ -13,14 +14,23 @@
   servingVersion = "";
   /** Rises whenever the weights that the engine serves may have changed. */
   weightsEpoch = 0;
+  /** What the backend server asks for in its answers. */
+  readonly pushback = new BackendPushback();
   #loading = false;
   #stopping = false;
   #announcedAt = 0;
 
+  constructor() {
+    this.pushback.changes$.subscribe(() => this.changed$.next());
+  }
+
   /** @param now Unix milliseconds. */
   recordAnnouncement(backend: BackendServer, now: number): void {
     const before = JSON.stringify(this.backend);
     const wasSilent = this.isSilent(now);
+    const isNewStart = backend.started_at !== this.backend?.started_at ||
+      backend.address !== this.backend?.address;
+    if (wasSilent || isNewStart) this.pushback.reset();
     this.backend = backend;
     this.#announcedAt = now;
     if (wasSilent || before !== JSON.stringify(backend)) this.changed$.next();
@@ -73,6 +83,8 @@
     if (this.backend === undefined || this.isSilent(now)) {
       return "backend-server-silent";
     }
+    const pushback = this.pushback.closedRefusal;
+    if (pushback !== undefined) return pushback.reason;
     if (this.#loading) return "loading";
     if (this.backend.uses_weights && this.servingVersion === "") {
       return "no-complete-model";
--- a/packages/daemon/src/agent/announcement_schema.ts
+++ b/packages/daemon/src/agent/announcement_schema.ts
@@ -13,4 +13,9 @@
   uses_weights: z.boolean(),
   /** Number of calls that it processes at once. */
   slots: z.number().int().min(1).max(4_096),
+  /**
+   * When its process started, Unix milliseconds. Without it, a new start that
+   * the agent did not notice is taken for the old one.
+   */
+  started_at: z.number().int().min(0).optional(),
 });
--- a/packages/daemon/src/agent/backend_call.ts
+++ b/packages/daemon/src/agent/backend_call.ts
@@ -13,6 +13,8 @@
   | { kind: "answered" }
   /** No connection was made: the backend server surely did not see the call. */
   | { kind: "not-run"; reason: string }
+  /** The backend server refused the call, which has not run. */
+  | { kind: "turned-away" }
   /** Without `isKnownToHaveRun`, the call may or may not have run. */
   | { kind: "failed"; isKnownToHaveRun: boolean; reason: string };
 
@@ -39,6 +41,7 @@
   #exchange: Exchange;
   #weightsEpoch: number;
   #version: string;
+  #settleSend: (isAnswered: boolean) => void;
 
   constructor(options: Options) {
     const { state } = options;
@@ -49,9 +52,21 @@
     this.#exchange = options.exchange;
     this.#weightsEpoch = state.weightsEpoch;
     this.#version = state.servingVersion;
+    const settle = state.pushback.countSend(state.backend!.slots);
+    let isSettled = false;
+    this.#settleSend = (isAnswered) => {
+      if (!isSettled) settle(isAnswered);
+      isSettled = true;
+    };
   }
 
-  run(): Promise<BackendCallResult> {
+  async run(): Promise<BackendCallResult> {
+    const result = await this.#send();
+    this.#settleSend(false);
+    return result;
+  }
+
+  #send(): Promise<BackendCallResult> {
     const { backend } = this.#state;
     const { body, path, contentType, requestId } = this.#request;
     return new Promise((resolve) => {
@@ -92,6 +107,11 @@
 
   #handleResponse(response: IncomingMessage): Promise<BackendCallResult> {
     this.#limit.setLimit(parseLimit(response.headers[LIMIT_HEADER]));
+    if (this.#state.pushback.recordAnswer(response)) {
+      response.resume();
+      return Promise.resolve({ kind: "turned-away" });
+    }
+    this.#settleSend(true);
     const version = String(response.headers["engine-version"] ?? "");
     // The engine obeyed a load order that this agent did not give, as an engine
     // that ignores fencing tokens may. Nothing vouches for the weights that the
--- /dev/null
+++ b/packages/daemon/src/agent/backend_pushback.ts
@@ -0,0 +1,120 @@
+import { ServerPushback } from "@teaselrouter/core/pushback/server_pushback.ts";
+import type { IncomingMessage } from "node:http";
+import { Subject } from "rxjs";
+import { parseRetryAfter } from "../http/parse_retry_after.ts";
+import { monotonicMilliseconds } from "../transport/monotonic_milliseconds.ts";
+
+/** Only with this status does Retry-After concern all further calls. */
+const TURNED_AWAY_STATUS = 503;
+/**
+ * Response header with which a backend server announces its shutdown; its value
+ * is 1.
+ */
+const SHUTDOWN_HEADER = "teaselrouter-shutdown";
+
+/** By then another backend server, or the next start of this one, takes calls. */
+const SHUTDOWN_RETRY_MILLISECONDS = 1_000;
+
+type PushbackChange =
+  | { kind: "paused"; milliseconds: number }
+  | { kind: "shutting-down" }
+  | { kind: "ended" }
+  | { kind: "unreadable"; fields: string };
+
+type Refusal = { reason: string; retryAfterMilliseconds: number };
+
+/**
+ * What the backend server on this host asks for in its answers: no calls for
+ * some time, or none any more.
+ */
+export class BackendPushback {
+  readonly changes$ = new Subject<PushbackChange>();
+  #pushback = new ServerPushback(Math.random);
+  #endTimer: NodeJS.Timeout | undefined;
+  #hasLoggedUnreadable = false;
+
+  stop(): void {
+    clearTimeout(this.#endTimer);
+  }
+
+  /** Forgets what was asked for, as the process that asked for it has ended. */
+  reset(): void {
+    const wasClosed = this.#pushback.isClosed(monotonicMilliseconds());
+    clearTimeout(this.#endTimer);
+    this.#pushback = new ServerPushback(Math.random);
+    this.#hasLoggedUnreadable = false;
+    if (wasClosed) this.changes$.next({ kind: "ended" });
+  }
+
+  /**
+   * Records what an answer asks for. Returns whether the backend server turned
+   * the call away: it has not run.
+   */
+  recordAnswer({ statusCode, headers, rawHeaders }: IncomingMessage): boolean {
+    if (headers[SHUTDOWN_HEADER] === "1") this.#recordShutdown();
+    if (statusCode !== TURNED_AWAY_STATUS) return false;
+    const { milliseconds, unreadable } = parseRetryAfter(rawHeaders);
+    if (unreadable !== undefined && !this.#hasLoggedUnreadable) {
+      this.#hasLoggedUnreadable = true;
+      this.changes$.next({ kind: "unreadable", fields: unreadable });
+    }
+    if (milliseconds === undefined) return false;
+    this.#recordPause(milliseconds);
+    return true;
+  }
+
+  /** Why no call may be sent now; undefined if one may. */
+  get refusal(): Refusal | undefined {
+    const now = monotonicMilliseconds();
+    if (this.#pushback.admits(now)) return undefined;
+    return this.closedRefusal ?? {
+      reason: "paused",
+      retryAfterMilliseconds: this.#pushback.millisecondsUntilOpen(now),
+    };
+  }
+
+  /**
+   * Why the backend server wants no calls at all now; undefined if it takes
+   * some, as in its recovery after a pause.
+   */
+  get closedRefusal(): Refusal | undefined {
+    const now = monotonicMilliseconds();
+    if (!this.#pushback.isClosed(now)) return undefined;
+    const wait = this.#pushback.millisecondsUntilOpen(now);
+    return wait === Infinity
+      ? {
+        reason: "shutting-down",
+        retryAfterMilliseconds: SHUTDOWN_RETRY_MILLISECONDS,
+      }
+      : { reason: "paused", retryAfterMilliseconds: Math.ceil(wait) };
+  }
+
+  get isShuttingDown(): boolean {
+    return this.#pushback.isShuttingDown(monotonicMilliseconds());
+  }
+
+  /** See `ServerPushback.countSend`. */
+  countSend(slots: number): (isAnswered: boolean) => void {
+    return this.#pushback.countSend(slots, monotonicMilliseconds());
+  }
+
+  #recordPause(milliseconds: number | "unreadable"): void {
+    const now = monotonicMilliseconds();
+    const change = this.#pushback.requestPause(milliseconds, now);
+    if (change === "unchanged") return;
+    const wait = Math.ceil(this.#pushback.millisecondsUntilOpen(now));
+    clearTimeout(this.#endTimer);
+    this.#endTimer = setTimeout(
+      () => this.changes$.next({ kind: "ended" }),
+      wait,
+    );
+    this.changes$.next({ kind: "paused", milliseconds: wait });
+  }
+
+  #recordShutdown(): void {
+    const change = this.#pushback.announceShutdown(monotonicMilliseconds());
+    if (change === "unchanged") return;
+    clearTimeout(this.#endTimer);
+    this.changes$.next({ kind: "shutting-down" });
+  }
+}
--- a/packages/daemon/src/agent/call_runner.ts
+++ b/packages/daemon/src/agent/call_runner.ts
@@ -2,6 +2,7 @@
 import { queueRetryAfterMilliseconds } from "@teaselrouter/core/routing/queue_retry_after_milliseconds.ts";
 import type { RunRequest } from "@teaselrouter/messages/agent.ts";
 import { CallOutcome } from "@teaselrouter/messages/agent.ts";
+import type { Subscription } from "rxjs";
 import { BackendRateLimiter } from "./backend_rate_limiter.ts";
 import type { AgentState } from "./agent_state.ts";
 import { BackendCall } from "./backend_call.ts";
@@ -24,7 +25,12 @@
 const INITIAL_SERVICE_MILLISECONDS = 50;
 const UNAVAILABLE_RETRY_MILLISECONDS = 500;
 
-type QueuedCall = { exchange: Exchange; start: () => void; priority: number };
+type QueuedCall = {
+  request: RunRequest;
+  exchange: Exchange;
+  start: () => void;
+  priority: number;
+};
 
 /**
  * Runs the calls of one backend server, at most as many at once as it has
@@ -41,6 +47,7 @@
   #queue: QueuedCall[] = [];
   #serviceMilliseconds = INITIAL_SERVICE_MILLISECONDS;
   #timer: NodeJS.Timeout;
+  #subscription: Subscription;
 
   constructor(
     options: { state: AgentState; engine: EngineClient; incarnation: string },
@@ -49,11 +56,15 @@
     this.#engine = options.engine;
     this.#incarnations = new BackendIncarnations(options.incarnation);
     this.claims = new AgentClaims(options.incarnation);
+    this.#subscription = this.#state.pushback.changes$.subscribe(() =>
+      this.#refuseQueued()
+    );
     this.#timer = setInterval(() => this.#sweep(), SWEEP_INTERVAL_MILLISECONDS);
   }
 
   stop(): void {
     clearInterval(this.#timer);
+    this.#subscription.unsubscribe();
   }
 
   get load() {
@@ -139,6 +150,10 @@
   }
 
   #admit(request: RunRequest, exchange: Exchange): void {
+    const pushback = this.#state.pushback.refusal;
+    if (pushback !== undefined) {
+      return this.#refuseNotRun(request, exchange, pushback);
+    }
     const refusal = this.#state.refusalReason(Date.now());
     if (refusal !== undefined) {
       return this.#refuseNotRun(request, exchange, {
@@ -164,7 +179,10 @@
     }
     const start = () => this.#start(request, exchange);
     if (this.#running < slots) start();
-    else this.#enqueue({ exchange, start, priority: request.priority });
+    else {
+      const { priority } = request;
+      this.#enqueue({ request, exchange, start, priority });
+    }
   }
 
   async #start(request: RunRequest, exchange: Exchange): Promise<void> {
@@ -179,7 +197,13 @@
       exchange,
     });
     const outcome = await call.run();
-    if (outcome.kind === "not-run") {
+    if (outcome.kind === "turned-away") {
+      this.#refuseNotRun(request, exchange, {
+        reason: "paused",
+        retryAfterMilliseconds: UNAVAILABLE_RETRY_MILLISECONDS,
+        ...this.#state.pushback.refusal,
+      });
+    } else if (outcome.kind === "not-run") {
       this.#withdraw(request);
       this.#finishRefused(exchange, CallOutcome.NOT_RUN, outcome.reason);
     } else if (outcome.kind === "failed") {
@@ -187,16 +211,21 @@
         ? CallOutcome.RAN
         : CallOutcome.UNKNOWN;
       const { address } = this.#state.backend!;
+      const isEndExpected = this.#state.pushback.isShuttingDown;
       const endedIncarnation = await this.#incarnations.findEndedIncarnation(
         address,
         sentAt,
       );
-      if (endedIncarnation !== "") this.#limit.reset();
+      if (endedIncarnation !== "") {
+        this.#limit.reset();
+        this.#state.pushback.reset();
+      }
       this.#finishRefused(
         exchange,
         callOutcome,
         outcome.reason,
-        endedIncarnation,
+        // The end of a process that shuts down is no sign of a crash.
+        isEndExpected ? "" : endedIncarnation,
       );
     } else {
       this.#updateServiceTime(Date.now() - startedAt);
@@ -214,6 +243,20 @@
     else this.#queue.splice(next, 0, call);
   }
 
+  /**
+   * Refuses all queued calls when the backend server wants none: they can run
+   * elsewhere.
+   */
+  #refuseQueued(): void {
+    const refusal = this.#state.pushback.closedRefusal;
+    if (refusal === undefined) return;
+    const queued = this.#queue;
+    this.#queue = [];
+    for (const { request, exchange } of queued) {
+      this.#refuseNotRun(request, exchange, refusal);
+    }
+  }
+
   /**
    * Starts the next queued call. One that was cancelled while it waited is
    * refused as not run.
--- a/packages/daemon/src/log/event_name.ts
+++ b/packages/daemon/src/log/event_name.ts
@@ -8,6 +8,7 @@
   | "backend-server-changed"
   | "backend-server-ended"
   | "backend-server-gone"
+  | "backend-server-pushback"
   | "backend-server-silent"
   | "blame-kept"
   | "blamed-request-refused"
--- a/packages/experiments/src/failures/waiting_calls_test.ts
+++ b/packages/experiments/src/failures/waiting_calls_test.ts
@@ -15,7 +15,11 @@
 
 /** Runs a test on a service with one slot and its agent's call runner. */
 async function withSingleSlotService(
-  scenario: (runner: CallRunner, service: FakeService) => Promise<void>,
+  scenario: (
+    runner: CallRunner,
+    service: FakeService,
+    state: AgentState,
+  ) => Promise<void>,
 ): Promise<void> {
   const [address, agentAddress] = await findFreeAddresses(2);
   const service = new FakeService({
@@ -42,13 +46,24 @@
     incarnation: "one",
   });
   try {
-    await scenario(runner, service);
+    await scenario(runner, service, state);
   } finally {
     runner.stop();
+    state.pushback.stop();
     service.stop();
   }
 }
 
+/** Runs a call; returns "answered", or why it was refused. */
+async function ask(runner: CallRunner, id: string): Promise<string> {
+  const exchange = runner.run(createRunRequest(id, 5));
+  for await (const { body } of exchange.read(0)) {
+    if (body.case === "refused") return body.value.reason;
+    if (body.case === "end") return "answered";
+  }
+  return "cut";
+}
+
 function createRunRequest(
   body: string,
   priority: number,
@@ -133,3 +148,42 @@
     assert.equal(await ask("behind it"), "answered");
   });
 });
+
+// Guards against calls that a backend server gets though it has asked for a
+// pause: new ones, and those that waited at its agent.
+test("an agent obeys a pause, refuses what waits, and returns step by step", async () => {
+  await withSingleSlotService(async (runner, service, state) => {
+    service.retryAfter = "1";
+    const asked = ["a", "b", "c", "d"].map((id) => ask(runner, id));
+    assert.deepEqual(await Promise.all(asked), Array(4).fill("paused"));
+    assert.deepEqual(service.refusedBodies, ["a"], "the others waited");
+    assert.equal(await ask(runner, "during"), "paused");
+    assert.equal(state.refusalReason(Date.now()), "paused");
+    service.retryAfter = undefined;
+    assert.ok(
+      await waitUntil(
+        async () => await ask(runner, `later-${Math.random()}`) === "answered",
+        TIMEOUT_MILLISECONDS,
+      ),
+    );
+    assert.deepEqual(service.refusedBodies, ["a"]);
+    assert.equal(state.refusalReason(Date.now()), undefined);
+  });
+});
+
+// Guards against calls to a backend server that is shutting down, and against
+// its next start that gets none.
+test("an agent sends nothing to a backend server that shuts down, until its next start", async () => {
+  await withSingleSlotService(async (runner, service, state) => {
+    service.isShuttingDown = true;
+    assert.equal(await ask(runner, "last"), "answered");
+    assert.equal(await ask(runner, "too late"), "shutting-down");
+    assert.deepEqual(service.executedBodies, ["last"]);
+    service.isShuttingDown = false;
+    state.recordAnnouncement(
+      { ...state.backend!, started_at: 2 },
+      Date.now() + TIMEOUT_MILLISECONDS,
+    );
+    assert.equal(await ask(runner, "next start"), "answered");
+  });
+});
--- a/packages/experiments/src/fakes/fake_service.ts
+++ b/packages/experiments/src/fakes/fake_service.ts
@@ -17,8 +17,13 @@
 /** A fake service without weights that records the body of every call. */
 export class FakeService {
   readonly executedBodies: string[] = [];
+  readonly refusedBodies: string[] = [];
   /** Requests per second announced with each answer; undefined for no limit. */
   limitPerSecond: number | undefined;
+  /** Value of Retry-After with which calls are refused; undefined for none. */
+  retryAfter: string | undefined;
+  /** Whether answers say that the service is shutting down. */
+  isShuttingDown = false;
   #options: Options;
   #announcer: Announcer | undefined;
   #server = createServer(async (request, response) => {
@@ -26,6 +31,12 @@
     if (request.url === "/record") {
       return void response.end(JSON.stringify(this.executedBodies));
     }
+    if (this.isShuttingDown) response.setHeader("Teaselrouter-Shutdown", "1");
+    if (this.retryAfter !== undefined) {
+      this.refusedBodies.push(body);
+      response.writeHead(503, { "Retry-After": this.retryAfter });
+      return void response.end();
+    }
     this.executedBodies.push(body);
     await pause(this.#options.callMilliseconds);
     response.setHeader("Content-Type", "text/plain");
