Entry hosts tell callers the end of a pause, not that no model is complete

With every backend server of a service pausing, the router refused calls with 'no-complete-model' and the same second for all. The agent's announcement now carries how long the pause still is; a call is refused as 'paused' until the end of one of the pauses, drawn at random. A test of the router, which got 'no-complete-model' before.

--- a/packages/core/src/routing/backend_server_row.ts
+++ b/packages/core/src/routing/backend_server_row.ts
@@ -20,6 +20,8 @@
   accepting: boolean;
   linkBytesPerSecond: number;
   heardAt: number;
+  /** Until when the backend server has asked for no calls; 0 for no pause. */
+  pausedUntil: number;
   acceptingSince: number;
   /** Calls of this entry host in flight on the backend server. */
   ownInFlight: number;
--- a/packages/core/src/routing/create_backend_server_row.ts
+++ b/packages/core/src/routing/create_backend_server_row.ts
@@ -26,6 +26,7 @@
   return {
     ...announced,
     heardAt: now,
+    pausedUntil: 0,
     acceptingSince: now,
     ownInFlight: 0,
     load: {
--- a/packages/core/src/routing/router.ts
+++ b/packages/core/src/routing/router.ts
@@ -26,17 +26,21 @@
   #table: BackendServerTable;
   #outliers: OutlierDetector;
   #policy: RoutingPolicy;
+  #random: () => number;
 
   constructor(
     options: {
       table: BackendServerTable;
       outliers: OutlierDetector;
       policy: RoutingPolicy;
+      /** Uniform in [0, 1). */
+      random: () => number;
     },
   ) {
     this.#table = options.table;
     this.#outliers = options.outliers;
     this.#policy = options.policy;
+    this.#random = options.random;
   }
 
   route(state: ControlState, call: Call): RoutingDecision {
@@ -48,7 +52,9 @@
       row.accepting && !call.tried.has(row.backendServer)
     );
     const versioned = this.#preferCurrentVersion(state, call.service, usable);
-    if (versioned.length === 0) return refuse("no-complete-model");
+    if (versioned.length === 0) {
+      return this.#refusePaused(live, call.now) ?? refuse("no-complete-model");
+    }
     const healthy = versioned.filter((row) =>
       !this.#outliers.isEjected(row, call.now)
     );
@@ -56,6 +62,26 @@
     return this.#chooseInTime(healthy, call);
   }
 
+  /**
+   * Refuses a call until the end of one of the pauses, drawn at random, so that
+   * callers return spread over these ends. Undefined without a pause.
+   */
+  #refusePaused(
+    rows: BackendServerRow[],
+    now: number,
+  ): RoutingDecision | undefined {
+    const paused = rows.filter(({ pausedUntil }) => pausedUntil > now);
+    const row = paused[Math.floor(paused.length * this.#random())];
+    return row && {
+      kind: "refuse",
+      reason: "paused",
+      retryAfterMilliseconds: Math.max(
+        MIN_RETRY_MILLISECONDS,
+        Math.ceil(row.pausedUntil - now),
+      ),
+    };
+  }
+
   /**
    * Prefers backend servers with the current version of the weights. Those with
    * an older version are usable too, as that version is complete.
--- /dev/null
+++ b/packages/core/src/routing/router_test.ts
@@ -0,0 +1,67 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { createEmptyControlState } from "../state/create_empty_control_state.ts";
+import { BackendServerTable } from "./backend_server_table.ts";
+import { createBackendServerRow } from "./create_backend_server_row.ts";
+import { OutlierDetector } from "./outlier_detector.ts";
+import { Router } from "./router.ts";
+import { RoundRobinPolicy } from "./round_robin_policy.ts";
+
+const NOW = 1_000_000;
+const CALL = {
+  service: "portal",
+  prefix: "",
+  deadlineMilliseconds: 5_000,
+  tried: new Set<string>(),
+  now: NOW,
+};
+
+/** Routes one call among two backend servers with these pauses. */
+function route(pauses: [number, number], random: number) {
+  const table = new BackendServerTable();
+  for (const [index, pause] of pauses.entries()) {
+    const row = createBackendServerRow({
+      backendServer: `server-${index}`,
+      dataCentre: "here",
+      service: CALL.service,
+      incarnation: "one",
+      internalAddress: "",
+      chunkAddress: "",
+      checksFencing: false,
+      repeatable: true,
+      usesWeights: false,
+      slots: 4,
+      servingVersion: "",
+      accepting: pause === 0,
+      linkBytesPerSecond: 0,
+    }, NOW);
+    table.set({ ...row, pausedUntil: pause === 0 ? 0 : NOW + pause });
+  }
+  const router = new Router({
+    table,
+    outliers: new OutlierDetector(),
+    policy: new RoundRobinPolicy(),
+    random: () => random,
+  });
+  return router.route(createEmptyControlState(), CALL);
+}
+
+// Guards against callers that are told a wrong reason and all the same time
+// while every backend server has asked for a pause.
+test("with all backend servers pausing, a call is refused until one of the ends", () => {
+  for (const [random, expected] of [[0, 700], [0.9, 2_500]] as const) {
+    assert.deepEqual(route([700, 2_500], random), {
+      kind: "refuse",
+      reason: "paused",
+      retryAfterMilliseconds: expected,
+    });
+  }
+});
+
+test("a call goes to the backend server that has not asked for a pause", () => {
+  const decision = route([700, 0], 0);
+  assert.equal(
+    decision.kind === "send" && decision.to.backendServer,
+    "server-1",
+  );
+});
--- a/packages/core/src/routing/routing_decision.ts
+++ b/packages/core/src/routing/routing_decision.ts
@@ -6,6 +6,8 @@
  *   ejected;
  * - "no-complete-model": some are live, but each does not accept calls now, was
  *   already tried for this call, or has no complete version of the weights;
+ * - "paused": of those that could take it later, some have asked for no calls
+ *   for a while;
  * - "overloaded": each would keep the call waiting for more than half of its
  *   deadline.
  */
@@ -13,6 +15,10 @@
   | { kind: "send"; to: BackendServerRow }
   | {
     kind: "refuse";
-    reason: "no-backend-server" | "no-complete-model" | "overloaded";
+    reason:
+      | "no-backend-server"
+      | "no-complete-model"
+      | "paused"
+      | "overloaded";
     retryAfterMilliseconds: number;
   };
--- a/packages/daemon/src/agent/backend_pushback.ts
+++ b/packages/daemon/src/agent/backend_pushback.ts
@@ -89,6 +89,12 @@
       : { reason: "paused", retryAfterMilliseconds: Math.ceil(wait) };
   }
 
+  /** Until the end of a pause; 0 without one. */
+  get pauseMilliseconds(): number {
+    const refusal = this.closedRefusal;
+    return refusal?.reason === "paused" ? refusal.retryAfterMilliseconds : 0;
+  }
+
   get isShuttingDown(): boolean {
     return this.#pushback.isShuttingDown(monotonicMilliseconds());
   }
--- a/packages/daemon/src/agent/create_announcement.ts
+++ b/packages/daemon/src/agent/create_announcement.ts
@@ -27,6 +27,7 @@
     servingVersion: state.servingVersion,
     accepting: state.refusalReason(Date.now()) === undefined,
     usesWeights: backend.uses_weights,
+    pauseMilliseconds: state.pushback.pauseMilliseconds,
     linkBytesPerSecond: agent.link_bytes_per_second,
   };
 }
--- a/packages/daemon/src/entry/entry_app.ts
+++ b/packages/daemon/src/entry/entry_app.ts
@@ -105,7 +105,7 @@
       outliers,
       limits,
       clients,
-      router: new Router({ table, outliers, policy }),
+      router: new Router({ table, outliers, policy, random: Math.random }),
       retries: new RetryBudget(),
       crashes: new CallCrashDetector({ control, log }),
     };
--- a/packages/daemon/src/entry/sessions/agent_session.ts
+++ b/packages/daemon/src/entry/sessions/agent_session.ts
@@ -127,12 +127,18 @@
     this.#announcement = announcement;
     const now = Date.now();
     const existing = this.#row;
-    const { $typeName: _type, $unknown: _unknown, ...fields } = announcement;
+    const {
+      $typeName: _type,
+      $unknown: _unknown,
+      pauseMilliseconds,
+      ...fields
+    } = announcement;
     const wasAccepting = existing?.accepting ?? false;
     const row: BackendServerRow = {
       ...(existing ?? createBackendServerRow(fields, now)),
       ...fields,
       heardAt: now,
+      pausedUntil: pauseMilliseconds > 0 ? now + pauseMilliseconds : 0,
     };
     if (row.accepting && !wasAccepting) row.acceptingSince = now;
     // In-flight calls reference the row and update its counters, so an existing
--- a/packages/experiments/src/failures/claim_steps_test.ts
+++ b/packages/experiments/src/failures/claim_steps_test.ts
@@ -166,7 +166,7 @@
       crashes,
       table,
       clients,
-      router: new Router({ table, outliers, policy }),
+      router: new Router({ table, outliers, policy, random: Math.random }),
     }, {
       workspace: "desk",
       service: "ledger",
--- a/packages/experiments/src/failures/crashing_calls_test.ts
+++ b/packages/experiments/src/failures/crashing_calls_test.ts
@@ -114,7 +114,7 @@
     return await new RepeatableCall(
       {
         state: () => this.#log.state,
-        router: new Router({ table, outliers, policy }),
+        router: new Router({ table, outliers, policy, random: Math.random }),
         outliers,
         retries: new RetryBudget(),
         clients: this.#clients,
--- a/packages/experiments/src/overload/overload_model.ts
+++ b/packages/experiments/src/overload/overload_model.ts
@@ -125,7 +125,12 @@
         crossDataCentreMilliseconds: 0,
       })
       : new RoundRobinPolicy();
-    const router = new Router({ table, outliers, policy });
+    const router = new Router({
+      table,
+      outliers,
+      policy,
+      random: this.#random,
+    });
     for (const { options } of this.#backends) table.set(rowFor(options.name));
     this.#entryHosts.push({
       table,
