Failing test: a permit to load that isn't given back holds up the others

Traced by making the moment longer: engines take 1.5 s to load, and all entry hosts are frozen from the first load on for 4.5 s. Of three replicas one was live on the new version, and the two others still waited 40 s after the thaw. By the logs: drafter-2 weights-live at 54.667 s; its message that the permit is free is handled at the thaw, when the entry host has no lease, and its proposal is given up at once. drafter-1 and drafter-3 have had all blocks since 52.98 s and ask for a permit again and again.

--- a/packages/experiments/src/failures/agent_fixture.ts
+++ b/packages/experiments/src/failures/agent_fixture.ts
@@ -78,6 +78,7 @@
       checksFencing,
       slots: 8,
       lineIntervalMilliseconds: 5,
+      loadMilliseconds: 0,
     });
   }
 
--- a/packages/experiments/src/failures/with_system.ts
+++ b/packages/experiments/src/failures/with_system.ts
@@ -8,6 +8,7 @@
   totalBytes: number;
   hostBytesPerSecond: number;
   originBytesPerSecond: number;
+  loadMilliseconds: number;
 };
 
 const DEFAULT_OPTIONS: Options = {
@@ -15,6 +16,7 @@
   totalBytes: 2 * MEGABYTE,
   hostBytesPerSecond: 0,
   originBytesPerSecond: 0,
+  loadMilliseconds: 0,
 };
 
 /**
@@ -44,6 +46,7 @@
     chunkBytes: MEGABYTE / 8,
     commonChunks: 0,
     originBytesPerSecond: resolved.originBytesPerSecond,
+    loadMilliseconds: resolved.loadMilliseconds,
   });
   let keepLogs = true;
   try {
--- a/packages/experiments/src/fakes/fake_engine.ts
+++ b/packages/experiments/src/fakes/fake_engine.ts
@@ -19,6 +19,8 @@
   slots: number;
   /** Pause after each line of an answer. */
   lineIntervalMilliseconds: number;
+  /** From the last byte of weights until they are loaded. */
+  loadMilliseconds: number;
 };
 
 type LoadOrder = { version: string; source: string; fencing_token: number };
@@ -132,6 +134,7 @@
       });
       request.on("error", () => resolve(false));
     });
+    await pause(this.#options.loadMilliseconds);
     this.#digest = hash.digest("hex");
     this.#version = isComplete ? order.version : "";
     this.#loading = false;
--- a/packages/experiments/src/fakes/fakes_plan.ts
+++ b/packages/experiments/src/fakes/fakes_plan.ts
@@ -1,5 +1,7 @@
 /** Arguments of run_fakes.ts, which reads them from a JSON file. */
 export type FakesPlan = {
+  /** From the last byte of weights until an engine has loaded them. */
+  loadMilliseconds: number;
   backendServers: {
     service: string;
     kind: "engine" | "repeatable" | "unrepeatable";
--- a/packages/experiments/src/fakes/run_fakes.ts
+++ b/packages/experiments/src/fakes/run_fakes.ts
@@ -17,6 +17,7 @@
       ...common,
       checksFencing: server.checksFencing,
       lineIntervalMilliseconds: LINE_MILLISECONDS,
+      loadMilliseconds: plan.loadMilliseconds,
     })
     : new FakeService({
       ...common,
--- a/packages/experiments/src/harness/running_system.ts
+++ b/packages/experiments/src/harness/running_system.ts
@@ -25,6 +25,8 @@
   chunkBytes: number;
   commonChunks: number;
   originBytesPerSecond: number;
+  /** From the last byte of weights until an engine has loaded them; 0 if unset. */
+  loadMilliseconds?: number;
 };
 
 type SpreadResult = { seconds: number; originCopies: number };
@@ -62,6 +64,7 @@
     };
     this.startHelper("store", "fakes/run_store.js", storePlan);
     const fakesPlan: FakesPlan = {
+      loadMilliseconds: this.#options.loadMilliseconds ?? 0,
       backendServers: cluster.backendServers.map((server, index) => ({
         ...server,
         checksFencing: index % 2 === 0,
