Agents tell the return of a permit until the log has it

What callers saw: after a new version was published, replicas that had all of it went on with the old one, for up to a minute.

Cause: an agent told once that it had loaded, on whatever stream was open, and the entry host proposed that once. With the stream lost, or no leader at that moment, nothing was left to say so, and the permit kept the service's other replicas from loading until it ended by itself after 60 s. Load brings that out, as streams are silent and leaders change then.

Entry hosts now confirm what the log has, and agents repeat until then.

--- a/packages/daemon/src/agent/agent_app.ts
+++ b/packages/daemon/src/agent/agent_app.ts
@@ -19,6 +19,7 @@
 import { ChunkFetcher } from "../spread/chunk_fetcher.ts";
 import { EngineClient } from "./engine_client.ts";
 import { EngineLoader } from "./engine_loader.ts";
+import { PermitReturns } from "./permit_returns.ts";
 import { RolloutLinks } from "../transport/rollout_links.ts";
 import { LinkPacer } from "../spread/link_pacer.ts";
 import { rangeStoreFormat } from "../spread/range_store_format.ts";
@@ -60,6 +61,11 @@
   #spread: SpreadClient;
   #loader: EngineLoader;
   #links: RolloutLinks;
+  #permitReturns = new PermitReturns((value) => {
+    const address = this.#links.anyConnectedAddress;
+    if (address === undefined) return;
+    this.#links.send(address, { case: "loadSettled", value });
+  });
   #targetNumber = 0;
   #wasSilent = true;
   #reportedLoad = "";
@@ -145,6 +151,7 @@
       await pause(DRAIN_POLL_MILLISECONDS);
     }
     clearInterval(this.#timer);
+    this.#permitReturns.stop();
     this.#spread.stop();
     this.#links.stop();
     this.#runner.stop();
@@ -182,9 +189,7 @@
           new Set([settled.version, this.#spread.targetVersion]),
         );
       }
-      const address = this.#links.anyConnectedAddress;
-      if (address === undefined) return;
-      this.#links.send(address, { case: "loadSettled", value: settled });
+      this.#permitReturns.add(settled);
     });
   }
 
@@ -200,6 +205,8 @@
           body.value.version,
           body.value.fencingToken,
         );
+      case "permitReturned":
+        return this.#permitReturns.confirm(body.value.fencingToken);
     }
   }
 
--- a/packages/daemon/src/entry/sessions/agent_session.ts
+++ b/packages/daemon/src/entry/sessions/agent_session.ts
@@ -81,11 +81,7 @@
       case "permitRequest":
         return this.#handlePermitRequest(body.value);
       case "loadSettled":
-        this.#options.control.propose({
-          kind: "settle-permit",
-          backendServer: this.#backendServer,
-          fencingToken: body.value.fencingToken,
-        });
+        this.#returnPermit(body.value.fencingToken);
         return;
       case "heartbeat":
         return this.#updateHeardAt();
@@ -204,6 +200,17 @@
     });
   }
 
+  /** Without a confirmation, the agent tells the return again. */
+  async #returnPermit(fencingToken: number): Promise<void> {
+    const reply = await this.#options.control.propose({
+      kind: "settle-permit",
+      backendServer: this.#backendServer,
+      fencingToken,
+    });
+    if (reply.kind !== "committed") return;
+    this.#send({ case: "permitReturned", value: { fencingToken } });
+  }
+
   /**
    * Sends the agent its drain state if that has changed, and the weights to
    * load if they are newer than those sent before.
