--- a/acceptance/src/fake_backend_server.ts
+++ b/acceptance/src/fake_backend_server.ts
@@ -14,6 +14,7 @@
 /** Time from the start of a response until its request crashes the server. */
 const CRASH_DELAY_MILLISECONDS = 20;
 const RESTART_MILLISECONDS = 400;
+const PLAIN_SECONDS = /^\d+(\.\d+)?$/;
 const FIRST_START_TIME = 1_000;
 
 /** A request received; `at` is from `performance.now()`, milliseconds. */
@@ -44,7 +45,7 @@
   retryAfter: string | undefined;
   /** Whether responses say that the server is shutting down. */
   isLeaving = false;
-  /** Requests turned away with Retry-After. */
+  /** Requests turned away with Retry-After; NaN where that is no number. */
   readonly turnedAway: (Arrival & { seconds: number })[] = [];
   /** Responses that said that the server is shutting down. */
   readonly leavingNotices: Arrival[] = [];
@@ -193,7 +194,7 @@
 
   #turnAway(id: string, response: ServerResponse): void {
     const retryAfter = this.retryAfter!;
-    const seconds = Number(retryAfter);
+    const seconds = PLAIN_SECONDS.test(retryAfter) ? Number(retryAfter) : NaN;
     const { instance } = this;
     this.turnedAway.push({ id, at: performance.now(), instance, seconds });
     response.writeHead(503, {
