Agents give back permits that they have no use for

Found by reading on from the traced case; two tests of the loader that failed before (nothing was given back in either).

--- a/packages/daemon/src/agent/engine_loader.ts
+++ b/packages/daemon/src/agent/engine_loader.ts
@@ -51,7 +51,10 @@
   >();
   #options: Options;
   #target = "";
+  /** The latest one received. */
   #permit: Permit | undefined;
+  /** The one that the load in progress was ordered under. */
+  #permitInUse: Permit | undefined;
   #permitRequestedAt = 0;
   #steps = 0;
   #isStopped = false;
@@ -70,11 +73,28 @@
 
   setTarget(version: string): void {
     this.#target = version;
+    this.#returnUnusedPermit();
   }
 
   receivePermit(version: string, fencingToken: number): void {
     const isOld = fencingToken <= (this.#permit?.fencingToken ?? 0);
-    if (!isOld) this.#permit = { version, fencingToken, at: Date.now() };
+    if (isOld) return;
+    this.#permit = { version, fencingToken, at: Date.now() };
+    this.#returnUnusedPermit();
+  }
+
+  /**
+   * Gives back a permit that this agent has no use for: another version is the
+   * target, or the engine serves it already.
+   */
+  #returnUnusedPermit(): void {
+    const permit = this.#permit;
+    if (permit === undefined || permit === this.#permitInUse) return;
+    const isUseful = permit.version === this.#target &&
+      permit.version !== this.#options.state.servingVersion;
+    if (isUseful) return;
+    this.#permit = undefined;
+    this.loadEnded$.next({ ...permit, loaded: false });
   }
 
   async #run(): Promise<void> {
@@ -150,10 +170,12 @@
   async #load(permit: Permit): Promise<void> {
     const { state, log } = this.#options;
     const startedAt = Date.now();
+    this.#permitInUse = permit;
     state.setLoading(true);
     await this.#waitUntilIdle();
     const loaded = await this.#orderAndVerify(permit);
-    this.#permit = undefined;
+    this.#permitInUse = undefined;
+    if (this.#permit === permit) this.#permit = undefined;
     if (loaded) {
       state.setServing(permit.version);
       log.info("weights-live", {
@@ -167,6 +189,7 @@
     }
     state.setLoading(false);
     this.loadEnded$.next({ ...permit, loaded });
+    this.#returnUnusedPermit();
     if (!loaded) await pause(RETRY_DELAY_MILLISECONDS);
   }
 
--- /dev/null
+++ b/packages/daemon/src/agent/engine_loader_test.ts
@@ -0,0 +1,84 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { Result } from "true-myth";
+import { EventLog } from "../log/event_log.ts";
+import type { WeightsCache } from "../spread/weights_cache.ts";
+import { AgentState } from "./agent_state.ts";
+import type { CallRunner } from "./call_runner.ts";
+import type { EngineClient } from "./engine_client.ts";
+import { EngineLoader } from "./engine_loader.ts";
+
+const STEPS_MILLISECONDS = 500;
+const OLD = "drafter@2";
+const CURRENT = "drafter@3";
+
+function pause(milliseconds: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, milliseconds));
+}
+
+/** A loader whose engine loads at once; `complete` are the versions at hand. */
+function openLoader(complete: Set<string>) {
+  const state = new AgentState();
+  state.recordAnnouncement({
+    service: "drafter",
+    address: "127.0.0.1:1",
+    checks_fencing: true,
+    repeatable: true,
+    uses_weights: true,
+    slots: 4,
+  }, Date.now());
+  let version = "";
+  const engine = {
+    readState: () =>
+      Promise.resolve(Result.ok({ version, loading: false, fencing_token: 0 })),
+    load: (order: { version: string }) => {
+      version = order.version;
+      return Promise.resolve(Result.ok(undefined));
+    },
+    probe: () => Promise.resolve(Result.ok(version)),
+  };
+  const loader = new EngineLoader({
+    state,
+    engine: engine as unknown as EngineClient,
+    runner: { isIdle: true } as CallRunner,
+    cache: {
+      isComplete: (wanted: string) => complete.has(wanted),
+    } as WeightsCache,
+    log: new EventLog("agent", "error"),
+    weightsAddress: "127.0.0.1:2",
+  });
+  const returned: [number, boolean][] = [];
+  loader.loadEnded$.subscribe(({ fencingToken, loaded }) =>
+    returned.push([fencingToken, loaded])
+  );
+  return { loader, state, returned };
+}
+
+// Guards against a permit for a version that was overtaken: kept unused, it holds
+// up all other backend servers of the service.
+test("a permit for a version that was overtaken is given back at once", () => {
+  const { loader, returned } = openLoader(new Set());
+  loader.setTarget(OLD);
+  loader.receivePermit(OLD, 5);
+  assert.deepEqual(returned, []);
+  loader.setTarget(CURRENT);
+  assert.deepEqual(returned, [[5, false]]);
+  loader.receivePermit(OLD, 6);
+  assert.deepEqual(returned, [[5, false], [6, false]]);
+});
+
+// Guards against the second of two permits for one load, granted through two
+// entry hosts: only the later one stands in the log.
+test("each of two permits for one load is given back", async () => {
+  const { loader, state, returned } = openLoader(new Set([CURRENT]));
+  loader.setTarget(CURRENT);
+  loader.permitRequested$.subscribe(({ version }) => {
+    loader.receivePermit(version, 7);
+    setTimeout(() => loader.receivePermit(version, 8), STEPS_MILLISECONDS / 2);
+  });
+  loader.start();
+  await pause(2 * STEPS_MILLISECONDS);
+  loader.stop();
+  assert.equal(state.servingVersion, CURRENT);
+  assert.deepEqual(returned, [[7, true], [8, false]]);
+});
