--- a/acceptance/src/pushback_day.ts
+++ b/acceptance/src/pushback_day.ts
@@ -46,7 +46,6 @@
  */
 export class PushbackDay {
   #seed: number;
-  #random: () => number;
   #system = new EndToEndSystem({
     engines: ENGINES,
     gateways: GATEWAYS,
@@ -60,7 +59,6 @@
 
   constructor(seed: number) {
     this.#seed = seed;
-    this.#random = createSeededRandom(hashText(`pushback ${seed}`));
   }
 
   async run(): Promise<PushbackDayResult> {
@@ -82,16 +80,21 @@
     }
   }
 
-  #pick<Value>(values: readonly Value[]): Value {
-    return values[Math.floor(this.#random() * values.length)]!;
+  /**
+   * Creates the random numbers of one concurrent task: with shared ones, the
+   * draws of a task would depend on the timing of the others.
+   */
+  #createRandom(task: string): () => number {
+    return createSeededRandom(hashText(`pushback ${this.#seed} ${task}`));
   }
 
   async #sendRequests(): Promise<void> {
     const { gatewayIps } = this.#system;
+    const random = this.#createRandom("requests");
     for (let count = 0; !this.#isOver; count += 1) {
-      const index = Math.floor(this.#random() ** 2 * gatewayIps.length);
+      const index = Math.floor(random() ** 2 * gatewayIps.length);
       this.#answers.push(this.#sendRequest(`a-${count}`, gatewayIps[index]!));
-      await pause(2_000 * this.#random() / REQUESTS_PER_SECOND);
+      await pause(2_000 * random() / REQUESTS_PER_SECOND);
     }
   }
 
@@ -115,36 +118,42 @@
   /** Spells in which some engines turn requests away; they may overlap. */
   async #askForPauses(): Promise<void> {
     const endAt = performance.now() + DAY_MILLISECONDS;
+    const random = this.#createRandom("pauses");
     const spells: Promise<void>[] = [];
     while (performance.now() < endAt) {
-      const count = this.#pick([1, 1, 1, ENGINES / 2, ENGINES]);
+      const count = pick([1, 1, 1, ENGINES / 2, ENGINES], random);
       this.#troubles.push(`pauses of ${count}`);
-      const first = Math.floor(this.#random() * ENGINES);
+      const first = Math.floor(random() * ENGINES);
       for (let index = 0; index < count; index += 1) {
         const engine = this.#system.engines[(first + index) % ENGINES]!;
-        spells.push(this.#turnAway(engine));
+        spells.push(this.#turnAway(engine, random));
       }
-      await pause(500 + 3_000 * this.#random());
+      await pause(500 + 3_000 * random());
     }
     await Promise.all(spells);
   }
 
-  async #turnAway(engine: FakeBackendServer): Promise<void> {
-    const seconds = this.#random() * MAX_PAUSE_SECONDS;
-    const isReadable = this.#random() < 0.9;
+  async #turnAway(
+    engine: FakeBackendServer,
+    random: () => number,
+  ): Promise<void> {
+    const seconds = random() * MAX_PAUSE_SECONDS;
+    const isReadable = random() < 0.9;
+    const spellMilliseconds = MAX_SPELL_MILLISECONDS * random();
     engine.retryAfter = isReadable
       ? seconds.toFixed(2)
-      : this.#pick(UNREADABLE);
-    await pause(MAX_SPELL_MILLISECONDS * this.#random());
+      : pick(UNREADABLE, random);
+    await pause(spellMilliseconds);
     engine.retryAfter = undefined;
   }
 
   /** Engines shut down one after the other; each starts anew. */
   async #shutDown(): Promise<void> {
     const endAt = performance.now() + DAY_MILLISECONDS;
+    const random = this.#createRandom("shutdowns");
     while (performance.now() < endAt) {
-      await pause(1_000 + 2_000 * this.#random());
-      const engine = this.#pick(this.#system.engines);
+      await pause(1_000 + 2_000 * random());
+      const engine = pick(this.#system.engines, random);
       if (engine.isDown) continue;
       this.#troubles.push("shutdown");
       engine.isLeaving = true;
@@ -156,7 +165,8 @@
 
   async #disrupt(): Promise<void> {
     const system = this.#system;
-    const gatewayIndex = () => Math.floor(this.#random() * GATEWAYS);
+    const random = this.#createRandom("disruptions");
+    const gatewayIndex = () => Math.floor(random() * GATEWAYS);
     const all: Trouble[] = [
       {
         name: "gateway killed",
@@ -180,13 +190,13 @@
       { name: "new version named", inject: () => system.nameWeights(2) },
       {
         name: "engine crashed",
-        inject: () => this.#pick(system.engines).crash(),
+        inject: () => pick(system.engines, random).crash(),
       },
     ];
     const gap = DAY_MILLISECONDS / (DISRUPTIONS + 1);
     for (let count = 0; count < DISRUPTIONS; count += 1) {
-      await pause(gap * (0.5 + this.#random() * 0.5));
-      const { name, inject } = this.#pick(all);
+      await pause(gap * (0.5 + random() * 0.5));
+      const { name, inject } = pick(all, random);
       this.#troubles.push(name);
       await inject();
     }
@@ -263,6 +273,10 @@
   }
 }
 
+function pick<Value>(values: readonly Value[], random: () => number): Value {
+  return values[Math.floor(random() * values.length)]!;
+}
+
 function sum(numbers: number[]): number {
   return numbers.reduce((total, number) => total + number, 0);
 }
