Entry hosts accept what waits at their port before they close it

Cause, found by making the moment longer: an event loop accepts one connection a turn, so that on a loaded host opened connections wait; closing the port resets those, with the calls that are on them already. The port is now closed once a turn has brought no new connection, after a second at the latest.

--- a/packages/daemon/src/entry/entry_app.ts
+++ b/packages/daemon/src/entry/entry_app.ts
@@ -190,7 +190,7 @@
   async stop(): Promise<void> {
     this.#stopping = true;
     await pause(this.#options.settings.entry!.drain_milliseconds);
-    this.#server.stopListening();
+    await this.#server.stopListening();
     await this.#waitUntilDrained();
     this.#server.close();
     await this.#deregister();
--- a/packages/daemon/src/entry/public_server.ts
+++ b/packages/daemon/src/entry/public_server.ts
@@ -13,6 +13,8 @@
 const MAX_HEADER_BYTES = 16_384;
 const CONNECTIONS_CHECK_INTERVAL_MILLISECONDS = 500;
 const RECENT_REQUEST_MILLISECONDS = 500;
+/** A caller that goes on opening connections does not delay the stop longer. */
+const MAX_ACCEPT_MILLISECONDS = 1_000;
 
 type RequestHandler = (
   request: IncomingMessage,
@@ -32,6 +34,7 @@
   #server: Server;
   #options: Options;
   #lastRequestAt = 0;
+  #acceptedCount = 0;
 
   constructor(options: Options) {
     this.#options = options;
@@ -42,6 +45,7 @@
       connectionsCheckingInterval: CONNECTIONS_CHECK_INTERVAL_MILLISECONDS,
     }, (request, response) => this.#handle(request, response));
     this.#server.on("clientError", sendClientError);
+    this.#server.on("connection", () => this.#acceptedCount += 1);
   }
 
   listen(address: string): Promise<Result<void, string>> {
@@ -53,8 +57,20 @@
    * close idle connections on which a call is just arriving. Callers would see
    * a broken connection and not know whether the call had run. Such calls are
    * answered instead, with "Connection: close".
+   *
+   * Closing the port resets the connections that are established but not yet
+   * accepted, so it is closed right after the event loop has accepted all.
    */
-  stopListening(): void {
+  async stopListening(): Promise<void> {
+    const until = Date.now() + MAX_ACCEPT_MILLISECONDS;
+    let accepted: number;
+    do {
+      accepted = this.#acceptedCount;
+      // Each turn accepts one connection. The first may be in progress already,
+      // past its look at the port.
+      await nextTurn();
+      await nextTurn();
+    } while (this.#acceptedCount > accepted && Date.now() < until);
     NetServer.prototype.close.call(this.#server);
   }
 
@@ -107,6 +123,10 @@
   }
 }
 
+function nextTurn(): Promise<void> {
+  return new Promise((resolve) => setImmediate(resolve));
+}
+
 function sendHealth(response: ServerResponse, isOk: boolean): void {
   response.writeHead(isOk ? 200 : 503, { "Content-Type": "text/plain" });
   response.end(isOk ? "ok\n" : "no\n");
--- a/packages/daemon/src/entry/public_server_test.ts
+++ b/packages/daemon/src/entry/public_server_test.ts
@@ -63,7 +63,7 @@
   assert.match(await sendOnNewConnection(readyRequest), /^HTTP\/1\.1 503/);
   assert.match(await sendOnNewConnection(liveRequest), /^HTTP\/1\.1 200/);
   assert.match(await sendOnNewConnection(REQUEST), /200 OK.*whole/s);
-  server.stopListening();
+  await server.stopListening();
   server.close();
 });
 
@@ -79,7 +79,7 @@
   assert.ok(keptConnection !== undefined);
   assert.match(await sendRequest(keptConnection), /200 OK.*whole/s);
   ready = false;
-  server.stopListening();
+  await server.stopListening();
   assert.equal(await openConnection(port), undefined, "it still listens");
   const lastResponse = await sendRequest(keptConnection);
   assert.match(lastResponse, /200 OK.*whole/s);
@@ -87,3 +87,23 @@
   assert.ok(!server.hasNoRecentRequest(Date.now()));
   server.close();
 });
+
+// Guards against calls that are reset at a planned stop: on a loaded host,
+// connections wait for a while until they are accepted, and those that still
+// wait when the port is closed are lost with what was sent on them.
+test("a connection that was opened before the stop is served", async () => {
+  const server = createPublicServer(() => false);
+  const port = await findFreePort();
+  assert.ok((await server.listen(`127.0.0.1:${port}`)).isOk);
+  const connections = Array.from({ length: 20 }, () => openConnection(port));
+  // They are opened at the end of this turn, and accepted in later ones.
+  await new Promise((resolve) => setImmediate(resolve));
+  await server.stopListening();
+  const answers = (await Promise.all(connections)).map((socket) =>
+    socket === undefined ? "refused" : sendRequest(socket)
+  );
+  for (const answer of await Promise.all(answers)) {
+    assert.match(answer, /200 OK.*whole/s);
+  }
+  server.close();
+});
