Bound the line that names the servers a refused request was kept from

At hundreds of servers that all pause it would have had tens of kilobytes, one for each refused request.

--- a/packages/daemon/src/gateway/server_pushbacks.ts
+++ b/packages/daemon/src/gateway/server_pushbacks.ts
@@ -9,6 +9,9 @@
 /** Incarnations whose unreadable fields were logged and are remembered. */
 const MAX_REMEMBERED_UNREADABLE = 1_000;
 
+/** A service of hundreds of servers would make a line of tens of kilobytes. */
+const MAX_LOGGED_SERVERS = 8;
+
 type Options = {
   log: EventLog;
   /** Uniform in [0, 1). */
@@ -120,10 +123,13 @@
     };
   }
 
-  /** Logs which backend servers a refused request was kept away from, and why. */
+  /**
+   * Logs how many backend servers a refused request was kept away from, and of
+   * the first few which and why.
+   */
   logRefusal(id: string, kept: readonly BackendAnnouncement[]): void {
     const now = monotonicMilliseconds();
-    const servers = kept.map((announcement) => {
+    const servers = kept.slice(0, MAX_LOGGED_SERVERS).map((announcement) => {
       const incarnation = incarnationOf(announcement);
       const source = this.#sources.get(incarnation);
       const left = this.millisecondsUntilOpen(announcement);
@@ -133,6 +139,7 @@
     });
     this.#options.log.info("paused-servers-refused", {
       id,
+      count: kept.length,
       servers: servers.join(","),
     });
   }
