Agents tell the end of a pause when it is over, and keep a shutdown

Found by reading the change once more. A second answer within a quarter of a second moves the end of a pause without a change that is told; the timer then fired ahead of the end, the agent announced once more that it takes no calls, and nothing told entry hosts later that it does. And a pause that was asked for during a shutdown set a timer that fired at once.

--- a/packages/core/src/pushback/server_pushback.ts
+++ b/packages/core/src/pushback/server_pushback.ts
@@ -102,6 +102,11 @@
     return now < this.#endsAt;
   }
 
+  /** Until the backend server takes requests again; 0 if it takes some now. */
+  millisecondsClosed(now: number): number {
+    return Math.max(0, this.#endsAt - now);
+  }
+
   /** Whether a request may be sent now. */
   admits(now: number): boolean {
     if (this.isClosed(now)) return false;
--- a/packages/daemon/src/agent/backend_pushback.ts
+++ b/packages/daemon/src/agent/backend_pushback.ts
@@ -108,19 +108,24 @@
     const now = monotonicMilliseconds();
     const change = this.#pushback.requestPause(milliseconds, now);
     if (change === "unchanged") return;
-    const wait = Math.ceil(this.#pushback.millisecondsUntilOpen(now));
-    clearTimeout(this.#endTimer);
-    this.#endTimer = setTimeout(
-      () => this.changes$.next({ kind: "ended" }),
-      wait,
-    );
+    this.#watchEnd();
+    if (this.isShuttingDown) return;
+    const wait = this.pauseMilliseconds;
     this.changes$.next({ kind: "paused", milliseconds: wait });
   }
 
   #recordShutdown(): void {
     const change = this.#pushback.announceShutdown(monotonicMilliseconds());
     if (change === "unchanged") return;
-    clearTimeout(this.#endTimer);
+    this.#watchEnd();
     this.changes$.next({ kind: "shutting-down" });
   }
+
+  /** Later answers can move the end without a change that is told. */
+  #watchEnd(): void {
+    clearTimeout(this.#endTimer);
+    const left = this.#pushback.millisecondsClosed(monotonicMilliseconds());
+    if (left === 0) return this.changes$.next({ kind: "ended" });
+    this.#endTimer = setTimeout(() => this.#watchEnd(), Math.ceil(left));
+  }
 }
