--- a/packages/daemon/src/entry/calls/call_crash_detector.ts
+++ b/packages/daemon/src/entry/calls/call_crash_detector.ts
@@ -1,12 +1,14 @@
 import { blameFromRow } from "@teaselrouter/core/crashes/blame_from_row.ts";
 import type { Blame } from "@teaselrouter/core/crashes/blame.ts";
 import { CrashLedger } from "@teaselrouter/core/crashes/crash_ledger.ts";
+import type { Command } from "@teaselrouter/core/state/command.ts";
 import type { ControlState } from "@teaselrouter/core/state/control_state.ts";
 import { createHash } from "node:crypto";
 import { toBlameFields } from "../../log/to_blame_fields.ts";
 import type { EventLog } from "../../log/event_log.ts";
 import type { Problem } from "../../http/problem.ts";
 import { monotonicMilliseconds } from "../../transport/monotonic_milliseconds.ts";
+import { pause } from "../../transport/pause.ts";
 import type { Proposer } from "../sessions/proposer.ts";
 import type { CheckedCall } from "./checked_call.ts";
 
@@ -16,6 +18,8 @@
  */
 const DECISION_DELAY_MILLISECONDS = 150;
 const EXPIRE_INTERVAL_MILLISECONDS = 10_000;
+/** Between two proposals of a change; each waits for a leader itself. */
+const PROPOSAL_INTERVAL_MILLISECONDS = 500;
 const FINGERPRINT_HEX_DIGITS = 24;
 
 type Options = { control: Proposer; log: EventLog };
@@ -32,6 +36,8 @@
   });
   /** Fingerprints of the blamed calls in the replicated tables. */
   #replicatedFingerprints = new Set<string>();
+  /** The latest change to each call's blame that the log doesn't have yet. */
+  #proposals = new Map<string, Command>();
   #decideTimer: NodeJS.Timeout | undefined;
   #expireTimer: NodeJS.Timeout;
 
@@ -46,6 +52,7 @@
   stop(): void {
     clearTimeout(this.#decideTimer);
     clearInterval(this.#expireTimer);
+    this.#proposals.clear();
   }
 
   /**
@@ -124,8 +131,13 @@
     if (this.#ledger.suspectCount === 0 && !this.#ledger.hasBlamed) return;
     const fingerprint = computeFingerprint(call);
     if (!this.#ledger.clear(fingerprint)) return;
-    if (!this.#replicatedFingerprints.has(fingerprint)) return;
-    this.#options.control.propose({ kind: "lift-blame", fingerprint });
+    const isInLog = this.#replicatedFingerprints.has(fingerprint) ||
+      this.#proposals.has(fingerprint);
+    if (!isInLog) return;
+    this.#proposeUntilCommitted(fingerprint, {
+      kind: "lift-blame",
+      fingerprint,
+    });
   }
 
   #scheduleDecision(): void {
@@ -139,17 +151,36 @@
 
   /** Logs a new blame and proposes it to the replicated tables. */
   #replicateBlame(blame: Blame): void {
-    const { control, log } = this.#options;
+    const { log } = this.#options;
     const fields = toBlameFields(blame, monotonicMilliseconds());
     log.warn("request-blamed", { ...fields, how: "decided" });
     const { endsAt: _endsAt, ...fieldsToStore } = blame;
-    control.propose({
+    this.#proposeUntilCommitted(blame.fingerprint, {
       kind: "blame-request",
       ...fieldsToStore,
       // The leader replaces this by its own time.
       at: Date.now(),
     });
   }
+
+  /**
+   * Proposes a change until the log has it, or until a later change concerns
+   * the same call. Without a leader a proposal is given up at once.
+   */
+  async #proposeUntilCommitted(
+    fingerprint: string,
+    command: Command,
+  ): Promise<void> {
+    const { control } = this.#options;
+    this.#proposals.set(fingerprint, command);
+    while (this.#proposals.get(fingerprint) === command) {
+      const reply = await control.propose(command);
+      const isLatest = this.#proposals.get(fingerprint) === command;
+      if (reply.kind === "committed" && isLatest) {
+        this.#proposals.delete(fingerprint);
+      } else await pause(PROPOSAL_INTERVAL_MILLISECONDS);
+    }
+  }
 }
 
 /**
