--- a/acceptance/src/backend_pushback_test.ts
+++ b/acceptance/src/backend_pushback_test.ts
@@ -24,7 +24,7 @@
 }
 
 // Guards against gateways that go on sending requests to a backend server that
-// turns them away and says for how long it wants none.
+// rejects them with a Retry-After.
 test("a backend server that says when to retry is left alone until then", async () => {
   const system = new EndToEndSystem({ engines: ENGINES, gateways: GATEWAYS });
   try {
--- a/acceptance/src/fake_backend_server.ts
+++ b/acceptance/src/fake_backend_server.ts
@@ -45,8 +45,8 @@
   retryAfter: string | undefined;
   /** Whether responses say that the server is shutting down. */
   isLeaving = false;
-  /** Requests turned away with Retry-After; NaN where that is no number. */
-  readonly turnedAway: (Arrival & { seconds: number })[] = [];
+  /** Requests rejected with Retry-After; NaN where that is no number. */
+  readonly rejections: (Arrival & { seconds: number })[] = [];
   /** Responses that said that the server is shutting down. */
   readonly leavingNotices: Arrival[] = [];
   readonly arrivals: Arrival[] = [];
@@ -169,7 +169,7 @@
       response.setHeader("Server-Leaving", "1");
       this.leavingNotices.push({ id, at: performance.now(), instance });
     }
-    if (this.retryAfter !== undefined) return this.#turnAway(id, response);
+    if (this.retryAfter !== undefined) return this.#reject(id, response);
     this.ranRequestIds.push(id);
     response.writeHead(200, {
       "Attempt-Id": id,
@@ -192,11 +192,11 @@
     await this.#streamEvents(response, Number(headers["last-event-id"] ?? 0));
   }
 
-  #turnAway(id: string, response: ServerResponse): void {
+  #reject(id: string, response: ServerResponse): void {
     const retryAfter = this.retryAfter!;
     const seconds = PLAIN_SECONDS.test(retryAfter) ? Number(retryAfter) : NaN;
     const { instance } = this;
-    this.turnedAway.push({ id, at: performance.now(), instance, seconds });
+    this.rejections.push({ id, at: performance.now(), instance, seconds });
     response.writeHead(503, {
       "Attempt-Id": id,
       "Not-Executed": "1",
--- a/acceptance/src/find_pushback_faults.ts
+++ b/acceptance/src/find_pushback_faults.ts
@@ -31,8 +31,8 @@
       excuse.gateway === gateway && excuse.from <= to && excuse.to >= from
     );
   const faults: string[] = [];
-  for (const { arrivals, turnedAway, leavingNotices } of servers) {
-    for (const { id, at, instance, seconds } of turnedAway) {
+  for (const { arrivals, rejections, leavingNotices } of servers) {
+    for (const { id, at, instance, seconds } of rejections) {
       const gateway = gatewayOf(id);
       const endsAt = at + 1_000 * seconds;
       if (!(endsAt > at) || isExcused(gateway, at, endsAt)) continue;
--- a/acceptance/src/pushback_day.ts
+++ b/acceptance/src/pushback_day.ts
@@ -28,8 +28,8 @@
   served: number;
   refused: number;
   broken: number;
-  /** Requests that servers turned away. */
-  turnedAway: number;
+  /** Requests that servers rejected with Retry-After. */
+  rejections: number;
   /** Answers that said that their server is shutting down. */
   notices: number;
   /** A line for each violated requirement; empty if the day was good. */
@@ -126,14 +126,14 @@
       const first = Math.floor(random() * ENGINES);
       for (let index = 0; index < count; index += 1) {
         const engine = this.#system.engines[(first + index) % ENGINES]!;
-        spells.push(this.#turnAway(engine, random));
+        spells.push(this.#reject(engine, random));
       }
       await pause(500 + 3_000 * random());
     }
     await Promise.all(spells);
   }
 
-  async #turnAway(
+  async #reject(
     engine: FakeBackendServer,
     random: () => number,
   ): Promise<void> {
@@ -266,7 +266,7 @@
       served: served.length,
       refused: refused.length,
       broken: answers.length - served.length - refused.length,
-      turnedAway: sum(engines.map(({ turnedAway }) => turnedAway.length)),
+      rejections: sum(engines.map(({ rejections }) => rejections.length)),
       notices: sum(engines.map(({ leavingNotices }) => leavingNotices.length)),
       faults,
     };
--- a/acceptance/src/pushback_days.ts
+++ b/acceptance/src/pushback_days.ts
@@ -5,7 +5,7 @@
 
 // Runs one simulated day after another, one for each of `count` seeds from the
 // first on, and prints a line for each. Exits with 1 if a day has faults.
-console.log("seed served refused broken turned-away notices troubles | faults");
+console.log("seed served refused broken rejected notices troubles | faults");
 let faultyDays = 0;
 for (
   let seed = Number(firstSeed);
@@ -18,7 +18,7 @@
     day.served,
     day.refused,
     day.broken,
-    day.turnedAway,
+    day.rejections,
     day.notices,
     `${day.troubles.join(", ")} | ${day.faults.join("; ")}`,
   );
--- a/packages/core/src/gateway/answer_metadata.ts
+++ b/packages/core/src/gateway/answer_metadata.ts
@@ -21,8 +21,8 @@
    */
   limitPerSecond: number | undefined;
   /**
-   * How long the backend server, which turned the request away, wants no
-   * further request from this host, milliseconds; undefined if it didn't ask.
+   * How long this host must send no further request to the backend server,
+   * which rejected this one, milliseconds; undefined if it didn't ask.
    */
   requestedPause: number | "unreadable" | undefined;
   /** Whether the backend server says that it is shutting down. */
--- a/packages/core/src/pushback/pushback_table.ts
+++ b/packages/core/src/pushback/pushback_table.ts
@@ -21,7 +21,7 @@
     return this.#entries.size === 0;
   }
 
-  /** Undefined while the incarnation wants nothing special. */
+  /** Undefined while the incarnation accepts requests as usual. */
   find(incarnation: string): ServerPushback | undefined {
     return this.#entries.get(incarnation);
   }
--- a/packages/core/src/pushback/server_pushback.ts
+++ b/packages/core/src/pushback/server_pushback.ts
@@ -12,7 +12,7 @@
 const UNREADABLE_PAUSE_MILLISECONDS = 1_000;
 /**
  * A pause ends up to this share of its length later than asked, at random, so
- * that hosts that were turned away together don't all return together.
+ * that hosts that were rejected together don't all return together.
  */
 const END_SPREAD_SHARE = 0.25;
 const MAX_END_SPREAD_MILLISECONDS = 2_000;
@@ -29,10 +29,10 @@
 const MAX_RECOVERY_MILLISECONDS = 10_000;
 
 /**
- * What one start of one backend server wants of this host: no requests for a
+ * What one start of one backend server asks of this host: no requests during a
  * pause, or none any more because it is shutting down.
  *
- * Answers the load pattern of a backend server that turns requests away faster
+ * Answers the load pattern of a backend server that rejects requests faster
  * than it would serve them. It has nothing in flight, therefore looks idle, and
  * attracts the requests of every host. And once a pause is over, all hosts would
  * return at the same moment and overload it again: after a pause it gets one
@@ -97,7 +97,7 @@
     return now < this.#shutdownEndsAt;
   }
 
-  /** Whether the backend server wants nothing at all from this host now. */
+  /** Whether this host must not contact the backend server at all now. */
   isClosed(now: number): boolean {
     return now < this.#endsAt;
   }
--- a/packages/daemon/src/agent/backend_call.ts
+++ b/packages/daemon/src/agent/backend_call.ts
@@ -14,7 +14,7 @@
   /** No connection was made: the backend server surely did not see the call. */
   | { kind: "not-run"; reason: string }
   /** The backend server refused the call, which has not run. */
-  | { kind: "turned-away" }
+  | { kind: "rejected" }
   /** Without `isKnownToHaveRun`, the call may or may not have run. */
   | { kind: "failed"; isKnownToHaveRun: boolean; reason: string };
 
@@ -109,7 +109,7 @@
     this.#limit.setLimit(parseLimit(response.headers[LIMIT_HEADER]));
     if (this.#state.pushback.recordAnswer(response)) {
       response.resume();
-      return Promise.resolve({ kind: "turned-away" });
+      return Promise.resolve({ kind: "rejected" });
     }
     this.#settleSend(true);
     const version = String(response.headers["engine-version"] ?? "");
--- a/packages/daemon/src/agent/backend_pushback.ts
+++ b/packages/daemon/src/agent/backend_pushback.ts
@@ -5,7 +5,7 @@
 import { monotonicMilliseconds } from "../transport/monotonic_milliseconds.ts";
 
 /** Only with this status does Retry-After concern all further calls. */
-const TURNED_AWAY_STATUS = 503;
+const SERVICE_UNAVAILABLE_STATUS = 503;
 /**
  * Response header with which a backend server announces its shutdown; its value
  * is 1.
@@ -47,12 +47,12 @@
   }
 
   /**
-   * Records what an answer asks for. Returns whether the backend server turned
-   * the call away: it has not run.
+   * Records what an answer asks for. Returns whether the backend server rejected
+   * the call: it has not run.
    */
   recordAnswer({ statusCode, headers, rawHeaders }: IncomingMessage): boolean {
     if (headers[SHUTDOWN_HEADER] === "1") this.#recordShutdown();
-    if (statusCode !== TURNED_AWAY_STATUS) return false;
+    if (statusCode !== SERVICE_UNAVAILABLE_STATUS) return false;
     const { milliseconds, unreadable } = parseRetryAfter(rawHeaders);
     if (unreadable !== undefined && !this.#hasLoggedUnreadable) {
       this.#hasLoggedUnreadable = true;
@@ -74,7 +74,7 @@
   }
 
   /**
-   * Why the backend server wants no calls at all now; undefined if it takes
+   * Why the backend server accepts no calls at all now; undefined if it takes
    * some, as in its recovery after a pause.
    */
   get closedRefusal(): Refusal | undefined {
--- a/packages/daemon/src/agent/call_runner.ts
+++ b/packages/daemon/src/agent/call_runner.ts
@@ -197,7 +197,7 @@
       exchange,
     });
     const outcome = await call.run();
-    if (outcome.kind === "turned-away") {
+    if (outcome.kind === "rejected") {
       this.#refuseNotRun(request, exchange, {
         reason: "paused",
         retryAfterMilliseconds: UNAVAILABLE_RETRY_MILLISECONDS,
@@ -244,7 +244,7 @@
   }
 
   /**
-   * Refuses all queued calls when the backend server wants none: they can run
+   * Refuses all queued calls when the backend server accepts none: they can run
    * elsewhere.
    */
   #refuseQueued(): void {
--- a/packages/daemon/src/gateway/backend_pool.ts
+++ b/packages/daemon/src/gateway/backend_pool.ts
@@ -177,7 +177,7 @@
     return waits.length === 0 ? undefined : Math.min(...waits);
   }
 
-  /** Eligible backend servers that want no request now. */
+  /** Eligible backend servers that accept no request from this host now. */
   listPushingBack(query: BackendQuery): BackendAnnouncement[] {
     const { feed, pushbacks } = this.#options;
     return feed.backendsOf(query.service).filter((announcement) =>
--- a/packages/daemon/src/gateway/call_routing.ts
+++ b/packages/daemon/src/gateway/call_routing.ts
@@ -51,7 +51,7 @@
   }
 
   /**
-   * Backend servers that want no requests now and that a new request could be
+   * Backend servers that accept no requests now and that a new request could be
    * sent to later, those included that this one was sent to.
    */
   listPushingBack(): BackendAnnouncement[] {
--- a/packages/daemon/src/gateway/call_sender.ts
+++ b/packages/daemon/src/gateway/call_sender.ts
@@ -89,7 +89,7 @@
     const cancelWeightsTimer = this.#abortWhenWeightsExpire(candidate, attempt);
     const stopWithdrawing = pushbacks.onRequested(
       announcement,
-      () => attempt.withdraw("its backend server wants no requests now"),
+      () => attempt.withdraw("its backend server accepts no requests now"),
     );
     const outcome = await attempt.outcome;
     stopWithdrawing();
--- a/packages/daemon/src/gateway/gateway_call.ts
+++ b/packages/daemon/src/gateway/gateway_call.ts
@@ -144,7 +144,7 @@
   /**
    * Waits for an update after the gateway's start, as the request's backend
    * servers may not be known yet. False if the request was sent before, if
-   * backend servers are known that want no requests now, or if it may not be
+   * backend servers are known that accept no requests now, or if it may not be
    * held.
    */
   #waitForBackends({ call, sender, routing }: ActiveCall): Promise<boolean> {
@@ -210,13 +210,13 @@
       sender.abort("a success without a signature");
       return "again";
     }
-    // A backend server that wants no requests is not a failing one.
-    const wantsRequests = () =>
+    // Pushback is no failure.
+    const acceptsRequests = () =>
       metadata.requestedPause === undefined &&
       !this.#context.pushbacks.isShuttingDown(announcement);
     if (status >= 500 && routing.canFailOver()) {
       record.inFlight -= 1;
-      if (wantsRequests()) record.recordFailure(now);
+      if (acceptsRequests()) record.recordFailure(now);
       message.resume();
       return "again";
     }
@@ -226,7 +226,7 @@
     record.inFlight -= 1;
     if (this.#finisher.isOver) return "over";
     if (end === "broken" || status >= 500) {
-      if (wantsRequests()) record.recordFailure(monotonicMilliseconds());
+      if (acceptsRequests()) record.recordFailure(monotonicMilliseconds());
     } else {
       record.recordSuccess();
       record.recordSlotHoldTime(monotonicMilliseconds() - now);
--- a/packages/daemon/src/gateway/refusal_builder.ts
+++ b/packages/daemon/src/gateway/refusal_builder.ts
@@ -69,7 +69,7 @@
   }
 
   /**
-   * Refusal for when the eligible backend servers want no requests now;
+   * Refusal for when the eligible backend servers accept no requests now;
    * undefined if none of them will take any again. Each call draws one of the
    * servers, so that refused clients are spread over the moments at which these
    * take requests again.
@@ -83,7 +83,7 @@
     if (wait === undefined) return undefined;
     pushbacks.logRefusal(this.#call.id, paused);
     return this.#withRetryAfter(
-      "its backend servers want no requests now",
+      "its backend servers accept no requests now",
       wait * (1 + PAUSE_JITTER * random()),
     );
   }
--- a/packages/daemon/src/gateway/server_pushbacks.ts
+++ b/packages/daemon/src/gateway/server_pushbacks.ts
@@ -65,7 +65,7 @@
     return pushback === undefined || pushback.admits(monotonicMilliseconds());
   }
 
-  /** Whether the backend server wants nothing at all from this host now. */
+  /** Whether this host must not contact the backend server at all now. */
   isClosed(announcement: BackendAnnouncement): boolean {
     return this.#find(announcement)?.isClosed(monotonicMilliseconds()) ??
       false;
