Test: broken streams are resumed elsewhere than at a pausing backend server

Without the traffic before it the test's own streams spent the shared retries, and some ended broken, as they should.

--- a/acceptance/src/backend_pushback_test.ts
+++ b/acceptance/src/backend_pushback_test.ts
@@ -10,6 +10,8 @@
 /** Between two requests to each gateway: about half of the slots are in use. */
 const INTERVAL_MILLISECONDS = 15;
 
+const STREAM_EVENTS = 8;
+
 type Requests = Awaited<ReturnType<typeof sendSteadily>>;
 
 function findFaults(servers: FakeBackendServer[], requests: Requests) {
@@ -54,6 +56,39 @@
   }
 });
 
+// Guards against streams that are resumed, and requests that are sent again, at
+// a backend server that has asked for a pause.
+test("broken streams are resumed elsewhere than at a pausing backend server", async () => {
+  const system = new EndToEndSystem({ engines: 3, gateways: 1 });
+  try {
+    await system.start();
+    const [pausing, ...others] = system.engines;
+    pausing!.retryAfter = "30";
+    // The gateway hears of the pause, and saves up retries.
+    await sendSteadily(system, {
+      gateways: system.gatewayIps,
+      intervalMilliseconds: INTERVAL_MILLISECONDS,
+      milliseconds: 2_000,
+    });
+    assert.ok(pausing!.rejections.length > 0, "it has asked for a pause");
+    const before = pausing!.arrivals.length;
+    let brokenCount = 0;
+    for (let index = 0; index < 20 && brokenCount < 3; index += 1) {
+      const [breaking, sound] = index % 2 === 0 ? others : others.toReversed();
+      breaking!.breakAfterEvents = [3];
+      sound!.breakAfterEvents = [];
+      const { status, text } = await system.stream(`stream-${index}`);
+      assert.equal(status, 200);
+      assert.equal(text.split("\n\n").length, STREAM_EVENTS + 1, text);
+      if (breaking!.breakAfterEvents.length === 0) brokenCount += 1;
+    }
+    assert.ok(brokenCount > 0, "streams were broken");
+    assert.equal(pausing!.arrivals.length, before);
+  } finally {
+    await system.stop();
+  }
+});
+
 // Guards against requests that wait, or are sent anyway, while all backend
 // servers have asked for a pause, and against clients that all return together.
 test("with all backend servers pausing, clients are told when to return", async () => {
