Agents read pushback in every answer of an engine

What was left in the other way into the product: an agent read what its backend server asks for in answers to calls alone. In answers about state, loads and probes it was not read, and the state of an engine that had asked for a pause was read on, twice a second, and loads were ordered. And a shutdown field that came twice was not understood, while an unreadable one left no line.

Change: all answers are read; while the engine pauses or shuts down the loader does not contact it, but for the read of the state that vouches for an answer under way. Flags are parsed at one place for both ways, as pauses are.

Measured: three tests, of which 'answers about state ...' and 'an engine that has asked for a pause ...' failed before and pass now; the loader's failure tests pass.

--- a/packages/daemon/src/agent/agent_app.ts
+++ b/packages/daemon/src/agent/agent_app.ts
@@ -77,7 +77,10 @@
     this.#settings = settings;
     this.#log = log;
     this.#metrics = options.metrics;
-    const engine = new EngineClient(() => this.#state.backend?.address);
+    const engine = new EngineClient(
+      () => this.#state.backend?.address,
+      this.#state.pushback,
+    );
     this.#runner = new CallRunner({
       state: this.#state,
       engine,
--- a/packages/daemon/src/agent/backend_call.ts
+++ b/packages/daemon/src/agent/backend_call.ts
@@ -107,7 +107,8 @@
 
   #handleResponse(response: IncomingMessage): Promise<BackendCallResult> {
     this.#limit.setLimit(parseLimit(response.headers[LIMIT_HEADER]));
-    if (this.#state.pushback.recordAnswer(response)) {
+    const { statusCode: status = 0, rawHeaders } = response;
+    if (this.#state.pushback.recordAnswer({ status, rawHeaders })) {
       response.resume();
       return Promise.resolve({ kind: "rejected" });
     }
--- a/packages/daemon/src/agent/backend_pushback.ts
+++ b/packages/daemon/src/agent/backend_pushback.ts
@@ -1,6 +1,6 @@
 import { ServerPushback } from "@teaselrouter/core/pushback/server_pushback.ts";
-import type { IncomingMessage } from "node:http";
 import { Subject } from "rxjs";
+import { parseFlag } from "../http/parse_flag.ts";
 import { parseRetryAfter } from "../http/parse_retry_after.ts";
 import { monotonicMilliseconds } from "../transport/monotonic_milliseconds.ts";
 
@@ -21,6 +21,9 @@
   | { kind: "ended" }
   | { kind: "unreadable"; fields: string };
 
+/** `rawHeaders`: name, value, name, value. */
+type AnswerHead = { status: number; rawHeaders: readonly string[] };
+
 type Refusal = { reason: string; retryAfterMilliseconds: number };
 
 /**
@@ -50,14 +53,13 @@
    * Records what an answer asks for. Returns whether the backend server rejected
    * the call: it has not run.
    */
-  recordAnswer({ statusCode, headers, rawHeaders }: IncomingMessage): boolean {
-    if (headers[SHUTDOWN_HEADER] === "1") this.#recordShutdown();
-    if (statusCode !== SERVICE_UNAVAILABLE_STATUS) return false;
+  recordAnswer({ status, rawHeaders }: AnswerHead): boolean {
+    const shutdown = parseFlag(rawHeaders, SHUTDOWN_HEADER);
+    this.#tellUnreadable(shutdown.unreadable);
+    if (shutdown.isSet) this.#recordShutdown();
+    if (status !== SERVICE_UNAVAILABLE_STATUS) return false;
     const { milliseconds, unreadable } = parseRetryAfter(rawHeaders);
-    if (unreadable !== undefined && !this.#hasLoggedUnreadable) {
-      this.#hasLoggedUnreadable = true;
-      this.changes$.next({ kind: "unreadable", fields: unreadable });
-    }
+    this.#tellUnreadable(unreadable);
     if (milliseconds === undefined) return false;
     this.#recordPause(milliseconds);
     return true;
@@ -104,6 +106,12 @@
     return this.#pushback.countSend(slots, monotonicMilliseconds());
   }
 
+  #tellUnreadable(fields: string | undefined): void {
+    if (fields === undefined || this.#hasLoggedUnreadable) return;
+    this.#hasLoggedUnreadable = true;
+    this.changes$.next({ kind: "unreadable", fields });
+  }
+
   #recordPause(milliseconds: number | "unreadable"): void {
     const now = monotonicMilliseconds();
     const change = this.#pushback.requestPause(milliseconds, now);
--- a/packages/daemon/src/agent/backend_pushback_test.ts
+++ b/packages/daemon/src/agent/backend_pushback_test.ts
@@ -1,5 +1,4 @@
 import assert from "node:assert/strict";
-import type { IncomingMessage } from "node:http";
 import { test } from "node:test";
 import { BackendPushback } from "./backend_pushback.ts";
 
@@ -7,12 +6,15 @@
   return new Promise((resolve) => setTimeout(resolve, milliseconds));
 }
 
-function createAnswer(retryAfter: string, isShuttingDown = false) {
+function createAnswer(retryAfter: string, shutdown: string[] = []) {
   return {
-    statusCode: 503,
-    headers: isShuttingDown ? { "teaselrouter-shutdown": "1" } : {},
-    rawHeaders: ["Retry-After", retryAfter],
-  } as unknown as IncomingMessage;
+    status: 503,
+    rawHeaders: [
+      "Retry-After",
+      retryAfter,
+      ...shutdown.flatMap((value) => ["Teaselrouter-Shutdown", value]),
+    ],
+  };
 }
 
 // Guards against a backend server that stays out of service: entry hosts are told
@@ -36,7 +38,7 @@
   const pushback = new BackendPushback();
   const kinds: string[] = [];
   pushback.changes$.subscribe(({ kind }) => kinds.push(kind));
-  pushback.recordAnswer(createAnswer("0.1", true));
+  pushback.recordAnswer(createAnswer("0.1", ["1"]));
   await pause(300);
   assert.equal(pushback.closedRefusal?.reason, "shutting-down");
   assert.ok(!kinds.includes("ended"));
@@ -45,3 +47,26 @@
   assert.equal(pushback.closedRefusal, undefined);
   pushback.stop();
 });
+
+// Guards against a faulty backend server that takes itself out of service, or
+// fills the log: any value but 1 is ignored, and told once.
+test("only 1 announces a shutdown, once or repeated", () => {
+  const read = (...shutdown: string[]) => {
+    const pushback = new BackendPushback();
+    let unreadable = 0;
+    pushback.changes$.subscribe(({ kind }) => {
+      if (kind === "unreadable") unreadable += 1;
+    });
+    for (let count = 0; count < 3; count += 1) {
+      pushback.recordAnswer(createAnswer("0", shutdown));
+    }
+    const { isShuttingDown } = pushback;
+    pushback.stop();
+    return { isShuttingDown, unreadable };
+  };
+  assert.deepEqual(read("1"), { isShuttingDown: true, unreadable: 0 });
+  assert.deepEqual(read("1", "1"), { isShuttingDown: true, unreadable: 0 });
+  for (const text of ["", "0", "true"]) {
+    assert.deepEqual(read(text), { isShuttingDown: false, unreadable: 1 });
+  }
+});
--- a/packages/daemon/src/agent/engine_client.ts
+++ b/packages/daemon/src/agent/engine_client.ts
@@ -1,6 +1,8 @@
 import { Result } from "true-myth";
 import * as z from "zod";
 
+import type { BackendPushback } from "./backend_pushback.ts";
+
 const CALL_TIMEOUT_MILLISECONDS = 2_000;
 const PROBE_PATH = "/v1/probe";
 
@@ -26,10 +28,18 @@
  */
 export class EngineClient {
   #address: () => string | undefined;
+  #pushback: BackendPushback;
 
-  /** @param address of the engine; undefined while it is not known. */
-  constructor(address: () => string | undefined) {
+  /**
+   * @param address of the engine; undefined while it is not known.
+   * @param pushback records what the engine's answers ask for.
+   */
+  constructor(
+    address: () => string | undefined,
+    pushback: BackendPushback,
+  ) {
     this.#address = address;
+    this.#pushback = pushback;
   }
 
   async readState(): Promise<Result<EngineState, string>> {
@@ -77,14 +87,16 @@
     const address = this.#address();
     if (address === undefined) return Result.err("engine-not-announced");
     try {
-      return Result.ok(
-        await fetch(`http://${address}${path}`, {
-          method,
-          headers: { "Content-Type": "application/json" },
-          body: body === undefined ? undefined : JSON.stringify(body),
-          signal: AbortSignal.timeout(CALL_TIMEOUT_MILLISECONDS),
-        }),
-      );
+      const answer = await fetch(`http://${address}${path}`, {
+        method,
+        headers: { "Content-Type": "application/json" },
+        body: body === undefined ? undefined : JSON.stringify(body),
+        signal: AbortSignal.timeout(CALL_TIMEOUT_MILLISECONDS),
+      });
+      const { status } = answer;
+      const rawHeaders = [...answer.headers].flat();
+      this.#pushback.recordAnswer({ status, rawHeaders });
+      return Result.ok(answer);
     } catch (error) {
       return Result.err(error instanceof Error ? error.message : String(error));
     }
--- a/packages/daemon/src/agent/engine_loader.ts
+++ b/packages/daemon/src/agent/engine_loader.ts
@@ -111,6 +111,7 @@
     // No version that the engine has loaded is adopted before an entry host has
     // sent a target.
     if (this.#target === "" || state.isStopping) return;
+    if (state.pushback.closedRefusal !== undefined) return;
     this.#steps += 1;
     if (this.#steps % STATE_CHECK_STEPS === 1) await this.#checkEngineState();
     if (state.servingVersion === this.#target) return;
--- a/packages/daemon/src/agent/engine_loader_test.ts
+++ b/packages/daemon/src/agent/engine_loader_test.ts
@@ -28,9 +28,14 @@
     slots: 4,
   }, Date.now());
   let version = "";
+  let stateReads = 0;
   const engine = {
-    readState: () =>
-      Promise.resolve(Result.ok({ version, loading: false, fencing_token: 0 })),
+    readState: () => {
+      stateReads += 1;
+      return Promise.resolve(
+        Result.ok({ version, loading: false, fencing_token: 0 }),
+      );
+    },
     load: (order: { version: string }) => {
       version = order.version;
       return Promise.resolve(Result.ok(undefined));
@@ -51,7 +56,7 @@
   loader.loadEnded$.subscribe(({ fencingToken, loaded }) =>
     returned.push([fencingToken, loaded])
   );
-  return { loader, state, returned };
+  return { loader, state, returned, countStateReads: () => stateReads };
 }
 
 // Guards against a permit for a version that was overtaken: kept unused, it holds
@@ -82,3 +87,33 @@
   assert.equal(state.servingVersion, CURRENT);
   assert.deepEqual(returned, [[7, true], [8, false]]);
 });
+
+// Guards against an agent that goes on asking a pausing engine for its state, or
+// has it load weights.
+test("an engine that has asked for a pause is not contacted", async () => {
+  const complete = new Set<string>();
+  const { loader, state, countStateReads } = openLoader(complete);
+  loader.permitRequested$.subscribe(({ version }) =>
+    loader.receivePermit(version, 7)
+  );
+  loader.setTarget(CURRENT);
+  loader.start();
+  await pause(STEPS_MILLISECONDS);
+  state.pushback.recordAnswer({
+    status: 503,
+    rawHeaders: ["Retry-After", "1"],
+  });
+  const before = countStateReads();
+  try {
+    assert.ok(before > 0);
+    complete.add(CURRENT);
+    await pause(800);
+    assert.equal(countStateReads(), before);
+    assert.equal(state.servingVersion, "");
+    await pause(1_500);
+    assert.equal(state.servingVersion, CURRENT, "it loads after the pause");
+  } finally {
+    loader.stop();
+    state.pushback.stop();
+  }
+});
--- a/packages/daemon/src/http/parse_retry_after.ts
+++ b/packages/daemon/src/http/parse_retry_after.ts
@@ -1,3 +1,5 @@
+import { collectHeader } from "./collect_header.ts";
+
 const DECIMAL_NUMBER = /^\d+(\.\d+)?$/;
 const MILLISECONDS_PER_SECOND = 1_000;
 
@@ -17,11 +19,7 @@
  * @returns `milliseconds`: undefined without such a header.
  */
 export function parseRetryAfter(raw: readonly string[]): RetryAfter {
-  const values: string[] = [];
-  for (let index = 0; index + 1 < raw.length; index += 2) {
-    const isNamed = raw[index]!.toLowerCase() === "retry-after";
-    if (isNamed) values.push(raw[index + 1]!);
-  }
+  const values = collectHeader(raw, "retry-after");
   if (values.length === 0) return NONE;
   const seconds = values.map((value) => value.trim())
     .filter((value) => DECIMAL_NUMBER.test(value)).map(Number);
--- a/packages/experiments/src/failures/agent_fixture.ts
+++ b/packages/experiments/src/failures/agent_fixture.ts
@@ -46,7 +46,10 @@
   constructor(addresses: string[], checksFencing: boolean) {
     this.agentAddress = addresses[0]!;
     this.engineAddress = addresses[1]!;
-    const engine = new EngineClient(() => this.state.backend?.address);
+    const engine = new EngineClient(
+      () => this.state.backend?.address,
+      this.state.pushback,
+    );
     this.#runner = new CallRunner({
       state: this.state,
       engine,
--- a/packages/experiments/src/failures/claim_steps_test.ts
+++ b/packages/experiments/src/failures/claim_steps_test.ts
@@ -126,7 +126,7 @@
     }, Date.now() + ANNOUNCEMENT_LIFETIME_MILLISECONDS);
     this.#runner = new CallRunner({
       state: this.agentState,
-      engine: new EngineClient(() => undefined),
+      engine: new EngineClient(() => undefined, this.agentState.pushback),
       incarnation,
     });
     this.#server = new InternalServer({
--- a/packages/experiments/src/failures/crashing_calls_test.ts
+++ b/packages/experiments/src/failures/crashing_calls_test.ts
@@ -144,7 +144,7 @@
     }, Date.now() + ANNOUNCEMENT_LIFETIME_MILLISECONDS);
     const runner = new CallRunner({
       state,
-      engine: new EngineClient(() => undefined),
+      engine: new EngineClient(() => undefined, state.pushback),
       incarnation: name,
     });
     this.#runners.push(runner);
--- a/packages/experiments/src/failures/waiting_calls_test.ts
+++ b/packages/experiments/src/failures/waiting_calls_test.ts
@@ -42,7 +42,7 @@
   }, Date.now() + TIMEOUT_MILLISECONDS);
   const runner = new CallRunner({
     state,
-    engine: new EngineClient(() => undefined),
+    engine: new EngineClient(() => undefined, state.pushback),
     incarnation: "one",
   });
   try {
