--- a/acceptance/src/crashing_requests_test.ts
+++ b/acceptance/src/crashing_requests_test.ts
@@ -17,7 +17,7 @@
 const MAX_CRASHES = 6;
 const CHECK_TIMEOUT_MILLISECONDS = 10_000;
 
-function pause(milliseconds: number): Promise<void> {
+function sleep(milliseconds: number): Promise<void> {
   return new Promise((resolve) => setTimeout(resolve, milliseconds));
 }
 
@@ -72,7 +72,7 @@
         ...(path !== undefined && { path }),
       }),
     );
-    await pause(ATTEMPT_INTERVAL_MILLISECONDS);
+    await sleep(ATTEMPT_INTERVAL_MILLISECONDS);
   }
   return answers;
 }
@@ -134,7 +134,7 @@
       2,
       "the gateway sends the request to two engines",
     );
-    await pause(ATTEMPT_INTERVAL_MILLISECONDS);
+    await sleep(ATTEMPT_INTERVAL_MILLISECONDS);
     await system.restartAll();
     await askGatewaysInTurn(system, ATTEMPTS / 2);
     const crashes = countCrashes(system);
--- a/acceptance/src/fake_backend_server.ts
+++ b/acceptance/src/fake_backend_server.ts
@@ -14,7 +14,7 @@
 /** Time from the start of a response until its request crashes the server. */
 const CRASH_DELAY_MILLISECONDS = 20;
 const RESTART_MILLISECONDS = 400;
-const PLAIN_SECONDS = /^\d+(\.\d+)?$/;
+const DECIMAL_NUMBER = /^\d+(\.\d+)?$/;
 const FIRST_START_TIME = 1_000;
 
 /** A request received; `at` is from `performance.now()`, milliseconds. */
@@ -39,8 +39,8 @@
   /** Requests per second announced in responses; undefined for no limit. */
   limitPerSecond: number | undefined;
   /**
-   * Value of Retry-After with which the server turns requests away; undefined
-   * while it accepts them.
+   * Value of Retry-After with which the server rejects requests; undefined while
+   * it accepts them.
    */
   retryAfter: string | undefined;
   /** Whether responses say that the server is shutting down. */
@@ -182,7 +182,7 @@
     });
     if (this.crashingBodies.includes(body.toString())) {
       response.flushHeaders();
-      await pause(CRASH_DELAY_MILLISECONDS);
+      await sleep(CRASH_DELAY_MILLISECONDS);
       return this.crash(id);
     }
     if (headers["model"] === undefined) {
@@ -194,7 +194,7 @@
 
   #reject(id: string, response: ServerResponse): void {
     const retryAfter = this.retryAfter!;
-    const seconds = PLAIN_SECONDS.test(retryAfter) ? Number(retryAfter) : NaN;
+    const seconds = DECIMAL_NUMBER.test(retryAfter) ? Number(retryAfter) : NaN;
     const { instance } = this;
     this.rejections.push({ id, at: performance.now(), instance, seconds });
     response.writeHead(503, {
@@ -219,7 +219,7 @@
     const closed = new Promise((resolve) => this.#server.close(resolve));
     this.#server.closeAllConnections();
     await closed;
-    await pause(RESTART_MILLISECONDS);
+    await sleep(RESTART_MILLISECONDS);
     if (this.#isClosed) return;
     await new Promise<void>((resolve) =>
       this.#server.listen(Number(port), host, () => resolve())
@@ -233,11 +233,11 @@
       if (this.isFrozen) return;
       if (event > breakAfter) {
         response.write(`id: ${event}\nda`);
-        await pause(EVENT_INTERVAL_MILLISECONDS);
+        await sleep(EVENT_INTERVAL_MILLISECONDS);
         return void response.destroy();
       }
       response.write(`id: ${event}\ndata: t${event}\n\n`);
-      await pause(EVENT_INTERVAL_MILLISECONDS);
+      await sleep(EVENT_INTERVAL_MILLISECONDS);
     }
     response.end();
   }
@@ -260,7 +260,7 @@
   }
 }
 
-function pause(milliseconds: number): Promise<void> {
+function sleep(milliseconds: number): Promise<void> {
   return new Promise((resolve) => setTimeout(resolve, milliseconds));
 }
 
--- a/acceptance/src/find_pushback_faults.ts
+++ b/acceptance/src/find_pushback_faults.ts
@@ -2,8 +2,9 @@
 
 /** Time in which a gateway has to obey a Retry-After. */
 const REACTION_MILLISECONDS = 500;
-/** Requests of one gateway that may reach a server before its pause is over. */
-const MAX_UNWANTED = 2;
+/** Requests of one gateway that may reach a server between the reaction time and
+ * the end of its pause. */
+const MAX_REQUESTS_IN_PAUSE = 2;
 /** Time in which a gateway has to obey that a server is shutting down. */
 const DRAIN_MILLISECONDS = 2_000;
 
@@ -19,7 +20,7 @@
 };
 
 /**
- * Lists the requests that reached a server against its wishes, as text: more
+ * Lists the requests that reached a server in a pause or a shutdown, as text: more
  * than two from one gateway between half a second and the end of the pause that
  * it was asked for, and any that was sent more than two seconds after the server
  * had told that gateway that it shuts down.
@@ -40,7 +41,7 @@
         arrival.instance === instance && gatewayOf(arrival.id) === gateway &&
         arrival.at > at + REACTION_MILLISECONDS && arrival.at < endsAt
       );
-      if (unwanted.length <= MAX_UNWANTED) continue;
+      if (unwanted.length <= MAX_REQUESTS_IN_PAUSE) continue;
       faults.push(
         `${instance} got ${unwanted.length} in a pause of ${seconds} s` +
           ` asked of ${gateway}`,
--- a/acceptance/src/incident_day.ts
+++ b/acceptance/src/incident_day.ts
@@ -132,7 +132,7 @@
   async #injectDisruptions(disruptions: Disruption[]): Promise<void> {
     const gap = DAY_MILLISECONDS / (disruptions.length + 1);
     for (const { inject } of disruptions) {
-      await pause(gap * (0.5 + this.#random() * 0.5));
+      await sleep(gap * (0.5 + this.#random() * 0.5));
       await inject(this.#system);
     }
   }
@@ -149,14 +149,14 @@
       const padding = "x".repeat(this.#random() * MAX_BODY_BYTES);
       const body = `${this.#sentRequests} ${padding}`;
       this.#answers.push(this.#sendRequest("other", this.#drawGateway(), body));
-      await pause(2_000 * this.#random() / REQUESTS_PER_SECOND);
+      await sleep(2_000 * this.#random() / REQUESTS_PER_SECOND);
     }
   }
 
   /** Sends crashing requests one by one, and sometimes four at once. */
   async #sendCrashingRequests(): Promise<void> {
     const until = performance.now() + DAY_MILLISECONDS;
-    await pause(2_000);
+    await sleep(2_000);
     while (performance.now() < until) {
       const body = this.#pick(CRASH_BODIES);
       const copies = this.#random() < 0.15 ? 4 : 1;
@@ -167,20 +167,20 @@
           body,
         );
       }
-      await pause(300 + 900 * this.#random());
+      await sleep(300 + 900 * this.#random());
     }
   }
 
   async #setLimits(engine: FakeBackendServer): Promise<void> {
-    await pause(2_500);
+    await sleep(2_500);
     for (let round = 0; round < 2; round += 1) {
       const perSecond = Math.round(5 + this.#random() * 35) / 10;
       const from = performance.now();
       engine.limitPerSecond = perSecond;
-      await pause(8_000);
+      await sleep(8_000);
       this.#limitPeriods.push({ perSecond, from, to: performance.now() });
       engine.limitPerSecond = undefined;
-      await pause(1_000);
+      await sleep(1_000);
     }
   }
 
@@ -283,10 +283,10 @@
 async function freeze(system: EndToEndSystem, name: string): Promise<void> {
   const { child } = system.cluster.findHost(name);
   child.signal("SIGSTOP");
-  await pause(FREEZE_MILLISECONDS);
+  await sleep(FREEZE_MILLISECONDS);
   child.signal("SIGCONT");
 }
 
-function pause(milliseconds: number): Promise<void> {
+function sleep(milliseconds: number): Promise<void> {
   return new Promise((resolve) => setTimeout(resolve, milliseconds));
 }
--- a/acceptance/src/pushback_day.ts
+++ b/acceptance/src/pushback_day.ts
@@ -71,7 +71,7 @@
         this.#shutDown(),
         this.#disrupt(),
       ]);
-      await pause(CALM_MILLISECONDS);
+      await sleep(CALM_MILLISECONDS);
       this.#isOver = true;
       await requests;
       return this.#buildResult(await Promise.all(this.#answers));
@@ -94,7 +94,7 @@
     for (let count = 0; !this.#isOver; count += 1) {
       const index = Math.floor(random() ** 2 * gatewayIps.length);
       this.#answers.push(this.#sendRequest(`a-${count}`, gatewayIps[index]!));
-      await pause(2_000 * random() / REQUESTS_PER_SECOND);
+      await sleep(2_000 * random() / REQUESTS_PER_SECOND);
     }
   }
 
@@ -115,7 +115,7 @@
     }
   }
 
-  /** Spells in which some engines turn requests away; they may overlap. */
+  /** Spells in which some engines reject requests; they may overlap. */
   async #askForPauses(): Promise<void> {
     const endAt = performance.now() + DAY_MILLISECONDS;
     const random = this.#createRandom("pauses");
@@ -128,7 +128,7 @@
         const engine = this.#system.engines[(first + index) % ENGINES]!;
         spells.push(this.#reject(engine, random));
       }
-      await pause(500 + 3_000 * random());
+      await sleep(500 + 3_000 * random());
     }
     await Promise.all(spells);
   }
@@ -143,7 +143,7 @@
     engine.retryAfter = isReadable
       ? seconds.toFixed(2)
       : pick(UNREADABLE, random);
-    await pause(spellMilliseconds);
+    await sleep(spellMilliseconds);
     engine.retryAfter = undefined;
   }
 
@@ -152,12 +152,12 @@
     const endAt = performance.now() + DAY_MILLISECONDS;
     const random = this.#createRandom("shutdowns");
     while (performance.now() < endAt) {
-      await pause(1_000 + 2_000 * random());
+      await sleep(1_000 + 2_000 * random());
       const engine = pick(this.#system.engines, random);
       if (engine.isDown) continue;
       this.#troubles.push("shutdown");
       engine.isLeaving = true;
-      await pause(LEAVING_MILLISECONDS);
+      await sleep(LEAVING_MILLISECONDS);
       await engine.crash();
       engine.isLeaving = false;
     }
@@ -195,7 +195,7 @@
     ];
     const gap = DAY_MILLISECONDS / (DISRUPTIONS + 1);
     for (let count = 0; count < DISRUPTIONS; count += 1) {
-      await pause(gap * (0.5 + random() * 0.5));
+      await sleep(gap * (0.5 + random() * 0.5));
       const { name, inject } = pick(all, random);
       this.#troubles.push(name);
       await inject();
@@ -233,7 +233,7 @@
       this.#system.cluster.findHost(name).child
     );
     for (const child of children) child.signal("SIGSTOP");
-    await pause(FREEZE_MILLISECONDS);
+    await sleep(FREEZE_MILLISECONDS);
     for (const child of children) child.signal("SIGCONT");
   }
 
@@ -281,6 +281,6 @@
   return numbers.reduce((total, number) => total + number, 0);
 }
 
-function pause(milliseconds: number): Promise<void> {
+function sleep(milliseconds: number): Promise<void> {
   return new Promise((resolve) => setTimeout(resolve, milliseconds));
 }
--- a/packages/core/src/gateway/answer_metadata.ts
+++ b/packages/core/src/gateway/answer_metadata.ts
@@ -21,8 +21,8 @@
    */
   limitPerSecond: number | undefined;
   /**
-   * How long this host must send no further request to the backend server,
-   * which rejected this one, milliseconds; undefined if it didn't ask.
+   * Time in which this host must not send the backend server another request,
+   * milliseconds; undefined if the response, a rejection, names none.
    */
   requestedPause: number | "unreadable" | undefined;
   /** Whether the backend server says that it is shutting down. */
--- a/packages/core/src/pushback/server_pushback.ts
+++ b/packages/core/src/pushback/server_pushback.ts
@@ -2,7 +2,7 @@
 
 /**
  * Longest pause that one answer can bring about. A backend server that needs
- * longer asks again when it turns the next request away.
+ * longer asks again when it rejects the next request.
  */
 const MAX_PAUSE_MILLISECONDS = 300_000;
 /**
@@ -21,11 +21,11 @@
  * there then gets requests again, and may repeat the announcement.
  */
 const MAX_SHUTDOWN_MILLISECONDS = 900_000;
-/** A later end of a pause counts as a change if it is later by this much. */
+/** An end of a pause that moves by less is no change worth a log line. */
 const EXTENSION_MILLISECONDS = 250;
-/** Until the answers to the first requests after a pause can have arrived. */
+/** Wait for a request while those already sent after the pause are unanswered. */
 const RECOVERY_RETRY_MILLISECONDS = 250;
-/** A host without requests for so long is no part of the rush after a pause. */
+/** Later than this after a pause, hosts no longer return together. */
 const MAX_RECOVERY_MILLISECONDS = 10_000;
 
 /**
@@ -97,7 +97,7 @@
     return now < this.#shutdownEndsAt;
   }
 
-  /** Whether this host must not contact the backend server at all now. */
+  /** Whether the backend server is paused or shutting down. */
   isClosed(now: number): boolean {
     return now < this.#endsAt;
   }
--- a/packages/core/src/pushback/server_pushback_test.ts
+++ b/packages/core/src/pushback/server_pushback_test.ts
@@ -6,39 +6,42 @@
 import { ServerPushback } from "./server_pushback.ts";
 
 const SLOTS = 16;
-const SECOND = 1_000;
-const MINUTE = 60 * SECOND;
-/** Time in which a host has to obey, and requests that may pass until the end. */
+const SECOND_MILLISECONDS = 1_000;
+const MINUTE_MILLISECONDS = 60 * SECOND_MILLISECONDS;
+/** Time in which a host has to obey a pause. */
 const REACTION_MILLISECONDS = 500;
-const MAX_UNWANTED = 2;
+const MAX_REQUESTS_IN_PAUSE = 2;
 const STEP_MILLISECONDS = 10;
-const RUN_MILLISECONDS = 20 * SECOND;
+const RUN_MILLISECONDS = 20 * SECOND_MILLISECONDS;
 const PROPERTY_RUNS = 200;
 
 const createPushback = () => new ServerPushback(() => 0.5);
 
 test("a pause keeps requests away until its end, and a little longer", () => {
   const pushback = createPushback();
-  assert.equal(pushback.requestPause(3 * SECOND, 0), "began");
+  assert.equal(pushback.requestPause(3 * SECOND_MILLISECONDS, 0), "began");
   assert.equal(pushback.admits(1), false);
-  assert.equal(pushback.admits(3 * SECOND), false);
-  assert.equal(pushback.millisecondsUntilOpen(3 * SECOND), 375);
+  assert.equal(pushback.admits(3 * SECOND_MILLISECONDS), false);
+  assert.equal(pushback.millisecondsUntilOpen(3 * SECOND_MILLISECONDS), 375);
   assert.equal(pushback.admits(3_375), true);
 });
 
 test("a later answer lengthens a pause and never shortens it", () => {
   const pushback = createPushback();
-  pushback.requestPause(5 * SECOND, 0);
-  assert.equal(pushback.requestPause(SECOND, 1), "unchanged");
-  assert.equal(pushback.admits(4 * SECOND), false);
-  assert.equal(pushback.requestPause(8 * SECOND, 2 * SECOND), "extended");
-  assert.equal(pushback.admits(9 * SECOND), false);
+  pushback.requestPause(5 * SECOND_MILLISECONDS, 0);
+  assert.equal(pushback.requestPause(SECOND_MILLISECONDS, 1), "unchanged");
+  assert.equal(pushback.admits(4 * SECOND_MILLISECONDS), false);
+  assert.equal(
+    pushback.requestPause(8 * SECOND_MILLISECONDS, 2 * SECOND_MILLISECONDS),
+    "extended",
+  );
+  assert.equal(pushback.admits(9 * SECOND_MILLISECONDS), false);
 });
 
 test("after a pause requests return one by one, then twice as many with each answer", () => {
   const pushback = createPushback();
-  pushback.requestPause(SECOND, 0);
-  const now = 2 * SECOND;
+  pushback.requestPause(SECOND_MILLISECONDS, 0);
+  const now = 2 * SECOND_MILLISECONDS;
   const first = pushback.countSend(SLOTS, now);
   assert.equal(pushback.admits(now), false, "a second one beside the first");
   assert.ok(pushback.millisecondsUntilOpen(now) > 0);
@@ -57,8 +60,8 @@
 
 test("a failed attempt after a pause admits one more, not two", () => {
   const pushback = createPushback();
-  pushback.requestPause(SECOND, 0);
-  const now = 2 * SECOND;
+  pushback.requestPause(SECOND_MILLISECONDS, 0);
+  const now = 2 * SECOND_MILLISECONDS;
   pushback.countSend(SLOTS, now)(false);
   pushback.countSend(SLOTS, now);
   assert.equal(pushback.admits(now), false);
@@ -67,10 +70,10 @@
 test("an answer to a request from before a pause says nothing about its end", () => {
   const pushback = createPushback();
   const early = pushback.countSend(SLOTS, 0);
-  pushback.requestPause(SECOND, 0);
+  pushback.requestPause(SECOND_MILLISECONDS, 0);
   early(true);
-  pushback.countSend(SLOTS, 2 * SECOND);
-  assert.equal(pushback.admits(2 * SECOND), false);
+  pushback.countSend(SLOTS, 2 * SECOND_MILLISECONDS);
+  assert.equal(pushback.admits(2 * SECOND_MILLISECONDS), false);
 });
 
 // Guards against a faulty backend server that takes itself out of service for
@@ -87,8 +90,8 @@
   const pushback = createPushback();
   assert.equal(pushback.announceShutdown(0), "began");
   assert.equal(pushback.announceShutdown(1), "unchanged");
-  assert.equal(pushback.millisecondsUntilOpen(MINUTE), Infinity);
-  const end = 15 * MINUTE + 1;
+  assert.equal(pushback.millisecondsUntilOpen(MINUTE_MILLISECONDS), Infinity);
+  const end = 15 * MINUTE_MILLISECONDS + 1;
   assert.equal(pushback.admits(end - 1), false);
   assert.equal(pushback.admits(end), true);
   pushback.countSend(SLOTS, end);
@@ -97,10 +100,10 @@
 
 test("an incarnation begins without what another one asked for", () => {
   const table = new PushbackTable(() => 0.5);
-  table.open("one@1").requestPause(SECOND, 0);
+  table.open("one@1").requestPause(SECOND_MILLISECONDS, 0);
   assert.equal(table.find("one@1")?.admits(0), false);
   assert.equal(table.find("one@2"), undefined);
-  table.expire(MINUTE);
+  table.expire(MINUTE_MILLISECONDS);
   assert.equal(table.find("one@1"), undefined);
 });
 
@@ -116,7 +119,7 @@
   /** Requests a second of each host. */
   perSecond: number;
   lossRate: number;
-  /** Spells in which the server turns requests away, and its pauses. */
+  /** Spells in which the server rejects requests, and the pauses it asks for. */
   spells: { at: number; lasts: number; seconds: number }[];
   restarts: { at: number; host: number | "server" }[];
 };
@@ -128,8 +131,8 @@
   lossRate: fc.constantFrom(0, 0, 0.1),
   spells: fc.array(
     fc.record({
-      at: fc.integer({ min: 0, max: 14 * SECOND }),
-      lasts: fc.integer({ min: 50, max: 6 * SECOND }),
+      at: fc.integer({ min: 0, max: 14 * SECOND_MILLISECONDS }),
+      lasts: fc.integer({ min: 50, max: 6 * SECOND_MILLISECONDS }),
       seconds: fc.constantFrom(0, 0.3, 1, 2.5, 3, 5),
     }),
     { minLength: 1, maxLength: 3 },
@@ -199,7 +202,8 @@
   }
 
   #send(host: number, now: number): void {
-    const chance = this.#plan.perSecond * STEP_MILLISECONDS / SECOND;
+    const chance = this.#plan.perSecond * STEP_MILLISECONDS /
+      SECOND_MILLISECONDS;
     if (this.#random() >= chance) return;
     const incarnation = `one@${this.#starts}`;
     const pushback = this.#hosts[host]!.table.find(incarnation);
@@ -238,7 +242,7 @@
       this.#answers.push({ at: answerAt, host, run: () => settle(true) });
       return;
     }
-    const milliseconds = spell.seconds * SECOND;
+    const milliseconds = spell.seconds * SECOND_MILLISECONDS;
     this.pauses.push({ ...arrival, endsAt: at + milliseconds });
     this.#answers.push({
       at: answerAt,
@@ -265,14 +269,17 @@
           arrival.host === host && arrival.incarnation === incarnation &&
           arrival.at > at + REACTION_MILLISECONDS && arrival.at < endsAt
         );
-        assert.ok(unwanted.length <= MAX_UNWANTED, `${unwanted.length}`);
+        assert.ok(
+          unwanted.length <= MAX_REQUESTS_IN_PAUSE,
+          `${unwanted.length}`,
+        );
       }
       const lastEnd = Math.max(
         0,
         ...schedule.pauses.map(({ endsAt }) => endsAt),
       );
       const returned = schedule.arrivals.some(({ at }) => at > lastEnd);
-      const hasTime = lastEnd + 4 * SECOND < RUN_MILLISECONDS;
+      const hasTime = lastEnd + 4 * SECOND_MILLISECONDS < RUN_MILLISECONDS;
       assert.ok(!hasTime || returned, "the server is starved");
     }),
     { numRuns: PROPERTY_RUNS, seed: 38 },
@@ -287,7 +294,7 @@
   const table = new PushbackTable(random);
   const returns = Array.from({ length: hosts }, (_, host) => {
     const pushback = table.open(`host-${host}`);
-    pushback.requestPause(4 * SECOND, 0);
+    pushback.requestPause(4 * SECOND_MILLISECONDS, 0);
     return pushback.millisecondsUntilOpen(0);
   });
   const fullest = Math.max(
--- a/packages/daemon/src/agent/agent_app.ts
+++ b/packages/daemon/src/agent/agent_app.ts
@@ -10,7 +10,7 @@
 import type { EventLog } from "../log/event_log.ts";
 import type { Settings } from "../settings/settings.ts";
 import type { ClientPool } from "../transport/client_pool.ts";
-import { pause } from "../transport/pause.ts";
+import { sleep } from "../transport/sleep.ts";
 import { createAnnouncement } from "./create_announcement.ts";
 import { AgentServer } from "./agent_server.ts";
 import { AgentState } from "./agent_state.ts";
@@ -149,9 +149,9 @@
   async stop(): Promise<void> {
     this.#state.stop();
     this.#loader.stop();
-    await pause(this.#settings.agent!.drain_milliseconds);
+    await sleep(this.#settings.agent!.drain_milliseconds);
     while (!this.#runner.isIdle || !this.#runner.isDelivered) {
-      await pause(DRAIN_POLL_MILLISECONDS);
+      await sleep(DRAIN_POLL_MILLISECONDS);
     }
     clearInterval(this.#timer);
     this.#permitReturns.stop();
--- a/packages/daemon/src/agent/backend_pushback.ts
+++ b/packages/daemon/src/agent/backend_pushback.ts
@@ -129,7 +129,7 @@
     this.changes$.next({ kind: "shutting-down" });
   }
 
-  /** Later answers can move the end without a change that is told. */
+  /** Tells the end once it is reached; answers may move it meanwhile. */
   #watchEnd(): void {
     clearTimeout(this.#endTimer);
     const left = this.#pushback.millisecondsClosed(monotonicMilliseconds());
--- a/packages/daemon/src/agent/backend_pushback_test.ts
+++ b/packages/daemon/src/agent/backend_pushback_test.ts
@@ -2,7 +2,7 @@
 import { test } from "node:test";
 import { BackendPushback } from "./backend_pushback.ts";
 
-function pause(milliseconds: number): Promise<void> {
+function sleep(milliseconds: number): Promise<void> {
   return new Promise((resolve) => setTimeout(resolve, milliseconds));
 }
 
@@ -26,9 +26,9 @@
     told.push(pushback.closedRefusal === undefined)
   );
   pushback.recordAnswer(createAnswer("0.3"));
-  await pause(150);
+  await sleep(150);
   pushback.recordAnswer(createAnswer("0.3"));
-  await pause(800);
+  await sleep(800);
   assert.deepEqual(told, [false, true]);
   pushback.stop();
 });
@@ -39,7 +39,7 @@
   const kinds: string[] = [];
   pushback.changes$.subscribe(({ kind }) => kinds.push(kind));
   pushback.recordAnswer(createAnswer("0.1", ["1"]));
-  await pause(300);
+  await sleep(300);
   assert.equal(pushback.closedRefusal?.reason, "shutting-down");
   assert.ok(!kinds.includes("ended"));
   pushback.reset();
--- a/packages/daemon/src/agent/create_call_routes.ts
+++ b/packages/daemon/src/agent/create_call_routes.ts
@@ -5,7 +5,7 @@
   CallOutcome,
   CallService,
 } from "@teaselrouter/messages/agent.ts";
-import { pause } from "../transport/pause.ts";
+import { sleep } from "../transport/sleep.ts";
 import type { CallRunner } from "./call_runner.ts";
 
 /**
@@ -36,7 +36,7 @@
       },
       async settleClaim(request) {
         if (!runner.claims.has(request.claimKey, request.claimIndex)) {
-          await pause(CLAIM_ARRIVAL_GRACE_MILLISECONDS);
+          await sleep(CLAIM_ARRIVAL_GRACE_MILLISECONDS);
         }
         const requestId = runner.claims.withdrawUnlessKnown(
           request.claimKey,
--- a/packages/daemon/src/agent/engine_loader.ts
+++ b/packages/daemon/src/agent/engine_loader.ts
@@ -1,6 +1,6 @@
 import { Subject } from "rxjs";
 import type { EventLog } from "../log/event_log.ts";
-import { pause } from "../transport/pause.ts";
+import { sleep } from "../transport/sleep.ts";
 import type { AgentState } from "./agent_state.ts";
 import type { CallRunner } from "./call_runner.ts";
 import type { EngineClient } from "./engine_client.ts";
@@ -100,7 +100,7 @@
   async #run(): Promise<void> {
     while (!this.#isStopped) {
       await this.#step();
-      await pause(STEP_INTERVAL_MILLISECONDS);
+      await sleep(STEP_INTERVAL_MILLISECONDS);
     }
   }
 
@@ -191,7 +191,7 @@
     state.setLoading(false);
     this.loadEnded$.next({ ...permit, loaded });
     this.#returnUnusedPermit();
-    if (!loaded) await pause(RETRY_DELAY_MILLISECONDS);
+    if (!loaded) await sleep(RETRY_DELAY_MILLISECONDS);
   }
 
   /**
@@ -201,7 +201,7 @@
   async #waitUntilIdle(): Promise<void> {
     const deadline = Date.now() + DRAIN_TIMEOUT_MILLISECONDS;
     while (!this.#options.runner.isIdle && Date.now() < deadline) {
-      await pause(POLL_INTERVAL_MILLISECONDS);
+      await sleep(POLL_INTERVAL_MILLISECONDS);
     }
   }
 
@@ -233,7 +233,7 @@
     while (Date.now() < deadline && !this.#isStopped) {
       const read = await this.#options.engine.readState();
       if (read.isOk && !read.value.loading) return read.value.version;
-      await pause(POLL_INTERVAL_MILLISECONDS);
+      await sleep(POLL_INTERVAL_MILLISECONDS);
     }
     return "";
   }
--- a/packages/daemon/src/agent/engine_loader_test.ts
+++ b/packages/daemon/src/agent/engine_loader_test.ts
@@ -12,7 +12,7 @@
 const OLD = "drafter@2";
 const CURRENT = "drafter@3";
 
-function pause(milliseconds: number): Promise<void> {
+function sleep(milliseconds: number): Promise<void> {
   return new Promise((resolve) => setTimeout(resolve, milliseconds));
 }
 
@@ -82,7 +82,7 @@
     setTimeout(() => loader.receivePermit(version, 8), STEPS_MILLISECONDS / 2);
   });
   loader.start();
-  await pause(2 * STEPS_MILLISECONDS);
+  await sleep(2 * STEPS_MILLISECONDS);
   loader.stop();
   assert.equal(state.servingVersion, CURRENT);
   assert.deepEqual(returned, [[7, true], [8, false]]);
@@ -98,7 +98,7 @@
   );
   loader.setTarget(CURRENT);
   loader.start();
-  await pause(STEPS_MILLISECONDS);
+  await sleep(STEPS_MILLISECONDS);
   state.pushback.recordAnswer({
     status: 503,
     rawHeaders: ["Retry-After", "1"],
@@ -107,10 +107,10 @@
   try {
     assert.ok(before > 0);
     complete.add(CURRENT);
-    await pause(800);
+    await sleep(800);
     assert.equal(countStateReads(), before);
     assert.equal(state.servingVersion, "");
-    await pause(1_500);
+    await sleep(1_500);
     assert.equal(state.servingVersion, CURRENT, "it loads after the pause");
   } finally {
     loader.stop();
--- a/packages/daemon/src/agent/permit_returns.ts
+++ b/packages/daemon/src/agent/permit_returns.ts
@@ -2,7 +2,7 @@
 
 /** Well above the time in which a proposal is usually committed. */
 const REPEAT_MILLISECONDS = 1_000;
-/** By then the permit has ended by itself. */
+/** With the interval, the time after which a permit ends by itself. */
 const MAX_REPEATS = 60;
 
 type PermitReturn = Pick<LoadSettled, "version" | "fencingToken" | "loaded">;
--- a/packages/daemon/src/control/control_app.ts
+++ b/packages/daemon/src/control/control_app.ts
@@ -19,7 +19,7 @@
 import type { Settings } from "../settings/settings.ts";
 import type { ClientPool } from "../transport/client_pool.ts";
 import { monotonicMilliseconds } from "../transport/monotonic_milliseconds.ts";
-import { pause } from "../transport/pause.ts";
+import { sleep } from "../transport/sleep.ts";
 import { splitAddress } from "../transport/split_address.ts";
 import { ControlHost } from "./control_host.ts";
 import { controlRoutes } from "./control_routes.ts";
@@ -160,7 +160,7 @@
         node.isLeading(monotonicMilliseconds()) &&
         monotonicMilliseconds() < deadline
       ) {
-        await pause(TRANSFER_POLL_MILLISECONDS);
+        await sleep(TRANSFER_POLL_MILLISECONDS);
       }
     }
     this.#membershipManager?.stop();
--- a/packages/daemon/src/control/control_operations_handler.ts
+++ b/packages/daemon/src/control/control_operations_handler.ts
@@ -14,7 +14,7 @@
 import type { RoutingDecoder } from "../platform/routing_decoder.ts";
 import type { ClientPool } from "../transport/client_pool.ts";
 import { monotonicMilliseconds } from "../transport/monotonic_milliseconds.ts";
-import { pause } from "../transport/pause.ts";
+import { sleep } from "../transport/sleep.ts";
 import type { ControlHost } from "./control_host.ts";
 import type { ControlOperations } from "./control_operations.ts";
 import type { SharedView } from "./shared_view.ts";
@@ -173,10 +173,10 @@
       if (remaining < MIN_FORWARD_MILLISECONDS) return undefined;
       const done = await Promise.race([
         this.#tryExecute(command, remaining),
-        pause(remaining).then(() => undefined),
+        sleep(remaining).then(() => undefined),
       ]);
       if (done !== undefined) return done;
-      await pause(NO_LEADER_RETRY_MILLISECONDS);
+      await sleep(NO_LEADER_RETRY_MILLISECONDS);
     }
   }
 
--- a/packages/daemon/src/control/join_cluster.ts
+++ b/packages/daemon/src/control/join_cluster.ts
@@ -2,7 +2,7 @@
 import { PeerService } from "@teaselrouter/messages/control.ts";
 import type { EventLog } from "../log/event_log.ts";
 import type { ClientPool } from "../transport/client_pool.ts";
-import { pause } from "../transport/pause.ts";
+import { sleep } from "../transport/sleep.ts";
 
 const RETRY_DELAY_MILLISECONDS = 500;
 const CALL_TIMEOUT_MILLISECONDS = 1_000;
@@ -28,7 +28,7 @@
   const { addresses, hasLeader, isStopped, log, self } = options;
   let isLogged = false;
   while (!isStopped()) {
-    await pause(RETRY_DELAY_MILLISECONDS);
+    await sleep(RETRY_DELAY_MILLISECONDS);
     if (hasLeader()) {
       isLogged = false;
       continue;
--- a/packages/daemon/src/control/raft_driver.ts
+++ b/packages/daemon/src/control/raft_driver.ts
@@ -11,7 +11,7 @@
 import { Subject } from "rxjs";
 import type { Result } from "true-myth";
 import type { EventLog } from "../log/event_log.ts";
-import { pause } from "../transport/pause.ts";
+import { sleep } from "../transport/sleep.ts";
 import type { PeerLinks } from "./peer_links.ts";
 import { monotonicMilliseconds } from "../transport/monotonic_milliseconds.ts";
 
@@ -71,7 +71,7 @@
   async stop(): Promise<void> {
     this.#isStopped = true;
     clearInterval(this.#timer);
-    while (this.#isProcessing) await pause(5);
+    while (this.#isProcessing) await sleep(5);
     await this.#options.folder.close();
   }
 
@@ -175,7 +175,7 @@
       }
       if (!isLogged) this.#options.log.error("disk-full", { detail });
       isLogged = true;
-      await pause(FULL_DISK_RETRY_MILLISECONDS);
+      await sleep(FULL_DISK_RETRY_MILLISECONDS);
     }
     return false;
   }
--- a/packages/daemon/src/control/replace_member.ts
+++ b/packages/daemon/src/control/replace_member.ts
@@ -5,7 +5,7 @@
   MembershipSchema,
 } from "@teaselrouter/messages/control.ts";
 import { Result } from "true-myth";
-import { pause } from "../transport/pause.ts";
+import { sleep } from "../transport/sleep.ts";
 import type { ControlHost } from "./control_host.ts";
 import { monotonicMilliseconds } from "../transport/monotonic_milliseconds.ts";
 
@@ -62,7 +62,7 @@
       if (members === undefined) return Result.ok(joining.id);
       control.proposeMembership(create(MembershipSchema, { members }));
     }
-    await pause(STEP_INTERVAL_MILLISECONDS);
+    await sleep(STEP_INTERVAL_MILLISECONDS);
   }
   return Result.err("the new member did not catch up in time; send it again");
 }
--- a/packages/daemon/src/control/shared_view_test.ts
+++ b/packages/daemon/src/control/shared_view_test.ts
@@ -9,7 +9,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { EventLog } from "../log/event_log.ts";
-import { pause } from "../transport/pause.ts";
+import { sleep } from "../transport/sleep.ts";
 import { SharedView } from "./shared_view.ts";
 
 function openView(): SharedView {
@@ -39,7 +39,7 @@
       );
     }
   }
-  await pause(200);
+  await sleep(200);
   view.stop();
   assert.equal(published.length, 1);
   assert.deepEqual(
@@ -62,9 +62,9 @@
     create(EngineLoadSchema, { engineAddress, running: 1, waiting: 0 });
   view.addLocalLoad(load("near"));
   view.addRemoteLoads([load("far")]);
-  await pause(200);
+  await sleep(200);
   view.addRemoteLoads([load("far")]);
-  await pause(200);
+  await sleep(200);
   view.stop();
   assert.deepEqual(published, [["near", "far"], ["far"]]);
   assert.deepEqual(publishedLocally, [["near"]]);
@@ -82,12 +82,12 @@
   view.addEngineNotice(notice(1, false));
   view.addEngineNotice(notice(2, false));
   view.addEngineNotice(notice(1, true));
-  await pause(100);
+  await sleep(100);
   assert.deepEqual(published.map(([first]) => first?.sequence), [2]);
   assert.equal(view.engineNotices()[0]?.agentGone, false);
   view.addEngineNotice(notice(2, true));
   view.addEngineNotice(notice(1, false));
-  await pause(100);
+  await sleep(100);
   view.stop();
   assert.equal(view.engineNotices()[0]?.agentGone, false);
 });
--- a/packages/daemon/src/entry/calls/call_crash_detector.ts
+++ b/packages/daemon/src/entry/calls/call_crash_detector.ts
@@ -8,7 +8,7 @@
 import type { EventLog } from "../../log/event_log.ts";
 import type { Problem } from "../../http/problem.ts";
 import { monotonicMilliseconds } from "../../transport/monotonic_milliseconds.ts";
-import { pause } from "../../transport/pause.ts";
+import { sleep } from "../../transport/sleep.ts";
 import type { Proposer } from "../sessions/proposer.ts";
 import type { CheckedCall } from "./checked_call.ts";
 
@@ -18,7 +18,7 @@
  */
 const DECISION_DELAY_MILLISECONDS = 150;
 const EXPIRE_INTERVAL_MILLISECONDS = 10_000;
-/** Between two proposals of a change; each waits for a leader itself. */
+/** Between two proposals of the same change. */
 const PROPOSAL_INTERVAL_MILLISECONDS = 500;
 const FINGERPRINT_HEX_DIGITS = 24;
 
@@ -178,7 +178,7 @@
       const isLatest = this.#proposals.get(fingerprint) === command;
       if (reply.kind === "committed" && isLatest) {
         this.#proposals.delete(fingerprint);
-      } else await pause(PROPOSAL_INTERVAL_MILLISECONDS);
+      } else await sleep(PROPOSAL_INTERVAL_MILLISECONDS);
     }
   }
 }
--- a/packages/daemon/src/entry/calls/call_crash_detector_test.ts
+++ b/packages/daemon/src/entry/calls/call_crash_detector_test.ts
@@ -15,7 +15,7 @@
   body: Buffer.from("crash"),
 } as CheckedCall;
 
-function pause(milliseconds: number): Promise<void> {
+function sleep(milliseconds: number): Promise<void> {
   return new Promise((resolve) => setTimeout(resolve, milliseconds));
 }
 
@@ -57,7 +57,7 @@
 // never hear of, as no leader was known when it was decided.
 test("a blame is proposed until the log has it", async () => {
   const { detector, proposed, committed } = openDetector();
-  await pause(3_000);
+  await sleep(3_000);
   assert.deepEqual(committed, ["blame-request"]);
   assert.equal(proposed.length, 3, "not again once it is committed");
   detector.stop();
@@ -66,9 +66,9 @@
 // Guards against a blame that reaches the log after its call has run to its end.
 test("a call that completes takes back the blame that is being proposed", async () => {
   const { detector, committed } = openDetector();
-  await pause(400);
+  await sleep(400);
   detector.recordCompletion(CALL);
-  await pause(2_000);
+  await sleep(2_000);
   assert.equal(committed.at(-1), "lift-blame");
   detector.stop();
 });
--- a/packages/daemon/src/entry/calls/exchange_reader.ts
+++ b/packages/daemon/src/entry/calls/exchange_reader.ts
@@ -5,7 +5,7 @@
 } from "@teaselrouter/messages/agent.ts";
 import { CallOutcome, CallService } from "@teaselrouter/messages/agent.ts";
 import type { ClientPool } from "../../transport/client_pool.ts";
-import { pause } from "../../transport/pause.ts";
+import { sleep } from "../../transport/sleep.ts";
 import type { AnswerPart } from "./answer_part.ts";
 
 const SILENCE_TIMEOUT_MILLISECONDS = 1_500;
@@ -60,7 +60,7 @@
         return;
       }
       this.#options.clients.dropConnection(this.#options.address);
-      await pause(RECONNECT_DELAY_MILLISECONDS);
+      await sleep(RECONNECT_DELAY_MILLISECONDS);
     }
   }
 
--- a/packages/daemon/src/entry/entry_app.ts
+++ b/packages/daemon/src/entry/entry_app.ts
@@ -17,7 +17,7 @@
 import type { EventLog } from "../log/event_log.ts";
 import type { Settings } from "../settings/settings.ts";
 import type { ClientPool } from "../transport/client_pool.ts";
-import { pause } from "../transport/pause.ts";
+import { sleep } from "../transport/sleep.ts";
 import { toAsyncIterable } from "../transport/to_async_iterable.ts";
 import { AgentSession } from "./sessions/agent_session.ts";
 import { CallCrashDetector } from "./calls/call_crash_detector.ts";
@@ -189,7 +189,7 @@
    */
   async stop(): Promise<void> {
     this.#stopping = true;
-    await pause(this.#options.settings.entry!.drain_milliseconds);
+    await sleep(this.#options.settings.entry!.drain_milliseconds);
     await this.#server.stopListening();
     await this.#waitUntilDrained();
     this.#server.close();
@@ -209,9 +209,9 @@
   async #waitUntilDrained(): Promise<void> {
     const until = Date.now() + MAX_WAIT_FOR_NO_REQUESTS_MILLISECONDS;
     while (!this.#server.hasNoRecentRequest(Date.now()) && Date.now() < until) {
-      await pause(DRAIN_POLL_MILLISECONDS);
+      await sleep(DRAIN_POLL_MILLISECONDS);
     }
-    while (this.#calls.inProgress > 0) await pause(DRAIN_POLL_MILLISECONDS);
+    while (this.#calls.inProgress > 0) await sleep(DRAIN_POLL_MILLISECONDS);
   }
 
   /**
@@ -273,7 +273,7 @@
         stopped: false,
       });
       if (reply.kind === "committed" || this.#isRegistered()) break;
-      await pause(REGISTRATION_RETRY_BASE_MILLISECONDS / 4);
+      await sleep(REGISTRATION_RETRY_BASE_MILLISECONDS / 4);
     }
     this.#registeredAt = Date.now();
     this.#options.log.info("entry-registered");
--- a/packages/daemon/src/entry/public_server.ts
+++ b/packages/daemon/src/entry/public_server.ts
@@ -66,8 +66,8 @@
     let accepted: number;
     do {
       accepted = this.#acceptedCount;
-      // Each turn accepts one connection. The first may be in progress already,
-      // past its look at the port.
+      // Each turn accepts one connection, but the first of the two may already
+      // be past that.
       await nextTurn();
       await nextTurn();
     } while (this.#acceptedCount > accepted && Date.now() < until);
--- a/packages/daemon/src/entry/sessions/control_session.ts
+++ b/packages/daemon/src/entry/sessions/control_session.ts
@@ -19,7 +19,7 @@
 import { startWith, Subject } from "rxjs";
 import type { EventLog } from "../../log/event_log.ts";
 import type { ClientPool } from "../../transport/client_pool.ts";
-import { pause } from "../../transport/pause.ts";
+import { sleep } from "../../transport/sleep.ts";
 import { toAsyncIterable } from "../../transport/to_async_iterable.ts";
 import type { ProposalReply } from "./proposal_reply.ts";
 import { PendingProposals } from "./pending_proposals.ts";
@@ -126,7 +126,7 @@
       const canRetry = !this.#isStopped && this.#isLeaderLikelyReachable() &&
         Date.now() + PROPOSAL_RETRY_DELAY_MILLISECONDS < until;
       if (!canRetry) return { kind: isInDoubt ? "unknown" : "not-proposed" };
-      await pause(PROPOSAL_RETRY_DELAY_MILLISECONDS);
+      await sleep(PROPOSAL_RETRY_DELAY_MILLISECONDS);
     }
   }
 
@@ -178,7 +178,7 @@
       next += 1;
       this.#leaderAddress = "";
       await this.#runConnection(address);
-      if (!this.#isStopped) await pause(RECONNECT_DELAY_MILLISECONDS);
+      if (!this.#isStopped) await sleep(RECONNECT_DELAY_MILLISECONDS);
     }
   }
 
--- a/packages/daemon/src/gateway/backend_pool_test.ts
+++ b/packages/daemon/src/gateway/backend_pool_test.ts
@@ -132,13 +132,13 @@
 test("a pause withdraws the requests that are not sent yet", () => {
   const { pushbacks } = openPool();
   const withdrawn: string[] = [];
-  const stop = pushbacks.onRequested(
+  const stop = pushbacks.onClosed(
     ANNOUNCEMENT,
     () => withdrawn.push("ended before"),
   );
   stop();
-  pushbacks.onRequested(ANNOUNCEMENT, () => withdrawn.push("one"));
-  pushbacks.onRequested(OTHER, () => withdrawn.push("two"));
+  pushbacks.onClosed(ANNOUNCEMENT, () => withdrawn.push("one"));
+  pushbacks.onClosed(OTHER, () => withdrawn.push("two"));
   pushbacks.recordAnswer(ANNOUNCEMENT, PAUSE, "a");
   assert.deepEqual(withdrawn, ["one"]);
 });
--- a/packages/daemon/src/gateway/call_sender.ts
+++ b/packages/daemon/src/gateway/call_sender.ts
@@ -87,7 +87,7 @@
     const attempt = this.#openAttempt(candidate, options);
     this.#attempt = attempt;
     const cancelWeightsTimer = this.#abortWhenWeightsExpire(candidate, attempt);
-    const stopWithdrawing = pushbacks.onRequested(
+    const stopWithdrawing = pushbacks.onClosed(
       announcement,
       () => attempt.withdraw("its backend server accepts no requests now"),
     );
--- a/packages/daemon/src/gateway/gateway_app.ts
+++ b/packages/daemon/src/gateway/gateway_app.ts
@@ -11,7 +11,7 @@
 import { FollowSet } from "../transport/follow_set.ts";
 import { listen } from "../transport/listen.ts";
 import { monotonicMilliseconds } from "../transport/monotonic_milliseconds.ts";
-import { pause } from "../transport/pause.ts";
+import { sleep } from "../transport/sleep.ts";
 import { BackendConnections } from "./backend_connections.ts";
 import { BackendPool } from "./backend_pool.ts";
 import { ControlFeed } from "./control_feed.ts";
@@ -187,13 +187,13 @@
     const drainDeadline = monotonicMilliseconds() + grace_milliseconds -
       GRACE_MARGIN_MILLISECONDS;
     this.#isStopping = true;
-    await pause(BALANCER_NOTICE_MILLISECONDS);
+    await sleep(BALANCER_NOTICE_MILLISECONDS);
     this.#server.stopListening();
     while (
       this.#server.inFlight > 0 && monotonicMilliseconds() < drainDeadline
     ) {
       this.#server.closeIdle();
-      await pause(DRAIN_POLL_MILLISECONDS);
+      await sleep(DRAIN_POLL_MILLISECONDS);
     }
     this.#options.log.info("gateway-drained", {
       left: this.#server.inFlight,
--- a/packages/daemon/src/gateway/refusal_builder.ts
+++ b/packages/daemon/src/gateway/refusal_builder.ts
@@ -13,8 +13,8 @@
  */
 const LIMIT_JITTER = 0.5;
 
-/** As LIMIT_JITTER; the ends of the pauses themselves are spread already. */
-const PAUSE_JITTER = 0.25;
+/** As LIMIT_JITTER; smaller, since the ends of pauses are spread already. */
+const PAUSE_JITTER_SHARE = 0.25;
 
 type Cause = "outage" | "overload" | "busy";
 
@@ -84,7 +84,7 @@
     pushbacks.logRefusal(this.#call.id, paused);
     return this.#withRetryAfter(
       "its backend servers accept no requests now",
-      wait * (1 + PAUSE_JITTER * random()),
+      wait * (1 + PAUSE_JITTER_SHARE * random()),
     );
   }
 
--- a/packages/daemon/src/gateway/server_pushbacks.ts
+++ b/packages/daemon/src/gateway/server_pushbacks.ts
@@ -6,8 +6,8 @@
 import type { EventLog } from "../log/event_log.ts";
 import { monotonicMilliseconds } from "../transport/monotonic_milliseconds.ts";
 
-/** Incarnations whose unreadable fields were logged and are remembered. */
-const MAX_REMEMBERED_UNREADABLE = 1_000;
+/** Incarnations remembered as logged for an unreadable field. */
+const MAX_REMEMBERED_INCARNATIONS = 1_000;
 
 /** A service of hundreds of servers would make a line of tens of kilobytes. */
 const MAX_LOGGED_SERVERS = 8;
@@ -101,10 +101,10 @@
   }
 
   /**
-   * Calls `withdraw` when the backend server asks for no more requests. The
-   * returned function ends that.
+   * Registers `withdraw`, to be called when the backend server asks for a pause
+   * or announces its shutdown. The returned function removes it.
    */
-  onRequested(
+  onClosed(
     announcement: BackendAnnouncement,
     withdraw: () => void,
   ): () => void {
@@ -222,7 +222,7 @@
   ): void {
     const incarnation = incarnationOf(announcement);
     if (this.#unreadable.has(incarnation)) return;
-    if (this.#unreadable.size >= MAX_REMEMBERED_UNREADABLE) {
+    if (this.#unreadable.size >= MAX_REMEMBERED_INCARNATIONS) {
       this.#unreadable.clear();
     }
     this.#unreadable.add(incarnation);
--- a/packages/daemon/src/rollout/manifest_fetcher.ts
+++ b/packages/daemon/src/rollout/manifest_fetcher.ts
@@ -3,7 +3,7 @@
 import { Subject } from "rxjs";
 import type { EventLog } from "../log/event_log.ts";
 import type { WeightStore } from "../platform/weight_store.ts";
-import { pause } from "../transport/pause.ts";
+import { sleep } from "../transport/sleep.ts";
 import type { ServiceTarget } from "./service_target.ts";
 
 /** Versions are numbered from 1; an operator names only later ones. */
@@ -98,7 +98,7 @@
         log.info("weights-target", { service, model, version });
         return this.target$.next(target);
       }
-      await pause(RETRY_DELAY_MILLISECONDS);
+      await sleep(RETRY_DELAY_MILLISECONDS);
     }
   }
 
--- a/packages/daemon/src/spread/link_pacer.ts
+++ b/packages/daemon/src/spread/link_pacer.ts
@@ -1,4 +1,4 @@
-import { pause } from "../transport/pause.ts";
+import { sleep } from "../transport/sleep.ts";
 
 const MAX_LEAD_MILLISECONDS = 10;
 
@@ -14,7 +14,7 @@
   /** Waits until the link has capacity for `bytes`. */
   async waitFor(bytes: number): Promise<void> {
     const delayMilliseconds = this.reserve(bytes);
-    if (delayMilliseconds > 0) await pause(delayMilliseconds);
+    if (delayMilliseconds > 0) await sleep(delayMilliseconds);
   }
 
   /**
--- a/packages/daemon/src/stager/staged_loader.ts
+++ b/packages/daemon/src/stager/staged_loader.ts
@@ -7,7 +7,7 @@
 import type { EngineReport } from "../platform/engine_report.ts";
 import type { ModelEngine } from "../platform/model_engine.ts";
 import { monotonicMilliseconds } from "../transport/monotonic_milliseconds.ts";
-import { pause } from "../transport/pause.ts";
+import { sleep } from "../transport/sleep.ts";
 import { ArrivalPredictor } from "./arrival_predictor.ts";
 import type { LoadTarget } from "./load_target.ts";
 import { findServedVersionNumber } from "./find_served_version_number.ts";
@@ -124,7 +124,7 @@
   async #run(): Promise<void> {
     while (!this.#isStopped) {
       const isIdle = await this.#reconcile();
-      await pause(
+      await sleep(
         isIdle ? IDLE_POLL_INTERVAL_MILLISECONDS : POLL_INTERVAL_MILLISECONDS,
       );
     }
@@ -279,12 +279,12 @@
       this.#drainingSince + MAX_DRAIN_MILLISECONDS,
       this.#findUnusedAt(target, serving),
     );
-    await pause(NOTICE_PROPAGATION_MILLISECONDS);
+    await sleep(NOTICE_PROPAGATION_MILLISECONDS);
     while (monotonicMilliseconds() < until && this.#target === target) {
       const report = await this.#options.engine.fetchReport();
       if (report.isErr) return;
       if (report.value.running + report.value.waiting === 0) return;
-      await pause(POLL_INTERVAL_MILLISECONDS);
+      await sleep(POLL_INTERVAL_MILLISECONDS);
     }
   }
 }
--- a/packages/daemon/src/stager/staged_loader_test.ts
+++ b/packages/daemon/src/stager/staged_loader_test.ts
@@ -10,7 +10,7 @@
 import type { ModelEngine } from "../platform/model_engine.ts";
 import { WeightsCache } from "../spread/weights_cache.ts";
 import { monotonicMilliseconds } from "../transport/monotonic_milliseconds.ts";
-import { pause } from "../transport/pause.ts";
+import { sleep } from "../transport/sleep.ts";
 import { StagedLoader } from "./staged_loader.ts";
 
 const MODEL = "m";
@@ -82,7 +82,7 @@
     this.#read.add(chunk);
     if (this.firstReadMilliseconds > 0 && isFirst) {
       this.staged.set(chunk, Buffer.from("rotten"));
-      await pause(this.firstReadMilliseconds);
+      await sleep(this.firstReadMilliseconds);
     }
     return bytes === undefined ? Result.err("none") : Result.ok(bytes);
   }
@@ -143,7 +143,7 @@
   const end = performance.now() + TIMEOUT_MILLISECONDS;
   while (!check()) {
     assert.ok(performance.now() < end, "not in time");
-    await pause(10);
+    await sleep(10);
   }
 }
 
--- a/packages/daemon/src/transport/follow_link.ts
+++ b/packages/daemon/src/transport/follow_link.ts
@@ -16,7 +16,7 @@
 import type { ClientPool } from "./client_pool.ts";
 import { monotonicMilliseconds } from "./monotonic_milliseconds.ts";
 import type { FollowerUpdate } from "./follower_update.ts";
-import { pause } from "./pause.ts";
+import { sleep } from "./sleep.ts";
 import { toAsyncIterable } from "./to_async_iterable.ts";
 
 const HEARTBEAT_INTERVAL_MILLISECONDS = 1_000;
@@ -119,7 +119,7 @@
   async #run(): Promise<void> {
     while (!this.#stop.signal.aborted) {
       await this.#follow();
-      await pause(RECONNECT_DELAY_MILLISECONDS);
+      await sleep(RECONNECT_DELAY_MILLISECONDS);
     }
   }
 
--- a/packages/daemon/src/transport/follow_set_test.ts
+++ b/packages/daemon/src/transport/follow_set_test.ts
@@ -4,7 +4,7 @@
 import { EventLog } from "../log/event_log.ts";
 import type { ClientPool } from "./client_pool.ts";
 import { FollowSet } from "./follow_set.ts";
-import { pause } from "./pause.ts";
+import { sleep } from "./sleep.ts";
 
 const SEEDS = ["a:1", "b:1", "c:1"];
 
@@ -78,10 +78,10 @@
   const hosts = new SlowControlHosts();
   const followSet = createFollowSet(hosts, false);
   followSet.start();
-  await pause(300);
+  await sleep(300);
   assert.equal(hosts.opened.length, 1);
   hosts.answer();
-  await pause(900);
+  await sleep(900);
   followSet.stop();
   assert.deepEqual([...new Set(hosts.opened)].sort(), SEEDS);
 });
@@ -92,7 +92,7 @@
   const hosts = new SlowControlHosts();
   const followSet = createFollowSet(hosts, false);
   followSet.start();
-  await pause(1_000);
+  await sleep(1_000);
   followSet.stop();
   assert.equal(new Set(hosts.opened).size, 2);
 });
@@ -103,7 +103,7 @@
   const hosts = new SlowControlHosts();
   const followSet = createFollowSet(hosts, true);
   followSet.start();
-  await pause(50);
+  await sleep(50);
   followSet.stop();
   assert.deepEqual([...hosts.opened].sort(), SEEDS);
 });
--- a/packages/daemon/src/transport/rollout_links.ts
+++ b/packages/daemon/src/transport/rollout_links.ts
@@ -12,7 +12,7 @@
 } from "@teaselrouter/messages/agent.ts";
 import { Subject } from "rxjs";
 import type { ClientPool } from "./client_pool.ts";
-import { pause } from "./pause.ts";
+import { sleep } from "./sleep.ts";
 import { toAsyncIterable } from "./to_async_iterable.ts";
 import { monotonicMilliseconds } from "./monotonic_milliseconds.ts";
 
@@ -186,11 +186,11 @@
   async #run(link: Link): Promise<void> {
     while (!this.#isStopped && !link.isRemoved) {
       if (!this.#mayOpenNextStream()) {
-        await pause(OPEN_POLL_MILLISECONDS);
+        await sleep(OPEN_POLL_MILLISECONDS);
         continue;
       }
       await this.#connect(link);
-      if (!this.#isStopped) await pause(RECONNECT_DELAY_MILLISECONDS);
+      if (!this.#isStopped) await sleep(RECONNECT_DELAY_MILLISECONDS);
     }
   }
 
--- a/packages/daemon/src/transport/pause.ts
+++ b/packages/daemon/src/transport/sleep.ts
@@ -1,3 +1,3 @@
-export function pause(milliseconds: number): Promise<void> {
+export function sleep(milliseconds: number): Promise<void> {
   return new Promise((resolve) => setTimeout(resolve, milliseconds));
 }
--- a/packages/experiments/src/control/contract_changer.ts
+++ b/packages/experiments/src/control/contract_changer.ts
@@ -1,4 +1,4 @@
-import { pause } from "@teaselrouter/daemon/transport/pause.ts";
+import { sleep } from "@teaselrouter/daemon/transport/sleep.ts";
 
 /** When a change was accepted, and how long that took. */
 type AcceptedChange = { at: number; milliseconds: number };
@@ -62,7 +62,7 @@
       this.accepted.push({ at, milliseconds: at - startedAt });
     } catch {
       this.refused += 1;
-      await pause(RETRY_PAUSE_MILLISECONDS);
+      await sleep(RETRY_PAUSE_MILLISECONDS);
     }
   }
 
--- a/packages/experiments/src/control/failover_experiment.ts
+++ b/packages/experiments/src/control/failover_experiment.ts
@@ -1,4 +1,4 @@
-import { pause } from "@teaselrouter/daemon/transport/pause.ts";
+import { sleep } from "@teaselrouter/daemon/transport/sleep.ts";
 import { formatTable } from "@teaselrouter/operator/output/format_table.ts";
 import { fetchStatus } from "../harness/fetch_status.ts";
 import type { RunningSystem } from "../harness/running_system.ts";
@@ -36,13 +36,13 @@
   const child = system.cluster.child(leader);
   if (kind === "freeze") {
     child.signal("SIGSTOP");
-    await pause(OUTAGE_MILLISECONDS);
+    await sleep(OUTAGE_MILLISECONDS);
     child.signal("SIGCONT");
     return;
   }
   child.signal(kind === "kill" ? "SIGKILL" : "SIGTERM");
   await child.exited;
-  await pause(OUTAGE_MILLISECONDS);
+  await sleep(OUTAGE_MILLISECONDS);
   system.cluster.start(leader);
 }
 
@@ -66,9 +66,9 @@
           `${kind.replace(" ", "-")}-${round}`,
         );
         const running = changer.run();
-        await pause(STEADY_MILLISECONDS);
+        await sleep(STEADY_MILLISECONDS);
         await failLeader(system, kind, leader);
-        await pause(STEADY_MILLISECONDS);
+        await sleep(STEADY_MILLISECONDS);
         changer.stop();
         await running;
         const lost = await countMissing(system, changer, kind, round);
--- a/packages/experiments/src/demo/demo.ts
+++ b/packages/experiments/src/demo/demo.ts
@@ -1,4 +1,4 @@
-import { pause } from "@teaselrouter/daemon/transport/pause.ts";
+import { sleep } from "@teaselrouter/daemon/transport/sleep.ts";
 import { findRunErrors } from "../harness/find_run_faults.ts";
 import { RunningSystem } from "../harness/running_system.ts";
 import { createSmallTopology } from "../harness/create_small_topology.ts";
@@ -64,7 +64,7 @@
   console.log("publishing version 1, then 2, and 3 in the middle of 2 ...");
   const first = await system.measureSpread("1", REPLICAS);
   await system.publish("2");
-  await pause(SUPERSEDE_DELAY_MILLISECONDS);
+  await sleep(SUPERSEDE_DELAY_MILLISECONDS);
   const third = await system.measureSpread("3", REPLICAS);
   console.log(await system.runClient(["status"]));
   const summary = await system.stopLoad(load);
--- a/packages/experiments/src/failures/agent_fixture.ts
+++ b/packages/experiments/src/failures/agent_fixture.ts
@@ -8,7 +8,7 @@
 import { LinkPacer } from "@teaselrouter/daemon/spread/link_pacer.ts";
 import { WeightsCache } from "@teaselrouter/daemon/spread/weights_cache.ts";
 import { EventLog } from "@teaselrouter/daemon/log/event_log.ts";
-import { pause } from "@teaselrouter/daemon/transport/pause.ts";
+import { sleep } from "@teaselrouter/daemon/transport/sleep.ts";
 import { RunRequestSchema } from "@teaselrouter/messages/agent.ts";
 import { sha256Hex } from "../fakes/sha256_hex.ts";
 import { computeExpectedAnswer } from "../fakes/expected_answer.ts";
@@ -133,7 +133,7 @@
     for (let count = 0; Date.now() < until; count += 1) {
       const call = this.#makeCall(`call ${milliseconds} ${count}`);
       this.#calls.add(call);
-      await pause(CALL_INTERVAL_MILLISECONDS);
+      await sleep(CALL_INTERVAL_MILLISECONDS);
     }
     await Promise.all(this.#calls);
   }
--- a/packages/experiments/src/failures/at_most_once_test.ts
+++ b/packages/experiments/src/failures/at_most_once_test.ts
@@ -1,6 +1,6 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { pause } from "@teaselrouter/daemon/transport/pause.ts";
+import { sleep } from "@teaselrouter/daemon/transport/sleep.ts";
 import { findRunErrors } from "../harness/find_run_faults.ts";
 import { sendRequest } from "./send_request.ts";
 import { withSystem } from "./with_system.ts";
@@ -28,19 +28,19 @@
   await withSystem({ withRelays: true }, async (system) => {
     const { cluster } = system;
     const load = system.startLoad(LEDGER_LOAD);
-    await pause(FAULT_INTERVAL_MILLISECONDS);
+    await sleep(FAULT_INTERVAL_MILLISECONDS);
     for (const name of ["ledger-1", "van-2", "kel-1"]) {
       cluster.child(name).signal("SIGKILL");
       await cluster.child(name).exited;
-      await pause(FAULT_INTERVAL_MILLISECONDS);
+      await sleep(FAULT_INTERVAL_MILLISECONDS);
       cluster.start(name);
-      await pause(FAULT_INTERVAL_MILLISECONDS);
+      await sleep(FAULT_INTERVAL_MILLISECONDS);
     }
     cluster.child("ledger-2").signal("SIGSTOP");
-    await pause(FAULT_INTERVAL_MILLISECONDS * 3);
+    await sleep(FAULT_INTERVAL_MILLISECONDS * 3);
     cluster.child("ledger-2").signal("SIGCONT");
     cluster.mesh.silenceOpenConnections();
-    await pause(FAULT_INTERVAL_MILLISECONDS * 3);
+    await sleep(FAULT_INTERVAL_MILLISECONDS * 3);
     const summary = await system.stopLoad(load);
     const recordedBodies = await system.fetchRecordedBodies();
     const { ran, notRun, unknown } = summary.unrepeatable;
--- a/packages/experiments/src/failures/claim_steps_test.ts
+++ b/packages/experiments/src/failures/claim_steps_test.ts
@@ -17,7 +17,7 @@
 import { EventLog } from "@teaselrouter/daemon/log/event_log.ts";
 import { UnrepeatableCall } from "@teaselrouter/daemon/entry/calls/unrepeatable_call.ts";
 import { ClientPool } from "@teaselrouter/daemon/transport/client_pool.ts";
-import { pause } from "@teaselrouter/daemon/transport/pause.ts";
+import { sleep } from "@teaselrouter/daemon/transport/sleep.ts";
 import { InternalServer } from "@teaselrouter/daemon/transport/internal_server.ts";
 import assert from "node:assert/strict";
 import { Buffer } from "node:buffer";
@@ -298,7 +298,7 @@
   "the agent is killed while the call runs: unknown, not run again",
   async (fixture) => {
     const asking = fixture.sendCall(2_000);
-    while (fixture.runCount === 0) await pause(2);
+    while (fixture.runCount === 0) await sleep(2);
     fixture.killAgent();
     assert.equal(await asking, "unknown");
     await fixture.startAgent("second");
--- a/packages/experiments/src/failures/crashing_calls_test.ts
+++ b/packages/experiments/src/failures/crashing_calls_test.ts
@@ -18,7 +18,7 @@
 import { EventLog } from "@teaselrouter/daemon/log/event_log.ts";
 import { ClientPool } from "@teaselrouter/daemon/transport/client_pool.ts";
 import { InternalServer } from "@teaselrouter/daemon/transport/internal_server.ts";
-import { pause } from "@teaselrouter/daemon/transport/pause.ts";
+import { sleep } from "@teaselrouter/daemon/transport/sleep.ts";
 import { Buffer } from "node:buffer";
 import { EventEmitter } from "node:events";
 import type { ServerResponse } from "node:http";
@@ -205,7 +205,7 @@
       answers.push(
         await fixture.handleCall(round % ENTRY_HOST_COUNT, CRASHING_BODY),
       );
-      await pause(ROUND_MILLISECONDS);
+      await sleep(ROUND_MILLISECONDS);
     }
     assert.ok(
       fixture.crashCount <= MAX_CRASHES,
--- a/packages/experiments/src/failures/engine_loading_test.ts
+++ b/packages/experiments/src/failures/engine_loading_test.ts
@@ -1,4 +1,4 @@
-import { pause } from "@teaselrouter/daemon/transport/pause.ts";
+import { sleep } from "@teaselrouter/daemon/transport/sleep.ts";
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import type { AgentFixture } from "./agent_fixture.ts";
@@ -34,7 +34,7 @@
       fixture.setCompleteTarget("2");
       assert.ok(await fixture.waitUntilServing("2"));
       const calls = fixture.makeCallsFor(1_500);
-      await pause(300);
+      await sleep(300);
       const status = await sendStaleLoadOrder(fixture, "1");
       assert.equal(status, checksFencing ? 409 : 202);
       await calls;
--- a/packages/experiments/src/failures/exchange_test.ts
+++ b/packages/experiments/src/failures/exchange_test.ts
@@ -1,4 +1,4 @@
-import { pause } from "@teaselrouter/daemon/transport/pause.ts";
+import { sleep } from "@teaselrouter/daemon/transport/sleep.ts";
 import type { Exchange } from "@teaselrouter/daemon/agent/exchange.ts";
 import assert from "node:assert/strict";
 import { test } from "node:test";
@@ -62,7 +62,7 @@
     fixture.setCompleteTarget("1");
     assert.ok(await fixture.waitUntilServing("1"));
     const exchange = fixture.startCall("read twice");
-    await pause(20);
+    await sleep(20);
     const whole = await readFrom(exchange, 0);
     assert.ok(whole.length > 100);
     for (const offset of [0, 1, 99, whole.length - 1, whole.length]) {
--- a/packages/experiments/src/failures/live_requests_test.ts
+++ b/packages/experiments/src/failures/live_requests_test.ts
@@ -1,6 +1,6 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { pause } from "@teaselrouter/daemon/transport/pause.ts";
+import { sleep } from "@teaselrouter/daemon/transport/sleep.ts";
 import { waitUntil } from "../harness/wait_until.ts";
 import { fetchStatus } from "../harness/fetch_status.ts";
 import { withSystem } from "./with_system.ts";
@@ -26,10 +26,10 @@
     await system.measureSpread("1", 3);
     const load = system.startLoad(MODEL_LOAD);
     for (let round = 0; round < 3; round += 1) {
-      await pause(LOAD_PHASE_MILLISECONDS);
+      await sleep(LOAD_PHASE_MILLISECONDS);
       system.cluster.mesh.silenceOpenConnections();
     }
-    await pause(LOAD_PHASE_MILLISECONDS);
+    await sleep(LOAD_PHASE_MILLISECONDS);
     const { services, wrongDetails } = await system.stopLoad(load);
     const { drafter } = services;
     console.log(`seed ${SEED}: ${JSON.stringify(drafter)}`);
@@ -47,7 +47,7 @@
     await system.measureSpread("1", 3);
     const { cluster } = system;
     const load = system.startLoad(MODEL_LOAD);
-    await pause(LOAD_PHASE_MILLISECONDS / 2);
+    await sleep(LOAD_PHASE_MILLISECONDS / 2);
     for (const name of ["drafter-2", "van-2"]) {
       cluster.child(name).signal("SIGTERM");
       assert.equal(await cluster.child(name).exited, 0);
@@ -70,10 +70,10 @@
     await system.measureSpread("1", 3);
     const { cluster } = system;
     const load = system.startLoad(MODEL_LOAD);
-    await pause(LOAD_PHASE_MILLISECONDS / 2);
+    await sleep(LOAD_PHASE_MILLISECONDS / 2);
     cluster.child("drafter-1").signal("SIGKILL");
     await cluster.child("drafter-1").exited;
-    await pause(LOAD_PHASE_MILLISECONDS);
+    await sleep(LOAD_PHASE_MILLISECONDS);
     cluster.start("drafter-1");
     const back = await waitUntil(async () => {
       const status = await fetchStatus(cluster.publicUrl(0));
@@ -96,10 +96,10 @@
   await withSystem({}, async (system) => {
     await system.measureSpread("1", 3);
     const load = system.startLoad(MODEL_LOAD);
-    await pause(LOAD_PHASE_MILLISECONDS / 2);
+    await sleep(LOAD_PHASE_MILLISECONDS / 2);
     await system.runClient(["backend", "drain", "drafter-3"]);
     // The command returns once every entry host has applied it.
-    await pause(LOAD_PHASE_MILLISECONDS / 4);
+    await sleep(LOAD_PHASE_MILLISECONDS / 4);
     const status = await fetchStatus(system.cluster.publicUrl(0));
     const row = status!.backend_servers.find((server) =>
       server.backend_server === "drafter-3"
--- a/packages/experiments/src/failures/permit_release_test.ts
+++ b/packages/experiments/src/failures/permit_release_test.ts
@@ -1,4 +1,4 @@
-import { pause } from "@teaselrouter/daemon/transport/pause.ts";
+import { sleep } from "@teaselrouter/daemon/transport/sleep.ts";
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { fetchStatus } from "../harness/fetch_status.ts";
@@ -38,7 +38,7 @@
     );
     const hosts = cluster.entryHosts.map(({ name }) => cluster.child(name));
     for (const host of hosts) host.signal("SIGSTOP");
-    await pause(FREEZE_MILLISECONDS);
+    await sleep(FREEZE_MILLISECONDS);
     for (const host of hosts) host.signal("SIGCONT");
     const startedAt = performance.now();
     const isLive = await waitUntil(async () => {
--- a/packages/experiments/src/failures/spread_failures_test.ts
+++ b/packages/experiments/src/failures/spread_failures_test.ts
@@ -1,6 +1,6 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { pause } from "@teaselrouter/daemon/transport/pause.ts";
+import { sleep } from "@teaselrouter/daemon/transport/sleep.ts";
 import { fetchStatus } from "../harness/fetch_status.ts";
 import type { RunningSystem } from "../harness/running_system.ts";
 import { waitUntil } from "../harness/wait_until.ts";
@@ -49,7 +49,7 @@
     await system.measureSpread("1", 3);
     const load = system.startLoad(MODEL_LOAD);
     await system.publish("2");
-    await pause(HALFWAY_MILLISECONDS);
+    await sleep(HALFWAY_MILLISECONDS);
     cluster.child("drafter-2").signal("SIGKILL");
     await cluster.child("drafter-2").exited;
     cluster.start("drafter-2");
@@ -74,7 +74,7 @@
     await system.measureSpread("1", 3);
     const load = system.startLoad(MODEL_LOAD);
     await system.publish("2");
-    await pause(HALFWAY_MILLISECONDS);
+    await sleep(HALFWAY_MILLISECONDS);
     await system.publish("3");
     assert.ok(await waitUntilAllLive(system, "drafter@3", 0));
     const events = await system.runClient([
@@ -102,9 +102,9 @@
   await withSystem({ ...SLOW_SPREAD, withRelays: true }, async (system) => {
     await system.measureSpread("1", 3);
     await system.publish("2");
-    await pause(HALFWAY_MILLISECONDS);
+    await sleep(HALFWAY_MILLISECONDS);
     system.cluster.mesh.cutOff("pgr", "silent");
-    await pause(HALFWAY_MILLISECONDS * 2);
+    await sleep(HALFWAY_MILLISECONDS * 2);
     system.cluster.mesh.heal();
     assert.ok(await waitUntilAllLive(system, "drafter@2", 0));
     assert.ok(await waitUntilAllLive(system, "drafter@2", 2));
--- a/packages/experiments/src/failures/waiting_calls_test.ts
+++ b/packages/experiments/src/failures/waiting_calls_test.ts
@@ -1,4 +1,4 @@
-import { pause } from "@teaselrouter/daemon/transport/pause.ts";
+import { sleep } from "@teaselrouter/daemon/transport/sleep.ts";
 import { create } from "@bufbuild/protobuf";
 import { AgentState } from "@teaselrouter/daemon/agent/agent_state.ts";
 import { CallRunner } from "@teaselrouter/daemon/agent/call_runner.ts";
@@ -132,7 +132,7 @@
     const reasons = [];
     for (let index = 0; index < 15; index += 1) {
       reasons.push(await ask(`limited-${index}`));
-      await pause(100);
+      await sleep(100);
     }
     const ran = reasons.filter((reason) => reason === "answered").length;
     assert.ok(ran >= 1 && ran <= 5, `${ran} in 1.5 s`);
--- a/packages/experiments/src/fakes/crashing_service.ts
+++ b/packages/experiments/src/fakes/crashing_service.ts
@@ -1,5 +1,5 @@
 import { listen } from "@teaselrouter/daemon/transport/listen.ts";
-import { pause } from "@teaselrouter/daemon/transport/pause.ts";
+import { sleep } from "@teaselrouter/daemon/transport/sleep.ts";
 import { createServer } from "node:http";
 import { readAll } from "./read_all.ts";
 
@@ -18,7 +18,7 @@
   #isStopped = false;
   #server = createServer(async (request, response) => {
     const body = (await readAll(request)).toString("utf8");
-    await pause(CALL_DURATION_MILLISECONDS);
+    await sleep(CALL_DURATION_MILLISECONDS);
     if (body === this.#crashBody) return this.#crash();
     response.setHeader("Content-Type", "text/plain");
     response.end("done\n");
@@ -45,7 +45,7 @@
     this.crashCount += 1;
     this.#server.close();
     this.#server.closeAllConnections();
-    await pause(RESTART_DELAY_MILLISECONDS);
+    await sleep(RESTART_DELAY_MILLISECONDS);
     if (!this.#isStopped) await this.start();
   }
 }
--- a/packages/experiments/src/fakes/fake_engine.ts
+++ b/packages/experiments/src/fakes/fake_engine.ts
@@ -1,5 +1,5 @@
 import { listen } from "@teaselrouter/daemon/transport/listen.ts";
-import { pause } from "@teaselrouter/daemon/transport/pause.ts";
+import { sleep } from "@teaselrouter/daemon/transport/sleep.ts";
 import { createHash } from "node:crypto";
 import {
   createServer,
@@ -134,7 +134,7 @@
       });
       request.on("error", () => resolve(false));
     });
-    await pause(this.#options.loadMilliseconds);
+    await sleep(this.#options.loadMilliseconds);
     this.#digest = hash.digest("hex");
     this.#version = isComplete ? order.version : "";
     this.#loading = false;
@@ -157,7 +157,7 @@
       response.write(
         isUnchanged ? line : computeExpectedAnswer(this.#digest, body)[index],
       );
-      await pause(this.#options.lineIntervalMilliseconds);
+      await sleep(this.#options.lineIntervalMilliseconds);
     }
     response.end();
   }
--- a/packages/experiments/src/fakes/fake_service.ts
+++ b/packages/experiments/src/fakes/fake_service.ts
@@ -1,5 +1,5 @@
 import { listen } from "@teaselrouter/daemon/transport/listen.ts";
-import { pause } from "@teaselrouter/daemon/transport/pause.ts";
+import { sleep } from "@teaselrouter/daemon/transport/sleep.ts";
 import { createServer } from "node:http";
 import { Announcer } from "./announcer.ts";
 import { sha256Hex } from "./sha256_hex.ts";
@@ -38,7 +38,7 @@
       return void response.end();
     }
     this.executedBodies.push(body);
-    await pause(this.#options.callMilliseconds);
+    await sleep(this.#options.callMilliseconds);
     response.setHeader("Content-Type", "text/plain");
     if (this.limitPerSecond !== undefined) {
       response.setHeader("Teaselrouter-Limit", String(this.limitPerSecond));
--- a/packages/experiments/src/footprint/footprint_experiment.ts
+++ b/packages/experiments/src/footprint/footprint_experiment.ts
@@ -1,4 +1,4 @@
-import { pause } from "@teaselrouter/daemon/transport/pause.ts";
+import { sleep } from "@teaselrouter/daemon/transport/sleep.ts";
 import { formatTable } from "@teaselrouter/operator/output/format_table.ts";
 import process from "node:process";
 import { findFreeAddresses } from "../harness/find_free_addresses.ts";
@@ -57,7 +57,7 @@
 /** Measures the mean resource use of the processes over a few seconds. */
 async function measureCost(pids: number[]): Promise<Cost> {
   const before = pids.map(readUsage);
-  await pause(MEASUREMENT_SECONDS * 1_000);
+  await sleep(MEASUREMENT_SECONDS * 1_000);
   const after = pids.map(readUsage);
   const perSecond = (pick: (usage: (typeof before)[number]) => number) =>
     after.reduce(
@@ -144,7 +144,7 @@
         rows.push({ ...shape, run, phase, role, cost: costs[index]! });
       });
     };
-    await pause(SETTLE_MILLISECONDS);
+    await sleep(SETTLE_MILLISECONDS);
     await measurePhase("idle");
     await Promise.all([measurePhase("changes"), makeChanges(system)]);
     const load = system.startLoad({
@@ -157,7 +157,7 @@
         kind: "repeatable",
       }],
     });
-    await pause(1_000);
+    await sleep(1_000);
     await measurePhase("requests");
     await system.stopLoad(load);
     return rows;
@@ -182,7 +182,7 @@
       }),
     });
     await answer.text();
-    await pause(pauseMilliseconds);
+    await sleep(pauseMilliseconds);
   }
 }
 
--- a/packages/experiments/src/harness/wait_until.ts
+++ b/packages/experiments/src/harness/wait_until.ts
@@ -1,4 +1,4 @@
-import { pause } from "@teaselrouter/daemon/transport/pause.ts";
+import { sleep } from "@teaselrouter/daemon/transport/sleep.ts";
 
 const POLL_MILLISECONDS = 50;
 
@@ -10,7 +10,7 @@
   const deadline = Date.now() + timeoutMilliseconds;
   while (Date.now() < deadline) {
     if (await check()) return true;
-    await pause(POLL_MILLISECONDS);
+    await sleep(POLL_MILLISECONDS);
   }
   return false;
 }
--- a/packages/experiments/src/load/load_driver.ts
+++ b/packages/experiments/src/load/load_driver.ts
@@ -1,7 +1,7 @@
 import { build } from "hdr-histogram-js";
 import { readFileSync } from "node:fs";
 import process from "node:process";
-import { pause } from "@teaselrouter/daemon/transport/pause.ts";
+import { sleep } from "@teaselrouter/daemon/transport/sleep.ts";
 import type { CallResult } from "./call_result.ts";
 import type { LoadPlan } from "./load_plan.ts";
 import type { LoadSummary } from "./load_summary.ts";
@@ -58,7 +58,7 @@
     const startedAt = performance.now();
     for (let sent = 0; !this.#isStopped; sent += 1) {
       const due = startedAt + sent * 1_000 / stream.callsPerSecond;
-      await pause(Math.max(0, due - performance.now()));
+      await sleep(Math.max(0, due - performance.now()));
       const call = this.#callOnce(stream);
       this.#callsInFlight.add(call);
       call.finally(() => this.#callsInFlight.delete(call));
@@ -94,7 +94,7 @@
         result.kind === "unreached" ||
         (result.kind === "refused" && result.outcome === "unknown");
       if (!isUnresolved) return result;
-      await pause(OUTCOME_RETRY_MILLISECONDS);
+      await sleep(OUTCOME_RETRY_MILLISECONDS);
       result = await this.#send(stream, body, this.#callCount + retry);
     }
     return result;
--- a/packages/experiments/src/overload/measure_overload.ts
+++ b/packages/experiments/src/overload/measure_overload.ts
@@ -1,4 +1,4 @@
-import { pause } from "@teaselrouter/daemon/transport/pause.ts";
+import { sleep } from "@teaselrouter/daemon/transport/sleep.ts";
 import { formatTable } from "@teaselrouter/operator/output/format_table.ts";
 import { RunningSystem } from "../harness/running_system.ts";
 import { createSmallTopology } from "../harness/create_small_topology.ts";
@@ -53,7 +53,7 @@
           { service: "drafter", callsPerSecond: rate, kind: "engine" },
         ],
       });
-      await pause(SECONDS * 1_000);
+      await sleep(SECONDS * 1_000);
       const row = (await system.stopLoad(load)).services["drafter"]!;
       wrong += row.wrong + row.cut;
       rows.push([
--- a/packages/experiments/src/requests/request_experiment.ts
+++ b/packages/experiments/src/requests/request_experiment.ts
@@ -1,4 +1,4 @@
-import { pause } from "@teaselrouter/daemon/transport/pause.ts";
+import { sleep } from "@teaselrouter/daemon/transport/sleep.ts";
 import { formatTable } from "@teaselrouter/operator/output/format_table.ts";
 import { build, type Histogram } from "hdr-histogram-js";
 import { createPortalSystem } from "../control/create_portal_system.ts";
@@ -35,7 +35,7 @@
   const count = rate * seconds;
   for (let index = 0; index < count; index += 1) {
     const due = startedAt + index * 1_000 / rate;
-    await pause(Math.max(0, due - performance.now()));
+    await sleep(Math.max(0, due - performance.now()));
     const call = makeCall({
       entry: url,
       workspace: "desk",
--- a/packages/experiments/src/spread/spread_experiment.ts
+++ b/packages/experiments/src/spread/spread_experiment.ts
@@ -1,5 +1,5 @@
 import { formatTable } from "@teaselrouter/operator/output/format_table.ts";
-import { pause } from "@teaselrouter/daemon/transport/pause.ts";
+import { sleep } from "@teaselrouter/daemon/transport/sleep.ts";
 import { findRunErrors } from "../harness/find_run_faults.ts";
 import { RunningSystem } from "../harness/running_system.ts";
 import { createSmallTopology } from "../harness/create_small_topology.ts";
@@ -83,7 +83,7 @@
     await system.runClient([...args, "100", "--services", "drafter,ledger"]);
     await system.measureSpread("1", replicas);
     const baselineLoad = system.startLoad(plan);
-    await pause(BASELINE_MILLISECONDS);
+    await sleep(BASELINE_MILLISECONDS);
     const baseline = await system.stopLoad(baselineLoad);
     const load = system.startLoad({ ...plan, seed: SEED + 1 });
     const spread = await system.measureSpread("2", replicas);
