--- a/acceptance/src/end_to_end_system.ts
+++ b/acceptance/src/end_to_end_system.ts
@@ -117,9 +117,9 @@
     );
   }
 
-  async stop(): Promise<void> {
+  async stop(options: { keepLogs?: boolean } = {}): Promise<void> {
     clearInterval(this.#heartbeatTimer);
-    await this.cluster.stop();
+    await this.cluster.stop(options);
     for (const server of [...this.engines, this.plainServer, this.store]) {
       server.close();
     }
--- a/acceptance/src/incident_day.ts
+++ b/acceptance/src/incident_day.ts
@@ -63,6 +63,7 @@
   async run(): Promise<DayResult> {
     const system = this.#system;
     const disruptions = this.#drawDisruptions();
+    let keepLogs = true;
     try {
       await system.start();
       for (const engine of system.engines) engine.crashingBodies = CRASH_BODIES;
@@ -74,9 +75,11 @@
       ];
       await Promise.all(work);
       const answers = await Promise.all(this.#answers);
-      return this.#buildResult(answers, disruptions);
+      const result = this.#buildResult(answers, disruptions);
+      keepLogs = result.faults.length > 0;
+      return result;
     } finally {
-      await system.stop();
+      await system.stop({ keepLogs });
     }
   }
 
--- a/acceptance/src/loopback_cluster.ts
+++ b/acceptance/src/loopback_cluster.ts
@@ -139,9 +139,14 @@
     return host;
   }
 
-  async stop(): Promise<void> {
+  /**
+   * Kills all processes, and deletes the cluster's folder unless its logs are
+   * to be kept.
+   */
+  async stop({ keepLogs = false } = {}): Promise<void> {
     for (const { child } of this.#hosts) child.signal("SIGKILL");
     await Promise.all(this.#hosts.map(({ child }) => child.exited));
+    if (keepLogs) return console.error(`logs are kept in ${this.folder}`);
     rmSync(this.folder, { recursive: true, force: true });
   }
 }
--- a/acceptance/src/pushback_day.ts
+++ b/acceptance/src/pushback_day.ts
@@ -63,6 +63,7 @@
 
   async run(): Promise<PushbackDayResult> {
     const system = this.#system;
+    let keepLogs = true;
     try {
       await system.start();
       const requests = this.#sendRequests();
@@ -74,9 +75,11 @@
       await sleep(CALM_MILLISECONDS);
       this.#isOver = true;
       await requests;
-      return this.#buildResult(await Promise.all(this.#answers));
+      const result = this.#buildResult(await Promise.all(this.#answers));
+      keepLogs = result.faults.length > 0;
+      return result;
     } finally {
-      await system.stop();
+      await system.stop({ keepLogs });
     }
   }
 
