Failing test: gateways retry what is suspected elsewhere

Of a request that has ended two backend servers, control hosts know both ends, gateways only those that they saw.

--- a/acceptance/src/crashing_requests_test.ts
+++ b/acceptance/src/crashing_requests_test.ts
@@ -15,6 +15,7 @@
  * not reached all gateways.
  */
 const MAX_CRASHES = 6;
+const SERVED_REQUESTS = 30;
 const CHECK_TIMEOUT_MILLISECONDS = 10_000;
 
 function sleep(milliseconds: number): Promise<void> {
@@ -77,6 +78,24 @@
   return answers;
 }
 
+/** Sends requests that are served, for which the gateway may retry others. */
+async function earnRetries(
+  system: EndToEndSystem,
+  gateway: string,
+): Promise<void> {
+  let served = 0;
+  const isDone = await waitUntil(async () => {
+    const { status } = await ask(system, {
+      id: `other-${served}`,
+      gateway,
+      body: "prompt",
+    });
+    if (status === 200) served += 1;
+    return served >= SERVED_REQUESTS;
+  }, CHECK_TIMEOUT_MILLISECONDS);
+  assert.ok(isDone, `${served} other requests were served`);
+}
+
 function countCrashes(system: EndToEndSystem): number {
   return system.engines.reduce((sum, engine) => sum + engine.crashCount, 0);
 }
@@ -111,6 +130,19 @@
   });
 });
 
+// Guards against gateways that know only of the crashes that they saw: once one
+// more could be enough for a blame, each would still retry on its own.
+test("a gateway retries no request that is suspected through another gateway", async () => {
+  await withCrashingEngines(async (system) => {
+    await askGatewaysInTurn(system, 1);
+    assert.equal(countCrashes(system), 2, "the first gateway retries once");
+    const [, second] = system.gatewayIps;
+    await earnRetries(system, second!);
+    await ask(system, { id: "copy", gateway: second!, body: CRASH_BODY });
+    assert.equal(countCrashes(system), 3);
+  });
+});
+
 // Guards against a blame that is lost when all hosts lose power: three more
 // backend servers would crash until the request is blamed again.
 test("a request that crashes backend servers is still refused after a power loss", async () => {
