Entry hosts tell an agent the permit that the log has for it

Cause: a permit to load was told once, over the stream on which it had been asked for. Where that stream had ended, the permit stood in the log for 60 s, and its agent, live under an earlier one, never gave it back. Three entry hosts could each have one request granted within milliseconds, as the log replaces a backend server's permit by its next one.

Change: a permit is now a state of the log that each entry host tells on each stream, with its age and the process that asked for it. An agent takes each fencing token once, and gives back what it has no use for: also a former process's, and one that arrives when the target is live. A permit's validity counts from its grant, not from its arrival. What the logs lacked: `load-permit`.

--- a/packages/daemon/src/agent/agent_app.ts
+++ b/packages/daemon/src/agent/agent_app.ts
@@ -2,6 +2,7 @@
 import type { WeightsManifest } from "@teaselrouter/core/spread/weights_manifest.ts";
 import type {
   EntryToAgent,
+  PermitGranted,
   WeightsTarget,
 } from "@teaselrouter/messages/agent.ts";
 import type { StatsD } from "hot-shots";
@@ -111,6 +112,7 @@
       engine,
       runner: this.#runner,
       log,
+      incarnation: this.#incarnation,
       weightsAddress: agent.listen,
     });
     this.#links = new RolloutLinks({
@@ -204,10 +206,7 @@
       case "plan":
         return this.#spread.applyPlan(body.value);
       case "permit":
-        return this.#loader.receivePermit(
-          body.value.version,
-          body.value.fencingToken,
-        );
+        return this.#handlePermit(body.value);
       case "permitReturned":
         return this.#permitReturns.confirm(body.value.fencingToken);
     }
@@ -229,6 +228,12 @@
     this.#reportAllBlocks();
   }
 
+  #handlePermit({ ageMilliseconds, ...permit }: PermitGranted): void {
+    const { version, fencingToken, incarnation } = permit;
+    const at = Date.now() - ageMilliseconds;
+    this.#loader.receivePermit({ version, fencingToken, incarnation, at });
+  }
+
   #broadcastAnnouncement(): void {
     if (this.#state.backend === undefined) return;
     this.#links.broadcast(() => this.#createAnnouncementMessage());
--- a/packages/daemon/src/agent/engine_loader.ts
+++ b/packages/daemon/src/agent/engine_loader.ts
@@ -19,7 +19,9 @@
 type Permit = {
   version: string;
   fencingToken: number;
-  /** When the permit was received, Unix milliseconds. */
+  /** Of the agent process that asked for it. */
+  incarnation: string;
+  /** When the permit was granted, Unix milliseconds. */
   at: number;
 };
 
@@ -29,6 +31,8 @@
   engine: EngineClient;
   runner: CallRunner;
   log: EventLog;
+  /** Id of this agent process. */
+  incarnation: string;
   /** This agent's own port, for the engine to read weights from. */
   weightsAddress: string;
 };
@@ -51,8 +55,8 @@
   >();
   #options: Options;
   #target = "";
-  /** The latest one received. */
   #permit: Permit | undefined;
+  #highestFencingToken = 0;
   /** The one that the load in progress was ordered under. */
   #permitInUse: Permit | undefined;
   #permitRequestedAt = 0;
@@ -76,25 +80,42 @@
     this.#returnUnusedPermit();
   }
 
-  receivePermit(version: string, fencingToken: number): void {
-    const isOld = fencingToken <= (this.#permit?.fencingToken ?? 0);
-    if (isOld) return;
-    this.#permit = { version, fencingToken, at: Date.now() };
+  /**
+   * Each entry host tells the permit that the log has, so the same one arrives
+   * several times, and from a host that lags after it was given back.
+   */
+  receivePermit(permit: Permit): void {
+    if (permit.fencingToken <= this.#highestFencingToken) return;
+    this.#highestFencingToken = permit.fencingToken;
+    this.#permit = permit;
+    this.#logPermit("received", permit);
     this.#returnUnusedPermit();
   }
 
   /**
    * Gives back a permit that this agent has no use for: another version is the
-   * target, or the engine serves it already.
+   * target, the engine serves it already, or a former process asked for it.
    */
   #returnUnusedPermit(): void {
     const permit = this.#permit;
     if (permit === undefined || permit === this.#permitInUse) return;
-    const isUseful = permit.version === this.#target &&
+    const isUseful = permit.incarnation === this.#options.incarnation &&
+      permit.version === this.#target &&
       permit.version !== this.#options.state.servingVersion;
     if (isUseful) return;
     this.#permit = undefined;
-    this.loadEnded$.next({ ...permit, loaded: false });
+    this.#endPermit(permit, false);
+  }
+
+  #logPermit(change: string, { version, fencingToken }: Permit): void {
+    const fields = { change, version, fencing_token: fencingToken };
+    this.#options.log.info("load-permit", fields);
+  }
+
+  #endPermit(permit: Permit, loaded: boolean): void {
+    this.#logPermit("returned", permit);
+    const { version, fencingToken } = permit;
+    this.loadEnded$.next({ version, fencingToken, loaded });
   }
 
   async #run(): Promise<void> {
@@ -189,7 +210,7 @@
       await this.#checkEngineState();
     }
     state.setLoading(false);
-    this.loadEnded$.next({ ...permit, loaded });
+    this.#endPermit(permit, loaded);
     this.#returnUnusedPermit();
     if (!loaded) await sleep(RETRY_DELAY_MILLISECONDS);
   }
--- a/packages/daemon/src/entry/sessions/agent_session.ts
+++ b/packages/daemon/src/entry/sessions/agent_session.ts
@@ -46,6 +46,7 @@
   #lastMessageAt = Date.now();
   #sentTargetIndex = 0;
   #sentDrained = false;
+  #sentFencingToken = 0;
   #timer: NodeJS.Timeout;
 
   constructor(options: Options) {
@@ -195,8 +196,6 @@
       live,
       // The leader sets the time.
       at: 0,
-    }, ({ version, fencingToken }) => {
-      this.#send({ case: "permit", value: { version, fencingToken } });
     });
   }
 
@@ -212,13 +211,14 @@
   }
 
   /**
-   * Sends the agent its drain state if that has changed, and the weights to
-   * load if they are newer than those sent before.
+   * Sends the agent its drain state and its permit if they have changed, and
+   * the weights to load if they are newer than those sent before.
    */
   #sendStateUpdates(state: ControlState): void {
     const service = this.#announcement?.service;
     if (service === undefined) return;
     this.#sendDrainUpdate(state);
+    this.#sendPermitUpdate(state);
     const weights = state.weights.get(service);
     if (weights === undefined || weights.index <= this.#sentTargetIndex) return;
     this.#sentTargetIndex = weights.index;
@@ -242,6 +242,23 @@
     this.#send({ case: "drain", value: drained });
   }
 
+  /**
+   * Whoever asked for the permit: the stream over which it was asked for may
+   * have ended, and a permit that its agent doesn't know is never given back.
+   */
+  #sendPermitUpdate(state: ControlState): void {
+    const permit = state.permits.get(this.#backendServer);
+    if (permit === undefined) return;
+    const { version, fencingToken, incarnation, at } = permit;
+    if (fencingToken <= this.#sentFencingToken) return;
+    this.#sentFencingToken = fencingToken;
+    const ageMilliseconds = Math.max(0, Date.now() - at);
+    this.#send({
+      case: "permit",
+      value: { version, fencingToken, incarnation, ageMilliseconds },
+    });
+  }
+
   #updateHeardAt(): void {
     const row = this.#row;
     if (row !== undefined) row.heardAt = this.#lastMessageAt;
--- a/packages/daemon/src/entry/sessions/permit_queue.ts
+++ b/packages/daemon/src/entry/sessions/permit_queue.ts
@@ -1,4 +1,3 @@
-import type { PermitRow } from "@teaselrouter/core/rollout/permit_row.ts";
 import type { CommandOf } from "@teaselrouter/core/state/command_of.ts";
 import type { ControlSession } from "./control_session.ts";
 
@@ -12,7 +11,6 @@
 type QueuedRequest = {
   request: Request;
   requestedAt: number;
-  onGranted: (permit: PermitRow) => void;
 };
 
 /**
@@ -41,17 +39,17 @@
   }
 
   /**
-   * Queues a request and calls `onGranted` once the log grants a permit. Agents
-   * repeat their request while they wait; a repeated one replaces the earlier
-   * one in its place, so that each backend server is queued once.
+   * Queues a request. Agents repeat their request while they wait; a repeated
+   * one replaces the earlier one in its place, so that each backend server is
+   * queued once.
    */
-  add(request: Request, onGranted: (permit: PermitRow) => void): void {
+  add(request: Request): void {
     const queue = this.#queues.get(request.service) ?? [];
     this.#queues.set(request.service, queue);
     const existing = queue.find((candidate) =>
       candidate.request.backendServer === request.backendServer
     );
-    const queued = { request, onGranted, requestedAt: Date.now() };
+    const queued = { request, requestedAt: Date.now() };
     if (existing === undefined) queue.push(queued);
     else Object.assign(existing, queued);
     this.#proposeForService(request.service);
@@ -97,7 +95,6 @@
       reply.result.reason === "serving-share-would-be-broken";
     if (isRefusedForServingShare) return false;
     queue.splice(queue.indexOf(first), 1);
-    if (reply.result.accepted) first.onGranted(reply.result.value as PermitRow);
     return true;
   }
 }
--- a/packages/daemon/src/log/event_name.ts
+++ b/packages/daemon/src/log/event_name.ts
@@ -34,6 +34,7 @@
   | "limited-server-passed-over"
   | "load-failed"
   | "load-ordered"
+  | "load-permit"
   | "manifest-failed"
   | "membership-change"
   | "pause-requested"
--- a/packages/experiments/src/failures/agent_fixture.ts
+++ b/packages/experiments/src/failures/agent_fixture.ts
@@ -21,6 +21,7 @@
   chunkBytes: 1_048_576,
   commonChunks: 0,
 };
+const INCARNATION = "test";
 const SERVING_TIMEOUT_MILLISECONDS = 10_000;
 const CALL_INTERVAL_MILLISECONDS = 10;
 
@@ -53,7 +54,7 @@
     this.#runner = new CallRunner({
       state: this.state,
       engine,
-      incarnation: "test",
+      incarnation: INCARNATION,
     });
     this.#server = new AgentServer({
       dataCentre: "van",
@@ -68,11 +69,17 @@
       engine,
       runner: this.#runner,
       log: new EventLog("test", "error"),
+      incarnation: INCARNATION,
       weightsAddress: this.agentAddress,
     });
     this.loader.permitRequested$.subscribe(({ version }) => {
       this.#fencingToken += 1;
-      this.loader.receivePermit(version, this.#fencingToken);
+      this.loader.receivePermit({
+        version,
+        fencingToken: this.#fencingToken,
+        incarnation: INCARNATION,
+        at: Date.now(),
+      });
     });
     this.engine = new FakeEngine({
       address: this.engineAddress,
