Control hosts tell gateways which requests are suspected

Cause: of a request at two ends of backend servers control hosts knew, but told gateways only of a blame, at three. Each gateway that received a copy sent it to a second backend server, as it had seen one end itself at most.

Change: the reports of a request that one more end could get blamed are sent to gateways, the likeliest culprit first, 30 a second at most; a gateway counts them as its own evidence, and retries nothing of that. A gateway that follows anew is told what stands. Only requests that were newly reported are looked at, so that a flood of reports costs control hosts no sorting of all suspects.

--- a/packages/core/src/crashes/crash_evidence.ts
+++ b/packages/core/src/crashes/crash_evidence.ts
@@ -38,6 +38,14 @@
     return [...this.#crashes.keys()];
   }
 
+  reportsFor(fingerprint: string): CrashReport[] {
+    return [...this.#crashes].map(([incarnation, { begunMilliseconds }]) => ({
+      fingerprint,
+      incarnation,
+      begunMilliseconds,
+    }));
+  }
+
   get weight(): number {
     return [...this.#crashes.values()].reduce(
       (sum, { begunMilliseconds }) =>
--- a/packages/core/src/crashes/crash_ledger.ts
+++ b/packages/core/src/crashes/crash_ledger.ts
@@ -35,6 +35,8 @@
   decisionDelayMilliseconds: number;
 };
 
+type Suspect = [fingerprint: string, evidence: CrashEvidence];
+
 /**
  * Identifies the requests that crash the backend servers running them, and
  * decides how long these requests are refused.
@@ -171,6 +173,27 @@
     return wasSuspect || wasBlamed;
   }
 
+  /**
+   * Reports of those of the given requests, by default of all, that may not be
+   * retried and are not blamed, grouped by request. The requests whose answers
+   * had started the shortest time before their crashes, the likeliest culprits,
+   * come first.
+   */
+  listSuspicions(
+    fingerprints: Iterable<string> = this.#suspects.keys(),
+  ): CrashReport[][] {
+    return [...new Set(fingerprints)]
+      .filter((fingerprint) =>
+        !this.mayRetry(fingerprint) && !this.#blamed.has(fingerprint)
+      )
+      .map((fingerprint): Suspect => [
+        fingerprint,
+        this.#suspects.get(fingerprint)!,
+      ])
+      .sort(byTimeFromAnswerStart)
+      .map(([fingerprint, evidence]) => evidence.reportsFor(fingerprint));
+  }
+
   listBlames(): Blame[] {
     return [...this.#blamed.values()];
   }
@@ -196,17 +219,14 @@
     }
   }
 
-  #decidableSuspects(now: number): [string, CrashEvidence][] {
+  #decidableSuspects(now: number): Suspect[] {
     return [...this.#suspects]
       .filter(([fingerprint, { weight, lastReportedAt }]) =>
         weight >= CRASHES_TO_BLAME &&
         now - lastReportedAt >= this.#options.decisionDelayMilliseconds &&
         !this.#blamed.has(fingerprint)
       )
-      .sort(([, left], [, right]) =>
-        left.meanMillisecondsFromAnswerStart -
-        right.meanMillisecondsFromAnswerStart
-      );
+      .sort(byTimeFromAnswerStart);
   }
 
   #recordBlame(blame: Blame): void {
@@ -264,6 +284,14 @@
   }
 }
 
+function byTimeFromAnswerStart(
+  [, left]: Suspect,
+  [, right]: Suspect,
+): number {
+  return left.meanMillisecondsFromAnswerStart -
+    right.meanMillisecondsFromAnswerStart;
+}
+
 function dropOldest(entries: Map<string, unknown>, maxSize: number): void {
   if (entries.size <= maxSize) return;
   entries.delete(entries.keys().next().value!);
--- a/packages/core/src/crashes/crash_ledger_test.ts
+++ b/packages/core/src/crashes/crash_ledger_test.ts
@@ -52,6 +52,26 @@
   assert.equal(ledger.checkBlame("other", 2_000), undefined);
 });
 
+// Guards against telling other hosts of a hundred requests that ran beside the
+// one at fault, and not of that one.
+test("the likeliest culprit comes first of those that may not be retried", () => {
+  const ledger = createLedger();
+  const besides = Array.from({ length: 100 }, (_, index) => `beside-${index}`);
+  for (const incarnation of ["a", "b"]) {
+    reportAll(ledger, [
+      ...besides.map((name) => bystanderReport(incarnation, name)),
+      culpritReport(incarnation),
+    ]);
+  }
+  reportAll(ledger, [culpritReport("a", "once")]);
+  const suspicions = ledger.listSuspicions();
+  assert.equal(suspicions.length, besides.length + 1, "not those at one crash");
+  assert.deepEqual(suspicions[0], [culpritReport("a"), culpritReport("b")]);
+  reportAll(ledger, [culpritReport("c")]);
+  assert.deepEqual(decideFingerprints(ledger), ["culprit"]);
+  assert.deepEqual(ledger.listSuspicions(), [], "their crashes are explained");
+});
+
 // Guards against refusing requests that only ran beside the one at fault.
 test("a request in flight at all three crashes of another is not blamed", () => {
   const names = ["a", "b", "c"];
--- a/packages/daemon/src/control/crash_attributor.ts
+++ b/packages/daemon/src/control/crash_attributor.ts
@@ -23,8 +23,10 @@
 const MAX_REPORTS_PER_SECOND = 150;
 /** A newly connected follower gets the latest blames, up to this number. */
 const MAX_INITIAL_BLAMES = 128;
+/** Bounds the suspicions sent to each gateway to 3 KB/s. */
+const MAX_SUSPICION_REPORTS_PER_SECOND = 30;
 /** As many suspicions as the replicated state keeps. */
-const MAX_PERSISTED_FINGERPRINTS = 256;
+const MAX_REMEMBERED_FINGERPRINTS = 256;
 /**
  * Many requests are in flight when a backend server ends, and each persisted
  * suspicion costs a commit.
@@ -44,6 +46,11 @@
 export class CrashAttributor {
   /** New and cleared blames, for all followers of this host. */
   readonly blameNews$ = new Subject<CrashNews>();
+  /**
+   * Reports of requests that no gateway should retry, as one more crash could
+   * be enough to blame them; for gateways, which see only their own attempts.
+   */
+  readonly suspicionNews$ = new Subject<CrashNews>();
   /** Reports that gateways sent to this host, for other control hosts. */
   readonly localReports$ = new Subject<CrashNews>();
   /** Blames decided here or sent by a gateway, to be committed. */
@@ -59,6 +66,11 @@
   #ledger = new CrashLedger({
     decisionDelayMilliseconds: DECISION_DELAY_MILLISECONDS,
   });
+  /** Fingerprints in `suspicionNews$` so far; oldest first. */
+  #toldSuspects = new Set<string>();
+  #suspicionReportBudget = new NewsRateLimiter(
+    MAX_SUSPICION_REPORTS_PER_SECOND,
+  );
   /** Fingerprints emitted as suspicions or restored; oldest first. */
   #persisted = new Set<string>();
   #suspicionBudget = new NewsRateLimiter(MAX_SUSPICIONS_PER_SECOND);
@@ -108,6 +120,15 @@
     return blames.length === 0 ? undefined : this.#encodeBlames(blames);
   }
 
+  /** The current suspicions, for a new gateway; undefined if there are none. */
+  currentSuspicions(): CrashNews | undefined {
+    const reports = this.#ledger.listSuspicions().flat()
+      .slice(0, MAX_SUSPICION_REPORTS_PER_SECOND);
+    return reports.length === 0
+      ? undefined
+      : create(CrashNewsSchema, { reports: reports.map(encodeCrashReport) });
+  }
+
   /** Adds the evidence in the replicated state on requests not blamed yet. */
   restoreSuspicions(suspicions: Suspicion[]): void {
     const now = monotonicMilliseconds();
@@ -123,13 +144,10 @@
   }
 
   #persistSuspicion(fingerprint: string): void {
-    const isPersisted = this.#persisted.has(fingerprint);
-    if (isPersisted || this.#ledger.mayRetry(fingerprint)) return;
+    if (this.#persisted.has(fingerprint)) return;
+    if (this.#ledger.listSuspicions([fingerprint]).length === 0) return;
     if (this.#suspicionBudget.take(1, monotonicMilliseconds()) === 0) return;
-    this.#persisted.add(fingerprint);
-    if (this.#persisted.size > MAX_PERSISTED_FINGERPRINTS) {
-      this.#persisted.delete(this.#persisted.values().next().value!);
-    }
+    rememberLatest(this.#persisted, fingerprint);
     const incarnations = this.#ledger.incarnationsOf(fingerprint);
     this.suspected$.next({ fingerprint, incarnations });
   }
@@ -138,10 +156,32 @@
     const now = monotonicMilliseconds();
     const newReports = news.reports.map(decodeCrashReport)
       .filter((report) => this.#ledger.recordReport(report, now));
-    if (newReports.length > 0) this.#scheduleDecision();
+    if (newReports.length === 0) return [];
+    this.#scheduleDecision();
+    this.#publishSuspicions(newReports);
     return newReports;
   }
 
+  /** Those above the budget are left until their next report. */
+  #publishSuspicions(newReports: CrashReport[]): void {
+    const now = monotonicMilliseconds();
+    const fingerprints = newReports
+      .map(({ fingerprint }) => fingerprint)
+      .filter((fingerprint) => !this.#toldSuspects.has(fingerprint));
+    const reports: CrashReport[] = [];
+    for (const suspicion of this.#ledger.listSuspicions(fingerprints)) {
+      const { fingerprint } = suspicion[0]!;
+      const wanted = suspicion.length;
+      if (this.#suspicionReportBudget.take(wanted, now) < wanted) break;
+      rememberLatest(this.#toldSuspects, fingerprint);
+      reports.push(...suspicion);
+    }
+    if (reports.length === 0) return;
+    this.suspicionNews$.next(
+      create(CrashNewsSchema, { reports: reports.map(encodeCrashReport) }),
+    );
+  }
+
   /** Adds blames and clears others; returns the blames that were new. */
   #addBlames({ blamed, cleared }: CrashNews): Blame[] {
     const now = monotonicMilliseconds();
@@ -161,6 +201,9 @@
     const committed = fingerprints
       .filter((fingerprint) => recorded.has(fingerprint));
     for (const fingerprint of committed) this.#persisted.delete(fingerprint);
+    for (const fingerprint of fingerprints) {
+      this.#toldSuspects.delete(fingerprint);
+    }
     const cleared = fingerprints
       .filter((fingerprint) => this.#ledger.clear(fingerprint));
     if (cleared.length === 0) return;
@@ -210,3 +253,10 @@
     });
   }
 }
+
+/** Adds a fingerprint; above the maximum, the oldest one is dropped. */
+function rememberLatest(fingerprints: Set<string>, latest: string): void {
+  fingerprints.add(latest);
+  if (fingerprints.size <= MAX_REMEMBERED_FINGERPRINTS) return;
+  fingerprints.delete(fingerprints.values().next().value!);
+}
--- a/packages/daemon/src/control/follow_session.ts
+++ b/packages/daemon/src/control/follow_session.ts
@@ -98,11 +98,12 @@
     const { crashes } = this.#view;
     const blames = crashes.currentBlames();
     if (blames !== undefined) this.#sendCrashes(blames);
-    const news$ = isControl
-      ? merge(crashes.blameNews$, crashes.localReports$)
-      : crashes.blameNews$;
+    const suspicions = isControl ? undefined : crashes.currentSuspicions();
+    if (suspicions !== undefined) this.#sendCrashes(suspicions);
+    const reports$ = isControl ? crashes.localReports$ : crashes.suspicionNews$;
     this.#subscriptions.add(
-      news$.subscribe((news) => this.#sendCrashes(news)),
+      merge(crashes.blameNews$, reports$)
+        .subscribe((news) => this.#sendCrashes(news)),
     );
   }
 
--- a/packages/daemon/src/gateway/crash_reporter.ts
+++ b/packages/daemon/src/gateway/crash_reporter.ts
@@ -12,6 +12,7 @@
 import { toBlameFields } from "../log/to_blame_fields.ts";
 import type { EventLog } from "../log/event_log.ts";
 import { decodeBlame } from "../transport/decode_blame.ts";
+import { decodeCrashReport } from "../transport/decode_crash_report.ts";
 import { encodeBlame } from "../transport/encode_blame.ts";
 import { encodeCrashReport } from "../transport/encode_crash_report.ts";
 import { monotonicMilliseconds } from "../transport/monotonic_milliseconds.ts";
@@ -170,9 +171,13 @@
     }, DECISION_DELAY_MILLISECONDS);
   }
 
-  #applyUpdate({ blamed, cleared }: CrashNews): void {
+  #applyUpdate({ reports, blamed, cleared }: CrashNews): void {
     const now = monotonicMilliseconds();
     for (const fingerprint of cleared) this.#ledger.clear(fingerprint);
+    for (const report of reports) {
+      this.#ledger.recordReport(decodeCrashReport(report), now);
+    }
+    if (reports.length > 0) this.#scheduleDecision();
     const learnt = blamed
       .map((request) => decodeBlame(request, now))
       .filter((blame) => this.#ledger.mergeBlame(blame));
