Failing test: a blame that finds no leader is forgotten

Two of three control hosts are killed while a request ends its backend servers; the third decides the blame and proposes it for 0.85 s. With all three back and a leader elected, a loss of all power forgets it: the request runs again, in 4 of 4 runs. With the two frozen instead of killed it passed 5 of 5 times: the forwarded proposal waits in the leader's socket.

--- a/acceptance/src/crashing_requests_test.ts
+++ b/acceptance/src/crashing_requests_test.ts
@@ -15,6 +15,8 @@
  * not reached all gateways.
  */
 const MAX_CRASHES = 6;
+/** Enough for an election and a commit. */
+const COMMIT_MILLISECONDS = 3_000;
 const SERVED_REQUESTS = 30;
 const CHECK_TIMEOUT_MILLISECONDS = 10_000;
 
@@ -44,8 +46,13 @@
 
 async function withCrashingEngines(
   scenario: (system: EndToEndSystem) => Promise<void>,
+  { controlHosts = 1 } = {},
 ): Promise<void> {
-  const system = new EndToEndSystem({ engines: ENGINES, gateways: GATEWAYS });
+  const system = new EndToEndSystem({
+    engines: ENGINES,
+    gateways: GATEWAYS,
+    controlHosts,
+  });
   try {
     await system.start();
     for (const engine of system.engines) engine.crashingBodies = [CRASH_BODY];
@@ -155,6 +162,25 @@
   });
 });
 
+// Guards against a blame that is decided while no leader can commit it, and then
+// forgotten when all hosts lose power.
+test("a blame that could not be committed at first survives a power loss", async () => {
+  await withCrashingEngines(async (system) => {
+    const killed = system.controlNames.slice(0, -1);
+    for (const name of killed) {
+      system.cluster.findHost(name).child.signal("SIGKILL");
+    }
+    const answers = await askGatewaysInTurn(system, ATTEMPTS);
+    assertRefused(answers.slice(-GATEWAYS));
+    await system.cluster.restart(killed);
+    await sleep(COMMIT_MILLISECONDS);
+    const before = countCrashes(system);
+    await system.restartAll();
+    assertRefused(await askGatewaysInTurn(system, GATEWAYS));
+    assert.equal(countCrashes(system), before);
+  }, { controlHosts: 3 });
+});
+
 // Guards against crashes that are forgotten when all hosts lose power before
 // the request is blamed: counting would start again at zero, and three more
 // backend servers would crash until the blame.
