Control hosts propose what is known of crashes until the log has it

Cause: a control host proposed a blame, a suspicion or the end of one for 0.85 s. Without a leader in that time it was known, but not kept, and no other host would propose it: a loss of all power forgot it.

Change: `CrashRecordProposals`, taken out of the entry hosts' crash detector, which already had this; a later change of the same request replaces an earlier one, and of more than 256 the oldest is dropped with a log line.

--- a/packages/daemon/src/control/control_operations_handler.ts
+++ b/packages/daemon/src/control/control_operations_handler.ts
@@ -1,6 +1,4 @@
 import { create } from "@bufbuild/protobuf";
-import type { BlamedRequestRow } from "@teaselrouter/core/crashes/blamed_request_row.ts";
-import type { SuspectedRequestRow } from "@teaselrouter/core/crashes/suspected_request_row.ts";
 import { findConfigurationError } from "@teaselrouter/core/gateway/find_configuration_error.ts";
 import type { BackendAnnouncement } from "@teaselrouter/core/membership/backend_announcement.ts";
 import type { Command } from "@teaselrouter/core/state/command.ts";
@@ -99,22 +97,10 @@
   }
 
   /**
-   * Commits a blame, so that it survives a power loss of all control hosts.
-   * Returns false if this did not succeed within 850 ms.
+   * Commits a command. Returns false if this did not succeed within 850 ms; it
+   * may be committed later.
    */
-  async persistBlame(row: BlamedRequestRow): Promise<boolean> {
-    const command = { kind: "blame-request" as const, ...row };
-    return await this.#execute(command) !== undefined;
-  }
-
-  /** Commits the evidence against a request that is not blamed yet. */
-  async persistSuspicion(row: SuspectedRequestRow): Promise<boolean> {
-    const command = { kind: "suspect-request" as const, ...row };
-    return await this.#execute(command) !== undefined;
-  }
-
-  async removeBlame(fingerprint: string): Promise<boolean> {
-    const command = { kind: "lift-blame" as const, fingerprint };
+  async commit(command: Command): Promise<boolean> {
     return await this.#execute(command) !== undefined;
   }
 
--- a/packages/daemon/src/control/platform_services.ts
+++ b/packages/daemon/src/control/platform_services.ts
@@ -1,9 +1,9 @@
 import type { ConnectRouter } from "@connectrpc/connect";
-import type { Blame } from "@teaselrouter/core/crashes/blame.ts";
 import type { ControlState } from "@teaselrouter/core/state/control_state.ts";
 import type { ControlUpdate } from "@teaselrouter/messages/follow.ts";
 import type { Observable } from "rxjs";
 import { Result } from "true-myth";
+import { CrashRecordProposals } from "../crashes/crash_record_proposals.ts";
 import type { EventLog } from "../log/event_log.ts";
 import type { Closable } from "../platform/closable.ts";
 import type { PlatformAdapter } from "../platform/platform_adapter.ts";
@@ -47,6 +47,7 @@
   #otherControlHosts: FollowSet;
   #manifests: ManifestFetcher;
   #rollout: RolloutHub;
+  #crashRecords: CrashRecordProposals;
   #server: Closable | undefined;
   /**
    * Whether `ControlHost.isCaughtUp` was found true since this process started.
@@ -106,17 +107,16 @@
     this.#otherControlHosts.updates$.subscribe(({ update }) =>
       this.#handleUpdate(update)
     );
-    this.view.crashes.blamed$.subscribe((blame) => this.#persistBlame(blame));
-    this.view.crashes.suspected$.subscribe((suspicion) =>
-      this.#operations.persistSuspicion({
-        ...suspicion,
-        incarnations: suspicion.incarnations.slice(0, MAX_INCARNATIONS),
-        at: Date.now(),
-      })
-    );
-    this.view.crashes.cleared$.subscribe((fingerprint) =>
-      this.#operations.removeBlame(fingerprint)
-    );
+    this.#crashRecords = new CrashRecordProposals({
+      propose: (command) => this.#operations.commit(command),
+      onCommitted: (command) => {
+        if (command.kind !== "blame-request") return;
+        const { fingerprint } = command;
+        log.info("blame-kept", { fingerprint, kept: true });
+      },
+      onDropped: ({ kind }) => log.warn("blame-kept", { kind, kept: false }),
+    });
+    this.#subscribeToCrashes();
     options.started$.subscribe((started) => {
       started.configurationChanged$.subscribe(() => this.#applyRouting());
     });
@@ -154,20 +154,29 @@
     this.view.stop();
     this.#manifests.stop();
     this.#rollout.stop();
+    this.#crashRecords.stop();
     this.#server?.close();
   }
 
-  /**
-   * Commits a blame, which gateways have already been sent. If no leader
-   * commits it in time, it is lost when this process ends.
-   */
-  async #persistBlame({ endsAt: _endsAt, ...blame }: Blame): Promise<void> {
-    const isKept = await this.#operations.persistBlame({
-      ...blame,
-      at: Date.now(),
+  /** Has the log keep what is known, for after a power loss of all hosts. */
+  #subscribeToCrashes(): void {
+    const { crashes } = this.view;
+    crashes.blamed$.subscribe(({ endsAt: _endsAt, ...blame }) => {
+      const at = Date.now();
+      const command = { kind: "blame-request" as const, ...blame, at };
+      this.#crashRecords.add(blame.fingerprint, command);
     });
-    const { fingerprint } = blame;
-    this.#options.log.info("blame-kept", { fingerprint, kept: isKept });
+    crashes.suspected$.subscribe(({ fingerprint, incarnations: all }) =>
+      this.#crashRecords.add(fingerprint, {
+        kind: "suspect-request",
+        fingerprint,
+        incarnations: all.slice(0, MAX_INCARNATIONS),
+        at: Date.now(),
+      })
+    );
+    crashes.cleared$.subscribe((fingerprint) =>
+      this.#crashRecords.add(fingerprint, { kind: "lift-blame", fingerprint })
+    );
   }
 
   /**
--- /dev/null
+++ b/packages/daemon/src/crashes/crash_record_proposals.ts
@@ -0,0 +1,60 @@
+import type { Command } from "@teaselrouter/core/state/command.ts";
+import { sleep } from "../transport/sleep.ts";
+
+const PROPOSAL_INTERVAL_MILLISECONDS = 500;
+/** As many as the replicated tables hold of blames. */
+const MAX_PENDING = 256;
+
+type Options = {
+  /** Resolves to whether the command was committed. */
+  propose: (command: Command) => Promise<boolean>;
+  onCommitted?: (command: Command) => void;
+  /** Called with a change that is given up, as too many are pending. */
+  onDropped: (command: Command) => void;
+};
+
+/**
+ * Proposes changes to what the replicated tables hold about requests that crash
+ * backend servers, each until the log has it or a later change concerns the same
+ * request. A single proposal is given up soon when there is no leader, and no
+ * other host would make it.
+ */
+export class CrashRecordProposals {
+  #options: Options;
+  /** The latest change to each request's record, by fingerprint. */
+  #pending = new Map<string, Command>();
+
+  constructor(options: Options) {
+    this.#options = options;
+  }
+
+  stop(): void {
+    this.#pending.clear();
+  }
+
+  has(fingerprint: string): boolean {
+    return this.#pending.has(fingerprint);
+  }
+
+  async add(fingerprint: string, command: Command): Promise<void> {
+    const { propose, onCommitted } = this.#options;
+    this.#pending.delete(fingerprint);
+    this.#pending.set(fingerprint, command);
+    this.#dropOldest();
+    while (this.#pending.get(fingerprint) === command) {
+      const isCommitted = await propose(command);
+      if (this.#pending.get(fingerprint) !== command) return;
+      if (isCommitted) {
+        this.#pending.delete(fingerprint);
+        onCommitted?.(command);
+      } else await sleep(PROPOSAL_INTERVAL_MILLISECONDS);
+    }
+  }
+
+  #dropOldest(): void {
+    if (this.#pending.size <= MAX_PENDING) return;
+    const [fingerprint, command] = this.#pending.entries().next().value!;
+    this.#pending.delete(fingerprint);
+    this.#options.onDropped(command);
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/crashes/crash_record_proposals_test.ts
@@ -0,0 +1,66 @@
+import type { Command } from "@teaselrouter/core/state/command.ts";
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { CrashRecordProposals } from "./crash_record_proposals.ts";
+
+function sleep(milliseconds: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, milliseconds));
+}
+
+function suspicion(fingerprint: string): Command {
+  return { kind: "suspect-request", fingerprint, incarnations: ["a"], at: 1 };
+}
+
+/** Proposals that are committed while `log.hasLeader`. */
+function openProposals() {
+  const log = { hasLeader: false };
+  const proposed: Command[] = [];
+  const committed: Command[] = [];
+  const dropped: Command[] = [];
+  const proposals = new CrashRecordProposals({
+    propose: (command) => {
+      proposed.push(command);
+      return Promise.resolve(log.hasLeader);
+    },
+    onCommitted: (command) => committed.push(command),
+    onDropped: (command) => dropped.push(command),
+  });
+  return { log, proposals, proposed, committed, dropped };
+}
+
+// Guards against evidence that is lost, as no leader was known when it was
+// proposed.
+test("a change is proposed until the log has it, and not again", async () => {
+  const { log, proposals, proposed, committed } = openProposals();
+  const change = suspicion("one");
+  proposals.add("one", change);
+  await sleep(700);
+  assert.ok(proposals.has("one"));
+  log.hasLeader = true;
+  await sleep(1_500);
+  assert.deepEqual(committed, [change]);
+  assert.equal(proposed.length, 3);
+  assert.ok(!proposals.has("one"));
+});
+
+// Guards against an earlier change that is committed after a later one of the
+// same request.
+test("a later change of the same request replaces an earlier one", async () => {
+  const { log, proposals, committed } = openProposals();
+  const lift: Command = { kind: "lift-blame", fingerprint: "one" };
+  proposals.add("one", suspicion("one"));
+  proposals.add("one", lift);
+  log.hasLeader = true;
+  await sleep(1_200);
+  assert.deepEqual(committed, [lift]);
+});
+
+// Guards against a long time without a leader that fills the memory.
+test("of too many pending changes the oldest is dropped", () => {
+  const { proposals, dropped } = openProposals();
+  for (let index = 0; index < 257; index += 1) {
+    proposals.add(`${index}`, suspicion(`${index}`));
+  }
+  proposals.stop();
+  assert.deepEqual(dropped, [suspicion("0")]);
+});
--- a/packages/daemon/src/entry/calls/call_crash_detector.ts
+++ b/packages/daemon/src/entry/calls/call_crash_detector.ts
@@ -1,14 +1,13 @@
 import { blameFromRow } from "@teaselrouter/core/crashes/blame_from_row.ts";
 import type { Blame } from "@teaselrouter/core/crashes/blame.ts";
 import { CrashLedger } from "@teaselrouter/core/crashes/crash_ledger.ts";
-import type { Command } from "@teaselrouter/core/state/command.ts";
 import type { ControlState } from "@teaselrouter/core/state/control_state.ts";
 import { createHash } from "node:crypto";
+import { CrashRecordProposals } from "../../crashes/crash_record_proposals.ts";
 import { toBlameFields } from "../../log/to_blame_fields.ts";
 import type { EventLog } from "../../log/event_log.ts";
 import type { Problem } from "../../http/problem.ts";
 import { monotonicMilliseconds } from "../../transport/monotonic_milliseconds.ts";
-import { sleep } from "../../transport/sleep.ts";
 import type { Proposer } from "../sessions/proposer.ts";
 import type { CheckedCall } from "./checked_call.ts";
 
@@ -18,8 +17,6 @@
  */
 const DECISION_DELAY_MILLISECONDS = 150;
 const EXPIRE_INTERVAL_MILLISECONDS = 10_000;
-/** Between two proposals of the same change. */
-const PROPOSAL_INTERVAL_MILLISECONDS = 500;
 const FINGERPRINT_HEX_DIGITS = 24;
 
 type Options = { control: Proposer; log: EventLog };
@@ -36,13 +33,18 @@
   });
   /** Fingerprints of the blamed calls in the replicated tables. */
   #replicatedFingerprints = new Set<string>();
-  /** The latest change to each call's blame that the log doesn't have yet. */
-  #proposals = new Map<string, Command>();
+  #proposals: CrashRecordProposals;
   #decideTimer: NodeJS.Timeout | undefined;
   #expireTimer: NodeJS.Timeout;
 
   constructor(options: Options) {
     this.#options = options;
+    const { control, log } = options;
+    this.#proposals = new CrashRecordProposals({
+      propose: async (command) =>
+        (await control.propose(command)).kind === "committed",
+      onDropped: ({ kind }) => log.warn("blame-kept", { kind, kept: false }),
+    });
     this.#expireTimer = setInterval(
       () => this.#ledger.expire(monotonicMilliseconds()),
       EXPIRE_INTERVAL_MILLISECONDS,
@@ -52,7 +54,7 @@
   stop(): void {
     clearTimeout(this.#decideTimer);
     clearInterval(this.#expireTimer);
-    this.#proposals.clear();
+    this.#proposals.stop();
   }
 
   /**
@@ -134,10 +136,7 @@
     const isInLog = this.#replicatedFingerprints.has(fingerprint) ||
       this.#proposals.has(fingerprint);
     if (!isInLog) return;
-    this.#proposeUntilCommitted(fingerprint, {
-      kind: "lift-blame",
-      fingerprint,
-    });
+    this.#proposals.add(fingerprint, { kind: "lift-blame", fingerprint });
   }
 
   #scheduleDecision(): void {
@@ -155,32 +154,13 @@
     const fields = toBlameFields(blame, monotonicMilliseconds());
     log.warn("request-blamed", { ...fields, how: "decided" });
     const { endsAt: _endsAt, ...fieldsToStore } = blame;
-    this.#proposeUntilCommitted(blame.fingerprint, {
+    this.#proposals.add(blame.fingerprint, {
       kind: "blame-request",
       ...fieldsToStore,
       // The leader replaces this by its own time.
       at: Date.now(),
     });
   }
-
-  /**
-   * Proposes a change until the log has it, or until a later change concerns
-   * the same call. Without a leader a proposal is given up at once.
-   */
-  async #proposeUntilCommitted(
-    fingerprint: string,
-    command: Command,
-  ): Promise<void> {
-    const { control } = this.#options;
-    this.#proposals.set(fingerprint, command);
-    while (this.#proposals.get(fingerprint) === command) {
-      const reply = await control.propose(command);
-      const isLatest = this.#proposals.get(fingerprint) === command;
-      if (reply.kind === "committed" && isLatest) {
-        this.#proposals.delete(fingerprint);
-      } else await sleep(PROPOSAL_INTERVAL_MILLISECONDS);
-    }
-  }
 }
 
 /**
