Planned stops answer what is on its way on open connections

Cause: a gateway closed its port with what waited there, and kept connections with it; with nothing in flight it then closed all the rest at once. Entry hosts accepted what waited, but closed it unread where no request had come for 0.5 s before. Both ended connections on which a request may have been on its way.

Change: `stopAccepting`, taken out of the entry host's server, and `waitUntilQuiet`, which counts the quiet time from the stop at the earliest, in both. A gateway's stop takes half a second longer, 1.5 s at most where clients never pause, within its grace time.

The check of `public_server_test` asks for the same half second as before, by another name.

--- a/packages/daemon/src/entry/entry_app.ts
+++ b/packages/daemon/src/entry/entry_app.ts
@@ -18,6 +18,7 @@
 import type { Settings } from "../settings/settings.ts";
 import type { ClientPool } from "../transport/client_pool.ts";
 import { sleep } from "../transport/sleep.ts";
+import { waitUntilQuiet } from "../transport/wait_until_quiet.ts";
 import { toAsyncIterable } from "../transport/to_async_iterable.ts";
 import { AgentSession } from "./sessions/agent_session.ts";
 import { CallCrashDetector } from "./calls/call_crash_detector.ts";
@@ -207,10 +208,10 @@
    * never pause on their keep-alive connections.
    */
   async #waitUntilDrained(): Promise<void> {
-    const until = Date.now() + MAX_WAIT_FOR_NO_REQUESTS_MILLISECONDS;
-    while (!this.#server.hasNoRecentRequest(Date.now()) && Date.now() < until) {
-      await sleep(DRAIN_POLL_MILLISECONDS);
-    }
+    await waitUntilQuiet({
+      lastRequestAt: () => this.#server.lastRequestAt,
+      maxMilliseconds: MAX_WAIT_FOR_NO_REQUESTS_MILLISECONDS,
+    });
     while (this.#calls.inProgress > 0) await sleep(DRAIN_POLL_MILLISECONDS);
   }
 
--- a/packages/daemon/src/entry/public_server.ts
+++ b/packages/daemon/src/entry/public_server.ts
@@ -4,17 +4,15 @@
   type Server,
   type ServerResponse,
 } from "node:http";
-import { Server as NetServer } from "node:net";
 import type { Duplex } from "node:stream";
 import type { Result } from "true-myth";
 import { listen } from "../transport/listen.ts";
+import { monotonicMilliseconds } from "../transport/monotonic_milliseconds.ts";
+import { stopAccepting } from "../transport/stop_accepting.ts";
 import { sendProblem } from "../http/send_problem.ts";
 
 const MAX_HEADER_BYTES = 16_384;
 const CONNECTIONS_CHECK_INTERVAL_MILLISECONDS = 500;
-const RECENT_REQUEST_MILLISECONDS = 500;
-/** A caller that goes on opening connections does not delay the stop longer. */
-const MAX_ACCEPT_MILLISECONDS = 1_000;
 
 type RequestHandler = (
   request: IncomingMessage,
@@ -33,8 +31,7 @@
 export class PublicServer {
   #server: Server;
   #options: Options;
-  #lastRequestAt = 0;
-  #acceptedCount = 0;
+  #lastRequestAt = -Infinity;
 
   constructor(options: Options) {
     this.#options = options;
@@ -45,42 +42,23 @@
       connectionsCheckingInterval: CONNECTIONS_CHECK_INTERVAL_MILLISECONDS,
     }, (request, response) => this.#handle(request, response));
     this.#server.on("clientError", sendClientError);
-    this.#server.on("connection", () => this.#acceptedCount += 1);
   }
 
-  listen(address: string): Promise<Result<void, string>> {
-    return listen(this.#server, address);
+  /** When the latest request arrived, monotonic milliseconds. */
+  get lastRequestAt(): number {
+    return this.#lastRequestAt;
   }
 
-  /**
-   * Stops accepting new connections. The HTTP server's own `close` would also
-   * close idle connections on which a call is just arriving. Callers would see
-   * a broken connection and not know whether the call had run. Such calls are
-   * answered instead, with "Connection: close".
-   *
-   * Closing the port resets the connections that are established but not yet
-   * accepted, so it is closed right after the event loop has accepted all.
-   */
-  async stopListening(): Promise<void> {
-    const until = Date.now() + MAX_ACCEPT_MILLISECONDS;
-    let accepted: number;
-    do {
-      accepted = this.#acceptedCount;
-      // Each turn accepts one connection, but the first of the two may already
-      // be past that.
-      await nextTurn();
-      await nextTurn();
-    } while (this.#acceptedCount > accepted && Date.now() < until);
-    NetServer.prototype.close.call(this.#server);
+  listen(address: string): Promise<Result<void, string>> {
+    return listen(this.#server, address);
   }
 
   /**
-   * Whether no request has arrived for RECENT_REQUEST_MILLISECONDS.
-   *
-   * @param now Unix milliseconds.
+   * Stops listening; calls on open connections are still answered, with
+   * "Connection: close".
    */
-  hasNoRecentRequest(now: number): boolean {
-    return now - this.#lastRequestAt > RECENT_REQUEST_MILLISECONDS;
+  stopListening(): Promise<void> {
+    return stopAccepting(this.#server);
   }
 
   close(): void {
@@ -91,7 +69,7 @@
     request: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
-    this.#lastRequestAt = Date.now();
+    this.#lastRequestAt = monotonicMilliseconds();
     response.on("error", () => undefined);
     try {
       await this.#dispatch(request, response);
@@ -123,10 +101,6 @@
   }
 }
 
-function nextTurn(): Promise<void> {
-  return new Promise((resolve) => setImmediate(resolve));
-}
-
 function sendHealth(response: ServerResponse, isOk: boolean): void {
   response.writeHead(isOk ? 200 : 503, { "Content-Type": "text/plain" });
   response.end(isOk ? "ok\n" : "no\n");
--- a/packages/daemon/src/entry/public_server_test.ts
+++ b/packages/daemon/src/entry/public_server_test.ts
@@ -1,6 +1,7 @@
 import assert from "node:assert/strict";
 import { connect, createServer, type Socket } from "node:net";
 import { test } from "node:test";
+import { monotonicMilliseconds } from "../transport/monotonic_milliseconds.ts";
 import { PublicServer } from "./public_server.ts";
 
 const REQUEST = "POST /v1/services/a/b HTTP/1.1\r\nHost: x\r\n" +
@@ -84,7 +85,7 @@
   const lastResponse = await sendRequest(keptConnection);
   assert.match(lastResponse, /200 OK.*whole/s);
   assert.match(lastResponse, /Connection: close/);
-  assert.ok(!server.hasNoRecentRequest(Date.now()));
+  assert.ok(monotonicMilliseconds() - server.lastRequestAt < 500);
   server.close();
 });
 
--- a/packages/daemon/src/gateway/gateway_app.ts
+++ b/packages/daemon/src/gateway/gateway_app.ts
@@ -12,6 +12,7 @@
 import { listen } from "../transport/listen.ts";
 import { monotonicMilliseconds } from "../transport/monotonic_milliseconds.ts";
 import { sleep } from "../transport/sleep.ts";
+import { waitUntilQuiet } from "../transport/wait_until_quiet.ts";
 import { BackendConnections } from "./backend_connections.ts";
 import { BackendPool } from "./backend_pool.ts";
 import { ControlFeed } from "./control_feed.ts";
@@ -40,6 +41,8 @@
  */
 const BALANCER_NOTICE_MILLISECONDS = 3_000;
 const DRAIN_POLL_MILLISECONDS = 50;
+/** The rest of the grace time is for answers. */
+const MAX_QUIET_WAIT_MILLISECONDS = 1_500;
 /**
  * The stop ends this long before the end of the grace time, after which the
  * process is killed.
@@ -188,7 +191,11 @@
       GRACE_MARGIN_MILLISECONDS;
     this.#isStopping = true;
     await sleep(BALANCER_NOTICE_MILLISECONDS);
-    this.#server.stopListening();
+    await this.#server.stopListening();
+    await waitUntilQuiet({
+      lastRequestAt: () => this.#server.lastRequestAt,
+      maxMilliseconds: MAX_QUIET_WAIT_MILLISECONDS,
+    });
     while (
       this.#server.inFlight > 0 && monotonicMilliseconds() < drainDeadline
     ) {
--- a/packages/daemon/src/gateway/gateway_server.ts
+++ b/packages/daemon/src/gateway/gateway_server.ts
@@ -2,6 +2,8 @@
 import type { Socket } from "node:net";
 import type { Result } from "true-myth";
 import { listen } from "../transport/listen.ts";
+import { monotonicMilliseconds } from "../transport/monotonic_milliseconds.ts";
+import { stopAccepting } from "../transport/stop_accepting.ts";
 import { GatewayCall } from "./gateway_call.ts";
 import type { GatewayContext } from "./gateway_context.ts";
 
@@ -28,6 +30,7 @@
   #context: GatewayContext;
   #server: Server;
   #inFlight = 0;
+  #lastRequestAt = -Infinity;
 
   constructor(context: GatewayContext) {
     this.#context = context;
@@ -41,6 +44,7 @@
       noDelay: true,
     }, (request, response) => {
       this.#inFlight += 1;
+      this.#lastRequestAt = monotonicMilliseconds();
       response.once("close", () => {
         this.#inFlight -= 1;
       });
@@ -60,6 +64,11 @@
     return this.#inFlight;
   }
 
+  /** When the latest request arrived, monotonic milliseconds. */
+  get lastRequestAt(): number {
+    return this.#lastRequestAt;
+  }
+
   listen(address: string): Promise<Result<void, string>> {
     return listen(this.#server, address);
   }
@@ -73,9 +82,12 @@
       IDLE_MARGIN_MILLISECONDS;
   }
 
-  /** Stops listening; connections with a request in flight stay open. */
-  stopListening(): void {
-    this.#server.close();
+  /**
+   * Stops listening; requests on open connections are still answered, with
+   * "Connection: close".
+   */
+  stopListening(): Promise<void> {
+    return stopAccepting(this.#server);
   }
 
   closeIdle(): void {
--- a/packages/daemon/src/gateway/gateway_server_test.ts
+++ b/packages/daemon/src/gateway/gateway_server_test.ts
@@ -34,7 +34,7 @@
 }
 
 /** A gateway's server without a configuration: it answers all with 503. */
-async function openServer({ isStopping = () => true } = {}) {
+async function openServer({ isStopping = (): boolean => true } = {}) {
   const context = {
     isStopping,
     startHold: { wait: () => Promise.resolve(false) },
