Entry hosts propose a request for a permit only where it may be granted

Cause: a request that had to wait was proposed at each change of the tables, and a refused one is such a change: a loop at the rate of the log, by each entry host with a waiting replica, for as long as another one loads.

Change: the rule that the log applies is a function of its own, and entry hosts ask it of their own copy first. The log still decides.

--- a/packages/daemon/src/entry/sessions/permit_queue.ts
+++ b/packages/daemon/src/entry/sessions/permit_queue.ts
@@ -1,3 +1,4 @@
+import { findPermitRefusal } from "@teaselrouter/core/rollout/find_permit_refusal.ts";
 import type { CommandOf } from "@teaselrouter/core/state/command_of.ts";
 import type { ControlSession } from "./control_session.ts";
 
@@ -74,8 +75,9 @@
 
   /**
    * Proposes the first request of a service. Returns whether it was decided and
-   * so removed. The request stays queued if it was not committed, or was
-   * refused because too few backend servers would be left serving.
+   * so removed. The request stays queued if it was not committed, or while too
+   * few backend servers would be left serving. Where the tables here say so
+   * already, it is not proposed: a refused request is an entry of the log, too.
    */
   async #proposeFirst(service: string): Promise<boolean> {
     const queue = this.#queues.get(service)!;
@@ -86,15 +88,21 @@
     ) queue.shift();
     const first = queue[0];
     if (first === undefined) return false;
+    if (mustWait(findPermitRefusal(this.#control.state, first.request, now))) {
+      return false;
+    }
     const reply = await this.#control.propose(
       first.request,
       PROPOSAL_TIMEOUT_MILLISECONDS,
     );
     if (reply.kind !== "committed") return false;
-    const isRefusedForServingShare = !reply.result.accepted &&
-      reply.result.reason === "serving-share-would-be-broken";
-    if (isRefusedForServingShare) return false;
+    const { result } = reply;
+    if (!result.accepted && mustWait(result.reason)) return false;
     queue.splice(queue.indexOf(first), 1);
     return true;
   }
 }
+
+function mustWait(reason: string | undefined): boolean {
+  return reason === "serving-share-would-be-broken";
+}
