Failing test: an idle engine with a limit is forgotten

A record without a recent load report is assumed at 0.9 of the mean of the others; an idle engine's stager has no change to report, and each answer that could is kept off by the limit.

--- a/acceptance/src/named_limits_test.ts
+++ b/acceptance/src/named_limits_test.ts
@@ -108,3 +108,30 @@
     await system.stop();
   }
 });
+
+// Guards against a server that is forgotten because of its limit: gateways that
+// have heard no load of it for a while take it for nearly as busy as the others.
+test("a server with a limit gets that many requests while others are half full", async () => {
+  const system = new EndToEndSystem({ engines: ENGINES, gateways: GATEWAYS });
+  try {
+    await system.start();
+    const [limitedEngine] = system.engines;
+    limitedEngine!.limitPerSecond = 1;
+    const load = {
+      gateways: system.gatewayIps,
+      interval: GATEWAYS * BUSY_INTERVAL_MILLISECONDS,
+    };
+    await sendSteadily(system, { ...load, milliseconds: PHASE_MILLISECONDS });
+    const startedAt = performance.now();
+    await sendSteadily(system, { ...load, milliseconds: PHASE_MILLISECONDS });
+    const arrivals = limitedEngine!.arrivals
+      .map(({ at }) => at)
+      .filter((at) => at > startedAt);
+    const maxArrivals = countMostWithin(arrivals, WINDOW_MILLISECONDS);
+    console.log(`limit 1/s: ${maxArrivals} arrivals in the fullest 4 s`);
+    assert.ok(maxArrivals <= maxAllowed(1), `${maxArrivals} in 4 s`);
+    assert.ok(maxArrivals >= 3, `only ${maxArrivals} in 4 s`);
+  } finally {
+    await system.stop();
+  }
+});
