What is known of a crashing request reaches the log in order

Cause: a change of a request's record was proposed while an earlier one of the same request was still under way, as a host that has no leader tries for up to 0.85 s, or 8 s at an entry host. The end of a blame could be committed before the blame, which then stood. Entry hosts had this before, control hosts too.

Change: one proposal of a request at a time; the next is the latest change.

--- a/packages/daemon/src/crashes/crash_record_proposals.ts
+++ b/packages/daemon/src/crashes/crash_record_proposals.ts
@@ -23,6 +23,8 @@
   #options: Options;
   /** The latest change to each request's record, by fingerprint. */
   #pending = new Map<string, Command>();
+  /** Fingerprints of requests of which a change is being proposed. */
+  #inProgress = new Set<string>();
 
   constructor(options: Options) {
     this.#options = options;
@@ -36,19 +38,30 @@
     return this.#pending.has(fingerprint);
   }
 
-  async add(fingerprint: string, command: Command): Promise<void> {
-    const { propose, onCommitted } = this.#options;
+  add(fingerprint: string, command: Command): void {
     this.#pending.delete(fingerprint);
     this.#pending.set(fingerprint, command);
     this.#dropOldest();
-    while (this.#pending.get(fingerprint) === command) {
-      const isCommitted = await propose(command);
-      if (this.#pending.get(fingerprint) !== command) return;
+    if (!this.#inProgress.has(fingerprint)) this.#propose(fingerprint);
+  }
+
+  /**
+   * Proposes one change of a request at a time, so that the log gets them in
+   * order.
+   */
+  async #propose(fingerprint: string): Promise<void> {
+    this.#inProgress.add(fingerprint);
+    while (true) {
+      const command = this.#pending.get(fingerprint);
+      if (command === undefined) break;
+      const isCommitted = await this.#options.propose(command);
+      if (this.#pending.get(fingerprint) !== command) continue;
       if (isCommitted) {
         this.#pending.delete(fingerprint);
-        onCommitted?.(command);
+        this.#options.onCommitted?.(command);
       } else await sleep(PROPOSAL_INTERVAL_MILLISECONDS);
     }
+    this.#inProgress.delete(fingerprint);
   }
 
   #dropOldest(): void {
--- a/packages/daemon/src/crashes/crash_record_proposals_test.ts
+++ b/packages/daemon/src/crashes/crash_record_proposals_test.ts
@@ -55,6 +55,26 @@
   assert.deepEqual(committed, [lift]);
 });
 
+// Guards against a blame that stands in the log after the request ran well: its
+// proposal was under way for longer than that of its end.
+test("a later change waits for the end of an earlier proposal", async () => {
+  const committed: Command[] = [];
+  const proposals = new CrashRecordProposals({
+    propose: async (command) => {
+      await sleep(command.kind === "lift-blame" ? 10 : 300);
+      committed.push(command);
+      return true;
+    },
+    onDropped: () => undefined,
+  });
+  const lift: Command = { kind: "lift-blame", fingerprint: "one" };
+  proposals.add("one", suspicion("one"));
+  await sleep(50);
+  proposals.add("one", lift);
+  await sleep(600);
+  assert.deepEqual(committed, [suspicion("one"), lift]);
+});
+
 // Guards against a long time without a leader that fills the memory.
 test("of too many pending changes the oldest is dropped", () => {
   const { proposals, dropped } = openProposals();
