Failing tests: a suspect after a power loss, and a decision put off

Then a gateway that followed control hosts before those knew their log again sent a copy a second time, as it was never told of the suspicion. And the blame came 0.4 s behind the third end, as each further end put it off by another 120 ms; one more gateway sent a copy within that time. Both are listed.

--- a/acceptance/src/crashing_requests_test.ts
+++ b/acceptance/src/crashing_requests_test.ts
@@ -200,6 +200,21 @@
   });
 });
 
+// Guards against gateways that follow control hosts before those know their log
+// again, and so are never told whom it suspects.
+test("a gateway retries no request that was suspected before a power loss", async () => {
+  await withCrashingEngines(async (system) => {
+    await askGatewaysInTurn(system, 1);
+    await sleep(ATTEMPT_INTERVAL_MILLISECONDS);
+    const before = countCrashes(system);
+    await system.restartAll();
+    const [, second] = system.gatewayIps;
+    await earnRetries(system, second!);
+    await ask(system, { id: "copy", gateway: second!, body: CRASH_BODY });
+    assert.equal(countCrashes(system), before + 1);
+  });
+});
+
 // Guards against counting only crashes during streams, of which the gateway
 // forwards the head before the crash. It buffers plain responses, so the client
 // has received nothing of them at the crash.
--- a/packages/core/src/crashes/crash_ledger_test.ts
+++ b/packages/core/src/crashes/crash_ledger_test.ts
@@ -52,6 +52,15 @@
   assert.equal(ledger.checkBlame("other", 2_000), undefined);
 });
 
+// Guards against a decision that each further crash puts off.
+test("further crashes do not put off the decision", () => {
+  const ledger = createLedger();
+  reportAll(ledger, ["a", "b", "c"].map((name) => culpritReport(name)));
+  reportAll(ledger, [culpritReport("d")], 100);
+  assert.deepEqual(decideFingerprints(ledger, 149), []);
+  assert.deepEqual(decideFingerprints(ledger, 150), ["culprit"]);
+});
+
 // Guards against telling other hosts of a hundred requests that ran beside the
 // one at fault, and not of that one.
 test("the likeliest culprit comes first of those that may not be retried", () => {
