Restored suspicions are told to gateways that follow already

Cause: a control host that starts anew restores blames and suspicions once it knows its log again; it told its followers the blames only. A gateway that had followed before was not told whom the log suspects, and sent a copy a second time.

Change: they are published when they are restored, the latest first.

Measured: the listed test failed before and passes, with 11 others of crashing requests and the shared view.

--- a/packages/daemon/src/control/crash_attributor.ts
+++ b/packages/daemon/src/control/crash_attributor.ts
@@ -141,6 +141,11 @@
         this.#ledger.recordReport(report, now);
       }
     }
+    // Gateways may follow this host before it knows its log. The latest come
+    // first, as the budget leaves out some.
+    this.#publishSuspicions(
+      suspicions.map(({ fingerprint }) => fingerprint).reverse(),
+    );
   }
 
   #persistSuspicion(fingerprint: string): void {
@@ -158,18 +163,17 @@
       .filter((report) => this.#ledger.recordReport(report, now));
     if (newReports.length === 0) return [];
     this.#scheduleDecision();
-    this.#publishSuspicions(newReports);
+    this.#publishSuspicions(newReports.map(({ fingerprint }) => fingerprint));
     return newReports;
   }
 
   /** Those above the budget are left until their next report. */
-  #publishSuspicions(newReports: CrashReport[]): void {
+  #publishSuspicions(fingerprints: string[]): void {
     const now = monotonicMilliseconds();
-    const fingerprints = newReports
-      .map(({ fingerprint }) => fingerprint)
+    const untold = fingerprints
       .filter((fingerprint) => !this.#toldSuspects.has(fingerprint));
     const reports: CrashReport[] = [];
-    for (const suspicion of this.#ledger.listSuspicions(fingerprints)) {
+    for (const suspicion of this.#ledger.listSuspicions(untold)) {
       const { fingerprint } = suspicion[0]!;
       const wanted = suspicion.length;
       if (this.#suspicionReportBudget.take(wanted, now) < wanted) break;
