Further ends of backend servers don't put off a blame

Cause: a request was blamed once 120 ms had passed since its latest new crash, 0.5 s at gateways.

Change: the delay counts from when the crashes are enough. Reports of the third end still have that time to arrive; a later end needs none.

--- a/packages/core/src/crashes/crash_evidence.ts
+++ b/packages/core/src/crashes/crash_evidence.ts
@@ -1,4 +1,5 @@
 import type { CrashReport } from "./crash_report.ts";
+import { CRASHES_TO_BLAME } from "./crashes_to_blame.ts";
 
 /**
  * Weight of a crash before the request's answer started. A request that was
@@ -20,18 +21,29 @@
   #crashes = new Map<string, ObservedCrash>();
   /** When the latest new crash was reported, monotonic milliseconds. */
   lastReportedAt = -Infinity;
+  #sufficientSince: number | undefined;
 
   /** Returns false if this crash was already recorded for the request. */
   add({ incarnation, begunMilliseconds }: CrashReport, now: number): boolean {
     if (this.#crashes.has(incarnation)) return false;
     this.#crashes.set(incarnation, { begunMilliseconds, at: now });
     this.lastReportedAt = now;
+    if (this.weight >= CRASHES_TO_BLAME) this.#sufficientSince ??= now;
     return true;
   }
 
   /** Removes a crash that is attributed to another request. */
   remove(incarnation: string): void {
     this.#crashes.delete(incarnation);
+    if (this.weight < CRASHES_TO_BLAME) this.#sufficientSince = undefined;
+  }
+
+  /**
+   * Since when the crashes are enough for a blame, monotonic milliseconds;
+   * undefined if they are not.
+   */
+  get sufficientSince(): number | undefined {
+    return this.#sufficientSince;
   }
 
   get incarnations(): string[] {
--- a/packages/core/src/crashes/crash_ledger.ts
+++ b/packages/core/src/crashes/crash_ledger.ts
@@ -28,9 +28,9 @@
 
 type Options = {
   /**
-   * A suspect is blamed only once this long has passed since its latest new
-   * crash, so that all reports of that crash, or the decision of another host,
-   * can arrive first.
+   * A suspect is blamed only once this long has passed since its crashes became
+   * enough, so that all reports of them, or the decision of another host, can
+   * arrive first. Further crashes don't put the decision off.
    */
   decisionDelayMilliseconds: number;
 };
@@ -221,9 +221,9 @@
 
   #decidableSuspects(now: number): Suspect[] {
     return [...this.#suspects]
-      .filter(([fingerprint, { weight, lastReportedAt }]) =>
-        weight >= CRASHES_TO_BLAME &&
-        now - lastReportedAt >= this.#options.decisionDelayMilliseconds &&
+      .filter(([fingerprint, { sufficientSince }]) =>
+        sufficientSince !== undefined &&
+        now - sufficientSince >= this.#options.decisionDelayMilliseconds &&
         !this.#blamed.has(fingerprint)
       )
       .sort(byTimeFromAnswerStart);
