A call drops only the connection that it was on

Cause: when a connection to an agent goes silent, each call on it notices by itself and took whatever connection the pool had by then, also one that another call had opened a moment before. With dozens of calls dozens of connections were opened, all at once and where the network is in trouble.

Change: the pool knows which connection a client was made for. So far only the readers of answers say so; links and forwards have one stream each.

--- a/packages/daemon/src/entry/calls/exchange_reader.ts
+++ b/packages/daemon/src/entry/calls/exchange_reader.ts
@@ -4,6 +4,7 @@
   RunRequest,
 } from "@teaselrouter/messages/agent.ts";
 import { CallOutcome, CallService } from "@teaselrouter/messages/agent.ts";
+import type { Client } from "@connectrpc/connect";
 import type { ClientPool } from "../../transport/client_pool.ts";
 import { sleep } from "../../transport/sleep.ts";
 import type { AnswerPart } from "./answer_part.ts";
@@ -33,6 +34,8 @@
   #offset = 0;
   #version: string | undefined;
   #consecutiveFailures = 0;
+  /** On the connection that was used last. */
+  #client: Client<typeof CallService> | undefined;
 
   constructor(options: Options) {
     this.#options = options;
@@ -59,7 +62,8 @@
         yield { kind: "broken", reason: "agent-unreachable" };
         return;
       }
-      this.#options.clients.dropConnection(this.#options.address);
+      const { clients, address } = this.#options;
+      clients.dropConnection(address, this.#client);
       await sleep(RECONNECT_DELAY_MILLISECONDS);
     }
   }
@@ -67,6 +71,7 @@
   async *#connect(): AsyncGenerator<AnswerFrame> {
     const { clients, address, request, signal, attachOnly } = this.#options;
     const client = clients.client(CallService, address);
+    this.#client = client;
     const silenceController = new AbortController();
     const options = {
       signal: AbortSignal.any([signal, silenceController.signal]),
--- a/packages/daemon/src/transport/client_pool.ts
+++ b/packages/daemon/src/transport/client_pool.ts
@@ -15,6 +15,7 @@
 /** Keeps one HTTP/2 connection to each other process, opened on first use. */
 export class ClientPool {
   #connections = new Map<string, Connection>();
+  #connectionByClient = new WeakMap<object, Connection>();
   #dial: Record<string, string>;
 
   /**
@@ -34,7 +35,9 @@
       connection = connect(this.#dial[address] ?? address);
       this.#connections.set(address, connection);
     }
-    return createClient(service, connection.transport);
+    const client = createClient(service, connection.transport);
+    this.#connectionByClient.set(client, connection);
+    return client;
   }
 
   /**
@@ -42,9 +45,14 @@
    * call opens a new one: a network device on the path may have lost the old
    * connection's state for good, while new connections work. Calls in flight
    * on the old connection are not aborted.
+   *
+   * @param client the one whose connection it is; nothing is done if the pool
+   * has a later one by now.
    */
-  dropConnection(address: string): void {
-    this.#connections.delete(address);
+  dropConnection(address: string, client?: object): void {
+    const isLater = client !== undefined &&
+      this.#connectionByClient.get(client) !== this.#connections.get(address);
+    if (!isLater) this.#connections.delete(address);
   }
 
   /** Aborts the pooled connections with all their calls. */
