A silent connection to an agent is left by all its calls at once

Cause: each call waited out 1.5 s of silence by itself, though another call on the same connection had already shown that it carries nothing.

Change: the pool tells the readers of a connection that it was dropped; those that have had no frame for 0.8 s, two of the agent's heartbeats, go on over a new one.

--- a/packages/daemon/src/entry/calls/exchange_reader.ts
+++ b/packages/daemon/src/entry/calls/exchange_reader.ts
@@ -6,10 +6,16 @@
 import { CallOutcome, CallService } from "@teaselrouter/messages/agent.ts";
 import type { Client } from "@connectrpc/connect";
 import type { ClientPool } from "../../transport/client_pool.ts";
+import { monotonicMilliseconds } from "../../transport/monotonic_milliseconds.ts";
 import { sleep } from "../../transport/sleep.ts";
 import type { AnswerPart } from "./answer_part.ts";
 
 const SILENCE_TIMEOUT_MILLISECONDS = 1_500;
+/**
+ * Once another call has found the connection silent: two of the agent's
+ * heartbeat intervals.
+ */
+const SUSPECT_TIMEOUT_MILLISECONDS = 800;
 const MAX_CONSECUTIVE_FAILURES = 3;
 const RECONNECT_DELAY_MILLISECONDS = 50;
 
@@ -26,7 +32,7 @@
 /**
  * Reads one answer from an agent, by byte offset. A connection that breaks, or
  * stays silent for longer than the agent's heartbeat interval allows, is
- * replaced by a new one. The reading resumes at the offset where it stopped,
+ * replaced by a new one. So is one that another call has found silent, sooner. The reading resumes at the offset where it stopped,
  * so that no bytes are lost or duplicated.
  */
 export class ExchangeReader {
@@ -77,7 +83,17 @@
       signal: AbortSignal.any([signal, silenceController.signal]),
     };
     const abortConnection = () => silenceController.abort();
-    let timer = setTimeout(abortConnection, SILENCE_TIMEOUT_MILLISECONDS);
+    let timeout = SILENCE_TIMEOUT_MILLISECONDS;
+    let lastFrameAt = monotonicMilliseconds();
+    let isWaiting = true;
+    let timer = setTimeout(abortConnection, timeout);
+    const dropped = clients.dropped$(client).subscribe(() => {
+      timeout = SUSPECT_TIMEOUT_MILLISECONDS;
+      if (!isWaiting) return;
+      clearTimeout(timer);
+      const left = lastFrameAt + timeout - monotonicMilliseconds();
+      timer = setTimeout(abortConnection, Math.max(0, left));
+    });
     const frames = attachOnly || this.#version !== undefined
       ? client.attach({
         requestId: request.requestId,
@@ -87,10 +103,14 @@
     try {
       for await (const frame of frames) {
         clearTimeout(timer);
+        isWaiting = false;
         yield frame;
-        timer = setTimeout(abortConnection, SILENCE_TIMEOUT_MILLISECONDS);
+        isWaiting = true;
+        lastFrameAt = monotonicMilliseconds();
+        timer = setTimeout(abortConnection, timeout);
       }
     } finally {
+      dropped.unsubscribe();
       clearTimeout(timer);
     }
   }
--- /dev/null
+++ b/packages/daemon/src/entry/calls/exchange_reader_test.ts
@@ -0,0 +1,70 @@
+import type { AnswerFrame } from "@teaselrouter/messages/agent.ts";
+import {
+  AnswerFrameSchema,
+  RunRequestSchema,
+} from "@teaselrouter/messages/agent.ts";
+import { create } from "@bufbuild/protobuf";
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { Subject } from "rxjs";
+import type { ClientPool } from "../../transport/client_pool.ts";
+import { ExchangeReader } from "./exchange_reader.ts";
+
+function sleep(milliseconds: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, milliseconds));
+}
+
+function frame(body: AnswerFrame["body"]): AnswerFrame {
+  return create(AnswerFrameSchema, { body });
+}
+
+/** Calls stay silent on the first connection; on the next, each one ends. */
+function openPool() {
+  const dropped$ = new Subject<void>();
+  let isFirst = true;
+  const client = {
+    async *run(_request: unknown, { signal }: { signal: AbortSignal }) {
+      if (isFirst) {
+        await new Promise((_resolve, reject) =>
+          signal.addEventListener("abort", () => reject(new Error("aborted")))
+        );
+      }
+      yield frame({ case: "end", value: { totalBytes: 0 } as never });
+    },
+  };
+  const clients = {
+    client: () => client,
+    dropped$: () => dropped$,
+    dropConnection: () => {
+      isFirst = false;
+      dropped$.next();
+    },
+  };
+  return clients as unknown as ClientPool;
+}
+
+async function measureRead(clients: ClientPool): Promise<number> {
+  const startedAt = performance.now();
+  const reader = new ExchangeReader({
+    clients,
+    address: "agent",
+    request: create(RunRequestSchema, { requestId: "one" }),
+    signal: new AbortController().signal,
+    attachOnly: false,
+  });
+  for await (const { kind } of reader.read()) assert.equal(kind, "end");
+  return performance.now() - startedAt;
+}
+
+// Guards against calls that each wait out the time of a silent connection, though
+// another call on the same one has shown that it carries nothing: with a second
+// loss meanwhile they miss their deadline.
+test("a connection that one call finds silent is left by all calls on it", async () => {
+  const clients = openPool();
+  const first = measureRead(clients);
+  await sleep(1_000);
+  const second = measureRead(clients);
+  const waited = await Promise.all([first, second]);
+  assert.ok(waited[0]! >= 1_400, `${waited[0]} ms`);
+  assert.ok(waited[1]! < 1_100, `${waited[1]} ms`);
+});
--- a/packages/daemon/src/transport/client_pool.ts
+++ b/packages/daemon/src/transport/client_pool.ts
@@ -4,13 +4,18 @@
   createConnectTransport,
   Http2SessionManager,
 } from "@connectrpc/connect-node";
+import { type Observable, Subject } from "rxjs";
 import { MIN_COMPRESSED_BYTES } from "./min_compressed_bytes.ts";
 
 const PING_INTERVAL_MILLISECONDS = 2_000;
 const PING_TIMEOUT_MILLISECONDS = 1_500;
 const IDLE_TIMEOUT_MILLISECONDS = 60_000;
 
-type Connection = { manager: Http2SessionManager; transport: Transport };
+type Connection = {
+  manager: Http2SessionManager;
+  transport: Transport;
+  dropped$: Subject<void>;
+};
 
 /** Keeps one HTTP/2 connection to each other process, opened on first use. */
 export class ClientPool {
@@ -50,9 +55,17 @@
    * has a later one by now.
    */
   dropConnection(address: string, client?: object): void {
+    const connection = this.#connections.get(address);
     const isLater = client !== undefined &&
-      this.#connectionByClient.get(client) !== this.#connections.get(address);
-    if (!isLater) this.#connections.delete(address);
+      this.#connectionByClient.get(client) !== connection;
+    if (connection === undefined || isLater) return;
+    this.#connections.delete(address);
+    connection.dropped$.next();
+  }
+
+  /** Emits when the connection of this client is taken from the pool. */
+  dropped$(client: object): Observable<void> {
+    return this.#connectionByClient.get(client)!.dropped$;
   }
 
   /** Aborts the pooled connections with all their calls. */
@@ -77,5 +90,5 @@
     useBinaryFormat: true,
     compressMinBytes: MIN_COMPRESSED_BYTES,
   });
-  return { manager, transport };
+  return { manager, transport, dropped$: new Subject() };
 }
