--- a/packages/daemon/src/entry/calls/exchange_reader.ts
+++ b/packages/daemon/src/entry/calls/exchange_reader.ts
@@ -6,16 +6,10 @@
 import { CallOutcome, CallService } from "@teaselrouter/messages/agent.ts";
 import type { Client } from "@connectrpc/connect";
 import type { ClientPool } from "../../transport/client_pool.ts";
-import { monotonicMilliseconds } from "../../transport/monotonic_milliseconds.ts";
 import { sleep } from "../../transport/sleep.ts";
 import type { AnswerPart } from "./answer_part.ts";
+import { SilenceTimer } from "./silence_timer.ts";
 
-const SILENCE_TIMEOUT_MILLISECONDS = 1_500;
-/**
- * Once another call has found the connection silent: two of the agent's
- * heartbeat intervals.
- */
-const SUSPECT_TIMEOUT_MILLISECONDS = 800;
 const MAX_CONSECUTIVE_FAILURES = 3;
 const RECONNECT_DELAY_MILLISECONDS = 50;
 
@@ -82,18 +76,9 @@
     const options = {
       signal: AbortSignal.any([signal, silenceController.signal]),
     };
-    const abortConnection = () => silenceController.abort();
-    let timeout = SILENCE_TIMEOUT_MILLISECONDS;
-    let lastFrameAt = monotonicMilliseconds();
-    let isWaiting = true;
-    let timer = setTimeout(abortConnection, timeout);
-    const dropped = clients.dropped$(client).subscribe(() => {
-      timeout = SUSPECT_TIMEOUT_MILLISECONDS;
-      if (!isWaiting) return;
-      clearTimeout(timer);
-      const left = lastFrameAt + timeout - monotonicMilliseconds();
-      timer = setTimeout(abortConnection, Math.max(0, left));
-    });
+    const timer = new SilenceTimer(() => silenceController.abort());
+    const dropped = clients.dropped$(client).subscribe(() => timer.suspect());
+    timer.start();
     const frames = attachOnly || this.#version !== undefined
       ? client.attach({
         requestId: request.requestId,
@@ -102,16 +87,13 @@
       : client.run(request, options);
     try {
       for await (const frame of frames) {
-        clearTimeout(timer);
-        isWaiting = false;
+        timer.stop();
         yield frame;
-        isWaiting = true;
-        lastFrameAt = monotonicMilliseconds();
-        timer = setTimeout(abortConnection, timeout);
+        timer.start();
       }
     } finally {
       dropped.unsubscribe();
-      clearTimeout(timer);
+      timer.stop();
     }
   }
 
