A closed session of an agent takes no more messages

Cause: an entry host that closes a silent session may read its last messages later; an announcement among them put the backend server in the table again, for good, as the session's timer was gone.

Change: a closed session ignores messages, as a stager's does, and closes once.

--- a/packages/daemon/src/entry/sessions/agent_session.ts
+++ b/packages/daemon/src/entry/sessions/agent_session.ts
@@ -48,6 +48,7 @@
   #sentDrained = false;
   #sentFencingToken = 0;
   #timer: NodeJS.Timeout;
+  #isClosed = false;
 
   constructor(options: Options) {
     this.#options = options;
@@ -63,6 +64,7 @@
   }
 
   handleMessage(message: AgentToEntry): void {
+    if (this.#isClosed) return;
     this.#lastMessageAt = Date.now();
     this.#options.log.timeline.observe(this.#lastMessageAt, {
       time: message.clockTime,
@@ -90,6 +92,8 @@
   }
 
   close(): void {
+    if (this.#isClosed) return;
+    this.#isClosed = true;
     clearInterval(this.#timer);
     this.#subscriptions.unsubscribe();
     this.outgoing$.complete();
