A gateway that has stopped listening refuses what still arrives

A long answer needs more than what is left.

Change: what arrives once the port is being closed gets 503, not run, with a short Retry-After and 'Connection: close'. It is neither reset nor begun too late.

Measured: the new test failed before (taken) and passes.

--- a/packages/daemon/src/gateway/gateway_server.ts
+++ b/packages/daemon/src/gateway/gateway_server.ts
@@ -1,9 +1,15 @@
-import { createServer, type Server } from "node:http";
+import {
+  createServer,
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from "node:http";
 import type { Socket } from "node:net";
 import type { Result } from "true-myth";
 import { listen } from "../transport/listen.ts";
 import { monotonicMilliseconds } from "../transport/monotonic_milliseconds.ts";
 import { stopAccepting } from "../transport/stop_accepting.ts";
+import { CallFinisher } from "./call_finisher.ts";
 import { GatewayCall } from "./gateway_call.ts";
 import type { GatewayContext } from "./gateway_context.ts";
 
@@ -24,12 +30,15 @@
 const MAX_HEADER_BYTES = 65_536;
 /** A request that takes longer to arrive is of no use to its client. */
 const REQUEST_TIMEOUT_MILLISECONDS = 20_000;
+/** Another gateway takes the request at once. */
+const STOP_RETRY_MILLISECONDS = 100;
 
 /** HTTP server that accepts client requests. */
 export class GatewayServer {
   #context: GatewayContext;
   #server: Server;
   #inFlight = 0;
+  #isClosing = false;
   #lastRequestAt = -Infinity;
 
   constructor(context: GatewayContext) {
@@ -50,6 +59,7 @@
       });
       response.on("error", () => undefined);
       if (context.isStopping()) response.shouldKeepAlive = false;
+      if (this.#isClosing) return this.#refuseLate(request, response);
       new GatewayCall({ context, request, response }).run().catch((error) => {
         context.log.error("request-failed", { reason: error.stack ?? error });
         response.destroy();
@@ -83,10 +93,11 @@
   }
 
   /**
-   * Stops listening; requests on open connections are still answered, with
-   * "Connection: close".
+   * Stops listening. Requests that arrive on open connections are refused from
+   * now on: the grace time that is left may be too short for an answer.
    */
   stopListening(): Promise<void> {
+    this.#isClosing = true;
     return stopAccepting(this.#server);
   }
 
@@ -98,6 +109,15 @@
     this.#server.closeAllConnections();
   }
 
+  #refuseLate(request: IncomingMessage, response: ServerResponse): void {
+    const options = { context: this.#context, request, response };
+    new CallFinisher(options).refuse(undefined, {
+      status: 503,
+      reason: "this gateway is about to stop",
+      retryAfterMilliseconds: STOP_RETRY_MILLISECONDS,
+    });
+  }
+
   #refuseBadInput(error: Error, socket: Socket): void {
     const { code } = error as { code?: string };
     if (code === "ECONNRESET" || !socket.writable) return void socket.destroy();
--- a/packages/daemon/src/gateway/gateway_server_test.ts
+++ b/packages/daemon/src/gateway/gateway_server_test.ts
@@ -35,9 +35,15 @@
 
 /** A gateway's server without a configuration: it answers all with 503. */
 async function openServer({ isStopping = (): boolean => true } = {}) {
+  let taken = 0;
   const context = {
     isStopping,
-    startHold: { wait: () => Promise.resolve(false) },
+    startHold: {
+      wait: () => {
+        taken += 1;
+        return Promise.resolve(false);
+      },
+    },
     feed: { table: undefined },
     format: {
       readRequest: () => ({}),
@@ -50,7 +56,7 @@
   const server = new GatewayServer(context as unknown as GatewayContext);
   const port = await findFreePort();
   assert.ok((await server.listen(`127.0.0.1:${port}`)).isOk);
-  return { server, port };
+  return { server, port, countTaken: () => taken };
 }
 
 // Guards against requests that are reset at a planned stop: on a loaded host,
@@ -83,3 +89,19 @@
   assert.match(await sendRequest(kept), /^HTTP\/1\.1 503.*Connection: close/s);
   server.closeAll();
 });
+
+// Guards against answers that are cut off at the end of the grace time: a request
+// that is taken late has less of it left than a long answer needs.
+test("a request that arrives after the gateway stops listening is refused, not run", async () => {
+  const { server, port, countTaken } = await openServer();
+  const early = await openConnection(port);
+  const late = await openConnection(port);
+  assert.ok(early !== undefined && late !== undefined);
+  await sendRequest(early);
+  assert.equal(countTaken(), 1);
+  await server.stopListening();
+  const answer = await sendRequest(late);
+  assert.match(answer, /^HTTP\/1\.1 503.*Retry-After: 0\.\d+/s);
+  assert.equal(countTaken(), 1);
+  server.closeAll();
+});
