Names and one comment, after a newcomer's reading

Read twice: how a silent connection is left. MAX_PENDING without saying of what. No check, bound or behaviour is changed; 7 tests of the three files pass.

--- a/packages/daemon/src/control/crash_attributor.ts
+++ b/packages/daemon/src/control/crash_attributor.ts
@@ -73,7 +73,7 @@
   );
   /** Fingerprints emitted as suspicions or restored; oldest first. */
   #persisted = new Set<string>();
-  #suspicionBudget = new NewsRateLimiter(MAX_SUSPICIONS_PER_SECOND);
+  #persistBudget = new NewsRateLimiter(MAX_SUSPICIONS_PER_SECOND);
   #queuedReports: CrashReport[] = [];
   #reportBudget = new NewsRateLimiter(MAX_REPORTS_PER_SECOND);
   #reportTimer: NodeJS.Timeout | undefined;
@@ -151,7 +151,7 @@
   #persistSuspicion(fingerprint: string): void {
     if (this.#persisted.has(fingerprint)) return;
     if (this.#ledger.listSuspicions([fingerprint]).length === 0) return;
-    if (this.#suspicionBudget.take(1, monotonicMilliseconds()) === 0) return;
+    if (this.#persistBudget.take(1, monotonicMilliseconds()) === 0) return;
     rememberLatest(this.#persisted, fingerprint);
     const incarnations = this.#ledger.incarnationsOf(fingerprint);
     this.suspected$.next({ fingerprint, incarnations });
--- a/packages/daemon/src/crashes/crash_record_proposals.ts
+++ b/packages/daemon/src/crashes/crash_record_proposals.ts
@@ -3,7 +3,7 @@
 
 const PROPOSAL_INTERVAL_MILLISECONDS = 500;
 /** As many as the replicated tables hold of blames. */
-const MAX_PENDING = 256;
+const MAX_PENDING_CHANGES = 256;
 
 type Options = {
   /** Resolves to whether the command was committed. */
@@ -65,7 +65,7 @@
   }
 
   #dropOldest(): void {
-    if (this.#pending.size <= MAX_PENDING) return;
+    if (this.#pending.size <= MAX_PENDING_CHANGES) return;
     const [fingerprint, command] = this.#pending.entries().next().value!;
     this.#pending.delete(fingerprint);
     this.#options.onDropped(command);
--- a/packages/daemon/src/entry/calls/exchange_reader.ts
+++ b/packages/daemon/src/entry/calls/exchange_reader.ts
@@ -26,7 +26,8 @@
 /**
  * Reads one answer from an agent, by byte offset. A connection that breaks, or
  * stays silent for longer than the agent's heartbeat interval allows, is
- * replaced by a new one. So is one that another call has found silent, sooner. The reading resumes at the offset where it stopped,
+ * replaced by a new one. Once another call has found the connection silent, less
+ * silence is enough. The reading resumes at the offset where it stopped,
  * so that no bytes are lost or duplicated.
  */
 export class ExchangeReader {
