The stand-in's servers can fall silent for a while and go on

Change: fallSilent holds back heads, events, reports and heartbeats until the time is over; the length and pace of streams can be set.

--- a/acceptance/src/end_to_end_system.ts
+++ b/acceptance/src/end_to_end_system.ts
@@ -259,7 +259,7 @@
       [this.plainServer, "plain"] as const,
     ];
     for (const [server, service] of servers) {
-      if (server.isDown) continue;
+      if (server.isDown || server.isSilent) continue;
       const state = this.#leavingServers.has(server) ? "draining" : "ready";
       const { instance } = server;
       this.callControlHost(
--- a/acceptance/src/fake_backend_server.ts
+++ b/acceptance/src/fake_backend_server.ts
@@ -9,8 +9,8 @@
 import { performance } from "node:perf_hooks";
 import type { FakeWeightStore } from "./fake_weight_store.ts";
 
-const STREAM_EVENTS = 8;
-const EVENT_INTERVAL_MILLISECONDS = 10;
+const DEFAULT_STREAM_EVENTS = 8;
+const DEFAULT_EVENT_INTERVAL_MILLISECONDS = 10;
 /** Time from the start of a response until its request crashes the server. */
 const CRASH_DELAY_MILLISECONDS = 20;
 const RESTART_MILLISECONDS = 400;
@@ -32,6 +32,9 @@
   breakAfterEvents: number[] = [];
   /** Accepts requests but sends nothing more, like a server on a frozen host. */
   isFrozen = false;
+  /** Events of each stream, and the time from one to the next. */
+  streamEvents = DEFAULT_STREAM_EVENTS;
+  eventIntervalMilliseconds = DEFAULT_EVENT_INTERVAL_MILLISECONDS;
   /** Bodies of requests that crash the server. */
   crashingBodies: readonly string[] = [];
   /** Whether the server has crashed and not yet restarted. */
@@ -60,6 +63,8 @@
   #staged = new Map<number, Buffer>();
   #acceptedOrders = 0;
   #heartbeats = 0;
+  /** Until when the server is silent, `performance.now()` milliseconds. */
+  #silentUntil = -Infinity;
   #server = createServer({ maxHeaderSize: 65_536 }, (request, response) => {
     this.#handle(request, response).catch(() => response.destroy());
   });
@@ -91,6 +96,24 @@
     this.address = `${host}:${port}`;
   }
 
+  /**
+   * Sends nothing for a while, then goes on where it was. Connections stay open
+   * and what arrives meanwhile is read afterwards, like a process that stands
+   * still. A silence in progress is only ever made longer.
+   */
+  fallSilent(milliseconds: number): void {
+    const until = performance.now() + milliseconds;
+    this.#silentUntil = Math.max(this.#silentUntil, until);
+  }
+
+  get isSilent(): boolean {
+    return performance.now() < this.#silentUntil;
+  }
+
+  async #waitUntilSilenceEnds(): Promise<void> {
+    while (this.isSilent) await sleep(this.#silentUntil - performance.now());
+  }
+
   close(): void {
     this.#isClosed = true;
     this.#server.close();
@@ -116,6 +139,8 @@
 
   async #handle(request: IncomingMessage, response: ServerResponse) {
     const body = await readAll(request);
+    await this.#waitUntilSilenceEnds();
+    if (response.destroyed) return;
     const url = new URL(request.url ?? "", "http://server");
     const chunk = url.searchParams.get("chunkCount");
     if (url.pathname === "/report") return sendJson(response, this.#report());
@@ -229,16 +254,18 @@
 
   async #streamEvents(response: ServerResponse, after: number): Promise<void> {
     const breakAfter = this.breakAfterEvents.shift() ?? Infinity;
-    for (let event = after + 1; event <= STREAM_EVENTS; event += 1) {
-      if (this.isFrozen) return;
+    for (let event = after + 1; event <= this.streamEvents; event += 1) {
+      await this.#waitUntilSilenceEnds();
+      if (this.isFrozen || response.destroyed) return;
       if (event > breakAfter) {
         response.write(`id: ${event}\nda`);
-        await sleep(EVENT_INTERVAL_MILLISECONDS);
+        await sleep(this.eventIntervalMilliseconds);
         return void response.destroy();
       }
       response.write(`id: ${event}\ndata: t${event}\n\n`);
-      await sleep(EVENT_INTERVAL_MILLISECONDS);
+      await sleep(this.eventIntervalMilliseconds);
     }
+    await this.#waitUntilSilenceEnds();
     response.end();
   }
 
