A gateway says what cut a caller's answer off, and on what evidence

Cause: request-ended of a stream that breaks off in mid-answer reads like a refusal that reached its caller; how long the backend server had been silent, what was left of retries and where the request was to go stood nowhere, so the hypotheses of the lost answer couldn't be told apart. Change: one line answer-cut with these, and a counter by reason. Nothing is decided otherwise.

--- a/packages/core/src/gateway/backend_record.ts
+++ b/packages/core/src/gateway/backend_record.ts
@@ -176,12 +176,17 @@
    * until its client gives up.
    */
   isSilent(now: number): boolean {
-    if (this.inFlight === 0) return false;
     const limit = Math.max(
       MIN_SILENCE_MILLISECONDS,
       SILENCE_RESPONSE_TIME_FACTOR * this.#meanResponseTimeMilliseconds,
     );
-    return now - Math.max(this.#lastReceivedAt, this.#busySince) > limit;
+    return this.silentMilliseconds(now) > limit;
+  }
+
+  /** Time without data while responses were due, milliseconds; 0 if none is. */
+  silentMilliseconds(now: number): number {
+    if (this.inFlight === 0) return 0;
+    return now - Math.max(this.#lastReceivedAt, this.#busySince);
   }
 
   /** Records the time from a response's headers to its end. */
--- a/packages/core/src/gateway/shared_retry_budget.ts
+++ b/packages/core/src/gateway/shared_retry_budget.ts
@@ -29,6 +29,11 @@
     );
   }
 
+  /** Retries that the budget allows now, with a fraction of the next one. */
+  get left(): number {
+    return this.#availableRetries;
+  }
+
   /** Whether the budget allows a retry now. */
   get hasRetries(): boolean {
     return this.#availableRetries >= 1;
--- a/packages/daemon/src/gateway/call_finisher.ts
+++ b/packages/daemon/src/gateway/call_finisher.ts
@@ -8,6 +8,7 @@
 import type { CallSender } from "./call_sender.ts";
 import type { GatewayContext } from "./gateway_context.ts";
 import { refuseCall } from "./refuse_call.ts";
+import type { SilenceEvidence } from "./silence_evidence.ts";
 
 type Options = {
   context: GatewayContext;
@@ -21,6 +22,8 @@
   sender: CallSender;
   forwarder: AnswerForwarder;
   routing: CallRouting;
+  /** Of the latest attempt that was given up for silence. */
+  silence?: SilenceEvidence | undefined;
 };
 
 /** Finishes one client request: sends its refusal, logs it and counts it. */
@@ -54,8 +57,10 @@
     const { status, reason } = refusal;
     const { context, request, response } = this.#options;
     const { format, isStopping } = context;
-    if (response.headersSent) response.destroy();
-    else {
+    if (response.headersSent) {
+      this.#logCut(ended, refusal);
+      response.destroy();
+    } else {
       refuseCall(response, refusal, { closes: isStopping() });
       if (!request.complete) request.resume();
     }
@@ -64,6 +69,24 @@
     this.finish(ended, { status, reason, outcome });
   }
 
+  #logCut(ended: EndedCall | undefined, refusal: CallRefusal): void {
+    const { log, metrics, retries } = this.#options.context;
+    const silence = ended?.silence;
+    const reason = refusal.cutReason ??
+      (silence === undefined ? "server-broke-off" : "server-silent");
+    metrics.answersCut.inc({ reason });
+    log.warn("answer-cut", {
+      id: ended?.call.id,
+      instances: ended && [...ended.sender.tried].join(","),
+      reason,
+      detail: refusal.reason,
+      last_event: ended?.forwarder.lastEventId,
+      silent_milliseconds: silence && Math.round(silence.silentMilliseconds),
+      retries_left: Math.floor(silence?.retriesLeft ?? retries.left),
+      to: silence?.to,
+    });
+  }
+
   finish(ended: EndedCall | undefined, end: CallEnd): void {
     this.#isOver = true;
     clearTimeout(this.#timer);
--- a/packages/daemon/src/gateway/call_routing.ts
+++ b/packages/daemon/src/gateway/call_routing.ts
@@ -135,10 +135,14 @@
   /** Whether another backend server can take over if this one fails. */
   canFailOver(): boolean {
     return this.isRetryable && this.#hasAttemptsLeft &&
-      this.#options.context.pool.choose(
-          this.#query({ willSend: false }),
-        ) !==
-        undefined;
+      this.peek() !== undefined;
+  }
+
+  /** As `choose`, without anything being sent. */
+  peek(): BackendCandidate | undefined {
+    return this.#options.context.pool.choose(
+      this.#query({ willSend: false }),
+    );
   }
 
   get #hasAttemptsLeft(): boolean {
--- a/packages/daemon/src/gateway/gateway_call.ts
+++ b/packages/daemon/src/gateway/gateway_call.ts
@@ -11,6 +11,7 @@
 import { CallSender } from "./call_sender.ts";
 import type { GatewayContext } from "./gateway_context.ts";
 import { RefusalBuilder } from "./refusal_builder.ts";
+import type { SilenceEvidence } from "./silence_evidence.ts";
 
 type Answer = Extract<AttemptOutcome, { kind: "answer" }>;
 
@@ -27,6 +28,8 @@
   forwarder: AnswerForwarder;
   routing: CallRouting;
   refusals: RefusalBuilder;
+  /** Of the latest attempt that was given up for silence. */
+  silence?: SilenceEvidence;
 };
 
 /** Handles one client request, from its head to the end of its answer. */
@@ -179,15 +182,25 @@
   }
 
   #watchSilence(
-    { sender, routing }: ActiveCall,
+    active: ActiveCall,
     { record }: BackendCandidate,
   ): () => void {
+    const { sender, routing } = active;
     return this.#context.silence.watch({
       isSilent: () => record.isSilent(monotonicMilliseconds()),
       canFailOver: () =>
         !this.#finisher.isOver && routing.canFailOver() &&
         this.#context.retries.hasRetries,
-      abort: () => sender.abort("its backend server has fallen silent"),
+      abort: () => {
+        active.silence = {
+          silentMilliseconds: record.silentMilliseconds(
+            monotonicMilliseconds(),
+          ),
+          retriesLeft: this.#context.retries.left,
+          to: routing.peek()?.announcement.instance,
+        };
+        sender.abort("its backend server has fallen silent");
+      },
     });
   }
 
@@ -286,7 +299,11 @@
     if (this.#finisher.isOver) return;
     const isSent = active.refusals.mayHaveRun || active.sender.isSent;
     const reason = "the time for it is over";
-    this.#finisher.refuse(active, { status: isSent ? 504 : 503, reason });
+    this.#finisher.refuse(active, {
+      status: isSent ? 504 : 503,
+      reason,
+      cutReason: "time-over",
+    });
     active.sender.abort(reason);
   }
 
