--- a/acceptance/src/build_configuration.ts
+++ b/acceptance/src/build_configuration.ts
@@ -5,6 +5,7 @@
   chunks: number;
   keys?: string[];
   maxHeaderBytes?: number;
+  routeTimeoutMilliseconds?: number;
 };
 
 /**
@@ -13,9 +14,9 @@
  */
 export function buildConfiguration(options: Options) {
   const { version, store, model, chunks, keys = ["key-1"] } = options;
-  const { maxHeaderBytes = 16_384 } = options;
+  const { maxHeaderBytes = 16_384, routeTimeoutMilliseconds = 2_000 } = options;
   const route = {
-    timeoutMs: 2_000,
+    timeoutMs: routeTimeoutMilliseconds,
     sloMs: 100,
     priority: 1,
     maxAttempts: 2,
--- a/acceptance/src/end_to_end_system.ts
+++ b/acceptance/src/end_to_end_system.ts
@@ -9,11 +9,18 @@
 const HEARTBEAT_INTERVAL_MILLISECONDS = 200;
 const CALL_TIMEOUT_MILLISECONDS = 1_000;
 const DEFAULT_ENGINES = 2;
+const DEFAULT_ROUTE_TIMEOUT_MILLISECONDS = 2_000;
 /** First host indexes of gateways and of stagers; control hosts start at 0. */
 const FIRST_GATEWAY_INDEX = 10;
 const FIRST_STAGER_INDEX = 40;
 
-type Options = { engines?: number; gateways?: number; controlHosts?: number };
+type Options = {
+  engines?: number;
+  gateways?: number;
+  controlHosts?: number;
+  /** Of all routes, and of requests that are sent without a deadline. */
+  routeTimeoutMilliseconds?: number;
+};
 
 /**
  * A complete system on loopback: all daemon processes, with fake backend servers
@@ -29,14 +36,21 @@
   readonly gatewayIps: string[] = [];
   #gatewayCount: number;
   #controlHostCount: number;
+  #routeTimeoutMilliseconds: number;
   #storeAddress = "";
   #heartbeatTimer: NodeJS.Timeout | undefined;
   #leavingServers = new Set<FakeBackendServer>();
 
   constructor(
-    { engines = DEFAULT_ENGINES, gateways = 1, controlHosts = 1 }: Options = {},
+    {
+      engines = DEFAULT_ENGINES,
+      gateways = 1,
+      controlHosts = 1,
+      routeTimeoutMilliseconds = DEFAULT_ROUTE_TIMEOUT_MILLISECONDS,
+    }: Options = {},
   ) {
     const { store } = this;
+    this.#routeTimeoutMilliseconds = routeTimeoutMilliseconds;
     this.#gatewayCount = gateways;
     this.#controlHostCount = controlHosts;
     for (let index = 0; index < engines; index += 1) {
@@ -136,6 +150,7 @@
       store: this.#storeAddress,
       model: MODEL,
       chunks: this.store.chunks,
+      routeTimeoutMilliseconds: this.#routeTimeoutMilliseconds,
       ...(keys && { keys }),
       ...(maxHeaderBytes !== undefined && { maxHeaderBytes }),
     });
@@ -219,7 +234,7 @@
         headers: {
           Host: options.host ?? "desk.example",
           "Attempt-Id": id,
-          "Deadline-Ms": "2000",
+          "Deadline-Ms": String(this.#routeTimeoutMilliseconds),
           Authorization: `Bearer ${key}`,
           ...options.headers,
         },
