Silence of a backend server ends no attempt before another has taken over

What callers saw: streams broken off in the middle, up to 36 of 40 at once, by engines that were silent for a second and went on with their connections open. Cause: each attempt at a silent server was aborted once some server could be chosen and some retry was left; both were looked at, not taken. Twelve attempts that were checked in one tick all counted on the same retries, and on servers that were silent themselves. What was aborted had no way back. Change: the decision is a module in core that takes the retry and the place at a server that is heard, or nothing. The silent attempt stays open until the other server's answer begins; if it goes on before, or the other one fails, the client loses nothing. A client that reads slowly, and a gateway that stood still itself, don't make a server silent. A server that was taken over from is left until it is heard again, instead of counting failures. Why it works: an attempt ends only by its own server, its client, its time, or an answer that is there.

--- a/packages/core/src/gateway/backend_record.ts
+++ b/packages/core/src/gateway/backend_record.ts
@@ -49,6 +49,9 @@
  */
 const SILENCE_RESPONSE_TIME_FACTOR = 4;
 
+/** For a process of which no stall is known. */
+const ALWAYS_LISTENING = { since: -Infinity };
+
 /**
  * Load, health and timing of one backend server as seen by this host: from its
  * own requests to the backend server, and from the load reports in its
@@ -97,6 +100,14 @@
   #nextEjectionMilliseconds = INITIAL_EJECTION_MILLISECONDS;
   /** Ejected, and without a successful response since. */
   #isHalfOpen = false;
+  /** Ejected for its silence alone. */
+  #isEjectedForSilence = false;
+  #listening: { readonly since: number };
+
+  /** @param listening since when this process reads without a stall. */
+  constructor(listening: { readonly since: number } = ALWAYS_LISTENING) {
+    this.#listening = listening;
+  }
 
   /**
    * Stores a load report.
@@ -149,6 +160,12 @@
     return Math.max(0, running + waiting + this.inFlight - ownRequests);
   }
 
+  /** Counts a request that is sent now. */
+  beginRequest(now: number): void {
+    this.recordSend(now);
+    this.inFlight += 1;
+  }
+
   /** Records a send. Must be called before `inFlight` is incremented. */
   recordSend(now: number): void {
     if (this.inFlight === 0) this.#busySince = now;
@@ -161,6 +178,11 @@
   /** Records that part of any response arrived from the backend server. */
   recordDataReceived(now: number): void {
     this.#lastReceivedAt = now;
+    if (!this.#isEjectedForSilence) return;
+    this.#isEjectedForSilence = false;
+    this.#isHalfOpen = false;
+    this.#ejectedUntil = -Infinity;
+    this.#nextEjectionMilliseconds = INITIAL_EJECTION_MILLISECONDS;
   }
 
   /** Records the time from sending a request to its response headers. */
@@ -186,7 +208,21 @@
   /** Time without data while responses were due, milliseconds; 0 if none is. */
   silentMilliseconds(now: number): number {
     if (this.inFlight === 0) return 0;
-    return now - Math.max(this.#lastReceivedAt, this.#busySince);
+    const since = Math.max(
+      this.#lastReceivedAt,
+      this.#busySince,
+      this.#listening.since,
+    );
+    return Math.max(0, now - since);
+  }
+
+  /**
+   * Ejects the backend server after another one has taken over a request. Its
+   * silence shows only while requests are in flight there; the ejection lasts
+   * beyond them, until data arrives again or the usual time is over.
+   */
+  ejectForSilence(now: number): void {
+    if (this.eject(now)) this.#isEjectedForSilence = true;
   }
 
   /** Records the time from a response's headers to its end. */
@@ -249,6 +285,7 @@
    */
   eject(now: number): boolean {
     if (this.isEjected(now)) return false;
+    this.#isEjectedForSilence = false;
     this.#ejectedUntil = now + this.#nextEjectionMilliseconds;
     this.#isHalfOpen = true;
     this.#nextEjectionMilliseconds = Math.min(
--- a/packages/core/src/gateway/backend_record_test.ts
+++ b/packages/core/src/gateway/backend_record_test.ts
@@ -113,3 +113,20 @@
   record.recordReport({ running: 9, waiting: 0, slots: 16 }, 1_100, 60);
   assert.equal(record.estimateRequests(1_100), 9);
 });
+
+// Guards against new requests for a silent backend server once nothing is in
+// flight there, and against a sound one that stays ejected after it goes on.
+test("an ejection for silence ends as soon as the backend server is heard", () => {
+  const record = new BackendRecord();
+  record.beginRequest(0);
+  assert.equal(record.isAvailable(800), false);
+  record.ejectForSilence(800);
+  record.inFlight = 0;
+  assert.equal(record.isAvailable(900), false);
+  record.inFlight = 3;
+  record.recordDataReceived(1_000);
+  assert.equal(record.isAvailable(1_000), true);
+  record.eject(1_100);
+  record.recordDataReceived(1_200);
+  assert.equal(record.isAvailable(1_200), false, "ejected for failures");
+});
--- a/packages/daemon/src/gateway/answer_forwarder.ts
+++ b/packages/daemon/src/gateway/answer_forwarder.ts
@@ -39,6 +39,11 @@
     return this.#relay?.canResume ?? true;
   }
 
+  /** See `StreamRelay.isWaitingForClient`. */
+  get isWaitingForClient(): boolean {
+    return this.#relay?.isWaitingForClient ?? false;
+  }
+
   get lastEventId(): string | undefined {
     return this.#relay?.lastEventId;
   }
--- a/packages/daemon/src/gateway/backend_pool.ts
+++ b/packages/daemon/src/gateway/backend_pool.ts
@@ -53,6 +53,8 @@
   weightsBoundMilliseconds: number;
   namedLimits: NamedLimits;
   pushbacks: ServerPushbacks;
+  /** Since when this process reads without a stall. */
+  listening: { readonly since: number };
   /** Emits backend servers whose process was found to have ended. */
   endedServers$: Observable<BackendAnnouncement>;
 };
@@ -103,7 +105,7 @@
   recordOf(instance: string): BackendRecord {
     let record = this.#records.get(instance);
     if (record === undefined) {
-      record = new BackendRecord();
+      record = new BackendRecord(this.#options.listening);
       this.#records.set(instance, record);
     }
     return record;
@@ -121,8 +123,14 @@
 
   /** Best eligible backend server for a request; undefined if there is none. */
   choose(query: BackendQuery): BackendCandidate | undefined {
-    const usable = this.#findUsable(query);
-    updateAssumedLoad(usable, monotonicMilliseconds());
+    return this.chooseAmong(this.listUsable(query), query);
+  }
+
+  /** Best of the given candidates; undefined if their limits are used up. */
+  chooseAmong(
+    usable: BackendCandidate[],
+    query: BackendQuery,
+  ): BackendCandidate | undefined {
     const best = this.#chooseBest(usable, query);
     const isLimited = best !== undefined &&
       this.#options.namedLimits.isLimited(best.announcement);
@@ -169,7 +177,7 @@
    */
   millisecondsUntilCapacity(query: BackendQuery): number | undefined {
     const { namedLimits } = this.#options;
-    const waits = this.#findUsable(query)
+    const waits = this.listUsable(query)
       .filter(({ announcement }) => namedLimits.isLimited(announcement))
       .map(({ announcement }) =>
         namedLimits.millisecondsUntilCapacity(announcement)
@@ -185,9 +193,10 @@
     );
   }
 
-  #findUsable(query: BackendQuery): BackendCandidate[] {
+  /** Eligible backend servers that accept requests from this host now. */
+  listUsable(query: BackendQuery): BackendCandidate[] {
     const { feed, pushbacks } = this.#options;
-    return feed.backendsOf(query.service)
+    const usable = feed.backendsOf(query.service)
       .filter((announcement) =>
         this.#isEligible(announcement, query) && pushbacks.admits(announcement)
       )
@@ -195,6 +204,8 @@
         announcement,
         record: this.recordOf(announcement.instance),
       }));
+    updateAssumedLoad(usable, monotonicMilliseconds());
+    return usable;
   }
 
   #chooseBest(
--- a/packages/daemon/src/gateway/backend_pool_test.ts
+++ b/packages/daemon/src/gateway/backend_pool_test.ts
@@ -68,6 +68,7 @@
     dataCentre: "here",
     weightsBoundMilliseconds: 8_000,
     namedLimits: namedLimits as NamedLimits,
+    listening: { since: -Infinity },
     pushbacks,
     endedServers$,
   });
--- a/packages/daemon/src/gateway/call_finisher.ts
+++ b/packages/daemon/src/gateway/call_finisher.ts
@@ -6,9 +6,9 @@
 import type { CallRefusal } from "./call_refusal.ts";
 import type { CallRouting } from "./call_routing.ts";
 import type { CallSender } from "./call_sender.ts";
+import type { CallTakeover } from "./call_takeover.ts";
 import type { GatewayContext } from "./gateway_context.ts";
 import { refuseCall } from "./refuse_call.ts";
-import type { SilenceEvidence } from "./silence_evidence.ts";
 
 type Options = {
   context: GatewayContext;
@@ -22,8 +22,7 @@
   sender: CallSender;
   forwarder: AnswerForwarder;
   routing: CallRouting;
-  /** Of the latest attempt that was given up for silence. */
-  silence?: SilenceEvidence | undefined;
+  takeover: CallTakeover;
 };
 
 /** Finishes one client request: sends its refusal, logs it and counts it. */
@@ -71,9 +70,8 @@
 
   #logCut(ended: EndedCall | undefined, refusal: CallRefusal): void {
     const { log, metrics, retries } = this.#options.context;
-    const silence = ended?.silence;
-    const reason = refusal.cutReason ??
-      (silence === undefined ? "server-broke-off" : "server-silent");
+    const silence = ended?.takeover.evidence;
+    const reason = refusal.cutReason ?? "server-broke-off";
     metrics.answersCut.inc({ reason });
     log.warn("answer-cut", {
       id: ended?.call.id,
@@ -84,6 +82,7 @@
       silent_milliseconds: silence && Math.round(silence.silentMilliseconds),
       retries_left: Math.floor(silence?.retriesLeft ?? retries.left),
       to: silence?.to,
+      kept: silence?.keptReason,
     });
   }
 
--- a/packages/daemon/src/gateway/call_routing.ts
+++ b/packages/daemon/src/gateway/call_routing.ts
@@ -1,6 +1,8 @@
 import type { BackendCandidate } from "@teaselrouter/core/gateway/backend_candidate.ts";
 import type { BackendAnnouncement } from "@teaselrouter/core/membership/backend_announcement.ts";
 import { decidePlacement } from "@teaselrouter/core/gateway/decide_placement.ts";
+import { decideTakeover } from "@teaselrouter/core/gateway/decide_takeover.ts";
+import type { TakeoverDecision } from "@teaselrouter/core/gateway/takeover_decision.ts";
 import type { Placement } from "@teaselrouter/core/gateway/placement.ts";
 import { monotonicMilliseconds } from "../transport/monotonic_milliseconds.ts";
 import type { AdmittedCall } from "./admitted_call.ts";
@@ -135,13 +137,28 @@
   /** Whether another backend server can take over if this one fails. */
   canFailOver(): boolean {
     return this.isRetryable && this.#hasAttemptsLeft &&
-      this.peek() !== undefined;
+      this.#options.context.pool.choose(
+          this.#query({ willSend: false }),
+        ) !==
+        undefined;
   }
 
-  /** As `choose`, without anything being sent. */
-  peek(): BackendCandidate | undefined {
-    return this.#options.context.pool.choose(
-      this.#query({ willSend: false }),
+  /** See `decideTakeover`. */
+  decideTakeover(): TakeoverDecision {
+    const { context, call } = this.#options;
+    const { pool, retries, crashes } = context;
+    const query = this.#query({ willSend: true });
+    const now = monotonicMilliseconds();
+    return decideTakeover(
+      {
+        isRetryable: this.isRetryable && crashes.mayRetry(call),
+        hasAttemptsLeft: this.#hasAttemptsLeft,
+        millisecondsLeft: call.deadlineAt - now,
+        listCandidates: () => pool.listUsable(query),
+        choose: (candidates) => pool.chooseAmong(candidates, query),
+      },
+      retries,
+      now,
     );
   }
 
--- a/packages/daemon/src/gateway/call_sender.ts
+++ b/packages/daemon/src/gateway/call_sender.ts
@@ -6,12 +6,15 @@
 import type { AttemptOutcome } from "./attempt_outcome.ts";
 import { BackendAttempt } from "./backend_attempt.ts";
 import type { GatewayContext } from "./gateway_context.ts";
+import { SentAttempt } from "./sent_attempt.ts";
 
 /**
  * Placement of an attempt, and where it resumes a stream that another backend
  * server began.
  */
 type SendOptions = {
+  /** Whether the backend server's record counts the request already. */
+  isCounted: boolean;
   weightsVersion: number | undefined;
   resumesAfter: string | undefined;
   placement: Placement;
@@ -32,9 +35,7 @@
   readonly tried = new Set<string>();
   #context: GatewayContext;
   #call: AdmittedCall;
-  #attempt: BackendAttempt | undefined;
-  /** When the latest attempt began, monotonic milliseconds. */
-  sentAt = -Infinity;
+  #attempts: SentAttempt[] = [];
 
   constructor(context: GatewayContext, call: AdmittedCall) {
     this.#context = context;
@@ -42,75 +43,66 @@
   }
 
   /**
-   * Whether a byte of the request may have reached the latest backend server.
+   * Whether a byte of the request may have reached a backend server that
+   * hasn't refused it.
    */
   get isSent(): boolean {
-    return this.#attempt?.isSent ?? false;
-  }
-
-  /** Whether the connection to the latest backend server failed. */
-  get hasFailed(): boolean {
-    return this.#attempt?.hasFailed ?? false;
-  }
-
-  /** Whether this host, not the backend server, ended the latest attempt. */
-  get isAborted(): boolean {
-    return this.#attempt?.isAborted ?? false;
+    return this.#attempts.some(({ isSent, hasEnded }) => isSent && !hasEnded);
   }
 
+  /** Aborts all attempts that have not ended. */
   abort(reason: string): void {
-    this.#attempt?.abort(reason);
+    for (const attempt of this.#attempts) attempt.abort(reason);
   }
 
   /**
    * Sends the request to `candidate` and updates that backend server's record.
-   * If the outcome is an answer, `record.inFlight` still counts the request:
-   * the caller decrements it when the answer has ended. Never rejects.
+   * An attempt that gets no answer has ended with its outcome; after an answer
+   * the caller ends it.
    */
-  async send(
-    candidate: BackendCandidate,
-    options: SendOptions,
-  ): Promise<AttemptOutcome> {
+  send(candidate: BackendCandidate, options: SendOptions): SentAttempt {
     const { announcement, record } = candidate;
     const { promptTokens } = this.#call.metadata;
     const sentAt = monotonicMilliseconds();
-    this.sentAt = sentAt;
     this.tried.add(announcement.instance);
     this.#context.namedLimits.countSend(announcement);
-    record.recordSend(sentAt);
-    record.inFlight += 1;
+    if (!options.isCounted) record.beginRequest(sentAt);
     const timelyCount = options.placement.kind === "timely" ? 1 : 0;
     record.pendingPromptTokens += promptTokens;
     record.timelyUnanswered += timelyCount;
     const { pushbacks } = this.#context;
     const settleSend = pushbacks.countSend(announcement);
     const attempt = this.#openAttempt(candidate, options);
-    this.#attempt = attempt;
     const cancelWeightsTimer = this.#abortWhenWeightsExpire(candidate, attempt);
     const stopWithdrawing = pushbacks.onClosed(
       announcement,
       () => attempt.withdraw("its backend server accepts no requests now"),
     );
-    const outcome = await attempt.outcome;
-    stopWithdrawing();
-    cancelWeightsTimer();
-    settleSend(outcome.kind === "answer");
-    record.pendingPromptTokens -= promptTokens;
-    record.timelyUnanswered -= timelyCount;
-    if (outcome.kind === "answer") this.#trackLiveness(record, outcome, sentAt);
-    else record.inFlight -= 1;
-    return outcome;
+    const outcome = attempt.outcome.then((settled) => {
+      stopWithdrawing();
+      cancelWeightsTimer();
+      settleSend(settled.kind === "answer");
+      record.pendingPromptTokens -= promptTokens;
+      record.timelyUnanswered -= timelyCount;
+      if (settled.kind === "answer") {
+        this.#trackLiveness(record, settled, sentAt);
+      } else sent.end();
+      return settled;
+    });
+    const sent = new SentAttempt({ candidate, attempt, sentAt, outcome });
+    this.#attempts.push(sent);
+    return sent;
   }
 
   /**
    * Logs a failed attempt and counts it against its backend server, also if
-   * this gateway aborted the attempt. Ejects the backend server if no
+   * this gateway aborted the attempt, unless another one took over. Ejects the backend server if no
    * connection to it was made, or once its failure rate is too high. An attempt
    * that the backend server refused as not run, or broke off after it had
    * announced its shutdown, is only logged.
    */
   recordFailedAttempt(
-    { announcement, record }: BackendCandidate,
+    { candidate: { announcement, record }, isReplaced }: SentAttempt,
     outcome: Exclude<AttemptOutcome, { kind: "answer" }>,
   ): void {
     const { log, pushbacks } = this.#context;
@@ -121,7 +113,7 @@
       reason: outcome.reason,
       sends: this.tried.size,
     });
-    if (pushbacks.isShuttingDown(announcement)) return;
+    if (isReplaced || pushbacks.isShuttingDown(announcement)) return;
     const now = monotonicMilliseconds();
     const isUnreachable = outcome.kind === "not-run" && outcome.isUnreachable;
     const isEjected = isUnreachable
@@ -137,7 +129,8 @@
 
   /**
    * Records the time to the answer's head, and each part of the answer as a
-   * sign that its backend server is alive.
+   * sign that its backend server is alive. The answer stays paused until it is
+   * read.
    */
   #trackLiveness(
     record: BackendRecord,
@@ -151,6 +144,7 @@
       "data",
       () => record.recordDataReceived(monotonicMilliseconds()),
     );
+    message.pause();
   }
 
   #openAttempt(
--- a/packages/daemon/src/gateway/collect_answer.ts
+++ b/packages/daemon/src/gateway/collect_answer.ts
@@ -40,5 +40,6 @@
     message.on("data", onData);
     message.once("end", onEnd);
     message.once("close", onClose);
+    message.resume();
   });
 }
--- a/packages/daemon/src/gateway/cut_reason.ts
+++ b/packages/daemon/src/gateway/cut_reason.ts
@@ -1,7 +1,5 @@
 /** Why a caller's answer broke off after a part of it was sent. */
 export type CutReason =
-  /** Its backend server had fallen silent, and the attempt was given up. */
-  | "server-silent"
   /** Its backend server broke the answer off. */
   | "server-broke-off"
   | "time-over";
--- a/packages/daemon/src/gateway/gateway_app.ts
+++ b/packages/daemon/src/gateway/gateway_app.ts
@@ -1,4 +1,5 @@
 import { SharedRetryBudget } from "@teaselrouter/core/gateway/shared_retry_budget.ts";
+import { ListeningTime } from "@teaselrouter/core/gateway/listening_time.ts";
 import { PatienceEstimator } from "@teaselrouter/core/gateway/patience_estimator.ts";
 import { createServer, type Server } from "node:http";
 import { map } from "rxjs";
@@ -99,6 +100,7 @@
     });
     feed.updates$.subscribe(() => startHold.wakeHeldRequests());
     const connections = new BackendConnections();
+    const listening = new ListeningTime();
     const pushbacks = new ServerPushbacks({ random: Math.random, log });
     const crashWatch = new CrashWatch({
       hasOpenConnection: (address) => connections.hasOpen(address),
@@ -124,6 +126,7 @@
         weightsBoundMilliseconds: settings.gateway!.weights_bound_milliseconds,
         namedLimits,
         pushbacks,
+        listening,
         endedServers$: crashWatch.ended$.pipe(
           map(({ announcement }) => announcement),
         ),
@@ -136,7 +139,7 @@
         maxSavedRetries: MAX_SAVED_RETRIES,
       }),
       patience: new PatienceEstimator(),
-      silence: new SilenceWatch(),
+      silence: new SilenceWatch(listening),
       crashWatch,
       crashes: new CrashReporter({
         ended$: crashWatch.ended$,
--- a/packages/daemon/src/gateway/gateway_call.ts
+++ b/packages/daemon/src/gateway/gateway_call.ts
@@ -1,5 +1,4 @@
 import type { Blame } from "@teaselrouter/core/crashes/blame.ts";
-import type { BackendCandidate } from "@teaselrouter/core/gateway/backend_candidate.ts";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { monotonicMilliseconds } from "../transport/monotonic_milliseconds.ts";
 import { admitCall } from "./admit_call.ts";
@@ -9,9 +8,10 @@
 import { CallFinisher } from "./call_finisher.ts";
 import { CallRouting } from "./call_routing.ts";
 import { CallSender } from "./call_sender.ts";
+import { CallTakeover } from "./call_takeover.ts";
 import type { GatewayContext } from "./gateway_context.ts";
 import { RefusalBuilder } from "./refusal_builder.ts";
-import type { SilenceEvidence } from "./silence_evidence.ts";
+import type { SentAttempt } from "./sent_attempt.ts";
 
 type Answer = Extract<AttemptOutcome, { kind: "answer" }>;
 
@@ -28,8 +28,7 @@
   forwarder: AnswerForwarder;
   routing: CallRouting;
   refusals: RefusalBuilder;
-  /** Of the latest attempt that was given up for silence. */
-  silence?: SilenceEvidence;
+  takeover: CallTakeover;
 };
 
 /** Handles one client request, from its head to the end of its answer. */
@@ -61,12 +60,24 @@
     const { tried } = sender;
     const routing = new CallRouting({ context, call, forwarder, tried });
     const refusals = new RefusalBuilder(context, call);
+    const takeover = new CallTakeover({
+      context,
+      call,
+      sender,
+      forwarder,
+      routing,
+      onFailure: (sent, outcome) => {
+        refusals.mayHaveRun ||= outcome.kind !== "not-run";
+        this.#recordFailure(active, sent, outcome);
+      },
+    });
     const active: ActiveCall = {
       call,
       sender,
       forwarder,
       routing,
       refusals,
+      takeover,
     };
     context.retries.countRequest();
     // The connection was closed while the request was held or its body read:
@@ -83,6 +94,7 @@
       await this.#sendUntilAnswered(active);
     } finally {
       stopWatching();
+      takeover.cancel("the request has ended");
     }
   }
 
@@ -102,35 +114,17 @@
    * refused.
    */
   async #sendUntilAnswered(active: ActiveCall): Promise<void> {
-    const { sender, forwarder, routing, refusals } = active;
+    const { routing, refusals, takeover } = active;
     let lastReason = "";
     while (!this.#finisher.isOver) {
       const blame = this.#context.crashes.checkBlame(active.call);
       if (blame !== undefined) return this.#refuseBlamed(active, blame);
-      const candidate = routing.choose();
-      if (candidate === undefined) {
-        if (await this.#waitForBackends(active)) continue;
-        return this.#refuseWithoutBackend(active, lastReason);
-      }
-      if (sender.tried.size > 0 && !routing.trySpendRetry()) {
-        const reason = `${lastReason}; no further send is allowed`;
-        return this.#finisher.refuse(active, refusals.build(reason, "busy"));
-      }
-      const placement = routing.place(candidate);
-      if (placement.kind === "refused") {
-        const reason = "its backend servers have no room";
-        return this.#finisher.refuse(
-          active,
-          refusals.build(reason, "overload"),
-        );
-      }
-      const stopWatching = this.#watchSilence(active, candidate);
-      const outcome = await sender.send(candidate, {
-        placement,
-        weightsVersion: routing.weightsVersion,
-        resumesAfter: forwarder.lastEventId,
-      });
-      const end = await this.#handleOutcome(active, candidate, outcome);
+      const sent = takeover.takeReplacement() ??
+        await this.#sendOrRefuse(active, lastReason);
+      if (sent === undefined) continue;
+      const stopWatching = takeover.watch(sent);
+      const outcome = await sent.outcome;
+      const end = await this.#handleOutcome(active, sent, outcome);
       stopWatching();
       if (end === "over") return;
       lastReason = end;
@@ -144,6 +138,40 @@
     }
   }
 
+  /**
+   * Sends the request to the best backend server. Undefined after it was
+   * refused instead, or has waited for a backend server.
+   */
+  async #sendOrRefuse(
+    active: ActiveCall,
+    lastReason: string,
+  ): Promise<SentAttempt | undefined> {
+    const { sender, forwarder, routing, refusals } = active;
+    const candidate = routing.choose();
+    if (candidate === undefined) {
+      if (await this.#waitForBackends(active)) return undefined;
+      this.#refuseWithoutBackend(active, lastReason);
+      return undefined;
+    }
+    if (sender.tried.size > 0 && !routing.trySpendRetry()) {
+      const reason = `${lastReason}; no further send is allowed`;
+      this.#finisher.refuse(active, refusals.build(reason, "busy"));
+      return undefined;
+    }
+    const placement = routing.place(candidate);
+    if (placement.kind === "refused") {
+      const reason = "its backend servers have no room";
+      this.#finisher.refuse(active, refusals.build(reason, "overload"));
+      return undefined;
+    }
+    return sender.send(candidate, {
+      isCounted: false,
+      placement,
+      weightsVersion: routing.weightsVersion,
+      resumesAfter: forwarder.lastEventId,
+    });
+  }
+
   /**
    * Waits for an update after the gateway's start, as the request's backend
    * servers may not be known yet. False if the request was sent before, if
@@ -163,45 +191,31 @@
    */
   async #handleOutcome(
     active: ActiveCall,
-    candidate: BackendCandidate,
+    sent: SentAttempt,
     outcome: AttemptOutcome,
   ): Promise<string> {
     if (this.#finisher.isOver) {
-      if (outcome.kind === "answer") candidate.record.inFlight -= 1;
+      sent.end();
       return "over";
     }
     if (outcome.kind === "answer") {
-      const end = await this.#handleAnswer(active, candidate, outcome);
+      const end = await this.#handleAnswer(active, sent, outcome);
+      sent.end();
       return end === "over" ? end : "the answer broke off";
     }
-    active.sender.recordFailedAttempt(candidate, outcome);
-    if (outcome.kind === "broken" && !outcome.isAborted) {
-      this.#recordBreak(active, candidate, undefined);
-    }
+    this.#recordFailure(active, sent, outcome);
     return outcome.reason;
   }
 
-  #watchSilence(
+  #recordFailure(
     active: ActiveCall,
-    { record }: BackendCandidate,
-  ): () => void {
-    const { sender, routing } = active;
-    return this.#context.silence.watch({
-      isSilent: () => record.isSilent(monotonicMilliseconds()),
-      canFailOver: () =>
-        !this.#finisher.isOver && routing.canFailOver() &&
-        this.#context.retries.hasRetries,
-      abort: () => {
-        active.silence = {
-          silentMilliseconds: record.silentMilliseconds(
-            monotonicMilliseconds(),
-          ),
-          retriesLeft: this.#context.retries.left,
-          to: routing.peek()?.announcement.instance,
-        };
-        sender.abort("its backend server has fallen silent");
-      },
-    });
+    sent: SentAttempt,
+    outcome: Exclude<AttemptOutcome, Answer>,
+  ): void {
+    active.sender.recordFailedAttempt(sent, outcome);
+    if (outcome.kind === "broken" && !outcome.isAborted) {
+      this.#recordBreak(active, sent, undefined);
+    }
   }
 
   /**
@@ -210,17 +224,17 @@
    */
   async #handleAnswer(
     active: ActiveCall,
-    { announcement, record }: BackendCandidate,
+    sent: SentAttempt,
     { message, metadata }: Answer,
   ): Promise<"over" | "again"> {
-    const { sender, forwarder, routing } = active;
+    const { sender, forwarder, routing, takeover } = active;
+    const { announcement, record } = sent.candidate;
     const status = message.statusCode ?? 502;
     const now = monotonicMilliseconds();
     if (metadata.load !== undefined) record.recordReport(metadata.load, now);
     const isGood = status >= 200 && status < 300;
     if (isGood && !metadata.isSigned) {
-      record.inFlight -= 1;
-      sender.abort("a success without a signature");
+      sent.abort("a success without a signature");
       return "again";
     }
     // Pushback is no failure.
@@ -228,26 +242,27 @@
       metadata.requestedPause === undefined &&
       !this.#context.pushbacks.isShuttingDown(announcement);
     if (status >= 500 && routing.canFailOver()) {
-      record.inFlight -= 1;
       if (acceptsRequests()) record.recordFailure(now);
       message.resume();
       return "again";
     }
     if (isGood) record.endHalfOpen();
     routing.weightsVersion ??= metadata.weightsVersion;
-    const end = await forwarder.forward(message, () => sender.hasFailed);
-    record.inFlight -= 1;
+    takeover.cancel("its backend server answers");
+    message.on("data", () => takeover.cancel("its backend server goes on"));
+    const end = await forwarder.forward(message, () => sent.hasFailed);
+    sent.end();
     if (this.#finisher.isOver) return "over";
     if (end === "broken" || status >= 500) {
-      if (acceptsRequests()) record.recordFailure(monotonicMilliseconds());
+      if (acceptsRequests() && !sent.isReplaced) {
+        record.recordFailure(monotonicMilliseconds());
+      }
     } else {
       record.recordSuccess();
       record.recordSlotHoldTime(monotonicMilliseconds() - now);
     }
     if (end === "broken") {
-      if (!sender.isAborted) {
-        this.#recordBreak(active, { announcement, record }, now);
-      }
+      if (!sent.isAborted) this.#recordBreak(active, sent, now);
       this.#context.log.info("answer-broken", {
         id: active.call.id,
         instance: announcement.instance,
@@ -264,15 +279,15 @@
   }
 
   #recordBreak(
-    { call, sender }: ActiveCall,
-    { announcement }: BackendCandidate,
+    { call }: ActiveCall,
+    { candidate: { announcement }, sentAt }: SentAttempt,
     headAt: number | undefined,
   ): void {
     // The end of a process that shuts down is no sign that a request crashed it.
     if (this.#context.pushbacks.isShuttingDown(announcement)) return;
     // Only streams send their head when work on them begins. Other answers are
     // sent at the end: for these, work counts from the sending of the request.
-    const begunAt = call.route.kind === "stream" ? headAt : sender.sentAt;
+    const begunAt = call.route.kind === "stream" ? headAt : sentAt;
     this.#context.crashWatch.recordBrokenRequest({
       call,
       announcement,
@@ -288,7 +303,7 @@
     if (this.#finisher.isOver || active.forwarder.hasBegun) return;
     active.refusals.mayHaveRun ||= active.sender.isSent;
     this.#refuseBlamed(active, blame);
-    active.sender.abort("it ends what runs it");
+    this.#abortAttempts(active, "it ends what runs it");
   }
 
   #refuseBlamed(active: ActiveCall, blame: Blame): void {
@@ -304,7 +319,7 @@
       reason,
       cutReason: "time-over",
     });
-    active.sender.abort(reason);
+    this.#abortAttempts(active, reason);
   }
 
   #handleDisconnect(active: ActiveCall): void {
@@ -315,7 +330,12 @@
       reason,
       outcome: "client-left",
     });
-    active.sender.abort("the client has left");
+    this.#abortAttempts(active, "the client has left");
+  }
+
+  #abortAttempts({ sender, takeover }: ActiveCall, reason: string): void {
+    takeover.cancel(reason);
+    sender.abort(reason);
   }
 
   #refuseWithoutBackend(active: ActiveCall, lastReason: string): void {
--- /dev/null
+++ b/packages/daemon/src/gateway/sent_attempt.ts
@@ -0,0 +1,66 @@
+import type { BackendCandidate } from "@teaselrouter/core/gateway/backend_candidate.ts";
+import type { AttemptOutcome } from "./attempt_outcome.ts";
+import type { BackendAttempt } from "./backend_attempt.ts";
+
+type Options = {
+  candidate: BackendCandidate;
+  attempt: BackendAttempt;
+  sentAt: number;
+  outcome: Promise<AttemptOutcome>;
+};
+
+/** An attempt that a backend server's record counts until it has ended. */
+export class SentAttempt {
+  readonly candidate: BackendCandidate;
+  /** When the attempt began, monotonic milliseconds. */
+  readonly sentAt: number;
+  /**
+   * Settles once; never rejects. After an answer the attempt goes on until
+   * `end` is called.
+   */
+  readonly outcome: Promise<AttemptOutcome>;
+  /** Whether another backend server has taken over. */
+  isReplaced = false;
+  #attempt: BackendAttempt;
+  #hasEnded = false;
+
+  constructor({ candidate, attempt, sentAt, outcome }: Options) {
+    this.candidate = candidate;
+    this.#attempt = attempt;
+    this.sentAt = sentAt;
+    this.outcome = outcome;
+  }
+
+  /**
+   * Whether a byte of the request may have reached the backend server.
+   */
+  get isSent(): boolean {
+    return this.#attempt.isSent;
+  }
+
+  /** Whether the connection to the backend server failed. */
+  get hasFailed(): boolean {
+    return this.#attempt.hasFailed;
+  }
+
+  /** Whether this host, not the backend server, ended the attempt. */
+  get isAborted(): boolean {
+    return this.#attempt.isAborted;
+  }
+
+  get hasEnded(): boolean {
+    return this.#hasEnded;
+  }
+
+  /** Closes the attempt's connection, unless the attempt has ended. */
+  abort(reason: string): void {
+    if (!this.#hasEnded) this.#attempt.abort(reason);
+  }
+
+  /** The backend server's record no longer counts the attempt. */
+  end(): void {
+    if (this.#hasEnded) return;
+    this.#hasEnded = true;
+    this.candidate.record.inFlight -= 1;
+  }
+}
--- a/packages/daemon/src/gateway/silence_evidence.ts
+++ b/packages/daemon/src/gateway/silence_evidence.ts
@@ -1,9 +1,11 @@
-/** On what an attempt was given up because its backend server was silent. */
+/** What a gateway knew when it decided about a silent backend server. */
 export type SilenceEvidence = {
   /** Time without data from the backend server. */
   silentMilliseconds: number;
   /** Retries that this host's budget had left. */
   retriesLeft: number;
-  /** Instance that was to take over; undefined if there was none. */
+  /** Instance that takes over; undefined if there is none. */
   to: string | undefined;
+  /** Why none takes over. */
+  keptReason: string | undefined;
 };
--- a/packages/daemon/src/gateway/silence_watch.ts
+++ b/packages/daemon/src/gateway/silence_watch.ts
@@ -1,41 +1,50 @@
+import type { ListeningTime } from "@teaselrouter/core/gateway/listening_time.ts";
+import { monotonicMilliseconds } from "../transport/monotonic_milliseconds.ts";
+
 /** Interval of the checks: a fraction of the time that counts as silence. */
 const CHECK_INTERVAL_MILLISECONDS = 200;
 
 type WatchedAttempt = {
   /** Whether the backend server has stopped answering altogether. */
   isSilent: () => boolean;
-  /**
-   * Whether the request would be sent elsewhere if this attempt were aborted.
-   */
-  canFailOver: () => boolean;
-  abort: () => void;
+  /** Called at each check while the attempt's backend server is silent. */
+  onSilence: () => void;
 };
 
 /**
- * Aborts attempts whose backend server has fallen silent, if the request can be
- * sent elsewhere; otherwise silence is no reason to end it. One timer checks
- * all attempts: one each would wake the process for every request in flight.
+ * Reports attempts whose backend server has fallen silent. One timer checks all
+ * of them: one each would wake the process for every request in flight.
  */
 export class SilenceWatch {
+  #listening: ListeningTime;
   #watched = new Set<WatchedAttempt>();
   #timer: NodeJS.Timeout | undefined;
 
+  constructor(listening: ListeningTime) {
+    this.#listening = listening;
+  }
+
   /** @returns a function that ends the watch. */
   watch(watched: WatchedAttempt): () => void {
     this.#watched.add(watched);
-    this.#timer ??= setInterval(
-      () => this.#abortSilent(),
-      CHECK_INTERVAL_MILLISECONDS,
-    );
+    this.#timer ??= this.#start();
     return () => this.#remove(watched);
   }
 
-  #abortSilent(): void {
-    for (const watched of [...this.#watched]) {
-      if (!watched.isSilent() || !watched.canFailOver()) continue;
-      this.#remove(watched);
-      watched.abort();
-    }
+  #start(): NodeJS.Timeout {
+    this.#listening.observe(monotonicMilliseconds());
+    return setInterval(() => this.#check(), CHECK_INTERVAL_MILLISECONDS);
+  }
+
+  #check(): void {
+    this.#listening.observe(monotonicMilliseconds());
+    // What arrived while this process was busy is read before the immediate.
+    setImmediate(() => {
+      for (const watched of [...this.#watched]) {
+        if (!this.#watched.has(watched) || !watched.isSilent()) continue;
+        watched.onSilence();
+      }
+    });
   }
 
   #remove(watched: WatchedAttempt): void {
@@ -43,5 +52,6 @@
     if (this.#watched.size > 0) return;
     clearInterval(this.#timer);
     this.#timer = undefined;
+    this.#listening.suspend();
   }
 }
--- a/packages/daemon/src/gateway/stream_relay.ts
+++ b/packages/daemon/src/gateway/stream_relay.ts
@@ -29,6 +29,9 @@
    */
   firstWrittenAt: number | undefined;
 
+  /** Whether the client reads more slowly than the backend server sends. */
+  isWaitingForClient = false;
+
   constructor(options: Options) {
     this.#options = options;
   }
@@ -73,6 +76,10 @@
     this.firstWrittenAt ??= monotonicMilliseconds();
     if (response.write(bytes)) return;
     message.pause();
-    response.once("drain", () => message.resume());
+    this.isWaitingForClient = true;
+    response.once("drain", () => {
+      this.isWaitingForClient = false;
+      message.resume();
+    });
   }
 }
--- a/packages/daemon/src/log/event_name.ts
+++ b/packages/daemon/src/log/event_name.ts
@@ -63,6 +63,7 @@
   | "started"
   | "stopped"
   | "stopping"
+  | "takeover"
   | "unreadable"
   | "waiting-to-be-taken-in"
   | "weights-complete"
--- a/packages/daemon/src/metrics/process_metrics.ts
+++ b/packages/daemon/src/metrics/process_metrics.ts
@@ -48,6 +48,8 @@
   readonly requests: Counter<RequestLabel>;
   /** Answers that broke off at the caller after a part had been sent. */
   readonly answersCut: Counter<"reason">;
+  /** Steps of takeovers from silent backend servers. */
+  readonly takeovers: Counter<"change">;
   readonly requestMilliseconds: Histogram<"kind">;
   /** From the head of a request until the head of its answer is forwarded. */
   readonly answerHeadMilliseconds: Histogram<"kind">;
@@ -74,6 +76,12 @@
       labelNames: ["reason"],
       registers,
     });
+    this.takeovers = new Counter({
+      name: "teaselrouter_takeovers_total",
+      help: "Takeovers from silent backend servers, by step",
+      labelNames: ["change"],
+      registers,
+    });
     this.requestMilliseconds = new Histogram({
       name: "teaselrouter_request_milliseconds",
       help: "From the head of a request to the end of its answer",
