A stream never goes on with the body of a failure

What callers saw: a resumable stream whose server broke off, and whose next server answered the resumption with a failure: the failure's text followed the events, and the stream ended like a whole one. Cause: the answer of the server that resumes was joined whatever its status; only a 5xx with yet another server to go to was kept back. Change: an answer that is no success isn't joined to one that has begun; another server is asked, or the client's answer breaks off.

--- a/acceptance/src/build_configuration.ts
+++ b/acceptance/src/build_configuration.ts
@@ -6,6 +6,7 @@
   keys?: string[];
   maxHeaderBytes?: number;
   routeTimeoutMilliseconds?: number;
+  maxAttempts?: number;
 };
 
 /**
@@ -15,11 +16,12 @@
 export function buildConfiguration(options: Options) {
   const { version, store, model, chunks, keys = ["key-1"] } = options;
   const { maxHeaderBytes = 16_384, routeTimeoutMilliseconds = 2_000 } = options;
+  const { maxAttempts = 2 } = options;
   const route = {
     timeoutMs: routeTimeoutMilliseconds,
     sloMs: 100,
     priority: 1,
-    maxAttempts: 2,
+    maxAttempts,
     public: false,
   };
   const service = { healthPath: "/healthz", protocol: "h1", tls: false };
--- a/acceptance/src/end_to_end_system.ts
+++ b/acceptance/src/end_to_end_system.ts
@@ -20,6 +20,8 @@
   controlHosts?: number;
   /** Of all routes, and of requests that are sent without a deadline. */
   routeTimeoutMilliseconds?: number;
+  /** Backend servers that one request may be sent to. */
+  maxAttempts?: number;
 };
 
 /**
@@ -37,6 +39,7 @@
   #gatewayCount: number;
   #controlHostCount: number;
   #routeTimeoutMilliseconds: number;
+  #maxAttempts: number | undefined;
   #storeAddress = "";
   #heartbeatTimer: NodeJS.Timeout | undefined;
   #leavingServers = new Set<FakeBackendServer>();
@@ -47,9 +50,11 @@
       gateways = 1,
       controlHosts = 1,
       routeTimeoutMilliseconds = DEFAULT_ROUTE_TIMEOUT_MILLISECONDS,
+      maxAttempts,
     }: Options = {},
   ) {
     const { store } = this;
+    this.#maxAttempts = maxAttempts;
     this.#routeTimeoutMilliseconds = routeTimeoutMilliseconds;
     this.#gatewayCount = gateways;
     this.#controlHostCount = controlHosts;
@@ -151,6 +156,8 @@
       model: MODEL,
       chunks: this.store.chunks,
       routeTimeoutMilliseconds: this.#routeTimeoutMilliseconds,
+      ...(this.#maxAttempts !== undefined &&
+        { maxAttempts: this.#maxAttempts }),
       ...(keys && { keys }),
       ...(maxHeaderBytes !== undefined && { maxHeaderBytes }),
     });
--- a/acceptance/src/fake_backend_server.ts
+++ b/acceptance/src/fake_backend_server.ts
@@ -32,6 +32,10 @@
   breakAfterEvents: number[] = [];
   /** Accepts requests but sends nothing more, like a server on a frozen host. */
   isFrozen = false;
+  /** Status of the answers to requests to run; undefined for success. */
+  failureStatus: number | undefined;
+  /** As `failureStatus`, only for requests to resume a stream. */
+  resumeFailureStatus: number | undefined;
   /** Events of each stream, and the time from one to the next. */
   streamEvents = DEFAULT_STREAM_EVENTS;
   eventIntervalMilliseconds = DEFAULT_EVENT_INTERVAL_MILLISECONDS;
@@ -196,6 +200,12 @@
     }
     if (this.retryAfter !== undefined) return this.#reject(id, response);
     this.ranRequestIds.push(id);
+    const failureStatus = headers["last-event-id"] === undefined
+      ? this.failureStatus
+      : this.resumeFailureStatus ?? this.failureStatus;
+    if (failureStatus !== undefined) {
+      return this.#fail(failureStatus, id, response);
+    }
     response.writeHead(200, {
       "Attempt-Id": id,
       "Server-Signature": this.instance,
@@ -217,6 +227,13 @@
     await this.#streamEvents(response, Number(headers["last-event-id"] ?? 0));
   }
 
+  #fail(status: number, id: string, response: ServerResponse): void {
+    response.writeHead(status, {
+      "Attempt-Id": id,
+      "Server-Signature": this.instance,
+    }).end(`failed with ${status}\n`);
+  }
+
   #reject(id: string, response: ServerResponse): void {
     const retryAfter = this.retryAfter!;
     const seconds = DECIMAL_NUMBER.test(retryAfter) ? Number(retryAfter) : NaN;
--- a/packages/daemon/src/gateway/gateway_call.ts
+++ b/packages/daemon/src/gateway/gateway_call.ts
@@ -241,6 +241,12 @@
     const acceptsRequests = () =>
       metadata.requestedPause === undefined &&
       !this.#context.pushbacks.isShuttingDown(announcement);
+    if (!isGood && forwarder.hasBegun) {
+      // The client has the head of a success: this body can't go on with it.
+      if (status >= 500 && acceptsRequests()) record.recordFailure(now);
+      message.resume();
+      return "again";
+    }
     if (status >= 500 && routing.canFailOver()) {
       if (acceptsRequests()) record.recordFailure(now);
       message.resume();
