A server that takes over and falls silent too is left for a further one

What callers saw: where two servers stood still for good, as when a data centre freezes, a stream waited at both until its deadline and got 504, with retries and attempts left and a third server idle. Cause: as long as a takeover was under way nothing more was decided. A server without a request looks sound, so the first to take over is often a dead one. Change: when the server that takes over has been silent for 0.7 s itself, the decision is made again; only once a further server owns the request is it left.

--- a/packages/daemon/src/gateway/call_takeover.ts
+++ b/packages/daemon/src/gateway/call_takeover.ts
@@ -21,6 +21,12 @@
   onFailure: (sent: SentAttempt, outcome: FailedOutcome) => void;
 };
 
+/**
+ * A backend server that takes over is left for a further one when it has been
+ * silent itself for this long since the request was sent there.
+ */
+const REPLACEMENT_PATIENCE_MILLISECONDS = 700;
+
 type Replacement = {
   from: SentAttempt;
   to: SentAttempt;
@@ -77,7 +83,7 @@
   }
 
   #decide(sent: SentAttempt): void {
-    if (this.#replacement !== undefined || sent.hasEnded) return;
+    if (sent.hasEnded || this.#isReplacementHeard()) return;
     const { context, routing } = this.#options;
     const { record } = sent.candidate;
     const now = monotonicMilliseconds();
@@ -94,12 +100,22 @@
     else this.#begin(sent, decision);
   }
 
+  /** Whether a takeover is under way whose backend server isn't silent too. */
+  #isReplacementHeard(): boolean {
+    if (this.#replacement === undefined) return false;
+    const { sentAt, candidate } = this.#replacement.to;
+    const now = monotonicMilliseconds();
+    return now - sentAt < REPLACEMENT_PATIENCE_MILLISECONDS ||
+      !candidate.record.isSilent(now);
+  }
+
   #begin(
     from: SentAttempt,
     { target }: Extract<TakeoverDecision, { kind: "take-over" }>,
   ): void {
     const { sender, routing, forwarder } = this.#options;
-    const previousPlacement = routing.placement;
+    const left = this.#replacement;
+    const previousPlacement = left?.previousPlacement ?? routing.placement;
     const to = sender.send(target, {
       isCounted: true,
       placement: routing.place(target),
@@ -108,6 +124,7 @@
     });
     const replacement = { from, to, previousPlacement };
     this.#replacement = replacement;
+    if (left !== undefined) this.#leaveSilent(left);
     this.#log("begun", replacement);
     to.outcome.then((outcome) => this.#handleOutcome(replacement, outcome));
   }
@@ -135,6 +152,17 @@
     this.#options.onFailure(to, outcome);
   }
 
+  /** Ends a takeover by a backend server that has fallen silent as well. */
+  #leaveSilent(replacement: Replacement): void {
+    const { to } = replacement;
+    const reason = "it is silent too";
+    to.isReplaced = true;
+    to.candidate.record.ejectForSilence(monotonicMilliseconds());
+    this.#drop(to, reason);
+    this.#log("failed", replacement, reason);
+    this.#options.onFailure(to, { kind: "broken", reason, isAborted: true });
+  }
+
   #drop(sent: SentAttempt, reason: string): void {
     sent.abort(reason);
     sent.end();
