What a server that takes over says of a request reaches the client

What callers saw: 504 at the deadline for a request that the server which took over had answered, with 404 for instance. Cause: any answer but a success was dropped and counted as a failure of its server, while the silent one never answers; each further server was asked too. Change: until a part of an answer was sent, a status below 500 is the answer, as it is without a takeover.

--- a/acceptance/src/failing_servers_test.ts
+++ b/acceptance/src/failing_servers_test.ts
@@ -75,3 +75,18 @@
   assert.equal(status, 200);
   assert.equal(text, streamText(STREAM_EVENTS));
 });
+
+// Guards against an answer that is dropped while the request's first server
+// never answers.
+test("a refusal of the server that takes over reaches the client", async () => {
+  for (const engine of system.engines) engine.isFrozen = true;
+  const stream = system.stream("not-found");
+  const [frozen] = await waitForArrivals("not-found", 1);
+  for (const engine of system.engines) {
+    engine.isFrozen = engine === frozen;
+    engine.failureStatus = 404;
+  }
+  const { status, text } = await stream;
+  assert.equal(status, 404);
+  assert.equal(text, "failed with 404\n");
+});
--- a/packages/daemon/src/gateway/call_takeover.ts
+++ b/packages/daemon/src/gateway/call_takeover.ts
@@ -132,7 +132,7 @@
   #handleOutcome(replacement: Replacement, outcome: AttemptOutcome): void {
     if (this.#replacement !== replacement) return;
     const { from, to } = replacement;
-    if (outcome.kind === "answer" && isUsable(outcome)) {
+    if (outcome.kind === "answer" && this.#isUsable(outcome)) {
       from.isReplaced = true;
       from.candidate.record.ejectForSilence(monotonicMilliseconds());
       this.#log("done", replacement);
@@ -143,15 +143,28 @@
     this.#options.routing.placement = replacement.previousPlacement;
     if (outcome.kind === "answer") {
       const reason = `answered with ${outcome.message.statusCode}`;
-      to.candidate.record.recordFailure(monotonicMilliseconds());
       this.#drop(to, reason);
       this.#log("failed", replacement, reason);
+      this.#options.onFailure(to, { kind: "broken", reason, isAborted: true });
       return;
     }
     this.#log("failed", replacement, outcome.reason);
     this.#options.onFailure(to, outcome);
   }
 
+  /**
+   * Whether the client gets this answer: a success, or, while it has got nothing
+   * yet, what the backend server says of the request itself. Instead of a
+   * failure of the backend server the silent one may still answer.
+   */
+  #isUsable(
+    { message, metadata }: Extract<AttemptOutcome, { kind: "answer" }>,
+  ): boolean {
+    const status = message.statusCode ?? 0;
+    if (status >= 200 && status < 300) return metadata.isSigned;
+    return status < 500 && !this.#options.forwarder.hasBegun;
+  }
+
   /** Ends a takeover by a backend server that has fallen silent as well. */
   #leaveSilent(replacement: Replacement): void {
     const { to } = replacement;
@@ -208,10 +221,3 @@
     };
   }
 }
-
-function isUsable(
-  { message, metadata }: Extract<AttemptOutcome, { kind: "answer" }>,
-): boolean {
-  const status = message.statusCode ?? 0;
-  return status >= 200 && status < 300 && metadata.isSigned;
-}
