An exception in a takeover ends neither the gateway nor the stream

What callers saw: every answer of a gateway cut off at once, also those of sound servers, and refused connections: its process had ended. Cause: decisions about silence are made from a timer, where nobody catches. Sending a stream on after an event whose id can't stand in a header throws there; until silence was handed over in this way only that request failed. What had thrown stayed counted at its server, which then looked silent for good. Change: a fault while taking over is logged with its request, whose attempt stays open; an attempt that can't be opened isn't counted. An id ends before CRLF, and a stream isn't resumed after an id that no header can hold.

--- a/acceptance/src/fake_backend_server.ts
+++ b/acceptance/src/fake_backend_server.ts
@@ -32,6 +32,8 @@
   breakAfterEvents: number[] = [];
   /** Accepts requests but sends nothing more, like a server on a frozen host. */
   isFrozen = false;
+  /** Ends the id field of each event; an event ends with an empty line. */
+  idLineEnd = "\n";
   /** Status of the answers to requests to run; undefined for success. */
   failureStatus: number | undefined;
   /** As `failureStatus`, only for requests to resume a stream. */
@@ -279,7 +281,7 @@
         await sleep(this.eventIntervalMilliseconds);
         return void response.destroy();
       }
-      response.write(`id: ${event}\ndata: t${event}\n\n`);
+      response.write(`id: ${event}${this.idLineEnd}data: t${event}\n\n`);
       await sleep(this.eventIntervalMilliseconds);
     }
     await this.#waitUntilSilenceEnds();
--- a/packages/core/src/gateway/event_splitter.ts
+++ b/packages/core/src/gateway/event_splitter.ts
@@ -51,13 +51,17 @@
   return 0;
 }
 
-/** Value of the last `id` field, without the one optional leading space. */
+/**
+ * Value of the last `id` field, without the one optional leading space and the
+ * CR of a CRLF.
+ */
 function findLastId(bytes: Buffer): string | undefined {
   if (bytes.length === 0) return undefined;
   const text = `\n${bytes.toString("latin1")}`;
   const at = text.lastIndexOf(ID_FIELD);
   if (at < 0) return undefined;
   const end = text.indexOf("\n", at + ID_FIELD.length);
-  const value = text.slice(at + ID_FIELD.length, end < 0 ? undefined : end);
+  const line = text.slice(at + ID_FIELD.length, end < 0 ? undefined : end);
+  const value = line.endsWith("\r") ? line.slice(0, -1) : line;
   return value.startsWith(" ") ? value.slice(1) : value;
 }
--- a/packages/core/src/gateway/event_splitter_test.ts
+++ b/packages/core/src/gateway/event_splitter_test.ts
@@ -37,3 +37,11 @@
   assert.equal(whole.lastId, "4");
   assert.equal(splitter.incompleteBytes.toString(), "id: 5\nda");
 });
+
+// Guards against ids that can't be sent in a header.
+test("an id ends before CRLF", () => {
+  const { lastId } = new EventSplitter().push(
+    Buffer.from("id: 1\n\nid: 2\r\ndata: x\n\n"),
+  );
+  assert.equal(lastId, "2");
+});
--- a/packages/daemon/src/gateway/call_sender.ts
+++ b/packages/daemon/src/gateway/call_sender.ts
@@ -64,15 +64,15 @@
     const { announcement, record } = candidate;
     const { promptTokens } = this.#call.metadata;
     const sentAt = monotonicMilliseconds();
+    if (!options.isCounted) record.beginRequest(sentAt);
+    const attempt = this.#openCounted(candidate, options);
     this.tried.add(announcement.instance);
     this.#context.namedLimits.countSend(announcement);
-    if (!options.isCounted) record.beginRequest(sentAt);
     const timelyCount = options.placement.kind === "timely" ? 1 : 0;
     record.pendingPromptTokens += promptTokens;
     record.timelyUnanswered += timelyCount;
     const { pushbacks } = this.#context;
     const settleSend = pushbacks.countSend(announcement);
-    const attempt = this.#openAttempt(candidate, options);
     const cancelWeightsTimer = this.#abortWhenWeightsExpire(candidate, attempt);
     const stopWithdrawing = pushbacks.onClosed(
       announcement,
@@ -147,6 +147,19 @@
     message.pause();
   }
 
+  /** Opens an attempt that is counted, but no longer if it can't be opened. */
+  #openCounted(
+    candidate: BackendCandidate,
+    options: SendOptions,
+  ): BackendAttempt {
+    try {
+      return this.#openAttempt(candidate, options);
+    } catch (error) {
+      candidate.record.inFlight -= 1;
+      throw error;
+    }
+  }
+
   #openAttempt(
     { announcement }: BackendCandidate,
     { weightsVersion, resumesAfter, placement }: SendOptions,
--- a/packages/daemon/src/gateway/call_takeover.ts
+++ b/packages/daemon/src/gateway/call_takeover.ts
@@ -45,6 +45,7 @@
   #options: Options;
   #replacement: Replacement | undefined;
   #loggedReasons = new Set<string>();
+  #hasFault = false;
 
   constructor(options: Options) {
     this.#options = options;
@@ -58,7 +59,7 @@
       isSilent: () =>
         !forwarder.isWaitingForClient &&
         record.isSilent(monotonicMilliseconds()),
-      onSilence: () => this.#decide(sent),
+      onSilence: () => this.#tryDecide(sent),
     });
   }
 
@@ -77,7 +78,7 @@
    * was a failure. False if none can: the client then gets the failure.
    */
   tryBegin(failed: SentAttempt): boolean {
-    if (this.#replacement === undefined) this.#decide(failed);
+    if (this.#replacement === undefined) this.#tryDecide(failed);
     return this.#replacement !== undefined;
   }
 
@@ -91,6 +92,26 @@
     this.#log("cancelled", replacement, reason);
   }
 
+  /**
+   * Decides outside of the request's own handling: a fault here must end neither
+   * the process nor the attempt.
+   */
+  #tryDecide(sent: SentAttempt): void {
+    if (this.#hasFault) return;
+    try {
+      this.#decide(sent);
+    } catch (error) {
+      this.#recordFault(error);
+    }
+  }
+
+  #recordFault(error: unknown): void {
+    this.#hasFault = true;
+    const { context, call } = this.#options;
+    const reason = error instanceof Error ? error.stack : String(error);
+    context.log.error("request-failed", { id: call.id, reason });
+  }
+
   #decide(sent: SentAttempt): void {
     if (sent.hasEnded || this.#isReplacementHeard()) return;
     const { context, routing } = this.#options;
@@ -135,7 +156,8 @@
     this.#replacement = replacement;
     if (left !== undefined) this.#leaveSilent(left);
     this.#log("begun", replacement);
-    to.outcome.then((outcome) => this.#handleOutcome(replacement, outcome));
+    to.outcome.then((outcome) => this.#handleOutcome(replacement, outcome))
+      .catch((error) => this.#recordFault(error));
   }
 
   #handleOutcome(replacement: Replacement, outcome: AttemptOutcome): void {
--- a/packages/daemon/src/gateway/stream_relay.ts
+++ b/packages/daemon/src/gateway/stream_relay.ts
@@ -3,6 +3,9 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { monotonicMilliseconds } from "../transport/monotonic_milliseconds.ts";
 
+/** An event's id is resumed after only if a header can hold it. */
+const SENDABLE_ID = /^[\t\x20-\x7e\x80-\xff]*$/;
+
 type RelayEnd = "complete" | "broken";
 
 type Options = {
@@ -41,8 +44,11 @@
    * resume.
    */
   get canResume(): boolean {
+    const { lastEventId } = this;
     return this.#options.wholeEvents &&
-      (this.firstWrittenAt === undefined || this.lastEventId !== undefined);
+      (lastEventId === undefined
+        ? this.firstWrittenAt === undefined
+        : SENDABLE_ID.test(lastEventId));
   }
 
   /** Forwards one backend server's body until it ends or breaks off. */
