A fault while a request is handled ends it with a refusal that says so

What callers saw: a closed connection without an answer. The log told it as a client that had left (499), and request-failed named no request. Cause: an exception was caught only by destroying the response. Its attempt stayed watched after the request's end and counted at its server, which looked silent for good and was to be taken over from at each check. Change: the exception is logged with the request's id, the request refused with 502, or 503 where nothing was sent, or its answer cut with the reason `fault`; its attempts are aborted, no longer watched and no longer counted.

--- a/acceptance/src/failed_answers_test.ts
+++ b/acceptance/src/failed_answers_test.ts
@@ -1,5 +1,6 @@
 import assert from "node:assert/strict";
 import { after, afterEach, before, test } from "node:test";
+import { setTimeout as sleep } from "node:timers/promises";
 import { EndToEndSystem } from "./end_to_end_system.ts";
 
 /** Four engines, of which a request may be sent to three, and one gateway. */
@@ -8,7 +9,10 @@
 before(() => system.start());
 
 afterEach(() => {
-  for (const engine of system.engines) engine.failureStatus = undefined;
+  for (const engine of system.engines) {
+    engine.failureStatus = undefined;
+    engine.rawAnswer = undefined;
+  }
 });
 
 after(() => system.stop());
@@ -34,3 +38,23 @@
   assert.ok(statuses.includes(500));
   assert.ok(!statuses.includes(502), statuses.join(" "));
 });
+
+// Guards against a fault of the gateway that leaves its client without an answer,
+// and an attempt that is watched and sent on after its request has ended.
+test("an answer that can't be forwarded ends in a refusal", async () => {
+  for (const engine of system.engines) {
+    engine.rawAnswer = "HTTP/1.1 099 None\r\nServer-Signature: x\r\n" +
+      "Transfer-Encoding: chunked\r\n\r\n";
+  }
+  const status = await system.stream("unreadable").then(
+    (answer) => answer.status,
+    () => "closed",
+  );
+  const sends = () =>
+    system.engines.flatMap(({ arrivals }) => arrivals)
+      .filter(({ id }) => id === "unreadable").length;
+  const before = sends();
+  await sleep(2_000);
+  assert.equal(sends(), before);
+  assert.equal(status, 502);
+});
--- a/acceptance/src/fake_backend_server.ts
+++ b/acceptance/src/fake_backend_server.ts
@@ -36,6 +36,8 @@
   idLineEnd = "\n";
   /** Status of the answers to requests to run; undefined for success. */
   failureStatus: number | undefined;
+  /** Sent as it is instead of each answer; the connection stays open. */
+  rawAnswer: string | undefined;
   /** As `failureStatus`, only for requests to resume a stream. */
   resumeFailureStatus: number | undefined;
   /** Events of each stream, and the time from one to the next. */
@@ -202,6 +204,9 @@
     }
     if (this.retryAfter !== undefined) return this.#reject(id, response);
     this.ranRequestIds.push(id);
+    if (this.rawAnswer !== undefined) {
+      return void response.socket!.write(this.rawAnswer);
+    }
     const failureStatus = headers["last-event-id"] === undefined
       ? this.failureStatus
       : this.resumeFailureStatus ?? this.failureStatus;
--- a/packages/daemon/src/gateway/call_sender.ts
+++ b/packages/daemon/src/gateway/call_sender.ts
@@ -55,6 +55,11 @@
     for (const attempt of this.#attempts) attempt.abort(reason);
   }
 
+  /** No record counts an attempt any more. */
+  endAll(): void {
+    for (const attempt of this.#attempts) attempt.end();
+  }
+
   /**
    * Sends the request to `candidate` and updates that backend server's record.
    * An attempt that gets no answer has ended with its outcome; after an answer
--- a/packages/daemon/src/gateway/cut_reason.ts
+++ b/packages/daemon/src/gateway/cut_reason.ts
@@ -2,4 +2,6 @@
 export type CutReason =
   /** Its backend server broke the answer off. */
   | "server-broke-off"
-  | "time-over";
+  | "time-over"
+  /** An exception in this gateway. */
+  | "fault";
--- a/packages/daemon/src/gateway/gateway_call.ts
+++ b/packages/daemon/src/gateway/gateway_call.ts
@@ -92,6 +92,8 @@
     });
     try {
       await this.#sendUntilAnswered(active);
+    } catch (error) {
+      this.#handleFault(active, error);
     } finally {
       stopWatching();
       takeover.cancel("the request has ended");
@@ -124,8 +126,8 @@
       if (sent === undefined) continue;
       const stopWatching = takeover.watch(sent);
       const outcome = await sent.outcome;
-      const end = await this.#handleOutcome(active, sent, outcome);
-      stopWatching();
+      const end = await this.#handleOutcome(active, sent, outcome)
+        .finally(stopWatching);
       if (end === "over") return;
       lastReason = end;
       refusals.mayHaveRun ||= outcome.kind !== "not-run";
@@ -328,6 +330,21 @@
     this.#abortAttempts(active, reason);
   }
 
+  /** Ends a request on a fault of this gateway. */
+  #handleFault(active: ActiveCall, error: unknown): void {
+    const { call, refusals, sender } = active;
+    const detail = error instanceof Error ? error.stack : String(error);
+    this.#context.log.error("request-failed", { id: call.id, reason: detail });
+    if (!this.#finisher.isOver) {
+      refusals.mayHaveRun ||= sender.isSent;
+      const reason = "a fault of this gateway";
+      const refusal = refusals.build(reason, "busy");
+      this.#finisher.refuse(active, { ...refusal, cutReason: "fault" });
+    }
+    this.#abortAttempts(active, "its request has failed");
+    sender.endAll();
+  }
+
   #handleDisconnect(active: ActiveCall): void {
     if (this.#finisher.isOver) return;
     const reason = "the client closed its connection";
