A planned stop ends what is left with a refusal, and says what it cuts

What callers saw: at the end of the grace time a closed connection, also for requests without any answer yet. The log told each as `the client closed its connection` (499), so that a cut by a stop couldn't be told from a client that left. Cause: all connections were destroyed with requests open; "close" of a response doesn't say who closed it. Change: what is left is refused first, 502 where it may have run and 503 where nothing was sent; an answer that has begun is cut with the reason `stopping`.

--- a/packages/daemon/src/gateway/cut_reason.ts
+++ b/packages/daemon/src/gateway/cut_reason.ts
@@ -3,5 +3,7 @@
   /** Its backend server broke the answer off. */
   | "server-broke-off"
   | "time-over"
+  /** The grace time of a planned stop was over. */
+  | "stopping"
   /** An exception in this gateway. */
   | "fault";
--- a/packages/daemon/src/gateway/gateway_app.ts
+++ b/packages/daemon/src/gateway/gateway_app.ts
@@ -42,6 +42,8 @@
  */
 const BALANCER_NOTICE_MILLISECONDS = 3_000;
 const DRAIN_POLL_MILLISECONDS = 50;
+/** For the last refusals to be written; part of the margin below. */
+const REFUSAL_FLUSH_MILLISECONDS = 50;
 /** The rest of the grace time is for answers. */
 const MAX_QUIET_WAIT_MILLISECONDS = 1_500;
 /**
@@ -208,6 +210,10 @@
     this.#options.log.info("gateway-drained", {
       left: this.#server.inFlight,
     });
+    if (this.#server.inFlight > 0) {
+      this.#server.endAll();
+      await sleep(REFUSAL_FLUSH_MILLISECONDS);
+    }
     this.#server.closeAll();
     this.#readyServer.close();
     this.#readyServer.closeAllConnections();
--- a/packages/daemon/src/gateway/gateway_call.ts
+++ b/packages/daemon/src/gateway/gateway_call.ts
@@ -38,6 +38,8 @@
   #response: ServerResponse;
   #startedAt = monotonicMilliseconds();
   #finisher: CallFinisher;
+  /** Undefined until the request is admitted. */
+  #active: ActiveCall | undefined;
 
   constructor(options: Options) {
     this.#context = options.context;
@@ -53,6 +55,7 @@
     await this.#holdUntilConfigured();
     const admitted = await admitCall(context, this.#request, this.#startedAt);
     if (admitted.isErr) return this.#finisher.refuse(undefined, admitted.error);
+    if (this.#finisher.isOver) return;
     const call = admitted.value;
     const isOver = () => this.#finisher.isOver;
     const sender = new CallSender(context, call);
@@ -79,6 +82,7 @@
       refusals,
       takeover,
     };
+    this.#active = active;
     context.retries.countRequest();
     // The connection was closed while the request was held or its body read:
     // "close" is not emitted again.
@@ -100,6 +104,21 @@
     }
   }
 
+  /** Ends the request because this gateway stops before its answer has ended. */
+  endForStop(): void {
+    if (this.#finisher.isOver) return;
+    const active = this.#active;
+    const isSent = active !== undefined &&
+      (active.refusals.mayHaveRun || active.sender.isSent);
+    const reason = "this gateway stops";
+    this.#finisher.refuse(active, {
+      status: isSent ? 502 : 503,
+      reason,
+      cutReason: "stopping",
+    });
+    if (active !== undefined) this.#abortAttempts(active, reason);
+  }
+
   /**
    * Holds the request until a configuration is known: without one it has no
    * route.
--- a/packages/daemon/src/gateway/gateway_server.ts
+++ b/packages/daemon/src/gateway/gateway_server.ts
@@ -38,6 +38,7 @@
   #context: GatewayContext;
   #server: Server;
   #inFlight = 0;
+  #calls = new Set<GatewayCall>();
   #isClosing = false;
   #lastRequestAt = -Infinity;
 
@@ -60,7 +61,10 @@
       response.on("error", () => undefined);
       if (context.isStopping()) response.shouldKeepAlive = false;
       if (this.#isClosing) return this.#refuseLate(request, response);
-      new GatewayCall({ context, request, response }).run().catch((error) => {
+      const call = new GatewayCall({ context, request, response });
+      this.#calls.add(call);
+      response.once("close", () => this.#calls.delete(call));
+      call.run().catch((error) => {
         context.log.error("request-failed", { reason: error.stack ?? error });
         response.destroy();
       });
@@ -105,6 +109,11 @@
     this.#server.closeIdleConnections();
   }
 
+  /** Ends all requests; their connections are still to be closed. */
+  endAll(): void {
+    for (const call of [...this.#calls]) call.endForStop();
+  }
+
   closeAll(): void {
     this.#server.closeAllConnections();
   }
