A client that doesn't read makes no backend server silent

What callers saw: one client that stopped reading its stream took the server behind it out of a gateway's choice for as long as it held on, and requests already there were to be taken over at once. Cause: an answer that this gateway doesn't read counted as one whose data is due. Change: the server's record no longer counts on data of an answer while it isn't read; what is sent there meanwhile is judged by its own time. A test in core says when the others' silence counts.

--- a/acceptance/src/fake_backend_server.ts
+++ b/acceptance/src/fake_backend_server.ts
@@ -34,6 +34,8 @@
   isFrozen = false;
   /** Ends the id field of each event; an event ends with an empty line. */
   idLineEnd = "\n";
+  /** Bytes of a comment in each event of the streams that begin now. */
+  paddingBytes = 0;
   /** Status of the answers to requests to run; undefined for success. */
   failureStatus: number | undefined;
   /** Sent as it is instead of each answer; the connection stays open. */
@@ -278,6 +280,7 @@
 
   async #streamEvents(response: ServerResponse, after: number): Promise<void> {
     const breakAfter = this.breakAfterEvents.shift() ?? Infinity;
+    const { paddingBytes } = this;
     for (let event = after + 1; event <= this.streamEvents; event += 1) {
       await this.#waitUntilSilenceEnds();
       if (this.isFrozen || response.destroyed) return;
@@ -286,7 +289,12 @@
         await sleep(this.eventIntervalMilliseconds);
         return void response.destroy();
       }
-      response.write(`id: ${event}${this.idLineEnd}data: t${event}\n\n`);
+      const padding = paddingBytes === 0
+        ? ""
+        : `:${" ".repeat(paddingBytes)}\n`;
+      response.write(
+        `${padding}id: ${event}${this.idLineEnd}data: t${event}\n\n`,
+      );
       await sleep(this.eventIntervalMilliseconds);
     }
     await this.#waitUntilSilenceEnds();
--- a/packages/core/src/gateway/backend_record.ts
+++ b/packages/core/src/gateway/backend_record.ts
@@ -85,8 +85,10 @@
   #slotHoldMilliseconds = INITIAL_SLOT_HOLD_MILLISECONDS;
   #meanResponseTimeMilliseconds = 0;
   #lastReceivedAt = -Infinity;
-  /** Since when at least one request has been in flight without a pause. */
+  /** Since when some data has been awaited without a pause. */
   #busySince = -Infinity;
+  /** In-flight requests whose answers this host doesn't read now. */
+  #unread = 0;
   #report:
     | (ReportedLoad & { reportedAt: number; ownRequests: number })
     | undefined;
@@ -168,13 +170,26 @@
 
   /** Records a send. Must be called before `inFlight` is incremented. */
   recordSend(now: number): void {
-    if (this.inFlight === 0) this.#busySince = now;
+    if (this.inFlight === this.#unread) this.#busySince = now;
     this.#recentSendTimes = this.#recentSendTimes.filter((sentAt) =>
       sentAt > now - SEND_TIME_RETENTION_MILLISECONDS
     );
     this.#recentSendTimes.push(now);
   }
 
+  /**
+   * Stops reading an in-flight request's answer, as its client reads more
+   * slowly: no data from it is due until `resumeReading`.
+   */
+  pauseReading(): void {
+    this.#unread += 1;
+  }
+
+  resumeReading(now: number): void {
+    if (this.inFlight === this.#unread) this.#busySince = now;
+    this.#unread -= 1;
+  }
+
   /** Records that part of any response arrived from the backend server. */
   recordDataReceived(now: number): void {
     this.#lastReceivedAt = now;
@@ -207,7 +222,7 @@
 
   /** Time without data while responses were due, milliseconds; 0 if none is. */
   silentMilliseconds(now: number): number {
-    if (this.inFlight === 0) return 0;
+    if (this.inFlight === this.#unread) return 0;
     const since = Math.max(
       this.#lastReceivedAt,
       this.#busySince,
--- a/packages/core/src/gateway/backend_record_test.ts
+++ b/packages/core/src/gateway/backend_record_test.ts
@@ -130,3 +130,21 @@
   record.recordDataReceived(1_200);
   assert.equal(record.isAvailable(1_200), false, "ejected for failures");
 });
+
+// Guards against a sound server that looks silent because a client reads slowly,
+// and against one that is silent to others meanwhile and isn't noticed.
+test("an answer that this host doesn't read is no silence", () => {
+  const record = new BackendRecord();
+  record.beginRequest(0);
+  record.recordDataReceived(100);
+  record.pauseReading();
+  assert.equal(record.isSilent(5_000), false);
+  record.beginRequest(5_000);
+  assert.equal(record.isSilent(5_600), false);
+  assert.equal(record.isSilent(5_800), true);
+  record.inFlight -= 1;
+  assert.equal(record.isSilent(6_000), false);
+  record.resumeReading(7_000);
+  assert.equal(record.isSilent(7_600), false);
+  assert.equal(record.isSilent(7_800), true);
+});
--- a/packages/daemon/src/gateway/call_sender.ts
+++ b/packages/daemon/src/gateway/call_sender.ts
@@ -1,5 +1,4 @@
 import type { BackendCandidate } from "@teaselrouter/core/gateway/backend_candidate.ts";
-import type { BackendRecord } from "@teaselrouter/core/gateway/backend_record.ts";
 import { monotonicMilliseconds } from "../transport/monotonic_milliseconds.ts";
 import type { Placement } from "@teaselrouter/core/gateway/placement.ts";
 import type { AdmittedCall } from "./admitted_call.ts";
@@ -90,7 +89,7 @@
       record.pendingPromptTokens -= promptTokens;
       record.timelyUnanswered -= timelyCount;
       if (settled.kind === "answer") {
-        this.#trackLiveness(record, settled, sentAt);
+        this.#trackLiveness(sent, settled);
       } else sent.end();
       return settled;
     });
@@ -138,10 +137,10 @@
    * read.
    */
   #trackLiveness(
-    record: BackendRecord,
+    sent: SentAttempt,
     { message }: Extract<AttemptOutcome, { kind: "answer" }>,
-    sentAt: number,
   ): void {
+    const { candidate: { record }, sentAt } = sent;
     const now = monotonicMilliseconds();
     record.recordResponseTime(now - sentAt);
     record.recordDataReceived(now);
@@ -150,6 +149,8 @@
       () => record.recordDataReceived(monotonicMilliseconds()),
     );
     message.pause();
+    message.on("pause", () => sent.pauseReading());
+    message.on("resume", () => sent.resumeReading());
   }
 
   /** Opens an attempt that is counted, but no longer if it can't be opened. */
--- a/packages/daemon/src/gateway/sent_attempt.ts
+++ b/packages/daemon/src/gateway/sent_attempt.ts
@@ -1,5 +1,6 @@
 import type { BackendCandidate } from "@teaselrouter/core/gateway/backend_candidate.ts";
 import type { AttemptOutcome } from "./attempt_outcome.ts";
+import { monotonicMilliseconds } from "../transport/monotonic_milliseconds.ts";
 import type { BackendAttempt } from "./backend_attempt.ts";
 
 type Options = {
@@ -23,6 +24,7 @@
   isReplaced = false;
   #attempt: BackendAttempt;
   #hasEnded = false;
+  #isUnread = false;
 
   constructor({ candidate, attempt, sentAt, outcome }: Options) {
     this.candidate = candidate;
@@ -57,9 +59,23 @@
     if (!this.#hasEnded) this.#attempt.abort(reason);
   }
 
+  /** The answer isn't read for a while: its client reads more slowly. */
+  pauseReading(): void {
+    if (this.#hasEnded || this.#isUnread) return;
+    this.#isUnread = true;
+    this.candidate.record.pauseReading();
+  }
+
+  resumeReading(): void {
+    if (!this.#isUnread) return;
+    this.#isUnread = false;
+    this.candidate.record.resumeReading(monotonicMilliseconds());
+  }
+
   /** The backend server's record no longer counts the attempt. */
   end(): void {
     if (this.#hasEnded) return;
+    this.resumeReading();
     this.#hasEnded = true;
     this.candidate.record.inFlight -= 1;
   }
