Streams of a frozen server get the places that new requests would get

What callers saw: under load, streams whose server stood still for good hung for 4 to 7 s, and clients give up after two, though the others took new requests all the while. Cause: a server takes over only with fewer than half its slots waiting, but takes new requests, late ones too, with up to eight. Where slots are few, new requests filled each place before the next check for silence. Change: as many may wait for a takeover as late new requests; from 16 slots on nothing changes. A test in core holds the limit.

--- a/packages/core/src/gateway/decide_takeover.ts
+++ b/packages/core/src/gateway/decide_takeover.ts
@@ -17,10 +17,13 @@
 /** A connection and the head of an answer take about a third of this time. */
 const MIN_MILLISECONDS_LEFT = 300;
 /**
- * Requests that may wait at the backend server that takes over, relative to its
- * slots: behind more of them the answer would come too late for its client.
+ * Requests that may wait at the backend server that takes over: this share of
+ * its slots, but as many as may wait there of new requests that are late. Else
+ * these would take each place that becomes free, and streams of a frozen
+ * server, which are older, would wait until their clients give up.
  */
 const MAX_WAITING_SHARE = 0.5;
+const MIN_WAITING_LIMIT = 8;
 
 /**
  * Decides whether another backend server takes over a request whose own has
@@ -67,5 +70,6 @@
   now: number,
 ): boolean {
   const slots = Math.max(1, announcement.slots);
-  return record.estimateRequests(now) < slots * (1 + MAX_WAITING_SHARE);
+  const waiting = record.estimateRequests(now) - slots;
+  return waiting < Math.max(MIN_WAITING_LIMIT, slots * MAX_WAITING_SHARE);
 }
--- a/packages/core/src/gateway/decide_takeover_test.ts
+++ b/packages/core/src/gateway/decide_takeover_test.ts
@@ -116,6 +116,17 @@
   );
 });
 
+// Guards against streams of a frozen server that wait for a place while new
+// requests are sent to the others.
+test("a server with few slots takes over what could wait there if it were new", () => {
+  const build = (requests: number) => {
+    const { record } = buildCandidate({ requests, silentMilliseconds: 0 });
+    return { record, announcement: { slots: 4 } } as BackendCandidate;
+  };
+  assert.equal(decide([build(11)], buildRetries(1)).kind, "take-over");
+  assert.equal(decide([build(12)], buildRetries(1)).kind, "keep");
+});
+
 test("an attempt is kept for a reason that says what was missing", () => {
   const idle = buildCandidate({ requests: 0, silentMilliseconds: 0 });
   const silent = buildCandidate({ requests: 1, silentMilliseconds: 900 });
