The end of a request ends decisions about its silence

What callers saw: nothing; a server could get a request whose client had just left, and a retry was spent on it. Cause: an aborted attempt whose answer has begun ends with its connection's close, which the event loop handles after the check for silence of the same turn. Change: once the request is over, its takeover decides nothing more. Evidence: found by reading. `after the request's end silence starts no takeover` fails without the change. The race itself wasn't played.

--- a/packages/daemon/src/gateway/call_takeover.ts
+++ b/packages/daemon/src/gateway/call_takeover.ts
@@ -46,6 +46,7 @@
   #replacement: Replacement | undefined;
   #loggedReasons = new Set<string>();
   #hasFault = false;
+  #isOver = false;
 
   constructor(options: Options) {
     this.#options = options;
@@ -82,6 +83,15 @@
     return this.#replacement !== undefined;
   }
 
+  /**
+   * As `cancel`, when the request is over. Its attempts end only with their
+   * connections: until then, their servers' silence is no reason to send it.
+   */
+  stop(reason: string): void {
+    this.#isOver = true;
+    this.cancel(reason);
+  }
+
   /** Ends a takeover whose answer has not begun: it is no longer needed. */
   cancel(reason: string): void {
     const replacement = this.#replacement;
@@ -97,7 +107,7 @@
    * the process nor the attempt.
    */
   #tryDecide(sent: SentAttempt): void {
-    if (this.#hasFault) return;
+    if (this.#hasFault || this.#isOver) return;
     try {
       this.#decide(sent);
     } catch (error) {
--- a/packages/daemon/src/gateway/gateway_call.ts
+++ b/packages/daemon/src/gateway/gateway_call.ts
@@ -100,7 +100,7 @@
       this.#handleFault(active, error);
     } finally {
       stopWatching();
-      takeover.cancel("the request has ended");
+      takeover.stop("the request has ended");
     }
   }
 
@@ -376,7 +376,7 @@
   }
 
   #abortAttempts({ sender, takeover }: ActiveCall, reason: string): void {
-    takeover.cancel(reason);
+    takeover.stop(reason);
     sender.abort(reason);
   }
 
