Logs of a failed crash test are kept

Cause: a failure that shows once can't be traced without them. Change: the scenario's logs stay, and their folder is printed, when it fails. Result: builds; no test is changed otherwise.

--- a/acceptance/src/crashing_requests_test.ts
+++ b/acceptance/src/crashing_requests_test.ts
@@ -53,12 +53,15 @@
     gateways: GATEWAYS,
     controlHosts,
   });
+  let keepLogs = true;
   try {
     await system.start();
     for (const engine of system.engines) engine.crashingBodies = [CRASH_BODY];
     await scenario(system);
+    keepLogs = false;
   } finally {
-    await system.stop();
+    if (keepLogs) console.log(`logs in ${system.cluster.folder}`);
+    await system.stop({ keepLogs });
   }
 }
 
