--- a/acceptance/src/fake_backend_server.ts
+++ b/acceptance/src/fake_backend_server.ts
@@ -32,6 +32,14 @@
   breakAfterEvents: number[] = [];
   /** Accepts requests but sends nothing more, like a server on a frozen host. */
   isFrozen = false;
+  /** Ends the id field of each event; an event ends with an empty line. */
+  idLineEnd = "\n";
+  /** Status of the answers to requests to run; undefined for success. */
+  failureStatus: number | undefined;
+  /** Sent as it is instead of each answer; the connection stays open. */
+  rawAnswer: string | undefined;
+  /** As `failureStatus`, only for requests to resume a stream. */
+  resumeFailureStatus: number | undefined;
   /** Events of each stream, and the time from one to the next. */
   streamEvents = DEFAULT_STREAM_EVENTS;
   eventIntervalMilliseconds = DEFAULT_EVENT_INTERVAL_MILLISECONDS;
@@ -196,6 +204,15 @@
     }
     if (this.retryAfter !== undefined) return this.#reject(id, response);
     this.ranRequestIds.push(id);
+    if (this.rawAnswer !== undefined) {
+      return void response.socket!.write(this.rawAnswer);
+    }
+    const failureStatus = headers["last-event-id"] === undefined
+      ? this.failureStatus
+      : this.resumeFailureStatus ?? this.failureStatus;
+    if (failureStatus !== undefined) {
+      return this.#fail(failureStatus, id, response);
+    }
     response.writeHead(200, {
       "Attempt-Id": id,
       "Server-Signature": this.instance,
@@ -217,6 +234,13 @@
     await this.#streamEvents(response, Number(headers["last-event-id"] ?? 0));
   }
 
+  #fail(status: number, id: string, response: ServerResponse): void {
+    response.writeHead(status, {
+      "Attempt-Id": id,
+      "Server-Signature": this.instance,
+    }).end(`failed with ${status}\n`);
+  }
+
   #reject(id: string, response: ServerResponse): void {
     const retryAfter = this.retryAfter!;
     const seconds = DECIMAL_NUMBER.test(retryAfter) ? Number(retryAfter) : NaN;
@@ -262,7 +286,7 @@
         await sleep(this.eventIntervalMilliseconds);
         return void response.destroy();
       }
-      response.write(`id: ${event}\ndata: t${event}\n\n`);
+      response.write(`id: ${event}${this.idLineEnd}data: t${event}\n\n`);
       await sleep(this.eventIntervalMilliseconds);
     }
     await this.#waitUntilSilenceEnds();
--- a/packages/daemon/src/gateway/call_takeover.ts
+++ b/packages/daemon/src/gateway/call_takeover.ts
@@ -21,6 +21,12 @@
   onFailure: (sent: SentAttempt, outcome: FailedOutcome) => void;
 };
 
+/**
+ * A backend server that takes over is left for a further one when it has been
+ * silent itself for this long since the request was sent there.
+ */
+const REPLACEMENT_PATIENCE_MILLISECONDS = 700;
+
 type Replacement = {
   from: SentAttempt;
   to: SentAttempt;
@@ -39,6 +45,7 @@
   #options: Options;
   #replacement: Replacement | undefined;
   #loggedReasons = new Set<string>();
+  #hasFault = false;
 
   constructor(options: Options) {
     this.#options = options;
@@ -52,7 +59,7 @@
       isSilent: () =>
         !forwarder.isWaitingForClient &&
         record.isSilent(monotonicMilliseconds()),
-      onSilence: () => this.#decide(sent),
+      onSilence: () => this.#tryDecide(sent),
     });
   }
 
@@ -66,6 +73,15 @@
     return to;
   }
 
+  /**
+   * Has another backend server take over at once, whose answer replaces one that
+   * was a failure. False if none can: the client then gets the failure.
+   */
+  tryBegin(failed: SentAttempt): boolean {
+    if (this.#replacement === undefined) this.#tryDecide(failed);
+    return this.#replacement !== undefined;
+  }
+
   /** Ends a takeover whose answer has not begun: it is no longer needed. */
   cancel(reason: string): void {
     const replacement = this.#replacement;
@@ -76,8 +92,28 @@
     this.#log("cancelled", replacement, reason);
   }
 
+  /**
+   * Decides outside of the request's own handling: a fault here must end neither
+   * the process nor the attempt.
+   */
+  #tryDecide(sent: SentAttempt): void {
+    if (this.#hasFault) return;
+    try {
+      this.#decide(sent);
+    } catch (error) {
+      this.#recordFault(error);
+    }
+  }
+
+  #recordFault(error: unknown): void {
+    this.#hasFault = true;
+    const { context, call } = this.#options;
+    const reason = error instanceof Error ? error.stack : String(error);
+    context.log.error("request-failed", { id: call.id, reason });
+  }
+
   #decide(sent: SentAttempt): void {
-    if (this.#replacement !== undefined || sent.hasEnded) return;
+    if (sent.hasEnded || this.#isReplacementHeard()) return;
     const { context, routing } = this.#options;
     const { record } = sent.candidate;
     const now = monotonicMilliseconds();
@@ -94,12 +130,22 @@
     else this.#begin(sent, decision);
   }
 
+  /** Whether a takeover is under way whose backend server isn't silent too. */
+  #isReplacementHeard(): boolean {
+    if (this.#replacement === undefined) return false;
+    const { sentAt, candidate } = this.#replacement.to;
+    const now = monotonicMilliseconds();
+    return now - sentAt < REPLACEMENT_PATIENCE_MILLISECONDS ||
+      !candidate.record.isSilent(now);
+  }
+
   #begin(
     from: SentAttempt,
     { target }: Extract<TakeoverDecision, { kind: "take-over" }>,
   ): void {
     const { sender, routing, forwarder } = this.#options;
-    const previousPlacement = routing.placement;
+    const left = this.#replacement;
+    const previousPlacement = left?.previousPlacement ?? routing.placement;
     const to = sender.send(target, {
       isCounted: true,
       placement: routing.place(target),
@@ -108,14 +154,16 @@
     });
     const replacement = { from, to, previousPlacement };
     this.#replacement = replacement;
+    if (left !== undefined) this.#leaveSilent(left);
     this.#log("begun", replacement);
-    to.outcome.then((outcome) => this.#handleOutcome(replacement, outcome));
+    to.outcome.then((outcome) => this.#handleOutcome(replacement, outcome))
+      .catch((error) => this.#recordFault(error));
   }
 
   #handleOutcome(replacement: Replacement, outcome: AttemptOutcome): void {
     if (this.#replacement !== replacement) return;
     const { from, to } = replacement;
-    if (outcome.kind === "answer" && isUsable(outcome)) {
+    if (outcome.kind === "answer" && this.#isUsable(outcome)) {
       from.isReplaced = true;
       from.candidate.record.ejectForSilence(monotonicMilliseconds());
       this.#log("done", replacement);
@@ -126,15 +174,39 @@
     this.#options.routing.placement = replacement.previousPlacement;
     if (outcome.kind === "answer") {
       const reason = `answered with ${outcome.message.statusCode}`;
-      to.candidate.record.recordFailure(monotonicMilliseconds());
       this.#drop(to, reason);
       this.#log("failed", replacement, reason);
+      this.#options.onFailure(to, { kind: "broken", reason, isAborted: true });
       return;
     }
     this.#log("failed", replacement, outcome.reason);
     this.#options.onFailure(to, outcome);
   }
 
+  /**
+   * Whether the client gets this answer: a success, or, while it has got nothing
+   * yet, what the backend server says of the request itself. Instead of a
+   * failure of the backend server the silent one may still answer.
+   */
+  #isUsable(
+    { message, metadata }: Extract<AttemptOutcome, { kind: "answer" }>,
+  ): boolean {
+    const status = message.statusCode ?? 0;
+    if (status >= 200 && status < 300) return metadata.isSigned;
+    return status < 500 && !this.#options.forwarder.hasBegun;
+  }
+
+  /** Ends a takeover by a backend server that has fallen silent as well. */
+  #leaveSilent(replacement: Replacement): void {
+    const { to } = replacement;
+    const reason = "it is silent too";
+    to.isReplaced = true;
+    to.candidate.record.ejectForSilence(monotonicMilliseconds());
+    this.#drop(to, reason);
+    this.#log("failed", replacement, reason);
+    this.#options.onFailure(to, { kind: "broken", reason, isAborted: true });
+  }
+
   #drop(sent: SentAttempt, reason: string): void {
     sent.abort(reason);
     sent.end();
@@ -180,10 +252,3 @@
     };
   }
 }
-
-function isUsable(
-  { message, metadata }: Extract<AttemptOutcome, { kind: "answer" }>,
-): boolean {
-  const status = message.statusCode ?? 0;
-  return status >= 200 && status < 300 && metadata.isSigned;
-}
