--- a/acceptance/src/build_configuration.ts
+++ b/acceptance/src/build_configuration.ts
@@ -1,11 +1,23 @@
+/** What a configuration says otherwise than by default. */
+export type ConfigurationChanges = {
+  keys?: string[];
+  maxHeaderBytes?: number;
+  headerTimeoutMs?: number;
+  idleTimeoutMs?: number;
+  /** Of all routes. */
+  timeoutMs?: number;
+  /** Requests that each engine runs at the same time. */
+  slots?: number;
+  /** Further routes to the service without an engine. */
+  extraRoutes?: number;
+};
+
 type Options = {
   version: number;
   store: string;
   model: string;
   chunks: number;
-  keys?: string[];
-  maxHeaderBytes?: number;
-};
+} & ConfigurationChanges;
 
 /**
  * Builds a configuration as an operator sends it: a service without an engine,
@@ -13,9 +25,10 @@
  */
 export function buildConfiguration(options: Options) {
   const { version, store, model, chunks, keys = ["key-1"] } = options;
-  const { maxHeaderBytes = 16_384 } = options;
+  const { maxHeaderBytes = 16_384, headerTimeoutMs = 1_000 } = options;
+  const { idleTimeoutMs = 5_000, slots = 4, extraRoutes = 0 } = options;
   const route = {
-    timeoutMs: 2_000,
+    timeoutMs: options.timeoutMs ?? 2_000,
     sloMs: 100,
     priority: 1,
     maxAttempts: 2,
@@ -52,6 +65,14 @@
         sticky: true,
         itlSloMs: 300,
       },
+      ...Array.from({ length: extraRoutes }, (_, index) => ({
+        ...route,
+        name: `extra-${index}`,
+        host: "desk.example",
+        pathPrefix: `/extra-${index}/`,
+        type: "safe",
+        service: "plain",
+      })),
     ],
     services: [
       { ...service, name: "plain", maxConnections: 50 },
@@ -60,7 +81,7 @@
         name: "writer",
         maxConnections: 50,
         engine: {
-          slots: 4,
+          slots,
           models: [{ name: model }],
           chunks,
           chunkBytes: 4_096,
@@ -78,8 +99,8 @@
     limits: {
       maxHeaderBytes,
       maxBodyBytes: 65_536,
-      headerTimeoutMs: 1_000,
-      idleTimeoutMs: 5_000,
+      headerTimeoutMs,
+      idleTimeoutMs,
     },
     tenants: [{ name: "tenant-1", apiKeys: keys, priority: 1 }],
   };
--- a/acceptance/src/end_to_end_system.ts
+++ b/acceptance/src/end_to_end_system.ts
@@ -1,5 +1,8 @@
 import { waitUntil } from "@teaselrouter/experiments/harness/wait_until.ts";
-import { buildConfiguration } from "./build_configuration.ts";
+import {
+  buildConfiguration,
+  type ConfigurationChanges,
+} from "./build_configuration.ts";
 import { LoopbackCluster } from "./loopback_cluster.ts";
 import { FakeBackendServer } from "./fake_backend_server.ts";
 import { FakeWeightStore } from "./fake_weight_store.ts";
@@ -13,7 +16,15 @@
 const FIRST_GATEWAY_INDEX = 10;
 const FIRST_STAGER_INDEX = 40;
 
-type Options = { engines?: number; gateways?: number; controlHosts?: number };
+type Options = {
+  engines?: number;
+  gateways?: number;
+  controlHosts?: number;
+  /** Requests that each engine runs at the same time. */
+  slots?: number;
+  /** Timeout of all routes. */
+  timeoutMs?: number;
+};
 
 /**
  * A complete system on loopback: all daemon processes, with fake backend servers
@@ -29,20 +40,28 @@
   readonly gatewayIps: string[] = [];
   #gatewayCount: number;
   #controlHostCount: number;
+  #configured: ConfigurationChanges;
   #storeAddress = "";
   #heartbeatTimer: NodeJS.Timeout | undefined;
   #leavingServers = new Set<FakeBackendServer>();
 
   constructor(
-    { engines = DEFAULT_ENGINES, gateways = 1, controlHosts = 1 }: Options = {},
+    {
+      engines = DEFAULT_ENGINES,
+      gateways = 1,
+      controlHosts = 1,
+      ...configured
+    }: Options = {},
   ) {
     const { store } = this;
+    const { slots } = configured;
+    this.#configured = configured;
     this.#gatewayCount = gateways;
     this.#controlHostCount = controlHosts;
     for (let index = 0; index < engines; index += 1) {
       const instance = `engine-${index}`;
       this.engines.push(
-        new FakeBackendServer({ instance, store, model: MODEL }),
+        new FakeBackendServer({ instance, store, model: MODEL, slots }),
       );
     }
     this.plainServer = new FakeBackendServer({
@@ -128,16 +147,15 @@
   /** Sends a configuration; returns whether a control host accepted it. */
   async configure(
     version: number,
-    keys?: string[],
-    maxHeaderBytes?: number,
+    changes: ConfigurationChanges = {},
   ): Promise<boolean> {
     const configuration = buildConfiguration({
       version,
       store: this.#storeAddress,
       model: MODEL,
       chunks: this.store.chunks,
-      ...(keys && { keys }),
-      ...(maxHeaderBytes !== undefined && { maxHeaderBytes }),
+      ...this.#configured,
+      ...changes,
     });
     const answer = await this.callControlHost("PUT", "/config", configuration);
     return answer.status === 200;
--- a/acceptance/src/fake_backend_server.ts
+++ b/acceptance/src/fake_backend_server.ts
@@ -10,6 +10,7 @@
 import type { FakeWeightStore } from "./fake_weight_store.ts";
 
 const DEFAULT_STREAM_EVENTS = 8;
+const DEFAULT_SLOTS = 4;
 const DEFAULT_EVENT_INTERVAL_MILLISECONDS = 10;
 /** Time from the start of a response until its request crashes the server. */
 const CRASH_DELAY_MILLISECONDS = 20;
@@ -19,7 +20,12 @@
 
 /** A request received; `at` is from `performance.now()`, milliseconds. */
 type Arrival = { id: string; at: number; instance: string };
-type Options = { instance: string; store: FakeWeightStore; model: string };
+type Options = {
+  instance: string;
+  store: FakeWeightStore;
+  model: string;
+  slots?: number | undefined;
+};
 
 /**
  * Fake backend server of the platform. Serves plain requests, or as an engine
@@ -32,7 +38,10 @@
   breakAfterEvents: number[] = [];
   /** Accepts requests but sends nothing more, like a server on a frozen host. */
   isFrozen = false;
-  /** Events of each stream, and the time from one to the next. */
+  /**
+   * Most events of a stream, and the time from one to the next. A stream has no
+   * more events than the tokens that its request may get.
+   */
   streamEvents = DEFAULT_STREAM_EVENTS;
   eventIntervalMilliseconds = DEFAULT_EVENT_INTERVAL_MILLISECONDS;
   /** Bodies of requests that crash the server. */
@@ -53,6 +62,8 @@
   /** Responses that said that the server is shutting down. */
   readonly leavingNotices: Arrival[] = [];
   readonly arrivals: Arrival[] = [];
+  /** Requests read, also in a silence and if they were ended before its end. */
+  readonly receivedRequestIds: string[] = [];
   /** Time and request of each crash; the id is undefined without a request. */
   readonly crashRecords: { at: number; id: string | undefined }[] = [];
   #isClosed = false;
@@ -84,6 +95,10 @@
     return this.crashRecords.length;
   }
 
+  get #slots(): number {
+    return this.#options.slots ?? DEFAULT_SLOTS;
+  }
+
   get #startTime(): number {
     return FIRST_START_TIME + this.crashCount;
   }
@@ -128,7 +143,7 @@
       address: this.address,
       zone: "here",
       version: "v1",
-      slots: 4,
+      slots: this.#slots,
       state,
       coldRemainingMs: 0,
       models: this.#models(),
@@ -139,6 +154,8 @@
 
   async #handle(request: IncomingMessage, response: ServerResponse) {
     const body = await readAll(request);
+    const attemptId = request.headers["attempt-id"];
+    if (attemptId !== undefined) this.receivedRequestIds.push(`${attemptId}`);
     await this.#waitUntilSilenceEnds();
     if (response.destroyed) return;
     const url = new URL(request.url ?? "", "http://server");
@@ -200,7 +217,7 @@
       "Attempt-Id": id,
       "Server-Signature": this.instance,
       "Weight-Versions": String(this.version),
-      "Server-Load": "1,0,4",
+      "Server-Load": `1,0,${this.#slots}`,
       ...(this.limitPerSecond !== undefined && {
         "Server-Limit": String(this.limitPerSecond),
       }),
@@ -214,7 +231,10 @@
       const echo = [request.method, request.url, headers["tenant"], body];
       return void response.end(echo.join(" "));
     }
-    await this.#streamEvents(response, Number(headers["last-event-id"] ?? 0));
+    await this.#streamEvents(response, {
+      after: Number(headers["last-event-id"] ?? 0),
+      maxEvents: Number(`${headers["token-usage"]}`.split(",")[1]),
+    });
   }
 
   #reject(id: string, response: ServerResponse): void {
@@ -252,9 +272,13 @@
     this.isDown = false;
   }
 
-  async #streamEvents(response: ServerResponse, after: number): Promise<void> {
+  async #streamEvents(
+    response: ServerResponse,
+    { after, maxEvents }: { after: number; maxEvents: number },
+  ): Promise<void> {
     const breakAfter = this.breakAfterEvents.shift() ?? Infinity;
-    for (let event = after + 1; event <= this.streamEvents; event += 1) {
+    const lastEvent = Math.min(this.streamEvents, maxEvents || Infinity);
+    for (let event = after + 1; event <= lastEvent; event += 1) {
       await this.#waitUntilSilenceEnds();
       if (this.isFrozen || response.destroyed) return;
       if (event > breakAfter) {
--- a/acceptance/src/loopback_cluster.ts
+++ b/acceptance/src/loopback_cluster.ts
@@ -1,6 +1,12 @@
 import { Child } from "@teaselrouter/experiments/harness/child.ts";
 import { findFreeAddresses } from "@teaselrouter/experiments/harness/find_free_addresses.ts";
-import { mkdtempSync, readFileSync, rmSync, writeFileSync } from "node:fs";
+import {
+  appendFileSync,
+  mkdtempSync,
+  readFileSync,
+  rmSync,
+  writeFileSync,
+} from "node:fs";
 import { tmpdir } from "node:os";
 import { dirname, join } from "node:path";
 import { fileURLToPath } from "node:url";
@@ -15,6 +21,9 @@
  */
 const FIRST_HOST_OCTET = 128;
 
+/** Time from SIGTERM until the platform kills a process. */
+export const GRACE_SECONDS = 8;
+
 type Role = "control" | "gateway" | "stager";
 type Host = { name: string; ip: string; child: Child };
 
@@ -104,7 +113,7 @@
         dataDir: join(this.folder, name),
         faultTolerance: { machines: 1 },
         limits: { linkMbps: 100 },
-        bounds: { graceS: 8, version_ms: 8_000 },
+        bounds: { graceS: GRACE_SECONDS, version_ms: 8_000 },
         ...extraFields,
       },
     );
@@ -125,9 +134,35 @@
   async restart(names: string[]): Promise<void> {
     const killed = names.map((name) => this.findHost(name));
     for (const { child } of killed) child.signal("SIGKILL");
-    await Promise.all(killed.map(({ child }) => child.exited));
-    this.#hosts = this.#hosts.filter((host) => !killed.includes(host));
-    for (const name of names) {
+    await this.#startAgain(killed);
+  }
+
+  /**
+   * Stops a host as the platform does: it is killed if it still runs after the
+   * grace time. Then starts it again on the same data and address.
+   */
+  async restartGracefully(name: string): Promise<void> {
+    const host = this.findHost(name);
+    host.child.signal("SIGTERM");
+    const timer = setTimeout(
+      () => host.child.signal("SIGKILL"),
+      1_000 * GRACE_SECONDS,
+    );
+    await host.child.exited;
+    clearTimeout(timer);
+    await this.#startAgain([host]);
+  }
+
+  /** Changes a host's settings file and says so with SIGHUP. */
+  reload(name: string): void {
+    appendFileSync(join(this.folder, `${name}.toml`), "# changed\n");
+    this.findHost(name).child.signal("SIGHUP");
+  }
+
+  async #startAgain(hosts: Host[]): Promise<void> {
+    await Promise.all(hosts.map(({ child }) => child.exited));
+    this.#hosts = this.#hosts.filter((host) => !hosts.includes(host));
+    for (const { name } of hosts) {
       const [role, index] = name.split("-");
       this.start(role as Role, Number(index), { bootstrap: false });
     }
--- /dev/null
+++ b/acceptance/src/send_traced_request.ts
@@ -0,0 +1,140 @@
+import { type Agent, request as openRequest } from "node:http";
+import { performance } from "node:perf_hooks";
+import type { RequestKind, TracedRequest } from "./traced_request.ts";
+
+/** Clients abandon a stream after a gap of this length. */
+export const MAX_GAP_MILLISECONDS = 2_400;
+const PATHS = { stream: "/write/x", safe: "/look/x", unsafe: "/pay/x" };
+
+type Options = {
+  id: string;
+  kind: RequestKind;
+  gateway: string;
+  /** Base URL of the gateway. */
+  url: string;
+  deadlineMilliseconds: number;
+  events: number;
+  /** Pause before the last half of the body is sent. */
+  bodyPauseMilliseconds?: number;
+  /** Keeps the connection open; a new one is opened by default. */
+  agent?: Agent | undefined;
+};
+
+/** Sends a request as a client does. Never rejects. */
+export async function sendTracedRequest(
+  options: Options,
+): Promise<TracedRequest> {
+  const { id, kind, gateway, events, bodyPauseMilliseconds = 0 } = options;
+  const sentAt = performance.now();
+  const traced: TracedRequest = {
+    id,
+    kind,
+    gateway,
+    sentAt,
+    lastByteAt: undefined,
+    lastDataAt: sentAt,
+    endedAt: Infinity,
+    status: 0,
+    isWhole: false,
+    isAbandoned: false,
+    text: "",
+    events,
+    isReused: false,
+    error: "",
+  };
+  const outgoing = openRequest(options.url + PATHS[kind], {
+    method: kind === "safe" ? "GET" : "POST",
+    agent: options.agent ?? false,
+    headers: buildHeaders(options),
+  });
+  const answered = followAnswer(outgoing, traced);
+  outgoing.on("finish", () => {
+    traced.lastByteAt = performance.now();
+    traced.isReused = outgoing.reusedSocket;
+  });
+  const stopWatching = kind === "stream"
+    ? abandonAfterGap(traced, () => outgoing.destroy())
+    : () => {};
+  await sendBody(outgoing, traced, bodyPauseMilliseconds);
+  await answered;
+  stopWatching();
+  traced.endedAt = performance.now();
+  return traced;
+}
+
+function buildHeaders({ id, kind, events, deadlineMilliseconds }: Options) {
+  return {
+    Host: "desk.example",
+    "Attempt-Id": id,
+    "Deadline-Ms": String(deadlineMilliseconds),
+    Authorization: "Bearer key-1",
+    ...(kind !== "safe" && { "Content-Length": String(id.length) }),
+    ...(kind === "stream" && {
+      Model: "model-1",
+      "Token-Usage": `100,${events}`,
+    }),
+  };
+}
+
+/** Resolves when the answer has ended, whole or not. */
+function followAnswer(
+  outgoing: ReturnType<typeof openRequest>,
+  traced: TracedRequest,
+): Promise<void> {
+  return new Promise((resolve) => {
+    const fail = (error: Error) => {
+      traced.error ||= error.message;
+      resolve();
+    };
+    outgoing.on("error", fail);
+    outgoing.on("close", resolve);
+    outgoing.on("response", (response) => {
+      traced.status = response.statusCode ?? 0;
+      response.on("data", (bytes) => {
+        traced.lastDataAt = performance.now();
+        traced.text += bytes;
+      });
+      response.on("error", fail);
+      response.on("end", () => {
+        traced.isWhole = response.complete;
+        resolve();
+      });
+    });
+  });
+}
+
+async function sendBody(
+  outgoing: ReturnType<typeof openRequest>,
+  { id, kind }: TracedRequest,
+  pauseMilliseconds: number,
+): Promise<void> {
+  if (kind === "safe") return void outgoing.end();
+  if (pauseMilliseconds === 0) return void outgoing.end(id);
+  const half = Math.floor(id.length / 2);
+  outgoing.write(id.slice(0, half));
+  await sleep(pauseMilliseconds);
+  outgoing.end(id.slice(half));
+}
+
+/** Returns a function that ends the watch. */
+function abandonAfterGap(
+  traced: TracedRequest,
+  abandon: () => void,
+): () => void {
+  const isTooLong = () =>
+    performance.now() - traced.lastDataAt > MAX_GAP_MILLISECONDS;
+  const timer = setInterval(() => {
+    if (!isTooLong()) return;
+    // This process may have stood still: what has arrived is read first.
+    setImmediate(() => {
+      if (!isTooLong()) return;
+      traced.isAbandoned = true;
+      abandon();
+    });
+  }, 50);
+  return () => clearInterval(timer);
+}
+
+function sleep(milliseconds: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, milliseconds));
+}
