--- a/acceptance/src/end_to_end_system.ts
+++ b/acceptance/src/end_to_end_system.ts
@@ -18,6 +18,7 @@
 
 type Options = {
   engines?: number;
+  plainServers?: number;
   gateways?: number;
   controlHosts?: number;
   /** Requests that each engine runs at the same time. */
@@ -34,8 +35,8 @@
   readonly cluster = new LoopbackCluster();
   readonly store = new FakeWeightStore();
   readonly engines: FakeBackendServer[] = [];
-  /** The backend server without an engine, which serves plain requests. */
-  readonly plainServer: FakeBackendServer;
+  /** The backend servers without an engine, which serve plain requests. */
+  readonly plainServers: FakeBackendServer[] = [];
   /** IP addresses of the gateways; most tests use only the first. */
   readonly gatewayIps: string[] = [];
   #gatewayCount: number;
@@ -48,6 +49,7 @@
   constructor(
     {
       engines = DEFAULT_ENGINES,
+      plainServers = 1,
       gateways = 1,
       controlHosts = 1,
       ...configured
@@ -64,11 +66,17 @@
         new FakeBackendServer({ instance, store, model: MODEL, slots }),
       );
     }
-    this.plainServer = new FakeBackendServer({
-      instance: "plain-0",
-      store,
-      model: "",
-    });
+    for (let index = 0; index < plainServers; index += 1) {
+      const instance = `plain-${index}`;
+      this.plainServers.push(
+        new FakeBackendServer({ instance, store, model: "" }),
+      );
+    }
+  }
+
+  /** The first of the backend servers without an engine. */
+  get plainServer(): FakeBackendServer {
+    return this.plainServers[0]!;
   }
 
   get gatewayIp(): string {
@@ -80,7 +88,7 @@
     const { cluster } = this;
     await cluster.allocateAddresses(this.#controlHostCount);
     this.#storeAddress = await this.store.listen("127.0.0.1");
-    await this.plainServer.listen("127.0.0.1");
+    for (const server of this.plainServers) await server.listen("127.0.0.1");
     for (let index = 0; index < this.#controlHostCount; index += 1) {
       cluster.start("control", index);
     }
@@ -139,7 +147,7 @@
   async stop(options: { keepLogs?: boolean } = {}): Promise<void> {
     clearInterval(this.#heartbeatTimer);
     await this.cluster.stop(options);
-    for (const server of [...this.engines, this.plainServer, this.store]) {
+    for (const server of [...this.engines, ...this.plainServers, this.store]) {
       server.close();
     }
   }
@@ -274,7 +282,7 @@
   #sendHeartbeats(): void {
     const servers = [
       ...this.engines.map((server) => [server, "writer"] as const),
-      [this.plainServer, "plain"] as const,
+      ...this.plainServers.map((server) => [server, "plain"] as const),
     ];
     for (const [server, service] of servers) {
       if (server.isDown || server.isSilent) continue;
--- a/acceptance/src/find_silence_faults_test.ts
+++ b/acceptance/src/find_silence_faults_test.ts
@@ -175,7 +175,11 @@
   const short = { silences: [span(2_000, 4_000)] };
   assert.match(find([abandoned], short)[0]!, /abandoned/);
   assert.deepEqual(find([abandoned], { silences: [span(2_000, 4_500)] }), []);
-  assert.deepEqual(find([abandoned], { freezes: [span(2_000, 3_500)] }), []);
+  assert.equal(find([abandoned], { silences: [span(2_000, 4_100)] }).length, 1);
+  const freezes = [span(1_900, 3_400)];
+  assert.equal(find([abandoned], { freezes }).length, 1);
+  const silences = [span(2_900, 4_400)];
+  assert.deepEqual(find([abandoned], { freezes, silences }), []);
 });
 
 // Guards against requests that run twice, or that ran and were refused as if not.
--- a/acceptance/src/loopback_cluster.ts
+++ b/acceptance/src/loopback_cluster.ts
@@ -1,12 +1,6 @@
 import { Child } from "@teaselrouter/experiments/harness/child.ts";
 import { findFreeAddresses } from "@teaselrouter/experiments/harness/find_free_addresses.ts";
-import {
-  appendFileSync,
-  mkdtempSync,
-  readFileSync,
-  rmSync,
-  writeFileSync,
-} from "node:fs";
+import { mkdtempSync, readFileSync, rmSync, writeFileSync } from "node:fs";
 import { tmpdir } from "node:os";
 import { dirname, join } from "node:path";
 import { fileURLToPath } from "node:url";
@@ -153,9 +147,18 @@
     await this.#startAgain([host]);
   }
 
-  /** Changes a host's settings file and says so with SIGHUP. */
+  /**
+   * Changes a gateway's settings file, in which the control hosts come in another
+   * order, and says so with SIGHUP.
+   */
   reload(name: string): void {
-    appendFileSync(join(this.folder, `${name}.toml`), "# changed\n");
+    const settings = join(this.folder, `${name}.toml`);
+    const text = readFileSync(settings, "utf8").replace(
+      /^control_hosts = (\[.*\])$/m,
+      (_all, hosts) =>
+        `control_hosts = ${JSON.stringify(JSON.parse(hosts).toReversed())}`,
+    );
+    writeFileSync(settings, text);
     this.findHost(name).child.signal("SIGHUP");
   }
 
--- a/acceptance/src/send_traced_request.ts
+++ b/acceptance/src/send_traced_request.ts
@@ -1,4 +1,9 @@
-import { type Agent, request as openRequest } from "node:http";
+import {
+  type Agent,
+  type ClientRequestArgs,
+  request as openRequest,
+} from "node:http";
+import { connect, type Socket } from "node:net";
 import { performance } from "node:perf_hooks";
 import type { RequestKind, TracedRequest } from "./traced_request.ts";
 
@@ -16,6 +21,8 @@
   events: number;
   /** Pause before the last half of the body is sent. */
   bodyPauseMilliseconds?: number;
+  /** Pause before the last half of the head is sent; only without a body. */
+  headPauseMilliseconds?: number;
   /** Keeps the connection open; a new one is opened by default. */
   agent?: Agent | undefined;
 };
@@ -25,6 +32,7 @@
   options: Options,
 ): Promise<TracedRequest> {
   const { id, kind, gateway, events, bodyPauseMilliseconds = 0 } = options;
+  const { headPauseMilliseconds } = options;
   const sentAt = performance.now();
   const traced: TracedRequest = {
     id,
@@ -44,12 +52,16 @@
   };
   const outgoing = openRequest(options.url + PATHS[kind], {
     method: kind === "safe" ? "GET" : "POST",
-    agent: options.agent ?? false,
+    ...(headPauseMilliseconds === undefined
+      ? { agent: options.agent ?? false }
+      : { createConnection: connectSlowly(headPauseMilliseconds) }),
     headers: buildHeaders(options),
   });
   const answered = followAnswer(outgoing, traced);
   outgoing.on("finish", () => {
     traced.lastByteAt = performance.now();
+    // The client's own pause is no gap.
+    traced.lastDataAt = traced.lastByteAt;
     traced.isReused = outgoing.reusedSocket;
   });
   const stopWatching = kind === "stream"
@@ -62,6 +74,24 @@
   return traced;
 }
 
+/** Opens connections that hold back the last half of what is first written. */
+function connectSlowly(pauseMilliseconds: number) {
+  return ({ port, host }: ClientRequestArgs): Socket => {
+    const socket = connect({ port: Number(port), host: host! });
+    const write = socket.write.bind(socket);
+    socket.write = ((bytes: string, encoding: "latin1", done: () => void) => {
+      const half = Math.floor(bytes.length / 2);
+      write(bytes.slice(0, half), encoding);
+      setTimeout(
+        () => write(bytes.slice(half), encoding, done),
+        pauseMilliseconds,
+      );
+      return true;
+    }) as typeof socket.write;
+    return socket;
+  };
+}
+
 function buildHeaders({ id, kind, events, deadlineMilliseconds }: Options) {
   return {
     Host: "desk.example",
@@ -122,6 +152,7 @@
   abandon: () => void,
 ): () => void {
   const isTooLong = () =>
+    traced.lastByteAt !== undefined &&
     performance.now() - traced.lastDataAt > MAX_GAP_MILLISECONDS;
   const timer = setInterval(() => {
     if (!isTooLong()) return;
--- a/acceptance/src/silence_day.ts
+++ b/acceptance/src/silence_day.ts
@@ -16,6 +16,7 @@
 const GATEWAYS = 10;
 const CONTROL_HOSTS = 3;
 const ENGINES = 6;
+const PLAIN_SERVERS = 2;
 const SLOTS = 16;
 const STREAM_EVENTS = 16;
 const EVENT_INTERVAL_MILLISECONDS = 100;
@@ -55,6 +56,7 @@
   #seed: number;
   #system = new EndToEndSystem({
     engines: ENGINES,
+    plainServers: PLAIN_SERVERS,
     gateways: GATEWAYS,
     controlHosts: CONTROL_HOSTS,
     slots: SLOTS,
@@ -73,14 +75,14 @@
   constructor(seed: number) {
     this.#seed = seed;
     const system = this.#system;
-    const { engines, plainServer, cluster } = system;
+    const { engines, plainServers, cluster } = system;
     for (const engine of engines) {
       engine.streamEvents = STREAM_EVENTS;
       engine.eventIntervalMilliseconds = EVENT_INTERVAL_MILLISECONDS;
     }
     this.#silences = new SilenceMaker({
       engines,
-      plainServer,
+      plainServers,
       random: this.#createRandom("silences"),
     });
     this.#traffic = new SilenceTraffic({
@@ -169,11 +171,11 @@
   }
 
   #buildRecord(): SilenceDayRecord {
-    const { engines, plainServer } = this.#system;
+    const { engines, plainServers } = this.#system;
     const { kills, freezes, stops } = this.#troubles;
     return {
       requests: this.#traffic.requests,
-      servers: [...engines, plainServer],
+      servers: [...engines, ...plainServers],
       gateways: GATEWAYS,
       silences: this.#silences.silences,
       kills,
--- a/acceptance/src/silence_excuses.ts
+++ b/acceptance/src/silence_excuses.ts
@@ -1,4 +1,5 @@
 import { GRACE_SECONDS } from "./loopback_cluster.ts";
+import { MAX_GAP_MILLISECONDS } from "./send_traced_request.ts";
 import type { TracedRequest } from "./traced_request.ts";
 
 /** Silence that may cost no client an answer. */
@@ -56,15 +57,23 @@
     return undefined;
   }
 
-  /** Why a client could give up: in a gap that was longer than is free. */
+  /**
+   * Why a client could give up: in a gap that silences longer than is free, or a
+   * gateway that stood still, fill but for the time from one event to the next.
+   */
   #explainGap(request: TracedRequest): string | undefined {
+    if (this.#wasKilled(request)) return "gateway killed";
     const gap = { from: request.lastDataAt, to: request.endedAt };
+    const silences = this.#silencesOf(request, gap);
+    const freezes = this.#freezesOf(request, gap);
+    const held = measureUnion([...silences, ...freezes], gap);
+    const rest = this.#times.eventIntervalMilliseconds +
+      TIMER_SLACK_MILLISECONDS;
+    if (held + rest < MAX_GAP_MILLISECONDS) return undefined;
     const isLong = ({ from, to }: Span) =>
       to - from > MAX_FREE_SILENCE_MILLISECONDS;
-    if (this.#wasKilled(request)) return "gateway killed";
-    if (this.#silencesOf(request, gap).some(isLong)) return "long silence";
-    if (this.#freezesOf(request, gap).length > 0) return "gateway frozen";
-    return undefined;
+    if (silences.some(isLong)) return "long silence";
+    return freezes.length > 0 ? "gateway frozen in a silence" : undefined;
   }
 
   /** Why an answer may be missing or incomplete. */
--- a/acceptance/src/silence_maker.ts
+++ b/acceptance/src/silence_maker.ts
@@ -12,7 +12,7 @@
 
 type Options = {
   engines: readonly FakeBackendServer[];
-  plainServer: FakeBackendServer;
+  plainServers: readonly FakeBackendServer[];
   random: () => number;
 };
 type Silence = { instance: string; from: number; to: number };
@@ -41,19 +41,21 @@
   }
 
   async #makeSpell(): Promise<void> {
-    const { engines, plainServer, random } = this.#options;
+    const { engines, plainServers, random } = this.#options;
     const first = Math.floor(random() * engines.length);
     const turned = [...engines.slice(first), ...engines.slice(0, first)];
     const half = turned.slice(0, engines.length / 2);
     const draw = random();
     if (draw < 0.2) return this.#silenceInSeries(half);
-    const [name, servers] = draw < 0.4
+    const [name, servers] = draw < 0.3
       ? ["one", turned.slice(0, 1)] as const
+      : draw < 0.4
+      ? ["one plain", plainServers.slice(0, 1)] as const
       : draw < 0.6
       ? ["half", half] as const
       : draw < 0.8
       ? ["all engines", engines] as const
-      : ["all", [...engines, plainServer]] as const;
+      : ["all", [...engines, ...plainServers]] as const;
     const repeats = 1 + Math.floor(random() * MAX_REPEATS);
     this.spells.push(`${name} x${repeats}`);
     for (let count = 0; count < repeats; count += 1) {
--- a/acceptance/src/silence_traffic.ts
+++ b/acceptance/src/silence_traffic.ts
@@ -9,6 +9,8 @@
 const LONG_STREAM_EVENTS = 16;
 const LONG_STREAM_SHARE = 0.75;
 const MAX_BODY_PAUSE_MILLISECONDS = 1_500;
+/** Below the shortest time that a configuration leaves for a head. */
+const MAX_HEAD_PAUSE_MILLISECONDS = 700;
 const MAX_THINK_MILLISECONDS = 300;
 
 type Options = {
@@ -76,11 +78,11 @@
     const random = this.#options.createRandom(task);
     while (!this.#isOver) {
       const gateway = this.#options.pickGateway(random);
-      const picked = random() < 0.5
-        ? pickStream(random)
-        : { kind: "unsafe" as const, events: 0 };
-      const bodyPauseMilliseconds = 1 + MAX_BODY_PAUSE_MILLISECONDS * random();
-      await this.#send({ gateway, ...picked, bodyPauseMilliseconds });
+      const picked = random() < 0.4 ? pickStream(random) : pickPlain(random);
+      const pause = picked.kind === "safe"
+        ? { headPauseMilliseconds: MAX_HEAD_PAUSE_MILLISECONDS * random() }
+        : { bodyPauseMilliseconds: 1 + MAX_BODY_PAUSE_MILLISECONDS * random() };
+      await this.#send({ gateway, ...picked, ...pause });
     }
   }
 
@@ -104,6 +106,7 @@
     { gateway, ...rest }: PickedRequest & {
       gateway: string;
       bodyPauseMilliseconds?: number;
+      headPauseMilliseconds?: number;
       agent?: Agent;
     },
   ): Promise<void> {
--- a/acceptance/src/traced_request.ts
+++ b/acceptance/src/traced_request.ts
@@ -13,7 +13,7 @@
   sentAt: number;
   /** When the last byte was handed over; undefined if that did not happen. */
   lastByteAt: number | undefined;
-  /** When the latest bytes of the answer came, at first the time of sending. */
+  /** When the latest bytes of the answer came, or the last byte was sent. */
   lastDataAt: number;
   endedAt: number;
   /** 0 without the head of an answer. */
