--- a/acceptance/src/find_silence_faults_test.ts
+++ b/acceptance/src/find_silence_faults_test.ts
@@ -54,6 +54,7 @@
     kills: [],
     freezes: [],
     stops: [],
+    runDelays: [],
     shortestMilliseconds: TIMEOUT_MILLISECONDS,
     eventIntervalMilliseconds: 100,
     ...day,
@@ -176,6 +177,14 @@
   assert.match(find([abandoned], short)[0]!, /abandoned/);
   assert.deepEqual(find([abandoned], { silences: [span(2_000, 4_500)] }), []);
   assert.equal(find([abandoned], { silences: [span(2_000, 4_100)] }).length, 1);
+  const busy = { process: GATEWAY, from: 4_000, to: 4_400, milliseconds: 300 };
+  assert.deepEqual(find([abandoned], { ...short, runDelays: [busy] }), []);
+  assert.equal(find([abandoned], { runDelays: [busy] }).length, 1);
+  const elsewhere = [{ ...busy, process: "127.0.0.2" }];
+  assert.equal(
+    find([abandoned], { ...short, runDelays: elsewhere }).length,
+    1,
+  );
   const freezes = [span(1_900, 3_400)];
   assert.equal(find([abandoned], { freezes }).length, 1);
   const silences = [span(2_900, 4_400)];
--- /dev/null
+++ b/acceptance/src/run_delay_watch.ts
@@ -0,0 +1,67 @@
+import { readFileSync } from "node:fs";
+import { performance } from "node:perf_hooks";
+
+const INTERVAL_MILLISECONDS = 100;
+/** Shorter delays are as on any machine. */
+const MIN_DELAY_MILLISECONDS = 20;
+const NANOSECONDS_PER_MILLISECOND = 1e6;
+
+/**
+ * Time in which a process could have run and its machine ran others, out of a
+ * span. Times are from `performance.now()`, milliseconds.
+ */
+export type RunDelay = {
+  process: string;
+  from: number;
+  to: number;
+  milliseconds: number;
+};
+
+/**
+ * Records when the machine is too busy to run certain processes. What a process
+ * does by itself, and the time in which it stands still, are not in it. Records
+ * nothing where the system does not tell.
+ */
+export class RunDelayWatch {
+  readonly delays: RunDelay[] = [];
+  #listProcesses: () => { name: string; pid: number }[];
+  #total = new Map<number, number>();
+  #sampledAt = performance.now();
+  #timer: NodeJS.Timeout | undefined;
+
+  constructor(listProcesses: () => { name: string; pid: number }[]) {
+    this.#listProcesses = listProcesses;
+  }
+
+  start(): void {
+    this.#timer = setInterval(() => this.#sample(), INTERVAL_MILLISECONDS);
+  }
+
+  stop(): void {
+    clearInterval(this.#timer);
+  }
+
+  #sample(): void {
+    const from = this.#sampledAt;
+    const to = performance.now();
+    this.#sampledAt = to;
+    for (const { name, pid } of this.#listProcesses()) {
+      const total = readDelay(pid);
+      if (total === undefined) continue;
+      const milliseconds = total - (this.#total.get(pid) ?? total);
+      this.#total.set(pid, total);
+      if (milliseconds < MIN_DELAY_MILLISECONDS) continue;
+      this.delays.push({ process: name, from, to, milliseconds });
+    }
+  }
+}
+
+/** Milliseconds that a process has waited for a processor so far. */
+function readDelay(pid: number): number | undefined {
+  try {
+    const [, delay] = readFileSync(`/proc/${pid}/schedstat`, "utf8").split(" ");
+    return Number(delay) / NANOSECONDS_PER_MILLISECOND;
+  } catch {
+    return undefined;
+  }
+}
--- a/acceptance/src/silence_day.ts
+++ b/acceptance/src/silence_day.ts
@@ -3,12 +3,15 @@
 import { writeFileSync } from "node:fs";
 import { join } from "node:path";
 import { monitorEventLoopDelay, performance } from "node:perf_hooks";
+import process from "node:process";
 import { EndToEndSystem } from "./end_to_end_system.ts";
 import {
   findSilenceFaults,
   listLostRequests,
   type SilenceDayRecord,
 } from "./find_silence_faults.ts";
+import { RunDelayWatch } from "./run_delay_watch.ts";
+import { LOCAL } from "./silence_excuses.ts";
 import { SilenceMaker } from "./silence_maker.ts";
 import { SilenceTraffic } from "./silence_traffic.ts";
 import { SilenceTroubles } from "./silence_troubles.ts";
@@ -71,6 +74,7 @@
   #silences: SilenceMaker;
   #traffic: SilenceTraffic;
   #delay = monitorEventLoopDelay();
+  #runDelays = new RunDelayWatch(() => this.#listProcesses());
 
   constructor(seed: number) {
     this.#seed = seed;
@@ -99,6 +103,7 @@
     try {
       await this.#system.start();
       this.#delay.enable();
+      this.#runDelays.start();
       this.#traffic.start();
       await sleep(QUIET_MILLISECONDS);
       await Promise.all([
@@ -113,10 +118,20 @@
       if (keepLogs) this.#writeRecord();
       return result;
     } finally {
+      this.#runDelays.stop();
       await this.#system.stop({ keepLogs });
     }
   }
 
+  #listProcesses(): { name: string; pid: number }[] {
+    const { cluster, gatewayNames, gatewayIps } = this.#system;
+    const gateways = gatewayNames.map((name, index) => ({
+      name: gatewayIps[index]!,
+      pid: cluster.findHost(name).child.pid,
+    }));
+    return [...gateways, { name: LOCAL, pid: process.pid }];
+  }
+
   #pickGateway(random: () => number): string {
     const ready = this.#system.gatewayIps.filter((gateway) =>
       !this.#troubles.out.has(gateway)
@@ -181,6 +196,7 @@
       kills,
       freezes,
       stops,
+      runDelays: this.#runDelays.delays,
       shortestMilliseconds: DEADLINE_MILLISECONDS,
       eventIntervalMilliseconds: EVENT_INTERVAL_MILLISECONDS,
     };
@@ -188,14 +204,16 @@
 
   /** Writes what explains the faults beside the logs of the hosts. */
   #writeRecord(): void {
-    const { silences, kills, freezes, stops, ...rest } = this.#buildRecord();
+    const day = this.#buildRecord();
+    const { silences, kills, freezes, stops, runDelays } = day;
     const record = {
       timeOrigin: performance.timeOrigin,
-      lost: listLostRequests({ silences, kills, freezes, stops, ...rest }),
+      lost: listLostRequests(day),
       silences,
       kills,
       freezes,
       stops,
+      runDelays,
     };
     writeFileSync(
       join(this.#system.cluster.folder, "day.json"),
--- a/acceptance/src/silence_excuses.ts
+++ b/acceptance/src/silence_excuses.ts
@@ -1,4 +1,5 @@
 import { GRACE_SECONDS } from "./loopback_cluster.ts";
+import type { RunDelay } from "./run_delay_watch.ts";
 import { MAX_GAP_MILLISECONDS } from "./send_traced_request.ts";
 import type { TracedRequest } from "./traced_request.ts";
 
@@ -15,6 +16,9 @@
 const EARLY_MILLISECONDS = 3_000;
 const AFTER_GRACE_MILLISECONDS = 1_000;
 
+/** Stands for the process of the servers and clients. */
+export const LOCAL = "local";
+
 type Span = { from: number; to: number };
 
 /** Times are from `performance.now()`, milliseconds. */
@@ -27,6 +31,8 @@
   freezes: readonly (Span & { gateway: string })[];
   /** Planned stops, from SIGTERM until the process had ended. */
   stops: readonly (Span & { gateway: string })[];
+  /** Of gateways, by IP address, and of the servers and clients: `LOCAL`. */
+  runDelays: readonly RunDelay[];
   /** Shortest time that any configuration or client left for a request. */
   shortestMilliseconds: number;
   eventIntervalMilliseconds: number;
@@ -58,8 +64,9 @@
   }
 
   /**
-   * Why a client could give up: in a gap that silences longer than is free, or a
-   * gateway that stood still, fill but for the time from one event to the next.
+   * Why a client could give up: in a gap that silences longer than is free, a
+   * gateway that stood still, or a machine too busy to run it, fill but for the
+   * time from one event to the next.
    */
   #explainGap(request: TracedRequest): string | undefined {
     if (this.#wasKilled(request)) return "gateway killed";
@@ -67,13 +74,15 @@
     const silences = this.#silencesOf(request, gap);
     const freezes = this.#freezesOf(request, gap);
     const held = measureUnion([...silences, ...freezes], gap);
+    const delay = this.#measureRunDelay(request, gap);
     const rest = this.#times.eventIntervalMilliseconds +
       TIMER_SLACK_MILLISECONDS;
-    if (held + rest < MAX_GAP_MILLISECONDS) return undefined;
+    if (held + delay + rest < MAX_GAP_MILLISECONDS) return undefined;
     const isLong = ({ from, to }: Span) =>
       to - from > MAX_FREE_SILENCE_MILLISECONDS;
     if (silences.some(isLong)) return "long silence";
-    return freezes.length > 0 ? "gateway frozen in a silence" : undefined;
+    if (freezes.length > 0) return "gateway frozen in a silence";
+    return delay > 0 ? "machine too busy" : undefined;
   }
 
   /** Why an answer may be missing or incomplete. */
@@ -133,6 +142,12 @@
       endedAt - request.lastByteAt! <= CROSSING_MILLISECONDS;
   }
 
+  #measureRunDelay({ gateway }: TracedRequest, within: Span): number {
+    return this.#times.runDelays.filter((delay) =>
+      [gateway, LOCAL].includes(delay.process) && overlap(delay, within)
+    ).reduce((sum, { milliseconds }) => sum + milliseconds, 0);
+  }
+
   #silencesOf({ id }: TracedRequest, within: Span): Span[] {
     const instances = this.#instancesOf(id);
     return this.#times.silences.filter((silence) =>
