--- a/acceptance/src/build_configuration.ts
+++ b/acceptance/src/build_configuration.ts
@@ -5,7 +5,7 @@
   headerTimeoutMs?: number;
   idleTimeoutMs?: number;
   /** Of all routes. */
-  timeoutMs?: number;
+  routeTimeoutMilliseconds?: number;
   /** Requests that each engine runs at the same time. */
   slots?: number;
   /** Further routes to the service without an engine. */
@@ -27,8 +27,9 @@
   const { version, store, model, chunks, keys = ["key-1"] } = options;
   const { maxHeaderBytes = 16_384, headerTimeoutMs = 1_000 } = options;
   const { idleTimeoutMs = 5_000, slots = 4, extraRoutes = 0 } = options;
+  const { routeTimeoutMilliseconds = 2_000 } = options;
   const route = {
-    timeoutMs: options.timeoutMs ?? 2_000,
+    timeoutMs: routeTimeoutMilliseconds,
     sloMs: 100,
     priority: 1,
     maxAttempts: 2,
--- a/acceptance/src/end_to_end_system.ts
+++ b/acceptance/src/end_to_end_system.ts
@@ -12,6 +12,7 @@
 const HEARTBEAT_INTERVAL_MILLISECONDS = 200;
 const CALL_TIMEOUT_MILLISECONDS = 1_000;
 const DEFAULT_ENGINES = 2;
+const DEFAULT_ROUTE_TIMEOUT_MILLISECONDS = 2_000;
 /** First host indexes of gateways and of stagers; control hosts start at 0. */
 const FIRST_GATEWAY_INDEX = 10;
 const FIRST_STAGER_INDEX = 40;
@@ -23,8 +24,8 @@
   controlHosts?: number;
   /** Requests that each engine runs at the same time. */
   slots?: number;
-  /** Timeout of all routes. */
-  timeoutMs?: number;
+  /** Of all routes, and of requests that are sent without a deadline. */
+  routeTimeoutMilliseconds?: number;
 };
 
 /**
@@ -41,7 +42,8 @@
   readonly gatewayIps: string[] = [];
   #gatewayCount: number;
   #controlHostCount: number;
-  #configured: ConfigurationChanges;
+  #routeTimeoutMilliseconds: number;
+  #slots: number | undefined;
   #storeAddress = "";
   #heartbeatTimer: NodeJS.Timeout | undefined;
   #leavingServers = new Set<FakeBackendServer>();
@@ -52,12 +54,13 @@
       plainServers = 1,
       gateways = 1,
       controlHosts = 1,
-      ...configured
+      slots,
+      routeTimeoutMilliseconds = DEFAULT_ROUTE_TIMEOUT_MILLISECONDS,
     }: Options = {},
   ) {
     const { store } = this;
-    const { slots } = configured;
-    this.#configured = configured;
+    this.#routeTimeoutMilliseconds = routeTimeoutMilliseconds;
+    this.#slots = slots;
     this.#gatewayCount = gateways;
     this.#controlHostCount = controlHosts;
     for (let index = 0; index < engines; index += 1) {
@@ -162,7 +165,8 @@
       store: this.#storeAddress,
       model: MODEL,
       chunks: this.store.chunks,
-      ...this.#configured,
+      routeTimeoutMilliseconds: this.#routeTimeoutMilliseconds,
+      ...(this.#slots !== undefined && { slots: this.#slots }),
       ...changes,
     });
     const answer = await this.callControlHost("PUT", "/config", configuration);
@@ -245,7 +249,7 @@
         headers: {
           Host: options.host ?? "desk.example",
           "Attempt-Id": id,
-          "Deadline-Ms": "2000",
+          "Deadline-Ms": String(this.#routeTimeoutMilliseconds),
           Authorization: `Bearer ${key}`,
           ...options.headers,
         },
--- a/acceptance/src/fake_backend_server.ts
+++ b/acceptance/src/fake_backend_server.ts
@@ -39,8 +39,8 @@
   /** Accepts requests but sends nothing more, like a server on a frozen host. */
   isFrozen = false;
   /**
-   * Most events of a stream, and the time from one to the next. A stream has no
-   * more events than the tokens that its request may get.
+   * Events of each stream, unless its request says another number, and the time
+   * from one to the next.
    */
   streamEvents = DEFAULT_STREAM_EVENTS;
   eventIntervalMilliseconds = DEFAULT_EVENT_INTERVAL_MILLISECONDS;
@@ -233,7 +233,7 @@
     }
     await this.#streamEvents(response, {
       after: Number(headers["last-event-id"] ?? 0),
-      maxEvents: Number(`${headers["token-usage"]}`.split(",")[1]),
+      events: Number(headers["stream-events"] ?? this.streamEvents),
     });
   }
 
@@ -274,11 +274,10 @@
 
   async #streamEvents(
     response: ServerResponse,
-    { after, maxEvents }: { after: number; maxEvents: number },
+    { after, events }: { after: number; events: number },
   ): Promise<void> {
     const breakAfter = this.breakAfterEvents.shift() ?? Infinity;
-    const lastEvent = Math.min(this.streamEvents, maxEvents || Infinity);
-    for (let event = after + 1; event <= lastEvent; event += 1) {
+    for (let event = after + 1; event <= events; event += 1) {
       await this.#waitUntilSilenceEnds();
       if (this.isFrozen || response.destroyed) return;
       if (event > breakAfter) {
--- a/acceptance/src/find_silence_faults.ts
+++ b/acceptance/src/find_silence_faults.ts
@@ -1,4 +1,5 @@
 import { SilenceExcuses, type SilenceTimes } from "./silence_excuses.ts";
+import { streamText } from "./stream_text.ts";
 import type { RequestKind, TracedRequest } from "./traced_request.ts";
 
 /** Statuses that promise that the request has not run. */
@@ -92,14 +93,7 @@
 }
 
 function isAsSent({ kind, text, events, id }: TracedRequest): boolean {
-  return text === (kind === "stream" ? eventsText(events) : echo(kind, id));
-}
-
-function eventsText(events: number): string {
-  return Array.from(
-    { length: events },
-    (_, index) => `id: ${index + 1}\ndata: t${index + 1}\n\n`,
-  ).join("");
+  return text === (kind === "stream" ? streamText(events) : echo(kind, id));
 }
 
 function echo(kind: Exclude<RequestKind, "stream">, id: string): string {
--- a/acceptance/src/find_silence_faults_test.ts
+++ b/acceptance/src/find_silence_faults_test.ts
@@ -4,15 +4,13 @@
   findSilenceFaults,
   type SilenceDayRecord,
 } from "./find_silence_faults.ts";
+import { streamText } from "./stream_text.ts";
 import type { TracedRequest } from "./traced_request.ts";
 
 const GATEWAY = "127.0.0.1";
 const EVENTS = 16;
 const TIMEOUT_MILLISECONDS = 8_000;
-const WHOLE_TEXT = Array.from(
-  { length: EVENTS },
-  (_, index) => `id: ${index + 1}\ndata: t${index + 1}\n\n`,
-).join("");
+const WHOLE_TEXT = streamText(EVENTS);
 
 function stream(changes: Partial<TracedRequest> = {}): TracedRequest {
   return {
--- a/acceptance/src/send_traced_request.ts
+++ b/acceptance/src/send_traced_request.ts
@@ -102,6 +102,7 @@
     ...(kind === "stream" && {
       Model: "model-1",
       "Token-Usage": `100,${events}`,
+      "Stream-Events": String(events),
     }),
   };
 }
--- a/acceptance/src/silence_day.ts
+++ b/acceptance/src/silence_day.ts
@@ -21,7 +21,6 @@
 const ENGINES = 6;
 const PLAIN_SERVERS = 2;
 const SLOTS = 16;
-const STREAM_EVENTS = 16;
 const EVENT_INTERVAL_MILLISECONDS = 100;
 const DEADLINE_MILLISECONDS = 8_000;
 const DAY_MILLISECONDS = 20_000;
@@ -63,7 +62,7 @@
     gateways: GATEWAYS,
     controlHosts: CONTROL_HOSTS,
     slots: SLOTS,
-    timeoutMs: DEADLINE_MILLISECONDS,
+    routeTimeoutMilliseconds: DEADLINE_MILLISECONDS,
   });
   #createRandom = (task: string) =>
     createSeededRandom(hashText(`silence ${this.#seed} ${task}`));
@@ -81,7 +80,6 @@
     const system = this.#system;
     const { engines, plainServers, cluster } = system;
     for (const engine of engines) {
-      engine.streamEvents = STREAM_EVENTS;
       engine.eventIntervalMilliseconds = EVENT_INTERVAL_MILLISECONDS;
     }
     this.#silences = new SilenceMaker({
--- a/acceptance/src/silence_troubles.ts
+++ b/acceptance/src/silence_troubles.ts
@@ -57,7 +57,7 @@
       await sleep(MAX_CHANGE_GAP_MILLISECONDS * random());
       const change = pick([
         {},
-        { timeoutMs: pick(TIMEOUTS, random) },
+        { routeTimeoutMilliseconds: pick(TIMEOUTS, random) },
         { idleTimeoutMs: pick(IDLE_TIMEOUTS, random) },
         { headerTimeoutMs: pick(HEADER_TIMEOUTS, random) },
         { maxHeaderBytes: pick(MAX_HEADER_BYTES, random) },
