A busy machine excuses a gap only by one long wait, where it lies

Cause: the waits for a processor in a gap were added up.

Change: only single long waits count, as spans that are united with the silences.

--- a/acceptance/src/find_silence_faults_test.ts
+++ b/acceptance/src/find_silence_faults_test.ts
@@ -175,9 +175,11 @@
   assert.match(find([abandoned], short)[0]!, /abandoned/);
   assert.deepEqual(find([abandoned], { silences: [span(2_000, 4_500)] }), []);
   assert.equal(find([abandoned], { silences: [span(2_000, 4_100)] }).length, 1);
-  const busy = { process: GATEWAY, from: 4_000, to: 4_400, milliseconds: 300 };
+  const busy = { process: GATEWAY, from: 3_900, to: 4_400 };
   assert.deepEqual(find([abandoned], { ...short, runDelays: [busy] }), []);
   assert.equal(find([abandoned], { runDelays: [busy] }).length, 1);
+  const within = [{ ...busy, from: 3_500, to: 4_000 }];
+  assert.equal(find([abandoned], { ...short, runDelays: within }).length, 1);
   const elsewhere = [{ ...busy, process: "127.0.0.2" }];
   assert.equal(
     find([abandoned], { ...short, runDelays: elsewhere }).length,
--- a/acceptance/src/run_delay_watch.ts
+++ b/acceptance/src/run_delay_watch.ts
@@ -2,20 +2,16 @@
 import { performance } from "node:perf_hooks";
 
 const INTERVAL_MILLISECONDS = 100;
-/** Shorter delays are as on any machine. */
-const MIN_DELAY_MILLISECONDS = 20;
+/** Shorter delays, also many of them, let a process go on in between. */
+const MIN_DELAY_MILLISECONDS = 100;
+const MIN_SAMPLE_SHARE = 0.8;
 const NANOSECONDS_PER_MILLISECOND = 1e6;
 
 /**
- * Time in which a process could have run and its machine ran others, out of a
- * span. Times are from `performance.now()`, milliseconds.
+ * Span in which a process could have run and its machine ran others. Times are
+ * from `performance.now()`, milliseconds.
  */
-export type RunDelay = {
-  process: string;
-  from: number;
-  to: number;
-  milliseconds: number;
-};
+export type RunDelay = { process: string; from: number; to: number };
 
 /**
  * Records when the machine is too busy to run certain processes. What a process
@@ -48,14 +44,23 @@
     for (const { name, pid } of this.#listProcesses()) {
       const total = readDelay(pid);
       if (total === undefined) continue;
-      const milliseconds = total - (this.#total.get(pid) ?? total);
+      const delay = total - (this.#total.get(pid) ?? total);
       this.#total.set(pid, total);
-      if (milliseconds < MIN_DELAY_MILLISECONDS) continue;
-      this.delays.push({ process: name, from, to, milliseconds });
+      if (!isOneDelay(delay, to - from)) continue;
+      this.delays.push({ process: name, from: to - delay, to });
     }
   }
 }
 
+/**
+ * Whether a delay of a sample is one long one. A delay is counted when it ends,
+ * so that it may be longer than its sample.
+ */
+function isOneDelay(delay: number, sample: number): boolean {
+  return delay > sample + MIN_DELAY_MILLISECONDS ||
+    sample >= 2 * MIN_DELAY_MILLISECONDS && delay >= sample * MIN_SAMPLE_SHARE;
+}
+
 /** Milliseconds that a process has waited for a processor so far. */
 function readDelay(pid: number): number | undefined {
   try {
--- a/acceptance/src/silence_excuses.ts
+++ b/acceptance/src/silence_excuses.ts
@@ -73,16 +73,16 @@
     const gap = { from: request.lastDataAt, to: request.endedAt };
     const silences = this.#silencesOf(request, gap);
     const freezes = this.#freezesOf(request, gap);
-    const held = measureUnion([...silences, ...freezes], gap);
-    const delay = this.#measureRunDelay(request, gap);
+    const delays = this.#runDelaysOf(request, gap);
+    const held = measureUnion([...silences, ...freezes, ...delays], gap);
     const rest = this.#times.eventIntervalMilliseconds +
       TIMER_SLACK_MILLISECONDS;
-    if (held + delay + rest < MAX_GAP_MILLISECONDS) return undefined;
+    if (held + rest < MAX_GAP_MILLISECONDS) return undefined;
     const isLong = ({ from, to }: Span) =>
       to - from > MAX_FREE_SILENCE_MILLISECONDS;
     if (silences.some(isLong)) return "long silence";
     if (freezes.length > 0) return "gateway frozen in a silence";
-    return delay > 0 ? "machine too busy" : undefined;
+    return delays.length > 0 ? "machine too busy" : undefined;
   }
 
   /** Why an answer may be missing or incomplete. */
@@ -142,10 +142,10 @@
       endedAt - request.lastByteAt! <= CROSSING_MILLISECONDS;
   }
 
-  #measureRunDelay({ gateway }: TracedRequest, within: Span): number {
+  #runDelaysOf({ gateway }: TracedRequest, within: Span): Span[] {
     return this.#times.runDelays.filter((delay) =>
       [gateway, LOCAL].includes(delay.process) && overlap(delay, within)
-    ).reduce((sum, { milliseconds }) => sum + milliseconds, 0);
+    );
   }
 
   #silencesOf({ id }: TracedRequest, within: Span): Span[] {
