--- a/acceptance/src/build_configuration.ts
+++ b/acceptance/src/build_configuration.ts
@@ -1,13 +1,24 @@
+/** What a configuration says otherwise than by default. */
+export type ConfigurationChanges = {
+  keys?: string[];
+  maxHeaderBytes?: number;
+  headerTimeoutMs?: number;
+  idleTimeoutMs?: number;
+  /** Of all routes. */
+  routeTimeoutMilliseconds?: number;
+  /** Requests that each engine runs at the same time. */
+  slots?: number;
+  /** Further routes to the service without an engine. */
+  extraRoutes?: number;
+};
+
 type Options = {
   version: number;
   store: string;
   model: string;
   chunks: number;
-  keys?: string[];
-  maxHeaderBytes?: number;
-  routeTimeoutMilliseconds?: number;
   maxAttempts?: number;
-};
+} & ConfigurationChanges;
 
 /**
  * Builds a configuration as an operator sends it: a service without an engine,
@@ -15,7 +26,9 @@
  */
 export function buildConfiguration(options: Options) {
   const { version, store, model, chunks, keys = ["key-1"] } = options;
-  const { maxHeaderBytes = 16_384, routeTimeoutMilliseconds = 2_000 } = options;
+  const { maxHeaderBytes = 16_384, headerTimeoutMs = 1_000 } = options;
+  const { idleTimeoutMs = 5_000, slots = 4, extraRoutes = 0 } = options;
+  const { routeTimeoutMilliseconds = 2_000 } = options;
   const { maxAttempts = 2 } = options;
   const route = {
     timeoutMs: routeTimeoutMilliseconds,
@@ -55,6 +68,14 @@
         sticky: true,
         itlSloMs: 300,
       },
+      ...Array.from({ length: extraRoutes }, (_, index) => ({
+        ...route,
+        name: `extra-${index}`,
+        host: "desk.example",
+        pathPrefix: `/extra-${index}/`,
+        type: "safe",
+        service: "plain",
+      })),
     ],
     services: [
       { ...service, name: "plain", maxConnections: 50 },
@@ -63,7 +84,7 @@
         name: "writer",
         maxConnections: 50,
         engine: {
-          slots: 4,
+          slots,
           models: [{ name: model }],
           chunks,
           chunkBytes: 4_096,
@@ -81,8 +102,8 @@
     limits: {
       maxHeaderBytes,
       maxBodyBytes: 65_536,
-      headerTimeoutMs: 1_000,
-      idleTimeoutMs: 5_000,
+      headerTimeoutMs,
+      idleTimeoutMs,
     },
     tenants: [{ name: "tenant-1", apiKeys: keys, priority: 1 }],
   };
--- a/acceptance/src/fake_backend_server.ts
+++ b/acceptance/src/fake_backend_server.ts
@@ -10,6 +10,7 @@
 import type { FakeWeightStore } from "./fake_weight_store.ts";
 
 const DEFAULT_STREAM_EVENTS = 8;
+const DEFAULT_SLOTS = 4;
 const DEFAULT_EVENT_INTERVAL_MILLISECONDS = 10;
 /** Time from the start of a response until its request crashes the server. */
 const CRASH_DELAY_MILLISECONDS = 20;
@@ -19,7 +20,12 @@
 
 /** A request received; `at` is from `performance.now()`, milliseconds. */
 type Arrival = { id: string; at: number; instance: string };
-type Options = { instance: string; store: FakeWeightStore; model: string };
+type Options = {
+  instance: string;
+  store: FakeWeightStore;
+  model: string;
+  slots?: number | undefined;
+};
 
 /**
  * Fake backend server of the platform. Serves plain requests, or as an engine
@@ -40,7 +46,10 @@
   rawAnswer: string | undefined;
   /** As `failureStatus`, only for requests to resume a stream. */
   resumeFailureStatus: number | undefined;
-  /** Events of each stream, and the time from one to the next. */
+  /**
+   * Events of each stream, unless its request says another number, and the time
+   * from one to the next.
+   */
   streamEvents = DEFAULT_STREAM_EVENTS;
   eventIntervalMilliseconds = DEFAULT_EVENT_INTERVAL_MILLISECONDS;
   /** Bodies of requests that crash the server. */
@@ -61,6 +70,8 @@
   /** Responses that said that the server is shutting down. */
   readonly leavingNotices: Arrival[] = [];
   readonly arrivals: Arrival[] = [];
+  /** Requests read, also in a silence and if they were ended before its end. */
+  readonly receivedRequestIds: string[] = [];
   /** Time and request of each crash; the id is undefined without a request. */
   readonly crashRecords: { at: number; id: string | undefined }[] = [];
   #isClosed = false;
@@ -92,6 +103,10 @@
     return this.crashRecords.length;
   }
 
+  get #slots(): number {
+    return this.#options.slots ?? DEFAULT_SLOTS;
+  }
+
   get #startTime(): number {
     return FIRST_START_TIME + this.crashCount;
   }
@@ -136,7 +151,7 @@
       address: this.address,
       zone: "here",
       version: "v1",
-      slots: 4,
+      slots: this.#slots,
       state,
       coldRemainingMs: 0,
       models: this.#models(),
@@ -147,6 +162,8 @@
 
   async #handle(request: IncomingMessage, response: ServerResponse) {
     const body = await readAll(request);
+    const attemptId = request.headers["attempt-id"];
+    if (attemptId !== undefined) this.receivedRequestIds.push(`${attemptId}`);
     await this.#waitUntilSilenceEnds();
     if (response.destroyed) return;
     const url = new URL(request.url ?? "", "http://server");
@@ -217,7 +234,7 @@
       "Attempt-Id": id,
       "Server-Signature": this.instance,
       "Weight-Versions": String(this.version),
-      "Server-Load": "1,0,4",
+      "Server-Load": `1,0,${this.#slots}`,
       ...(this.limitPerSecond !== undefined && {
         "Server-Limit": String(this.limitPerSecond),
       }),
@@ -231,7 +248,10 @@
       const echo = [request.method, request.url, headers["tenant"], body];
       return void response.end(echo.join(" "));
     }
-    await this.#streamEvents(response, Number(headers["last-event-id"] ?? 0));
+    await this.#streamEvents(response, {
+      after: Number(headers["last-event-id"] ?? 0),
+      events: Number(headers["stream-events"] ?? this.streamEvents),
+    });
   }
 
   #fail(status: number, id: string, response: ServerResponse): void {
@@ -276,9 +296,12 @@
     this.isDown = false;
   }
 
-  async #streamEvents(response: ServerResponse, after: number): Promise<void> {
+  async #streamEvents(
+    response: ServerResponse,
+    { after, events }: { after: number; events: number },
+  ): Promise<void> {
     const breakAfter = this.breakAfterEvents.shift() ?? Infinity;
-    for (let event = after + 1; event <= this.streamEvents; event += 1) {
+    for (let event = after + 1; event <= events; event += 1) {
       await this.#waitUntilSilenceEnds();
       if (this.isFrozen || response.destroyed) return;
       if (event > breakAfter) {
