A takeover's answer waits unread until it is forwarded

What callers saw: a stream whose events had all come never ended, when its server fell silent just before the end; a resumed stream got 504 at its deadline (seen once at a load of 34 in the test of a frozen host). Cause: the listener for signs of life was added before the message was paused; that schedules a read, which lets an answer without a body end before anybody listens. Change: paused first.

--- a/packages/daemon/src/gateway/call_sender.ts
+++ b/packages/daemon/src/gateway/call_sender.ts
@@ -145,11 +145,12 @@
     const now = monotonicMilliseconds();
     record.recordResponseTime(now - sentAt);
     record.recordDataReceived(now);
+    // A listener that is added first would let an empty answer end unheard.
+    message.pause();
     message.on(
       "data",
       () => record.recordDataReceived(monotonicMilliseconds()),
     );
-    message.pause();
   }
 
   /** Opens an attempt that is counted, but no longer if it can't be opened. */
