Acceptance: what a change of the configuration does to requests under way

Cause: no test changed the configuration while a gateway held requests; what happens to one that is half read, sent on, or in the middle of its stream was known from the code alone. Change: one table of changes (bounds, idle times, routes, time-outs, kinds, keys, tenants, services, engine fields) is played on whole processes, each on five connections that were used before: two requests that their server holds, a stream that has begun, half a head, half a body. Besides: overtaken and refused versions, streams that break off after the change, a body that pauses, and servers that leave, drain or start again under their name. The stand-in's configurations can be changed field by field, its servers can keep their name over a restart, and a client can keep a connection and send a request in parts.

--- a/acceptance/src/build_configuration.ts
+++ b/acceptance/src/build_configuration.ts
@@ -1,10 +1,29 @@
-type Options = {
+type Item = { name: string };
+/** Fields to replace by item; null removes the item, a new name adds one. */
+type Changes = Record<string, Record<string, unknown> | null>;
+
+/** What a configuration says other than the usual one. */
+export type ConfigurationChange = {
+  /** Keys of the only tenant. */
+  keys?: string[];
+  limits?: Partial<typeof USUAL_LIMITS>;
+  routes?: Changes;
+  services?: Changes;
+  tenants?: Changes;
+};
+
+type Options = ConfigurationChange & {
   version: number;
   store: string;
   model: string;
   chunks: number;
-  keys?: string[];
-  maxHeaderBytes?: number;
+};
+
+const USUAL_LIMITS = {
+  maxHeaderBytes: 16_384,
+  maxBodyBytes: 65_536,
+  headerTimeoutMs: 1_000,
+  idleTimeoutMs: 5_000,
 };
 
 /**
@@ -12,8 +31,27 @@
  * one with an engine, a weight store, and a route of each type.
  */
 export function buildConfiguration(options: Options) {
-  const { version, store, model, chunks, keys = ["key-1"] } = options;
-  const { maxHeaderBytes = 16_384 } = options;
+  const usual = buildUsualConfiguration(options);
+  return {
+    ...usual,
+    routes: applyChanges(usual.routes, options.routes),
+    services: applyChanges(usual.services, options.services),
+    limits: { ...USUAL_LIMITS, ...options.limits },
+    tenants: applyChanges(usual.tenants, options.tenants),
+  };
+}
+
+function applyChanges(items: Item[], changes: Changes = {}): Item[] {
+  const names = items.map(({ name }) => name);
+  const added = Object.keys(changes).filter((name) => !names.includes(name));
+  return [...items, ...added.map((name) => ({ name }))]
+    .filter(({ name }) => changes[name] !== null)
+    .map((item) => ({ ...item, ...changes[item.name] }));
+}
+
+function buildUsualConfiguration(
+  { version, store, model, chunks, keys = ["key-1"] }: Options,
+) {
   const route = {
     timeoutMs: 2_000,
     sloMs: 100,
@@ -75,12 +113,6 @@
         maxConnections: 48,
       },
     ],
-    limits: {
-      maxHeaderBytes,
-      maxBodyBytes: 65_536,
-      headerTimeoutMs: 1_000,
-      idleTimeoutMs: 5_000,
-    },
     tenants: [{ name: "tenant-1", apiKeys: keys, priority: 1 }],
   };
 }
--- /dev/null
+++ b/acceptance/src/configuration_limits_test.ts
@@ -0,0 +1,76 @@
+import { sleep } from "@teaselrouter/daemon/transport/sleep.ts";
+import assert from "node:assert/strict";
+import { after, before, test } from "node:test";
+import { ChangingSystem } from "./changing_system.ts";
+import { buildHead } from "./requests_under_way.ts";
+
+const system = new ChangingSystem();
+before(() => system.start());
+after(() => system.stop());
+
+// Guards against requests that end by a time-out under which they weren't
+// admitted, or without an answer.
+test("a longer time-out doesn't hold a request that was admitted before", async () => {
+  await system.change({ routes: { pay: { timeoutMs: 500 } } });
+  const connection = await system.openConnection();
+  system.plainServer.fallSilent(1_000);
+  connection.send(buildHead("/pay/", { id: `slow-${system.version}` }));
+  await system.change({});
+  assert.equal((await connection.read()).status, 504);
+  await sleep(600);
+  const id = `after-slow-${system.version}`;
+  assert.equal((await connection.ask(buildHead("/pay/", { id }))).status, 200);
+  connection.close();
+});
+
+// Guards against half-read requests that are refused by bounds that aren't in
+// force any more, or whose connection can't be used afterwards.
+test("larger bounds count for a head that is sent, not for a body", async () => {
+  const bounds = { maxHeaderBytes: 200, maxBodyBytes: 1_000 };
+  await system.change({ limits: bounds });
+  const [head, body] = [
+    await system.openConnection(),
+    await system.openConnection(),
+  ];
+  const id = `large-${system.version}`;
+  const headText = buildHead("/look/", {
+    id: `${id}-head`,
+    headers: { Filler: "x".repeat(5_000) },
+  });
+  head.send(headText.slice(0, 1_000));
+  const headers = { "Content-Length": "3000" };
+  body.send(
+    buildHead("/pay/", { id: `${id}-body`, method: "POST", headers }) +
+      "x".repeat(500),
+  );
+  await system.change({});
+  assert.equal((await head.ask(headText.slice(1_000))).status, 200);
+  assert.equal((await body.ask("x".repeat(2_500))).status, 413);
+  const next = buildHead("/pay/", {
+    id: `${id}-next`,
+    method: "POST",
+    headers,
+  });
+  assert.equal((await body.ask(next + "x".repeat(3_000))).status, 200);
+  assert.ok(!system.plainServer.ranRequestIds.includes(`${id}-body`));
+  head.close();
+  body.close();
+});
+
+// Guards against bodies that pause longer than the idle time under which they
+// were admitted, and leave their connection unusable.
+test("a body that pauses too long is refused, and its connection is kept", async () => {
+  await system.change({ limits: { idleTimeoutMs: 400 } });
+  const connection = await system.openConnection();
+  const id = `pause-${system.version}`;
+  const headers = { "Content-Length": "10" };
+  const head = buildHead("/pay/", { id, method: "POST", headers });
+  connection.send(`${head}first`);
+  await system.change({});
+  assert.equal((await connection.read()).status, 408);
+  connection.send(" last");
+  const next = buildHead("/look/", { id: `${id}-next` });
+  assert.equal((await connection.ask(next)).status, 200);
+  assert.ok(!system.plainServer.ranRequestIds.includes(id));
+  connection.close();
+});
--- a/acceptance/src/end_to_end_system.ts
+++ b/acceptance/src/end_to_end_system.ts
@@ -1,5 +1,8 @@
 import { waitUntil } from "@teaselrouter/experiments/harness/wait_until.ts";
-import { buildConfiguration } from "./build_configuration.ts";
+import {
+  buildConfiguration,
+  type ConfigurationChange,
+} from "./build_configuration.ts";
 import { LoopbackCluster } from "./loopback_cluster.ts";
 import { FakeBackendServer } from "./fake_backend_server.ts";
 import { FakeWeightStore } from "./fake_weight_store.ts";
@@ -128,16 +131,14 @@
   /** Sends a configuration; returns whether a control host accepted it. */
   async configure(
     version: number,
-    keys?: string[],
-    maxHeaderBytes?: number,
+    change: ConfigurationChange = {},
   ): Promise<boolean> {
     const configuration = buildConfiguration({
       version,
       store: this.#storeAddress,
       model: MODEL,
       chunks: this.store.chunks,
-      ...(keys && { keys }),
-      ...(maxHeaderBytes !== undefined && { maxHeaderBytes }),
+      ...change,
     });
     const answer = await this.callControlHost("PUT", "/config", configuration);
     return answer.status === 200;
--- a/acceptance/src/end_to_end_system_test.ts
+++ b/acceptance/src/end_to_end_system_test.ts
@@ -142,7 +142,7 @@
 
 test("a valid configuration is applied, an invalid one is refused", async () => {
   await withSystem(async (system) => {
-    assert.equal(await system.configure(7, ["key-2"]), true);
+    assert.equal(await system.configure(7, { keys: ["key-2"] }), true);
     const changed = await waitUntil(
       async () =>
         (await system.sendRequest("/look/", { id: "d1" })).status === 401,
@@ -155,7 +155,7 @@
     });
     assert.equal(changedKey.status, 200);
     // An older version that is sent again is accepted but changes nothing.
-    assert.equal(await system.configure(6, ["key-1"]), true);
+    assert.equal(await system.configure(6, { keys: ["key-1"] }), true);
     const { text } = await system.callControlHost("GET", "/config");
     assert.equal(JSON.parse(text).version, 7);
     for (const bad of ["{", JSON.stringify({ version: 9 }), "[]"]) {
@@ -226,13 +226,15 @@
     };
     assert.equal(await ask("h1", 10_000), 200);
     assert.equal(await ask("h2", 20_000), 431);
-    assert.ok(await system.configure(2, undefined, 32_768));
+    assert.ok(
+      await system.configure(2, { limits: { maxHeaderBytes: 32_768 } }),
+    );
     const allowed = await waitUntil(
       async () => await ask("h3", 20_000) === 200,
       CHECK_TIMEOUT_MILLISECONDS,
     );
     assert.ok(allowed);
-    assert.ok(await system.configure(3, undefined, 4_096));
+    assert.ok(await system.configure(3, { limits: { maxHeaderBytes: 4_096 } }));
     const refused = await waitUntil(
       async () => await ask("h4", 10_000) === 431,
       CHECK_TIMEOUT_MILLISECONDS,
--- a/acceptance/src/fake_backend_server.ts
+++ b/acceptance/src/fake_backend_server.ts
@@ -37,6 +37,8 @@
   eventIntervalMilliseconds = DEFAULT_EVENT_INTERVAL_MILLISECONDS;
   /** Bodies of requests that crash the server. */
   crashingBodies: readonly string[] = [];
+  /** Whether a restart is announced under the same name, as a new start. */
+  keepsName = false;
   /** Whether the server has crashed and not yet restarted. */
   isDown = false;
   /** Requests per second announced in responses; undefined for no limit. */
@@ -73,10 +75,14 @@
     this.#options = options;
   }
 
-  /** Name of the instance; a restart is a new instance with a new name. */
+  /**
+   * Name of the instance; a restart is a new instance with a new name, unless
+   * it keeps its name.
+   */
   get instance(): string {
     const { instance } = this.#options;
-    return this.crashCount === 0 ? instance : `${instance}-${this.crashCount}`;
+    const isFirst = this.crashCount === 0 || this.keepsName;
+    return isFirst ? instance : `${instance}-${this.crashCount}`;
   }
 
   /** Number of crashes so far. */
--- a/acceptance/src/fake_weight_store.ts
+++ b/acceptance/src/fake_weight_store.ts
@@ -4,7 +4,7 @@
 import type { AddressInfo } from "node:net";
 import { seededBytes } from "@teaselrouter/experiments/fakes/seeded_bytes.ts";
 
-const CHUNKS = 6;
+export const CHUNKS = 6;
 const CHUNK_BYTES = 4_096;
 
 /**
