Gateways apply a configuration's limits at once, not half a second later

What callers saw: a gateway that already routed by a new configuration still closed idle connections, and refused half-sent heads with 408, by the old limits, for up to half a second. Cause: routes came into force with the update, limits with the next housekeeping, every 500 ms. Change: limits are applied with each update from the control hosts, too.

--- a/acceptance/src/configuration_limits_test.ts
+++ b/acceptance/src/configuration_limits_test.ts
@@ -8,6 +8,18 @@
 before(() => system.start());
 after(() => system.stop());
 
+// Guards against gateways that obey a configuration but for its limits.
+test("limits of connections count as soon as a configuration is obeyed", async () => {
+  const connection = await system.openConnection();
+  for (const [seconds, announced] of [[3, 5], [9, 11], [4, 6]]) {
+    await system.change({ limits: { idleTimeoutMs: seconds! * 1_000 } });
+    const id = `limits-${system.version}`;
+    const { head } = await connection.ask(buildHead("/look/", { id }));
+    assert.match(head, new RegExp(`keep-alive: timeout=${announced}\\r`, "i"));
+  }
+  connection.close();
+});
+
 // Guards against requests that end by a time-out under which they weren't
 // admitted, or without an answer.
 test("a longer time-out doesn't hold a request that was admitted before", async () => {
--- a/packages/daemon/src/gateway/gateway_app.ts
+++ b/packages/daemon/src/gateway/gateway_app.ts
@@ -152,6 +152,7 @@
       isStopping,
     };
     this.#server = new GatewayServer(this.#context);
+    feed.updates$.subscribe(() => this.#server.applyLimits());
     this.#readyServer = createServer((request, response) => {
       const isReadyRequest = request.url?.split("?")[0] === platform.readyPath;
       const status = !isReadyRequest ? 404 : this.#isReady() ? 200 : 503;
