A shorter time for heads no longer ends heads that began under a longer one

What callers saw: a client that had sent half a head, well inside the time that it knew, got 408 and lost its connection as soon as an operator shortened that time. Cause: the server has one time for all heads, and took the new one at once. A longer limit counts at once, as before.

--- a/acceptance/src/configuration_change_lines.ts
+++ b/acceptance/src/configuration_change_lines.ts
@@ -28,6 +28,10 @@
     halfHead: 413,
     next: { pay: 413, write: 413 },
   },
+  {
+    name: "a shorter time for heads",
+    change: { limits: { headerTimeoutMs: 50 } },
+  },
   {
     name: "a longer time for heads",
     change: { limits: { headerTimeoutMs: 8_000 } },
--- a/packages/daemon/src/gateway/gateway_server.ts
+++ b/packages/daemon/src/gateway/gateway_server.ts
@@ -9,19 +9,13 @@
 import { listen } from "../transport/listen.ts";
 import { monotonicMilliseconds } from "../transport/monotonic_milliseconds.ts";
 import { stopAccepting } from "../transport/stop_accepting.ts";
+import { CallerTimeouts } from "./caller_timeouts.ts";
 import { CallFinisher } from "./call_finisher.ts";
 import { GatewayCall } from "./gateway_call.ts";
 import type { GatewayContext } from "./gateway_context.ts";
 
 /** Interval of the checks for heads and bodies that stop half-way. */
 const CONNECTIONS_CHECK_INTERVAL_MILLISECONDS = 500;
-/**
- * Connections are kept open this much longer than clients may leave them idle.
- */
-const IDLE_MARGIN_MILLISECONDS = 2_000;
-/** Defaults until a configuration is known. */
-const DEFAULT_HEADER_TIMEOUT_MILLISECONDS = 3_000;
-const DEFAULT_IDLE_TIMEOUT_MILLISECONDS = 15_000;
 /**
  * Limit of the HTTP parser; a larger `maxHeaderBytes` in the configuration has
  * no effect. The configured limit is checked once the head was read, as the
@@ -37,6 +31,7 @@
 export class GatewayServer {
   #context: GatewayContext;
   #server: Server;
+  #timeouts: CallerTimeouts;
   #inFlight = 0;
   #isClosing = false;
   #lastRequestAt = -Infinity;
@@ -46,10 +41,7 @@
     this.#server = createServer({
       maxHeaderSize: MAX_HEADER_BYTES,
       connectionsCheckingInterval: CONNECTIONS_CHECK_INTERVAL_MILLISECONDS,
-      headersTimeout: DEFAULT_HEADER_TIMEOUT_MILLISECONDS,
       requestTimeout: REQUEST_TIMEOUT_MILLISECONDS,
-      keepAliveTimeout: DEFAULT_IDLE_TIMEOUT_MILLISECONDS +
-        IDLE_MARGIN_MILLISECONDS,
       noDelay: true,
     }, (request, response) => {
       this.#inFlight += 1;
@@ -65,6 +57,7 @@
         response.destroy();
       });
     });
+    this.#timeouts = new CallerTimeouts(this.#server);
     this.#server.on("clientError", (error, socket) => {
       this.#refuseBadInput(error, socket as Socket);
     });
@@ -86,10 +79,7 @@
   /** Applies the limits of the current configuration. */
   applyLimits(): void {
     const limits = this.#context.feed.table?.configuration.callerLimits;
-    if (limits === undefined) return;
-    this.#server.headersTimeout = limits.headerTimeoutMilliseconds;
-    this.#server.keepAliveTimeout = limits.idleTimeoutMilliseconds +
-      IDLE_MARGIN_MILLISECONDS;
+    if (limits !== undefined) this.#timeouts.apply(limits);
   }
 
   /**
