A longer idle time counts for connections that are idle already

What callers saw: after an operator raised the idle time, clients that reused a connection inside the new time met its close, if it had become idle before the change: the request got no answer, and had to be sent again. Cause: the server sets a connection's time when it becomes idle and never again. Change: a longer time is set on all idle connections. A shorter one counts for those that become idle later: clients know the time of the moment they left them.

--- a/acceptance/src/configuration_limits_test.ts
+++ b/acceptance/src/configuration_limits_test.ts
@@ -86,3 +86,37 @@
   assert.ok(!system.plainServer.ranRequestIds.includes(id));
   connection.close();
 });
+
+// Guards against connections that a gateway closes while their clients may still
+// use them: a longer idle time counts for connections that are idle already, and
+// a shorter one doesn't.
+test("idle connections are kept for the idle time that clients know", async () => {
+  const longMilliseconds = 4_200;
+  const clientMilliseconds = longMilliseconds * 4 / 5;
+  const long = { limits: { idleTimeoutMs: longMilliseconds } };
+  const open = async () => {
+    const connection = await system.openConnection();
+    const ask = async () => {
+      const id = `idle-${performance.now()}`;
+      const { status } = await connection.ask(buildHead("/look/", { id }));
+      assert.equal(status, 200);
+      return performance.now();
+    };
+    return { connection, ask };
+  };
+  const waitSince = (idleAt: number) =>
+    sleep(idleAt + clientMilliseconds - performance.now());
+  const idle = await open();
+  await system.change(long);
+  const idleAt = await idle.ask();
+  await system.change({ limits: { idleTimeoutMs: 50 } });
+
+  await waitSince(idleAt);
+  await idle.ask();
+  const late = await open();
+  const lateAt = await late.ask();
+  await system.change(long);
+  await waitSince(lateAt);
+  await late.ask();
+  for (const { connection } of [idle, late]) connection.close();
+});
--- a/packages/daemon/src/gateway/caller_timeouts.ts
+++ b/packages/daemon/src/gateway/caller_timeouts.ts
@@ -1,5 +1,6 @@
 import { TimeLimit } from "@teaselrouter/core/gateway/time_limit.ts";
 import type { Server } from "node:http";
+import type { Socket } from "node:net";
 import { monotonicMilliseconds } from "../transport/monotonic_milliseconds.ts";
 
 /**
@@ -17,14 +18,19 @@
 
 /**
  * How long clients may take for a head, and leave a connection idle. Changed
- * limits end no head before the time that its client knows.
+ * limits end nothing before the time that its client knows.
  */
 export class CallerTimeouts {
   #server: Server;
+  #sockets = new Set<Socket>();
   #headerTimeout = new TimeLimit(DEFAULT_HEADER_TIMEOUT_MILLISECONDS);
 
   constructor(server: Server) {
     this.#server = server;
+    server.on("connection", (socket) => {
+      this.#sockets.add(socket);
+      socket.once("close", () => this.#sockets.delete(socket));
+    });
     this.apply({
       headerTimeoutMilliseconds: DEFAULT_HEADER_TIMEOUT_MILLISECONDS,
       idleTimeoutMilliseconds: DEFAULT_IDLE_TIMEOUT_MILLISECONDS,
@@ -36,7 +42,16 @@
     const now = monotonicMilliseconds();
     this.#headerTimeout.replace(headerTimeoutMilliseconds, now);
     this.#server.headersTimeout = this.#headerTimeout.longestAt(now);
-    this.#server.keepAliveTimeout = idleTimeoutMilliseconds +
-      IDLE_MARGIN_MILLISECONDS;
+    const before = this.#server.keepAliveTimeout;
+    const keepAlive = idleTimeoutMilliseconds + IDLE_MARGIN_MILLISECONDS;
+    this.#server.keepAliveTimeout = keepAlive;
+    if (keepAlive <= before) return;
+    for (const socket of this.#sockets) extendIdleTime(socket, keepAlive);
   }
 }
+
+/** Only idle connections have a time-out: the server ends it with new bytes. */
+function extendIdleTime(socket: Socket, milliseconds: number): void {
+  const current = socket.timeout ?? 0;
+  if (current > 0 && current < milliseconds) socket.setTimeout(milliseconds);
+}
