A connection is kept for as long as its last answer's head announced

What callers saw: an answer's head said `Keep-Alive: timeout=6`; the idle time was shortened while the answer went on, and the connection was closed after 3 s. A client that trusted the head lost its next request. Cause: the time announced is that of the answer's head, the time set that of its end. Change: at the end of an answer the longer of the two is set. Evidence: without the change the test fails at the reuse after four fifths of the announced limit: `0 !== 200`, in 1 of 1 run.

--- a/acceptance/src/configuration_limits_test.ts
+++ b/acceptance/src/configuration_limits_test.ts
@@ -2,7 +2,7 @@
 import assert from "node:assert/strict";
 import { after, before, test } from "node:test";
 import { ChangingSystem } from "./changing_system.ts";
-import { buildHead } from "./requests_under_way.ts";
+import { buildHead, buildStreamRequest } from "./requests_under_way.ts";
 
 const system = new ChangingSystem();
 before(() => system.start());
@@ -106,17 +106,24 @@
   };
   const waitSince = (idleAt: number) =>
     sleep(idleAt + clientMilliseconds - performance.now());
-  const idle = await open();
+  const [idle, announced] = [await open(), await open()];
+  system.setEvents();
   await system.change(long);
   const idleAt = await idle.ask();
+  announced.connection.send(buildStreamRequest(`idle-${system.version}`));
+  await announced.connection.waitForBytes();
   await system.change({ limits: { idleTimeoutMs: 50 } });
+  assert.equal((await announced.connection.read()).status, 200);
+  const announcedAt = performance.now();
 
   await waitSince(idleAt);
   await idle.ask();
   const late = await open();
   const lateAt = await late.ask();
+  await waitSince(announcedAt);
+  await announced.ask();
   await system.change(long);
   await waitSince(lateAt);
   await late.ask();
-  for (const { connection } of [idle, late]) connection.close();
+  for (const { connection } of [idle, announced, late]) connection.close();
 });
--- a/packages/daemon/src/gateway/caller_timeouts.ts
+++ b/packages/daemon/src/gateway/caller_timeouts.ts
@@ -1,5 +1,5 @@
 import { TimeLimit } from "@teaselrouter/core/gateway/time_limit.ts";
-import type { Server } from "node:http";
+import type { Server, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
 import { monotonicMilliseconds } from "../transport/monotonic_milliseconds.ts";
 
@@ -48,6 +48,15 @@
     if (keepAlive <= before) return;
     for (const socket of this.#sockets) extendIdleTime(socket, keepAlive);
   }
+
+  /**
+   * Keeps the connection for as long as the answer's head says, also if a
+   * shorter time is in force at the answer's end.
+   */
+  keepAnnouncedTime(response: ServerResponse, socket: Socket): void {
+    const announced = this.#server.keepAliveTimeout;
+    response.once("finish", () => extendIdleTime(socket, announced));
+  }
 }
 
 /** Only idle connections have a time-out: the server ends it with new bytes. */
--- a/packages/daemon/src/gateway/gateway_server.ts
+++ b/packages/daemon/src/gateway/gateway_server.ts
@@ -50,6 +50,7 @@
         this.#inFlight -= 1;
       });
       response.on("error", () => undefined);
+      this.#timeouts.keepAnnouncedTime(response, request.socket);
       if (context.isStopping()) response.shouldKeepAlive = false;
       if (this.#isClosing) return this.#refuseLate(request, response);
       new GatewayCall({ context, request, response }).run().catch((error) => {
