--- a/acceptance/src/end_to_end_system_test.ts
+++ b/acceptance/src/end_to_end_system_test.ts
@@ -226,13 +226,15 @@
     };
     assert.equal(await ask("h1", 10_000), 200);
     assert.equal(await ask("h2", 20_000), 431);
-    assert.ok(await system.configure(2, { maxHeaderBytes: 32_768 }));
+    assert.ok(
+      await system.configure(2, { limits: { maxHeaderBytes: 32_768 } }),
+    );
     const allowed = await waitUntil(
       async () => await ask("h3", 20_000) === 200,
       CHECK_TIMEOUT_MILLISECONDS,
     );
     assert.ok(allowed);
-    assert.ok(await system.configure(3, { maxHeaderBytes: 4_096 }));
+    assert.ok(await system.configure(3, { limits: { maxHeaderBytes: 4_096 } }));
     const refused = await waitUntil(
       async () => await ask("h4", 10_000) === 431,
       CHECK_TIMEOUT_MILLISECONDS,
--- a/acceptance/src/silence_troubles.ts
+++ b/acceptance/src/silence_troubles.ts
@@ -1,3 +1,4 @@
+import type { ConfigurationChange } from "./build_configuration.ts";
 import { performance } from "node:perf_hooks";
 import type { EndToEndSystem } from "./end_to_end_system.ts";
 
@@ -52,20 +53,23 @@
 
   async #changeConfigurations(endAt: number): Promise<void> {
     const random = this.#options.createRandom("configurations");
-    let changes = {};
+    let changes: ConfigurationChange = {};
     while (performance.now() < endAt) {
       await sleep(MAX_CHANGE_GAP_MILLISECONDS * random());
-      const change = pick([
+      const change = pick<ConfigurationChange>([
         {},
         { routeTimeoutMilliseconds: pick(TIMEOUTS, random) },
-        { idleTimeoutMs: pick(IDLE_TIMEOUTS, random) },
-        { headerTimeoutMs: pick(HEADER_TIMEOUTS, random) },
-        { maxHeaderBytes: pick(MAX_HEADER_BYTES, random) },
+        { limits: { idleTimeoutMs: pick(IDLE_TIMEOUTS, random) } },
+        { limits: { headerTimeoutMs: pick(HEADER_TIMEOUTS, random) } },
+        { limits: { maxHeaderBytes: pick(MAX_HEADER_BYTES, random) } },
         { extraRoutes: Math.floor(random() * (MAX_EXTRA_ROUTES + 1)) },
       ], random);
-      changes = { ...changes, ...change };
+      const limits = { ...changes.limits, ...change.limits };
+      changes = { ...changes, ...change, limits };
       this.#version += 1;
-      this.names.push(`configuration (${Object.keys(change)[0] ?? "same"})`);
+      const [field = "same"] = Object.keys({ ...change, ...change.limits })
+        .filter((name) => name !== "limits");
+      this.names.push(`configuration (${field})`);
       await this.#options.system.configure(this.#version, changes);
     }
   }
