--- a/acceptance/src/build_configuration.ts
+++ b/acceptance/src/build_configuration.ts
@@ -1,12 +1,37 @@
-type Options = {
+type Item = { name: string };
+/** Fields to replace by item; null removes the item, a new name adds one. */
+type Changes = Record<string, Record<string, unknown> | null>;
+
+/** What a configuration says other than the usual one. */
+export type ConfigurationChange = {
+  /** Keys of the only tenant. */
+  keys?: string[];
+  limits?: Partial<typeof USUAL_LIMITS>;
+  routes?: Changes;
+  services?: Changes;
+  tenants?: Changes;
+  /** Of all routes. */
+  routeTimeoutMilliseconds?: number;
+  /** Backend servers that one request may be sent to. */
+  maxAttempts?: number;
+  /** Requests that each engine runs at the same time. */
+  slots?: number;
+  /** Further routes to the service without an engine. */
+  extraRoutes?: number;
+};
+
+type Options = ConfigurationChange & {
   version: number;
   store: string;
   model: string;
   chunks: number;
-  keys?: string[];
-  maxHeaderBytes?: number;
-  routeTimeoutMilliseconds?: number;
-  maxAttempts?: number;
+};
+
+const USUAL_LIMITS = {
+  maxHeaderBytes: 16_384,
+  maxBodyBytes: 65_536,
+  headerTimeoutMs: 1_000,
+  idleTimeoutMs: 5_000,
 };
 
 /**
@@ -14,9 +39,30 @@
  * one with an engine, a weight store, and a route of each type.
  */
 export function buildConfiguration(options: Options) {
+  const usual = buildUsualConfiguration(options);
+  return {
+    ...usual,
+    routes: applyChanges(usual.routes, options.routes),
+    services: applyChanges(usual.services, options.services),
+    limits: { ...USUAL_LIMITS, ...options.limits },
+    tenants: applyChanges(usual.tenants, options.tenants),
+  };
+}
+
+function applyChanges(items: Item[], changes: Changes = {}): Item[] {
+  const names = items.map(({ name }) => name);
+  const added = Object.keys(changes).filter((name) => !names.includes(name));
+  return [...items, ...added.map((name) => ({ name }))]
+    .filter(({ name }) => changes[name] !== null)
+    .map((item) => ({ ...item, ...changes[item.name] }));
+}
+
+function buildUsualConfiguration(
+  options: Options,
+) {
   const { version, store, model, chunks, keys = ["key-1"] } = options;
-  const { maxHeaderBytes = 16_384, routeTimeoutMilliseconds = 2_000 } = options;
-  const { maxAttempts = 2 } = options;
+  const { routeTimeoutMilliseconds = 2_000, maxAttempts = 2 } = options;
+  const { slots = 4, extraRoutes = 0 } = options;
   const route = {
     timeoutMs: routeTimeoutMilliseconds,
     sloMs: 100,
@@ -55,6 +101,14 @@
         sticky: true,
         itlSloMs: 300,
       },
+      ...Array.from({ length: extraRoutes }, (_, index) => ({
+        ...route,
+        name: `extra-${index}`,
+        host: "desk.example",
+        pathPrefix: `/extra-${index}/`,
+        type: "safe",
+        service: "plain",
+      })),
     ],
     services: [
       { ...service, name: "plain", maxConnections: 50 },
@@ -63,7 +117,7 @@
         name: "writer",
         maxConnections: 50,
         engine: {
-          slots: 4,
+          slots,
           models: [{ name: model }],
           chunks,
           chunkBytes: 4_096,
@@ -78,12 +132,6 @@
         maxConnections: 48,
       },
     ],
-    limits: {
-      maxHeaderBytes,
-      maxBodyBytes: 65_536,
-      headerTimeoutMs: 1_000,
-      idleTimeoutMs: 5_000,
-    },
     tenants: [{ name: "tenant-1", apiKeys: keys, priority: 1 }],
   };
 }
--- a/acceptance/src/end_to_end_system.ts
+++ b/acceptance/src/end_to_end_system.ts
@@ -1,5 +1,8 @@
 import { waitUntil } from "@teaselrouter/experiments/harness/wait_until.ts";
-import { buildConfiguration } from "./build_configuration.ts";
+import {
+  buildConfiguration,
+  type ConfigurationChange,
+} from "./build_configuration.ts";
 import { LoopbackCluster } from "./loopback_cluster.ts";
 import { FakeBackendServer } from "./fake_backend_server.ts";
 import { FakeWeightStore } from "./fake_weight_store.ts";
@@ -16,8 +19,11 @@
 
 type Options = {
   engines?: number;
+  plainServers?: number;
   gateways?: number;
   controlHosts?: number;
+  /** Requests that each engine runs at the same time. */
+  slots?: number;
   /** Of all routes, and of requests that are sent without a deadline. */
   routeTimeoutMilliseconds?: number;
   /** Backend servers that one request may be sent to. */
@@ -32,14 +38,15 @@
   readonly cluster = new LoopbackCluster();
   readonly store = new FakeWeightStore();
   readonly engines: FakeBackendServer[] = [];
-  /** The backend server without an engine, which serves plain requests. */
-  readonly plainServer: FakeBackendServer;
+  /** The backend servers without an engine, which serve plain requests. */
+  readonly plainServers: FakeBackendServer[] = [];
   /** IP addresses of the gateways; most tests use only the first. */
   readonly gatewayIps: string[] = [];
   #gatewayCount: number;
   #controlHostCount: number;
   #routeTimeoutMilliseconds: number;
   #maxAttempts: number | undefined;
+  #slots: number | undefined;
   #storeAddress = "";
   #heartbeatTimer: NodeJS.Timeout | undefined;
   #leavingServers = new Set<FakeBackendServer>();
@@ -47,8 +54,10 @@
   constructor(
     {
       engines = DEFAULT_ENGINES,
+      plainServers = 1,
       gateways = 1,
       controlHosts = 1,
+      slots,
       routeTimeoutMilliseconds = DEFAULT_ROUTE_TIMEOUT_MILLISECONDS,
       maxAttempts,
     }: Options = {},
@@ -56,19 +65,26 @@
     const { store } = this;
     this.#maxAttempts = maxAttempts;
     this.#routeTimeoutMilliseconds = routeTimeoutMilliseconds;
+    this.#slots = slots;
     this.#gatewayCount = gateways;
     this.#controlHostCount = controlHosts;
     for (let index = 0; index < engines; index += 1) {
       const instance = `engine-${index}`;
       this.engines.push(
-        new FakeBackendServer({ instance, store, model: MODEL }),
+        new FakeBackendServer({ instance, store, model: MODEL, slots }),
       );
     }
-    this.plainServer = new FakeBackendServer({
-      instance: "plain-0",
-      store,
-      model: "",
-    });
+    for (let index = 0; index < plainServers; index += 1) {
+      const instance = `plain-${index}`;
+      this.plainServers.push(
+        new FakeBackendServer({ instance, store, model: "" }),
+      );
+    }
+  }
+
+  /** The first of the backend servers without an engine. */
+  get plainServer(): FakeBackendServer {
+    return this.plainServers[0]!;
   }
 
   get gatewayIp(): string {
@@ -80,7 +96,7 @@
     const { cluster } = this;
     await cluster.allocateAddresses(this.#controlHostCount);
     this.#storeAddress = await this.store.listen("127.0.0.1");
-    await this.plainServer.listen("127.0.0.1");
+    for (const server of this.plainServers) await server.listen("127.0.0.1");
     for (let index = 0; index < this.#controlHostCount; index += 1) {
       cluster.start("control", index);
     }
@@ -139,7 +155,7 @@
   async stop(options: { keepLogs?: boolean } = {}): Promise<void> {
     clearInterval(this.#heartbeatTimer);
     await this.cluster.stop(options);
-    for (const server of [...this.engines, this.plainServer, this.store]) {
+    for (const server of [...this.engines, ...this.plainServers, this.store]) {
       server.close();
     }
   }
@@ -147,8 +163,7 @@
   /** Sends a configuration; returns whether a control host accepted it. */
   async configure(
     version: number,
-    keys?: string[],
-    maxHeaderBytes?: number,
+    change: ConfigurationChange = {},
   ): Promise<boolean> {
     const configuration = buildConfiguration({
       version,
@@ -158,8 +173,8 @@
       routeTimeoutMilliseconds: this.#routeTimeoutMilliseconds,
       ...(this.#maxAttempts !== undefined &&
         { maxAttempts: this.#maxAttempts }),
-      ...(keys && { keys }),
-      ...(maxHeaderBytes !== undefined && { maxHeaderBytes }),
+      ...(this.#slots !== undefined && { slots: this.#slots }),
+      ...change,
     });
     const answer = await this.callControlHost("PUT", "/config", configuration);
     return answer.status === 200;
@@ -278,7 +293,7 @@
   #sendHeartbeats(): void {
     const servers = [
       ...this.engines.map((server) => [server, "writer"] as const),
-      [this.plainServer, "plain"] as const,
+      ...this.plainServers.map((server) => [server, "plain"] as const),
     ];
     for (const [server, service] of servers) {
       if (server.isDown || server.isSilent) continue;
--- a/acceptance/src/fake_backend_server.ts
+++ b/acceptance/src/fake_backend_server.ts
@@ -10,6 +10,7 @@
 import type { FakeWeightStore } from "./fake_weight_store.ts";
 
 const DEFAULT_STREAM_EVENTS = 8;
+const DEFAULT_SLOTS = 4;
 const DEFAULT_EVENT_INTERVAL_MILLISECONDS = 10;
 /** Time from the start of a response until its request crashes the server. */
 const CRASH_DELAY_MILLISECONDS = 20;
@@ -19,7 +20,12 @@
 
 /** A request received; `at` is from `performance.now()`, milliseconds. */
 type Arrival = { id: string; at: number; instance: string };
-type Options = { instance: string; store: FakeWeightStore; model: string };
+type Options = {
+  instance: string;
+  store: FakeWeightStore;
+  model: string;
+  slots?: number | undefined;
+};
 
 /**
  * Fake backend server of the platform. Serves plain requests, or as an engine
@@ -42,11 +48,16 @@
   rawAnswer: string | undefined;
   /** As `failureStatus`, only for requests to resume a stream. */
   resumeFailureStatus: number | undefined;
-  /** Events of each stream, and the time from one to the next. */
+  /**
+   * Events of each stream, unless its request says another number, and the time
+   * from one to the next.
+   */
   streamEvents = DEFAULT_STREAM_EVENTS;
   eventIntervalMilliseconds = DEFAULT_EVENT_INTERVAL_MILLISECONDS;
   /** Bodies of requests that crash the server. */
   crashingBodies: readonly string[] = [];
+  /** Whether a restart is announced under the same name, as a new start. */
+  keepsName = false;
   /** Whether the server has crashed and not yet restarted. */
   isDown = false;
   /** Requests per second announced in responses; undefined for no limit. */
@@ -63,6 +74,8 @@
   /** Responses that said that the server is shutting down. */
   readonly leavingNotices: Arrival[] = [];
   readonly arrivals: Arrival[] = [];
+  /** Requests read, also in a silence and if they were ended before its end. */
+  readonly receivedRequestIds: string[] = [];
   /** Time and request of each crash; the id is undefined without a request. */
   readonly crashRecords: { at: number; id: string | undefined }[] = [];
   #isClosed = false;
@@ -83,10 +96,14 @@
     this.#options = options;
   }
 
-  /** Name of the instance; a restart is a new instance with a new name. */
+  /**
+   * Name of the instance; a restart is a new instance with a new name, unless
+   * it keeps its name.
+   */
   get instance(): string {
     const { instance } = this.#options;
-    return this.crashCount === 0 ? instance : `${instance}-${this.crashCount}`;
+    const isFirst = this.crashCount === 0 || this.keepsName;
+    return isFirst ? instance : `${instance}-${this.crashCount}`;
   }
 
   /** Number of crashes so far. */
@@ -94,6 +111,10 @@
     return this.crashRecords.length;
   }
 
+  get #slots(): number {
+    return this.#options.slots ?? DEFAULT_SLOTS;
+  }
+
   get #startTime(): number {
     return FIRST_START_TIME + this.crashCount;
   }
@@ -138,7 +159,7 @@
       address: this.address,
       zone: "here",
       version: "v1",
-      slots: 4,
+      slots: this.#slots,
       state,
       coldRemainingMs: 0,
       models: this.#models(),
@@ -149,6 +170,8 @@
 
   async #handle(request: IncomingMessage, response: ServerResponse) {
     const body = await readAll(request);
+    const attemptId = request.headers["attempt-id"];
+    if (attemptId !== undefined) this.receivedRequestIds.push(`${attemptId}`);
     await this.#waitUntilSilenceEnds();
     if (response.destroyed) return;
     const url = new URL(request.url ?? "", "http://server");
@@ -219,7 +242,7 @@
       "Attempt-Id": id,
       "Server-Signature": this.instance,
       "Weight-Versions": String(this.version),
-      "Server-Load": "1,0,4",
+      "Server-Load": `1,0,${this.#slots}`,
       ...(this.limitPerSecond !== undefined && {
         "Server-Limit": String(this.limitPerSecond),
       }),
@@ -233,7 +256,10 @@
       const echo = [request.method, request.url, headers["tenant"], body];
       return void response.end(echo.join(" "));
     }
-    await this.#streamEvents(response, Number(headers["last-event-id"] ?? 0));
+    await this.#streamEvents(response, {
+      after: Number(headers["last-event-id"] ?? 0),
+      events: Number(headers["stream-events"] ?? this.streamEvents),
+    });
   }
 
   #fail(status: number, id: string, response: ServerResponse): void {
@@ -278,10 +304,13 @@
     this.isDown = false;
   }
 
-  async #streamEvents(response: ServerResponse, after: number): Promise<void> {
+  async #streamEvents(
+    response: ServerResponse,
+    { after, events }: { after: number; events: number },
+  ): Promise<void> {
     const breakAfter = this.breakAfterEvents.shift() ?? Infinity;
     const { paddingBytes } = this;
-    for (let event = after + 1; event <= this.streamEvents; event += 1) {
+    for (let event = after + 1; event <= events; event += 1) {
       await this.#waitUntilSilenceEnds();
       if (this.isFrozen || response.destroyed) return;
       if (event > breakAfter) {
--- a/packages/daemon/src/gateway/call_sender.ts
+++ b/packages/daemon/src/gateway/call_sender.ts
@@ -144,11 +144,12 @@
     const now = monotonicMilliseconds();
     record.recordResponseTime(now - sentAt);
     record.recordDataReceived(now);
+    // A listener that is added first would let an empty answer end unheard.
+    message.pause();
     message.on(
       "data",
       () => record.recordDataReceived(monotonicMilliseconds()),
     );
-    message.pause();
     message.on("pause", () => sent.pauseReading());
     message.on("resume", () => sent.resumeReading());
   }
