--- a/acceptance/src/run_delay_watch.ts
+++ b/acceptance/src/run_delay_watch.ts
@@ -7,9 +7,13 @@
 const MIN_SAMPLE_SHARE = 0.8;
 const NANOSECONDS_PER_MILLISECOND = 1e6;
 
+/** Stands for the process of the watch, that of the servers and clients. */
+export const LOCAL = "local";
+
 /**
- * Span in which a process could have run and its machine ran others. Times are
- * from `performance.now()`, milliseconds.
+ * Span in which a process could have run and its machine ran others, or in which
+ * the watch's own process stood still for whatever reason. Times are from
+ * `performance.now()`, milliseconds.
  */
 export type RunDelay = { process: string; from: number; to: number };
 
@@ -41,6 +45,10 @@
     const from = this.#sampledAt;
     const to = performance.now();
     this.#sampledAt = to;
+    if (to - from > 2 * INTERVAL_MILLISECONDS) {
+      const stalledAt = from + INTERVAL_MILLISECONDS;
+      this.delays.push({ process: LOCAL, from: stalledAt, to });
+    }
     for (const { name, pid } of this.#listProcesses()) {
       const total = readDelay(pid);
       if (total === undefined) continue;
--- a/acceptance/src/silence_day.ts
+++ b/acceptance/src/silence_day.ts
@@ -3,7 +3,6 @@
 import { writeFileSync } from "node:fs";
 import { join } from "node:path";
 import { monitorEventLoopDelay, performance } from "node:perf_hooks";
-import process from "node:process";
 import { EndToEndSystem } from "./end_to_end_system.ts";
 import {
   findSilenceFaults,
@@ -11,7 +10,6 @@
   type SilenceDayRecord,
 } from "./find_silence_faults.ts";
 import { RunDelayWatch } from "./run_delay_watch.ts";
-import { LOCAL } from "./silence_excuses.ts";
 import { SilenceMaker } from "./silence_maker.ts";
 import { SilenceTraffic } from "./silence_traffic.ts";
 import { SilenceTroubles } from "./silence_troubles.ts";
@@ -123,11 +121,10 @@
 
   #listProcesses(): { name: string; pid: number }[] {
     const { cluster, gatewayNames, gatewayIps } = this.#system;
-    const gateways = gatewayNames.map((name, index) => ({
+    return gatewayNames.map((name, index) => ({
       name: gatewayIps[index]!,
       pid: cluster.findHost(name).child.pid,
     }));
-    return [...gateways, { name: LOCAL, pid: process.pid }];
   }
 
   #pickGateway(random: () => number): string {
--- a/acceptance/src/silence_excuses.ts
+++ b/acceptance/src/silence_excuses.ts
@@ -1,5 +1,5 @@
 import { GRACE_SECONDS } from "./loopback_cluster.ts";
-import type { RunDelay } from "./run_delay_watch.ts";
+import { LOCAL, type RunDelay } from "./run_delay_watch.ts";
 import { MAX_GAP_MILLISECONDS } from "./send_traced_request.ts";
 import type { TracedRequest } from "./traced_request.ts";
 
@@ -16,9 +16,6 @@
 const EARLY_MILLISECONDS = 3_000;
 const AFTER_GRACE_MILLISECONDS = 1_000;
 
-/** Stands for the process of the servers and clients. */
-export const LOCAL = "local";
-
 type Span = { from: number; to: number };
 
 /** Times are from `performance.now()`, milliseconds. */
