--- a/acceptance/src/build_configuration.ts
+++ b/acceptance/src/build_configuration.ts
@@ -1,35 +1,68 @@
-/** What a configuration says otherwise than by default. */
-export type ConfigurationChanges = {
+type Item = { name: string };
+/** Fields to replace by item; null removes the item, a new name adds one. */
+type Changes = Record<string, Record<string, unknown> | null>;
+
+/** What a configuration says other than the usual one. */
+export type ConfigurationChange = {
+  /** Keys of the only tenant. */
   keys?: string[];
-  maxHeaderBytes?: number;
-  headerTimeoutMs?: number;
-  idleTimeoutMs?: number;
+  limits?: Partial<typeof USUAL_LIMITS>;
+  routes?: Changes;
+  services?: Changes;
+  tenants?: Changes;
   /** Of all routes. */
   routeTimeoutMilliseconds?: number;
+  /** Backend servers that one request may be sent to. */
+  maxAttempts?: number;
   /** Requests that each engine runs at the same time. */
   slots?: number;
   /** Further routes to the service without an engine. */
   extraRoutes?: number;
 };
 
-type Options = {
+type Options = ConfigurationChange & {
   version: number;
   store: string;
   model: string;
   chunks: number;
-  maxAttempts?: number;
-} & ConfigurationChanges;
+};
+
+const USUAL_LIMITS = {
+  maxHeaderBytes: 16_384,
+  maxBodyBytes: 65_536,
+  headerTimeoutMs: 1_000,
+  idleTimeoutMs: 5_000,
+};
 
 /**
  * Builds a configuration as an operator sends it: a service without an engine,
  * one with an engine, a weight store, and a route of each type.
  */
 export function buildConfiguration(options: Options) {
+  const usual = buildUsualConfiguration(options);
+  return {
+    ...usual,
+    routes: applyChanges(usual.routes, options.routes),
+    services: applyChanges(usual.services, options.services),
+    limits: { ...USUAL_LIMITS, ...options.limits },
+    tenants: applyChanges(usual.tenants, options.tenants),
+  };
+}
+
+function applyChanges(items: Item[], changes: Changes = {}): Item[] {
+  const names = items.map(({ name }) => name);
+  const added = Object.keys(changes).filter((name) => !names.includes(name));
+  return [...items, ...added.map((name) => ({ name }))]
+    .filter(({ name }) => changes[name] !== null)
+    .map((item) => ({ ...item, ...changes[item.name] }));
+}
+
+function buildUsualConfiguration(
+  options: Options,
+) {
   const { version, store, model, chunks, keys = ["key-1"] } = options;
-  const { maxHeaderBytes = 16_384, headerTimeoutMs = 1_000 } = options;
-  const { idleTimeoutMs = 5_000, slots = 4, extraRoutes = 0 } = options;
-  const { routeTimeoutMilliseconds = 2_000 } = options;
-  const { maxAttempts = 2 } = options;
+  const { routeTimeoutMilliseconds = 2_000, maxAttempts = 2 } = options;
+  const { slots = 4, extraRoutes = 0 } = options;
   const route = {
     timeoutMs: routeTimeoutMilliseconds,
     sloMs: 100,
@@ -99,12 +132,6 @@
         maxConnections: 48,
       },
     ],
-    limits: {
-      maxHeaderBytes,
-      maxBodyBytes: 65_536,
-      headerTimeoutMs,
-      idleTimeoutMs,
-    },
     tenants: [{ name: "tenant-1", apiKeys: keys, priority: 1 }],
   };
 }
--- a/acceptance/src/end_to_end_system.ts
+++ b/acceptance/src/end_to_end_system.ts
@@ -1,7 +1,7 @@
 import { waitUntil } from "@teaselrouter/experiments/harness/wait_until.ts";
 import {
   buildConfiguration,
-  type ConfigurationChanges,
+  type ConfigurationChange,
 } from "./build_configuration.ts";
 import { LoopbackCluster } from "./loopback_cluster.ts";
 import { FakeBackendServer } from "./fake_backend_server.ts";
@@ -163,7 +163,7 @@
   /** Sends a configuration; returns whether a control host accepted it. */
   async configure(
     version: number,
-    changes: ConfigurationChanges = {},
+    change: ConfigurationChange = {},
   ): Promise<boolean> {
     const configuration = buildConfiguration({
       version,
@@ -174,7 +174,7 @@
       ...(this.#maxAttempts !== undefined &&
         { maxAttempts: this.#maxAttempts }),
       ...(this.#slots !== undefined && { slots: this.#slots }),
-      ...changes,
+      ...change,
     });
     const answer = await this.callControlHost("PUT", "/config", configuration);
     return answer.status === 200;
