--- a/acceptance/src/find_silence_faults_test.ts
+++ b/acceptance/src/find_silence_faults_test.ts
@@ -53,6 +53,7 @@
     freezes: [],
     stops: [],
     runDelays: [],
+    lateSamples: [],
     shortestMilliseconds: TIMEOUT_MILLISECONDS,
     eventIntervalMilliseconds: 100,
     ...day,
@@ -157,6 +158,11 @@
   const cut = stream({ isWhole: false, endedAt: 9_000 });
   assert.equal(find([cut], { silences: one }).length, 1);
   assert.deepEqual(find([cut], { silences: many }), []);
+  const lateSamples = [{ to: 5_000, milliseconds: 3_500 }];
+  assert.deepEqual(find([stream(timeout)], { silences: one, lateSamples }), []);
+  const before = [{ ...lateSamples[0]!, to: 900 }];
+  const unrelated = { silences: one, lateSamples: before };
+  assert.equal(find([stream(timeout)], unrelated).length, 1);
   const early = stream({ ...timeout, endedAt: 8_800 });
   assert.equal(find([early], { silences: many }).length, 1);
   const failed = stream({ ...timeout, status: 502 });
--- a/acceptance/src/run_delay_watch.ts
+++ b/acceptance/src/run_delay_watch.ts
@@ -24,6 +24,8 @@
  */
 export class RunDelayWatch {
   readonly delays: RunDelay[] = [];
+  /** Samples of this process that came late; `to` is when. */
+  readonly lateSamples: { to: number; milliseconds: number }[] = [];
   #listProcesses: () => { name: string; pid: number }[];
   #total = new Map<number, number>();
   #sampledAt = performance.now();
@@ -45,6 +47,8 @@
     const from = this.#sampledAt;
     const to = performance.now();
     this.#sampledAt = to;
+    const late = to - from - INTERVAL_MILLISECONDS;
+    if (late > 0) this.lateSamples.push({ to, milliseconds: late });
     if (to - from > 2 * INTERVAL_MILLISECONDS) {
       const stalledAt = from + INTERVAL_MILLISECONDS;
       this.delays.push({ process: LOCAL, from: stalledAt, to });
--- a/acceptance/src/silence_day.ts
+++ b/acceptance/src/silence_day.ts
@@ -192,6 +192,7 @@
       freezes,
       stops,
       runDelays: this.#runDelays.delays,
+      lateSamples: this.#runDelays.lateSamples,
       shortestMilliseconds: DEADLINE_MILLISECONDS,
       eventIntervalMilliseconds: EVENT_INTERVAL_MILLISECONDS,
     };
@@ -200,7 +201,7 @@
   /** Writes what explains the faults beside the logs of the hosts. */
   #writeRecord(): void {
     const day = this.#buildRecord();
-    const { silences, kills, freezes, stops, runDelays } = day;
+    const { silences, kills, freezes, stops, runDelays, lateSamples } = day;
     const record = {
       timeOrigin: performance.timeOrigin,
       lost: listLostRequests(day),
@@ -209,6 +210,7 @@
       freezes,
       stops,
       runDelays,
+      lateSamples,
     };
     writeFileSync(
       join(this.#system.cluster.folder, "day.json"),
--- a/acceptance/src/silence_excuses.ts
+++ b/acceptance/src/silence_excuses.ts
@@ -30,6 +30,11 @@
   stops: readonly (Span & { gateway: string })[];
   /** Of gateways, by IP address, and of the servers and clients: `LOCAL`. */
   runDelays: readonly RunDelay[];
+  /**
+   * How late the process of the servers and clients was, at the interval of
+   * events: their servers' events came that much later.
+   */
+  lateSamples: readonly { to: number; milliseconds: number }[];
   /** Shortest time that any configuration or client left for a request. */
   shortestMilliseconds: number;
   eventIntervalMilliseconds: number;
@@ -106,7 +111,11 @@
       ...this.#freezesOf(request, life),
     ], life);
     const work = kind === "stream" ? events * eventIntervalMilliseconds : 0;
-    const isUsedUp = held + work + MARGIN_MILLISECONDS > shortestMilliseconds;
+    const late = this.#times.lateSamples
+      .filter(({ to }) => to >= sentAt && to <= endedAt)
+      .reduce((sum, { milliseconds }) => sum + milliseconds, 0);
+    const isUsedUp =
+      held + work + late + MARGIN_MILLISECONDS > shortestMilliseconds;
     return isUsedUp ? "time used up" : undefined;
   }
 
