--- a/acceptance/src/run_delay_watch.ts
+++ b/acceptance/src/run_delay_watch.ts
@@ -7,9 +7,13 @@
 const MIN_SAMPLE_SHARE = 0.8;
 const NANOSECONDS_PER_MILLISECOND = 1e6;
 
+/** Stands for the process of the watch, that of the servers and clients. */
+export const LOCAL = "local";
+
 /**
- * Span in which a process could have run and its machine ran others. Times are
- * from `performance.now()`, milliseconds.
+ * Span in which a process could have run and its machine ran others, or in which
+ * the watch's own process stood still for whatever reason. Times are from
+ * `performance.now()`, milliseconds.
  */
 export type RunDelay = { process: string; from: number; to: number };
 
@@ -20,6 +24,8 @@
  */
 export class RunDelayWatch {
   readonly delays: RunDelay[] = [];
+  /** Samples of this process that came late; `to` is when. */
+  readonly lateSamples: { to: number; milliseconds: number }[] = [];
   #listProcesses: () => { name: string; pid: number }[];
   #total = new Map<number, number>();
   #sampledAt = performance.now();
@@ -41,6 +47,12 @@
     const from = this.#sampledAt;
     const to = performance.now();
     this.#sampledAt = to;
+    const late = to - from - INTERVAL_MILLISECONDS;
+    if (late > 0) this.lateSamples.push({ to, milliseconds: late });
+    if (to - from > 2 * INTERVAL_MILLISECONDS) {
+      const stalledAt = from + INTERVAL_MILLISECONDS;
+      this.delays.push({ process: LOCAL, from: stalledAt, to });
+    }
     for (const { name, pid } of this.#listProcesses()) {
       const total = readDelay(pid);
       if (total === undefined) continue;
--- a/acceptance/src/silence_excuses.ts
+++ b/acceptance/src/silence_excuses.ts
@@ -1,5 +1,5 @@
 import { GRACE_SECONDS } from "./loopback_cluster.ts";
-import type { RunDelay } from "./run_delay_watch.ts";
+import { LOCAL, type RunDelay } from "./run_delay_watch.ts";
 import { MAX_GAP_MILLISECONDS } from "./send_traced_request.ts";
 import type { TracedRequest } from "./traced_request.ts";
 
@@ -16,9 +16,6 @@
 const EARLY_MILLISECONDS = 3_000;
 const AFTER_GRACE_MILLISECONDS = 1_000;
 
-/** Stands for the process of the servers and clients. */
-export const LOCAL = "local";
-
 type Span = { from: number; to: number };
 
 /** Times are from `performance.now()`, milliseconds. */
@@ -33,6 +30,11 @@
   stops: readonly (Span & { gateway: string })[];
   /** Of gateways, by IP address, and of the servers and clients: `LOCAL`. */
   runDelays: readonly RunDelay[];
+  /**
+   * How late the process of the servers and clients was, at the interval of
+   * events: their servers' events came that much later.
+   */
+  lateSamples: readonly { to: number; milliseconds: number }[];
   /** Shortest time that any configuration or client left for a request. */
   shortestMilliseconds: number;
   eventIntervalMilliseconds: number;
@@ -109,7 +111,11 @@
       ...this.#freezesOf(request, life),
     ], life);
     const work = kind === "stream" ? events * eventIntervalMilliseconds : 0;
-    const isUsedUp = held + work + MARGIN_MILLISECONDS > shortestMilliseconds;
+    const late = this.#times.lateSamples
+      .filter(({ to }) => to >= sentAt && to <= endedAt)
+      .reduce((sum, { milliseconds }) => sum + milliseconds, 0);
+    const isUsedUp =
+      held + work + late + MARGIN_MILLISECONDS > shortestMilliseconds;
     return isUsedUp ? "time used up" : undefined;
   }
 
