A fault while handling a request ends it in a refusal

What callers saw: where handling a request threw, its connection was closed without an answer, whether it had been sent or not. Its backend server went on working on it, the log said that the client had left, and an interval of the silence watch stayed for good.

Cause: the server destroyed the response on any exception and told nobody else. The count of requests under way at the backend server stayed one too high, which makes an idle server look silent.

Change: an exception ends in 502 if a byte may have been sent, else in 503 with Retry-After; an answer that has begun is cut off. The attempt is aborted, the watch ends, and the request is logged and counted once.

Not covered: a throw while an attempt is being opened leaves that count one too high (call_sender.ts).

--- a/packages/daemon/src/gateway/gateway_call.ts
+++ b/packages/daemon/src/gateway/gateway_call.ts
@@ -14,6 +14,10 @@
 
 type Answer = Extract<AttemptOutcome, { kind: "answer" }>;
 
+/** An identical request may succeed at another gateway. */
+const FAULT_RETRY_MILLISECONDS = 100;
+const FAULT_REASON = "a fault of this gateway";
+
 type Options = {
   context: GatewayContext;
   request: IncomingMessage;
@@ -36,6 +40,8 @@
   #response: ServerResponse;
   #startedAt = monotonicMilliseconds();
   #finisher: CallFinisher;
+  #active: ActiveCall | undefined;
+  #stopWatchingSilence = () => {};
 
   constructor(options: Options) {
     this.#context = options.context;
@@ -46,6 +52,14 @@
 
   /** Never rejects; every path ends the response. */
   async run(): Promise<void> {
+    try {
+      await this.#handle();
+    } catch (error) {
+      this.#endAfterFault(error);
+    }
+  }
+
+  async #handle(): Promise<void> {
     const context = this.#context;
     const response = this.#response;
     await this.#holdUntilConfigured();
@@ -65,6 +79,7 @@
       routing,
       refusals,
     };
+    this.#active = active;
     context.retries.countRequest();
     // The connection was closed while the request was held or its body read:
     // "close" is not emitted again.
@@ -182,13 +197,14 @@
     { sender, routing }: ActiveCall,
     { record }: BackendCandidate,
   ): () => void {
-    return this.#context.silence.watch({
+    this.#stopWatchingSilence = this.#context.silence.watch({
       isSilent: () => record.isSilent(monotonicMilliseconds()),
       canFailOver: () =>
         !this.#finisher.isOver && routing.canFailOver() &&
         this.#context.retries.hasRetries,
       abort: () => sender.abort("its backend server has fallen silent"),
     });
+    return this.#stopWatchingSilence;
   }
 
   /**
@@ -222,8 +238,8 @@
     }
     if (isGood) record.endHalfOpen();
     routing.weightsVersion ??= metadata.weightsVersion;
-    const end = await forwarder.forward(message, () => sender.hasFailed);
-    record.inFlight -= 1;
+    const end = await forwarder.forward(message, () => sender.hasFailed)
+      .finally(() => record.inFlight -= 1);
     if (this.#finisher.isOver) return "over";
     if (end === "broken" || status >= 500) {
       if (acceptsRequests()) record.recordFailure(monotonicMilliseconds());
@@ -282,6 +298,43 @@
     this.#finisher.refuse(active, active.refusals.buildBlamed(blame));
   }
 
+  /**
+   * Ends a request whose handling has thrown. An answer that has begun is cut
+   * off.
+   */
+  #endAfterFault(error: unknown): void {
+    const active = this.#active;
+    this.#logFault(error);
+    try {
+      this.#refuseAfterFault(active);
+    } catch (later) {
+      this.#logFault(later);
+    }
+    active?.sender.abort(FAULT_REASON);
+    this.#stopWatchingSilence();
+    if (!this.#response.writableEnded) this.#response.destroy();
+  }
+
+  #logFault(error: unknown): void {
+    this.#context.log.error("request-failed", {
+      id: this.#active?.call.id,
+      reason: error instanceof Error ? error.stack : error,
+    });
+  }
+
+  #refuseAfterFault(active: ActiveCall | undefined): void {
+    if (active === undefined) {
+      return this.#finisher.refuse(undefined, {
+        status: 503,
+        reason: FAULT_REASON,
+        retryAfterMilliseconds: FAULT_RETRY_MILLISECONDS,
+      });
+    }
+    const { refusals, sender } = active;
+    refusals.mayHaveRun ||= sender.isSent;
+    this.#finisher.refuse(active, refusals.build(FAULT_REASON, "busy"));
+  }
+
   #handleTimeout(active: ActiveCall): void {
     if (this.#finisher.isOver) return;
     const isSent = active.refusals.mayHaveRun || active.sender.isSent;
--- /dev/null
+++ b/packages/daemon/src/gateway/gateway_call_test.ts
@@ -0,0 +1,89 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { GatewayFixture } from "./gateway_fixture.ts";
+import { RawClient } from "./raw_client.ts";
+
+const REQUEST = "POST /unsafe/ HTTP/1.1\r\nHost: x\r\nId: a1\r\n" +
+  "Content-Length: 2\r\n\r\nhi";
+const STREAM_REQUEST = REQUEST.replace("/unsafe/", "/stream/");
+/** A stream that has just begun. */
+const STREAM_HEAD = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" +
+  "3\r\none\r\n";
+const ANSWER = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+
+function failHere(): never {
+  throw new Error("a fault of our own");
+}
+
+// Guards against requests whose connection is closed without an answer, though
+// their backend server goes on working, when handling them throws.
+test("a fault while an answer is handled is refused as unknown and ends the attempt", async () => {
+  const gateway = await GatewayFixture.open({
+    backend: (socket) => socket.on("data", () => socket.write(STREAM_HEAD)),
+    format: { filterAnswerHeaders: failHere },
+  });
+  try {
+    const client = new RawClient(gateway.port, STREAM_REQUEST);
+    await client.receive(/^HTTP\/1\.1 502 .*\r\n\r\n.+/s);
+    const [ended, ...others] = gateway.fieldsOf("request-ended");
+    assert.equal(ended?.outcome, "unknown");
+    assert.equal(others.length, 0, "it is logged once");
+    assert.equal(await gateway.countRequests("unknown"), 1);
+    const [fault] = gateway.fieldsOf("request-failed");
+    assert.equal(fault?.id, "a1");
+    await new Promise((resolve) => setTimeout(resolve, 100));
+    assert.equal(gateway.backendConnections, 0, "the attempt goes on");
+    assert.equal(gateway.server.inFlight, 0);
+    assert.equal(gateway.context.pool.recordOf("one").inFlight, 0);
+  } finally {
+    gateway.close();
+  }
+});
+
+// Guards against clients that are not told that their request hasn't run.
+test("a fault before a request is sent is refused as not run", async () => {
+  let arrived = 0;
+  const gateway = await GatewayFixture.open({
+    backend: () => arrived += 1,
+    format: { buildForwardHeaders: failHere },
+  });
+  try {
+    const client = new RawClient(gateway.port, REQUEST);
+    await client.receive(/^HTTP\/1\.1 503 .*Retry-After: .*\r\n\r\n.+/s);
+    assert.equal(gateway.fieldsOf("request-ended")[0]?.outcome, "not-run");
+    assert.equal(arrived, 0);
+  } finally {
+    gateway.close();
+  }
+});
+
+// Guards against a fault that also breaks the log line about the request's end,
+// so that the refusal is lost.
+test("a fault before a request is admitted is refused as not run", async () => {
+  const gateway = await GatewayFixture.open({
+    format: { readRequest: failHere },
+  });
+  try {
+    const client = new RawClient(gateway.port, REQUEST);
+    await client.receive(/^HTTP\/1\.1 503 .*Retry-After: .*\r\n\r\n.+/s);
+    assert.equal(await gateway.countRequests("not-run"), 1);
+  } finally {
+    gateway.close();
+  }
+});
+
+// Guards against an answer that a fault breaks off and that looks complete.
+test("a fault behind the head of an answer cuts the answer off", async () => {
+  const gateway = await GatewayFixture.open({
+    backend: (socket) => socket.on("data", () => socket.write(ANSWER)),
+  });
+  gateway.metrics.answerHeadMilliseconds.observe = failHere;
+  try {
+    const client = new RawClient(gateway.port, REQUEST);
+    assert.doesNotMatch(await client.readToEnd(), /ok$/);
+    assert.equal(gateway.fieldsOf("request-ended")[0]?.outcome, "unknown");
+    assert.equal(gateway.server.inFlight, 0);
+  } finally {
+    gateway.close();
+  }
+});
--- /dev/null
+++ b/packages/daemon/src/gateway/gateway_fixture.ts
@@ -0,0 +1,291 @@
+import { PatienceEstimator } from "@teaselrouter/core/gateway/patience_estimator.ts";
+import type { RoutingConfiguration } from "@teaselrouter/core/gateway/routing_configuration.ts";
+import { SharedRetryBudget } from "@teaselrouter/core/gateway/shared_retry_budget.ts";
+import { BackendState } from "@teaselrouter/messages/follow.ts";
+import { Buffer } from "node:buffer";
+import { createServer, type Server, type Socket } from "node:net";
+import { map, Subject } from "rxjs";
+import { Result } from "true-myth";
+import type { EventLog } from "../log/event_log.ts";
+import { ProcessMetrics } from "../metrics/process_metrics.ts";
+import type { RequestFormat } from "../platform/request_format.ts";
+import type { FollowSet } from "../transport/follow_set.ts";
+import { BackendConnections } from "./backend_connections.ts";
+import { BackendPool } from "./backend_pool.ts";
+import { ControlFeed } from "./control_feed.ts";
+import { CrashReporter } from "./crash_reporter.ts";
+import { CrashWatch } from "./crash_watch.ts";
+import type { GatewayContext } from "./gateway_context.ts";
+import { GatewayServer } from "./gateway_server.ts";
+import { NamedLimits } from "./named_limits.ts";
+import { ServerPushbacks } from "./server_pushbacks.ts";
+import { SilenceWatch } from "./silence_watch.ts";
+import { StartHold } from "./start_hold.ts";
+
+const LOOPBACK = "127.0.0.1";
+const SERVICE = "service";
+
+type Event = { name: string; fields: Record<string, unknown> };
+type Route = RoutingConfiguration["routes"][number];
+type Limits = RoutingConfiguration["callerLimits"];
+
+const ROUTE: Route = {
+  name: "safe",
+  host: "x",
+  pathPrefix: "/safe/",
+  kind: "safe",
+  timeoutMilliseconds: 4_000,
+  targetMilliseconds: 1_000,
+  priority: 1,
+  targets: [{ service: SERVICE, weight: 1 }],
+  maxBackends: 2,
+  needsKey: false,
+  resumable: false,
+};
+
+const ROUTES: Route[] = [
+  ROUTE,
+  { ...ROUTE, name: "unsafe", pathPrefix: "/unsafe/", kind: "unsafe" },
+  { ...ROUTE, name: "stream", pathPrefix: "/stream/", kind: "stream" },
+];
+
+const DEFAULT_LIMITS: Limits = {
+  maxHeaderBytes: 16_384,
+  maxBodyBytes: 4_194_304,
+  headerTimeoutMilliseconds: 3_000,
+  idleTimeoutMilliseconds: 15_000,
+};
+
+/** Reads and writes `Id`, `Not-Run` and nothing else. */
+const PLAIN_FORMAT: RequestFormat = {
+  readRequest: (headers) => ({
+    id: headers["id"] as string | undefined,
+    deadlineMilliseconds: undefined,
+    key: undefined,
+    model: undefined,
+    promptTokens: 0,
+    maxOutputTokens: 0,
+    expectedOutputTokens: undefined,
+    resumesAfter: undefined,
+  }),
+  buildForwardHeaders: (raw) => dropFraming(raw),
+  readAnswer: (headers) => ({
+    id: undefined,
+    isNotRun: headers["not-run"] !== undefined,
+    isSigned: true,
+    weightsVersion: undefined,
+    limitPerSecond: undefined,
+    requestedPause: undefined,
+    isShuttingDown: false,
+    unreadableFields: [],
+    load: undefined,
+  }),
+  filterAnswerHeaders: (raw) => dropFraming(raw, ["content-length"]),
+  guaranteesNotRun: (status) => [408, 421, 429, 503].includes(status),
+};
+
+function dropFraming(raw: string[], kept: string[] = []): string[] {
+  const dropped = ["connection", "content-length", "transfer-encoding"]
+    .filter((name) => !kept.includes(name));
+  return raw.flatMap((name, index) =>
+    index % 2 === 0 && !dropped.includes(name.toLowerCase())
+      ? [name, raw[index + 1]!]
+      : []
+  );
+}
+
+type Options = {
+  /** Handles each connection to the one backend server. */
+  backend?: (socket: Socket) => void;
+  format?: Partial<RequestFormat>;
+  limits?: Partial<Limits>;
+};
+
+/**
+ * A gateway's server with one backend server on loopback, for tests. The
+ * configuration has the routes /safe/, /unsafe/ and /stream/ on host x.
+ */
+export class GatewayFixture {
+  readonly events: Event[] = [];
+  readonly metrics = new ProcessMetrics();
+  readonly server: GatewayServer;
+  readonly context: GatewayContext;
+  isStopping = false;
+  port = 0;
+  #updates$ = new Subject<unknown>();
+  #backend: Server;
+  #backendSockets = new Set<Socket>();
+  #options: Options;
+
+  static async open(options: Options = {}): Promise<GatewayFixture> {
+    const fixture = new GatewayFixture(options);
+    await fixture.#start();
+    return fixture;
+  }
+
+  private constructor(options: Options) {
+    this.#options = options;
+    this.#backend = createServer((socket) => {
+      this.#backendSockets.add(socket);
+      socket.once("close", () => this.#backendSockets.delete(socket));
+      socket.on("error", () => undefined);
+      options.backend?.(socket);
+    });
+    this.context = this.#createContext({
+      ...PLAIN_FORMAT,
+      ...options.format,
+    });
+    this.server = new GatewayServer(this.context);
+  }
+
+  /** Connections that the gateway has to the backend server. */
+  get backendConnections(): number {
+    return this.#backendSockets.size;
+  }
+
+  /** Fields of the logged events of this name. */
+  fieldsOf(name: string): Record<string, unknown>[] {
+    return this.events.filter((event) => event.name === name)
+      .map(({ fields }) => fields);
+  }
+
+  /** Number of requests that were counted with this outcome. */
+  async countRequests(outcome: string): Promise<number> {
+    const { values } = await this.metrics.requests.get();
+    return values.filter(({ labels }) => labels.outcome === outcome)
+      .reduce((sum, { value }) => sum + value, 0);
+  }
+
+  /** Puts a configuration in force; `version` must exceed the last one's. */
+  configure(version: number, limits: Partial<Limits> = {}): void {
+    const configuration: RoutingConfiguration = {
+      version,
+      routes: ROUTES,
+      services: [{ name: SERVICE, maxConnections: 0 }],
+      callerLimits: { ...DEFAULT_LIMITS, ...limits },
+      workspaces: [],
+    };
+    const document = Buffer.from(JSON.stringify(configuration));
+    this.#sendUpdate({ case: "routing", value: { version, document } });
+    this.server.applyLimits();
+  }
+
+  close(): void {
+    this.server.closeAll();
+    this.context.connections.close();
+    this.context.crashes.stop();
+    for (const socket of this.#backendSockets) socket.destroy();
+    this.#backend.close();
+    void this.server.stopListening();
+  }
+
+  async #start(): Promise<void> {
+    const backendPort = await listenOnAnyPort(this.#backend);
+    this.port = await findFreePort();
+    const listening = await this.server.listen(`${LOOPBACK}:${this.port}`);
+    if (listening.isErr) throw new Error(listening.error);
+    this.configure(1, this.#options.limits);
+    const backend = {
+      instance: "one",
+      service: SERVICE,
+      address: `${LOOPBACK}:${backendPort}`,
+      dataCentre: "here",
+      slots: 8,
+      state: BackendState.READY,
+      bornAt: 1,
+      sequence: 1,
+      coldMilliseconds: 0,
+      models: [],
+    };
+    const value = { whole: true, backends: [backend] };
+    this.#sendUpdate({ case: "backends", value });
+  }
+
+  #sendUpdate(body: object): void {
+    this.#updates$.next({ update: { body } });
+  }
+
+  #createContext(format: RequestFormat): GatewayContext {
+    const log = this.#createLog();
+    const isStopping = () => this.isStopping;
+    const feed = new ControlFeed({
+      followSet: { updates$: this.#updates$ } as unknown as FollowSet,
+      decodeRouting: (text) => Result.ok(JSON.parse(text)),
+      log,
+    });
+    const connections = new BackendConnections();
+    const pushbacks = new ServerPushbacks({ random: Math.random, log });
+    const crashWatch = new CrashWatch({
+      hasOpenConnection: (address) => connections.hasOpen(address),
+      isClosed: (announcement) => pushbacks.isClosed(announcement),
+      backends$: feed.backends$,
+      log,
+    });
+    const namedLimits = new NamedLimits({
+      host: "gateway",
+      backends$: feed.backends$,
+      updates$: feed.limits$,
+      publish: () => undefined,
+      random: Math.random,
+      log,
+    });
+    return {
+      feed,
+      startHold: new StartHold({
+        configuredAt: () => feed.configuredAt,
+        isStopping,
+      }),
+      pool: new BackendPool({
+        feed,
+        host: "gateway",
+        dataCentre: "here",
+        weightsBoundMilliseconds: 8_000,
+        namedLimits,
+        pushbacks,
+        endedServers$: crashWatch.ended$.pipe(
+          map(({ announcement }) => announcement),
+        ),
+      }),
+      connections,
+      namedLimits,
+      pushbacks,
+      retries: new SharedRetryBudget({ ratio: 0.1, maxSavedRetries: 8 }),
+      patience: new PatienceEstimator(),
+      silence: new SilenceWatch(),
+      crashWatch,
+      crashes: new CrashReporter({
+        ended$: crashWatch.ended$,
+        updates$: feed.crashes$,
+        publish: () => undefined,
+        log,
+      }),
+      format,
+      log,
+      metrics: this.metrics,
+      random: Math.random,
+      isStopping,
+    };
+  }
+
+  #createLog(): EventLog {
+    const record = (name: string, fields: Record<string, unknown> = {}) =>
+      void this.events.push({ name, fields });
+    const log = { debug: record, info: record, warn: record, error: record };
+    return log as unknown as EventLog;
+  }
+}
+
+async function findFreePort(): Promise<number> {
+  const server = createServer();
+  const port = await listenOnAnyPort(server);
+  await new Promise<void>((resolve) => server.close(() => resolve()));
+  return port;
+}
+
+function listenOnAnyPort(server: Server): Promise<number> {
+  return new Promise((resolve) => {
+    server.listen(0, LOOPBACK, () => {
+      resolve((server.address() as { port: number }).port);
+    });
+  });
+}
--- a/packages/daemon/src/gateway/gateway_server.ts
+++ b/packages/daemon/src/gateway/gateway_server.ts
@@ -60,10 +60,7 @@
       response.on("error", () => undefined);
       if (context.isStopping()) response.shouldKeepAlive = false;
       if (this.#isClosing) return this.#refuseLate(request, response);
-      new GatewayCall({ context, request, response }).run().catch((error) => {
-        context.log.error("request-failed", { reason: error.stack ?? error });
-        response.destroy();
-      });
+      void new GatewayCall({ context, request, response }).run();
     });
     this.#server.on("clientError", (error, socket) => {
       this.#refuseBadInput(error, socket as Socket);
