A client's unreadable bytes don't break into an answer under way

What callers saw: behind a request that was being answered, a client's next bytes were no request, or its next head stopped half-way until the bound for heads, which a configuration may lower, was reached. A raw 400 or 408 was written into the middle of the answer, and the connection closed. A request with `Connection: close` whose client sent more bytes got that 400 in place of its answer.

Cause: the server wrote its refusal of such bytes at once, whatever was under way on the connection.

Change: the refusal waits until no answer is due on the connection, and is dropped if the bytes become a request meanwhile. A client that ends its side within its next head has left, as one that ends it between requests.

Without the change four of the five new tests fail, e.g. `3\r\none\r\nHTTP/1.1 400 Bad Request` within one chunked answer; the fifth, that a client's leaving ends the attempt, passes both ways.

--- /dev/null
+++ b/packages/daemon/src/gateway/connection_answers_test.ts
@@ -0,0 +1,112 @@
+import assert from "node:assert/strict";
+import type { Socket } from "node:net";
+import { test } from "node:test";
+import { GatewayFixture } from "./gateway_fixture.ts";
+import { RawClient } from "./raw_client.ts";
+
+const HEAD = "GET /stream/ HTTP/1.1\r\nHost: x\r\nId: a1\r\n";
+const REQUEST = `${HEAD}\r\n`;
+const HEADER_TIMEOUT_MILLISECONDS = 300;
+/** Longer than it takes until a head that stops half-way is refused. */
+const ANSWER_MILLISECONDS = 1_500;
+
+/** Answers with two pieces, the second after a while. */
+function answerSlowly(milliseconds: number): (socket: Socket) => void {
+  return (socket) =>
+    socket.on("data", () => {
+      socket.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+      socket.write("3\r\none\r\n");
+      setTimeout(() => socket.write("3\r\ntwo\r\n0\r\n\r\n"), milliseconds);
+    });
+}
+
+async function withGateway(
+  milliseconds: number,
+  scenario: (gateway: GatewayFixture, client: RawClient) => Promise<void>,
+): Promise<void> {
+  const gateway = await GatewayFixture.open({
+    backend: answerSlowly(milliseconds),
+    limits: { headerTimeoutMilliseconds: HEADER_TIMEOUT_MILLISECONDS },
+  });
+  const client = new RawClient(gateway.port);
+  try {
+    await scenario(gateway, client);
+  } finally {
+    client.socket.destroy();
+    gateway.close();
+  }
+}
+
+/** Statuses of all answers on a connection, each of which must be whole. */
+function readStatuses(received: string): string[] {
+  return received.split(/(?=HTTP\/1\.1 )/).map((answer) => {
+    assert.match(answer, /\r\n0\r\n\r\n$|Content-Length: 0\r\n\r\n$/);
+    return answer.slice(9, 12);
+  });
+}
+
+// Guards against a refusal of a client's later bytes that is written into the
+// middle of an answer, which it breaks off.
+test("bytes that are no request are refused after the answer under way", async () => {
+  await withGateway(200, async (_, client) => {
+    client.send(REQUEST);
+    await client.receive(/one/);
+    client.send("nonsense\r\n\r\n");
+    client.send("nonsense\r\n\r\n");
+    const received = await client.readToEnd();
+    assert.match(received, /one.*two/s);
+    assert.deepEqual(readStatuses(received), ["200", "400"]);
+  });
+});
+
+// Guards against an answer that is broken off when the bound for the next
+// request's head is reached, or when a configuration lowers that bound.
+test("a next head that stops half-way is refused after the answer under way", async () => {
+  await withGateway(ANSWER_MILLISECONDS, async (_, client) => {
+    client.send(REQUEST);
+    await client.receive(/one/);
+    client.send("GET /stream/ HT");
+    const received = await client.readToEnd();
+    assert.deepEqual(readStatuses(received), ["200", "408"]);
+  });
+});
+
+// Guards against a refusal for lateness of a request that has arrived since.
+test("a next head that was late but came during the answer is answered", async () => {
+  await withGateway(ANSWER_MILLISECONDS, async (gateway, client) => {
+    client.send(REQUEST);
+    await client.receive(/one/);
+    client.send(HEAD);
+    while (gateway.fieldsOf("request-unreadable").length === 0) {
+      await new Promise((resolve) => setTimeout(resolve, 20));
+    }
+    client.send("\r\n");
+    await client.receive(/two.*two\r\n0\r\n\r\n$/s);
+    assert.deepEqual(readStatuses(client.received), ["200", "200"]);
+  });
+});
+
+// Guards against a request that is refused as unreadable because of the bytes
+// behind it.
+test("bytes behind a connection's last request leave its answer whole", async () => {
+  await withGateway(100, async (_, client) => {
+    client.send(`${HEAD}Connection: close\r\n\r\n${REQUEST}`);
+    const received = await client.readToEnd();
+    assert.deepEqual(readStatuses(received), ["200"]);
+  });
+});
+
+// Guards against work for a client that has left within its next request.
+test("a client that leaves within its next head ends the answer under way", async () => {
+  await withGateway(ANSWER_MILLISECONDS, async (gateway, client) => {
+    client.send(REQUEST);
+    await client.receive(/one/);
+    client.send("GET /stream/ HT");
+    client.socket.end();
+    await client.readToEnd();
+    const [ended] = gateway.fieldsOf("request-ended");
+    assert.equal(ended?.outcome, "client-left");
+    await new Promise((resolve) => setTimeout(resolve, 50));
+    assert.equal(gateway.backendConnections, 0);
+  });
+});
--- a/packages/daemon/src/gateway/gateway_server.ts
+++ b/packages/daemon/src/gateway/gateway_server.ts
@@ -10,6 +10,7 @@
 import { monotonicMilliseconds } from "../transport/monotonic_milliseconds.ts";
 import { stopAccepting } from "../transport/stop_accepting.ts";
 import { CallFinisher } from "./call_finisher.ts";
+import { ConnectionAnswers } from "./connection_answers.ts";
 import { GatewayCall } from "./gateway_call.ts";
 import type { GatewayContext } from "./gateway_context.ts";
 
@@ -33,10 +34,19 @@
 /** Another gateway takes the request at once. */
 const STOP_RETRY_MILLISECONDS = 100;
 
+/** The client ended its side of the connection within a request. */
+const INPUT_ENDED_CODE = "HPE_INVALID_EOF_STATE";
+
+const STATUS_BY_CODE: Record<string, string> = {
+  HPE_HEADER_OVERFLOW: "431 Request Header Fields Too Large",
+  ERR_HTTP_REQUEST_TIMEOUT: "408 Request Timeout",
+};
+
 /** HTTP server that accepts client requests. */
 export class GatewayServer {
   #context: GatewayContext;
   #server: Server;
+  #answers = new ConnectionAnswers();
   #inFlight = 0;
   #isClosing = false;
   #lastRequestAt = -Infinity;
@@ -54,6 +64,7 @@
     }, (request, response) => {
       this.#inFlight += 1;
       this.#lastRequestAt = monotonicMilliseconds();
+      this.#answers.add(request, response);
       response.once("close", () => {
         this.#inFlight -= 1;
       });
@@ -115,17 +126,22 @@
     });
   }
 
+  /**
+   * Refuses bytes that are no request, after the answers that are due: within
+   * one of them, the client would take the refusal for a part of it.
+   */
   #refuseBadInput(error: Error, socket: Socket): void {
-    const { code } = error as { code?: string };
+    const { code = "" } = error as { code?: string };
     if (code === "ECONNRESET" || !socket.writable) return void socket.destroy();
-    const status = code === "HPE_HEADER_OVERFLOW"
-      ? "431 Request Header Fields Too Large"
-      : code === "ERR_HTTP_REQUEST_TIMEOUT"
-      ? "408 Request Timeout"
-      : "400 Bad Request";
+    const hasLeft = code === INPUT_ENDED_CODE && this.#answers.hasDue(socket);
+    if (hasLeft) return void socket.destroy();
+    const status = STATUS_BY_CODE[code] ?? "400 Bad Request";
     this.#context.log.warn("request-unreadable", { reason: code, status });
-    socket.end(
-      `HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`,
-    );
+    this.#answers.onceNoneDue(socket, () => {
+      if (!socket.writable) return;
+      socket.end(
+        `HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`,
+      );
+    });
   }
 }
