Requests that arrive behind others on a connection end as the others do

What callers saw: of requests sent behind each other on one connection, those behind the first were not told when the connection closed. Their backend servers went on working, and a planned stop waited its whole grace time for them. During a planned stop an answer or a refusal closed the connection though later requests on it had been sent on already: these got no answer.

Cause: Node.js emits "close" only for the answer whose turn it is. `Connection: close` was decided for each answer by itself.

Change: the close of a connection is told to all its answers. An answer closes the connection only if no request has arrived behind it; one that arrives behind a closing answer's head is not sent on.

Without the change the four new tests fail: 2 requests are left in flight after the close (0 wanted); one answer instead of two; only the 404; and 2 requests reach the backend server instead of 1. With it the nine tests of the file pass, and those of the gateway's calls and server.

--- a/packages/daemon/src/gateway/call_finisher.ts
+++ b/packages/daemon/src/gateway/call_finisher.ts
@@ -13,6 +13,8 @@
   context: GatewayContext;
   request: IncomingMessage;
   response: ServerResponse;
+  /** Whether no request has arrived behind this one on its connection. */
+  isLatest: () => boolean;
 };
 
 /** An admitted request that ends. */
@@ -52,11 +54,14 @@
   refuse(ended: EndedCall | undefined, refusal: CallRefusal): void {
     if (this.#isOver) return;
     const { status, reason } = refusal;
-    const { context, request, response } = this.#options;
+    const { context, request, response, isLatest } = this.#options;
     const { format, isStopping } = context;
     if (response.headersSent) response.destroy();
     else {
-      refuseCall(response, refusal, { closes: isStopping() });
+      refuseCall(response, refusal, {
+        isStopping: isStopping(),
+        isLatest: isLatest(),
+      });
       if (!request.complete) request.resume();
     }
     const isNotRun = format.guaranteesNotRun(status) || status < 500;
--- a/packages/daemon/src/gateway/connection_answers.ts
+++ b/packages/daemon/src/gateway/connection_answers.ts
@@ -22,6 +22,9 @@
   add(request: IncomingMessage, response: ServerResponse): void {
     const connection = this.#find(request.socket);
     connection.onceNoneDue = undefined;
+    for (const earlier of connection.unfinished) {
+      if (!earlier.headersSent) earlier.shouldKeepAlive = true;
+    }
     connection.unfinished.add(response);
     response.once("close", () => {
       connection.unfinished.delete(response);
@@ -39,6 +42,22 @@
     this.#notify(connection);
   }
 
+  /**
+   * Whether an answer under way says that the connection closes behind it: a
+   * request that arrives now can't be answered.
+   */
+  isClosing(socket: Socket): boolean {
+    return [...this.#find(socket).unfinished].some((response) =>
+      response.headersSent && !response.shouldKeepAlive
+    );
+  }
+
+  /** Whether no request has arrived behind this answer's. */
+  isLatest(response: ServerResponse): boolean {
+    const { unfinished } = this.#find(response.req.socket);
+    return [...unfinished].at(-1) === response;
+  }
+
   hasDue(socket: Socket): boolean {
     return [...this.#find(socket).unfinished].some(isDue);
   }
@@ -46,8 +65,10 @@
   #find(socket: Socket): Connection {
     let connection = this.#connections.get(socket);
     if (connection === undefined) {
-      connection = { unfinished: new Set(), onceNoneDue: undefined };
+      const unfinished = new Set<ServerResponse>();
+      connection = { unfinished, onceNoneDue: undefined };
       this.#connections.set(socket, connection);
+      socket.once("close", () => closeWaiting(unfinished));
     }
     return connection;
   }
@@ -60,6 +81,15 @@
   }
 }
 
+/** Node.js tells only the answer whose turn it is that its connection closed. */
+function closeWaiting(unfinished: Set<ServerResponse>): void {
+  for (const response of [...unfinished]) {
+    if (response.socket !== null) continue;
+    response.destroy();
+    response.emit("close");
+  }
+}
+
 function isDue({ req, headersSent }: ServerResponse): boolean {
   return req.complete || headersSent;
 }
--- a/packages/daemon/src/gateway/connection_answers_test.ts
+++ b/packages/daemon/src/gateway/connection_answers_test.ts
@@ -110,3 +110,55 @@
     assert.equal(gateway.backendConnections, 0);
   });
 });
+
+// Guards against work for clients that have left, and against planned stops that
+// wait for it: only the first of several requests is told of the close.
+test("a closed connection ends all requests that arrived on it", async () => {
+  await withGateway(ANSWER_MILLISECONDS, async (gateway, client) => {
+    client.send(REQUEST + REQUEST + REQUEST);
+    await client.receive(/one/);
+    assert.equal(gateway.backendConnections, 3);
+    client.socket.destroy();
+    await client.readToEnd();
+    await new Promise((resolve) => setTimeout(resolve, 50));
+    assert.equal(gateway.server.inFlight, 0);
+    assert.equal(gateway.backendConnections, 0);
+    assert.equal(await gateway.countRequests("client-left"), 3);
+  });
+});
+
+// Guards against requests that are sent on and lose their answer, as the answer
+// before them closes the connection at a planned stop.
+test("a request behind one that is answered during a stop is answered too", async () => {
+  await withGateway(100, async (gateway, client) => {
+    gateway.isStopping = true;
+    client.send(REQUEST);
+    while (gateway.server.inFlight === 0) {
+      await new Promise((resolve) => setImmediate(resolve));
+    }
+    client.send(REQUEST);
+    assert.deepEqual(readStatuses(await client.readToEnd()), ["200", "200"]);
+  });
+});
+
+// Guards against the same where the answer before it is a refusal.
+test("a request behind one that is refused during a stop is answered", async () => {
+  await withGateway(100, async (gateway, client) => {
+    gateway.isStopping = true;
+    client.send(`GET /none/ HTTP/1.1\r\nHost: x\r\n\r\n${REQUEST}`);
+    const received = await client.readToEnd();
+    assert.match(received, /^HTTP\/1\.1 404 .*HTTP\/1\.1 200 .*two/s);
+  });
+});
+
+// Guards against a request that is sent on though its connection is closing.
+test("a request behind the head of a connection's last answer is not sent on", async () => {
+  await withGateway(200, async (gateway, client) => {
+    gateway.isStopping = true;
+    client.send(REQUEST);
+    await client.receive(/one/);
+    client.send(REQUEST);
+    assert.deepEqual(readStatuses(await client.readToEnd()), ["200"]);
+    assert.equal(gateway.backendArrivals, 1);
+  });
+});
--- a/packages/daemon/src/gateway/gateway_call.ts
+++ b/packages/daemon/src/gateway/gateway_call.ts
@@ -22,6 +22,8 @@
   context: GatewayContext;
   request: IncomingMessage;
   response: ServerResponse;
+  /** Whether no request has arrived behind this one on its connection. */
+  isLatest: () => boolean;
 };
 
 /** An admitted request and the objects that handle it. */
--- a/packages/daemon/src/gateway/gateway_fixture.ts
+++ b/packages/daemon/src/gateway/gateway_fixture.ts
@@ -111,6 +111,8 @@
   readonly server: GatewayServer;
   readonly context: GatewayContext;
   isStopping = false;
+  /** Packets that the backend server has received: small requests take one. */
+  backendArrivals = 0;
   port = 0;
   #updates$ = new Subject<unknown>();
   #backend: Server;
@@ -129,6 +131,7 @@
       this.#backendSockets.add(socket);
       socket.once("close", () => this.#backendSockets.delete(socket));
       socket.on("error", () => undefined);
+      socket.on("data", () => this.backendArrivals += 1);
       options.backend?.(socket);
     });
     this.context = this.#createContext({
--- a/packages/daemon/src/gateway/gateway_server.ts
+++ b/packages/daemon/src/gateway/gateway_server.ts
@@ -61,18 +61,7 @@
       keepAliveTimeout: DEFAULT_IDLE_TIMEOUT_MILLISECONDS +
         IDLE_MARGIN_MILLISECONDS,
       noDelay: true,
-    }, (request, response) => {
-      this.#inFlight += 1;
-      this.#lastRequestAt = monotonicMilliseconds();
-      this.#answers.add(request, response);
-      response.once("close", () => {
-        this.#inFlight -= 1;
-      });
-      response.on("error", () => undefined);
-      if (context.isStopping()) response.shouldKeepAlive = false;
-      if (this.#isClosing) return this.#refuseLate(request, response);
-      void new GatewayCall({ context, request, response }).run();
-    });
+    }, (request, response) => this.#handle(request, response));
     this.#server.on("clientError", (error, socket) => {
       this.#refuseBadInput(error, socket as Socket);
     });
@@ -117,8 +106,27 @@
     this.#server.closeAllConnections();
   }
 
-  #refuseLate(request: IncomingMessage, response: ServerResponse): void {
-    const options = { context: this.#context, request, response };
+  #handle(request: IncomingMessage, response: ServerResponse): void {
+    const answers = this.#answers;
+    if (answers.isClosing(request.socket)) return void request.resume();
+    this.#inFlight += 1;
+    this.#lastRequestAt = monotonicMilliseconds();
+    response.once("close", () => {
+      this.#inFlight -= 1;
+    });
+    response.on("error", () => undefined);
+    answers.add(request, response);
+    const context = this.#context;
+    if (context.isStopping()) response.shouldKeepAlive = false;
+    const isLatest = () => answers.isLatest(response);
+    const options = { context, request, response, isLatest };
+    if (this.#isClosing) return this.#refuseLate(options);
+    void new GatewayCall(options).run();
+  }
+
+  #refuseLate(
+    options: ConstructorParameters<typeof CallFinisher>[0],
+  ): void {
     new CallFinisher(options).refuse(undefined, {
       status: 503,
       reason: "this gateway is about to stop",
--- a/packages/daemon/src/gateway/refuse_call.ts
+++ b/packages/daemon/src/gateway/refuse_call.ts
@@ -7,11 +7,17 @@
  */
 const CLOSING_STATUS = 431;
 
+type Options = {
+  isStopping: boolean;
+  /** Whether no other answer is due on the connection after this one. */
+  isLatest: boolean;
+};
+
 /** Sends a refusal of the gateway's own, as plain text. */
 export function refuseCall(
   response: ServerResponse,
   refusal: CallRefusal,
-  options: { closes: boolean },
+  options: Options,
 ): void {
   const { status, reason, retryAfterMilliseconds } = refusal;
   const body = `${reason}\n`;
@@ -22,9 +28,8 @@
   if (retryAfterMilliseconds !== undefined) {
     headers["Retry-After"] = (retryAfterMilliseconds / 1_000).toFixed(2);
   }
-  if (options.closes || status === CLOSING_STATUS) {
-    headers["Connection"] = "close";
-  }
+  const closes = options.isStopping || status === CLOSING_STATUS;
+  if (closes && options.isLatest) response.shouldKeepAlive = false;
   response.writeHead(status, headers);
   response.end(body);
 }
