A planned stop no longer cuts answers that wait to be sent

What callers saw: beside a planned stop, an answer that had been written whole but waited for a slow client or link was cut off with its connection, while other requests were still under way.

Cause: Node.js takes a connection for idle once its answer has been handed over, not once it has been sent; a stopping gateway closes idle connections every 50 ms.

Change: only connections whose answers have all left the process, and on which no further byte has arrived, count as idle.

--- a/packages/daemon/src/gateway/connection_answers.ts
+++ b/packages/daemon/src/gateway/connection_answers.ts
@@ -6,6 +6,11 @@
   unfinished: Set<ServerResponse>;
   /** Called once no answer is due any more. */
   onceNoneDue: (() => void) | undefined;
+  /**
+   * Bytes read when the last answer had ended; undefined before, and if its
+   * request was not read to its end by then.
+   */
+  bytesReadAtEnd: number | undefined;
 };
 
 /**
@@ -13,14 +18,15 @@
  * may send bytes behind a request before its answer has ended.
  */
 export class ConnectionAnswers {
-  #connections = new WeakMap<Socket, Connection>();
+  #connections = new Map<Socket, Connection>();
 
   /**
    * Adds the answer to a request that has arrived. What waits for the answers
    * before it is dropped: the bytes behind them became a request.
    */
   add(request: IncomingMessage, response: ServerResponse): void {
-    const connection = this.#find(request.socket);
+    const { socket } = request;
+    const connection = this.#connections.get(socket) ?? this.#track(socket);
     connection.onceNoneDue = undefined;
     for (const earlier of connection.unfinished) {
       if (!earlier.headersSent) earlier.shouldKeepAlive = true;
@@ -28,6 +34,9 @@
     connection.unfinished.add(response);
     response.once("close", () => {
       connection.unfinished.delete(response);
+      connection.bytesReadAtEnd = request.complete
+        ? socket.bytesRead
+        : undefined;
       this.#notify(connection);
     });
   }
@@ -37,7 +46,8 @@
    * answer is due if its request was read to its end, or if it has begun.
    */
   onceNoneDue(socket: Socket, callback: () => void): void {
-    const connection = this.#find(socket);
+    const connection = this.#connections.get(socket);
+    if (connection === undefined) return callback();
     connection.onceNoneDue ??= callback;
     this.#notify(connection);
   }
@@ -47,29 +57,48 @@
    * request that arrives now can't be answered.
    */
   isClosing(socket: Socket): boolean {
-    return [...this.#find(socket).unfinished].some((response) =>
+    return this.#unfinishedOn(socket).some((response) =>
       response.headersSent && !response.shouldKeepAlive
     );
   }
 
   /** Whether no request has arrived behind this answer's. */
   isLatest(response: ServerResponse): boolean {
-    const { unfinished } = this.#find(response.req.socket);
-    return [...unfinished].at(-1) === response;
+    return this.#unfinishedOn(response.req.socket).at(-1) === response;
+  }
+
+  /**
+   * Connections whose answers have all left this process, and on which no
+   * further byte has arrived. Node.js takes a connection for idle already when
+   * the last answer is still waiting to be sent.
+   */
+  listIdle(): Socket[] {
+    return [...this.#connections].filter(([socket, connection]) =>
+      connection.unfinished.size === 0 &&
+      connection.bytesReadAtEnd === socket.bytesRead
+    ).map(([socket]) => socket);
   }
 
   hasDue(socket: Socket): boolean {
-    return [...this.#find(socket).unfinished].some(isDue);
+    return this.#unfinishedOn(socket).some(isDue);
   }
 
-  #find(socket: Socket): Connection {
-    let connection = this.#connections.get(socket);
-    if (connection === undefined) {
-      const unfinished = new Set<ServerResponse>();
-      connection = { unfinished, onceNoneDue: undefined };
-      this.#connections.set(socket, connection);
-      socket.once("close", () => closeWaiting(unfinished));
-    }
+  #unfinishedOn(socket: Socket): ServerResponse[] {
+    return [...this.#connections.get(socket)?.unfinished ?? []];
+  }
+
+  #track(socket: Socket): Connection {
+    const unfinished = new Set<ServerResponse>();
+    const connection = {
+      unfinished,
+      onceNoneDue: undefined,
+      bytesReadAtEnd: undefined,
+    };
+    this.#connections.set(socket, connection);
+    socket.once("close", () => {
+      this.#connections.delete(socket);
+      closeWaiting(unfinished);
+    });
     return connection;
   }
 
--- a/packages/daemon/src/gateway/connection_answers_test.ts
+++ b/packages/daemon/src/gateway/connection_answers_test.ts
@@ -1,5 +1,6 @@
 import assert from "node:assert/strict";
-import type { Socket } from "node:net";
+import { once } from "node:events";
+import { connect, type Socket } from "node:net";
 import { test } from "node:test";
 import { GatewayFixture } from "./gateway_fixture.ts";
 import { RawClient } from "./raw_client.ts";
@@ -162,3 +163,51 @@
     assert.equal(gateway.backendArrivals, 1);
   });
 });
+
+// Guards against answers that a planned stop cuts off, as they have been written
+// but wait for a slow client or link.
+test("a connection is not idle while the end of its answer waits to be sent", async () => {
+  const size = 60_000;
+  const count = 150;
+  const gateway = await GatewayFixture.open({
+    backend: (socket) =>
+      socket.on("data", () => {
+        socket.write(`HTTP/1.1 200 OK\r\nContent-Length: ${size}\r\n\r\n`);
+        socket.write("x".repeat(size));
+      }),
+  });
+  const client = connect(gateway.port, "127.0.0.1");
+  let bytes = 0;
+  try {
+    client.write(
+      "GET /safe/ HTTP/1.1\r\nHost: x\r\nId: a\r\n\r\n".repeat(count),
+    );
+    await new Promise((resolve) => setTimeout(resolve, 1_000));
+    assert.ok(gateway.server.inFlight > 0, "nothing waits to be sent");
+    gateway.server.closeIdle();
+    const closed = once(client, "close");
+    client.on("data", (part) => bytes += part.length);
+    while (gateway.server.inFlight > 0) {
+      await new Promise((resolve) => setTimeout(resolve, 20));
+    }
+    gateway.server.closeIdle();
+    await closed;
+    assert.ok(bytes > size * count, `${bytes} bytes were received`);
+  } finally {
+    client.destroy();
+    gateway.close();
+  }
+});
+
+// Guards against closing a connection on which a request is arriving.
+test("a connection with a half-read request is not idle", async () => {
+  await withGateway(0, async (gateway, client) => {
+    client.send(REQUEST);
+    await client.receive(/\r\n0\r\n\r\n$/);
+    client.send(HEAD);
+    await new Promise((resolve) => setTimeout(resolve, 50));
+    gateway.server.closeIdle();
+    client.send("\r\n");
+    await client.receive(/two.*two\r\n0\r\n\r\n$/s);
+  });
+});
--- a/packages/daemon/src/gateway/gateway_server.ts
+++ b/packages/daemon/src/gateway/gateway_server.ts
@@ -99,7 +99,7 @@
   }
 
   closeIdle(): void {
-    this.#server.closeIdleConnections();
+    for (const socket of this.#answers.listIdle()) socket.destroy();
   }
 
   closeAll(): void {
