A request's body belongs to it, whatever its method

What callers saw: the body of a GET, HEAD or DELETE request was read by the backend server as a further request on the same connection: one that no client had sent as such, and for which no key or route had been checked. The answer to it met the next request on that connection, or ended the connection.

Cause: the client's framing fields are not forwarded, and for these methods Node.js sends a body without a length.

Change: every body is sent with its length, where POST bodies went in chunks.

Without the change the new test finds `GET / `, `GET /other ` and `DELETE / `, `GET /other ` at the backend server; with it each body arrives with its own request.

--- a/packages/daemon/src/gateway/backend_attempt.ts
+++ b/packages/daemon/src/gateway/backend_attempt.ts
@@ -61,7 +61,7 @@
       agent,
       method,
       path,
-      headers: headers as unknown as Record<string, string>,
+      headers: frameBody(headers, body) as unknown as Record<string, string>,
       setHost: false,
     });
     this.#request.on("socket", (socket) => this.#handleSocket(socket));
@@ -183,3 +183,12 @@
     );
   }
 }
+
+/**
+ * Node.js sends the body of a GET, HEAD or DELETE request without a length: the
+ * backend server would read it as its next request.
+ */
+function frameBody(headers: string[], body: Buffer | undefined): string[] {
+  if (body === undefined) return headers;
+  return [...headers, "Content-Length", String(body.length)];
+}
--- a/packages/daemon/src/gateway/backend_attempt_test.ts
+++ b/packages/daemon/src/gateway/backend_attempt_test.ts
@@ -1,4 +1,6 @@
 import assert from "node:assert/strict";
+import { Buffer } from "node:buffer";
+import { createServer as createHttpServer } from "node:http";
 import { type AddressInfo, createServer, type Socket } from "node:net";
 import { test } from "node:test";
 import type { RequestFormat } from "../platform/request_format.ts";
@@ -169,3 +171,35 @@
   agent.destroy();
   server.close();
 });
+
+// Guards against a request's body that its backend server reads as another
+// request, which no client's key was checked for.
+test("a body belongs to its request, whatever the method", async () => {
+  const smuggled = "GET /other HTTP/1.1\r\nHost: a\r\n\r\n";
+  const arrived: string[] = [];
+  const server = createHttpServer(async (request, response) => {
+    let body = "";
+    for await (const part of request) body += part;
+    arrived.push(`${request.method} ${request.url} ${body}`);
+    response.end();
+  });
+  await new Promise<void>((resolve) => server.listen(0, ADDRESS, resolve));
+  const { port } = server.address() as AddressInfo;
+  const agent = new BackendAgent(4);
+  const methods = ["GET", "DELETE", "POST"];
+  for (const method of methods) {
+    const sent = new BackendAttempt({
+      ...REQUEST,
+      address: `${ADDRESS}:${port}`,
+      agent,
+      method,
+      headers: ["Host", "a"],
+      body: Buffer.from(smuggled),
+    });
+    assert.equal((await sent.outcome).kind, "answer");
+    await new Promise((resolve) => setTimeout(resolve, 20));
+  }
+  agent.destroy();
+  server.close();
+  assert.deepEqual(arrived, methods.map((method) => `${method} / ${smuggled}`));
+});
