A request for a tunnel is refused in its turn

What callers saw: a CONNECT request that had been read whole got a closed connection, and so did the request before it whose answer was under way.

Cause: without a listener for it, Node.js destroys the connection on which it reads such a request.

Change: it is refused with 400 once no other answer is due.

Without the change the new test receives nothing; with it a whole answer and the 400.

--- a/packages/daemon/src/gateway/connection_answers_test.ts
+++ b/packages/daemon/src/gateway/connection_answers_test.ts
@@ -211,3 +211,13 @@
     await client.receive(/two.*two\r\n0\r\n\r\n$/s);
   });
 });
+
+// Guards against a request that was read whole and gets a closed connection, and
+// against the answer before it that is cut off with it.
+test("a request for a tunnel is refused in its turn", async () => {
+  await withGateway(100, async (_, client) => {
+    client.send(`${REQUEST}CONNECT y:80 HTTP/1.1\r\nHost: y:80\r\n\r\n`);
+    const received = await client.readToEnd();
+    assert.deepEqual(readStatuses(received), ["200", "400"]);
+  });
+});
--- a/packages/daemon/src/gateway/gateway_server.ts
+++ b/packages/daemon/src/gateway/gateway_server.ts
@@ -37,6 +37,7 @@
 /** The client ended its side of the connection within a request. */
 const INPUT_ENDED_CODE = "HPE_INVALID_EOF_STATE";
 
+const BAD_REQUEST = "400 Bad Request";
 const STATUS_BY_CODE: Record<string, string> = {
   HPE_HEADER_OVERFLOW: "431 Request Header Fields Too Large",
   ERR_HTTP_REQUEST_TIMEOUT: "408 Request Timeout",
@@ -66,6 +67,9 @@
     this.#server.on("clientError", (error, socket) => {
       this.#refuseBadInput(error, socket as Socket);
     });
+    this.#server.on("connect", (_request, socket) => {
+      this.#refuseTunnel(socket as Socket);
+    });
   }
 
   get inFlight(): number {
@@ -151,8 +155,20 @@
     if (code === "ECONNRESET" || !socket.writable) return void socket.destroy();
     const hasLeft = code === INPUT_ENDED_CODE && this.#answers.hasDue(socket);
     if (hasLeft) return void socket.destroy();
-    const status = STATUS_BY_CODE[code] ?? "400 Bad Request";
-    this.#context.log.warn("request-unreadable", { reason: code, status });
+    this.#refuseInTurn(socket, code, STATUS_BY_CODE[code] ?? BAD_REQUEST);
+  }
+
+  /** Node.js gives up a connection on which it has read such a request. */
+  #refuseTunnel(socket: Socket): void {
+    socket.on("error", () => undefined);
+    // Otherwise the client's end of the connection would go unnoticed.
+    socket.resume();
+    this.#refuseInTurn(socket, "CONNECT", BAD_REQUEST);
+  }
+
+  /** Refuses what was read last, once no other answer is due. */
+  #refuseInTurn(socket: Socket, reason: string, status: string): void {
+    this.#context.log.warn("request-unreadable", { reason, status });
     this.#answers.onceNoneDue(socket, () => {
       if (!socket.writable) return;
       socket.end(
