An answer with an impossible status counts as none

What callers saw: a backend server's answer with a status below 100 could not be passed on: handling it threw, so that its request ended without another try.

Cause: Node.js reads such an answer, and refuses to send one.

Change: it is no answer; the attempt is ended, and its outcome is unknown.

Without the change the new test finds the outcome 'answer'; with it 'broken'. The seven tests of the file pass.

--- a/packages/daemon/src/gateway/backend_attempt.ts
+++ b/packages/daemon/src/gateway/backend_attempt.ts
@@ -18,6 +18,9 @@
  */
 const CONNECT_TIMEOUT_MILLISECONDS = 150;
 
+/** Node.js reads answers with lower ones, and refuses to send them. */
+const MIN_STATUS = 100;
+
 /** Sent by a backend server other than the one addressed. */
 const MISDIRECTED_STATUS = 421;
 
@@ -151,13 +154,16 @@
   #handleResponse(message: IncomingMessage): void {
     const { format, id, onMetadata } = this.#options;
     const status = message.statusCode ?? 0;
+    message.on("error", () => undefined);
+    if (status < MIN_STATUS) {
+      return this.abort("the answer has no valid status");
+    }
     const metadata = format.readAnswer(
       message.headers,
       status,
       message.rawHeaders,
     );
     if (status !== MISDIRECTED_STATUS) onMetadata(metadata);
-    message.on("error", () => undefined);
     if (metadata.id !== undefined && metadata.id !== id) {
       this.abort("the answer is another request's");
       return;
--- a/packages/daemon/src/gateway/backend_attempt_test.ts
+++ b/packages/daemon/src/gateway/backend_attempt_test.ts
@@ -203,3 +203,11 @@
   server.close();
   assert.deepEqual(arrived, methods.map((method) => `${method} / ${smuggled}`));
 });
+
+// Guards against an answer that can't be passed on, so that handling it throws.
+test("bytes that are an answer but for their status leave the outcome unknown", async () => {
+  const { outcome } = await attempt((socket) =>
+    socket.end("HTTP/1.1 099 No\r\nId: a1\r\nContent-Length: 0\r\n\r\n")
+  );
+  assert.equal(outcome.kind, "broken");
+});
