A refusal that closes its connection isn't lost to a client that still sends

What callers saw: at a planned stop, and after headers that are too large, the connection was closed right behind the refusal. A client that was still sending its body got a reset, and could not tell that its request had not run.

Cause: closing a connection on which bytes wait to be read resets it.

Change: such a refusal is sent whole at once, and the connection closed when the request has been read to its end, or a second later.

The test of requests left at the end of a stop now ends its half-read request before it asks that none is in flight.

--- a/packages/daemon/src/gateway/gateway_call_test.ts
+++ b/packages/daemon/src/gateway/gateway_call_test.ts
@@ -108,6 +108,7 @@
       ended.outcome
     );
     assert.deepEqual(outcomes, ["unknown", "not-run"]);
+    halfRead.send(REQUEST.slice(-1));
     await new Promise((resolve) => setTimeout(resolve, 50));
     assert.equal(gateway.backendConnections, 0);
     assert.equal(gateway.server.inFlight, 0);
--- a/packages/daemon/src/gateway/refuse_call.ts
+++ b/packages/daemon/src/gateway/refuse_call.ts
@@ -7,6 +7,12 @@
  */
 const CLOSING_STATUS = 431;
 
+/**
+ * How long a refused request's body is read before the connection is closed. A
+ * client that is still sending when it closes may lose the refusal.
+ */
+const MAX_READ_ON_MILLISECONDS = 1_000;
+
 type Options = {
   isStopping: boolean;
   /** Whether no other answer is due on the connection after this one. */
@@ -31,5 +37,19 @@
   const closes = options.isStopping || status === CLOSING_STATUS;
   if (closes && options.isLatest) response.shouldKeepAlive = false;
   response.writeHead(status, headers);
-  response.end(body);
+  const closesHalfRead = !response.shouldKeepAlive && !response.req.complete;
+  if (!closesHalfRead) return void response.end(body);
+  response.write(body);
+  endOnceRead(response);
+}
+
+/** Ends a response, and with it its connection, once its request was read. */
+function endOnceRead(response: ServerResponse): void {
+  const timer = setTimeout(() => response.end(), MAX_READ_ON_MILLISECONDS);
+  const end = () => {
+    clearTimeout(timer);
+    response.end();
+  };
+  response.req.resume().once("end", end);
+  response.once("close", end);
 }
