Bounds of more than 24 days don't end requests at once

What callers saw: with a route's time or an idle bound of more than 24.8 days, which a configuration may name where it means none, each request was refused at once: 504 or 408. A bound for heads beyond 2^32 ms came to any shorter time.

Cause: timers wait 2^31 - 1 ms at most; a longer one fires at once.

Change: such bounds count as 24.8 days.

Node.js still warns once that the time for idle connections, to which it adds a second, was cut to the same bound.

--- a/packages/daemon/src/gateway/call_finisher.ts
+++ b/packages/daemon/src/gateway/call_finisher.ts
@@ -1,4 +1,5 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
+import { clampTimer } from "../transport/clamp_timer.ts";
 import { monotonicMilliseconds } from "../transport/monotonic_milliseconds.ts";
 import type { AdmittedCall } from "./admitted_call.ts";
 import type { AnswerForwarder } from "./answer_forwarder.ts";
@@ -44,7 +45,7 @@
    * then.
    */
   startTimer(milliseconds: number, onTimeout: () => void): void {
-    this.#timer = setTimeout(onTimeout, Math.max(0, milliseconds));
+    this.#timer = setTimeout(onTimeout, clampTimer(Math.max(0, milliseconds)));
   }
 
   /**
--- a/packages/daemon/src/gateway/gateway_fixture.ts
+++ b/packages/daemon/src/gateway/gateway_fixture.ts
@@ -99,6 +99,8 @@
   backend?: (socket: Socket) => void;
   format?: Partial<RequestFormat>;
   limits?: Partial<Limits>;
+  /** Overrides these fields of all routes. */
+  route?: Partial<Route>;
 };
 
 /**
@@ -163,7 +165,7 @@
   configure(version: number, limits: Partial<Limits> = {}): void {
     const configuration: RoutingConfiguration = {
       version,
-      routes: ROUTES,
+      routes: ROUTES.map((route) => ({ ...route, ...this.#options.route })),
       services: [{ name: SERVICE, maxConnections: 0 }],
       callerLimits: { ...DEFAULT_LIMITS, ...limits },
       workspaces: [],
--- a/packages/daemon/src/gateway/gateway_server.ts
+++ b/packages/daemon/src/gateway/gateway_server.ts
@@ -6,6 +6,7 @@
 } from "node:http";
 import type { Socket } from "node:net";
 import type { Result } from "true-myth";
+import { clampTimer } from "../transport/clamp_timer.ts";
 import { listen } from "../transport/listen.ts";
 import { monotonicMilliseconds } from "../transport/monotonic_milliseconds.ts";
 import { stopAccepting } from "../transport/stop_accepting.ts";
@@ -89,9 +90,10 @@
   applyLimits(): void {
     const limits = this.#context.feed.table?.configuration.callerLimits;
     if (limits === undefined) return;
-    this.#server.headersTimeout = limits.headerTimeoutMilliseconds;
-    this.#server.keepAliveTimeout = limits.idleTimeoutMilliseconds +
-      IDLE_MARGIN_MILLISECONDS;
+    this.#server.headersTimeout = clampTimer(limits.headerTimeoutMilliseconds);
+    this.#server.keepAliveTimeout = clampTimer(
+      limits.idleTimeoutMilliseconds + IDLE_MARGIN_MILLISECONDS,
+    );
   }
 
   /**
--- a/packages/daemon/src/http/read_body.ts
+++ b/packages/daemon/src/http/read_body.ts
@@ -1,6 +1,7 @@
 import { Buffer } from "node:buffer";
 import type { IncomingMessage } from "node:http";
 import { Result } from "true-myth";
+import { clampTimer } from "../transport/clamp_timer.ts";
 import type { Problem } from "./problem.ts";
 
 type Limits = { maximumBytes: number; idleMilliseconds: number };
@@ -41,7 +42,8 @@
       resolve(result);
     };
     const failIncomplete = () => finish(Result.err(INCOMPLETE_REQUEST));
-    let timer = setTimeout(failIncomplete, limits.idleMilliseconds);
+    const idleMilliseconds = clampTimer(limits.idleMilliseconds);
+    let timer = setTimeout(failIncomplete, idleMilliseconds);
     const addPart = (part: Buffer) => {
       bytes += part.length;
       if (bytes > limits.maximumBytes) {
@@ -49,7 +51,7 @@
       }
       parts.push(part);
       clearTimeout(timer);
-      timer = setTimeout(failIncomplete, limits.idleMilliseconds);
+      timer = setTimeout(failIncomplete, idleMilliseconds);
     };
     request.on("data", addPart);
     request.once("end", () => finish(Result.ok(Buffer.concat(parts))));
