Tests of bounds and configurations at requests under way

A body that stops, new bounds and routes beside a half-read request and beside an answer, and the end of a request's time, sent or waiting for a connection. All four pass on the code before this commit too: nothing was changed for them.

--- a/packages/daemon/src/gateway/gateway_fixture.ts
+++ b/packages/daemon/src/gateway/gateway_fixture.ts
@@ -56,11 +56,11 @@
   idleTimeoutMilliseconds: 15_000,
 };
 
-/** Reads and writes `Id`, `Not-Run` and nothing else. */
+/** Reads `Id`, `Deadline` and `Not-Run`. */
 const PLAIN_FORMAT: RequestFormat = {
   readRequest: (headers) => ({
     id: headers["id"] as string | undefined,
-    deadlineMilliseconds: undefined,
+    deadlineMilliseconds: Number(headers["deadline"]) || undefined,
     key: undefined,
     model: undefined,
     promptTokens: 0,
@@ -162,10 +162,14 @@
   }
 
   /** Puts a configuration in force; `version` must exceed the last one's. */
-  configure(version: number, limits: Partial<Limits> = {}): void {
+  configure(
+    version: number,
+    limits: Partial<Limits> = {},
+    routes: Route[] = ROUTES,
+  ): void {
     const configuration: RoutingConfiguration = {
       version,
-      routes: ROUTES.map((route) => ({ ...route, ...this.#options.route })),
+      routes: routes.map((route) => ({ ...route, ...this.#options.route })),
       services: [{ name: SERVICE, maxConnections: 0 }],
       callerLimits: { ...DEFAULT_LIMITS, ...limits },
       workspaces: [],
--- a/packages/daemon/src/gateway/time_bounds_test.ts
+++ b/packages/daemon/src/gateway/time_bounds_test.ts
@@ -1,3 +1,4 @@
+import assert from "node:assert/strict";
 import { test } from "node:test";
 import { GatewayFixture } from "./gateway_fixture.ts";
 import { RawClient } from "./raw_client.ts";
@@ -10,6 +11,10 @@
 /** Longer than the time between two checks of half-read requests. */
 const PAST_CHECK_MILLISECONDS = 700;
 
+/** More requests than the gateway sends to one backend server at a time. */
+const CONNECTIONS = 64;
+const TIMEOUT_MILLISECONDS = 300;
+
 function sleep(milliseconds: number): Promise<void> {
   return new Promise((resolve) => setTimeout(resolve, milliseconds));
 }
@@ -38,3 +43,94 @@
     gateway.close();
   }
 });
+
+// Guards against a bound of the configuration that ends nothing.
+test("a body that stops is refused as not run", async () => {
+  const gateway = await GatewayFixture.open({
+    limits: { idleTimeoutMilliseconds: TIMEOUT_MILLISECONDS },
+  });
+  try {
+    const client = new RawClient(gateway.port, `${HEAD}bo`);
+    await client.receive(/^HTTP\/1\.1 408 /);
+    assert.equal(gateway.fieldsOf("request-ended")[0]?.outcome, "not-run");
+    assert.equal(gateway.backendArrivals, 0);
+    client.socket.destroy();
+  } finally {
+    gateway.close();
+  }
+});
+
+// Guards against requests that a change of the configuration ends half-way.
+test("new bounds and routes do not end a request that is being read", async () => {
+  const gateway = await GatewayFixture.open({
+    backend: (socket) => socket.on("data", () => socket.write(ANSWER)),
+  });
+  try {
+    const client = new RawClient(gateway.port, `${HEAD}bo`);
+    while (gateway.server.inFlight === 0) await sleep(10);
+    const bounds = {
+      maxHeaderBytes: 1,
+      maxBodyBytes: 1,
+      headerTimeoutMilliseconds: 1,
+      idleTimeoutMilliseconds: 1,
+    };
+    gateway.configure(2, bounds, []);
+    await sleep(PAST_CHECK_MILLISECONDS);
+    client.send("dy");
+    await client.receive(/^HTTP\/1\.1 200 .*ok$/s);
+    client.socket.destroy();
+  } finally {
+    gateway.close();
+  }
+});
+
+// Guards against answers that a change of the configuration ends half-way.
+test("new bounds and routes do not end an answer under way", async () => {
+  const gateway = await GatewayFixture.open({
+    backend: (socket) =>
+      socket.on("data", () => {
+        socket.write("HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\none");
+        setTimeout(() => socket.write("two"), 2 * PAST_CHECK_MILLISECONDS);
+      }),
+  });
+  try {
+    const head = HEAD.replace("unsafe", "stream");
+    const client = new RawClient(gateway.port, `${head}body`);
+    await client.receive(/one/);
+    const bounds = { headerTimeoutMilliseconds: 1, idleTimeoutMilliseconds: 1 };
+    gateway.configure(2, bounds, []);
+    await client.receive(/onetwo$/);
+    client.socket.destroy();
+  } finally {
+    gateway.close();
+  }
+});
+
+// Guards against requests that are held for a connection beyond their time, or
+// refused as if they had been sent.
+test("at its time a request that was sent is unknown, one that waits is not run", async () => {
+  const gateway = await GatewayFixture.open();
+  const ask = (milliseconds: number) => {
+    const deadline = `Id: a1\r\nDeadline: ${milliseconds}\r\n`;
+    const text = `${HEAD.replace("Id: a1\r\n", deadline)}body`;
+    return new RawClient(gateway.port, text);
+  };
+  const sent = Array.from(
+    { length: CONNECTIONS },
+    () => ask(2 * TIMEOUT_MILLISECONDS),
+  );
+  while (gateway.backendArrivals < CONNECTIONS) await sleep(10);
+  const waiting = ask(TIMEOUT_MILLISECONDS);
+  try {
+    await waiting.receive(/^HTTP\/1\.1 503 /);
+    for (const client of sent) await client.receive(/^HTTP\/1\.1 504 /);
+    assert.equal(await gateway.countRequests("not-run"), 1);
+    assert.equal(await gateway.countRequests("unknown"), CONNECTIONS);
+    await sleep(50);
+    assert.equal(gateway.backendConnections, 0, "attempts go on");
+    assert.equal(gateway.backendArrivals, CONNECTIONS);
+  } finally {
+    for (const { socket } of [waiting, ...sent]) socket.destroy();
+    gateway.close();
+  }
+});
