Neither an early nor a second signal cuts a planned stop short

What callers saw: a second SIGTERM or SIGINT during a planned stop killed the process at once, with all requests under way; so did a SIGTERM just behind the start, and a SIGHUP during the start.

Cause: the handlers were installed for one signal each, and only once the settings file had been read again, with the ports open already.

Change: the stop is asked for at the first signal, further ones change nothing; handlers for it stand as soon as the process has started, the one for SIGHUP while it starts. A signal during the start but SIGHUP still ends it at once.

--- a/packages/daemon/src/cli/run_daemon.ts
+++ b/packages/daemon/src/cli/run_daemon.ts
@@ -1,5 +1,6 @@
 import process from "node:process";
 import sade from "sade";
+import type { Result } from "true-myth";
 import type { PlatformAdapter } from "../platform/platform_adapter.ts";
 import { loadSettings } from "../settings/load_settings.ts";
 import { SettingsWatch } from "../settings/settings_watch.ts";
@@ -45,7 +46,7 @@
     process.exit(EXIT_INVALID_SETTINGS);
   }
   if (cliOptions.check) return;
-  const daemon = await startDaemon({
+  const starting = startDaemon({
     settings: settings.value,
     platform,
     stopProcess: (reason) => {
@@ -53,24 +54,37 @@
       process.exit(EXIT_FAILED);
     },
   });
+  const path = cliOptions.settings;
+  const reloadSettings = () => reload(path, starting);
+  process.on("SIGHUP", reloadSettings);
+  const daemon = await starting;
   if (daemon.isErr) {
     process.stderr.write(`${daemon.error}\n`);
     process.exit(EXIT_FAILED);
   }
-  const path = cliOptions.settings;
-  const reloadSettings = () => reload(path, daemon.value);
-  process.on("SIGHUP", reloadSettings);
+  stopOnSignal(daemon.value);
   const watch = new SettingsWatch({ path, onChange: reloadSettings });
   await watch.start();
+}
+
+/** Stops as planned at the first signal; further ones change nothing. */
+function stopOnSignal(daemon: Daemon): void {
+  let isStopping = false;
   const stop = () => {
-    daemon.value.stop().then(() => process.exit(0));
+    if (isStopping) return;
+    isStopping = true;
+    daemon.stop().then(() => process.exit(0));
   };
-  process.once("SIGTERM", stop);
-  process.once("SIGINT", stop);
+  process.on("SIGTERM", stop);
+  process.on("SIGINT", stop);
 }
 
 /** Reloads the settings. Invalid settings are logged and change nothing. */
-async function reload(path: string, daemon: Daemon): Promise<void> {
+async function reload(
+  path: string,
+  starting: Promise<Result<Daemon, string>>,
+): Promise<void> {
+  const daemon = await starting;
   const settings = await loadSettings(path);
-  daemon.reload(settings);
+  if (daemon.isOk) daemon.value.reload(settings);
 }
