A cut answer to an HTTP/1.0 client ends in a reset

What callers saw: a stream, or another answer passed on as it comes, that is cut off ended for an HTTP/1.0 client as a whole one does: with its connection.

Cause: for such clients an answer without a length has no other end.

Change: the connection is reset. Clients of HTTP/1.1 see a chunked answer without its last chunk, as before; a reset could cost them what had been sent.

Without the change the new test finds no error at the client, with it ECONNRESET. The seven tests of the file pass.

--- a/packages/daemon/src/gateway/call_finisher.ts
+++ b/packages/daemon/src/gateway/call_finisher.ts
@@ -57,7 +57,7 @@
     const { status, reason } = refusal;
     const { context, request, response, isLatest } = this.#options;
     const { format, isStopping } = context;
-    if (response.headersSent) response.destroy();
+    if (response.headersSent) cutOff(response);
     else {
       refuseCall(response, refusal, {
         isStopping: isStopping(),
@@ -111,6 +111,14 @@
   }
 }
 
+/** Ends an answer so that its client can't take it for complete. */
+function cutOff(response: ServerResponse): void {
+  // Such an answer may have no other end than that of its connection.
+  const { req, socket } = response;
+  if (req.httpVersion === "1.0" && socket !== null) socket.resetAndDestroy();
+  else response.destroy();
+}
+
 /**
  * Milliseconds from the last placement to the first event. Undefined without an
  * event, without a forecast, and where another backend server resumes a stream
--- a/packages/daemon/src/gateway/gateway_call_test.ts
+++ b/packages/daemon/src/gateway/gateway_call_test.ts
@@ -132,3 +132,22 @@
     gateway.close();
   }
 });
+
+// Guards against a cut answer that a client takes for complete, as the end of its
+// connection is its only end.
+test("a cut answer to an HTTP/1.0 client ends in a reset", async () => {
+  const gateway = await GatewayFixture.open({
+    backend: (socket) => socket.on("data", () => socket.write(STREAM_HEAD)),
+  });
+  try {
+    const request = STREAM_REQUEST.replace("HTTP/1.1", "HTTP/1.0");
+    const client = new RawClient(gateway.port, request);
+    await client.receive(/\r\n\r\none$/);
+    gateway.server.endAll();
+    await client.readToEnd();
+    assert.equal(client.errorCode, "ECONNRESET");
+    assert.equal(gateway.server.inFlight, 0);
+  } finally {
+    gateway.close();
+  }
+});
