A fault in an event's handler ends its request, not the process

What callers saw: where a request's timer, the close of its connection, a blame, the head of an answer or a part of a stream was handled and that threw, the process ended, and with it every request of the gateway.

Cause: exceptions from such handlers reach nobody.

Change: those of a request's own events end that request as any fault of ours does; one while an answer's head is read ends the attempt, its outcome unknown.

Without the change the three new tests fail with the uncaught `a fault of our own` (from Timeout, HTTPParser and IncomingMessage), and the test behind them with them; with it the ten tests of the file pass.

Exceptions in handlers that belong to no request still end the process.

--- a/packages/daemon/src/gateway/backend_attempt.ts
+++ b/packages/daemon/src/gateway/backend_attempt.ts
@@ -68,7 +68,14 @@
       setHost: false,
     });
     this.#request.on("socket", (socket) => this.#handleSocket(socket));
-    this.#request.on("response", (message) => this.#handleResponse(message));
+    this.#request.on("response", (message) => {
+      try {
+        this.#handleResponse(message);
+      } catch (error) {
+        // Thrown from here, it would end the process.
+        this.abort(`reading the answer's head failed: ${error}`);
+      }
+    });
     this.#request.on("error", (error) => {
       this.#hasFailed = true;
       this.#fail(error.message);
--- a/packages/daemon/src/gateway/gateway_call.ts
+++ b/packages/daemon/src/gateway/gateway_call.ts
@@ -67,8 +67,10 @@
   endForStop(): void {
     if (this.#finisher.isOver) return;
     const reason = "this gateway stops";
-    this.#refuseAsFarAsKnown(reason);
-    this.#active?.sender.abort(reason);
+    this.#guard(() => {
+      this.#refuseAsFarAsKnown(reason);
+      this.#active?.sender.abort(reason);
+    });
   }
 
   async #handle(): Promise<void> {
@@ -97,12 +99,18 @@
     // The connection was closed while the request was held or its body read:
     // "close" is not emitted again.
     if (response.destroyed) return this.#handleDisconnect(active);
-    response.once("close", () => this.#handleDisconnect(active));
+    response.once(
+      "close",
+      () => this.#guard(() => this.#handleDisconnect(active)),
+    );
     const left = call.deadlineAt - monotonicMilliseconds();
-    this.#finisher.startTimer(left, () => this.#handleTimeout(active));
+    this.#finisher.startTimer(
+      left,
+      () => this.#guard(() => this.#handleTimeout(active)),
+    );
     const stopWatching = context.crashes.watch({
       call,
-      abort: (blame) => this.#abortBlamed(active, blame),
+      abort: (blame) => this.#guard(() => this.#abortBlamed(active, blame)),
     });
     try {
       await this.#sendUntilAnswered(active);
@@ -311,6 +319,15 @@
     this.#finisher.refuse(active, active.refusals.buildBlamed(blame));
   }
 
+  /** Handles an event: thrown from there, an exception would end the process. */
+  #guard(handle: () => void): void {
+    try {
+      handle();
+    } catch (error) {
+      this.#endAfterFault(error);
+    }
+  }
+
   /**
    * Ends a request whose handling has thrown. An answer that has begun is cut
    * off.
--- a/packages/daemon/src/gateway/gateway_call_test.ts
+++ b/packages/daemon/src/gateway/gateway_call_test.ts
@@ -1,4 +1,5 @@
 import assert from "node:assert/strict";
+import { ServerResponse } from "node:http";
 import { test } from "node:test";
 import { GatewayFixture } from "./gateway_fixture.ts";
 import { RawClient } from "./raw_client.ts";
@@ -133,6 +134,60 @@
   }
 });
 
+// Guards against faults outside of the request's own flow: thrown from there, they
+// end the process and all requests with it.
+test("a fault in the handler of an event ends its request only", async () => {
+  const gateway = await GatewayFixture.open({
+    route: { timeoutMilliseconds: 200 },
+  });
+  gateway.metrics.requestMilliseconds.observe = failHere;
+  try {
+    const client = new RawClient(gateway.port, REQUEST);
+    await client.receive(/^HTTP\/1\.1 504 .*\r\n\r\n.+/s);
+    assert.equal(gateway.fieldsOf("request-failed").length, 1);
+    await new Promise((resolve) => setTimeout(resolve, 50));
+    assert.equal(gateway.backendConnections, 0, "the attempt goes on");
+    client.socket.destroy();
+  } finally {
+    gateway.close();
+  }
+});
+
+// Guards against the same while the head of an answer is read.
+test("a fault while an answer's head is read leaves the outcome unknown", async () => {
+  const gateway = await GatewayFixture.open({
+    backend: (socket) => socket.on("data", () => socket.write(ANSWER)),
+    format: { readAnswer: failHere },
+  });
+  try {
+    const client = new RawClient(gateway.port, REQUEST);
+    await client.receive(/^HTTP\/1\.1 502 .*\r\n\r\n.+/s);
+    assert.equal(gateway.fieldsOf("request-ended")[0]?.outcome, "unknown");
+    client.socket.destroy();
+  } finally {
+    gateway.close();
+  }
+});
+
+// Guards against the same while an answer is passed on.
+test("a fault while an answer is passed on cuts it off", async () => {
+  const gateway = await GatewayFixture.open({
+    backend: (socket) => socket.on("data", () => socket.write(STREAM_HEAD)),
+  });
+  const { write } = ServerResponse.prototype;
+  ServerResponse.prototype.write = failHere;
+  try {
+    const client = new RawClient(gateway.port, STREAM_REQUEST);
+    await client.readToEnd();
+    assert.equal(gateway.fieldsOf("request-ended")[0]?.outcome, "unknown");
+    await new Promise((resolve) => setTimeout(resolve, 50));
+    assert.equal(gateway.backendConnections, 0, "the attempt goes on");
+  } finally {
+    ServerResponse.prototype.write = write;
+    gateway.close();
+  }
+});
+
 // Guards against a cut answer that a client takes for complete, as the end of its
 // connection is its only end.
 test("a cut answer to an HTTP/1.0 client ends in a reset", async () => {
--- a/packages/daemon/src/gateway/stream_relay.ts
+++ b/packages/daemon/src/gateway/stream_relay.ts
@@ -42,11 +42,20 @@
       (this.firstWrittenAt === undefined || this.lastEventId !== undefined);
   }
 
-  /** Forwards one backend server's body until it ends or breaks off. */
+  /**
+   * Forwards one backend server's body until it ends or breaks off. Rejects if
+   * forwarding throws.
+   */
   relay(message: IncomingMessage): Promise<RelayEnd> {
     this.#splitter = new EventSplitter();
-    return new Promise((resolve) => {
-      message.on("data", (bytes: Buffer) => this.#forwardBytes(message, bytes));
+    return new Promise((resolve, reject) => {
+      message.on("data", (bytes: Buffer) => {
+        try {
+          this.#forwardBytes(message, bytes);
+        } catch (error) {
+          reject(error);
+        }
+      });
       // Buffering of the first part has paused the message. A new listener
       // alone doesn't resume it, and the rest would never arrive.
       message.resume();
