--- a/packages/daemon/src/gateway/backend_attempt.ts
+++ b/packages/daemon/src/gateway/backend_attempt.ts
@@ -18,6 +18,9 @@
  */
 const CONNECT_TIMEOUT_MILLISECONDS = 150;
 
+/** Node.js reads answers with lower ones, and refuses to send them. */
+const MIN_STATUS = 100;
+
 /** Sent by a backend server other than the one addressed. */
 const MISDIRECTED_STATUS = 421;
 
@@ -61,11 +64,18 @@
       agent,
       method,
       path,
-      headers: headers as unknown as Record<string, string>,
+      headers: frameBody(headers, body) as unknown as Record<string, string>,
       setHost: false,
     });
     this.#request.on("socket", (socket) => this.#handleSocket(socket));
-    this.#request.on("response", (message) => this.#handleResponse(message));
+    this.#request.on("response", (message) => {
+      try {
+        this.#handleResponse(message);
+      } catch (error) {
+        // Thrown from here, it would end the process.
+        this.abort(`reading the answer's head failed: ${error}`);
+      }
+    });
     this.#request.on("error", (error) => {
       this.#hasFailed = true;
       this.#fail(error.message);
@@ -151,13 +161,16 @@
   #handleResponse(message: IncomingMessage): void {
     const { format, id, onMetadata } = this.#options;
     const status = message.statusCode ?? 0;
+    message.on("error", () => undefined);
+    if (status < MIN_STATUS) {
+      return this.abort("the answer has no valid status");
+    }
     const metadata = format.readAnswer(
       message.headers,
       status,
       message.rawHeaders,
     );
     if (status !== MISDIRECTED_STATUS) onMetadata(metadata);
-    message.on("error", () => undefined);
     if (metadata.id !== undefined && metadata.id !== id) {
       this.abort("the answer is another request's");
       return;
@@ -183,3 +196,12 @@
     );
   }
 }
+
+/**
+ * Node.js sends the body of a GET, HEAD or DELETE request without a length: the
+ * backend server would read it as its next request.
+ */
+function frameBody(headers: string[], body: Buffer | undefined): string[] {
+  if (body === undefined) return headers;
+  return [...headers, "Content-Length", String(body.length)];
+}
--- a/packages/daemon/src/gateway/call_finisher.ts
+++ b/packages/daemon/src/gateway/call_finisher.ts
@@ -1,4 +1,5 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
+import { clampTimer } from "../transport/clamp_timer.ts";
 import { monotonicMilliseconds } from "../transport/monotonic_milliseconds.ts";
 import type { AdmittedCall } from "./admitted_call.ts";
 import type { AnswerForwarder } from "./answer_forwarder.ts";
@@ -14,6 +15,8 @@
   context: GatewayContext;
   request: IncomingMessage;
   response: ServerResponse;
+  /** Whether no request has arrived behind this one on its connection. */
+  isLatest: () => boolean;
 };
 
 /** An admitted request that ends. */
@@ -44,7 +47,7 @@
    * then.
    */
   startTimer(milliseconds: number, onTimeout: () => void): void {
-    this.#timer = setTimeout(onTimeout, Math.max(0, milliseconds));
+    this.#timer = setTimeout(onTimeout, clampTimer(Math.max(0, milliseconds)));
   }
 
   /**
@@ -54,13 +57,16 @@
   refuse(ended: EndedCall | undefined, refusal: CallRefusal): void {
     if (this.#isOver) return;
     const { status, reason } = refusal;
-    const { context, request, response } = this.#options;
+    const { context, request, response, isLatest } = this.#options;
     const { format, isStopping } = context;
     if (response.headersSent) {
       this.#logCut(ended, refusal);
-      response.destroy();
+      cutOff(response);
     } else {
-      refuseCall(response, refusal, { closes: isStopping() });
+      refuseCall(response, refusal, {
+        isStopping: isStopping(),
+        isLatest: isLatest(),
+      });
       if (!request.complete) request.resume();
     }
     const isNotRun = format.guaranteesNotRun(status) || status < 500;
@@ -127,6 +133,14 @@
   }
 }
 
+/** Ends an answer so that its client can't take it for complete. */
+function cutOff(response: ServerResponse): void {
+  // Such an answer may have no other end than that of its connection.
+  const { req, socket } = response;
+  if (req.httpVersion === "1.0" && socket !== null) socket.resetAndDestroy();
+  else response.destroy();
+}
+
 /**
  * Milliseconds from the last placement to the first event. Undefined without an
  * event, without a forecast, and where another backend server resumes a stream
--- a/packages/daemon/src/gateway/caller_timeouts.ts
+++ b/packages/daemon/src/gateway/caller_timeouts.ts
@@ -1,6 +1,7 @@
 import { TimeLimit } from "@teaselrouter/core/gateway/time_limit.ts";
 import type { Server, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
+import { clampTimer } from "../transport/clamp_timer.ts";
 import { monotonicMilliseconds } from "../transport/monotonic_milliseconds.ts";
 
 /**
@@ -41,9 +42,13 @@
   apply({ headerTimeoutMilliseconds, idleTimeoutMilliseconds }: Limits): void {
     const now = monotonicMilliseconds();
     this.#headerTimeout.replace(headerTimeoutMilliseconds, now);
-    this.#server.headersTimeout = this.#headerTimeout.longestAt(now);
+    this.#server.headersTimeout = clampTimer(
+      this.#headerTimeout.longestAt(now),
+    );
     const before = this.#server.keepAliveTimeout;
-    const keepAlive = idleTimeoutMilliseconds + IDLE_MARGIN_MILLISECONDS;
+    const keepAlive = clampTimer(
+      idleTimeoutMilliseconds + IDLE_MARGIN_MILLISECONDS,
+    );
     this.#server.keepAliveTimeout = keepAlive;
     if (keepAlive <= before) return;
     for (const socket of this.#sockets) extendIdleTime(socket, keepAlive);
--- a/packages/daemon/src/gateway/gateway_app.ts
+++ b/packages/daemon/src/gateway/gateway_app.ts
@@ -42,8 +42,6 @@
  */
 const BALANCER_NOTICE_MILLISECONDS = 3_000;
 const DRAIN_POLL_MILLISECONDS = 50;
-/** For the last refusals to be written; part of the margin below. */
-const REFUSAL_FLUSH_MILLISECONDS = 50;
 /** The rest of the grace time is for answers. */
 const MAX_QUIET_WAIT_MILLISECONDS = 1_500;
 /**
@@ -51,6 +49,8 @@
  * process is killed.
  */
 const GRACE_MARGIN_MILLISECONDS = 400;
+/** For the refusals of what is left then; half of GRACE_MARGIN_MILLISECONDS. */
+const MAX_FLUSH_MILLISECONDS = 200;
 
 type Options = {
   settings: Settings;
@@ -202,19 +202,14 @@
       lastRequestAt: () => this.#server.lastRequestAt,
       maxMilliseconds: MAX_QUIET_WAIT_MILLISECONDS,
     });
-    while (
-      this.#server.inFlight > 0 && monotonicMilliseconds() < drainDeadline
-    ) {
-      this.#server.closeIdle();
-      await sleep(DRAIN_POLL_MILLISECONDS);
-    }
+    await this.#waitUntilDrained(drainDeadline);
     this.#options.log.info("gateway-drained", {
       left: this.#server.inFlight,
     });
-    if (this.#server.inFlight > 0) {
-      this.#server.endAll();
-      await sleep(REFUSAL_FLUSH_MILLISECONDS);
-    }
+    this.#server.endAll();
+    await this.#waitUntilDrained(
+      monotonicMilliseconds() + MAX_FLUSH_MILLISECONDS,
+    );
     this.#server.closeAll();
     this.#readyServer.close();
     this.#readyServer.closeAllConnections();
@@ -225,6 +220,14 @@
     this.#context.connections.close();
   }
 
+  /** Waits for the end of all answers, or until the deadline. */
+  async #waitUntilDrained(deadline: number): Promise<void> {
+    while (this.#server.inFlight > 0 && monotonicMilliseconds() < deadline) {
+      this.#server.closeIdle();
+      await sleep(DRAIN_POLL_MILLISECONDS);
+    }
+  }
+
   #isReady(): boolean {
     return !this.#isStopping && this.#context.feed.isComplete;
   }
--- a/packages/daemon/src/gateway/gateway_call.ts
+++ b/packages/daemon/src/gateway/gateway_call.ts
@@ -9,16 +9,23 @@
 import { CallRouting } from "./call_routing.ts";
 import { CallSender } from "./call_sender.ts";
 import { CallTakeover } from "./call_takeover.ts";
+import type { CutReason } from "./cut_reason.ts";
 import type { GatewayContext } from "./gateway_context.ts";
 import { RefusalBuilder } from "./refusal_builder.ts";
 import type { SentAttempt } from "./sent_attempt.ts";
 
 type Answer = Extract<AttemptOutcome, { kind: "answer" }>;
 
+/** An identical request may succeed at another gateway. */
+const RETRY_ELSEWHERE_MILLISECONDS = 100;
+const FAULT_REASON = "a fault of this gateway";
+
 type Options = {
   context: GatewayContext;
   request: IncomingMessage;
   response: ServerResponse;
+  /** Whether no request has arrived behind this one on its connection. */
+  isLatest: () => boolean;
 };
 
 /** An admitted request and the objects that handle it. */
@@ -50,6 +57,26 @@
 
   /** Never rejects; every path ends the response. */
   async run(): Promise<void> {
+    try {
+      await this.#handle();
+    } catch (error) {
+      this.#endAfterFault(error);
+    }
+  }
+
+  /**
+   * Ends the request, whatever has come of it, as the gateway is about to stop.
+   */
+  endForStop(): void {
+    if (this.#finisher.isOver) return;
+    const reason = "this gateway stops";
+    this.#guard(() => {
+      this.#refuseAsFarAsKnown(reason, "stopping");
+      if (this.#active !== undefined) this.#abortAttempts(this.#active, reason);
+    });
+  }
+
+  async #handle(): Promise<void> {
     const context = this.#context;
     const response = this.#response;
     await this.#holdUntilConfigured();
@@ -87,38 +114,27 @@
     // The connection was closed while the request was held or its body read:
     // "close" is not emitted again.
     if (response.destroyed) return this.#handleDisconnect(active);
-    response.once("close", () => this.#handleDisconnect(active));
+    response.once(
+      "close",
+      () => this.#guard(() => this.#handleDisconnect(active)),
+    );
     const left = call.deadlineAt - monotonicMilliseconds();
-    this.#finisher.startTimer(left, () => this.#handleTimeout(active));
+    this.#finisher.startTimer(
+      left,
+      () => this.#guard(() => this.#handleTimeout(active)),
+    );
     const stopWatching = context.crashes.watch({
       call,
-      abort: (blame) => this.#abortBlamed(active, blame),
+      abort: (blame) => this.#guard(() => this.#abortBlamed(active, blame)),
     });
     try {
       await this.#sendUntilAnswered(active);
-    } catch (error) {
-      this.#handleFault(active, error);
     } finally {
       stopWatching();
       takeover.stop("the request has ended");
     }
   }
 
-  /** Ends the request because this gateway stops before its answer has ended. */
-  endForStop(): void {
-    if (this.#finisher.isOver) return;
-    const active = this.#active;
-    const isSent = active !== undefined &&
-      (active.refusals.mayHaveRun || active.sender.isSent);
-    const reason = "this gateway stops";
-    this.#finisher.refuse(active, {
-      status: isSent ? 502 : 503,
-      reason,
-      cutReason: "stopping",
-    });
-    if (active !== undefined) this.#abortAttempts(active, reason);
-  }
-
   /**
    * Holds the request until a configuration is known: without one it has no
    * route.
@@ -337,6 +353,55 @@
     this.#finisher.refuse(active, active.refusals.buildBlamed(blame));
   }
 
+  /** Handles an event: thrown from there, an exception would end the process. */
+  #guard(handle: () => void): void {
+    try {
+      handle();
+    } catch (error) {
+      this.#endAfterFault(error);
+    }
+  }
+
+  /**
+   * Ends a request whose handling has thrown. An answer that has begun is cut
+   * off.
+   */
+  #endAfterFault(error: unknown): void {
+    this.#logFault(error);
+    try {
+      this.#refuseAsFarAsKnown(FAULT_REASON, "fault");
+    } catch (later) {
+      this.#logFault(later);
+    }
+    this.#active?.takeover.stop(FAULT_REASON);
+    this.#active?.sender.abort(FAULT_REASON);
+    this.#active?.sender.endAll();
+    if (!this.#response.writableEnded) this.#response.destroy();
+  }
+
+  #logFault(error: unknown): void {
+    this.#context.log.error("request-failed", {
+      id: this.#active?.call.id,
+      reason: error instanceof Error ? error.stack : error,
+    });
+  }
+
+  /** Refuses the request as unknown, or as not run if nothing was sent. */
+  #refuseAsFarAsKnown(reason: string, cutReason: CutReason): void {
+    const active = this.#active;
+    if (active === undefined) {
+      return this.#finisher.refuse(undefined, {
+        status: 503,
+        reason,
+        retryAfterMilliseconds: RETRY_ELSEWHERE_MILLISECONDS,
+      });
+    }
+    const { refusals, sender } = active;
+    refusals.mayHaveRun ||= sender.isSent;
+    const refusal = refusals.build(reason, "busy");
+    this.#finisher.refuse(active, { ...refusal, cutReason });
+  }
+
   #handleTimeout(active: ActiveCall): void {
     if (this.#finisher.isOver) return;
     const isSent = active.refusals.mayHaveRun || active.sender.isSent;
@@ -349,21 +414,6 @@
     this.#abortAttempts(active, reason);
   }
 
-  /** Ends a request on a fault of this gateway. */
-  #handleFault(active: ActiveCall, error: unknown): void {
-    const { call, refusals, sender } = active;
-    const detail = error instanceof Error ? error.stack : String(error);
-    this.#context.log.error("request-failed", { id: call.id, reason: detail });
-    if (!this.#finisher.isOver) {
-      refusals.mayHaveRun ||= sender.isSent;
-      const reason = "a fault of this gateway";
-      const refusal = refusals.build(reason, "busy");
-      this.#finisher.refuse(active, { ...refusal, cutReason: "fault" });
-    }
-    this.#abortAttempts(active, "its request has failed");
-    sender.endAll();
-  }
-
   #handleDisconnect(active: ActiveCall): void {
     if (this.#finisher.isOver) return;
     const reason = "the client closed its connection";
--- a/packages/daemon/src/gateway/gateway_server.ts
+++ b/packages/daemon/src/gateway/gateway_server.ts
@@ -11,6 +11,7 @@
 import { stopAccepting } from "../transport/stop_accepting.ts";
 import { CallerTimeouts } from "./caller_timeouts.ts";
 import { CallFinisher } from "./call_finisher.ts";
+import { ConnectionAnswers } from "./connection_answers.ts";
 import { GatewayCall } from "./gateway_call.ts";
 import type { GatewayContext } from "./gateway_context.ts";
 
@@ -27,11 +28,21 @@
 /** Another gateway takes the request at once. */
 const STOP_RETRY_MILLISECONDS = 100;
 
+/** The client ended its side of the connection within a request. */
+const INPUT_ENDED_CODE = "HPE_INVALID_EOF_STATE";
+
+const BAD_REQUEST = "400 Bad Request";
+const STATUS_BY_CODE: Record<string, string> = {
+  HPE_HEADER_OVERFLOW: "431 Request Header Fields Too Large",
+  ERR_HTTP_REQUEST_TIMEOUT: "408 Request Timeout",
+};
+
 /** HTTP server that accepts client requests. */
 export class GatewayServer {
   #context: GatewayContext;
   #server: Server;
   #timeouts: CallerTimeouts;
+  #answers = new ConnectionAnswers();
   #inFlight = 0;
   #calls = new Set<GatewayCall>();
   #isClosing = false;
@@ -44,28 +55,14 @@
       connectionsCheckingInterval: CONNECTIONS_CHECK_INTERVAL_MILLISECONDS,
       requestTimeout: REQUEST_TIMEOUT_MILLISECONDS,
       noDelay: true,
-    }, (request, response) => {
-      this.#inFlight += 1;
-      this.#lastRequestAt = monotonicMilliseconds();
-      response.once("close", () => {
-        this.#inFlight -= 1;
-      });
-      response.on("error", () => undefined);
-      this.#timeouts.keepAnnouncedTime(response, request.socket);
-      if (context.isStopping()) response.shouldKeepAlive = false;
-      if (this.#isClosing) return this.#refuseLate(request, response);
-      const call = new GatewayCall({ context, request, response });
-      this.#calls.add(call);
-      response.once("close", () => this.#calls.delete(call));
-      call.run().catch((error) => {
-        context.log.error("request-failed", { reason: error.stack ?? error });
-        response.destroy();
-      });
-    });
+    }, (request, response) => this.#handle(request, response));
     this.#timeouts = new CallerTimeouts(this.#server);
     this.#server.on("clientError", (error, socket) => {
       this.#refuseBadInput(error, socket as Socket);
     });
+    this.#server.on("connect", (_request, socket) => {
+      this.#refuseTunnel(socket as Socket);
+    });
   }
 
   get inFlight(): number {
@@ -97,10 +94,10 @@
   }
 
   closeIdle(): void {
-    this.#server.closeIdleConnections();
+    for (const socket of this.#answers.listIdle()) socket.destroy();
   }
 
-  /** Ends all requests; their connections are still to be closed. */
+  /** Ends all requests under way: what has not begun is refused, the rest cut. */
   endAll(): void {
     for (const call of [...this.#calls]) call.endForStop();
   }
@@ -109,8 +106,30 @@
     this.#server.closeAllConnections();
   }
 
-  #refuseLate(request: IncomingMessage, response: ServerResponse): void {
-    const options = { context: this.#context, request, response };
+  #handle(request: IncomingMessage, response: ServerResponse): void {
+    const answers = this.#answers;
+    if (answers.isClosing(request.socket)) return void request.resume();
+    this.#inFlight += 1;
+    this.#lastRequestAt = monotonicMilliseconds();
+    response.once("close", () => {
+      this.#inFlight -= 1;
+    });
+    response.on("error", () => undefined);
+    answers.add(request, response);
+    this.#timeouts.keepAnnouncedTime(response, request.socket);
+    const context = this.#context;
+    if (context.isStopping()) response.shouldKeepAlive = false;
+    const isLatest = () => answers.isLatest(response);
+    const options = { context, request, response, isLatest };
+    if (this.#isClosing) return this.#refuseLate(options);
+    const call = new GatewayCall(options);
+    this.#calls.add(call);
+    void call.run().finally(() => this.#calls.delete(call));
+  }
+
+  #refuseLate(
+    options: ConstructorParameters<typeof CallFinisher>[0],
+  ): void {
     new CallFinisher(options).refuse(undefined, {
       status: 503,
       reason: "this gateway is about to stop",
@@ -118,17 +137,34 @@
     });
   }
 
+  /**
+   * Refuses bytes that are no request, after the answers that are due: within
+   * one of them, the client would take the refusal for a part of it.
+   */
   #refuseBadInput(error: Error, socket: Socket): void {
-    const { code } = error as { code?: string };
+    const { code = "" } = error as { code?: string };
     if (code === "ECONNRESET" || !socket.writable) return void socket.destroy();
-    const status = code === "HPE_HEADER_OVERFLOW"
-      ? "431 Request Header Fields Too Large"
-      : code === "ERR_HTTP_REQUEST_TIMEOUT"
-      ? "408 Request Timeout"
-      : "400 Bad Request";
-    this.#context.log.warn("request-unreadable", { reason: code, status });
-    socket.end(
-      `HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`,
-    );
+    const hasLeft = code === INPUT_ENDED_CODE && this.#answers.hasDue(socket);
+    if (hasLeft) return void socket.destroy();
+    this.#refuseInTurn(socket, code, STATUS_BY_CODE[code] ?? BAD_REQUEST);
+  }
+
+  /** Node.js gives up a connection on which it has read such a request. */
+  #refuseTunnel(socket: Socket): void {
+    socket.on("error", () => undefined);
+    // Otherwise the client's end of the connection would go unnoticed.
+    socket.resume();
+    this.#refuseInTurn(socket, "CONNECT", BAD_REQUEST);
+  }
+
+  /** Refuses what was read last, once no other answer is due. */
+  #refuseInTurn(socket: Socket, reason: string, status: string): void {
+    this.#context.log.warn("request-unreadable", { reason, status });
+    this.#answers.onceNoneDue(socket, () => {
+      if (!socket.writable) return;
+      socket.end(
+        `HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`,
+      );
+    });
   }
 }
--- a/packages/daemon/src/gateway/refuse_call.ts
+++ b/packages/daemon/src/gateway/refuse_call.ts
@@ -7,11 +7,23 @@
  */
 const CLOSING_STATUS = 431;
 
+/**
+ * How long a refused request's body is read before the connection is closed. A
+ * client that is still sending when it closes may lose the refusal.
+ */
+const MAX_READ_ON_MILLISECONDS = 1_000;
+
+type Options = {
+  isStopping: boolean;
+  /** Whether no other answer is due on the connection after this one. */
+  isLatest: boolean;
+};
+
 /** Sends a refusal of the gateway's own, as plain text. */
 export function refuseCall(
   response: ServerResponse,
   refusal: CallRefusal,
-  options: { closes: boolean },
+  options: Options,
 ): void {
   const { status, reason, retryAfterMilliseconds } = refusal;
   const body = `${reason}\n`;
@@ -22,9 +34,22 @@
   if (retryAfterMilliseconds !== undefined) {
     headers["Retry-After"] = (retryAfterMilliseconds / 1_000).toFixed(2);
   }
-  if (options.closes || status === CLOSING_STATUS) {
-    headers["Connection"] = "close";
-  }
+  const closes = options.isStopping || status === CLOSING_STATUS;
+  if (closes && options.isLatest) response.shouldKeepAlive = false;
   response.writeHead(status, headers);
-  response.end(body);
+  const closesHalfRead = !response.shouldKeepAlive && !response.req.complete;
+  if (!closesHalfRead) return void response.end(body);
+  response.write(body);
+  endOnceRead(response);
+}
+
+/** Ends a response, and with it its connection, once its request was read. */
+function endOnceRead(response: ServerResponse): void {
+  const timer = setTimeout(() => response.end(), MAX_READ_ON_MILLISECONDS);
+  const end = () => {
+    clearTimeout(timer);
+    response.end();
+  };
+  response.req.resume().once("end", end);
+  response.once("close", end);
 }
