An engine's silence at the end of an answer costs no answer

Callers saw: an answer that broke off after its last byte, or (where its head had not been sent) a refusal `version-moved` for a call that had run. Cause: at the end of an answer an agent asks an engine that doesn't check fencing tokens for its state, once and for 2 s at most. An engine that was silent just then for two seconds counted as one whose weights had changed. Change: a state that didn't come is asked for again until the call's deadline. It is given up at once when the engine's process has ended, when it answers with something that is no state, or when the call is cancelled.

--- a/packages/daemon/src/agent/backend_call.ts
+++ b/packages/daemon/src/agent/backend_call.ts
@@ -4,10 +4,14 @@
 import { splitAddress } from "../transport/split_address.ts";
 import type { BackendRateLimiter } from "./backend_rate_limiter.ts";
 import type { AgentState } from "./agent_state.ts";
-import type { EngineClient } from "./engine_client.ts";
+import { type EngineClient, STATE_UNREADABLE } from "./engine_client.ts";
 import type { Exchange } from "./exchange.ts";
+import { monotonicMilliseconds } from "../transport/monotonic_milliseconds.ts";
+import { probeProcessEnd } from "../transport/probe_process_end.ts";
+import { sleep } from "../transport/sleep.ts";
 
 const connections = new Agent({ keepAlive: false });
+const ASK_AGAIN_DELAY_MILLISECONDS = 50;
 
 type BackendCallResult =
   | { kind: "answered" }
@@ -41,6 +45,8 @@
   #exchange: Exchange;
   #weightsEpoch: number;
   #version: string;
+  /** Monotonic milliseconds. */
+  #deadlineAt: number;
   #settleSend: (isAnswered: boolean) => void;
 
   constructor(options: Options) {
@@ -52,6 +58,8 @@
     this.#exchange = options.exchange;
     this.#weightsEpoch = state.weightsEpoch;
     this.#version = state.servingVersion;
+    this.#deadlineAt = monotonicMilliseconds() +
+      options.request.deadlineMilliseconds;
     const settle = state.pushback.countSend(state.backend!.slots);
     let isSettled = false;
     this.#settleSend = (isAnswered) => {
@@ -183,9 +191,28 @@
     if (!uses_weights) return false;
     if (this.#state.weightsEpoch !== this.#weightsEpoch) return true;
     if (checks_fencing) return false;
-    const read = await this.#engine.readState();
-    return read.isErr || read.value.loading ||
-      read.value.version !== this.#version;
+    const engineState = await this.#readEngineState();
+    return this.#state.weightsEpoch !== this.#weightsEpoch ||
+      engineState === undefined || engineState.loading ||
+      engineState.version !== this.#version;
+  }
+
+  /**
+   * Asks a silent engine again until the call's deadline: the answer is whole,
+   * and only this is missing. Undefined if the state can't be learned.
+   */
+  async #readEngineState() {
+    const { signal } = this.#exchange.canceller;
+    while (true) {
+      const read = await this.#engine.readState();
+      if (read.isOk) return read.value;
+      const mayAskAgain = read.error !== STATE_UNREADABLE && !signal.aborted &&
+        monotonicMilliseconds() < this.#deadlineAt;
+      if (!mayAskAgain) return undefined;
+      const { address } = this.#state.backend!;
+      if (await probeProcessEnd(address) === "ended") return undefined;
+      await sleep(ASK_AGAIN_DELAY_MILLISECONDS);
+    }
   }
 }
 
--- a/packages/daemon/src/agent/engine_client.ts
+++ b/packages/daemon/src/agent/engine_client.ts
@@ -6,6 +6,9 @@
 const CALL_TIMEOUT_MILLISECONDS = 2_000;
 const PROBE_PATH = "/v1/probe";
 
+/** Error of `readState` if the engine has answered, but not with its state. */
+export const STATE_UNREADABLE = "engine-state-unreadable";
+
 const stateSchema = z.object({
   /** Version that is loaded completely; empty for none. */
   version: z.string(),
@@ -45,12 +48,12 @@
   async readState(): Promise<Result<EngineState, string>> {
     const answer = await this.#call("GET", "/v1/state");
     if (answer.isErr) return Result.err(answer.error);
-    const parsed = stateSchema.safeParse(
-      await answer.value.json().catch(() => undefined),
-    );
+    const text = await answer.value.text().catch(() => undefined);
+    if (text === undefined) return Result.err("engine-state-incomplete");
+    const parsed = stateSchema.safeParse(parseJson(text));
     return parsed.success
       ? Result.ok(parsed.data)
-      : Result.err("engine-state-unreadable");
+      : Result.err(STATE_UNREADABLE);
   }
 
   async load(order: LoadOrder): Promise<Result<void, string>> {
@@ -102,3 +105,11 @@
     }
   }
 }
+
+function parseJson(text: string): unknown {
+  try {
+    return JSON.parse(text);
+  } catch {
+    return undefined;
+  }
+}
--- a/packages/experiments/src/failures/agent_fixture.ts
+++ b/packages/experiments/src/failures/agent_fixture.ts
@@ -37,6 +37,8 @@
   readonly engineAddress: string;
   answeredCalls = 0;
   refusedCalls = 0;
+  /** How many calls were refused, by reason. */
+  readonly refusalReasons: Record<string, number> = {};
   readonly wrongAnswers: string[] = [];
   #cache = new WeightsCache();
   #runner: CallRunner;
@@ -138,7 +140,7 @@
   async makeCallsFor(milliseconds: number): Promise<void> {
     const until = Date.now() + milliseconds;
     for (let count = 0; Date.now() < until; count += 1) {
-      const call = this.#makeCall(`call ${milliseconds} ${count}`);
+      const call = this.makeCall(`call ${milliseconds} ${count}`);
       this.#calls.add(call);
       await sleep(CALL_INTERVAL_MILLISECONDS);
     }
@@ -163,7 +165,8 @@
     return this.#runner.load.running;
   }
 
-  async #makeCall(body: string): Promise<void> {
+  /** Makes a call, and counts how it ends. */
+  async makeCall(body: string): Promise<void> {
     const exchange = this.startCall(body);
     let [text, version] = ["", ""];
     for await (const { body: part } of exchange.read(0)) {
@@ -171,6 +174,8 @@
       if (part.case === "data") text += new TextDecoder().decode(part.value);
       if (part.case === "refused") {
         this.refusedCalls += 1;
+        const { reason } = part.value;
+        this.refusalReasons[reason] = (this.refusalReasons[reason] ?? 0) + 1;
         return;
       }
     }
--- a/packages/experiments/src/fakes/announcer.ts
+++ b/packages/experiments/src/fakes/announcer.ts
@@ -14,8 +14,17 @@
 export class Announcer {
   #timer: NodeJS.Timeout;
 
-  constructor(agentAddress: string, announcement: Announcement) {
-    const announce = () => {
+  /**
+   * @param untilAwake resolves at once, or at the end of the backend server's
+   * silence.
+   */
+  constructor(
+    agentAddress: string,
+    announcement: Announcement,
+    untilAwake = () => Promise.resolve(),
+  ) {
+    const announce = async () => {
+      await untilAwake();
       fetch(`http://${agentAddress}/v1/announce`, {
         method: "POST",
         body: JSON.stringify(announcement),
--- a/packages/experiments/src/fakes/fake_engine.ts
+++ b/packages/experiments/src/fakes/fake_engine.ts
@@ -34,6 +34,8 @@
   reportsLoadedEarly = false;
   /** Sends the first line of each answer and never ends the answer. */
   stallsAnswers = false;
+  /** For how long the engine falls silent at the end of its next answer. */
+  silenceAfterAnswer = 0;
   /** Makes the next load fail. */
   failsNextLoad = false;
   startedCalls = 0;
@@ -45,6 +47,7 @@
   #digest = "";
   #loading = false;
   #fencingToken = 0;
+  #silentUntil = 0;
   #server = createServer((request, response) => {
     this.#handle(request, response).catch(() => response.destroy());
   });
@@ -63,7 +66,15 @@
       repeatable: true,
       uses_weights: true,
       slots: this.#options.slots,
-    });
+    }, () => this.#untilAwake());
+  }
+
+  /**
+   * Sends nothing for a while and then goes on where it stopped; connections
+   * stay open.
+   */
+  fallSilent(milliseconds: number): void {
+    this.#silentUntil = Date.now() + milliseconds;
   }
 
   stop(): void {
@@ -72,11 +83,18 @@
     this.#server.closeAllConnections();
   }
 
+  async #untilAwake(): Promise<void> {
+    while (Date.now() < this.#silentUntil) {
+      await sleep(this.#silentUntil - Date.now());
+    }
+  }
+
   async #handle(
     request: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
     const body = (await readAll(request)).toString("utf8");
+    await this.#untilAwake();
     switch (request.url) {
       case "/v1/state":
         return this.#sendState(response);
@@ -158,7 +176,10 @@
         isUnchanged ? line : computeExpectedAnswer(this.#digest, body)[index],
       );
       await sleep(this.#options.lineIntervalMilliseconds);
+      await this.#untilAwake();
     }
     response.end();
+    if (this.silenceAfterAnswer > 0) this.fallSilent(this.silenceAfterAnswer);
+    this.silenceAfterAnswer = 0;
   }
 }
