Agents that were silent for two seconds are asked if nobody else can answer

Callers saw: 503 no-backend-server at every entry host, as the agents of all backend servers of a service (here one) stood still for two seconds and went on. The same after an entry host's own two seconds: what it hears last may be three seconds old then. Cause: an idle agent is heard once a second; 2.5 s after that, routing left it out even where there was no other, and after 3 s its session was closed. Change: routing asks a silent backend server when none of the others can take the call; a session is closed after 4 s, which is a heartbeat, two seconds of silence and a second to spare. Where another can take the call, a silent one is left after 2.5 s as before.

--- a/packages/core/src/routing/router.ts
+++ b/packages/core/src/routing/router.ts
@@ -43,17 +43,35 @@
     this.#random = options.random;
   }
 
+  /**
+   * Backend servers whose agents are silent are chosen only if no other can
+   * take the call: most go on soon, and answer then.
+   */
   route(state: ControlState, call: Call): RoutingDecision {
-    const live = this.#table.ofService(call.service).filter((row) =>
-      this.#table.isLive(row, call.now) && !state.drained.has(row.backendServer)
+    const rows = this.#table.ofService(call.service)
+      .filter((row) => !state.drained.has(row.backendServer));
+    const [live, silent] = partition(
+      rows,
+      (row) => this.#table.isLive(row, call.now),
     );
-    if (live.length === 0) return refuse("no-backend-server");
-    const usable = live.filter((row) =>
+    const decision = this.#routeAmong(live, state, call);
+    if (decision.kind === "send") return decision;
+    const lastChoice = this.#routeAmong(silent, state, call);
+    return lastChoice.kind === "send" ? lastChoice : decision;
+  }
+
+  #routeAmong(
+    rows: BackendServerRow[],
+    state: ControlState,
+    call: Call,
+  ): RoutingDecision {
+    if (rows.length === 0) return refuse("no-backend-server");
+    const usable = rows.filter((row) =>
       row.accepting && !call.tried.has(row.backendServer)
     );
     const versioned = this.#preferCurrentVersion(state, call.service, usable);
     if (versioned.length === 0) {
-      return this.#refusePaused(live, call.now) ?? refuse("no-complete-model");
+      return this.#refusePaused(rows, call.now) ?? refuse("no-complete-model");
     }
     const healthy = versioned.filter((row) =>
       !this.#outliers.isEjected(row, call.now)
@@ -124,6 +142,13 @@
   }
 }
 
+function partition<Item>(
+  items: Item[],
+  isFirst: (item: Item) => boolean,
+): [Item[], Item[]] {
+  return [items.filter(isFirst), items.filter((item) => !isFirst(item))];
+}
+
 function refuse(
   reason: "no-backend-server" | "no-complete-model",
 ): RoutingDecision {
--- a/packages/core/src/routing/router_test.ts
+++ b/packages/core/src/routing/router_test.ts
@@ -16,8 +16,15 @@
   now: NOW,
 };
 
-/** Routes one call among two backend servers with these pauses. */
-function route(pauses: [number, number], random: number) {
+/**
+ * Routes one call among two backend servers with these pauses, of whose agents
+ * nothing has been heard for so long.
+ */
+function route(
+  pauses: [number, number],
+  random: number,
+  silences: [number, number] = [0, 0],
+) {
   const table = new BackendServerTable();
   for (const [index, pause] of pauses.entries()) {
     const row = createBackendServerRow({
@@ -35,7 +42,11 @@
       accepting: pause === 0,
       linkBytesPerSecond: 0,
     }, NOW);
-    table.set({ ...row, pausedUntil: pause === 0 ? 0 : NOW + pause });
+    table.set({
+      ...row,
+      heardAt: NOW - silences[index]!,
+      pausedUntil: pause === 0 ? 0 : NOW + pause,
+    });
   }
   const router = new Router({
     table,
@@ -65,3 +76,18 @@
     "server-1",
   );
 });
+
+// Guards against callers that are refused as all agents are silent for a while.
+test("a call goes to a silent backend server only if no other can take it", () => {
+  const chosen = (pauses: [number, number], silences: [number, number]) => {
+    const decision = route(pauses, 0, silences);
+    return decision.kind === "send"
+      ? decision.to.backendServer
+      : decision.reason;
+  };
+  assert.equal(chosen([0, 700], [3_000, 3_000]), "server-0", "all silent");
+  assert.equal(chosen([0, 0], [3_000, 100]), "server-1", "one silent");
+  assert.equal(chosen([0, 700], [3_000, 100]), "server-0", "no other takes it");
+  assert.equal(chosen([700, 0], [3_000, 100]), "server-1");
+  assert.equal(chosen([700, 700], [3_000, 100]), "paused");
+});
--- a/packages/daemon/src/agent/agent_app.ts
+++ b/packages/daemon/src/agent/agent_app.ts
@@ -32,7 +32,7 @@
 
 /**
  * A heartbeat each second, as a beat is 500 ms. After 2.5 s of silence, entry
- * hosts count a backend server as gone.
+ * hosts prefer other backend servers; after 4 s, they count this one as gone.
  */
 const BEATS_PER_HEARTBEAT = 2;
 
--- a/packages/daemon/src/entry/sessions/agent_session.ts
+++ b/packages/daemon/src/entry/sessions/agent_session.ts
@@ -19,8 +19,12 @@
 import type { SpreadCoordinator } from "../../rollout/spread_coordinator.ts";
 
 const HEARTBEAT_INTERVAL_MILLISECONDS = 1_000;
-/** A session that receives no message for this long is closed. */
-const SILENCE_TIMEOUT_MILLISECONDS = 3_000;
+/**
+ * A session that receives no message for this long is closed. Longer than an
+ * agent's heartbeat interval and a silence of two seconds: of all agents at
+ * once, if this host itself was the one that stood still.
+ */
+const SILENCE_TIMEOUT_MILLISECONDS = 4_000;
 
 type Options = {
   host: string;
--- a/packages/daemon/src/entry/sessions/agent_session_test.ts
+++ b/packages/daemon/src/entry/sessions/agent_session_test.ts
@@ -4,7 +4,7 @@
 import type { ControlState } from "@teaselrouter/core/state/control_state.ts";
 import { AgentToEntrySchema } from "@teaselrouter/messages/agent.ts";
 import assert from "node:assert/strict";
-import { test } from "node:test";
+import { mock, test } from "node:test";
 import { Subject } from "rxjs";
 import { EventLog } from "../../log/event_log.ts";
 import type { SpreadCoordinator } from "../../rollout/spread_coordinator.ts";
@@ -85,3 +85,20 @@
   session.handleMessage(ANNOUNCEMENT);
   assert.equal(table.get("drafter-1"), undefined);
 });
+
+// Guards against backend servers that are forgotten, and callers refused, as
+// their agents or this host stood still for two seconds.
+test("a session outlasts a heartbeat interval and a silence of two seconds", () => {
+  mock.timers.enable({ apis: ["Date", "setInterval"], now: 1_000_000 });
+  try {
+    const { session, table } = openSession();
+    session.handleMessage(ANNOUNCEMENT);
+    mock.timers.tick(3_200);
+    assert.ok(table.get("drafter-1") !== undefined);
+    session.handleMessage(ANNOUNCEMENT);
+    mock.timers.tick(6_000);
+    assert.equal(table.get("drafter-1"), undefined);
+  } finally {
+    mock.timers.reset();
+  }
+});
--- a/packages/experiments/src/failures/with_system.ts
+++ b/packages/experiments/src/failures/with_system.ts
@@ -9,6 +9,7 @@
   hostBytesPerSecond: number;
   originBytesPerSecond: number;
   loadMilliseconds: number;
+  lineMilliseconds: number;
 };
 
 const DEFAULT_OPTIONS: Options = {
@@ -17,6 +18,7 @@
   hostBytesPerSecond: 0,
   originBytesPerSecond: 0,
   loadMilliseconds: 0,
+  lineMilliseconds: 5,
 };
 
 /**
@@ -47,6 +49,7 @@
     commonChunks: 0,
     originBytesPerSecond: resolved.originBytesPerSecond,
     loadMilliseconds: resolved.loadMilliseconds,
+    lineMilliseconds: resolved.lineMilliseconds,
   });
   let keepLogs = true;
   try {
--- a/packages/experiments/src/fakes/run_fakes.ts
+++ b/packages/experiments/src/fakes/run_fakes.ts
@@ -5,7 +5,6 @@
 import type { FakesPlan } from "./fakes_plan.ts";
 
 const SLOTS = 8;
-const LINE_MILLISECONDS = 5;
 const CALL_MILLISECONDS = 10;
 
 const plan = JSON.parse(readFileSync(process.argv[2]!, "utf8")) as FakesPlan;
@@ -16,7 +15,7 @@
     ? new FakeEngine({
       ...common,
       checksFencing: server.checksFencing,
-      lineIntervalMilliseconds: LINE_MILLISECONDS,
+      lineIntervalMilliseconds: plan.lineMilliseconds,
       loadMilliseconds: plan.loadMilliseconds,
     })
     : new FakeService({
--- a/packages/experiments/src/harness/running_system.ts
+++ b/packages/experiments/src/harness/running_system.ts
@@ -16,6 +16,7 @@
 import { waitUntil } from "./wait_until.ts";
 
 const READY_TIMEOUT_MILLISECONDS = 20_000;
+const LINE_MILLISECONDS = 5;
 const MILLISECONDS_PER_SECOND = 1_000;
 
 type Options = {
@@ -27,6 +28,8 @@
   originBytesPerSecond: number;
   /** From the last byte of weights until an engine has loaded them; 0 if unset. */
   loadMilliseconds?: number;
+  /** Between the lines of an engine's answer; 5 if unset. */
+  lineMilliseconds?: number;
 };
 
 type SpreadResult = { seconds: number; originCopies: number };
@@ -40,6 +43,7 @@
   #options: Options;
   #storeUrl = "";
   #helpers: Child[] = [];
+  #fakes: Child | undefined;
 
   constructor(options: Options) {
     this.#options = options;
@@ -65,12 +69,17 @@
     this.startHelper("store", "fakes/run_store.js", storePlan);
     const fakesPlan: FakesPlan = {
       loadMilliseconds: this.#options.loadMilliseconds ?? 0,
+      lineMilliseconds: this.#options.lineMilliseconds ?? LINE_MILLISECONDS,
       backendServers: cluster.backendServers.map((server, index) => ({
         ...server,
         checksFencing: index % 2 === 0,
       })),
     };
-    this.startHelper("fakes", "fakes/run_fakes.js", fakesPlan);
+    this.#fakes = this.startHelper(
+      "fakes",
+      "fakes/run_fakes.js",
+      fakesPlan,
+    );
     cluster.startAll();
     await this.#waitUntilReady();
   }
@@ -92,6 +101,11 @@
     return child;
   }
 
+  /** The process of all fake backend servers. */
+  get fakes(): Child {
+    return this.#fakes!;
+  }
+
   startLoad(plan: Omit<LoadPlan, "entries" | "weightDigests">): Child {
     const entries = this.cluster.entryHosts.map((host) =>
       `http://${host.public}`
