Word of an agent that its call goes on ends the count of its silences

Callers saw: an answer that broke off, or 502 agent-unreachable, on the fourth silence of an agent or an entry host in a call that had no data for long. Cause: only data set the count of failed connections back; heartbeats didn't, so silences that were minutes apart added up. Change: a heartbeat sets it back too. A start does not, as each new connection repeats it. Before: `not ok 2 - silences again and again, with word of the agent between them, end no call`, 'broken' where 'end' is expected. After: passes, with the other test of the reader.

--- a/packages/daemon/src/entry/calls/exchange_reader.ts
+++ b/packages/daemon/src/entry/calls/exchange_reader.ts
@@ -119,6 +119,9 @@
           : brokenPart("length-differs");
       case "refused":
         return toRefusedPart(body.value);
+      case "heartbeat":
+        this.#consecutiveFailures = 0;
+        return undefined;
       default:
         return undefined;
     }
--- a/packages/daemon/src/entry/calls/exchange_reader_test.ts
+++ b/packages/daemon/src/entry/calls/exchange_reader_test.ts
@@ -68,3 +68,34 @@
   assert.ok(waited[0]! >= 1_400, `${waited[0]} ms`);
   assert.ok(waited[1]! < 1_100, `${waited[1]} ms`);
 });
+
+/**
+ * Each connection tells once that the call goes on, and then carries nothing,
+ * until the last, on which the call ends.
+ */
+function openPoolOfSilences(silences: number): ClientPool {
+  const client = {
+    async *run(_request: unknown, { signal }: { signal: AbortSignal }) {
+      yield frame({ case: "heartbeat", value: true });
+      silences -= 1;
+      if (silences >= 0) {
+        await new Promise((_resolve, reject) =>
+          signal.addEventListener("abort", () => reject(new Error("aborted")))
+        );
+      }
+      yield frame({ case: "end", value: { totalBytes: 0 } as never });
+    },
+  };
+  return {
+    client: () => client,
+    dropped$: () => new Subject<void>(),
+    dropConnection: () => undefined,
+  } as unknown as ClientPool;
+}
+
+// Guards against a call given up for the agent's fourth silence in its long run,
+// though the agent has said after each one that the call goes on.
+test("silences again and again, with word of the agent between them, end no call", async () => {
+  const waited = await measureRead(openPoolOfSilences(4));
+  assert.ok(waited >= 4 * 1_400, `${waited} ms`);
+});
