An agent silent for two seconds is asked again about a claim

Callers saw: 504 backend-server-unreachable, unknown, for a call asked again under its key (or read again after a broken connection) while its agent stood still for two seconds, though their deadline was further away. Cause: the agent was asked once, for 2 s, on the connection that carried nothing; the answer takes up to 0.3 s more where the claim hasn't arrived. Change: up to three times, each on a new connection, until the deadline. What is asked may be repeated: a claim that was withdrawn stays so. Before: `not ok 12 - an agent silent for two seconds is asked again about a claim: answered`, 'unknown' where the answer is expected.

--- a/packages/daemon/src/entry/calls/unrepeatable_call.ts
+++ b/packages/daemon/src/entry/calls/unrepeatable_call.ts
@@ -12,6 +12,7 @@
 import { createHash, randomUUID } from "node:crypto";
 import type { ClientPool } from "../../transport/client_pool.ts";
 import { monotonicMilliseconds } from "../../transport/monotonic_milliseconds.ts";
+import { sleep } from "../../transport/sleep.ts";
 import { callProblems } from "./call_problems.ts";
 import type { CallCrashDetector } from "./call_crash_detector.ts";
 import type { CheckedCall } from "./checked_call.ts";
@@ -24,6 +25,8 @@
 
 const MAX_CLAIM_ATTEMPTS = 4;
 const SETTLE_TIMEOUT_MILLISECONDS = 2_000;
+const MAX_SETTLE_ATTEMPTS = 3;
+const SETTLE_RETRY_DELAY_MILLISECONDS = 50;
 const MAX_RECORDED_ANSWER_BYTES = 65_536;
 
 type Services = {
@@ -203,13 +206,7 @@
       // gone.
       return this.#recordUnknown(claim, "backend-server-restarted");
     }
-    const settled = await this.#services.clients
-      .client(CallService, row.internalAddress)
-      .settleClaim({
-        claimKey: formatClaimKey(claim),
-        claimIndex: claim.claimIndex,
-      }, { timeoutMs: SETTLE_TIMEOUT_MILLISECONDS })
-      .catch(() => undefined);
+    const settled = await this.#settleClaim(claim, row.internalAddress);
     if (settled === undefined || settled.incarnation !== claim.incarnation) {
       return createFailedOutcome(
         callProblems.unknown("backend-server-unreachable"),
@@ -219,6 +216,30 @@
     return this.#readAnswer(claim, row, true);
   }
 
+  /**
+   * Asks the agent whether the call has arrived there; again on a new
+   * connection while there is time, as a sound agent may be silent for a while.
+   * Undefined if it does not answer.
+   */
+  async #settleClaim(claim: ClaimRow, address: string) {
+    const { clients } = this.#services;
+    const request = {
+      claimKey: formatClaimKey(claim),
+      claimIndex: claim.claimIndex,
+    };
+    const options = { timeoutMs: SETTLE_TIMEOUT_MILLISECONDS };
+    for (let attempt = 0; attempt < MAX_SETTLE_ATTEMPTS; attempt += 1) {
+      const client = clients.client(CallService, address);
+      const settled = await client.settleClaim(request, options)
+        .catch(() => undefined);
+      if (settled !== undefined) return settled;
+      if (this.#aborter.signal.aborted) return undefined;
+      clients.dropConnection(address, client);
+      await sleep(SETTLE_RETRY_DELAY_MILLISECONDS);
+    }
+    return undefined;
+  }
+
   async #recordAnswer(
     claim: ClaimRow,
     answer: UnrepeatableAnswer,
--- a/packages/experiments/src/failures/claim_steps_test.ts
+++ b/packages/experiments/src/failures/claim_steps_test.ts
@@ -24,6 +24,7 @@
 import { test } from "node:test";
 import { FakeService } from "../fakes/fake_service.ts";
 import { findFreeAddresses } from "../harness/find_free_addresses.ts";
+import { Relay } from "../harness/relay.ts";
 
 const ANNOUNCEMENT_LIFETIME_MILLISECONDS = 60_000;
 const CALL_MILLISECONDS = 60;
@@ -76,6 +77,8 @@
   readonly clients = new ClientPool();
   service: FakeService;
   agentState = new AgentState();
+  /** Before the agent. */
+  readonly relay: Relay;
   #addresses: string[];
   #server: InternalServer | undefined;
   #runner: CallRunner | undefined;
@@ -83,6 +86,7 @@
 
   constructor(addresses: string[], callMilliseconds: number) {
     this.#addresses = addresses;
+    this.relay = new Relay(addresses[3]!, addresses[0]!);
     this.service = new FakeService({
       address: addresses[1]!,
       agentAddress: addresses[2]!,
@@ -96,7 +100,7 @@
       dataCentre: "van",
       service: "ledger",
       incarnation: "first",
-      internalAddress: addresses[0]!,
+      internalAddress: this.relay.address,
       chunkAddress: "",
       checksFencing: false,
       repeatable: false,
@@ -111,6 +115,7 @@
 
   async start(): Promise<void> {
     await this.service.start();
+    await this.relay.start();
     await this.startAgent("first");
   }
 
@@ -139,11 +144,12 @@
   killAgent(): void {
     this.#server!.close();
     this.#runner!.stop();
-    this.clients.dropConnection(this.#addresses[0]!);
+    this.clients.dropConnection(this.relay.address);
   }
 
   stop(): void {
     this.killAgent();
+    this.relay.stop();
     this.service.stop();
     this.clients.close();
   }
@@ -203,7 +209,7 @@
 ): void {
   test(name, async () => {
     const fixture = new ClaimFixture(
-      await findFreeAddresses(3),
+      await findFreeAddresses(4),
       callMilliseconds,
     );
     await fixture.start();
@@ -341,6 +347,20 @@
   },
 );
 
+testClaim(
+  "an agent silent for two seconds is asked again about a claim: answered",
+  async (fixture) => {
+    fixture.log.faults = { claim: "reply-lost" };
+    assert.equal(await fixture.sendCall(), "unknown");
+    fixture.relay.hold();
+    const asking = fixture.sendCall();
+    await sleep(2_000);
+    fixture.relay.release();
+    assert.equal(await asking, ANSWER);
+    assert.equal(fixture.runCount, 1);
+  },
+);
+
 testClaim("concurrent calls with one key run once", async (fixture) => {
   const answers = await Promise.all(
     Array.from({ length: 8 }, () => fixture.sendCall()),
--- a/packages/experiments/src/harness/relay.ts
+++ b/packages/experiments/src/harness/relay.ts
@@ -10,6 +10,7 @@
   readonly address: string;
   #target: string;
   #mode: Mode = "open";
+  #isHeld = false;
   #server: Server;
   #connections = new Set<
     { client: Socket; upstream: Socket; isSilent: boolean }
@@ -53,6 +54,26 @@
     for (const connection of this.#connections) connection.isSilent = true;
   }
 
+  /**
+   * Holds back all that arrives, on open and new connections, until `release`:
+   * as if the process behind the relay stood still. Nothing is lost.
+   */
+  hold(): void {
+    this.#isHeld = true;
+    for (const { client, upstream } of this.#connections) {
+      client.pause();
+      upstream.pause();
+    }
+  }
+
+  release(): void {
+    this.#isHeld = false;
+    for (const { client, upstream } of this.#connections) {
+      client.resume();
+      upstream.resume();
+    }
+  }
+
   /**
    * Forwards again. Connections that were silent are closed, as their data is
    * lost.
@@ -87,6 +108,9 @@
     upstream.on("close", close);
     this.#forward(connection, client, upstream);
     this.#forward(connection, upstream, client);
+    if (!this.#isHeld) return;
+    client.pause();
+    upstream.pause();
   }
 
   #forward(connection: { isSilent: boolean }, from: Socket, to: Socket): void {
@@ -94,7 +118,9 @@
       if (connection.isSilent) return;
       if (!to.write(bytes)) {
         from.pause();
-        to.once("drain", () => from.resume());
+        to.once("drain", () => {
+          if (!this.#isHeld) from.resume();
+        });
       }
     });
   }
