A call that begins as its connection is closed ends no process

Callers saw: every call under way at an entry host broke off, without an answer or a refusal, as the process ended by an uncaught error: `ConnectError: [canceled] received GOAWAY without any open streams`. Any process that makes calls over the pool can end so, a gateway or a control host too, when a process that it has an idle connection to closes it at a planned stop. Cause: Connect's session manager destroys an idle session with an error when it hears that the other side is closing it. The error is told some turns later. A call that begins in between makes the manager leave that session and take its listener off, so nobody listens for the error, which then is uncaught. Change: the pool's session manager keeps a listener on each session that it makes a request on.

--- a/packages/daemon/src/transport/client_pool.ts
+++ b/packages/daemon/src/transport/client_pool.ts
@@ -1,10 +1,8 @@
 import type { DescService } from "@bufbuild/protobuf";
 import { type Client, createClient, type Transport } from "@connectrpc/connect";
-import {
-  createConnectTransport,
-  Http2SessionManager,
-} from "@connectrpc/connect-node";
+import { createConnectTransport } from "@connectrpc/connect-node";
 import { type Observable, Subject } from "rxjs";
+import { GuardedSessionManager } from "./guarded_session_manager.ts";
 import { MIN_COMPRESSED_BYTES } from "./min_compressed_bytes.ts";
 
 const PING_INTERVAL_MILLISECONDS = 2_000;
@@ -12,7 +10,7 @@
 const IDLE_TIMEOUT_MILLISECONDS = 60_000;
 
 type Connection = {
-  manager: Http2SessionManager;
+  manager: GuardedSessionManager;
   transport: Transport;
   dropped$: Subject<void>;
 };
@@ -77,7 +75,7 @@
 
 function connect(address: string): Connection {
   const baseUrl = `http://${address}`;
-  const manager = new Http2SessionManager(baseUrl, {
+  const manager = new GuardedSessionManager(baseUrl, {
     pingIntervalMs: PING_INTERVAL_MILLISECONDS,
     pingTimeoutMs: PING_TIMEOUT_MILLISECONDS,
     pingIdleConnection: false,
--- a/packages/daemon/src/transport/internal_server_test.ts
+++ b/packages/daemon/src/transport/internal_server_test.ts
@@ -1,10 +1,14 @@
 import { TimelineService } from "@teaselrouter/messages/agent.ts";
 import assert from "node:assert/strict";
 import { type AddressInfo, createServer } from "node:net";
+import process from "node:process";
 import { test } from "node:test";
 import { ClientPool } from "./client_pool.ts";
 import { InternalServer } from "./internal_server.ts";
 
+const ROUNDS = 10;
+const MAX_TURNS = 8;
+
 async function freeAddress(): Promise<string> {
   const server = createServer();
   await new Promise<void>((resolve) =>
@@ -39,3 +43,41 @@
   clients.close();
   server.close();
 });
+
+// Guards against a process that ends, with all its calls, as a server that it has
+// a connection to closes it just when a call begins on it.
+test("calls that begin as their connection is closed end no process", async () => {
+  const uncaught: unknown[] = [];
+  const keep = (error: unknown) => void uncaught.push(error);
+  process.on("uncaughtException", keep);
+  try {
+    for (let round = 0; round < ROUNDS; round += 1) {
+      for (let turns = 0; turns < MAX_TURNS; turns += 1) {
+        await callAsServerCloses(turns);
+      }
+    }
+  } finally {
+    process.off("uncaughtException", keep);
+  }
+  assert.deepEqual(uncaught, []);
+});
+
+/** A call begins so many turns of the event loop after the server closes. */
+async function callAsServerCloses(turns: number): Promise<void> {
+  const server = new InternalServer({
+    routes: (router) => {
+      router.service(TimelineService, { read: () => ({ events: [] }) });
+    },
+  });
+  const address = await freeAddress();
+  assert.ok((await server.listen(address)).isOk);
+  const clients = new ClientPool();
+  const client = clients.client(TimelineService, address);
+  await client.read({});
+  server.close();
+  for (let turn = 0; turn < turns; turn += 1) {
+    await new Promise((resolve) => setImmediate(resolve));
+  }
+  await client.read({}).catch(() => undefined);
+  clients.close();
+}
