An agent that stops waits for readers that may come back

Callers saw: an answer that broke off, as its agent ended at a planned stop while the path to it, or the entry host that read it, stood still for two seconds. The entry host found the connection silent and asked for the rest on a new one, but nobody was there. Cause: an answer whose reader was gone counted as delivered at once. What was sent to the reader may lie in a buffer that the reader throws away with the connection. Change: an answer counts as delivered 2.5 s after its last reader left, so a stop lasts that much longer than the last answer. A fixture puts an entry host's handling of calls and an agent into one process, with a path that can be held.

--- a/packages/daemon/src/agent/agent_app.ts
+++ b/packages/daemon/src/agent/agent_app.ts
@@ -145,8 +145,9 @@
 
   /**
    * Refuses new calls and waits at least `agent.drain_milliseconds`, then until
-   * no call is running or queued and no answer is being read. The answer of an
-   * ended call whose reader left early, or never came, does not delay the stop.
+   * no call is running or queued and no answer is being read, or may be read
+   * again by a reader that lost its connection. The answer of an ended call
+   * whose reader left long ago, or never came, does not delay the stop.
    */
   async stop(): Promise<void> {
     this.#state.stop();
--- a/packages/daemon/src/agent/call_runner.ts
+++ b/packages/daemon/src/agent/call_runner.ts
@@ -17,6 +17,11 @@
  * again.
  */
 const UNREPEATABLE_RETENTION_MILLISECONDS = 600_000;
+/**
+ * What was sent to a reader may be lost: a path or an entry host that stands
+ * still for two seconds finds its connection silent and asks on a new one.
+ */
+const READER_RETURN_MILLISECONDS = 2_500;
 const UNREAD_TIMEOUT_MILLISECONDS = 5_000;
 const MAX_KEPT_BYTES = 67_108_864;
 const SWEEP_INTERVAL_MILLISECONDS = 1_000;
@@ -81,12 +86,14 @@
   }
 
   /**
-   * Whether every kept answer has ended and has no reader now. An answer that
-   * nobody ever read counts as delivered too.
+   * Whether every kept answer has ended and has had no reader for so long that
+   * none comes back. An answer that nobody ever read counts as delivered too.
    */
   get isDelivered(): boolean {
-    return [...this.#exchanges.values()].every((exchange) =>
-      exchange.endedAt > 0 && exchange.unreadSince > 0
+    const before = Date.now() - READER_RETURN_MILLISECONDS;
+    return [...this.#exchanges.values()].every(({ endedAt, unreadSince }) =>
+      endedAt > 0 && unreadSince > 0 &&
+      Math.max(endedAt, unreadSince) <= before
     );
   }
 
--- /dev/null
+++ b/packages/experiments/src/failures/call_ends_test.ts
@@ -0,0 +1,55 @@
+import assert from "node:assert/strict";
+import type { ServerResponse } from "node:http";
+import { test } from "node:test";
+import { sleep } from "@teaselrouter/daemon/transport/sleep.ts";
+import { waitUntil } from "../harness/wait_until.ts";
+import { type EntryFixture, withEntryFixture } from "./entry_fixture.ts";
+
+const SILENCE_MILLISECONDS = 2_000;
+const TIMEOUT_MILLISECONDS = 10_000;
+const CALLS = 8;
+const LINE = "a line of the answer\n";
+
+/** Makes a call; `onHead` is called with its first bytes. */
+async function makeCall(
+  fixture: EntryFixture,
+  onHead: () => void,
+): Promise<string> {
+  const url = `http://${fixture.address}/v1/services/portal/run`;
+  try {
+    const answer = await fetch(url, {
+      method: "POST",
+      headers: { "Teaselrouter-Workspace": "desk" },
+      body: "a summary",
+    });
+    onHead();
+    return `${answer.status} ${await answer.text()}`;
+  } catch {
+    return "cut";
+  }
+}
+
+// Guards against an answer lost as its agent ends while the path to it, or the
+// entry host that reads it, stands still.
+test("a planned stop of an agent beside a silence of two seconds costs no answer", async () => {
+  let heads = 0;
+  const unfinished: ServerResponse[] = [];
+  await withEntryFixture((_request, response) => {
+    response.write(LINE);
+    unfinished.push(response);
+  }, async (fixture) => {
+    const calls = Array.from(
+      { length: CALLS },
+      () => makeCall(fixture, () => heads += 1),
+    );
+    assert.ok(await waitUntil(() => heads === CALLS, TIMEOUT_MILLISECONDS));
+    fixture.relay.hold();
+    for (const response of unfinished) response.end(LINE);
+    const stopped = fixture.stopAgent();
+    await sleep(SILENCE_MILLISECONDS);
+    fixture.relay.release();
+    const answers = await Promise.all(calls);
+    assert.deepEqual([...new Set(answers)], [`200 ${LINE}${LINE}`]);
+    await stopped;
+  });
+});
