An answer that switches protocols fails at once and frees its slot

Callers saw: 504 deadline-exceeded, and after one such answer for each slot 503 overloaded for all calls of that backend server, until its agent restarted. Cause: Node tells an answer with status 101 by no event that was listened for, nor by an error when the call is cancelled. The call never ended at its agent. Change: the close of a request, which comes last in every case, ends a call that nothing else has ended: 502 no-http-answer, unknown. Before: `not ok 2 - an answer that switches protocols fails at once and frees its slot`, 504 deadline-exceeded; a trial saw `running: 1` a second after it. After: passes, with 25 tests of claims, exchanges, engines and waiting calls.

--- a/packages/daemon/src/agent/backend_call.ts
+++ b/packages/daemon/src/agent/backend_call.ts
@@ -109,6 +109,13 @@
         "response",
         (response) => resolve(this.#handleResponse(response)),
       );
+      // Last of all: an answer that switches protocols is told by nothing else.
+      call.once("close", () =>
+        resolve({
+          kind: "failed",
+          isKnownToHaveRun: false,
+          reason: "no-http-answer",
+        }));
       call.end(body);
     });
   }
--- a/packages/experiments/src/failures/call_ends_test.ts
+++ b/packages/experiments/src/failures/call_ends_test.ts
@@ -53,3 +53,20 @@
     await stopped;
   });
 });
+
+// Guards against a backend server's answer to another protocol, which ended
+// neither the call nor its use of a slot.
+test("an answer that switches protocols fails at once and frees its slot", async () => {
+  await withEntryFixture((_request, response) => {
+    response.socket!.write(
+      "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n" +
+        "Connection: Upgrade\r\n\r\n",
+    );
+  }, async (fixture) => {
+    const startedAt = performance.now();
+    const answer = await makeCall(fixture, () => undefined);
+    assert.match(answer, /^502 .*no-http-answer/);
+    assert.ok(performance.now() - startedAt < 1_000);
+    assert.equal(fixture.runningCalls, 0);
+  });
+});
--- a/packages/experiments/src/failures/entry_fixture.ts
+++ b/packages/experiments/src/failures/entry_fixture.ts
@@ -117,6 +117,11 @@
     this.#backend.closeAllConnections();
   }
 
+  /** How many calls the agent has under way at the backend server. */
+  get runningCalls(): number {
+    return this.#runner.load.running;
+  }
+
   /** Ends the agent as its process does at a planned stop. */
   async stopAgent(): Promise<void> {
     this.#agentState.stop();
