A planned stop of an entry host waits until all answers are sent

Callers saw: an answer that broke off where they were slow to read its end. Operators saw: a command whose connection broke, without word of its outcome. Cause: a stop waited for calls until their handling was done, not until what they had been answered was sent; an operator's command wasn't counted at all. Then it closed all connections. Change: the public server counts every request until its response has been handed to the operating system or its connection has closed; after the handling is done, it waits for `entry.request_idle_milliseconds` at most. After: both tests pass, with those of the public server, live requests and bad input.

--- a/packages/daemon/src/entry/calls/call_handler.ts
+++ b/packages/daemon/src/entry/calls/call_handler.ts
@@ -16,22 +16,16 @@
 export class CallHandler {
   #context: EntryContext;
   #options: Options;
-  #inProgress = 0;
 
   constructor(context: EntryContext, options: Options) {
     this.#context = context;
     this.#options = options;
   }
 
-  get inProgress(): number {
-    return this.#inProgress;
-  }
-
   async handle(
     request: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
-    this.#inProgress += 1;
     const startedAt = Date.now();
     const { metrics } = this.#options;
     try {
@@ -39,7 +33,6 @@
       if (problem === undefined) metrics.increment("calls.answered");
       else this.#sendRefusal(response, problem);
     } finally {
-      this.#inProgress -= 1;
       metrics.timing("calls.milliseconds", Date.now() - startedAt);
     }
   }
--- a/packages/daemon/src/entry/entry_app.ts
+++ b/packages/daemon/src/entry/entry_app.ts
@@ -186,7 +186,7 @@
   /**
    * Shuts down gracefully. `/ready` answers 503 at once. The host stops
    * listening only after the load balancer has had time to see that, and
-   * returns only after every call has been answered.
+   * returns only after every request has been answered and its answer sent.
    */
   async stop(): Promise<void> {
     this.#stopping = true;
@@ -203,7 +203,7 @@
   }
 
   /**
-   * Waits until no requests arrive, then until the calls in progress are done.
+   * Waits until no requests arrive, then until the requests in progress are done.
    * The first wait ends after MAX_QUIET_WAIT_MILLISECONDS, as some callers
    * never pause on their keep-alive connections.
    */
@@ -212,7 +212,7 @@
       lastRequestAt: () => this.#server.lastRequestAt,
       maxMilliseconds: MAX_WAIT_FOR_NO_REQUESTS_MILLISECONDS,
     });
-    while (this.#calls.inProgress > 0) await sleep(DRAIN_POLL_MILLISECONDS);
+    while (this.#server.inProgress > 0) await sleep(DRAIN_POLL_MILLISECONDS);
   }
 
   /**
--- a/packages/daemon/src/entry/public_server.ts
+++ b/packages/daemon/src/entry/public_server.ts
@@ -10,6 +10,7 @@
 import { monotonicMilliseconds } from "../transport/monotonic_milliseconds.ts";
 import { stopAccepting } from "../transport/stop_accepting.ts";
 import { sendProblem } from "../http/send_problem.ts";
+import { waitUntilSent } from "../http/wait_until_sent.ts";
 
 const MAX_HEADER_BYTES = 16_384;
 const CONNECTIONS_CHECK_INTERVAL_MILLISECONDS = 500;
@@ -32,6 +33,7 @@
   #server: Server;
   #options: Options;
   #lastRequestAt = -Infinity;
+  #inProgress = 0;
 
   constructor(options: Options) {
     this.#options = options;
@@ -49,6 +51,14 @@
     return this.#lastRequestAt;
   }
 
+  /**
+   * Requests of callers and operators that are being handled, or whose
+   * responses are still being sent.
+   */
+  get inProgress(): number {
+    return this.#inProgress;
+  }
+
   listen(address: string): Promise<Result<void, string>> {
     return listen(this.#server, address);
   }
@@ -70,6 +80,7 @@
     response: ServerResponse,
   ): Promise<void> {
     this.#lastRequestAt = monotonicMilliseconds();
+    this.#inProgress += 1;
     response.on("error", () => undefined);
     try {
       await this.#dispatch(request, response);
@@ -82,6 +93,8 @@
         outcome: "unknown",
       });
     }
+    await waitUntilSent(response, this.#options.idleMilliseconds);
+    this.#inProgress -= 1;
   }
 
   async #dispatch(
--- a/packages/daemon/src/entry/public_server_test.ts
+++ b/packages/daemon/src/entry/public_server_test.ts
@@ -1,9 +1,13 @@
 import assert from "node:assert/strict";
+import { once } from "node:events";
+import { Buffer } from "node:buffer";
 import { connect, createServer, type Socket } from "node:net";
 import { test } from "node:test";
 import { monotonicMilliseconds } from "../transport/monotonic_milliseconds.ts";
 import { PublicServer } from "./public_server.ts";
 
+/** Far more than the buffers of a connection hold. */
+const LARGE_ANSWER_BYTES = 33_554_432;
 const REQUEST = "POST /v1/services/a/b HTTP/1.1\r\nHost: x\r\n" +
   "Content-Length: 0\r\n\r\n";
 
@@ -34,12 +38,15 @@
   });
 }
 
-function createPublicServer(isReady: () => boolean): PublicServer {
+function createPublicServer(
+  isReady: () => boolean,
+  answer: string | Buffer = "whole",
+): PublicServer {
   return new PublicServer({
     idleMilliseconds: 5_000,
     isReady,
     handleCall: (_request, response) => {
-      response.end("whole");
+      response.end(answer);
       return Promise.resolve();
     },
     handleOperator: () => Promise.resolve(),
@@ -108,3 +115,29 @@
   }
   server.close();
 });
+
+// Guards against a stop that closes the connection of a caller who has yet to
+// read most of the answer.
+test("a request is in progress until all of its answer has been sent", async () => {
+  const answer = Buffer.alloc(LARGE_ANSWER_BYTES);
+  const server = createPublicServer(() => false, answer);
+  const port = await findFreePort();
+  assert.ok((await server.listen(`127.0.0.1:${port}`)).isOk);
+  const socket = await openConnection(port);
+  assert.ok(socket !== undefined);
+  let bytes = 0;
+  socket.write(REQUEST);
+  while (server.lastRequestAt === -Infinity) await nextTurn();
+  for (let turn = 0; turn < 20; turn += 1) await nextTurn();
+  assert.equal(server.inProgress, 1, "the caller has read nothing yet");
+  socket.on("data", (part) => bytes += part.length);
+  while (server.inProgress > 0) await nextTurn();
+  await server.stopListening();
+  server.close();
+  await once(socket, "close");
+  assert.ok(bytes > LARGE_ANSWER_BYTES, `${bytes} bytes`);
+});
+
+function nextTurn(): Promise<void> {
+  return new Promise((resolve) => setImmediate(resolve));
+}
--- a/packages/experiments/src/failures/call_ends_test.ts
+++ b/packages/experiments/src/failures/call_ends_test.ts
@@ -3,10 +3,12 @@
 import { test } from "node:test";
 import { sleep } from "@teaselrouter/daemon/transport/sleep.ts";
 import { waitUntil } from "../harness/wait_until.ts";
+import { withSystem } from "./with_system.ts";
 import { type EntryFixture, withEntryFixture } from "./entry_fixture.ts";
 
 const SILENCE_MILLISECONDS = 2_000;
 const TIMEOUT_MILLISECONDS = 10_000;
+const COMMAND_START_MILLISECONDS = 700;
 const CALLS = 8;
 const LINE = "a line of the answer\n";
 
@@ -70,3 +72,21 @@
     assert.equal(fixture.runningCalls, 0);
   });
 });
+
+// Guards against a stop that closes the connection of an operator whose command
+// still runs.
+test("a planned stop of an entry host waits for an operator's command", async () => {
+  await withSystem({}, async (system) => {
+    const { cluster } = system;
+    // Commands are in force once this host has them, or has lost its lease.
+    cluster.child("kel-1").signal("SIGSTOP");
+    const args = ["contract", "change", "desk", "--rate", "350"];
+    const changed = system.runClientAt("van-2", args);
+    await sleep(COMMAND_START_MILLISECONDS);
+    cluster.child("van-2").signal("SIGTERM");
+    const { exitStatus, output } = await changed;
+    cluster.child("kel-1").signal("SIGCONT");
+    assert.equal(exitStatus, 0, output);
+    assert.equal(await cluster.child("van-2").exited, 0);
+  });
+});
