An answer that breaks off at an entry host is logged and counted

Operators saw: nothing of an answer that broke off after a part had been sent, but one more in `calls.refused`. Change: `answer-cut` with the request's id, its backend server, the reason (`agent-unreachable`, `server-broke-off`, `time-over`), how long its agent had been silent and the retries left, and `teaselrouter_answers_cut_total{reason}`, as at gateways. `to` is always none: an answer that has begun can go on nowhere else. A caller who leaves is not counted.

--- a/packages/core/src/routing/retry_budget.ts
+++ b/packages/core/src/routing/retry_budget.ts
@@ -9,6 +9,11 @@
 export class RetryBudget {
   #tokens = MAX_TOKENS;
 
+  /** Retries that may be taken now. */
+  get left(): number {
+    return Math.floor(this.#tokens);
+  }
+
   /** Earns a fraction of a retry for each new call. */
   countCall(): void {
     this.#tokens = Math.min(MAX_TOKENS, this.#tokens + RETRIES_PER_CALL);
--- a/packages/daemon/src/entry/calls/call_handler.ts
+++ b/packages/daemon/src/entry/calls/call_handler.ts
@@ -1,5 +1,6 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { StatsD } from "hot-shots";
+import type { AnswerCut } from "./answer_cut.ts";
 import type { EntryContext } from "../entry_context.ts";
 import { checkCall } from "./check_call.ts";
 import type { CheckedCall } from "./checked_call.ts";
@@ -10,7 +11,11 @@
 import { UnrepeatableCall } from "./unrepeatable_call.ts";
 import { maskUnverifiedNotRun } from "./mask_unverified_not_run.ts";
 
-type Options = { idleMilliseconds: number; metrics: StatsD };
+type Options = {
+  idleMilliseconds: number;
+  metrics: StatsD;
+  onAnswerCut: (cut: AnswerCut) => void;
+};
 
 /** Handles callers' requests: checks them, applies limits and routes them. */
 export class CallHandler {
@@ -99,7 +104,10 @@
     const repeatable = context.table.ofService(call.service).at(0)?.repeatable;
     if (repeatable !== false) {
       const services = { ...context, state: () => context.control.state };
-      const problem = await new RepeatableCall(services, call, response).run();
+      const repeatableCall = new RepeatableCall(services, call, response);
+      const problem = await repeatableCall.run();
+      const { cut } = repeatableCall;
+      if (cut !== undefined) this.#options.onAnswerCut(cut);
       return problem && maskUnverifiedNotRun(request, problem);
     }
     const outcome = await new UnrepeatableCall(context, call).run();
--- a/packages/daemon/src/entry/calls/exchange_reader.ts
+++ b/packages/daemon/src/entry/calls/exchange_reader.ts
@@ -6,10 +6,14 @@
 import { CallOutcome, CallService } from "@teaselrouter/messages/agent.ts";
 import type { Client } from "@connectrpc/connect";
 import type { ClientPool } from "../../transport/client_pool.ts";
+import { monotonicMilliseconds } from "../../transport/monotonic_milliseconds.ts";
 import { sleep } from "../../transport/sleep.ts";
 import type { AnswerPart } from "./answer_part.ts";
 import { SilenceTimer } from "./silence_timer.ts";
 
+/** Why an answer is broken if its agent can't be reached any more. */
+export const AGENT_UNREACHABLE = "agent-unreachable";
+
 const MAX_CONSECUTIVE_FAILURES = 3;
 const RECONNECT_DELAY_MILLISECONDS = 50;
 
@@ -35,6 +39,7 @@
   #offset = 0;
   #version: string | undefined;
   #consecutiveFailures = 0;
+  #heardAt = monotonicMilliseconds();
   /** On the connection that was used last. */
   #client: Client<typeof CallService> | undefined;
 
@@ -42,6 +47,11 @@
     this.#options = options;
   }
 
+  /** Since the last frame, or since the call was sent. */
+  get silentMilliseconds(): number {
+    return monotonicMilliseconds() - this.#heardAt;
+  }
+
   /**
    * Yields the answer's parts up to "end", "refused" or "broken". Stops without
    * any of these if the signal is aborted.
@@ -60,7 +70,7 @@
       }
       this.#consecutiveFailures += 1;
       if (this.#consecutiveFailures > MAX_CONSECUTIVE_FAILURES) {
-        yield { kind: "broken", reason: "agent-unreachable" };
+        yield { kind: "broken", reason: AGENT_UNREACHABLE };
         return;
       }
       const { clients, address } = this.#options;
@@ -89,6 +99,7 @@
     try {
       for await (const frame of frames) {
         timer.stop();
+        this.#heardAt = monotonicMilliseconds();
         yield frame;
         timer.start();
       }
--- a/packages/daemon/src/entry/calls/repeatable_call.ts
+++ b/packages/daemon/src/entry/calls/repeatable_call.ts
@@ -10,14 +10,16 @@
 import type { ServerResponse } from "node:http";
 import type { ClientPool } from "../../transport/client_pool.ts";
 import { monotonicMilliseconds } from "../../transport/monotonic_milliseconds.ts";
+import type { AnswerCut } from "./answer_cut.ts";
 import type { AnswerPart } from "./answer_part.ts";
 import type { CallCrashDetector } from "./call_crash_detector.ts";
 import type { CheckedCall } from "./checked_call.ts";
-import { ExchangeReader } from "./exchange_reader.ts";
+import { AGENT_UNREACHABLE, ExchangeReader } from "./exchange_reader.ts";
 import type { Problem } from "../../http/problem.ts";
 
 const ROUTING_PREFIX_BYTES = 256;
 const MIN_SERVER_ERROR_STATUS = 500;
+const CALLER_LEFT = "caller-left";
 
 type Services = {
   state: () => ControlState;
@@ -44,6 +46,7 @@
   #response: ServerResponse;
   #aborter = new AbortController();
   #triedBackendServers = new Set<string>();
+  #cut: AnswerCut | undefined;
 
   constructor(services: Services, call: CheckedCall, response: ServerResponse) {
     this.#services = services;
@@ -53,7 +56,7 @@
 
   /** Answers the caller, or returns why there is no complete answer. */
   async run(): Promise<Problem | undefined> {
-    const abortOnClose = () => this.#aborter.abort("caller-left");
+    const abortOnClose = () => this.#aborter.abort(CALLER_LEFT);
     const timer = setTimeout(
       () => this.#aborter.abort("deadline"),
       this.#remainingMilliseconds(),
@@ -68,6 +71,11 @@
     }
   }
 
+  /** Set if the answer broke off after its caller had got a part of it. */
+  get cut(): AnswerCut | undefined {
+    return this.#cut;
+  }
+
   async #tryUntilAnswered(): Promise<Problem | undefined> {
     let lastProblem: Problem | undefined;
     while (true) {
@@ -111,6 +119,11 @@
     row.ownInFlight += 1;
     try {
       const attempt = await this.#relayAnswer(reader, row);
+      this.#noteCut(attempt, {
+        id: request.requestId,
+        backendServer: row.backendServer,
+        silentMilliseconds: Math.round(reader.silentMilliseconds),
+      });
       if (this.#aborter.signal.aborted) this.#cancel(row, request.requestId);
       return attempt;
     } finally {
@@ -161,6 +174,27 @@
     return this.#failAborted();
   }
 
+  #noteCut(
+    attempt: Attempt,
+    about: Pick<AnswerCut, "id" | "backendServer" | "silentMilliseconds">,
+  ): void {
+    const { signal } = this.#aborter;
+    const isCut = attempt.kind === "failed" && this.#response.headersSent &&
+      signal.reason !== CALLER_LEFT;
+    if (!isCut) return;
+    const isUnreachable = attempt.problem.type === AGENT_UNREACHABLE;
+    this.#cut = {
+      ...about,
+      reason: signal.aborted
+        ? "time-over"
+        : isUnreachable
+        ? "agent-unreachable"
+        : "server-broke-off",
+      detail: attempt.problem.type,
+      retriesLeft: this.#services.retries.left,
+    };
+  }
+
   async #waitForDrain(): Promise<void> {
     await once(this.#response, "drain", { signal: this.#aborter.signal })
       .catch(() => undefined);
--- a/packages/daemon/src/entry/entry_app.ts
+++ b/packages/daemon/src/entry/entry_app.ts
@@ -11,6 +11,8 @@
 import type { ControlState } from "@teaselrouter/core/state/control_state.ts";
 import { AgentService } from "@teaselrouter/messages/agent.ts";
 import type { StatsD } from "hot-shots";
+import type { ProcessMetrics } from "../metrics/process_metrics.ts";
+import type { AnswerCut } from "./calls/answer_cut.ts";
 import { randomUUID } from "node:crypto";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { Result } from "true-myth";
@@ -62,6 +64,7 @@
   clients: ClientPool;
   log: EventLog;
   metrics: StatsD;
+  processMetrics: ProcessMetrics;
 };
 
 /**
@@ -124,6 +127,7 @@
     this.#calls = new CallHandler(this.#context, {
       idleMilliseconds,
       metrics,
+      onAnswerCut: (cut) => this.#reportCut(cut),
     });
     const operators = new OperatorApi({
       control,
@@ -289,6 +293,21 @@
     return state.entryHosts.has(this.#options.settings.name);
   }
 
+  #reportCut(cut: AnswerCut): void {
+    const { log, processMetrics } = this.#options;
+    processMetrics.answersCut.inc({ reason: cut.reason });
+    log.warn("answer-cut", {
+      id: cut.id,
+      instances: cut.backendServer,
+      reason: cut.reason,
+      detail: cut.detail,
+      silent_milliseconds: cut.silentMilliseconds,
+      retries_left: cut.retriesLeft,
+      // An answer that has begun can go on nowhere else.
+      to: "none",
+    });
+  }
+
   #applyState(state: ControlState): void {
     this.#context.limits.updateContracts(state, Date.now());
     this.#context.crashes.applyBlames(state);
--- a/packages/daemon/src/log/event_name.ts
+++ b/packages/daemon/src/log/event_name.ts
@@ -1,6 +1,7 @@
 /** Names of all events that processes log; docs/EVENTS.md explains each. */
 export type EventName =
   | "answer-broken"
+  | "answer-cut"
   | "answer-field-unreadable"
   | "asks-to-be-taken-in"
   | "backend-server-announced"
--- a/packages/daemon/src/metrics/process_metrics.ts
+++ b/packages/daemon/src/metrics/process_metrics.ts
@@ -46,6 +46,8 @@
   readonly events: Counter<"event">;
   /** Requests by kind of route and by outcome. */
   readonly requests: Counter<RequestLabel>;
+  /** Answers that broke off at the caller after a part had been sent. */
+  readonly answersCut: Counter<"reason">;
   readonly requestMilliseconds: Histogram<"kind">;
   /** From the head of a request until the head of its answer is forwarded. */
   readonly answerHeadMilliseconds: Histogram<"kind">;
@@ -66,6 +68,12 @@
       labelNames: ["kind", "outcome"],
       registers,
     });
+    this.answersCut = new Counter({
+      name: "teaselrouter_answers_cut_total",
+      help: "Answers that broke off at the caller after a part was sent",
+      labelNames: ["reason"],
+      registers,
+    });
     this.requestMilliseconds = new Histogram({
       name: "teaselrouter_request_milliseconds",
       help: "From the head of a request to the end of its answer",
--- a/packages/daemon/src/wiring/start_daemon.ts
+++ b/packages/daemon/src/wiring/start_daemon.ts
@@ -50,7 +50,9 @@
   if (openedControl?.isErr) return Result.err(openedControl.error);
   const control = openedControl?.value;
   const appOptions = { settings, clients, log, metrics };
-  const entry = hasRole("entry") ? new EntryApp(appOptions) : undefined;
+  const entry = hasRole("entry")
+    ? new EntryApp({ ...appOptions, processMetrics })
+    : undefined;
   const agent = hasRole("agent") ? new AgentApp(appOptions) : undefined;
   if (platform === undefined && (hasRole("gateway") || hasRole("stager"))) {
     return Result.err(
--- a/packages/experiments/src/failures/call_ends_test.ts
+++ b/packages/experiments/src/failures/call_ends_test.ts
@@ -21,12 +21,16 @@
 async function makeCall(
   fixture: EntryFixture,
   onHead: () => void,
+  deadlineMilliseconds = 5_000,
 ): Promise<string> {
   const url = `http://${fixture.address}/v1/services/portal/run`;
   try {
     const answer = await fetch(url, {
       method: "POST",
-      headers: { "Teaselrouter-Workspace": "desk" },
+      headers: {
+        "Teaselrouter-Workspace": "desk",
+        "Teaselrouter-Deadline-Ms": String(deadlineMilliseconds),
+      },
       body: "a summary",
     });
     onHead();
@@ -78,6 +82,29 @@
   });
 });
 
+// Guards against a caller's broken answer that the log can't explain.
+test("an answer that breaks off is reported with its reason, once", async () => {
+  const answers = {
+    "server-broke-off": (response: ServerResponse) => {
+      response.write(LINE);
+      setTimeout(() => response.destroy(), 100);
+    },
+    "time-over": (response: ServerResponse) => void response.write(LINE),
+  };
+  for (const [reason, answer] of Object.entries(answers)) {
+    await withEntryFixture(
+      (_request, response) => answer(response),
+      async (fixture) => {
+        assert.equal(await makeCall(fixture, () => undefined, 1_000), "cut");
+        assert.deepEqual(fixture.cuts.map((cut) => cut.reason), [reason]);
+        const { silentMilliseconds, retriesLeft } = fixture.cuts[0]!;
+        assert.ok(silentMilliseconds < 900, `${silentMilliseconds} ms`);
+        assert.equal(retriesLeft, 10);
+      },
+    );
+  }
+});
+
 // Guards against a stop that closes the connection of an operator whose command
 // still runs.
 test("a planned stop of an entry host waits for an operator's command", async () => {
--- a/packages/experiments/src/failures/entry_fixture.ts
+++ b/packages/experiments/src/failures/entry_fixture.ts
@@ -9,6 +9,7 @@
 import { CallRunner } from "@teaselrouter/daemon/agent/call_runner.ts";
 import { createCallRoutes } from "@teaselrouter/daemon/agent/create_call_routes.ts";
 import { EngineClient } from "@teaselrouter/daemon/agent/engine_client.ts";
+import type { AnswerCut } from "@teaselrouter/daemon/entry/calls/answer_cut.ts";
 import { CallCrashDetector } from "@teaselrouter/daemon/entry/calls/call_crash_detector.ts";
 import { CallHandler } from "@teaselrouter/daemon/entry/calls/call_handler.ts";
 import { PublicServer } from "@teaselrouter/daemon/entry/public_server.ts";
@@ -41,6 +42,7 @@
   /** What was counted, by name and tags. */
   readonly counts: Record<string, number> = {};
   readonly faults: unknown[] = [];
+  readonly cuts: AnswerCut[] = [];
   readonly calls: CallHandler;
   readonly server: PublicServer;
   readonly address: string;
@@ -83,6 +85,7 @@
     this.calls = new CallHandler(this.#createContext(control), {
       idleMilliseconds: IDLE_MILLISECONDS,
       metrics: this.#createMetrics(),
+      onAnswerCut: (cut) => this.cuts.push(cut),
     });
     this.server = new PublicServer({
       idleMilliseconds: IDLE_MILLISECONDS,
