--- a/packages/daemon/src/entry/public_server_test.ts
+++ b/packages/daemon/src/entry/public_server_test.ts
@@ -125,6 +125,7 @@
   assert.ok((await server.listen(`127.0.0.1:${port}`)).isOk);
   const socket = await openConnection(port);
   assert.ok(socket !== undefined);
+  const closed = once(socket, "close");
   let bytes = 0;
   socket.write(REQUEST);
   while (server.lastRequestAt === -Infinity) await nextTurn();
@@ -134,7 +135,7 @@
   while (server.inProgress > 0) await nextTurn();
   await server.stopListening();
   server.close();
-  await once(socket, "close");
+  await closed;
   assert.ok(bytes > LARGE_ANSWER_BYTES, `${bytes} bytes`);
 });
 
