A request on an idle connection of a frozen entry host is answered

Callers saw: a closed connection, without an answer or a refusal, for a whole request that they had sent on a connection kept alive while the entry host stood still for two seconds, shortly before the 5 s that it announces were over. Cause: a process that goes on runs its timers before it reads its sockets. The timer of idle connections found nothing on them and closed them, with the requests that lay there unread. Change: an idle connection whose time is over is closed after one more look at its socket, if nothing has come.

--- a/packages/daemon/src/entry/public_server.ts
+++ b/packages/daemon/src/entry/public_server.ts
@@ -4,6 +4,7 @@
   type Server,
   type ServerResponse,
 } from "node:http";
+import type { Socket } from "node:net";
 import type { Duplex } from "node:stream";
 import type { Result } from "true-myth";
 import { listen } from "../transport/listen.ts";
@@ -44,6 +45,7 @@
       connectionsCheckingInterval: CONNECTIONS_CHECK_INTERVAL_MILLISECONDS,
     }, (request, response) => this.#handle(request, response));
     this.#server.on("clientError", sendClientError);
+    this.#server.on("timeout", closeUnlessReceiving);
   }
 
   /** When the latest request arrived, monotonic milliseconds. */
@@ -114,6 +116,18 @@
   }
 }
 
+/**
+ * Closes an idle connection whose time is over, unless something has come on it
+ * that wasn't read yet: timers fire before sockets are read, and late if this
+ * process has stood still.
+ */
+function closeUnlessReceiving(socket: Socket): void {
+  const { bytesRead } = socket;
+  setImmediate(() => {
+    if (socket.bytesRead === bytesRead) socket.destroy();
+  });
+}
+
 function sendHealth(response: ServerResponse, isOk: boolean): void {
   response.writeHead(isOk ? 200 : 503, { "Content-Type": "text/plain" });
   response.end(isOk ? "ok\n" : "no\n");
--- a/packages/experiments/src/failures/call_ends_test.ts
+++ b/packages/experiments/src/failures/call_ends_test.ts
@@ -1,5 +1,6 @@
 import assert from "node:assert/strict";
 import type { ServerResponse } from "node:http";
+import { connect } from "node:net";
 import { test } from "node:test";
 import { sleep } from "@teaselrouter/daemon/transport/sleep.ts";
 import { waitUntil } from "../harness/wait_until.ts";
@@ -14,6 +15,8 @@
   expected: 1,
   content: { requests_per_second: 350, burst: 200, services: ["drafter"] },
 };
+/** What entry hosts say in Keep-Alive. */
+const ANNOUNCED_IDLE_MILLISECONDS = 5_000;
 const CALLS = 8;
 const LINE = "a line of the answer\n";
 
@@ -123,3 +126,34 @@
     assert.equal(await cluster.child("van-2").exited, 0);
   });
 });
+
+// Guards against a connection that is closed as idle, though a request has come
+// on it while the entry host stood still.
+test("a request that arrives on an idle connection of a frozen entry host is answered", async () => {
+  await withSystem({}, async (system) => {
+    const [host, port] = system.entryUrl("van-2").slice(7).split(":");
+    const sockets = Array.from({ length: CALLS }, () => {
+      const socket = connect({ host: host!, port: Number(port) });
+      socket.on("error", () => undefined);
+      return socket;
+    });
+    const request = "GET /live HTTP/1.1\r\nHost: x\r\n\r\n";
+    const sendAll = () =>
+      Promise.all(sockets.map((socket) =>
+        new Promise<string>((resolve) => {
+          socket.once("data", (bytes) => resolve(String(bytes).slice(0, 15)));
+          socket.once("close", () => resolve("closed"));
+          socket.write(request);
+        })
+      ));
+    assert.deepEqual(new Set(await sendAll()), new Set(["HTTP/1.1 200 OK"]));
+    await sleep(ANNOUNCED_IDLE_MILLISECONDS - 500);
+    system.cluster.child("van-2").signal("SIGSTOP");
+    await sleep(200);
+    const second = sendAll();
+    await sleep(SILENCE_MILLISECONDS - 200);
+    system.cluster.child("van-2").signal("SIGCONT");
+    assert.deepEqual(new Set(await second), new Set(["HTTP/1.1 200 OK"]));
+    for (const socket of sockets) socket.destroy();
+  });
+});
