A backend server that stood still for two seconds is not refused calls

Callers saw (by a test of the bound; no trial with processes met it): 503 backend-server-silent for some milliseconds, where a backend server announced itself just before it stood still for two seconds. Cause: its agent counted it as silent after 3 s, which is the second between announcements and two of silence, with nothing to spare. It also forgot a pause that the backend server had asked for. Change: 4 s, as entry hosts wait for agents. Before: `not ok 1 - a backend server outlasts an announcement's interval and a silence of two seconds`, 'backend-server-silent'. After: passes, with the other tests of the agent.

--- a/packages/daemon/src/agent/agent_state.ts
+++ b/packages/daemon/src/agent/agent_state.ts
@@ -2,7 +2,11 @@
 import { BackendPushback } from "./backend_pushback.ts";
 import type { BackendServer } from "./backend_server.ts";
 
-const SILENCE_TIMEOUT_MILLISECONDS = 3_000;
+/**
+ * Longer than the second between announcements and a silence of two seconds: a
+ * backend server that goes on then is not refused calls, nor its pause forgotten.
+ */
+const SILENCE_TIMEOUT_MILLISECONDS = 4_000;
 
 /** State of the agent's backend server, shared by the agent's parts. */
 export class AgentState {
