A test of contracts that change beside half-read requests

A request is checked against the contract at its head; services and the body's bound that change after that don't touch it. The rate in force at the end of its body counts: a retired contract has none, so it is refused with 429 contract-rate-exceeded.

--- a/packages/experiments/src/failures/call_ends_test.ts
+++ b/packages/experiments/src/failures/call_ends_test.ts
@@ -17,6 +17,7 @@
 };
 /** What entry hosts say in Keep-Alive. */
 const ANNOUNCED_IDLE_MILLISECONDS = 5_000;
+const HALF_MILLISECONDS = 300;
 const CALLS = 8;
 const LINE = "a line of the answer\n";
 
@@ -108,6 +109,47 @@
   }
 });
 
+// Guards against a half-read request that a change of its contract leaves
+// without an answer or a refusal.
+test("a request that is half read as its contract changes is answered or refused", async () => {
+  const changes = [
+    [{ services: ["other"] }, "200"],
+    [{ maximum_body_bytes: 1 }, "200"],
+    [{ requests_per_second: 0.001, burst: 1 }, "200"],
+    [{ retired: true }, "429"],
+  ] as const;
+  await withEntryFixture((_request, response) => {
+    response.end(LINE);
+  }, async (fixture) => {
+    for (const [change, status] of changes) {
+      fixture.setContract({});
+      const answer = sendInHalves(fixture);
+      await sleep(HALF_MILLISECONDS / 2);
+      fixture.setContract(change);
+      assert.match(await answer, new RegExp(`^HTTP/1.1 ${status} `));
+    }
+    assert.deepEqual(fixture.faults, []);
+  });
+});
+
+/** Sends a request, the second half of its body later; returns its answer. */
+function sendInHalves(fixture: EntryFixture): Promise<string> {
+  const [host, port] = fixture.address.split(":");
+  const socket = connect({ host: host!, port: Number(port) });
+  socket.write(
+    "POST /v1/services/portal/run HTTP/1.1\r\nHost: x\r\n" +
+      "Teaselrouter-Workspace: desk\r\nContent-Length: 10\r\n\r\n12345",
+  );
+  setTimeout(() => socket.write("67890"), HALF_MILLISECONDS);
+  return new Promise((resolve) => {
+    socket.once("data", (bytes) => {
+      resolve(String(bytes));
+      socket.destroy();
+    });
+    socket.once("close", () => resolve("closed"));
+  });
+}
+
 // Guards against a stop that closes the connection of an operator whose command
 // still runs.
 test("a planned stop of an entry host waits for an operator's command", async () => {
--- a/packages/experiments/src/failures/entry_fixture.ts
+++ b/packages/experiments/src/failures/entry_fixture.ts
@@ -136,11 +136,11 @@
 
   /** Puts a contract in force; its fields are the usual ones but for these. */
   setContract(
-    { retired = false, ...content }: {
+    { retired = false, services = [SERVICE], ...content }: {
       retired?: boolean;
       requests_per_second?: number;
       burst?: number;
-      services?: string[];
+      services?: readonly string[];
       maximum_body_bytes?: number;
     },
   ): void {
@@ -154,7 +154,7 @@
         deadline_milliseconds: 5_000,
         priority: 5,
         maximum_body_bytes: 1_048_576,
-        services: [SERVICE],
+        services: [...services],
         ...content,
       },
       retired,
