Bytes behind a whole request do not touch its answer

Callers saw: `HTTP/1.1 408 Request Timeout`, not-run, in the middle of an answer under way, where the head of their next request on the connection had begun and not come whole in time; and nothing at all, not even a head, where unreadable bytes came behind a whole request. Cause: a client error was answered, or the connection destroyed, at once, though answers to earlier requests on the connection were due. Change: it waits until they have been sent, and is dropped when the bytes become a request after all.

--- a/packages/daemon/src/entry/public_server.ts
+++ b/packages/daemon/src/entry/public_server.ts
@@ -29,12 +29,21 @@
   onError: (error: unknown) => void;
 };
 
+type ClientError = Error & { code?: string };
+
+type Connection = {
+  /** Requests on it whose answers have not been sent yet. */
+  due: number;
+  onceNoneDue: (() => void) | undefined;
+};
+
 /** Serves callers, operators and the platform's load balancer on one port. */
 export class PublicServer {
   #server: Server;
   #options: Options;
   #lastRequestAt = -Infinity;
   #inProgress = 0;
+  #connections = new WeakMap<Duplex, Connection>();
 
   constructor(options: Options) {
     this.#options = options;
@@ -44,7 +53,10 @@
       requestTimeout: 0,
       connectionsCheckingInterval: CONNECTIONS_CHECK_INTERVAL_MILLISECONDS,
     }, (request, response) => this.#handle(request, response));
-    this.#server.on("clientError", sendClientError);
+    this.#server.on(
+      "clientError",
+      (error, socket) => this.#handleClientError(error, socket),
+    );
     this.#server.on("timeout", closeUnlessReceiving);
   }
 
@@ -83,6 +95,10 @@
   ): Promise<void> {
     this.#lastRequestAt = monotonicMilliseconds();
     this.#inProgress += 1;
+    const connection = this.#findConnection(request.socket);
+    connection.due += 1;
+    // What was wrong behind the requests before this one has become one.
+    connection.onceNoneDue = undefined;
     response.on("error", () => undefined);
     try {
       await this.#dispatch(request, response);
@@ -97,6 +113,28 @@
     }
     await waitUntilSent(response, this.#options.idleMilliseconds);
     this.#inProgress -= 1;
+    this.#countAnswered(connection);
+  }
+
+  #countAnswered(connection: Connection): void {
+    connection.due -= 1;
+    if (connection.due === 0) connection.onceNoneDue?.();
+  }
+
+  #findConnection(socket: Duplex): Connection {
+    let connection = this.#connections.get(socket);
+    if (connection === undefined) {
+      connection = { due: 0, onceNoneDue: undefined };
+      this.#connections.set(socket, connection);
+    }
+    return connection;
+  }
+
+  /** Waits for the answers to the requests before the unreadable bytes. */
+  #handleClientError(error: ClientError, socket: Duplex): void {
+    const connection = this.#findConnection(socket);
+    if (connection.due === 0) return sendClientError(error, socket);
+    connection.onceNoneDue = () => sendClientError(error, socket);
   }
 
   async #dispatch(
@@ -148,10 +186,7 @@
  * Answers headers that are too large or too slow with a problem document. Any
  * other malformed request gets its connection closed.
  */
-function sendClientError(
-  error: Error & { code?: string },
-  socket: Duplex,
-): void {
+function sendClientError(error: ClientError, socket: Duplex): void {
   const known = CLIENT_ERRORS[error.code ?? ""];
   if (known === undefined || !socket.writable) {
     socket.destroy();
--- a/packages/experiments/src/failures/call_ends_test.ts
+++ b/packages/experiments/src/failures/call_ends_test.ts
@@ -1,4 +1,5 @@
 import assert from "node:assert/strict";
+import { once } from "node:events";
 import type { ServerResponse } from "node:http";
 import { connect } from "node:net";
 import { test } from "node:test";
@@ -17,6 +18,8 @@
 };
 /** What entry hosts say in Keep-Alive. */
 const ANNOUNCED_IDLE_MILLISECONDS = 5_000;
+/** Longer than the fixture's callers may take for a head. */
+const BEHIND_MILLISECONDS = 3_000;
 const HALF_MILLISECONDS = 300;
 const CALLS = 8;
 const LINE = "a line of the answer\n";
@@ -86,6 +89,33 @@
   });
 });
 
+// Guards against an answer that is broken, or never sent, by what its caller sends
+// behind a whole request.
+test("bytes behind a whole request do not touch its answer", async () => {
+  for (const behind of ["POST /v1/serv", "\x16\x03\x01 no request\r\n\r\n"]) {
+    await withEntryFixture(async (_request, response) => {
+      response.write(LINE);
+      await sleep(BEHIND_MILLISECONDS);
+      response.end(LINE);
+    }, async (fixture) => {
+      const [host, port] = fixture.address.split(":");
+      const socket = connect({ host: host!, port: Number(port) });
+      let text = "";
+      socket.on("data", (bytes) => text += bytes);
+      const closed = once(socket, "close");
+      socket.write(
+        "POST /v1/services/portal/run HTTP/1.1\r\nHost: x\r\n" +
+          `Teaselrouter-Workspace: desk\r\nContent-Length: 0\r\n\r\n${behind}`,
+      );
+      await closed;
+      const [answer] = text.split("\r\n0\r\n\r\n");
+      assert.match(answer!, /^HTTP\/1.1 200 /);
+      assert.equal(answer!.split(LINE).length, 3, text);
+      assert.ok(!answer!.includes("HTTP/1.1 408"), text);
+    });
+  }
+});
+
 // Guards against a caller's broken answer that the log can't explain.
 test("an answer that breaks off is reported with its reason, once", async () => {
   const answers = {
