--- a/packages/daemon/src/agent/agent_app.ts
+++ b/packages/daemon/src/agent/agent_app.ts
@@ -32,7 +32,7 @@
 
 /**
  * A heartbeat each second, as a beat is 500 ms. After 2.5 s of silence, entry
- * hosts count a backend server as gone.
+ * hosts prefer other backend servers; after 4 s, they count this one as gone.
  */
 const BEATS_PER_HEARTBEAT = 2;
 
@@ -145,8 +145,9 @@
 
   /**
    * Refuses new calls and waits at least `agent.drain_milliseconds`, then until
-   * no call is running or queued and no answer is being read. The answer of an
-   * ended call whose reader left early, or never came, does not delay the stop.
+   * no call is running or queued and no answer is being read, or may be read
+   * again by a reader that lost its connection. The answer of an ended call
+   * whose reader left long ago, or never came, does not delay the stop.
    */
   async stop(): Promise<void> {
     this.#state.stop();
--- a/packages/daemon/src/entry/public_server.ts
+++ b/packages/daemon/src/entry/public_server.ts
@@ -4,12 +4,14 @@
   type Server,
   type ServerResponse,
 } from "node:http";
+import type { Socket } from "node:net";
 import type { Duplex } from "node:stream";
 import type { Result } from "true-myth";
 import { listen } from "../transport/listen.ts";
 import { monotonicMilliseconds } from "../transport/monotonic_milliseconds.ts";
 import { stopAccepting } from "../transport/stop_accepting.ts";
 import { sendProblem } from "../http/send_problem.ts";
+import { waitUntilSent } from "../http/wait_until_sent.ts";
 
 const MAX_HEADER_BYTES = 16_384;
 const CONNECTIONS_CHECK_INTERVAL_MILLISECONDS = 500;
@@ -27,11 +29,21 @@
   onError: (error: unknown) => void;
 };
 
+type ClientError = Error & { code?: string };
+
+type Connection = {
+  /** Requests on it whose answers have not been sent yet. */
+  due: number;
+  onceNoneDue: (() => void) | undefined;
+};
+
 /** Serves callers, operators and the platform's load balancer on one port. */
 export class PublicServer {
   #server: Server;
   #options: Options;
   #lastRequestAt = -Infinity;
+  #inProgress = 0;
+  #connections = new WeakMap<Duplex, Connection>();
 
   constructor(options: Options) {
     this.#options = options;
@@ -41,7 +53,11 @@
       requestTimeout: 0,
       connectionsCheckingInterval: CONNECTIONS_CHECK_INTERVAL_MILLISECONDS,
     }, (request, response) => this.#handle(request, response));
-    this.#server.on("clientError", sendClientError);
+    this.#server.on(
+      "clientError",
+      (error, socket) => this.#handleClientError(error, socket),
+    );
+    this.#server.on("timeout", closeUnlessReceiving);
   }
 
   /** When the latest request arrived, monotonic milliseconds. */
@@ -49,6 +65,14 @@
     return this.#lastRequestAt;
   }
 
+  /**
+   * Requests of callers and operators that are being handled, or whose
+   * responses are still being sent.
+   */
+  get inProgress(): number {
+    return this.#inProgress;
+  }
+
   listen(address: string): Promise<Result<void, string>> {
     return listen(this.#server, address);
   }
@@ -70,6 +94,11 @@
     response: ServerResponse,
   ): Promise<void> {
     this.#lastRequestAt = monotonicMilliseconds();
+    this.#inProgress += 1;
+    const connection = this.#findConnection(request.socket);
+    connection.due += 1;
+    // What was wrong behind the requests before this one has become one.
+    connection.onceNoneDue = undefined;
     response.on("error", () => undefined);
     try {
       await this.#dispatch(request, response);
@@ -82,6 +111,30 @@
         outcome: "unknown",
       });
     }
+    await waitUntilSent(response, this.#options.idleMilliseconds);
+    this.#inProgress -= 1;
+    this.#countAnswered(connection);
+  }
+
+  #countAnswered(connection: Connection): void {
+    connection.due -= 1;
+    if (connection.due === 0) connection.onceNoneDue?.();
+  }
+
+  #findConnection(socket: Duplex): Connection {
+    let connection = this.#connections.get(socket);
+    if (connection === undefined) {
+      connection = { due: 0, onceNoneDue: undefined };
+      this.#connections.set(socket, connection);
+    }
+    return connection;
+  }
+
+  /** Waits for the answers to the requests before the unreadable bytes. */
+  #handleClientError(error: ClientError, socket: Duplex): void {
+    const connection = this.#findConnection(socket);
+    if (connection.due === 0) return sendClientError(error, socket);
+    connection.onceNoneDue = () => sendClientError(error, socket);
   }
 
   async #dispatch(
@@ -101,6 +154,18 @@
   }
 }
 
+/**
+ * Closes an idle connection whose time is over, unless something has come on it
+ * that wasn't read yet: timers fire before sockets are read, and late if this
+ * process has stood still.
+ */
+function closeUnlessReceiving(socket: Socket): void {
+  const { bytesRead } = socket;
+  setImmediate(() => {
+    if (socket.bytesRead === bytesRead) socket.destroy();
+  });
+}
+
 function sendHealth(response: ServerResponse, isOk: boolean): void {
   response.writeHead(isOk ? 200 : 503, { "Content-Type": "text/plain" });
   response.end(isOk ? "ok\n" : "no\n");
@@ -121,10 +186,7 @@
  * Answers headers that are too large or too slow with a problem document. Any
  * other malformed request gets its connection closed.
  */
-function sendClientError(
-  error: Error & { code?: string },
-  socket: Duplex,
-): void {
+function sendClientError(error: ClientError, socket: Duplex): void {
   const known = CLIENT_ERRORS[error.code ?? ""];
   if (known === undefined || !socket.writable) {
     socket.destroy();
