--- a/packages/daemon/src/gateway/call_sender.ts
+++ b/packages/daemon/src/gateway/call_sender.ts
@@ -100,10 +100,10 @@
 
   /**
    * Logs a failed attempt and counts it against its backend server, also if
-   * this gateway aborted the attempt, unless another one took over. Ejects the backend server if no
-   * connection to it was made, or once its failure rate is too high. An attempt
-   * that the backend server refused as not run, or broke off after it had
-   * announced its shutdown, is only logged.
+   * this gateway aborted the attempt, unless another one took over. Ejects the
+   * backend server if no connection to it was made, or once its failure rate is
+   * too high. An attempt that the backend server refused as not run, or broke
+   * off after it had announced its shutdown, is only logged.
    */
   recordFailedAttempt(
     { candidate: { announcement, record }, isReplaced }: SentAttempt,
