What ends a request from outside has a class of its own

Cause: the handling of a request had grown to over 400 lines, with its timer, its client's leaving, blames, faults and stops between the sending and the answers. Change: moved to CallInterruptions; nothing is decided otherwise.

--- /dev/null
+++ b/packages/daemon/src/gateway/active_call.ts
@@ -0,0 +1,16 @@
+import type { AdmittedCall } from "./admitted_call.ts";
+import type { AnswerForwarder } from "./answer_forwarder.ts";
+import type { CallRouting } from "./call_routing.ts";
+import type { CallSender } from "./call_sender.ts";
+import type { CallTakeover } from "./call_takeover.ts";
+import type { RefusalBuilder } from "./refusal_builder.ts";
+
+/** An admitted request and the objects that handle it. */
+export type ActiveCall = {
+  call: AdmittedCall;
+  sender: CallSender;
+  forwarder: AnswerForwarder;
+  routing: CallRouting;
+  refusals: RefusalBuilder;
+  takeover: CallTakeover;
+};
--- a/packages/daemon/src/gateway/gateway_call.ts
+++ b/packages/daemon/src/gateway/gateway_call.ts
@@ -1,25 +1,20 @@
-import type { Blame } from "@teaselrouter/core/crashes/blame.ts";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { monotonicMilliseconds } from "../transport/monotonic_milliseconds.ts";
 import { admitCall } from "./admit_call.ts";
-import type { AdmittedCall } from "./admitted_call.ts";
+import type { ActiveCall } from "./active_call.ts";
 import { AnswerForwarder } from "./answer_forwarder.ts";
 import type { AttemptOutcome } from "./attempt_outcome.ts";
 import { CallFinisher } from "./call_finisher.ts";
+import { CallInterruptions } from "./call_interruptions.ts";
 import { CallRouting } from "./call_routing.ts";
 import { CallSender } from "./call_sender.ts";
 import { CallTakeover } from "./call_takeover.ts";
-import type { CutReason } from "./cut_reason.ts";
 import type { GatewayContext } from "./gateway_context.ts";
 import { RefusalBuilder } from "./refusal_builder.ts";
 import type { SentAttempt } from "./sent_attempt.ts";
 
 type Answer = Extract<AttemptOutcome, { kind: "answer" }>;
 
-/** An identical request may succeed at another gateway. */
-const RETRY_ELSEWHERE_MILLISECONDS = 100;
-const FAULT_REASON = "a fault of this gateway";
-
 type Options = {
   context: GatewayContext;
   request: IncomingMessage;
@@ -28,16 +23,6 @@
   isLatest: () => boolean;
 };
 
-/** An admitted request and the objects that handle it. */
-type ActiveCall = {
-  call: AdmittedCall;
-  sender: CallSender;
-  forwarder: AnswerForwarder;
-  routing: CallRouting;
-  refusals: RefusalBuilder;
-  takeover: CallTakeover;
-};
-
 /** Handles one client request, from its head to the end of its answer. */
 export class GatewayCall {
   #context: GatewayContext;
@@ -45,14 +30,14 @@
   #response: ServerResponse;
   #startedAt = monotonicMilliseconds();
   #finisher: CallFinisher;
-  /** Undefined until the request is admitted. */
-  #active: ActiveCall | undefined;
+  #interruptions: CallInterruptions;
 
   constructor(options: Options) {
     this.#context = options.context;
     this.#request = options.request;
     this.#response = options.response;
     this.#finisher = new CallFinisher(options);
+    this.#interruptions = new CallInterruptions(options, this.#finisher);
   }
 
   /** Never rejects; every path ends the response. */
@@ -60,20 +45,13 @@
     try {
       await this.#handle();
     } catch (error) {
-      this.#endAfterFault(error);
+      this.#interruptions.endAfterFault(error);
     }
   }
 
-  /**
-   * Ends the request, whatever has come of it, as the gateway is about to stop.
-   */
+  /** See `CallInterruptions.endForStop`. */
   endForStop(): void {
-    if (this.#finisher.isOver) return;
-    const reason = "this gateway stops";
-    this.#guard(() => {
-      this.#refuseAsFarAsKnown(reason, "stopping");
-      if (this.#active !== undefined) this.#abortAttempts(this.#active, reason);
-    });
+    this.#interruptions.endForStop();
   }
 
   async #handle(): Promise<void> {
@@ -109,24 +87,8 @@
       refusals,
       takeover,
     };
-    this.#active = active;
     context.retries.countRequest();
-    // The connection was closed while the request was held or its body read:
-    // "close" is not emitted again.
-    if (response.destroyed) return this.#handleDisconnect(active);
-    response.once(
-      "close",
-      () => this.#guard(() => this.#handleDisconnect(active)),
-    );
-    const left = call.deadlineAt - monotonicMilliseconds();
-    this.#finisher.startTimer(
-      left,
-      () => this.#guard(() => this.#handleTimeout(active)),
-    );
-    const stopWatching = context.crashes.watch({
-      call,
-      abort: (blame) => this.#guard(() => this.#abortBlamed(active, blame)),
-    });
+    const stopWatching = this.#interruptions.watch(active);
     try {
       await this.#sendUntilAnswered(active);
     } finally {
@@ -155,7 +117,9 @@
     let lastReason = "";
     while (!this.#finisher.isOver) {
       const blame = this.#context.crashes.checkBlame(active.call);
-      if (blame !== undefined) return this.#refuseBlamed(active, blame);
+      if (blame !== undefined) {
+        return this.#interruptions.refuseBlamed(active, blame);
+      }
       const sent = takeover.takeReplacement() ??
         await this.#sendOrRefuse(active, lastReason);
       if (sent === undefined) continue;
@@ -338,98 +302,6 @@
     });
   }
 
-  /**
-   * Ends a request that was blamed for crashes. One whose answer has begun goes
-   * on: it is too late to keep it off the backend server.
-   */
-  #abortBlamed(active: ActiveCall, blame: Blame): void {
-    if (this.#finisher.isOver || active.forwarder.hasBegun) return;
-    active.refusals.mayHaveRun ||= active.sender.isSent;
-    this.#refuseBlamed(active, blame);
-    this.#abortAttempts(active, "it ends what runs it");
-  }
-
-  #refuseBlamed(active: ActiveCall, blame: Blame): void {
-    this.#finisher.refuse(active, active.refusals.buildBlamed(blame));
-  }
-
-  /** Handles an event: thrown from there, an exception would end the process. */
-  #guard(handle: () => void): void {
-    try {
-      handle();
-    } catch (error) {
-      this.#endAfterFault(error);
-    }
-  }
-
-  /**
-   * Ends a request whose handling has thrown. An answer that has begun is cut
-   * off.
-   */
-  #endAfterFault(error: unknown): void {
-    this.#logFault(error);
-    try {
-      this.#refuseAsFarAsKnown(FAULT_REASON, "fault");
-    } catch (later) {
-      this.#logFault(later);
-    }
-    this.#active?.takeover.stop(FAULT_REASON);
-    this.#active?.sender.abort(FAULT_REASON);
-    this.#active?.sender.endAll();
-    if (!this.#response.writableEnded) this.#response.destroy();
-  }
-
-  #logFault(error: unknown): void {
-    this.#context.log.error("request-failed", {
-      id: this.#active?.call.id,
-      reason: error instanceof Error ? error.stack : error,
-    });
-  }
-
-  /** Refuses the request as unknown, or as not run if nothing was sent. */
-  #refuseAsFarAsKnown(reason: string, cutReason: CutReason): void {
-    const active = this.#active;
-    if (active === undefined) {
-      return this.#finisher.refuse(undefined, {
-        status: 503,
-        reason,
-        retryAfterMilliseconds: RETRY_ELSEWHERE_MILLISECONDS,
-      });
-    }
-    const { refusals, sender } = active;
-    refusals.mayHaveRun ||= sender.isSent;
-    const refusal = refusals.build(reason, "busy");
-    this.#finisher.refuse(active, { ...refusal, cutReason });
-  }
-
-  #handleTimeout(active: ActiveCall): void {
-    if (this.#finisher.isOver) return;
-    const isSent = active.refusals.mayHaveRun || active.sender.isSent;
-    const reason = "the time for it is over";
-    this.#finisher.refuse(active, {
-      status: isSent ? 504 : 503,
-      reason,
-      cutReason: "time-over",
-    });
-    this.#abortAttempts(active, reason);
-  }
-
-  #handleDisconnect(active: ActiveCall): void {
-    if (this.#finisher.isOver) return;
-    const reason = "the client closed its connection";
-    this.#finisher.finish(active, {
-      status: 499,
-      reason,
-      outcome: "client-left",
-    });
-    this.#abortAttempts(active, "the client has left");
-  }
-
-  #abortAttempts({ sender, takeover }: ActiveCall, reason: string): void {
-    takeover.stop(reason);
-    sender.abort(reason);
-  }
-
   #refuseWithoutBackend(active: ActiveCall, lastReason: string): void {
     const { refusals, routing } = active;
     const waitMilliseconds = routing.millisecondsUntilCapacity();
