What arrives behind a refusal of a connection's input is not run

What callers saw: 408, which promises that a request has not run and won't; when the rest of its half head, or half body, arrived after that it was taken, sent on and ran, and its answer went to a closed connection. Cause: the connection was ended for writing only; what came in was still read. Change: requests on such a connection aren't taken, and one whose body is half read is closed with its refusal. request-ended names the configuration under which its request was admitted, no longer the one in force at its end.

--- a/acceptance/src/configuration_change_test.ts
+++ b/acceptance/src/configuration_change_test.ts
@@ -49,6 +49,7 @@
   const usual = { look: 200, pay: 200, write: 200 };
   assert.deepEqual(await underWay.askAgain(), { ...usual, ...next });
   underWay.close();
+  await checkLog(name);
   const idsOf = ({ ranRequestIds }: FakeBackendServer) =>
     ranRequestIds.filter((id) => id.startsWith(`${name}-`));
   assert.deepEqual(
@@ -59,6 +60,17 @@
   assert.equal(new Set(ran).size, ran.length, "a request ran twice");
 }
 
+/** Checks that the log names the configuration that admitted the requests. */
+async function checkLog(name: string): Promise<void> {
+  const { child } = system.cluster.findHost(system.gatewayNames[0]!);
+  for (const part of ["look", "pay", "write", "half-body"]) {
+    const line = new RegExp(`event=request-ended id=${name}-${part} .*`);
+    const findLine = () => line.exec(child.output)?.[0] ?? "";
+    await waitUntil(() => findLine() !== "", CHECK_TIMEOUT_MILLISECONDS);
+    assert.match(findLine(), new RegExp(`configuration=${name.slice(1)}$`));
+  }
+}
+
 // Guards against changes that come late, or that aren't one: an older version
 // that arrives after a newer one, and a version that is refused.
 test("requests under way outlast versions that don't come into force", async () => {
--- a/acceptance/src/configuration_limits_test.ts
+++ b/acceptance/src/configuration_limits_test.ts
@@ -2,7 +2,11 @@
 import assert from "node:assert/strict";
 import { after, before, test } from "node:test";
 import { ChangingSystem } from "./changing_system.ts";
-import { buildHead, buildStreamRequest } from "./requests_under_way.ts";
+import {
+  buildEvents,
+  buildHead,
+  buildStreamRequest,
+} from "./requests_under_way.ts";
 
 const system = new ChangingSystem();
 before(() => system.start());
@@ -93,7 +97,10 @@
 test("idle connections are kept for the idle time that clients know", async () => {
   const longMilliseconds = 4_200;
   const clientMilliseconds = longMilliseconds * 4 / 5;
-  const long = { limits: { idleTimeoutMs: longMilliseconds } };
+  const headerTimeoutMs = 300;
+  const long = {
+    limits: { idleTimeoutMs: longMilliseconds, headerTimeoutMs },
+  };
   const open = async () => {
     const connection = await system.openConnection();
     const ask = async () => {
@@ -112,7 +119,7 @@
   const idleAt = await idle.ask();
   announced.connection.send(buildStreamRequest(`idle-${system.version}`));
   await announced.connection.waitForBytes();
-  await system.change({ limits: { idleTimeoutMs: 50 } });
+  await system.change({ limits: { idleTimeoutMs: 50, headerTimeoutMs } });
   assert.equal((await announced.connection.read()).status, 200);
   const announcedAt = performance.now();
 
@@ -127,3 +134,37 @@
   await late.ask();
   for (const { connection } of [idle, announced, late]) connection.close();
 });
+
+// Guards against answers into which a gateway writes the refusal of what follows
+// on the same connection. The test before leaves a short time for heads in force.
+for (
+  const [name, bytes, status] of [
+    ["a next head that isn't completed in time", "GET /look", 408],
+    ["bytes that are no request", "nonsense\r\n\r\n", 400],
+  ] as const
+) {
+  test(`${name} harms no answer under way`, async () => {
+    system.setEvents({ count: 15 });
+    const connection = await system.openConnection();
+    connection.send(buildStreamRequest(`before-${status}`) + bytes);
+    const answer = await connection.read();
+    assert.equal(answer.status, 200);
+    assert.equal(answer.text, buildEvents(15));
+    assert.equal((await connection.read()).status, status);
+    connection.close();
+  });
+}
+
+// Guards against requests that run although their client was told that they
+// haven't: the rest of a head arrives after the refusal of its half.
+test("a request whose half head was refused isn't run when the rest comes", async () => {
+  const connection = await system.openConnection();
+  const id = `refused-${system.version}`;
+  const head = buildHead("/pay/", { id });
+  connection.send(head.slice(0, 40));
+  assert.equal((await connection.read()).status, 408);
+  connection.send(head.slice(40));
+  await sleep(300);
+  assert.ok(!system.plainServer.ranRequestIds.includes(id));
+  connection.close();
+});
--- a/acceptance/src/kept_connection.ts
+++ b/acceptance/src/kept_connection.ts
@@ -35,7 +35,13 @@
   static open(url: string): Promise<KeptConnection> {
     const { hostname, port } = new URL(url);
     return new Promise((resolve, reject) => {
-      const socket = createConnection(Number(port), hostname);
+      // Can still send when the other side has ended, like a client whose request
+      // crosses the close.
+      const socket = createConnection({
+        port: Number(port),
+        host: hostname,
+        allowHalfOpen: true,
+      });
       socket.once("error", reject);
       socket.once("connect", () => resolve(new KeptConnection(socket)));
     });
--- a/packages/daemon/src/gateway/admit_call.ts
+++ b/packages/daemon/src/gateway/admit_call.ts
@@ -67,6 +67,7 @@
   );
   return Result.ok({
     id: metadata.id,
+    configurationVersion: table.configuration.version,
     metadata,
     route,
     service,
--- a/packages/daemon/src/gateway/admitted_call.ts
+++ b/packages/daemon/src/gateway/admitted_call.ts
@@ -6,6 +6,8 @@
 /** A request that was checked and is to be routed. */
 export type AdmittedCall = {
   id: string;
+  /** Version of the configuration that the request is handled by. */
+  configurationVersion: number;
   metadata: RequestMetadata;
   route: Route;
   service: ServiceDefinition;
--- a/packages/daemon/src/gateway/call_finisher.ts
+++ b/packages/daemon/src/gateway/call_finisher.ts
@@ -128,7 +128,8 @@
       outcome: end.outcome,
       reason: end.reason,
       milliseconds: milliseconds && Math.round(milliseconds),
-      configuration: feed.table?.configuration.version,
+      configuration: call?.configurationVersion ??
+        feed.table?.configuration.version,
     });
   }
 }
--- a/packages/daemon/src/gateway/connection_answers.ts
+++ b/packages/daemon/src/gateway/connection_answers.ts
@@ -79,6 +79,11 @@
     ).map(([socket]) => socket);
   }
 
+  /** Whether a request on the connection has not been read to its end. */
+  hasUnread(socket: Socket): boolean {
+    return this.#unfinishedOn(socket).some(({ req }) => !req.complete);
+  }
+
   hasDue(socket: Socket): boolean {
     return this.#unfinishedOn(socket).some(isDue);
   }
--- a/packages/daemon/src/gateway/gateway_server.ts
+++ b/packages/daemon/src/gateway/gateway_server.ts
@@ -43,6 +43,11 @@
   #server: Server;
   #timeouts: CallerTimeouts;
   #answers = new ConnectionAnswers();
+  /**
+   * Connections whose input was refused: what is completed there afterwards must
+   * not run.
+   */
+  #refused = new WeakSet<Socket>();
   #inFlight = 0;
   #calls = new Set<GatewayCall>();
   #isClosing = false;
@@ -108,7 +113,9 @@
 
   #handle(request: IncomingMessage, response: ServerResponse): void {
     const answers = this.#answers;
-    if (answers.isClosing(request.socket)) return void request.resume();
+    const { socket } = request;
+    const isRefused = this.#refused.has(socket) || answers.isClosing(socket);
+    if (isRefused) return void request.resume();
     this.#inFlight += 1;
     this.#lastRequestAt = monotonicMilliseconds();
     response.once("close", () => {
@@ -116,7 +123,7 @@
     });
     response.on("error", () => undefined);
     answers.add(request, response);
-    this.#timeouts.keepAnnouncedTime(response, request.socket);
+    this.#timeouts.keepAnnouncedTime(response, socket);
     const context = this.#context;
     if (context.isStopping()) response.shouldKeepAlive = false;
     const isLatest = () => answers.isLatest(response);
@@ -162,9 +169,12 @@
     this.#context.log.warn("request-unreadable", { reason, status });
     this.#answers.onceNoneDue(socket, () => {
       if (!socket.writable) return;
+      this.#refused.add(socket);
       socket.end(
         `HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`,
       );
+      // The rest of a body must not complete its request.
+      if (this.#answers.hasUnread(socket)) socket.destroySoon();
     });
   }
 }
