--- a/packages/daemon/src/agent/engine_client.ts
+++ b/packages/daemon/src/agent/engine_client.ts
@@ -2,13 +2,11 @@
 import * as z from "zod";
 
 import type { BackendPushback } from "./backend_pushback.ts";
+import { STATE_UNREADABLE } from "./state_unreadable.ts";
 
 const CALL_TIMEOUT_MILLISECONDS = 2_000;
 const PROBE_PATH = "/v1/probe";
 
-/** Error of `readState` if the engine has answered, but not with its state. */
-export const STATE_UNREADABLE = "engine-state-unreadable";
-
 const stateSchema = z.object({
   /** Version that is loaded completely; empty for none. */
   version: z.string(),
--- /dev/null
+++ b/packages/daemon/src/agent/state_unreadable.ts
@@ -0,0 +1,2 @@
+/** Error of `EngineClient.readState` if the answer does not hold the state. */
+export const STATE_UNREADABLE = "engine-state-unreadable";
--- a/packages/daemon/src/entry/calls/exchange_reader.ts
+++ b/packages/daemon/src/entry/calls/exchange_reader.ts
@@ -8,12 +8,10 @@
 import type { ClientPool } from "../../transport/client_pool.ts";
 import { monotonicMilliseconds } from "../../transport/monotonic_milliseconds.ts";
 import { sleep } from "../../transport/sleep.ts";
+import { AGENT_UNREACHABLE } from "./agent_unreachable.ts";
 import type { AnswerPart } from "./answer_part.ts";
 import { SilenceTimer } from "./silence_timer.ts";
 
-/** Why an answer is broken if its agent can't be reached any more. */
-export const AGENT_UNREACHABLE = "agent-unreachable";
-
 const MAX_CONSECUTIVE_FAILURES = 3;
 const RECONNECT_DELAY_MILLISECONDS = 50;
 
--- a/packages/daemon/src/entry/calls/repeatable_call.ts
+++ b/packages/daemon/src/entry/calls/repeatable_call.ts
@@ -14,7 +14,8 @@
 import type { AnswerPart } from "./answer_part.ts";
 import type { CallCrashDetector } from "./call_crash_detector.ts";
 import type { CheckedCall } from "./checked_call.ts";
-import { AGENT_UNREACHABLE, ExchangeReader } from "./exchange_reader.ts";
+import { AGENT_UNREACHABLE } from "./agent_unreachable.ts";
+import { ExchangeReader } from "./exchange_reader.ts";
 import type { Problem } from "../../http/problem.ts";
 
 const ROUTING_PREFIX_BYTES = 256;
--- a/packages/experiments/src/failures/call_ends_test.ts
+++ b/packages/experiments/src/failures/call_ends_test.ts
@@ -7,7 +7,8 @@
 import { waitUntil } from "../harness/wait_until.ts";
 import { sendRequest } from "./send_request.ts";
 import { withSystem } from "./with_system.ts";
-import { type EntryFixture, withEntryFixture } from "./entry_fixture.ts";
+import type { EntryFixture } from "./entry_fixture.ts";
+import { withEntryFixture } from "./with_entry_fixture.ts";
 
 const SILENCE_MILLISECONDS = 2_000;
 const TIMEOUT_MILLISECONDS = 10_000;
--- a/packages/experiments/src/failures/entry_fixture.ts
+++ b/packages/experiments/src/failures/entry_fixture.ts
@@ -21,7 +21,6 @@
 import { InternalServer } from "@teaselrouter/daemon/transport/internal_server.ts";
 import type { StatsD } from "hot-shots";
 import { createServer, type RequestListener } from "node:http";
-import { findFreeAddresses } from "../harness/find_free_addresses.ts";
 import { Relay } from "../harness/relay.ts";
 
 const ANNOUNCEMENT_LIFETIME_MILLISECONDS = 60_000;
@@ -203,17 +202,3 @@
     return { increment: count, timing: () => undefined } as unknown as StatsD;
   }
 }
-
-/** Runs a test on one entry host, one agent and a backend server of its own. */
-export async function withEntryFixture(
-  backend: RequestListener,
-  scenario: (fixture: EntryFixture) => Promise<void>,
-): Promise<void> {
-  const fixture = new EntryFixture(await findFreeAddresses(4), backend);
-  await fixture.start();
-  try {
-    await scenario(fixture);
-  } finally {
-    await fixture.stop();
-  }
-}
