Names and sentences, after a newcomer's reading

Cause: MIN_WAITING_LIMIT named no unit and was explained in one breath with the share beside it; MAX_GAP_MILLISECONDS stood for a pause between silences and for a client's patience. Change: MIN_WAITING_REQUESTS, CLIENT_PATIENCE_MILLISECONDS, two comments; nothing is decided otherwise.

--- a/acceptance/src/send_traced_request.ts
+++ b/acceptance/src/send_traced_request.ts
@@ -8,7 +8,7 @@
 import type { RequestKind, TracedRequest } from "./traced_request.ts";
 
 /** Clients abandon a stream after a gap of this length. */
-export const MAX_GAP_MILLISECONDS = 2_400;
+export const CLIENT_PATIENCE_MILLISECONDS = 2_400;
 const PATHS = { stream: "/write/x", safe: "/look/x", unsafe: "/pay/x" };
 
 type Options = {
@@ -154,7 +154,7 @@
 ): () => void {
   const isTooLong = () =>
     traced.lastByteAt !== undefined &&
-    performance.now() - traced.lastDataAt > MAX_GAP_MILLISECONDS;
+    performance.now() - traced.lastDataAt > CLIENT_PATIENCE_MILLISECONDS;
   const timer = setInterval(() => {
     if (!isTooLong()) return;
     // This process may have stood still: what has arrived is read first.
--- a/acceptance/src/silence_excuses.ts
+++ b/acceptance/src/silence_excuses.ts
@@ -1,6 +1,6 @@
 import { GRACE_SECONDS } from "./loopback_cluster.ts";
 import { LOCAL, type RunDelay } from "./run_delay_watch.ts";
-import { MAX_GAP_MILLISECONDS } from "./send_traced_request.ts";
+import { CLIENT_PATIENCE_MILLISECONDS } from "./send_traced_request.ts";
 import type { TracedRequest } from "./traced_request.ts";
 
 /** Silence that may cost no client an answer. */
@@ -79,7 +79,7 @@
     const held = measureUnion([...silences, ...delays], gap);
     const rest = this.#times.eventIntervalMilliseconds +
       TIMER_SLACK_MILLISECONDS;
-    if (held + rest < MAX_GAP_MILLISECONDS) return undefined;
+    if (held + rest < CLIENT_PATIENCE_MILLISECONDS) return undefined;
     const isLong = ({ from, to }: Span) =>
       to - from > MAX_FREE_SILENCE_MILLISECONDS;
     if (silences.some(isLong)) return "long silence";
--- a/packages/core/src/gateway/decide_takeover.ts
+++ b/packages/core/src/gateway/decide_takeover.ts
@@ -16,14 +16,14 @@
 
 /** A connection and the head of an answer take about a third of this time. */
 const MIN_MILLISECONDS_LEFT = 300;
+/** Requests that may wait at the server that takes over, relative to its slots. */
+const MAX_WAITING_SHARE = 0.5;
 /**
- * Requests that may wait at the backend server that takes over: this share of
- * its slots, but as many as may wait there of new requests that are late. Else
- * these would take each place that becomes free, and streams of a frozen
- * server, which are older, would wait until their clients give up.
+ * Requests that may wait there at least: as many as late new ones may. With a
+ * smaller number those would take each place that becomes free, ahead of the
+ * streams of a frozen server.
  */
-const MAX_WAITING_SHARE = 0.5;
-const MIN_WAITING_LIMIT = 8;
+const MIN_WAITING_REQUESTS = 8;
 
 /**
  * Decides whether another backend server takes over a request whose own has
@@ -71,5 +71,5 @@
 ): boolean {
   const slots = Math.max(1, announcement.slots);
   const waiting = record.estimateRequests(now) - slots;
-  return waiting < Math.max(MIN_WAITING_LIMIT, slots * MAX_WAITING_SHARE);
+  return waiting < Math.max(MIN_WAITING_REQUESTS, slots * MAX_WAITING_SHARE);
 }
--- a/packages/daemon/src/gateway/call_takeover.ts
+++ b/packages/daemon/src/gateway/call_takeover.ts
@@ -75,8 +75,8 @@
   }
 
   /**
-   * Has another backend server take over at once, whose answer replaces one that
-   * was a failure. False if none can: the client then gets the failure.
+   * Has another backend server answer instead of one that answered with a
+   * failure. False if none can: the client then gets the failure.
    */
   tryBegin(failed: SentAttempt): boolean {
     if (this.#replacement === undefined) this.#tryDecide(failed);
