A slow host accepts all that wait at its port before a planned stop closes it

What callers saw: read ECONNRESET at a planned stop of a loaded entry host, for calls that had been sent up to some seconds before.

Cause: each turn of the event loop accepts one connection, and a closed port resets those that it has not accepted. The stop gave up accepting after a second of wall time, though connections still waited; and it took the port for empty after a turn that had brought none, though more were opened while that turn went on with other work, or was not run.

`port-closed` says how many were accepted, for how long and whether the port was empty.

--- a/packages/daemon/src/entry/entry_app.ts
+++ b/packages/daemon/src/entry/entry_app.ts
@@ -195,7 +195,7 @@
   async stop(): Promise<void> {
     this.#stopping = true;
     await sleep(this.#options.settings.entry!.drain_milliseconds);
-    await this.#server.stopListening();
+    this.#options.log.info("port-closed", await this.#server.stopListening());
     await this.#waitUntilDrained();
     this.#server.close();
     await this.#deregister();
--- a/packages/daemon/src/entry/public_server.ts
+++ b/packages/daemon/src/entry/public_server.ts
@@ -15,6 +15,8 @@
 
 const MAX_HEADER_BYTES = 16_384;
 const CONNECTIONS_CHECK_INTERVAL_MILLISECONDS = 500;
+/** A host that stands still for seconds during its stop is still sound. */
+const MAX_ACCEPT_MILLISECONDS = 10_000;
 
 type RequestHandler = (
   request: IncomingMessage,
@@ -81,8 +83,9 @@
    * Stops listening; calls on open connections are still answered, with
    * "Connection: close".
    */
-  stopListening(): Promise<void> {
-    return stopAccepting(this.#server);
+  stopListening(): ReturnType<typeof stopAccepting> {
+    const maxMilliseconds = MAX_ACCEPT_MILLISECONDS;
+    return stopAccepting(this.#server, { maxMilliseconds });
   }
 
   close(): void {
--- a/packages/daemon/src/gateway/gateway_app.ts
+++ b/packages/daemon/src/gateway/gateway_app.ts
@@ -197,7 +197,7 @@
       GRACE_MARGIN_MILLISECONDS;
     this.#isStopping = true;
     await sleep(BALANCER_NOTICE_MILLISECONDS);
-    await this.#server.stopListening();
+    this.#options.log.info("port-closed", await this.#server.stopListening());
     await waitUntilQuiet({
       lastRequestAt: () => this.#server.lastRequestAt,
       maxMilliseconds: MAX_QUIET_WAIT_MILLISECONDS,
--- a/packages/daemon/src/gateway/gateway_server.ts
+++ b/packages/daemon/src/gateway/gateway_server.ts
@@ -25,6 +25,8 @@
 const MAX_HEADER_BYTES = 65_536;
 /** A request that takes longer to arrive is of no use to its client. */
 const REQUEST_TIMEOUT_MILLISECONDS = 20_000;
+/** The rest of the grace time is for answers. */
+const MAX_ACCEPT_MILLISECONDS = 1_500;
 /** Another gateway takes the request at once. */
 const STOP_RETRY_MILLISECONDS = 100;
 
@@ -93,9 +95,10 @@
    * Stops listening. Requests that arrive on open connections are refused from
    * now on: the grace time that is left may be too short for an answer.
    */
-  stopListening(): Promise<void> {
+  stopListening(): ReturnType<typeof stopAccepting> {
     this.#isClosing = true;
-    return stopAccepting(this.#server);
+    const maxMilliseconds = MAX_ACCEPT_MILLISECONDS;
+    return stopAccepting(this.#server, { maxMilliseconds });
   }
 
   closeIdle(): void {
--- a/packages/daemon/src/log/event_name.ts
+++ b/packages/daemon/src/log/event_name.ts
@@ -40,6 +40,7 @@
   | "membership-change"
   | "pause-requested"
   | "paused-servers-refused"
+  | "port-closed"
   | "process-stops"
   | "pushback-ended"
   | "readiness"
