A call that is given up leaves its connection to the others

What callers saw: beside silent connections on a slow machine, answers aborted at their deadline, refusals at the deadline, and `agent-unreachable` for an agent that could be reached.

Cause: the end of a call by its deadline, or by a caller who left, was taken for a broken connection. The pool dropped the connection, which was sound, and every other call on it was told so: those without a frame for 0.8 s left it, waited for a new one, and some of them came to their deadlines by that. As the fourth failure in a row, a deadline was reported as an unreachable agent and counted against it.

Change: the reader ends when its call has been given up, and touches nothing.

The new test fails before (one connection dropped, none expected).

--- a/packages/daemon/src/entry/calls/exchange_reader.ts
+++ b/packages/daemon/src/entry/calls/exchange_reader.ts
@@ -66,6 +66,8 @@
       } catch {
         // The connection broke, not the answer: the loop reconnects.
       }
+      // A call that was given up says nothing about its connection.
+      if (this.#options.signal.aborted) return;
       this.#consecutiveFailures += 1;
       if (this.#consecutiveFailures > MAX_CONSECUTIVE_FAILURES) {
         yield { kind: "broken", reason: AGENT_UNREACHABLE };
--- a/packages/daemon/src/entry/calls/exchange_reader_test.ts
+++ b/packages/daemon/src/entry/calls/exchange_reader_test.ts
@@ -69,6 +69,27 @@
   assert.ok(waited[1]! < 1_100, `${waited[1]} ms`);
 });
 
+// Guards against a call whose deadline has passed, or whose caller has left, that
+// takes a working connection from all other calls on it.
+test("a call that is given up leaves its connection to the others", async () => {
+  let drops = 0;
+  const clients = {
+    ...openPool(),
+    dropConnection: () => void (drops += 1),
+  } as unknown as ClientPool;
+  const aborter = new AbortController();
+  const reader = new ExchangeReader({
+    clients,
+    address: "agent",
+    request: create(RunRequestSchema, { requestId: "one" }),
+    signal: aborter.signal,
+    attachOnly: false,
+  });
+  setTimeout(() => aborter.abort("deadline"), 100);
+  for await (const { kind } of reader.read()) assert.fail(kind);
+  assert.equal(drops, 0);
+});
+
 /**
  * Each connection tells once that the call goes on, and then carries nothing,
  * until the last, on which the call ends.
