A silent stream of an answer stays open until a new one speaks, and is doubted sooner

What callers saw: beside silent connections between entry hosts and agents, answers aborted at their deadline of 5 s where processes were slow.

Cause: each loss cost a call 1.5 s of waiting, or 0.8 s once another call had found its connection silent, and then a new connection. Where processes are late, that connection takes a second and more, and was given up itself after 1.5 s without a frame, or 0.8 s. The stream that was left was aborted though it might have gone on. With a loss each 2.5 s, 5 s were over: something that works, or soon will, was given up before anything had replaced it.

A connection that has carried frames and carries none for any call for 0.8 s is doubted by all its calls; one that has carried none yet, after 1.5 s. What is doubted stays open beside a stream on a new connection; the first that sends a frame is read on, the others are closed. A request keeps its id, so its agent runs it once.

--- a/packages/daemon/src/entry/calls/exchange_reader.ts
+++ b/packages/daemon/src/entry/calls/exchange_reader.ts
@@ -3,14 +3,14 @@
   AnswerRefused,
   RunRequest,
 } from "@teaselrouter/messages/agent.ts";
-import { CallOutcome, CallService } from "@teaselrouter/messages/agent.ts";
-import type { Client } from "@connectrpc/connect";
+import { CallOutcome } from "@teaselrouter/messages/agent.ts";
 import type { ClientPool } from "../../transport/client_pool.ts";
 import { monotonicMilliseconds } from "../../transport/monotonic_milliseconds.ts";
 import { sleep } from "../../transport/sleep.ts";
 import { AGENT_UNREACHABLE } from "./agent_unreachable.ts";
 import type { AnswerPart } from "./answer_part.ts";
-import { SilenceTimer } from "./silence_timer.ts";
+import { ExchangeStream } from "./exchange_stream.ts";
+import { waitForSilence } from "./wait_for_silence.ts";
 
 const MAX_CONSECUTIVE_FAILURES = 3;
 const RECONNECT_DELAY_MILLISECONDS = 50;
@@ -26,11 +26,11 @@
 };
 
 /**
- * Reads one answer from an agent, by byte offset. A connection that breaks, or
- * stays silent for longer than the agent's heartbeat interval allows, is
- * replaced by a new one. Once another call has found the connection silent, less
- * silence is enough. The reading resumes at the offset where it stopped,
- * so that no bytes are lost or duplicated.
+ * Reads one answer from an agent, by byte offset. A stream that breaks is replaced
+ * by one on a new connection, which resumes at the offset where it stopped, so
+ * that no bytes are lost or duplicated. One that falls silent stays open until a
+ * new one has sent a frame: whichever sends one first is read on, and the others
+ * are closed.
  */
 export class ExchangeReader {
   #options: Options;
@@ -38,8 +38,8 @@
   #version: string | undefined;
   #consecutiveFailures = 0;
   #heardAt = monotonicMilliseconds();
-  /** On the connection that was used last. */
-  #client: Client<typeof CallService> | undefined;
+  /** The one that is read, and those that may replace it, latest last. */
+  #streams: ExchangeStream[] = [];
 
   constructor(options: Options) {
     this.#options = options;
@@ -55,60 +55,85 @@
    * any of these if the signal is aborted.
    */
   async *read(): AsyncGenerator<AnswerPart> {
-    while (!this.#options.signal.aborted) {
-      try {
-        for await (const frame of this.#connect()) {
-          const part = this.#toAnswerPart(frame);
-          if (part === undefined) continue;
+    const { signal } = this.#options;
+    try {
+      if (!signal.aborted) this.#openStream();
+      while (!signal.aborted) {
+        if (this.#consecutiveFailures > MAX_CONSECUTIVE_FAILURES) {
+          yield { kind: "broken", reason: AGENT_UNREACHABLE };
+          return;
+        }
+        const frame = await this.#readFrame();
+        // A call that was given up says nothing about its connection.
+        if (signal.aborted) return;
+        const part = frame && this.#toAnswerPart(frame);
+        if (part !== undefined) {
           yield part;
           if (part.kind !== "start" && part.kind !== "data") return;
         }
-      } catch {
-        // The connection broke, not the answer: the loop reconnects.
-      }
-      // A call that was given up says nothing about its connection.
-      if (this.#options.signal.aborted) return;
-      this.#consecutiveFailures += 1;
-      if (this.#consecutiveFailures > MAX_CONSECUTIVE_FAILURES) {
-        yield { kind: "broken", reason: AGENT_UNREACHABLE };
-        return;
+        if (frame !== undefined) this.#streams[0]!.advance();
       }
-      const { clients, address } = this.#options;
-      clients.dropConnection(address, this.#client);
-      await sleep(RECONNECT_DELAY_MILLISECONDS);
+    } finally {
+      for (const stream of this.#streams) stream.close();
     }
   }
 
-  async *#connect(): AsyncGenerator<AnswerFrame> {
-    const { clients, address, request, signal, attachOnly } = this.#options;
-    const client = clients.client(CallService, address);
-    this.#client = client;
-    const silenceController = new AbortController();
-    const options = {
-      signal: AbortSignal.any([signal, silenceController.signal]),
-    };
-    const timer = new SilenceTimer(() => silenceController.abort());
-    const dropped = clients.dropped$(client).subscribe(() => timer.suspect());
-    timer.start();
-    const frames = attachOnly || this.#version !== undefined
-      ? client.attach({
-        requestId: request.requestId,
-        offset: this.#offset,
-      }, options)
-      : client.run(request, options);
-    try {
-      for await (const frame of frames) {
-        timer.stop();
-        this.#heardAt = monotonicMilliseconds();
-        yield frame;
-        timer.start();
-      }
-    } finally {
-      dropped.unsubscribe();
-      timer.stop();
+  /** Undefined if a stream broke or fell silent instead. */
+  async #readFrame(): Promise<AnswerFrame | undefined> {
+    const latest = this.#streams.at(-1)!;
+    const silence = waitForSilence(latest);
+    const event = await Promise.race([
+      ...this.#streams.map((stream) => stream.next),
+      silence.found,
+    ]);
+    silence.stop();
+    if (event === undefined) this.#replaceSilent(latest);
+    else if (event.frame === undefined) await this.#leaveBroken(event.stream);
+    else this.#keepOnly(event.stream);
+    return event?.frame;
+  }
+
+  #openStream(): void {
+    const { attachOnly, ...options } = this.#options;
+    const mayHaveArrived = attachOnly || this.#version !== undefined;
+    const offset = mayHaveArrived ? this.#offset : undefined;
+    this.#streams.push(new ExchangeStream({ ...options, offset }));
+  }
+
+  /** What is silent stays open: it may go on before the new stream begins. */
+  #replaceSilent(latest: ExchangeStream): void {
+    this.#countFailure(latest);
+    this.#openStream();
+  }
+
+  async #leaveBroken(stream: ExchangeStream): Promise<void> {
+    if (this.#options.signal.aborted) return;
+    const isLatest = stream === this.#streams.at(-1);
+    this.#countFailure(stream);
+    this.#close(stream);
+    if (!isLatest) return;
+    await sleep(RECONNECT_DELAY_MILLISECONDS);
+    this.#openStream();
+  }
+
+  #countFailure({ client }: ExchangeStream): void {
+    const { clients, address } = this.#options;
+    this.#consecutiveFailures += 1;
+    clients.dropConnection(address, client);
+  }
+
+  #keepOnly(stream: ExchangeStream): void {
+    this.#heardAt = monotonicMilliseconds();
+    for (const other of this.#streams) {
+      if (other !== stream) this.#close(other);
     }
   }
 
+  #close(stream: ExchangeStream): void {
+    stream.close();
+    this.#streams = this.#streams.filter((other) => other !== stream);
+  }
+
   /** Undefined for heartbeats and for a start that was read before. */
   #toAnswerPart(frame: AnswerFrame): AnswerPart | undefined {
     const { body } = frame;
--- a/packages/daemon/src/transport/client_pool.ts
+++ b/packages/daemon/src/transport/client_pool.ts
@@ -1,24 +1,18 @@
 import type { DescService } from "@bufbuild/protobuf";
-import { type Client, createClient, type Transport } from "@connectrpc/connect";
+import { type Client, createClient } from "@connectrpc/connect";
 import { createConnectTransport } from "@connectrpc/connect-node";
-import { type Observable, Subject } from "rxjs";
 import { GuardedSessionManager } from "./guarded_session_manager.ts";
 import { MIN_COMPRESSED_BYTES } from "./min_compressed_bytes.ts";
+import { PooledConnection } from "./pooled_connection.ts";
 
 const PING_INTERVAL_MILLISECONDS = 2_000;
 const PING_TIMEOUT_MILLISECONDS = 1_500;
 const IDLE_TIMEOUT_MILLISECONDS = 60_000;
 
-type Connection = {
-  manager: GuardedSessionManager;
-  transport: Transport;
-  dropped$: Subject<void>;
-};
-
 /** Keeps one HTTP/2 connection to each other process, opened on first use. */
 export class ClientPool {
-  #connections = new Map<string, Connection>();
-  #connectionByClient = new WeakMap<object, Connection>();
+  #connections = new Map<string, PooledConnection>();
+  #connectionByClient = new WeakMap<object, PooledConnection>();
   #dial: Record<string, string>;
 
   /**
@@ -58,12 +52,12 @@
       this.#connectionByClient.get(client) !== connection;
     if (connection === undefined || isLater) return;
     this.#connections.delete(address);
-    connection.dropped$.next();
+    connection.drop();
   }
 
-  /** Emits when the connection of this client is taken from the pool. */
-  dropped$(client: object): Observable<void> {
-    return this.#connectionByClient.get(client)!.dropped$;
+  /** The connection that this client makes its calls on. */
+  connectionOf(client: object): PooledConnection {
+    return this.#connectionByClient.get(client)!;
   }
 
   /** Aborts the pooled connections with all their calls. */
@@ -73,7 +67,7 @@
   }
 }
 
-function connect(address: string): Connection {
+function connect(address: string): PooledConnection {
   const baseUrl = `http://${address}`;
   const manager = new GuardedSessionManager(baseUrl, {
     pingIntervalMs: PING_INTERVAL_MILLISECONDS,
@@ -88,5 +82,5 @@
     useBinaryFormat: true,
     compressMinBytes: MIN_COMPRESSED_BYTES,
   });
-  return { manager, transport, dropped$: new Subject() };
+  return new PooledConnection({ manager, transport });
 }
