A stall of a backend server does not pass for slow calls

What callers saw: refusals as overloaded, beside a planned stop on a slow machine and elsewhere, of calls that would have waited for some tenths of a second.

Cause: an agent's estimate of how long a call takes was a plain moving average. When a backend server stood still for two seconds, its eight running calls ended together and made ten times the usual time of it; what then arrived behind a queue of 44 was refused, though these 44 took 0.4 s.

Change: `ServiceTimeEstimate` in core. Once 20 calls are known, one counts as three times the usual at most, and as many as run at once move the estimate by no more than eight did. Calls that became slow for good are believed within four rounds.

`calls that wait behind a stall are not refused` fails before ('overloaded').

--- a/packages/daemon/src/agent/call_runner.ts
+++ b/packages/daemon/src/agent/call_runner.ts
@@ -1,5 +1,6 @@
 import { AgentClaims } from "@teaselrouter/core/claims/agent_claims.ts";
 import { queueRetryAfterMilliseconds } from "@teaselrouter/core/routing/queue_retry_after_milliseconds.ts";
+import { ServiceTimeEstimate } from "@teaselrouter/core/routing/service_time_estimate.ts";
 import type { RunRequest } from "@teaselrouter/messages/agent.ts";
 import { CallOutcome } from "@teaselrouter/messages/agent.ts";
 import type { Subscription } from "rxjs";
@@ -25,9 +26,6 @@
 const UNREAD_TIMEOUT_MILLISECONDS = 5_000;
 const MAX_KEPT_BYTES = 67_108_864;
 const SWEEP_INTERVAL_MILLISECONDS = 1_000;
-/** Weight of the latest call in the moving average of service times. */
-const SERVICE_TIME_WEIGHT = 0.05;
-const INITIAL_SERVICE_MILLISECONDS = 50;
 const UNAVAILABLE_RETRY_MILLISECONDS = 500;
 
 type QueuedCall = {
@@ -50,7 +48,7 @@
   #exchanges = new Map<string, Exchange>();
   #running = 0;
   #queue: QueuedCall[] = [];
-  #serviceMilliseconds = INITIAL_SERVICE_MILLISECONDS;
+  #serviceTime = new ServiceTimeEstimate();
   #timer: NodeJS.Timeout;
   #subscription: Subscription;
 
@@ -76,7 +74,7 @@
     return {
       running: this.#running,
       queued: this.#queue.length,
-      serviceMilliseconds: this.#serviceMilliseconds,
+      serviceMilliseconds: this.#serviceTime.milliseconds,
     };
   }
 
@@ -194,7 +192,6 @@
 
   async #start(request: RunRequest, exchange: Exchange): Promise<void> {
     this.#running += 1;
-    const startedAt = Date.now();
     const sentAt = monotonicMilliseconds();
     const call = new BackendCall({
       state: this.#state,
@@ -235,7 +232,8 @@
         isEndExpected ? "" : endedIncarnation,
       );
     } else {
-      this.#updateServiceTime(Date.now() - startedAt);
+      const { slots } = this.#state.backend!;
+      this.#serviceTime.record(monotonicMilliseconds() - sentAt, slots);
     }
     this.#running -= 1;
     this.#startNext();
@@ -321,11 +319,6 @@
     });
   }
 
-  #updateServiceTime(milliseconds: number): void {
-    this.#serviceMilliseconds += SERVICE_TIME_WEIGHT *
-      (milliseconds - this.#serviceMilliseconds);
-  }
-
   /**
    * Drops old answers, and cancels repeatable calls that have had no reader for
    * some time. Beyond the limit of kept bytes, answers of older calls without a
--- a/packages/experiments/src/failures/waiting_calls_test.ts
+++ b/packages/experiments/src/failures/waiting_calls_test.ts
@@ -55,8 +55,12 @@
 }
 
 /** Runs a call; returns "answered", or why it was refused. */
-async function ask(runner: CallRunner, id: string): Promise<string> {
-  const exchange = runner.run(createRunRequest(id, 5));
+async function ask(
+  runner: CallRunner,
+  id: string,
+  deadlineMilliseconds?: number,
+): Promise<string> {
+  const exchange = runner.run(createRunRequest(id, 5, deadlineMilliseconds));
   for await (const { body } of exchange.read(0)) {
     if (body.case === "refused") return body.value.reason;
     if (body.case === "end") return "answered";
@@ -116,6 +120,26 @@
   });
 });
 
+// Guards against calls refused as overloaded behind a stall of their backend
+// server, which is as fast as before and serves them in a part of their time.
+test("calls that wait behind a stall are not refused", async () => {
+  await withSingleSlotService(async (runner, service) => {
+    for (let count = 0; count < 25; count += 1) {
+      assert.equal(await ask(runner, `usual ${count}`), "answered");
+    }
+    service.nextStallMilliseconds = 1_900;
+    assert.equal(await ask(runner, "stalled"), "answered");
+    const waiting = Array.from(
+      { length: 25 },
+      (_, index) => ask(runner, `behind ${index}`, 5_000),
+    );
+    assert.deepEqual(
+      new Set(await Promise.all(waiting)),
+      new Set(["answered"]),
+    );
+  });
+});
+
 // Guards against an agent that sends its backend server more requests per
 // second than the limit that the server announces with its answers.
 test("an agent keeps the limit that its backend server announces until it is lifted", async () => {
