What reached a stopping host while it stood still is read before its wait is over

What callers saw: read ECONNRESET on a kept connection at a planned stop of an entry host that stood still for over half a second.

Cause: the wait for requests on open connections counted the time that the process stood still as time without requests. Timers fire before sockets are read: the wait ended, nothing was in progress, and all connections were closed with what had come on them.

Evidence: found by reading, then forced: an entry host stopped for a second once its port was closed, eight requests sent meanwhile.

Change: the wait looks at the time, lets the event loop read its sockets once, and then asks when the last request came; so does the end of the wait for answers.

--- a/packages/daemon/src/entry/entry_app.ts
+++ b/packages/daemon/src/entry/entry_app.ts
@@ -19,6 +19,7 @@
 import type { EventLog } from "../log/event_log.ts";
 import type { Settings } from "../settings/settings.ts";
 import type { ClientPool } from "../transport/client_pool.ts";
+import { nextTurn } from "../transport/next_turn.ts";
 import { sleep } from "../transport/sleep.ts";
 import { waitUntilQuiet } from "../transport/wait_until_quiet.ts";
 import { toAsyncIterable } from "../transport/to_async_iterable.ts";
@@ -208,7 +209,7 @@
 
   /**
    * Waits until no requests arrive, then until the requests in progress are done.
-   * The first wait ends after MAX_QUIET_WAIT_MILLISECONDS, as some callers
+   * The first wait ends after MAX_WAIT_FOR_NO_REQUESTS_MILLISECONDS, as some callers
    * never pause on their keep-alive connections.
    */
   async #waitUntilDrained(): Promise<void> {
@@ -216,7 +217,10 @@
       lastRequestAt: () => this.#server.lastRequestAt,
       maxMilliseconds: MAX_WAIT_FOR_NO_REQUESTS_MILLISECONDS,
     });
-    while (this.#server.inProgress > 0) await sleep(DRAIN_POLL_MILLISECONDS);
+    do {
+      await sleep(DRAIN_POLL_MILLISECONDS);
+      await nextTurn();
+    } while (this.#server.inProgress > 0);
   }
 
   /**
--- a/packages/daemon/src/transport/stop_accepting.ts
+++ b/packages/daemon/src/transport/stop_accepting.ts
@@ -1,5 +1,6 @@
 import { Server } from "node:net";
 import { monotonicMilliseconds } from "./monotonic_milliseconds.ts";
+import { nextTurn } from "./next_turn.ts";
 
 /** Many times what a turn of the event loop takes that has nothing to do. */
 const MAX_LAST_TURN_MILLISECONDS = 1;
@@ -48,7 +49,3 @@
   const milliseconds = Math.round(monotonicMilliseconds() - startedAt);
   return { accepted, milliseconds, empty: isEmpty };
 }
-
-function nextTurn(): Promise<void> {
-  return new Promise((resolve) => setImmediate(resolve));
-}
--- a/packages/daemon/src/transport/wait_until_quiet.ts
+++ b/packages/daemon/src/transport/wait_until_quiet.ts
@@ -1,4 +1,5 @@
 import { monotonicMilliseconds } from "./monotonic_milliseconds.ts";
+import { nextTurn } from "./next_turn.ts";
 import { sleep } from "./sleep.ts";
 
 const POLL_MILLISECONDS = 50;
@@ -21,6 +22,8 @@
   const startedAt = monotonicMilliseconds();
   while (true) {
     const now = monotonicMilliseconds();
+    // What had arrived by now is read first: this process may have stood still.
+    await nextTurn();
     const quietSince = Math.max(startedAt, options.lastRequestAt());
     if (now - quietSince >= QUIET_MILLISECONDS) return;
     if (now - startedAt >= options.maxMilliseconds) return;
--- a/packages/experiments/src/failures/call_ends_test.ts
+++ b/packages/experiments/src/failures/call_ends_test.ts
@@ -1,7 +1,7 @@
 import assert from "node:assert/strict";
 import { once } from "node:events";
 import type { ServerResponse } from "node:http";
-import { connect } from "node:net";
+import { connect, type Socket } from "node:net";
 import { test } from "node:test";
 import { sleep } from "@teaselrouter/daemon/transport/sleep.ts";
 import { waitUntil } from "../harness/wait_until.ts";
@@ -19,10 +19,13 @@
 };
 /** What entry hosts say in Keep-Alive. */
 const ANNOUNCED_IDLE_MILLISECONDS = 5_000;
+/** A stopping entry host waits that long for requests on open connections. */
+const QUIET_MILLISECONDS = 500;
 /** Longer than the fixture's callers may take for a head. */
 const BEHIND_MILLISECONDS = 3_000;
 const HALF_MILLISECONDS = 300;
 const CALLS = 8;
+const LIVE_REQUEST = "GET /live HTTP/1.1\r\nHost: x\r\n\r\n";
 const LINE = "a line of the answer\n";
 
 /** Makes a call; `onHead` is called with its first bytes. */
@@ -210,15 +213,12 @@
       socket.on("error", () => undefined);
       return socket;
     });
-    const request = "GET /live HTTP/1.1\r\nHost: x\r\n\r\n";
     const sendAll = () =>
-      Promise.all(sockets.map((socket) =>
-        new Promise<string>((resolve) => {
-          socket.once("data", (bytes) => resolve(String(bytes).slice(0, 15)));
-          socket.once("close", () => resolve("closed"));
-          socket.write(request);
-        })
-      ));
+      Promise.all(sockets.map((socket) => {
+        const start = readStart(socket);
+        socket.write(LIVE_REQUEST);
+        return start;
+      }));
     assert.deepEqual(new Set(await sendAll()), new Set(["HTTP/1.1 200 OK"]));
     await sleep(ANNOUNCED_IDLE_MILLISECONDS - 500);
     system.cluster.child("van-2").signal("SIGSTOP");
@@ -230,3 +230,52 @@
     for (const socket of sockets) socket.destroy();
   });
 });
+
+// Guards against a request that is reset at a planned stop, as it came on an open
+// connection while the entry host stood still, and was not read yet when its wait
+// for such requests was over.
+test("a request that arrives at a stopping entry host that stands still is answered", async () => {
+  await withSystem({}, async (system) => {
+    const [host, port] = system.entryUrl("van-2").slice(7).split(":");
+    const address = { host: host!, port: Number(port) };
+    const sockets = Array.from({ length: 5 * CALLS }, () => connect(address));
+    for (const socket of sockets) socket.on("error", () => undefined);
+    await Promise.all(sockets.map((socket) => once(socket, "connect")));
+    const child = system.cluster.child("van-2");
+    child.signal("SIGTERM");
+    const isClosed = () => {
+      // The wait begins anew with each request.
+      if (sockets.length > CALLS) sockets.pop()!.write(LIVE_REQUEST);
+      return isRefused(address);
+    };
+    assert.ok(await waitUntil(isClosed, TIMEOUT_MILLISECONDS));
+    child.signal("SIGSTOP");
+    const answers = sockets.map((socket) => readStart(socket));
+    for (const socket of sockets) socket.write(LIVE_REQUEST);
+    await sleep(2 * QUIET_MILLISECONDS);
+    child.signal("SIGCONT");
+    assert.deepEqual(
+      new Set(await Promise.all(answers)),
+      new Set(["HTTP/1.1 200 OK"]),
+    );
+    assert.equal(await child.exited, 0);
+  });
+});
+
+function isRefused(address: { host: string; port: number }): Promise<boolean> {
+  return new Promise((resolve) => {
+    const socket = connect(address);
+    socket.once("connect", () => {
+      socket.destroy();
+      resolve(false);
+    });
+    socket.once("error", () => resolve(true));
+  });
+}
+
+function readStart(socket: Socket): Promise<string> {
+  return new Promise((resolve) => {
+    socket.once("data", (bytes) => resolve(String(bytes).slice(0, 15)));
+    socket.once("close", () => resolve("closed"));
+  });
+}
