--- a/packages/core/src/routing/find_silent_at.ts
+++ b/packages/core/src/routing/find_silent_at.ts
@@ -1,4 +1,6 @@
+/** Two heartbeats of an agent. */
 const WORKING_SILENCE_MILLISECONDS = 800;
+/** Also for one stream among others that are heard. */
 const NEW_SILENCE_MILLISECONDS = 1_500;
 
 type StreamView = {
@@ -19,7 +21,7 @@
  * the clock of its view.
  *
  * Load pattern: many calls share a connection, and a device on the path loses
- * track of it. A stream on which its agent sends a heartbeat each 400 ms is
+ * track of it. A stream, on which its agent sends a heartbeat each 400 ms, is
  * silent after two of them if its connection is silent too. A connection that has
  * not carried anything yet is still being set up, which takes longer on a busy
  * host. Others' frames show that the connection works, though not for how long
--- a/packages/daemon/src/entry/public_server_test.ts
+++ b/packages/daemon/src/entry/public_server_test.ts
@@ -4,6 +4,7 @@
 import { connect, createServer, type Socket } from "node:net";
 import { test } from "node:test";
 import { monotonicMilliseconds } from "../transport/monotonic_milliseconds.ts";
+import { nextTurn } from "../transport/next_turn.ts";
 import { PublicServer } from "./public_server.ts";
 
 /** Far more than the buffers of a connection hold. */
@@ -138,7 +139,3 @@
   await closed;
   assert.ok(bytes > LARGE_ANSWER_BYTES, `${bytes} bytes`);
 });
-
-function nextTurn(): Promise<void> {
-  return new Promise((resolve) => setImmediate(resolve));
-}
--- a/packages/daemon/src/transport/stop_accepting.ts
+++ b/packages/daemon/src/transport/stop_accepting.ts
@@ -18,12 +18,12 @@
  * after a turn that brought none and was short: more may have been opened during
  * a turn that did other work, or in which the process stood still.
  *
- * @returns how many were accepted, in how many milliseconds, and whether the port
- * was empty; if not, connections may have been reset.
- *
  * An HTTP server's own `close` would also close idle connections on which a
  * request is just arriving. Its client would see a broken connection and not
  * know whether the request had run.
+ *
+ * @returns how many were accepted, in how many milliseconds, and whether the port
+ * was empty; if not, connections may have been reset.
  */
 export async function stopAccepting(
   server: Server,
