--- a/packages/daemon/src/transport/wait_until_quiet_test.ts
+++ b/packages/daemon/src/transport/wait_until_quiet_test.ts
@@ -1,4 +1,6 @@
 import assert from "node:assert/strict";
+import { once } from "node:events";
+import { type AddressInfo, connect, createServer } from "node:net";
 import { test } from "node:test";
 import { monotonicMilliseconds } from "./monotonic_milliseconds.ts";
 import { waitUntilQuiet } from "./wait_until_quiet.ts";
@@ -28,3 +30,27 @@
   const waited = await measureWait(monotonicMilliseconds);
   assert.ok(waited >= 1_500 && waited < 5_000, `${waited} ms`);
 });
+
+// Guards against a stop that closes a connection with a request in it which came
+// while the process stood still: that time is none without requests.
+test("what arrived while the process stood still is read before the wait is over", async () => {
+  let lastRequestAt = -Infinity;
+  const server = createServer((socket) => {
+    socket.on("data", () => lastRequestAt = monotonicMilliseconds());
+  });
+  server.listen(0, "127.0.0.1");
+  await once(server, "listening");
+  const client = connect((server.address() as AddressInfo).port, "127.0.0.1");
+  await once(client, "connect");
+  setTimeout(() => {
+    client.write("a request");
+    const until = monotonicMilliseconds() + 1_000;
+    while (monotonicMilliseconds() < until);
+  }, 100);
+  const startedAt = monotonicMilliseconds();
+  await measureWait(() => lastRequestAt);
+  const hasBeenRead = lastRequestAt > startedAt;
+  client.destroy();
+  server.close();
+  assert.ok(hasBeenRead);
+});
