--- a/packages/core/src/routing/find_silent_at.ts
+++ b/packages/core/src/routing/find_silent_at.ts
@@ -7,7 +7,7 @@
   /** When its last frame arrived; when it was opened, if none has. */
   heardAt: number;
   connection: {
-    /** As above, of all streams on the connection. */
+    /** When any stream's last frame arrived; when it was made, if none has. */
     heardAt: number;
     /** Whether any frame has arrived on it. */
     hasWorked: boolean;
--- a/packages/core/src/routing/service_time_estimate.ts
+++ b/packages/core/src/routing/service_time_estimate.ts
@@ -1,9 +1,9 @@
 const INITIAL_MILLISECONDS = 50;
 /** Weight of the latest call in the moving average. */
 const MAX_WEIGHT = 0.05;
-/** Weight of as many calls as run at once. */
+/** Weight of all calls that run at once, together. */
 const ROUND_WEIGHT = 0.4;
-/** Until then, nothing is known of the usual time. */
+/** Calls after which the usual time is known. */
 const LEARNING_CALLS = 20;
 /** A call counts as no longer than this multiple of the usual time. */
 const MAX_RATIO = 3;
