The log says how a backend server's answer was framed and how it ended

request-ended and answer-broken could not tell a regular end inside an event from a missed reset or from proper chunks. One watch now follows each answer of a gateway and names its framing and end, in both events and in a counter. Nothing is decided by it yet: answers are forwarded as before.

--- a/packages/daemon/src/gateway/backend_attempt.ts
+++ b/packages/daemon/src/gateway/backend_attempt.ts
@@ -5,6 +5,7 @@
   type IncomingMessage,
   request as openRequest,
 } from "node:http";
+import { AnswerWatch } from "../http/answer_watch.ts";
 import type { RequestFormat } from "../platform/request_format.ts";
 import { splitAddress } from "../transport/split_address.ts";
 import type { AttemptOutcome } from "./attempt_outcome.ts";
@@ -33,6 +34,8 @@
   body: Buffer | undefined;
   /** Id of the attempt; an answer with another id is rejected. */
   id: string;
+  /** See `AnswerWatch`. */
+  expectsEvents: boolean;
   format: RequestFormat;
   /**
    * Called with the metadata in an answer's headers, unless a backend server
@@ -45,10 +48,10 @@
 export class BackendAttempt {
   /** Settles once; never rejects. */
   readonly outcome: Promise<AttemptOutcome>;
+  readonly answer: AnswerWatch;
   #options: Options;
   #request: ClientRequest;
   #isSent = false;
-  #hasFailed = false;
   #isAborted = false;
   #settle!: (outcome: AttemptOutcome) => void;
   #connectTimer: NodeJS.Timeout | undefined;
@@ -67,6 +70,10 @@
       headers: frameBody(headers, body) as unknown as Record<string, string>,
       setHost: false,
     });
+    this.answer = new AnswerWatch({
+      request: this.#request,
+      expectsEvents: options.expectsEvents,
+    });
     this.#request.on("socket", (socket) => this.#handleSocket(socket));
     this.#request.on("response", (message) => {
       try {
@@ -76,10 +83,7 @@
         this.abort(`reading the answer's head failed: ${error}`);
       }
     });
-    this.#request.on("error", (error) => {
-      this.#hasFailed = true;
-      this.#fail(error.message);
-    });
+    this.#request.on("error", (error) => this.#fail(error.message));
     this.#request.on("close", () => this.#fail("closed without an answer"));
     this.#request.setNoDelay(true);
     this.#request.end(body);
@@ -90,15 +94,6 @@
     return this.#isSent;
   }
 
-  /**
-   * Whether the connection failed. An answer without a length ends with its
-   * connection, and the parser takes a reset for a regular close: only this
-   * property shows that such an answer is incomplete.
-   */
-  get hasFailed(): boolean {
-    return this.#hasFailed;
-  }
-
   /** Whether this host, not the backend server, ended the attempt. */
   get isAborted(): boolean {
     return this.#isAborted;
@@ -127,7 +122,6 @@
   }
 
   #handleSocket(socket: NonNullable<ClientRequest["socket"]>): void {
-    this.#detectReset(socket);
     if (!socket.connecting) {
       this.#isSent = true;
       return;
@@ -145,19 +139,6 @@
     });
   }
 
-  /**
-   * Bytes and a reset that arrive together are read as bytes and a regular end,
-   * so that a truncated answer without a length looks whole. Only the remote
-   * address still shows the reset, which clears it at once.
-   */
-  #detectReset(socket: NonNullable<ClientRequest["socket"]>): void {
-    const checkForReset = () => {
-      if (socket.remoteAddress === undefined) this.#hasFailed = true;
-    };
-    socket.prependListener("end", checkForReset);
-    this.#request.once("close", () => socket.off("end", checkForReset));
-  }
-
   #handleResponse(message: IncomingMessage): void {
     const { format, id, onMetadata } = this.#options;
     const status = message.statusCode ?? 0;
@@ -184,6 +165,7 @@
       });
       return;
     }
+    this.answer.follow(message);
     this.#settle({ kind: "answer", message, metadata });
   }
 
--- a/packages/daemon/src/gateway/backend_attempt_test.ts
+++ b/packages/daemon/src/gateway/backend_attempt_test.ts
@@ -37,6 +37,7 @@
   path: "/",
   body: undefined,
   id: "a1",
+  expectsEvents: false,
   format,
   onMetadata: () => undefined,
 };
@@ -58,6 +59,7 @@
     headers: ["Host", "a"],
     body: undefined,
     id: "a1",
+    expectsEvents: false,
     format,
     onMetadata: () => undefined,
   });
@@ -77,16 +79,20 @@
     socket.end(`${HEAD}\r\nall of it`);
   });
   assert.equal(whole.body?.kind, "whole");
-  assert.equal(whole.sent.hasFailed, false);
+  assert.equal(whole.sent.answer.hasConnectionFailed, false);
   const atOnce = await attempt((socket) => {
     socket.write(`${HEAD}\r\nall`, () => socket.resetAndDestroy());
   });
-  assert.ok(atOnce.sent.hasFailed || atOnce.body?.kind === "broken");
+  assert.ok(
+    atOnce.sent.answer.hasConnectionFailed || atOnce.body?.kind === "broken",
+  );
   const later = await attempt((socket) => {
     socket.write(`${HEAD}\r\nall`);
     setTimeout(() => socket.resetAndDestroy(), 20);
   });
-  assert.ok(later.sent.hasFailed || later.body?.kind === "broken");
+  assert.ok(
+    later.sent.answer.hasConnectionFailed || later.body?.kind === "broken",
+  );
 });
 
 test("a body shorter than its length is broken", async () => {
@@ -127,6 +133,7 @@
     headers: [],
     body: undefined,
     id: "a1",
+    expectsEvents: false,
     format,
     onMetadata: () => undefined,
   });
--- a/packages/daemon/src/gateway/call_end.ts
+++ b/packages/daemon/src/gateway/call_end.ts
@@ -1,3 +1,6 @@
+import type { AnswerEnd } from "@teaselrouter/core/answers/answer_end.ts";
+import type { AnswerFraming } from "@teaselrouter/core/answers/answer_framing.ts";
+
 /** How a request ended, for its log line. */
 export type CallEnd = {
   status: number;
@@ -11,4 +14,7 @@
    * answers with an error status.
    */
   outcome: "answered" | "not-run" | "unknown" | "client-left";
+  /** The last answer's framing and end; undefined without one. */
+  framing?: AnswerFraming;
+  answerEnd?: AnswerEnd;
 };
--- a/packages/daemon/src/gateway/call_finisher.ts
+++ b/packages/daemon/src/gateway/call_finisher.ts
@@ -127,6 +127,8 @@
       status: end.status,
       outcome: end.outcome,
       reason: end.reason,
+      framing: end.framing,
+      answer_end: end.answerEnd,
       milliseconds: milliseconds && Math.round(milliseconds),
       configuration: call?.configurationVersion ??
         feed.table?.configuration.version,
--- a/packages/daemon/src/gateway/call_sender.ts
+++ b/packages/daemon/src/gateway/call_sender.ts
@@ -133,8 +133,8 @@
 
   /**
    * Records the time to the answer's head, and each part of the answer as a
-   * sign that its backend server is alive. The answer stays paused until it is
-   * read.
+   * sign that its backend server is alive. The answer is paused, and stays so
+   * until it is read.
    */
   #trackLiveness(
     sent: SentAttempt,
@@ -144,8 +144,6 @@
     const now = monotonicMilliseconds();
     record.recordResponseTime(now - sentAt);
     record.recordDataReceived(now);
-    // A listener that is added first would let an empty answer end unheard.
-    message.pause();
     message.on(
       "data",
       () => record.recordDataReceived(monotonicMilliseconds()),
@@ -181,6 +179,7 @@
       path: call.path,
       body: call.body,
       id: call.id,
+      expectsEvents: call.route.kind === "stream",
       format,
       onMetadata: (metadata) => {
         namedLimits.recordAnswer(announcement, metadata);
--- a/packages/daemon/src/gateway/gateway_call.ts
+++ b/packages/daemon/src/gateway/gateway_call.ts
@@ -257,8 +257,13 @@
     routing.weightsVersion ??= metadata.weightsVersion;
     takeover.cancel("its backend server answers");
     message.on("data", () => takeover.cancel("its backend server goes on"));
-    const end = await forwarder.forward(message, () => sent.hasFailed);
+    const end = await forwarder.forward(
+      message,
+      () => sent.answer.hasConnectionFailed,
+    );
     sent.end();
+    const { framing, end: answerEnd } = sent.answer;
+    this.#context.metrics.answersEnded.inc({ framing, end: answerEnd });
     if (this.#finisher.isOver) return "over";
     if (end === "broken" || status >= 500) {
       if (acceptsRequests() && !sent.isReplaced) {
@@ -273,6 +278,8 @@
       this.#context.log.info("answer-broken", {
         id: active.call.id,
         instance: announcement.instance,
+        framing,
+        answer_end: answerEnd,
         last_event: forwarder.lastEventId,
         sends: sender.tried.size,
       });
@@ -281,7 +288,13 @@
     this.#response.end();
     if (isGood) this.#context.crashes.recordSuccess(active.call);
     const reason = announcement.instance;
-    this.#finisher.finish(active, { status, reason, outcome: "answered" });
+    this.#finisher.finish(active, {
+      status,
+      reason,
+      outcome: "answered",
+      framing,
+      answerEnd,
+    });
     return "over";
   }
 
--- a/packages/daemon/src/gateway/sent_attempt.ts
+++ b/packages/daemon/src/gateway/sent_attempt.ts
@@ -1,5 +1,6 @@
 import type { BackendCandidate } from "@teaselrouter/core/gateway/backend_candidate.ts";
 import type { AttemptOutcome } from "./attempt_outcome.ts";
+import type { AnswerWatch } from "../http/answer_watch.ts";
 import { monotonicMilliseconds } from "../transport/monotonic_milliseconds.ts";
 import type { BackendAttempt } from "./backend_attempt.ts";
 
@@ -40,9 +41,9 @@
     return this.#attempt.isSent;
   }
 
-  /** Whether the connection to the backend server failed. */
-  get hasFailed(): boolean {
-    return this.#attempt.hasFailed;
+  /** Follows its answer. */
+  get answer(): AnswerWatch {
+    return this.#attempt.answer;
   }
 
   /** Whether this host, not the backend server, ended the attempt. */
--- /dev/null
+++ b/packages/daemon/src/http/answer_watch.ts
@@ -0,0 +1,98 @@
+import type { AnswerEnd } from "@teaselrouter/core/answers/answer_end.ts";
+import type { AnswerFraming } from "@teaselrouter/core/answers/answer_framing.ts";
+import { EventPosition } from "@teaselrouter/core/answers/event_position.ts";
+import { findAnswerFraming } from "@teaselrouter/core/answers/find_answer_framing.ts";
+import { isEventStream } from "@teaselrouter/core/answers/is_event_stream.ts";
+import { judgeAnswerEnd } from "@teaselrouter/core/answers/judge_answer_end.ts";
+import type { Buffer } from "node:buffer";
+import type { ClientRequest, IncomingMessage } from "node:http";
+
+const SUCCESS_STATUS = 200;
+
+type Options = {
+  request: ClientRequest;
+  /** Whether a success that names no type is taken for an event stream. */
+  expectsEvents: boolean;
+};
+
+/** Follows one answer, and says once it has ended whether it is whole. */
+export class AnswerWatch {
+  #options: Options;
+  #hasConnectionFailed = false;
+  #message: IncomingMessage | undefined;
+  #framing: AnswerFraming = "no-body";
+  #position: EventPosition | undefined;
+
+  /** To be created before the request's connection is assigned. */
+  constructor(options: Options) {
+    this.#options = options;
+    const { request } = options;
+    request.on("socket", (socket) => this.#detectReset(socket));
+    request.on("error", () => {
+      this.#hasConnectionFailed = true;
+    });
+  }
+
+  /** Begins with the answer's head, and leaves the answer paused. */
+  follow(message: IncomingMessage): void {
+    const { request, expectsEvents } = this.#options;
+    const { headers, statusCode: status = 0 } = message;
+    this.#message = message;
+    this.#framing = findAnswerFraming({
+      method: request.method,
+      status,
+      transferEncoding: headers["transfer-encoding"],
+      contentLength: headers["content-length"],
+    });
+    // A listener that is added first would let an empty answer end unheard.
+    message.pause();
+    const hasEvents = isEventStream({
+      contentType: headers["content-type"],
+      contentEncoding: headers["content-encoding"],
+      isExpected: expectsEvents && status === SUCCESS_STATUS,
+    });
+    if (!hasEvents) return;
+    const position = new EventPosition();
+    this.#position = position;
+    message.on("data", (bytes: Buffer) => void position.advance(bytes));
+  }
+
+  /**
+   * Whether the connection failed. An answer without a length ends with its
+   * connection, and the parser takes a reset for a regular close.
+   */
+  get hasConnectionFailed(): boolean {
+    return this.#hasConnectionFailed;
+  }
+
+  get framing(): AnswerFraming {
+    return this.#framing;
+  }
+
+  get isEventStream(): boolean {
+    return this.#position !== undefined;
+  }
+
+  /** Meaningful once the answer has ended or its connection is closed. */
+  get end(): AnswerEnd {
+    return judgeAnswerEnd({
+      framing: this.#framing,
+      isFramingComplete: this.#message?.complete ?? false,
+      hasConnectionFailed: this.#hasConnectionFailed,
+      isInsideEvent: this.#position?.isInsideEvent ?? false,
+    });
+  }
+
+  /**
+   * Bytes and a reset that arrive together are read as bytes and a regular end,
+   * so that a truncated answer without a length looks whole. Only the remote
+   * address still shows the reset, which clears it at once.
+   */
+  #detectReset(socket: NonNullable<ClientRequest["socket"]>): void {
+    const checkForReset = () => {
+      if (socket.remoteAddress === undefined) this.#hasConnectionFailed = true;
+    };
+    socket.prependListener("end", checkForReset);
+    this.#options.request.once("close", () => socket.off("end", checkForReset));
+  }
+}
--- a/packages/daemon/src/metrics/process_metrics.ts
+++ b/packages/daemon/src/metrics/process_metrics.ts
@@ -48,6 +48,8 @@
   readonly requests: Counter<RequestLabel>;
   /** Answers that broke off at the caller after a part had been sent. */
   readonly answersCut: Counter<"reason">;
+  /** Answers of backend servers, by what framed them and how they ended. */
+  readonly answersEnded: Counter<"framing" | "end">;
   /** Steps of takeovers from silent or failing backend servers. */
   readonly takeovers: Counter<"change">;
   readonly requestMilliseconds: Histogram<"kind">;
@@ -76,6 +78,12 @@
       labelNames: ["reason"],
       registers,
     });
+    this.answersEnded = new Counter({
+      name: "teaselrouter_answers_ended_total",
+      help: "Answers of backend servers, by framing and end",
+      labelNames: ["framing", "end"],
+      registers,
+    });
     this.takeovers = new Counter({
       name: "teaselrouter_takeovers_total",
       help: "Takeovers from silent or failing backend servers, by step",
