--- a/acceptance/src/fake_backend_server.ts
+++ b/acceptance/src/fake_backend_server.ts
@@ -15,6 +15,8 @@
 /** Time from the start of a response until its request crashes the server. */
 const CRASH_DELAY_MILLISECONDS = 20;
 const RESTART_MILLISECONDS = 400;
+/** May stand behind a whole event or within one. */
+const PARTIAL_EVENT = "da";
 const DECIMAL_NUMBER = /^\d+(\.\d+)?$/;
 const FIRST_START_TIME = 1_000;
 
@@ -38,6 +40,13 @@
   breakAfterEvents: number[] = [];
   /** Accepts requests but sends nothing more, like a server on a frozen host. */
   isFrozen = false;
+  /**
+   * Whether answers have neither a length nor chunks, and end with their
+   * connection. Streams that a crash ends then end within an event.
+   */
+  framesByConnection = false;
+  /** How the connections of answers that are broken off end. */
+  breakEnd: "close" | "reset" = "close";
   /** Ends the id field of each event; an event ends with an empty line. */
   idLineEnd = "\n";
   /** Bytes of a comment in each event of the streams that begin now. */
@@ -78,6 +87,7 @@
   readonly receivedRequestIds: string[] = [];
   /** Time and request of each crash; the id is undefined without a request. */
   readonly crashRecords: { at: number; id: string | undefined }[] = [];
+  #openStreams = new Set<ServerResponse>();
   #isClosed = false;
   /** Version of the loaded weights; 0 for none. */
   version = 0;
@@ -238,6 +248,7 @@
     if (failureStatus !== undefined) {
       return this.#fail(failureStatus, id, response);
     }
+    if (this.framesByConnection) frameByConnection(response);
     response.writeHead(200, {
       "Attempt-Id": id,
       "Server-Signature": this.instance,
@@ -249,6 +260,7 @@
     });
     if (this.crashingBodies.includes(body.toString())) {
       response.flushHeaders();
+      this.#openStreams.add(response);
       await sleep(CRASH_DELAY_MILLISECONDS);
       return this.crash(id);
     }
@@ -293,6 +305,8 @@
     this.version = 0;
     this.#acceptedOrders = 0;
     this.#heartbeats = 0;
+    for (const response of this.#openStreams) this.#breakOff(response);
+    this.#openStreams.clear();
     const closed = new Promise((resolve) => this.#server.close(resolve));
     this.#server.closeAllConnections();
     await closed;
@@ -308,6 +322,8 @@
     response: ServerResponse,
     { after, events }: { after: number; events: number },
   ): Promise<void> {
+    this.#openStreams.add(response);
+    response.once("close", () => this.#openStreams.delete(response));
     const breakAfter = this.breakAfterEvents.shift() ?? Infinity;
     const { paddingBytes } = this;
     for (let event = after + 1; event <= events; event += 1) {
@@ -316,7 +332,7 @@
       if (event > breakAfter) {
         response.write(`id: ${event}\nda`);
         await sleep(this.eventIntervalMilliseconds);
-        return void response.destroy();
+        return this.#breakOff(response);
       }
       const padding = paddingBytes === 0
         ? ""
@@ -330,6 +346,12 @@
     response.end();
   }
 
+  #breakOff(response: ServerResponse): void {
+    if (this.framesByConnection) response.write(PARTIAL_EVENT);
+    if (this.breakEnd === "reset") response.socket?.resetAndDestroy();
+    else response.destroy();
+  }
+
   #report() {
     return {
       phase: "prefill_decode",
@@ -352,6 +374,11 @@
   return new Promise((resolve) => setTimeout(resolve, milliseconds));
 }
 
+function frameByConnection(response: ServerResponse): void {
+  response.useChunkedEncodingByDefault = false;
+  response.shouldKeepAlive = false;
+}
+
 function digestOf(bytes: Buffer | undefined): string {
   return bytes === undefined
     ? ""
--- a/packages/daemon/src/gateway/raw_client.ts
+++ b/packages/daemon/src/gateway/raw_client.ts
@@ -8,6 +8,8 @@
   readonly socket: Socket;
   /** Code of the error that ended the connection; undefined without one. */
   errorCode: string | undefined;
+  /** Whether the connection was reset, also behind bytes that were received. */
+  isReset = false;
   #parts: Buffer[] = [];
   #isClosed = false;
   #onChange = new Set<() => void>();
@@ -20,6 +22,11 @@
     });
     this.socket.on("error", (error: { code?: string }) => {
       this.errorCode = error.code;
+      this.isReset = true;
+    });
+    // Bytes and a reset that arrive together are read as a regular end.
+    this.socket.prependListener("end", () => {
+      this.isReset ||= this.socket.remoteAddress === undefined;
     });
     this.socket.on("close", () => {
       this.#isClosed = true;
--- a/packages/experiments/src/fakes/fake_engine.ts
+++ b/packages/experiments/src/fakes/fake_engine.ts
@@ -9,6 +9,7 @@
 } from "node:http";
 import { Announcer } from "./announcer.ts";
 import { computeExpectedAnswer } from "./expected_answer.ts";
+import { frameByConnection } from "./frame_by_connection.ts";
 import { readAll } from "./read_all.ts";
 
 type Options = {
@@ -34,6 +35,10 @@
   reportsLoadedEarly = false;
   /** Sends the first line of each answer and never ends the answer. */
   stallsAnswers = false;
+  /** Whether answers to calls end with their connection. */
+  framesByConnection = false;
+  /** Resets the next answer behind its first lines. */
+  resetsNextAnswer = false;
   /** For how long the engine falls silent at the end of its next answer. */
   silenceAfterAnswer = 0;
   /** Makes the next load fail. */
@@ -160,6 +165,9 @@
 
   async #handleCall(body: string, response: ServerResponse): Promise<void> {
     this.startedCalls += 1;
+    if (this.framesByConnection) frameByConnection(response);
+    const isReset = this.resetsNextAnswer;
+    this.resetsNextAnswer = false;
     response.setHeader("Engine-Version", this.#version);
     response.setHeader("Content-Type", "text/plain");
     const initialDigest = this.#digest;
@@ -177,6 +185,7 @@
       );
       await sleep(this.#options.lineIntervalMilliseconds);
       await this.#untilAwake();
+      if (isReset) return void response.socket?.resetAndDestroy();
     }
     response.end();
     if (this.silenceAfterAnswer > 0) this.fallSilent(this.silenceAfterAnswer);
--- a/packages/experiments/src/fakes/fake_service.ts
+++ b/packages/experiments/src/fakes/fake_service.ts
@@ -3,6 +3,7 @@
 import { createServer } from "node:http";
 import { Announcer } from "./announcer.ts";
 import { sha256Hex } from "./sha256_hex.ts";
+import { frameByConnection } from "./frame_by_connection.ts";
 import { readAll } from "./read_all.ts";
 
 type Options = {
@@ -24,6 +25,10 @@
   retryAfter: string | undefined;
   /** How much longer the calls take that arrive now. */
   stallMilliseconds = 0;
+  /** Whether answers end with their connection. */
+  framesByConnection = false;
+  /** Whether answers are reset behind their first half. */
+  resetsAnswers = false;
   /** Whether answers say that the service is shutting down. */
   isShuttingDown = false;
   #options: Options;
@@ -45,7 +50,12 @@
     if (this.limitPerSecond !== undefined) {
       response.setHeader("Teaselrouter-Limit", String(this.limitPerSecond));
     }
-    response.end(FakeService.computeAnswer(body));
+    if (this.framesByConnection) frameByConnection(response);
+    const answer = FakeService.computeAnswer(body);
+    if (!this.resetsAnswers) return void response.end(answer);
+    response.write(answer.slice(0, answer.length / 2), () => {
+      response.socket?.resetAndDestroy();
+    });
   });
 
   constructor(options: Options) {
