Streams with CRLF or CR are forwarded and resumed event by event

Their callers got nothing before the end: only LF LF ended an event, so all bytes were held back, and none of it could be resumed. The splitter now takes its event ends from EventPosition, which knows all three line ends. The new test failed before at the first split of a CRLF stream.

--- a/packages/core/src/gateway/event_splitter.ts
+++ b/packages/core/src/gateway/event_splitter.ts
@@ -1,8 +1,8 @@
 import { Buffer } from "node:buffer";
+import { EventPosition } from "../answers/event_position.ts";
 
-const NEWLINE = 0x0a;
 const EMPTY_BUFFER = Buffer.alloc(0);
-const ID_FIELD = "\nid:";
+const LINE_END = /[\r\n]/;
 
 type CompleteEvents = {
   /** The complete events, byte for byte as received. */
@@ -16,16 +16,14 @@
  * stop in the middle of an event. The partial event must not reach the caller,
  * because another backend server may resume the stream after the last complete
  * one.
- *
- * Recognizes only LF line ends: `\r\n\r\n` does not end an event, so all bytes
- * of a stream with CRLF line ends are held back as incomplete.
  */
 export class EventSplitter {
-  #rest: Buffer = EMPTY_BUFFER;
+  #position = new EventPosition();
+  #rest: Buffer[] = [];
 
   /** Bytes received after the last complete event. */
   get incompleteBytes(): Buffer {
-    return this.#rest;
+    return Buffer.concat(this.#rest);
   }
 
   /**
@@ -33,35 +31,22 @@
    * after these are kept for the next call.
    */
   push(bytes: Buffer): CompleteEvents {
-    const all = this.#rest.length === 0
-      ? bytes
-      : Buffer.concat([this.#rest, bytes]);
-    const end = findEndOfCompleteEvents(all);
-    this.#rest = all.subarray(end);
-    const complete = all.subarray(0, end);
+    const end = this.#position.advance(bytes);
+    if (end === 0) {
+      this.#rest.push(bytes);
+      return { bytes: EMPTY_BUFFER, lastId: undefined };
+    }
+    const complete = Buffer.concat([...this.#rest, bytes.subarray(0, end)]);
+    this.#rest = end < bytes.length ? [bytes.subarray(end)] : [];
     return { bytes: complete, lastId: findLastId(complete) };
   }
 }
 
-/** Offset after the last empty line (LF LF), which ends an event; 0 if none. */
-function findEndOfCompleteEvents(bytes: Buffer): number {
-  for (let at = bytes.length - 1; at > 0; at -= 1) {
-    if (bytes[at] === NEWLINE && bytes[at - 1] === NEWLINE) return at + 1;
-  }
-  return 0;
-}
-
-/**
- * Value of the last `id` field, without the one optional leading space and the
- * CR of a CRLF.
- */
+/** Value of the last `id` field, without the one optional leading space. */
 function findLastId(bytes: Buffer): string | undefined {
-  if (bytes.length === 0) return undefined;
   const text = `\n${bytes.toString("latin1")}`;
-  const at = text.lastIndexOf(ID_FIELD);
+  const at = Math.max(text.lastIndexOf("\nid:"), text.lastIndexOf("\rid:"));
   if (at < 0) return undefined;
-  const end = text.indexOf("\n", at + ID_FIELD.length);
-  const line = text.slice(at + ID_FIELD.length, end < 0 ? undefined : end);
-  const value = line.endsWith("\r") ? line.slice(0, -1) : line;
-  return value.startsWith(" ") ? value.slice(1) : value;
+  const [value] = text.slice(at + "\nid:".length).split(LINE_END, 1);
+  return value!.startsWith(" ") ? value!.slice(1) : value;
 }
--- a/packages/core/src/gateway/event_splitter_test.ts
+++ b/packages/core/src/gateway/event_splitter_test.ts
@@ -45,3 +45,29 @@
   );
   assert.equal(lastId, "2");
 });
+
+// Guards against streams with other line ends that are held back to their end,
+// and can't be resumed.
+test("events are complete with each kind of line end, however they are split", () => {
+  for (const end of ["\r\n", "\r"]) {
+    const text = [1, 2, 3].map((id) => `id: ${id}${end}data: x${end}${end}`)
+      .join("");
+    for (let at = 1; at < text.length; at += 1) {
+      const splitter = new EventSplitter();
+      const first = splitter.push(Buffer.from(text.slice(0, at)));
+      const second = splitter.push(Buffer.from(text.slice(at)));
+      assert.equal(`${first.bytes}${second.bytes}`, text);
+      const ids = `${first.bytes}`.match(/id: \d/g) ?? [];
+      assert.equal(first.lastId, ids.at(-1)?.slice(4));
+      assert.equal(second.lastId ?? first.lastId, "3");
+      assert.equal(splitter.incompleteBytes.length, 0);
+    }
+  }
+});
+
+test("comments behind the last event are kept back up to an empty line", () => {
+  const splitter = new EventSplitter();
+  const whole = splitter.push(Buffer.from("id: 4\n\n: waits\n"));
+  assert.equal(whole.bytes.toString(), "id: 4\n\n");
+  assert.equal(splitter.incompleteBytes.toString(), ": waits\n");
+});
