A gateway's stream that ends inside an event has been broken off

Callers got the end of a complete answer behind a stream that its crashed server had broken off. Cause: an answer with neither length nor chunks is complete by its framing once its connection ends, and StreamRelay asked the framing alone. The same held for any framing that is ended properly inside an event.

Resets were cut before and are.

A second fault of the same place, by broken_streams_test on the code before: a part of an event that came together with a reset was written, and only then was the reset seen; the resumed stream stood behind it ('id: 4, daid: 4').

Now AnswerWatch is asked, for streams and buffered answers alike, and only what is whole is written to its end. An event stream is forwarded without its length: a client that has all of it would take it for complete.

A reset behind a complete length or last chunk no longer breaks an answer.

Tests that changed: collectAnswer and StreamRelay take the watch, so their tests build one; backend_attempt_test asks for the end where it asked for one of two signs. The stand-in's streams name their type, as servers do.

--- a/acceptance/src/broken_streams_test.ts
+++ b/acceptance/src/broken_streams_test.ts
@@ -1,11 +1,13 @@
 import assert from "node:assert/strict";
 import { after, afterEach, before, test } from "node:test";
 import { EndToEndSystem } from "./end_to_end_system.ts";
+import type { FakeBackendServer } from "./fake_backend_server.ts";
 
 const EVENTS = 8;
 const BREAK_AFTER = 3;
-/** The shared retry budget begins with fewer resumptions than that. */
-const STREAMS = 4;
+/** Few enough that the shared retry budget allows all that are resumed. */
+const STREAMS = 2;
+const BREAK_ENDS = ["close", "reset"] as const;
 const STREAM = Array.from(
   { length: EVENTS },
   (_, index) => `id: ${index + 1}\ndata: t${index + 1}\n\n`,
@@ -25,31 +27,39 @@
 
 after(() => system.stop());
 
-// Guards against the part of an event that stands in front of a resumed stream,
-// and against a stream that is not resumed, as its framing is complete.
+/** Makes the engine answer with neither a length nor chunks, and break off. */
+function breakNextStream(
+  engine: FakeBackendServer,
+  breakEnd: "close" | "reset",
+): void {
+  engine.framesByConnection = true;
+  engine.breakEnd = breakEnd;
+  engine.breakAfterEvents = [BREAK_AFTER];
+}
+
+// Guards against a broken stream that passes for whole, as its connection has
+// ended regularly.
 test("a stream that ends with its connection inside an event is resumed", async () => {
-  for (const breakEnd of ["close", "reset"] as const) {
+  for (const breakEnd of BREAK_ENDS) {
     for (let index = 0; index < STREAMS; index += 1) {
-      for (const engine of system.engines) {
-        engine.framesByConnection = true;
-        engine.breakEnd = breakEnd;
-        engine.breakAfterEvents = [BREAK_AFTER];
-      }
+      for (const engine of system.engines) breakNextStream(engine, breakEnd);
       const id = `resumed-${breakEnd}-${index}`;
-      const text = await system.stream(id).then(
-        (answer) => answer.text,
-        () => "cut",
-      );
+      // Both engines break off behind the same event.
+      await assert.rejects(system.stream(id), id);
       const sends = system.engines.flatMap(({ ranRequestIds }) => ranRequestIds)
         .filter((ran) => ran === id);
-      assert.equal(sends.length, 2, "it was sent to the other engine");
-      // That one breaks off behind the same event.
-      assert.equal(text, "cut", id);
+      assert.equal(sends.length, 2, `${id} was sent to the other engine`);
     }
-    for (const engine of system.engines) engine.breakAfterEvents = [];
-    const [first] = system.engines;
-    first!.breakAfterEvents = [BREAK_AFTER];
-    while (first!.breakAfterEvents.length > 0) {
+  }
+});
+
+// Guards against the part of an event that is joined to the same event of the
+// backend server that resumes the stream.
+test("no part of an event stands in front of a resumed stream", async () => {
+  const [breaking] = system.engines;
+  for (const breakEnd of BREAK_ENDS) {
+    breakNextStream(breaking!, breakEnd);
+    while (breaking!.breakAfterEvents.length > 0) {
       assert.equal((await system.stream(`whole-${breakEnd}`)).text, STREAM);
     }
   }
--- a/acceptance/src/fake_backend_server.ts
+++ b/acceptance/src/fake_backend_server.ts
@@ -252,6 +252,9 @@
     response.writeHead(200, {
       "Attempt-Id": id,
       "Server-Signature": this.instance,
+      ...(headers["model"] !== undefined && {
+        "Content-Type": "text/event-stream",
+      }),
       "Weight-Versions": String(this.version),
       "Server-Load": `1,0,${this.#slots}`,
       ...(this.limitPerSecond !== undefined && {
--- a/packages/core/src/answers/judge_answer_end_test.ts
+++ b/packages/core/src/answers/judge_answer_end_test.ts
@@ -59,17 +59,13 @@
 
 // Guards against answers of other types, or encoded ones, that are read as
 // events.
-test("events are what the type says, or the route where there is none", () => {
+test("events are what the type says, unless the body is encoded", () => {
   const has = (contentType?: string, contentEncoding?: string) =>
-  (
-    isExpected: boolean,
-  ) => isEventStream({ contentType, contentEncoding, isExpected });
-  for (const isExpected of [true, false]) {
-    assert.ok(has("text/event-stream")(isExpected));
-    assert.ok(has("Text/Event-Stream; charset=utf-8")(isExpected));
-    assert.ok(has("text/event-stream", "identity")(isExpected));
-    assert.ok(!has("application/json")(isExpected));
-    assert.ok(!has("text/event-stream", "gzip")(isExpected));
-    assert.equal(has()(isExpected), isExpected);
-  }
+    isEventStream({ contentType, contentEncoding });
+  assert.ok(has("text/event-stream"));
+  assert.ok(has("Text/Event-Stream; charset=utf-8"));
+  assert.ok(has("text/event-stream", "identity"));
+  assert.ok(!has("application/json"));
+  assert.ok(!has("text/event-stream", "gzip"));
+  assert.ok(!has());
 });
--- a/packages/daemon/src/gateway/answer_forwarder.ts
+++ b/packages/daemon/src/gateway/answer_forwarder.ts
@@ -1,6 +1,8 @@
+import type { AnswerFraming } from "@teaselrouter/core/answers/answer_framing.ts";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { monotonicMilliseconds } from "../transport/monotonic_milliseconds.ts";
 import type { AdmittedCall } from "./admitted_call.ts";
+import type { AnswerWatch } from "../http/answer_watch.ts";
 import { collectAnswer } from "./collect_answer.ts";
 import type { GatewayContext } from "./gateway_context.ts";
 import { StreamRelay } from "./stream_relay.ts";
@@ -60,21 +62,19 @@
    * Forwards one answer except for its end. After "whole" the caller ends the
    * response; after "broken" the response is left open: the caller resumes it
    * from another backend server or cuts it off.
-   *
-   * @param hasFailed called at the end: whether the connection failed.
    */
   async forward(
     message: IncomingMessage,
-    hasFailed: () => boolean,
+    answer: AnswerWatch,
   ): Promise<"whole" | "broken"> {
     const { call } = this.#options;
     if (call.route.kind !== "stream" && this.#relay === undefined) {
-      const collected = await this.#collect(message, hasFailed);
+      const collected = await this.#collect(message, answer);
       if (collected !== "large") return collected;
     }
-    if (this.#relay === undefined) this.#startRelay(message);
-    const end = await this.#relay!.relay(message);
-    return end === "complete" && !hasFailed() ? "whole" : "broken";
+    if (this.#relay === undefined) this.#startRelay(message, answer);
+    const end = await this.#relay!.relay(message, answer);
+    return end === "whole" ? "whole" : "broken";
   }
 
   /**
@@ -84,19 +84,18 @@
    */
   async #collect(
     message: IncomingMessage,
-    hasFailed: () => boolean,
+    answer: AnswerWatch,
   ): Promise<"whole" | "broken" | "large"> {
     const { response, isOver } = this.#options;
-    const body = await collectAnswer(message, MAX_BUFFERED_BYTES);
+    const body = await collectAnswer(message, answer, MAX_BUFFERED_BYTES);
     if (body.kind === "broken" || isOver()) return "broken";
-    if (body.kind === "whole" && hasFailed()) return "broken";
-    if (body.kind === "large") this.#startRelay(message);
-    else this.#writeHead(message);
+    if (body.kind === "large") this.#startRelay(message, answer);
+    else this.#writeHead(message, answer);
     response.write(body.bytes);
     return body.kind;
   }
 
-  #startRelay(message: IncomingMessage): void {
+  #startRelay(message: IncomingMessage, answer: AnswerWatch): void {
     const { call, response } = this.#options;
     const { kind, resumable } = call.route;
     this.#relay = new StreamRelay({
@@ -104,17 +103,31 @@
       wholeEvents: kind === "stream" && resumable &&
         message.statusCode === 200,
     });
-    this.#writeHead(message);
+    this.#writeHead(message, answer);
     if (kind === "stream") response.flushHeaders();
   }
 
-  #writeHead(message: IncomingMessage): void {
+  #writeHead(message: IncomingMessage, answer: AnswerWatch): void {
     const { context, call, response } = this.#options;
     const headers = context.format.filterAnswerHeaders(message.rawHeaders);
-    response.writeHead(message.statusCode ?? 502, headers);
+    response.writeHead(
+      message.statusCode ?? 502,
+      answer.isEventStream ? dropLength(headers, answer.framing) : headers,
+    );
     context.metrics.answerHeadMilliseconds.observe(
       { kind: call.route.kind },
       monotonicMilliseconds() - call.startedAt,
     );
   }
 }
+
+/**
+ * Drops the length of an event stream: a client that has got all of it would
+ * take the stream for complete, whatever its end.
+ */
+function dropLength(headers: string[], framing: AnswerFraming): string[] {
+  if (framing !== "length") return headers;
+  return headers.filter((_, index) =>
+    headers[index - (index % 2)]!.toLowerCase() !== "content-length"
+  );
+}
--- a/packages/daemon/src/gateway/backend_attempt_test.ts
+++ b/packages/daemon/src/gateway/backend_attempt_test.ts
@@ -37,7 +37,6 @@
   path: "/",
   body: undefined,
   id: "a1",
-  expectsEvents: false,
   format,
   onMetadata: () => undefined,
 };
@@ -59,13 +58,12 @@
     headers: ["Host", "a"],
     body: undefined,
     id: "a1",
-    expectsEvents: false,
     format,
     onMetadata: () => undefined,
   });
   const outcome = await sent.outcome;
   const body = outcome.kind === "answer"
-    ? await collectAnswer(outcome.message, 1_000)
+    ? await collectAnswer(outcome.message, sent.answer, 1_000)
     : undefined;
   agent.destroy();
   server.close();
@@ -79,20 +77,18 @@
     socket.end(`${HEAD}\r\nall of it`);
   });
   assert.equal(whole.body?.kind, "whole");
-  assert.equal(whole.sent.answer.hasConnectionFailed, false);
+  assert.equal(whole.sent.answer.end, "whole");
   const atOnce = await attempt((socket) => {
     socket.write(`${HEAD}\r\nall`, () => socket.resetAndDestroy());
   });
-  assert.ok(
-    atOnce.sent.answer.hasConnectionFailed || atOnce.body?.kind === "broken",
-  );
+  assert.equal(atOnce.sent.answer.end, "reset");
+  assert.equal(atOnce.body?.kind, "broken");
   const later = await attempt((socket) => {
     socket.write(`${HEAD}\r\nall`);
     setTimeout(() => socket.resetAndDestroy(), 20);
   });
-  assert.ok(
-    later.sent.answer.hasConnectionFailed || later.body?.kind === "broken",
-  );
+  assert.equal(later.sent.answer.end, "reset");
+  assert.equal(later.body?.kind, "broken");
 });
 
 test("a body shorter than its length is broken", async () => {
@@ -133,7 +129,6 @@
     headers: [],
     body: undefined,
     id: "a1",
-    expectsEvents: false,
     format,
     onMetadata: () => undefined,
   });
--- a/packages/daemon/src/gateway/call_sender.ts
+++ b/packages/daemon/src/gateway/call_sender.ts
@@ -179,7 +179,6 @@
       path: call.path,
       body: call.body,
       id: call.id,
-      expectsEvents: call.route.kind === "stream",
       format,
       onMetadata: (metadata) => {
         namedLimits.recordAnswer(announcement, metadata);
--- a/packages/daemon/src/gateway/collect_answer.ts
+++ b/packages/daemon/src/gateway/collect_answer.ts
@@ -1,5 +1,6 @@
 import { Buffer } from "node:buffer";
 import type { IncomingMessage } from "node:http";
+import type { AnswerWatch } from "../http/answer_watch.ts";
 
 type Collected =
   | { kind: "whole"; bytes: Buffer }
@@ -12,6 +13,7 @@
 /** Buffers an answer to its end, or until it exceeds `maxBytes`. */
 export function collectAnswer(
   message: IncomingMessage,
+  answer: AnswerWatch,
   maxBytes: number,
 ): Promise<Collected> {
   return new Promise((resolve) => {
@@ -26,7 +28,7 @@
     const onClose = () => settle({ kind: "broken" });
     const onEnd = () =>
       settle(
-        message.complete
+        answer.end === "whole"
           ? { kind: "whole", bytes: Buffer.concat(parts) }
           : { kind: "broken" },
       );
--- a/packages/daemon/src/gateway/gateway_call.ts
+++ b/packages/daemon/src/gateway/gateway_call.ts
@@ -257,10 +257,7 @@
     routing.weightsVersion ??= metadata.weightsVersion;
     takeover.cancel("its backend server answers");
     message.on("data", () => takeover.cancel("its backend server goes on"));
-    const end = await forwarder.forward(
-      message,
-      () => sent.answer.hasConnectionFailed,
-    );
+    const end = await forwarder.forward(message, sent.answer);
     sent.end();
     const { framing, end: answerEnd } = sent.answer;
     this.#context.metrics.answersEnded.inc({ framing, end: answerEnd });
--- a/packages/daemon/src/gateway/large_answer_test.ts
+++ b/packages/daemon/src/gateway/large_answer_test.ts
@@ -8,6 +8,7 @@
 } from "node:http";
 import type { AddressInfo } from "node:net";
 import { test } from "node:test";
+import { AnswerWatch } from "../http/answer_watch.ts";
 import { collectAnswer } from "./collect_answer.ts";
 import { StreamRelay } from "./stream_relay.ts";
 
@@ -17,15 +18,24 @@
 /** Starts a server with `handle` and sends it one request. */
 async function ask(
   handle: (request: IncomingMessage, response: ServerResponse) => void,
-): Promise<{ message: IncomingMessage; close: () => void }> {
+): Promise<
+  { message: IncomingMessage; answer: AnswerWatch; close: () => void }
+> {
   const server = createServer(handle);
   await new Promise<void>((done) => server.listen(0, "127.0.0.1", done));
   const { port } = server.address() as AddressInfo;
+  const sent = request({ host: "127.0.0.1", port });
+  const answer = new AnswerWatch(sent);
   const message = await new Promise<IncomingMessage>((resolve) => {
-    request({ host: "127.0.0.1", port }, resolve).end();
+    sent.once("response", (received) => {
+      answer.follow(received);
+      resolve(received);
+    });
+    sent.end();
   });
   return {
     message,
+    answer,
     close: () => {
       server.closeAllConnections();
       server.close();
@@ -38,13 +48,14 @@
 // that stopped after the first part, whose clients waited until their deadline.
 test("an answer too large to be buffered is forwarded to its end", async () => {
   const backend = await ask((_, response) => response.end(Buffer.alloc(BYTES)));
-  const collected = await collectAnswer(backend.message, COLLECTED_BYTES);
+  const { message, answer } = backend;
+  const collected = await collectAnswer(message, answer, COLLECTED_BYTES);
   assert.equal(collected.kind, "large");
   assert.ok(collected.kind === "large");
   const gateway = await ask(async (_, response) => {
     response.write(collected.bytes);
     const relay = new StreamRelay({ response, wholeEvents: false });
-    assert.equal(await relay.relay(backend.message), "complete");
+    assert.equal(await relay.relay(message, answer), "whole");
     response.end();
   });
   let bytes = 0;
--- a/packages/daemon/src/gateway/stream_relay.ts
+++ b/packages/daemon/src/gateway/stream_relay.ts
@@ -1,13 +1,13 @@
 import { EventSplitter } from "@teaselrouter/core/gateway/event_splitter.ts";
+import type { AnswerEnd } from "@teaselrouter/core/answers/answer_end.ts";
 import type { Buffer } from "node:buffer";
 import type { IncomingMessage, ServerResponse } from "node:http";
+import type { AnswerWatch } from "../http/answer_watch.ts";
 import { monotonicMilliseconds } from "../transport/monotonic_milliseconds.ts";
 
 /** An event's id is resumed after only if a header can hold it. */
 const SENDABLE_ID = /^[\t\x20-\x7e\x80-\xff]*$/;
 
-type RelayEnd = "complete" | "broken";
-
 type Options = {
   response: ServerResponse;
   /**
@@ -52,10 +52,11 @@
   }
 
   /**
-   * Forwards one backend server's body until it ends or breaks off. Rejects if
-   * forwarding throws.
+   * Forwards one backend server's body until it ends or breaks off. The part of
+   * an event is forwarded only where the body is whole, or never resumed.
+   * Rejects if forwarding throws.
    */
-  relay(message: IncomingMessage): Promise<RelayEnd> {
+  relay(message: IncomingMessage, answer: AnswerWatch): Promise<AnswerEnd> {
     this.#splitter = new EventSplitter();
     return new Promise((resolve, reject) => {
       message.on("data", (bytes: Buffer) => {
@@ -69,12 +70,14 @@
       // alone doesn't resume it, and the rest would never arrive.
       message.resume();
       message.once("end", () => {
-        const whole = message.complete;
-        if (whole) this.#write(message, this.#splitter.incompleteBytes);
-        resolve(whole ? "complete" : "broken");
+        const { end } = answer;
+        if (end === "whole") {
+          this.#write(message, this.#splitter.incompleteBytes);
+        }
+        resolve(end);
       });
-      message.once("close", () => resolve("broken"));
-      message.once("error", () => resolve("broken"));
+      message.once("close", () => resolve(answer.end));
+      message.once("error", () => resolve(answer.end));
     });
   }
 
--- a/packages/daemon/src/http/answer_watch.ts
+++ b/packages/daemon/src/http/answer_watch.ts
@@ -7,26 +7,17 @@
 import type { Buffer } from "node:buffer";
 import type { ClientRequest, IncomingMessage } from "node:http";
 
-const SUCCESS_STATUS = 200;
-
-type Options = {
-  request: ClientRequest;
-  /** Whether a success that names no type is taken for an event stream. */
-  expectsEvents: boolean;
-};
-
 /** Follows one answer, and says once it has ended whether it is whole. */
 export class AnswerWatch {
-  #options: Options;
+  #request: ClientRequest;
   #hasConnectionFailed = false;
   #message: IncomingMessage | undefined;
   #framing: AnswerFraming = "no-body";
   #position: EventPosition | undefined;
 
   /** To be created before the request's connection is assigned. */
-  constructor(options: Options) {
-    this.#options = options;
-    const { request } = options;
+  constructor(request: ClientRequest) {
+    this.#request = request;
     request.on("socket", (socket) => this.#detectReset(socket));
     request.on("error", () => {
       this.#hasConnectionFailed = true;
@@ -35,11 +26,10 @@
 
   /** Begins with the answer's head, and leaves the answer paused. */
   follow(message: IncomingMessage): void {
-    const { request, expectsEvents } = this.#options;
     const { headers, statusCode: status = 0 } = message;
     this.#message = message;
     this.#framing = findAnswerFraming({
-      method: request.method,
+      method: this.#request.method,
       status,
       transferEncoding: headers["transfer-encoding"],
       contentLength: headers["content-length"],
@@ -49,7 +39,6 @@
     const hasEvents = isEventStream({
       contentType: headers["content-type"],
       contentEncoding: headers["content-encoding"],
-      isExpected: expectsEvents && status === SUCCESS_STATUS,
     });
     if (!hasEvents) return;
     const position = new EventPosition();
@@ -93,6 +82,6 @@
       if (socket.remoteAddress === undefined) this.#hasConnectionFailed = true;
     };
     socket.prependListener("end", checkForReset);
-    this.#options.request.once("close", () => socket.off("end", checkForReset));
+    this.#request.once("close", () => socket.off("end", checkForReset));
   }
 }
