An agent's answer is whole by the same rule as a gateway's

Callers got broken answers as complete ones: each that had no length and no chunks, and each stream that was framed to its end inside an event. Cause: the agent asked response.complete, which is true once such a connection ends, also by a reset: the request's error was heard only as long as no answer had begun. A call that may not be repeated had the short answer recorded as its own.

Evidence: broken_answers_test, answered each time before (regular ends inside an event in both framings; resets at once and 20 ms later, streams and plain text; a fake engine that resets), refused now as answer-reset, answer-cut-short or answer-inside-event. AnswerWatch decides, as at the gateway.

--- a/packages/daemon/src/agent/backend_call.ts
+++ b/packages/daemon/src/agent/backend_call.ts
@@ -2,6 +2,7 @@
 import { Agent, type IncomingMessage, request as send } from "node:http";
 import type { Buffer } from "node:buffer";
 import { splitAddress } from "../transport/split_address.ts";
+import { AnswerWatch } from "../http/answer_watch.ts";
 import type { BackendRateLimiter } from "./backend_rate_limiter.ts";
 import type { AgentState } from "./agent_state.ts";
 import type { EngineClient } from "./engine_client.ts";
@@ -93,6 +94,7 @@
           "Teaselrouter-Workspace": this.#request.workspace,
         },
       });
+      const answer = new AnswerWatch(call);
       call.once("socket", (socket) => {
         socket.once("connect", () => {
           isConnected = true;
@@ -106,10 +108,10 @@
             : { kind: "not-run", reason },
         );
       });
-      call.once(
-        "response",
-        (response) => resolve(this.#handleResponse(response)),
-      );
+      call.once("response", (response) => {
+        answer.follow(response);
+        resolve(this.#handleResponse(response, answer));
+      });
       // Last of all: an answer that switches protocols is told by nothing else.
       call.once("close", () =>
         resolve({
@@ -121,7 +123,10 @@
     });
   }
 
-  #handleResponse(response: IncomingMessage): Promise<BackendCallResult> {
+  #handleResponse(
+    response: IncomingMessage,
+    answer: AnswerWatch,
+  ): Promise<BackendCallResult> {
     this.#limit.setLimit(parseLimit(response.headers[LIMIT_HEADER]));
     const { statusCode: status = 0, rawHeaders } = response;
     if (this.#state.pushback.recordAnswer({ status, rawHeaders })) {
@@ -147,10 +152,13 @@
         "application/octet-stream",
       version,
     });
-    return this.#readAnswer(response);
+    return this.#readAnswer(response, answer);
   }
 
-  #readAnswer(response: IncomingMessage): Promise<BackendCallResult> {
+  #readAnswer(
+    response: IncomingMessage,
+    answer: AnswerWatch,
+  ): Promise<BackendCallResult> {
     return new Promise((resolve) => {
       response.on("data", (bytes: Buffer) => this.#exchange.append(bytes));
       response.once("error", (error) => {
@@ -161,14 +169,15 @@
         });
       });
       response.once("close", () => {
-        if (!response.complete) {
-          resolve({
-            kind: "failed",
-            isKnownToHaveRun: true,
-            reason: "answer-cut-short",
-          });
-        } else resolve(this.#finish());
+        const { end } = answer;
+        if (end === "whole") return resolve(this.#finish());
+        resolve({
+          kind: "failed",
+          isKnownToHaveRun: true,
+          reason: `answer-${end}`,
+        });
       });
+      response.resume();
     });
   }
 
