An answer that an entry host cuts off is reset towards HTTP/1.0

A caller of HTTP/1.0 got the end of a complete answer where its backend server had broken off: sendProblem closed the connection, and such an answer ends with its connection. Found by looking for the cause of the broken streams elsewhere; gateways did it right. One cutOff serves both now.

--- a/packages/daemon/src/gateway/call_finisher.ts
+++ b/packages/daemon/src/gateway/call_finisher.ts
@@ -1,4 +1,5 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
+import { cutOff } from "../http/cut_off.ts";
 import { clampTimer } from "../transport/clamp_timer.ts";
 import { monotonicMilliseconds } from "../transport/monotonic_milliseconds.ts";
 import type { AdmittedCall } from "./admitted_call.ts";
@@ -136,14 +137,6 @@
   }
 }
 
-/** Ends an answer so that its client can't take it for complete. */
-function cutOff(response: ServerResponse): void {
-  // Such an answer may have no other end than that of its connection.
-  const { req, socket } = response;
-  if (req.httpVersion === "1.0" && socket !== null) socket.resetAndDestroy();
-  else response.destroy();
-}
-
 /**
  * Milliseconds from the last placement to the first event. Undefined without an
  * event, without a forecast, and where another backend server resumes a stream
--- a/packages/daemon/src/http/send_problem.ts
+++ b/packages/daemon/src/http/send_problem.ts
@@ -1,16 +1,13 @@
 import type { ServerResponse } from "node:http";
+import { cutOff } from "./cut_off.ts";
 import type { Problem } from "./problem.ts";
 
 /**
- * Responds with a problem. If the response has already started, closes the
- * connection instead.
+ * Responds with a problem. A response that has already started is cut off
+ * instead: a normal end would make it look complete.
  */
 export function sendProblem(response: ServerResponse, problem: Problem): void {
-  if (response.headersSent) {
-    // A normal end would make the partial response look complete.
-    response.destroy();
-    return;
-  }
+  if (response.headersSent) return cutOff(response);
   // A failed attempt may have set this header, but no weights produced the
   // problem.
   response.removeHeader("Teaselrouter-Weights");
