What is read by events is judged by events, and only a stream goes on with one

On a route that may be resumed, a 200 was split by events whatever its type, and judged by its framing where it named none: its part of an event would have passed for an end. It is judged by events now; other types and encoded bodies are forwarded as they come.

A stream that had begun was resumed by whatever a server answered with 200: a JSON body stood behind its events, as the end of a whole stream. Such an answer is asked for elsewhere, or the stream is cut.

--- a/acceptance/src/broken_streams_test.ts
+++ b/acceptance/src/broken_streams_test.ts
@@ -22,6 +22,7 @@
     engine.framesByConnection = false;
     engine.breakEnd = "close";
     engine.breakAfterEvents = [];
+    engine.rawAnswer = undefined;
   }
 });
 
@@ -37,6 +38,23 @@
   engine.breakAfterEvents = [BREAK_AFTER];
 }
 
+// Guards against the answer of another kind that is joined to a stream.
+test("only a stream goes on with a stream that has begun", async () => {
+  const [breaking, other] = system.engines;
+  other!.rawAnswer = "HTTP/1.1 200 OK\r\nServer-Signature: x\r\n" +
+    "Content-Type: application/json\r\nContent-Length: 2\r\n\r\n{}";
+  for (let round = 0; round < STREAMS; round += 1) {
+    breakNextStream(breaking!, "close");
+    while (breaking!.breakAfterEvents.length > 0) {
+      const text = await system.stream("other").then(
+        (answer) => answer.text,
+        () => "cut",
+      );
+      assert.match(text, /^(\{\}|cut)$/);
+    }
+  }
+});
+
 // Guards against a broken stream that passes for whole, as its connection has
 // ended regularly.
 test("a stream that ends with its connection inside an event is resumed", async () => {
--- a/packages/core/src/answers/judge_answer_end_test.ts
+++ b/packages/core/src/answers/judge_answer_end_test.ts
@@ -59,13 +59,16 @@
 
 // Guards against answers of other types, or encoded ones, that are read as
 // events.
-test("events are what the type says, unless the body is encoded", () => {
-  const has = (contentType?: string, contentEncoding?: string) =>
-    isEventStream({ contentType, contentEncoding });
-  assert.ok(has("text/event-stream"));
-  assert.ok(has("Text/Event-Stream; charset=utf-8"));
-  assert.ok(has("text/event-stream", "identity"));
-  assert.ok(!has("application/json"));
-  assert.ok(!has("text/event-stream", "gzip"));
-  assert.ok(!has());
+test("events are what the type says, or is expected where there is none", () => {
+  for (const isExpected of [true, false]) {
+    const has = (contentType?: string, contentEncoding?: string) =>
+      isEventStream({ contentType, contentEncoding, isExpected });
+    assert.ok(has("text/event-stream"));
+    assert.ok(has("Text/Event-Stream; charset=utf-8"));
+    assert.ok(has("text/event-stream", "identity"));
+    assert.ok(!has("application/json"));
+    assert.ok(!has("text/event-stream", "gzip"));
+    assert.ok(!has(undefined, "gzip"));
+    assert.equal(has(), isExpected);
+  }
 });
--- a/packages/daemon/src/gateway/answer_forwarder.ts
+++ b/packages/daemon/src/gateway/answer_forwarder.ts
@@ -101,7 +101,7 @@
     this.#relay = new StreamRelay({
       response,
       wholeEvents: kind === "stream" && resumable &&
-        message.statusCode === 200,
+        message.statusCode === 200 && answer.isEventStream,
     });
     this.#writeHead(message, answer);
     if (kind === "stream") response.flushHeaders();
--- a/packages/daemon/src/gateway/backend_attempt.ts
+++ b/packages/daemon/src/gateway/backend_attempt.ts
@@ -34,6 +34,8 @@
   body: Buffer | undefined;
   /** Id of the attempt; an answer with another id is rejected. */
   id: string;
+  /** See `AnswerWatch`. */
+  expectsEvents?: boolean;
   format: RequestFormat;
   /**
    * Called with the metadata in an answer's headers, unless a backend server
@@ -68,7 +70,7 @@
       headers: frameBody(headers, body) as unknown as Record<string, string>,
       setHost: false,
     });
-    this.answer = new AnswerWatch(this.#request);
+    this.answer = new AnswerWatch(this.#request, options);
     this.#request.on("socket", (socket) => this.#handleSocket(socket));
     this.#request.on("response", (message) => {
       try {
--- a/packages/daemon/src/gateway/broken_answer_test.ts
+++ b/packages/daemon/src/gateway/broken_answer_test.ts
@@ -215,6 +215,24 @@
   }
 });
 
+// Guards against a stream that is read by events, to be resumed, and then judged
+// by its framing.
+test("a stream that names no type is judged by its events where it may be resumed", async () => {
+  const head = "HTTP/1.1 200 OK\r\n";
+  for (const framing of FRAMINGS) {
+    for (const resumable of [true, false]) {
+      for (const parts of [[EVENT], [EVENT, "id: 2\nda"]]) {
+        const { isWhole } = await ask(
+          { framing, end: "close", parts, head },
+          { version: "1.1", resumable },
+        );
+        const about = `${framing}, ${resumable}, ${parts.length}`;
+        assert.equal(isWhole, !resumable || parts.length === 1, about);
+      }
+    }
+  }
+});
+
 // Guards against answers without a body that are waited for or cut off.
 test("an answer without a body is whole on a route of streams", async () => {
   const noContent = EVENT_STREAM.replace("200 OK", "204 None");
--- a/packages/daemon/src/gateway/call_sender.ts
+++ b/packages/daemon/src/gateway/call_sender.ts
@@ -179,6 +179,7 @@
       path: call.path,
       body: call.body,
       id: call.id,
+      expectsEvents: call.route.kind === "stream" && call.route.resumable,
       format,
       onMetadata: (metadata) => {
         namedLimits.recordAnswer(announcement, metadata);
--- a/packages/daemon/src/gateway/call_takeover.ts
+++ b/packages/daemon/src/gateway/call_takeover.ts
@@ -173,7 +173,7 @@
   #handleOutcome(replacement: Replacement, outcome: AttemptOutcome): void {
     if (this.#replacement !== replacement) return;
     const { from, to } = replacement;
-    if (outcome.kind === "answer" && this.#isUsable(outcome)) {
+    if (outcome.kind === "answer" && this.#isUsable(to, outcome)) {
       from.isReplaced = true;
       from.candidate.record.ejectForSilence(monotonicMilliseconds());
       this.#log("done", replacement);
@@ -199,11 +199,15 @@
    * failure of the backend server the silent one may still answer.
    */
   #isUsable(
+    { answer }: SentAttempt,
     { message, metadata }: Extract<AttemptOutcome, { kind: "answer" }>,
   ): boolean {
+    const { hasBegun } = this.#options.forwarder;
     const status = message.statusCode ?? 0;
-    if (status >= 200 && status < 300) return metadata.isSigned;
-    return status < 500 && !this.#options.forwarder.hasBegun;
+    if (status >= 200 && status < 300) {
+      return metadata.isSigned && (!hasBegun || answer.isEventStream);
+    }
+    return status < 500 && !hasBegun;
   }
 
   /** Ends a takeover by a backend server that has fallen silent as well. */
--- a/packages/daemon/src/gateway/gateway_call.ts
+++ b/packages/daemon/src/gateway/gateway_call.ts
@@ -242,8 +242,9 @@
     const acceptsRequests = () =>
       metadata.requestedPause === undefined &&
       !this.#context.pushbacks.isShuttingDown(announcement);
-    if (!isGood && forwarder.hasBegun) {
-      // The client has the head of a success: this body can't go on with it.
+    const goesOn = isGood && sent.answer.isEventStream;
+    if (forwarder.hasBegun && !goesOn) {
+      // The client has the head of a stream: this body can't go on with it.
       if (status >= 500 && acceptsRequests()) record.recordFailure(now);
       message.resume();
       return "again";
--- a/packages/daemon/src/http/answer_watch.ts
+++ b/packages/daemon/src/http/answer_watch.ts
@@ -7,17 +7,26 @@
 import type { Buffer } from "node:buffer";
 import type { ClientRequest, IncomingMessage } from "node:http";
 
+const SUCCESS_STATUS = 200;
+
+type Options = {
+  /** Whether a success that names no type is taken for an event stream. */
+  expectsEvents?: boolean;
+};
+
 /** Follows one answer, and says once it has ended whether it is whole. */
 export class AnswerWatch {
   #request: ClientRequest;
+  #expectsEvents: boolean;
   #hasConnectionFailed = false;
   #message: IncomingMessage | undefined;
   #framing: AnswerFraming = "no-body";
   #position: EventPosition | undefined;
 
   /** To be created before the request's connection is assigned. */
-  constructor(request: ClientRequest) {
+  constructor(request: ClientRequest, options: Options = {}) {
     this.#request = request;
+    this.#expectsEvents = options.expectsEvents ?? false;
     request.on("socket", (socket) => this.#detectReset(socket));
     request.on("error", () => {
       this.#hasConnectionFailed = true;
@@ -39,6 +48,7 @@
     const hasEvents = isEventStream({
       contentType: headers["content-type"],
       contentEncoding: headers["content-encoding"],
+      isExpected: this.#expectsEvents && status === SUCCESS_STATUS,
     });
     if (!hasEvents) return;
     const position = new EventPosition();
