An answer that was given up before its rest was read is not whole

Found by reading the diff: once a request is destroyed, Node.js discards what it has received of the answer and emits its end, and the parser calls it complete. A stream whose client reads slowly, all of it received and part of it not passed on, would then end as a whole one. It was so before the watch too; no way in was found by which it reaches a caller, since what gives an attempt up ends the request first. The attempt now tells the watch. The test got 'whole' before.

An agent's reason for a broken answer is the judge's alone: answer-reset, answer-cut-short or answer-inside-event, where some said 'aborted'.

--- a/packages/core/src/answers/answer_end.ts
+++ b/packages/core/src/answers/answer_end.ts
@@ -3,7 +3,7 @@
   | "whole"
   /** Its connection failed before its end. */
   | "reset"
-  /** Its connection was closed before its end. */
+  /** Its connection was closed, or it was given up, before its end. */
   | "cut-short"
   /** Its event stream was framed to an end that lies within an event. */
   | "inside-event";
--- a/packages/core/src/answers/judge_answer_end.ts
+++ b/packages/core/src/answers/judge_answer_end.ts
@@ -3,7 +3,7 @@
 
 type Ended = {
   framing: AnswerFraming;
-  /** Whether all was received that the framing announced. */
+  /** Whether all was read that the framing announced. */
   isFramingComplete: boolean;
   /** Whether the connection failed instead of being closed. */
   hasConnectionFailed: boolean;
--- a/packages/daemon/src/agent/backend_call.ts
+++ b/packages/daemon/src/agent/backend_call.ts
@@ -161,13 +161,7 @@
   ): Promise<BackendCallResult> {
     return new Promise((resolve) => {
       response.on("data", (bytes: Buffer) => this.#exchange.append(bytes));
-      response.once("error", (error) => {
-        resolve({
-          kind: "failed",
-          isKnownToHaveRun: true,
-          reason: error.message,
-        });
-      });
+      response.on("error", () => undefined);
       response.once("close", () => {
         const { end } = answer;
         if (end === "whole") return resolve(this.#finish());
--- a/packages/daemon/src/gateway/backend_attempt.ts
+++ b/packages/daemon/src/gateway/backend_attempt.ts
@@ -102,6 +102,7 @@
    */
   abort(reason: string): void {
     this.#isAborted = true;
+    this.answer.giveUp();
     this.#fail(reason);
     this.#request.destroy();
   }
--- a/packages/daemon/src/gateway/backend_attempt_test.ts
+++ b/packages/daemon/src/gateway/backend_attempt_test.ts
@@ -98,6 +98,34 @@
   assert.equal(body?.kind, "broken");
 });
 
+// Guards against a stream that ends as whole, as all of it was received, though
+// the attempt was given up before its rest was read.
+test("an answer whose rest was not read is not whole", async () => {
+  const server = createHttpServer((_, response) => response.end("all of it"));
+  await new Promise<void>((resolve) => server.listen(0, ADDRESS, resolve));
+  const { port } = server.address() as AddressInfo;
+  const agent = new BackendAgent(1);
+  for (const isRead of [true, false]) {
+    const sent = new BackendAttempt({
+      ...REQUEST,
+      address: `${ADDRESS}:${port}`,
+      agent,
+      headers: ["Host", "a"],
+    });
+    const outcome = await sent.outcome;
+    assert.ok(outcome.kind === "answer");
+    const { message } = outcome;
+    const closed = new Promise((resolve) => message.once("close", resolve));
+    while (!message.complete) await new Promise((done) => setTimeout(done, 5));
+    if (isRead) message.resume();
+    else sent.abort("given up");
+    await closed;
+    assert.equal(sent.answer.end, isRead ? "whole" : "cut-short");
+  }
+  agent.destroy();
+  server.close();
+});
+
 test("no answer, an invalid one and another request's leave the outcome unknown", async () => {
   const outcomes = [
     await attempt((socket) => socket.destroy()),
--- a/packages/daemon/src/http/answer_watch.ts
+++ b/packages/daemon/src/http/answer_watch.ts
@@ -18,7 +18,9 @@
 export class AnswerWatch {
   #request: ClientRequest;
   #expectsEvents: boolean;
+  /** The parser takes a reset behind an answer without a length for its end. */
   #hasConnectionFailed = false;
+  #isGivenUp = false;
   #message: IncomingMessage | undefined;
   #framing: AnswerFraming = "no-body";
   #position: EventPosition | undefined;
@@ -57,11 +59,11 @@
   }
 
   /**
-   * Whether the connection failed. An answer without a length ends with its
-   * connection, and the parser takes a reset for a regular close.
+   * To be called before the request is destroyed: Node.js then discards what was
+   * received and not read, and emits "end".
    */
-  get hasConnectionFailed(): boolean {
-    return this.#hasConnectionFailed;
+  giveUp(): void {
+    this.#isGivenUp = true;
   }
 
   get framing(): AnswerFraming {
@@ -74,9 +76,10 @@
 
   /** Meaningful once the answer has ended or its connection is closed. */
   get end(): AnswerEnd {
+    const { complete = false, readableEnded = false } = this.#message ?? {};
     return judgeAnswerEnd({
       framing: this.#framing,
-      isFramingComplete: this.#message?.complete ?? false,
+      isFramingComplete: complete && readableEnded && !this.#isGivenUp,
       hasConnectionFailed: this.#hasConnectionFailed,
       isInsideEvent: this.#position?.isInsideEvent ?? false,
     });
