--- a/acceptance/src/fake_backend_server.ts
+++ b/acceptance/src/fake_backend_server.ts
@@ -1,3 +1,4 @@
+import { frameByConnection } from "@teaselrouter/experiments/fakes/frame_by_connection.ts";
 import { Buffer } from "node:buffer";
 import { createHash } from "node:crypto";
 import {
@@ -380,11 +381,6 @@
   return new Promise((resolve) => setTimeout(resolve, milliseconds));
 }
 
-function frameByConnection(response: ServerResponse): void {
-  response.useChunkedEncodingByDefault = false;
-  response.shouldKeepAlive = false;
-}
-
 /** Resolves once the bytes have left the process, or never will. */
 function writeOut(response: ServerResponse, bytes: string): Promise<void> {
   return new Promise((resolve) => {
--- a/packages/experiments/src/failures/claim_steps_test.ts
+++ b/packages/experiments/src/failures/claim_steps_test.ts
@@ -288,6 +288,30 @@
   },
 );
 
+// Guards against a broken answer that is recorded as the call's own, and given to
+// each retry.
+testClaim(
+  "the answer is reset in its middle: unknown, not run again",
+  async (fixture) => {
+    fixture.service.framesByConnection = true;
+    fixture.service.resetsAnswers = true;
+    assert.equal(await fixture.sendCall(), "unknown");
+    fixture.service.resetsAnswers = false;
+    assert.equal(await fixture.sendCall(), "unknown");
+    assert.equal(fixture.runCount, 1);
+  },
+);
+
+testClaim(
+  "the answer ends with its connection: answered, and again on a retry",
+  async (fixture) => {
+    fixture.service.framesByConnection = true;
+    assert.equal(await fixture.sendCall(), ANSWER);
+    assert.equal(await fixture.sendCall(), ANSWER);
+    assert.equal(fixture.runCount, 1);
+  },
+);
+
 testClaim(
   "the agent is killed before the call reaches it: unknown, never run",
   async (fixture) => {
--- a/packages/experiments/src/fakes/fake_engine.ts
+++ b/packages/experiments/src/fakes/fake_engine.ts
@@ -37,7 +37,7 @@
   stallsAnswers = false;
   /** Whether answers to calls end with their connection. */
   framesByConnection = false;
-  /** Resets the next answer behind its first lines. */
+  /** Resets the next answer behind its first line. */
   resetsNextAnswer = false;
   /** For how long the engine falls silent at the end of its next answer. */
   silenceAfterAnswer = 0;
