--- a/acceptance/src/incident_day.ts
+++ b/acceptance/src/incident_day.ts
@@ -68,7 +68,7 @@
     try {
       await system.start();
       for (const engine of system.engines) engine.crashingBodies = CRASH_BODIES;
-      frameByConnection(system.engines);
+      frameHalfByConnection(system.engines);
       const work = [
         this.#sendHarmlessRequests(),
         this.#sendCrashingRequests(),
@@ -281,8 +281,11 @@
     .length;
 }
 
-/** Every second engine; of these, every second resets what a crash breaks off. */
-function frameByConnection(engines: readonly FakeBackendServer[]): void {
+/**
+ * Every second engine's answers end with their connection. Every second of these
+ * engines resets what a crash breaks off.
+ */
+function frameHalfByConnection(engines: readonly FakeBackendServer[]): void {
   for (const [index, engine] of engines.entries()) {
     engine.framesByConnection = index % 2 === 0;
     engine.breakEnd = index % 4 === 0 ? "close" : "reset";
