--- a/acceptance/src/crashing_requests_test.ts
+++ b/acceptance/src/crashing_requests_test.ts
@@ -175,7 +175,7 @@
     }
     const answers = await askGatewaysInTurn(system, ATTEMPTS);
     assertRefused(answers.slice(-GATEWAYS));
-    await system.restartControlHosts(killed);
+    await system.cluster.restart(killed);
     await sleep(COMMIT_MILLISECONDS);
     const before = countCrashes(system);
     await system.restartAll();
--- a/acceptance/src/end_to_end_system.ts
+++ b/acceptance/src/end_to_end_system.ts
@@ -139,16 +139,6 @@
     }
   }
 
-  /** Kills control hosts, starts them again and waits until they can be called. */
-  async restartControlHosts(names: string[]): Promise<void> {
-    const { cluster } = this;
-    await cluster.restart(names);
-    for (const name of names) {
-      const url = cluster.controlUrls[this.controlNames.indexOf(name)]!;
-      await this.#waitFor(() => canBeCalled(url), "started");
-    }
-  }
-
   get controlNames(): string[] {
     return Array.from(
       { length: this.#controlHostCount },
@@ -325,8 +315,3 @@
     throw new Error(`not ${goal} in time; logs in ${this.cluster.folder}`);
   }
 }
-
-/** Whether anything answers there, with any status. */
-function canBeCalled(url: string): Promise<boolean> {
-  return fetch(url).then(() => true, () => false);
-}
