--- a/acceptance/src/broken_streams_test.ts
+++ b/acceptance/src/broken_streams_test.ts
@@ -4,7 +4,7 @@
 import type { FakeBackendServer } from "./fake_backend_server.ts";
 
 const EVENTS = 8;
-const BREAK_AFTER = 3;
+const BREAK_AFTER_EVENTS = 3;
 /** Few enough that the shared retry budget allows all that are resumed. */
 const STREAMS = 2;
 const BREAK_ENDS = ["close", "reset"] as const;
@@ -35,7 +35,7 @@
 ): void {
   engine.framesByConnection = true;
   engine.breakEnd = breakEnd;
-  engine.breakAfterEvents = [BREAK_AFTER];
+  engine.breakAfterEvents = [BREAK_AFTER_EVENTS];
 }
 
 // Guards against the answer of another kind that is joined to a stream.
--- a/acceptance/src/fake_backend_server.ts
+++ b/acceptance/src/fake_backend_server.ts
@@ -16,7 +16,7 @@
 /** Time from the start of a response until its request crashes the server. */
 const CRASH_DELAY_MILLISECONDS = 20;
 const RESTART_MILLISECONDS = 400;
-/** May stand behind a whole event or within one. */
+/** Begins a field that never ends. */
 const PARTIAL_EVENT = "da";
 const DECIMAL_NUMBER = /^\d+(\.\d+)?$/;
 const FIRST_START_TIME = 1_000;
--- a/packages/daemon/src/gateway/broken_answer_test.ts
+++ b/packages/daemon/src/gateway/broken_answer_test.ts
@@ -117,7 +117,7 @@
     const body = rest.join("\r\n\r\n");
     await gateway.waitUntilIdle();
     return {
-      isWhole: isWhole({ head: head!, body, isReset: client.isReset }),
+      isWhole: looksWhole({ head: head!, body, isReset: client.isReset }),
       received,
       body,
       gateway,
@@ -128,7 +128,7 @@
 }
 
 /** Whether a client takes the answer for complete. */
-function isWhole(
+function looksWhole(
   { head, body, isReset }: { head: string; body: string; isReset: boolean },
 ): boolean {
   if (/transfer-encoding: chunked/i.test(head)) {
