Ends of backend servers are logged with the prompt parts of what ran there

Nothing told which part requests had in common at an end: fingerprints were all different, and Prefix-Hash was forwarded but read by nobody. Nothing is decided by it yet.

--- a/acceptance/src/fake_backend_server.ts
+++ b/acceptance/src/fake_backend_server.ts
@@ -66,6 +66,8 @@
   eventIntervalMilliseconds = DEFAULT_EVENT_INTERVAL_MILLISECONDS;
   /** Bodies of requests that crash the server. */
   crashingBodies: readonly string[] = [];
+  /** Ids of prompt parts that crash the server; a prompt's last part is not. */
+  crashingParts: readonly string[] = [];
   /** Whether a restart is announced under the same name, as a new start. */
   keepsName = false;
   /** Whether the server has crashed and not yet restarted. */
@@ -262,7 +264,7 @@
         "Server-Limit": String(this.limitPerSecond),
       }),
     });
-    if (this.crashingBodies.includes(body.toString())) {
+    if (this.#isCrashing(headers["prefix-hash"], body)) {
       response.flushHeaders();
       this.#openStreams.add(response);
       await sleep(CRASH_DELAY_MILLISECONDS);
@@ -278,6 +280,15 @@
     });
   }
 
+  #isCrashing(prefix: string | string[] | undefined, body: Buffer): boolean {
+    if (this.crashingBodies.includes(body.toString())) return true;
+    if (this.crashingParts.length === 0) return false;
+    const shared = String(prefix ?? "").split(",").slice(0, -1);
+    return shared.some((entry) =>
+      this.crashingParts.includes(entry.split(":")[0]!)
+    );
+  }
+
   #fail(status: number, id: string, response: ServerResponse): void {
     response.writeHead(status, {
       "Attempt-Id": id,
--- a/packages/core/src/gateway/request_metadata.ts
+++ b/packages/core/src/gateway/request_metadata.ts
@@ -12,6 +12,11 @@
   /** Requested model; undefined for services without an engine. */
   model: string | undefined;
   promptTokens: number;
+  /**
+   * Ids of the prompt's parts that other requests may share, in order; empty if
+   * none are known.
+   */
+  sharedParts: readonly string[];
   /** Largest number of tokens that may be generated. */
   maxOutputTokens: number;
   /** The client's estimate of the generated tokens; often far off. */
--- a/packages/daemon/src/gateway/crash_watch.ts
+++ b/packages/daemon/src/gateway/crash_watch.ts
@@ -112,6 +112,7 @@
         how,
         id: call.id,
         fingerprint,
+        parts: call.metadata.sharedParts.join(","),
         begun_milliseconds: begunMilliseconds === undefined
           ? "not"
           : Math.round(begunMilliseconds),
--- a/packages/daemon/src/gateway/crash_watch_test.ts
+++ b/packages/daemon/src/gateway/crash_watch_test.ts
@@ -16,6 +16,7 @@
   path: "/x",
   workspace: "w",
   body: undefined,
+  metadata: { sharedParts: [] as readonly string[] },
 } as AdmittedCall;
 
 // Guards against contact with a backend server that has asked for none, and
--- a/packages/daemon/src/gateway/gateway_fixture.ts
+++ b/packages/daemon/src/gateway/gateway_fixture.ts
@@ -68,6 +68,7 @@
     key: undefined,
     model: undefined,
     promptTokens: 0,
+    sharedParts: [],
     maxOutputTokens: 0,
     expectedOutputTokens: undefined,
     resumesAfter: undefined,
