--- /dev/null
+++ b/acceptance/src/part_day.ts
@@ -0,0 +1,300 @@
+import { createSeededRandom } from "@teaselrouter/core/random/create_seeded_random.ts";
+import { hashText } from "@teaselrouter/core/random/hash_text.ts";
+import { performance } from "node:perf_hooks";
+import { EndToEndSystem } from "./end_to_end_system.ts";
+import { findPartDayFaults } from "./find_part_day_faults.ts";
+import type { PartDayResult } from "./part_day_result.ts";
+import type { PromptMix } from "./prompt_mix.ts";
+import { PROMPT_MIXES } from "./prompt_mixes.ts";
+
+const GATEWAYS = 4;
+const CONTROL_HOSTS = 3;
+const ENGINES = 10;
+const SLOTS = 16;
+const DAY_MILLISECONDS = 18_000;
+const HARMLESS_PER_SECOND = 40;
+const CRASHING_PER_SECOND = 5;
+const CRASHING_FROM_MILLISECONDS = 2_000;
+/** Crash from which every gateway has 3 s to refuse what holds the part. */
+const DECISIVE_CRASH = 5;
+const CONTACT_MILLISECONDS = 3_000;
+const FREEZE_MILLISECONDS = 1_500;
+/** From 5 to 9 s, when blames are being decided or have just been. */
+const TROUBLE_AT = { from: 5_000, spread: 4_000 };
+const OWN_CRASHES = 3;
+const OWN_CRASH_GAP_MILLISECONDS = 700;
+
+type Sent = {
+  id: string;
+  gateway: string;
+  at: number;
+  /** Index of the crashing part; undefined for a harmless request. */
+  part: number | undefined;
+  status: number;
+  text: string;
+};
+type Trouble = {
+  name: string;
+  inject: (system: EndToEndSystem) => Promise<unknown>;
+  /** Gateways that are disturbed. */
+  gateways: (system: EndToEndSystem) => string[];
+};
+/** `to` is Infinity until the trouble is over. */
+type Disturbance = { from: number; to: number; gateways: string[] };
+
+/**
+ * Simulates a day in 18 s, on loopback: requests of which no two are alike, with
+ * one prompt part in common that crashes engines, beside harmless ones that
+ * share their caller and other parts. The seed draws how parts are shared, and
+ * a trouble beside.
+ */
+export class PartDay {
+  #seed: number;
+  #random: () => number;
+  #mix: PromptMix;
+  #system = new EndToEndSystem({
+    engines: ENGINES,
+    gateways: GATEWAYS,
+    controlHosts: CONTROL_HOSTS,
+    slots: SLOTS,
+  });
+  #sent: Promise<Sent>[] = [];
+  #sentCount = 0;
+  #disturbance: Disturbance | undefined;
+
+  constructor(seed: number) {
+    this.#seed = seed;
+    this.#random = createSeededRandom(hashText(`part ${seed}`));
+    this.#mix = PROMPT_MIXES[seed % PROMPT_MIXES.length]!;
+  }
+
+  async run(): Promise<PartDayResult> {
+    const system = this.#system;
+    // Each way to share parts is played without a trouble first.
+    const trouble = this.#seed < PROMPT_MIXES.length
+      ? undefined
+      : this.#drawTrouble();
+    let keepLogs = true;
+    try {
+      await system.start();
+      await Promise.all([
+        this.#makePartsHarmful(),
+        this.#sendHarmless(),
+        ...this.#mix.drawCrashing.map((_, part) => this.#sendCrashing(part)),
+        this.#crashByThemselves(),
+        trouble && this.#disturb(trouble),
+      ]);
+      const sent = await Promise.all(this.#sent);
+      const result = this.#buildResult(sent, trouble?.name ?? "none");
+      keepLogs = result.faults.length > 0;
+      return result;
+    } finally {
+      await system.stop({ keepLogs });
+    }
+  }
+
+  #drawTrouble(): Trouble {
+    const index = Math.floor(this.#random() * GATEWAYS);
+    const control = Math.floor(this.#random() * CONTROL_HOSTS);
+    const gateway = (system: EndToEndSystem) => [system.gatewayIps[index]!];
+    const gatewayName = (system: EndToEndSystem) => system.gatewayNames[index]!;
+    const controlName = (system: EndToEndSystem) =>
+      system.controlNames[control]!;
+    const troubles: Trouble[] = [
+      {
+        name: "gateway killed",
+        inject: (system) => system.cluster.restart([gatewayName(system)]),
+        gateways: gateway,
+      },
+      {
+        name: "gateway frozen",
+        inject: (system) => freeze(system, gatewayName(system)),
+        gateways: gateway,
+      },
+      {
+        name: "control host killed",
+        inject: (system) => system.cluster.restart([controlName(system)]),
+        gateways: () => [],
+      },
+      {
+        name: "control host frozen",
+        inject: (system) => freeze(system, controlName(system)),
+        gateways: () => [],
+      },
+      {
+        name: "all power lost",
+        inject: (system) => system.restartAll(),
+        gateways: (system) => system.gatewayIps,
+      },
+    ];
+    return troubles[Math.floor(this.#random() * troubles.length)]!;
+  }
+
+  async #disturb({ inject, gateways }: Trouble): Promise<void> {
+    await sleep(TROUBLE_AT.from + this.#random() * TROUBLE_AT.spread);
+    const disturbance: Disturbance = {
+      from: performance.now(),
+      to: Infinity,
+      gateways: gateways(this.#system),
+    };
+    this.#disturbance = disturbance;
+    await inject(this.#system);
+    disturbance.to = performance.now();
+  }
+
+  async #makePartsHarmful(): Promise<void> {
+    await sleep(this.#mix.crashesFromMilliseconds ?? 0);
+    for (const engine of this.#system.engines) {
+      engine.crashingParts = this.#mix.crashingParts;
+    }
+  }
+
+  async #crashByThemselves(): Promise<void> {
+    if (this.#mix.crashingParts.length > 0) return;
+    for (let crash = 0; crash < 7 * OWN_CRASHES; crash += 1) {
+      await sleep(OWN_CRASH_GAP_MILLISECONDS * 2 * this.#random());
+      const { engines } = this.#system;
+      // Its end comes while the day goes on.
+      engines[Math.floor(this.#random() * engines.length)]!.crash();
+    }
+  }
+
+  async #sendHarmless(): Promise<void> {
+    const until = performance.now() + DAY_MILLISECONDS;
+    const from = this.#mix.separatesGateways ? 1 : 0;
+    while (performance.now() < until) {
+      this.#send(this.#drawGateway(from, GATEWAYS), undefined);
+      await sleep(2_000 * this.#random() / HARMLESS_PER_SECOND);
+    }
+  }
+
+  async #sendCrashing(part: number): Promise<void> {
+    const until = performance.now() + DAY_MILLISECONDS;
+    const perSecond = CRASHING_PER_SECOND / this.#mix.drawCrashing.length;
+    const to = this.#mix.separatesGateways ? 1 : GATEWAYS;
+    await sleep(CRASHING_FROM_MILLISECONDS);
+    while (performance.now() < until) {
+      this.#send(this.#drawGateway(0, to), part);
+      await sleep(2_000 * this.#random() / perSecond);
+    }
+  }
+
+  #drawGateway(from: number, to: number): string {
+    const index = from + Math.floor(this.#random() * (to - from));
+    return this.#system.gatewayIps[index]!;
+  }
+
+  #send(gateway: string, part: number | undefined): void {
+    this.#sentCount += 1;
+    const id = `part-${this.#sentCount}`;
+    const draw = part === undefined
+      ? this.#mix.drawHarmless
+      : this.#mix.drawCrashing[part]!;
+    const parts = [...draw(this.#random), `e${this.#sentCount}`];
+    const at = performance.now();
+    this.#sent.push(
+      this.#ask(id, gateway, parts).then((answer) => ({
+        id,
+        gateway,
+        at,
+        part,
+        ...answer,
+      })),
+    );
+  }
+
+  async #ask(id: string, gateway: string, parts: string[]) {
+    try {
+      const { status, text } = await this.#system.sendRequest("/write/x", {
+        id,
+        gateway,
+        method: "POST",
+        body: id,
+        headers: {
+          Model: "model-1",
+          "Token-Usage": "100,8",
+          "Prefix-Hash": parts.map((part) => `${part}:20`).join(","),
+        },
+      });
+      return { status, text };
+    } catch {
+      return { status: 0, text: "" };
+    }
+  }
+
+  #buildResult(sent: Sent[], trouble: string): PartDayResult {
+    const { engines } = this.#system;
+    const byId = new Map(sent.map((request) => [request.id, request]));
+    const crashes = engines.flatMap((engine) => engine.crashRecords)
+      .sort((left, right) => left.at - right.at);
+    const arrivals = engines.flatMap((engine) => engine.arrivals);
+    const histories = this.#mix.crashingParts.map((_, part) => ({
+      crashes: crashes
+        .filter(({ id }) => id !== undefined && byId.get(id)?.part === part)
+        .map(({ at }) => at),
+      arrivals: arrivals.flatMap(({ id, at }) => {
+        const request = byId.get(id);
+        return request?.part === part ? [{ at, gateway: request.gateway }] : [];
+      }),
+    }));
+    const lastDecisive = Math.max(
+      ...histories.map((history) => decisiveCrashOf(history.crashes)),
+      crashes[0]?.at ?? 0,
+    );
+    const harmless = sent.filter(({ part }) => part === undefined);
+    const judged = harmless.filter(({ at, gateway }) =>
+      at > lastDecisive + 2 * CONTACT_MILLISECONDS &&
+      !this.#isDisturbed(gateway, at)
+    );
+    const result = {
+      seed: this.#seed,
+      mix: this.#mix.name,
+      trouble,
+      crashes: crashes.length,
+      lateArrivals: histories.map((history) => {
+        const from = decisiveCrashOf(history.crashes) + CONTACT_MILLISECONDS;
+        return history.arrivals.filter(({ at, gateway }) =>
+          at > from && !this.#isDisturbed(gateway, at)
+        ).length;
+      }),
+      stoppedAfterMilliseconds: histories.map((history) =>
+        history.crashes.length < 3 ? undefined : Math.round(
+          Math.max(...history.arrivals.map(({ at }) => at)) -
+            history.crashes[2]!,
+        )
+      ),
+      harmless: {
+        sent: judged.length,
+        served: judged.filter(({ status }) => status === 200).length,
+      },
+      wronglyBlamed:
+        harmless.filter(({ text }) => text.includes("ended under it")).length,
+      faults: [],
+    };
+    return { ...result, faults: findPartDayFaults(result, harmless.length) };
+  }
+
+  /** Whether the gateway was disturbed at some time in the 3 s before `at`. */
+  #isDisturbed(gateway: string, at: number): boolean {
+    if (this.#disturbance === undefined) return false;
+    const { from, to, gateways } = this.#disturbance;
+    return gateways.includes(gateway) && at > from &&
+      at < to + CONTACT_MILLISECONDS;
+  }
+}
+
+/** When the fifth crash was, or the last of fewer; Infinity without any. */
+function decisiveCrashOf(crashes: number[]): number {
+  return crashes[DECISIVE_CRASH - 1] ?? crashes.at(-1) ?? Infinity;
+}
+
+async function freeze(system: EndToEndSystem, name: string): Promise<void> {
+  const { child } = system.cluster.findHost(name);
+  child.signal("SIGSTOP");
+  await sleep(FREEZE_MILLISECONDS);
+  child.signal("SIGCONT");
+}
+
+function sleep(milliseconds: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, milliseconds));
+}
