--- a/packages/core/src/crashes/blame.ts
+++ b/packages/core/src/crashes/blame.ts
@@ -1,8 +1,13 @@
 /**
- * A request in quarantine: it is refused for some time, its refusal period,
- * because backend servers crashed while running it.
+ * A request, or all requests with certain prompt parts, in quarantine: refused
+ * for some time, the refusal period, because backend servers crashed while
+ * running it.
  */
 export type Blame = {
+  /**
+   * The request's fingerprint, or the names of one or more parts as in
+   * `nameParts`: requests that hold all of these are refused.
+   */
   fingerprint: string;
   /** Backend server crashes attributed to the request that are known so far. */
   crashes: number;
--- /dev/null
+++ b/packages/core/src/crashes/count_part_crashes.ts
@@ -0,0 +1,40 @@
+import type { ObservedCrash } from "./observed_crash.ts";
+
+/**
+ * Crashes of one wave count at most this much. When a rack fails, parts that
+ * many requests share stand at each of its crashes.
+ */
+const MAX_WAVE_WEIGHT = 2;
+/** Longer than backend servers that fail together take to do so. */
+const WAVE_MILLISECONDS = 100;
+/** A part that crashes a backend server does so soon after its answer starts. */
+const SOON_MILLISECONDS = 1_000;
+const WEAK_WEIGHT = 0.5;
+
+/**
+ * Weight of the crashes at which requests with one prompt part were in flight.
+ * A new wave begins with a crash under an answer that started after the
+ * preceding wave: only then the part has been run again.
+ */
+export function countPartCrashes(crashes: ObservedCrash[]): number {
+  let total = 0;
+  let waveAt = -Infinity;
+  let waveWeight = 0;
+  for (const crash of crashes.toSorted((left, right) => left.at - right.at)) {
+    const begunAt = crash.at - (crash.begunMilliseconds ?? 0);
+    if (begunAt > waveAt + WAVE_MILLISECONDS) {
+      waveAt = crash.at;
+      waveWeight = 0;
+    }
+    const counted = Math.min(weigh(crash), MAX_WAVE_WEIGHT - waveWeight);
+    waveWeight += counted;
+    total += counted;
+  }
+  return total;
+}
+
+function weigh({ begunMilliseconds }: ObservedCrash): number {
+  const isSoon = begunMilliseconds !== undefined &&
+    begunMilliseconds <= SOON_MILLISECONDS;
+  return isSoon ? 1 : WEAK_WEIGHT;
+}
--- a/packages/core/src/crashes/crash_evidence.ts
+++ b/packages/core/src/crashes/crash_evidence.ts
@@ -1,41 +1,94 @@
+import { countPartCrashes } from "./count_part_crashes.ts";
+import { countRequestCrashes } from "./count_request_crashes.ts";
 import type { CrashReport } from "./crash_report.ts";
 import { CRASHES_TO_BLAME } from "./crashes_to_blame.ts";
+import { findSurvivalThresholds } from "./find_survival_thresholds.ts";
+import type { ObservedCrash } from "./observed_crash.ts";
+import type { Survival } from "./survival.ts";
+import type { SurvivalThresholds } from "./survival_thresholds.ts";
 
-/**
- * Weight of a crash before the request's answer started. A request that was
- * still queued is unlikely to have caused the crash, but the start of its
- * answer can be lost with the connection, so the crash still counts.
- */
-const UNSTARTED_ANSWER_WEIGHT = 0.5;
 /**
  * Stands in for `begunMilliseconds` where no answer had started, so that such
  * suspects rank after those whose answers had started.
  */
 const UNSTARTED_ANSWER_MILLISECONDS = 60_000;
+/** Enough to tell which suspects stand for the same request at a crash. */
+const MAX_REQUESTS_PER_CRASH = 64;
 
-/** `at`: when the crash was reported, monotonic milliseconds; never read. */
-type ObservedCrash = { begunMilliseconds: number | undefined; at: number };
-
-/** The backend server crashes during which one request was in flight there. */
+/**
+ * The backend server crashes at which one suspect was in flight there: a
+ * request, or all requests with one prompt part.
+ */
 export class CrashEvidence {
+  readonly kind: "request" | "part";
   #crashes = new Map<string, ObservedCrash>();
+  /** Incarnations whose crashes are attributed to others. */
+  #attributedElsewhere = new Set<string>();
   /** When the latest new crash was reported, monotonic milliseconds. */
   lastReportedAt = -Infinity;
   #sufficientSince: number | undefined;
+  /** An answer that started then has survived; earlier crashes don't count. */
+  #survivedAt = -Infinity;
 
-  /** Returns false if this crash was already recorded for the request. */
-  add({ incarnation, begunMilliseconds }: CrashReport, now: number): boolean {
-    if (this.#crashes.has(incarnation)) return false;
-    this.#crashes.set(incarnation, { begunMilliseconds, at: now });
+  constructor(kind: "request" | "part") {
+    this.kind = kind;
+  }
+
+  /** Returns false if this crash was already recorded for the suspect. */
+  add(report: CrashReport, now: number): boolean {
+    const { fingerprint, incarnation, begunMilliseconds } = report;
+    const at = report.crashedAt ?? now;
+    if (at <= this.#survivedAt) return false;
+    const known = this.#crashes.get(incarnation);
+    if (known !== undefined) {
+      this.#addRequest(known, report);
+      this.#updateSufficiency(now);
+      return false;
+    }
+    const requests = new Set([fingerprint]);
+    this.#crashes.set(incarnation, { at, begunMilliseconds, requests });
     this.lastReportedAt = now;
-    if (this.weight >= CRASHES_TO_BLAME) this.#sufficientSince ??= now;
+    this.#updateSufficiency(now);
     return true;
   }
 
-  /** Removes a crash that is attributed to another request. */
-  remove(incarnation: string): void {
-    this.#crashes.delete(incarnation);
-    if (this.weight < CRASHES_TO_BLAME) this.#sufficientSince = undefined;
+  /** The crash no longer counts, as it is attributed to another suspect. */
+  exclude(incarnation: string): void {
+    if (!this.#crashes.has(incarnation)) return;
+    this.#attributedElsewhere.add(incarnation);
+    this.#updateSufficiency(this.lastReportedAt);
+  }
+
+  /** The crash counts again: its attribution was wrong. */
+  include(incarnation: string): void {
+    if (!this.#attributedElsewhere.delete(incarnation)) return;
+    this.#updateSufficiency(this.lastReportedAt);
+  }
+
+  /**
+   * Whether an answer shows that a part didn't crash what ran it when the
+   * answer started.
+   */
+  isSurvival({ livedMilliseconds, isComplete }: Survival): boolean {
+    const { complete, running } = this.survivalThresholds;
+    return isComplete
+      ? livedMilliseconds > complete
+      : livedMilliseconds >= running;
+  }
+
+  /**
+   * Drops crashes before an answer that has survived. Returns whether there
+   * were any.
+   */
+  clearBefore(begunAt: number): boolean {
+    this.#survivedAt = Math.max(this.#survivedAt, begunAt);
+    const before = [...this.#crashes].filter(([, { at }]) => at <= begunAt);
+    for (const [incarnation] of before) {
+      this.#crashes.delete(incarnation);
+      this.#attributedElsewhere.delete(incarnation);
+    }
+    this.#updateSufficiency(this.lastReportedAt);
+    return before.length > 0;
   }
 
   /**
@@ -46,33 +99,81 @@
     return this.#sufficientSince;
   }
 
+  get isEmpty(): boolean {
+    return this.#crashes.size === 0;
+  }
+
+  /** Incarnations whose crashes count, in the order of their reports. */
   get incarnations(): string[] {
-    return [...this.#crashes.keys()];
+    return [...this.#crashes.keys()]
+      .filter((incarnation) => !this.#attributedElsewhere.has(incarnation));
+  }
+
+  /** Requests that the suspect stands for at a crash. */
+  requestsAt(incarnation: string): ReadonlySet<string> {
+    return this.#crashes.get(incarnation)?.requests ?? new Set();
   }
 
   reportsFor(fingerprint: string): CrashReport[] {
-    return [...this.#crashes].map(([incarnation, { begunMilliseconds }]) => ({
+    return this.incarnations.map((incarnation) => ({
       fingerprint,
       incarnation,
-      begunMilliseconds,
+      begunMilliseconds: this.#crashes.get(incarnation)!.begunMilliseconds,
     }));
   }
 
   get weight(): number {
-    return [...this.#crashes.values()].reduce(
-      (sum, { begunMilliseconds }) =>
-        sum + (begunMilliseconds === undefined ? UNSTARTED_ANSWER_WEIGHT : 1),
-      0,
-    );
+    return this.weightOf(this.incarnations);
   }
 
-  /** Mean time from the start of the request's answer to the crash. */
+  /** Weight of some of the crashes. */
+  weightOf(incarnations: string[]): number {
+    const crashes = incarnations
+      .map((incarnation) => this.#crashes.get(incarnation)!);
+    return this.kind === "part"
+      ? countPartCrashes(crashes)
+      : countRequestCrashes(crashes);
+  }
+
+  /** Mean time from the start of the suspect's answer to the crash. */
   get meanMillisecondsFromAnswerStart(): number {
-    const sum = [...this.#crashes.values()].reduce(
+    const counted = this.#counted;
+    const sum = counted.reduce(
       (total, { begunMilliseconds }) =>
         total + (begunMilliseconds ?? UNSTARTED_ANSWER_MILLISECONDS),
       0,
     );
-    return sum / Math.max(1, this.#crashes.size);
+    return sum / Math.max(1, counted.length);
+  }
+
+  /** When the first of the crashes was, monotonic milliseconds. */
+  get firstCrashAt(): number {
+    return Math.min(...this.#counted.map(({ at }) => at));
+  }
+
+  get survivalThresholds(): SurvivalThresholds {
+    return findSurvivalThresholds(this.#counted);
+  }
+
+  get #counted(): ObservedCrash[] {
+    return this.incarnations
+      .map((incarnation) => this.#crashes.get(incarnation)!);
+  }
+
+  #addRequest(
+    crash: ObservedCrash,
+    { fingerprint, begunMilliseconds }: CrashReport,
+  ): void {
+    if (crash.requests.size < MAX_REQUESTS_PER_CRASH) {
+      crash.requests.add(fingerprint);
+    }
+    crash.begunMilliseconds = begunMilliseconds === undefined
+      ? crash.begunMilliseconds
+      : Math.min(crash.begunMilliseconds ?? Infinity, begunMilliseconds);
+  }
+
+  #updateSufficiency(now: number): void {
+    if (this.weight < CRASHES_TO_BLAME) this.#sufficientSince = undefined;
+    else this.#sufficientSince ??= now;
   }
 }
--- a/packages/core/src/crashes/crash_ledger.ts
+++ b/packages/core/src/crashes/crash_ledger.ts
@@ -1,30 +1,28 @@
 import type { Blame } from "./blame.ts";
-import { CrashEvidence } from "./crash_evidence.ts";
+import { BlameTable } from "./blame_table.ts";
+import { compareByAnswerStart } from "./compare_by_answer_start.ts";
 import { CRASHES_TO_BLAME } from "./crashes_to_blame.ts";
 import type { CrashReport } from "./crash_report.ts";
+import type { Culprit } from "./culprit.ts";
+import { findCulprit } from "./find_culprit.ts";
+import { nameParts } from "./name_parts.ts";
+import { parsePartNames } from "./parse_part_names.ts";
+import type { PartWatch } from "./part_watch.ts";
+import type { Suspect } from "./suspect.ts";
+import { SuspectTable } from "./suspect_table.ts";
+import type { Survival } from "./survival.ts";
+import type { SurvivalOutcome } from "./survival_outcome.ts";
 
 /**
- * How long a request is refused after its first blame (its refusal period):
- * time to fix the request at its sender, or the backend server that crashes on
- * it.
+ * How much longer than the decision delay parts that can't be told apart wait
+ * for another crash or an answer that survives.
  */
-const INITIAL_TERM_MILLISECONDS = 900_000;
-const MAX_TERM_MILLISECONDS = 86_400_000;
+const AMBIGUITY_MILLISECONDS = 280;
 /**
- * Longer than any run, so that no second trial run starts while one is in
- * flight.
+ * Weight of the crashes that a blamed part's blame doesn't explain from which
+ * the part is judged anew: one may be an accident.
  */
-const TRIAL_MILLISECONDS = 60_000;
-/**
- * How long after its latest crash a request that is not blamed stays suspected:
- * older crashes say nothing about it.
- */
-const EVIDENCE_RETENTION_MILLISECONDS = 600_000;
-const MAX_SUSPECTS = 4_096;
-const MAX_BLAMED_REQUESTS = 1_024;
-const MAX_ATTRIBUTED_CRASHES = 1_024;
-/** Crashes that a blame lists when it is sent to other hosts. */
-const MAX_INCARNATIONS_PER_BLAME = 8;
+const UNEXPLAINED_WEIGHT = 2;
 
 type Options = {
   /**
@@ -35,30 +33,26 @@
   decisionDelayMilliseconds: number;
 };
 
-type Suspect = [fingerprint: string, evidence: CrashEvidence];
-
 /**
- * Identifies the requests that crash the backend servers running them, and
- * decides how long these requests are refused.
+ * Identifies the requests and prompt parts that crash the backend servers
+ * running them, and decides how long these requests are refused.
  *
  * One request among thousands crashes every backend server that runs it, and
- * is sent again, one attempt after the other or many at once, at any host.
- * Each crash interrupts all other requests in flight on that backend server,
- * and these are retried on the next one together with the harmful request. By
- * presence at crashes alone, they look as guilty as the request at fault.
- * Therefore:
- * - a crash attributed to one request is not evidence against any other;
- * - of the requests in flight at three crashes, the one whose answers had on
- *   average started the shortest time before the crash is blamed first;
- * - a request that completes successfully is no longer suspected.
+ * is sent again, one attempt after the other or many at once, at any host; or
+ * many requests, no two alike, share a prompt part that does. Each crash
+ * interrupts all other requests in flight on that backend server, and these are
+ * retried on the next one together with the harmful ones. By presence at crashes
+ * alone, they look as guilty. Therefore:
+ * - a crash attributed to one culprit is not evidence against any other;
+ * - of the suspects, `findCulprit` chooses;
+ * - a request that completes successfully is no longer suspected;
+ * - an answer that survives clears the parts of its prompt of the crashes before
+ *   it started. A part may turn harmful later.
  */
 export class CrashLedger {
   #options: Options;
-  /** By fingerprint; the most recently reported suspect is last. */
-  #suspects = new Map<string, CrashEvidence>();
-  #blamed = new Map<string, Blame>();
-  /** Fingerprint of the request that a crash is attributed to. */
-  #culpritByIncarnation = new Map<string, string>();
+  #suspects = new SuspectTable();
+  #blames = new BlameTable();
 
   constructor(options: Options) {
     this.#options = options;
@@ -66,52 +60,79 @@
 
   /** Whether any blame is stored, also one whose refusal period has ended. */
   get hasBlamed(): boolean {
-    return this.#blamed.size > 0;
+    return this.#blames.size > 0;
   }
 
   get suspectCount(): number {
     return this.#suspects.size;
   }
 
+  /** Whether any prompt part is suspected. */
+  get hasSuspectedParts(): boolean {
+    return this.#suspects.partCount > 0;
+  }
+
   /** Records a report. Returns whether it added new evidence. */
   recordReport(report: CrashReport, now: number): boolean {
-    const { fingerprint, incarnation } = report;
-    const blame = this.#blamed.get(fingerprint);
-    const culprit = this.#culpritByIncarnation.get(incarnation);
-    if (culprit !== undefined && culprit !== fingerprint) return false;
-    const evidence = this.#refreshEvidence(fingerprint);
-    if (!evidence.add(report, now)) return false;
-    if (blame !== undefined) this.#extendBlame(blame, incarnation, now);
+    const { fingerprint, incarnation, parts = [] } = report;
+    const added = this.#suspects.add(report, now);
+    const culprit = this.#blames.culpritOf(incarnation);
+    if (culprit !== undefined) {
+      const exempt = listSuspectNames(culprit);
+      this.#suspects.excludeCrashes([incarnation], exempt);
+      return exempt.some((name) => added.includes(name));
+    }
+    if (added.length === 0) return false;
+    const [blame] = this.#blames.findAll({ fingerprint, parts });
+    if (blame !== undefined) {
+      this.#blames.extend(blame, incarnation, now);
+      this.#attribute([incarnation], blame.fingerprint);
+    }
     return true;
   }
 
-  /** Blames the requests with sufficient evidence, and returns these blames. */
+  /**
+   * Records an answer that may have survived on a prompt part. Clears the part
+   * of earlier crashes, and frees it from blames without a crash since the
+   * answer started.
+   */
+  recordSurvival(survival: Survival): SurvivalOutcome {
+    const { part, begunAt, isComplete } = survival;
+    const outcome: SurvivalOutcome = { isNew: false, lifted: [], narrowed: [] };
+    const evidence = this.#suspects.find(nameParts([part]));
+    // Without evidence, how long a crash takes is not known.
+    const isEnough = evidence?.isSurvival(survival) ?? isComplete;
+    if (!isEnough) return outcome;
+    outcome.isNew = evidence?.clearBefore(begunAt) ?? false;
+    for (const blame of this.#blames.findCalmSince(part, begunAt)) {
+      outcome.lifted.push(blame.fingerprint);
+      const narrowed = this.#freePart(part, blame);
+      if (narrowed !== undefined) outcome.narrowed.push(narrowed);
+    }
+    return outcome;
+  }
+
+  /** Blames the suspects with sufficient evidence, and returns these blames. */
   blameSuspects(now: number): Blame[] {
     const newBlames: Blame[] = [];
-    for (const [fingerprint, evidence] of this.#decidableSuspects(now)) {
-      // Blaming an earlier suspect took its crashes off the others' evidence.
-      if (evidence.weight < CRASHES_TO_BLAME) continue;
-      const { incarnations } = evidence;
-      const blame = {
-        fingerprint,
-        crashes: incarnations.length,
-        incarnations: incarnations.slice(-MAX_INCARNATIONS_PER_BLAME),
-        termMilliseconds: INITIAL_TERM_MILLISECONDS,
-        endsAt: now + INITIAL_TERM_MILLISECONDS,
-      };
-      this.#recordBlame(blame);
-      newBlames.push(blame);
+    // Blaming a suspect takes its crashes off the others' evidence.
+    for (;;) {
+      const culprit = this.#findCulprit(now);
+      if (culprit === undefined) return newBlames;
+      const { name, incarnations } = culprit;
+      newBlames.push(this.#blames.create(name, incarnations, now));
+      this.#attribute(incarnations, name);
     }
-    return newBlames;
   }
 
   /**
-   * Whether `blameSuspects` has to be called again: a request has sufficient
-   * evidence against it, but more reports of the same crash may still arrive.
+   * Whether `blameSuspects` has to be called again: there is sufficient evidence
+   * against a suspect, but more reports of the same crash may still arrive.
    */
   get hasPendingSuspects(): boolean {
-    return [...this.#suspects].some(([fingerprint, { weight }]) =>
-      weight >= CRASHES_TO_BLAME && !this.#blamed.has(fingerprint)
+    return this.#suspects.list().some((suspect) =>
+      suspect.evidence.sufficientSince !== undefined &&
+      !this.#isExplained(suspect)
     );
   }
 
@@ -120,30 +141,42 @@
    * tables. Returns whether it is new or counts more crashes than known here.
    */
   mergeBlame(blame: Blame): boolean {
-    const known = this.#blamed.get(blame.fingerprint);
-    const isNewer = known === undefined || known.crashes < blame.crashes;
-    if (isNewer) this.#recordBlame(blame);
+    const { fingerprint, crashes, incarnations } = blame;
+    const known = this.#blames.get(fingerprint);
+    const isNewer = known === undefined || known.crashes < crashes;
+    if (isNewer) {
+      const all = [...incarnations, ...this.incarnationsOf(fingerprint)];
+      this.#blames.record(blame, all);
+      this.#attribute(all, fingerprint);
+    }
     return isNewer;
   }
 
   /**
    * Returns the blame for which a request must be refused now; undefined if it
    * may run. After the refusal period, one run is admitted as a trial. Others
-   * are refused until that run succeeds and `clear` is called, or until the
-   * trial times out.
+   * are refused until that run succeeds or until the trial times out.
    */
-  checkBlame(fingerprint: string, now: number): Blame | undefined {
-    const blame = this.#blamed.get(fingerprint);
-    if (blame === undefined) return undefined;
-    if (now < blame.endsAt) return blame;
-    blame.endsAt = now + TRIAL_MILLISECONDS;
+  checkBlame(
+    fingerprint: string,
+    now: number,
+    parts: readonly string[] = [],
+  ): Blame | undefined {
+    const blames = this.#blames.findAll({ fingerprint, parts });
+    const inForce = blames.find(({ endsAt }) => now < endsAt);
+    if (inForce !== undefined) return inForce;
+    for (const blame of blames) this.#blames.beginTrial(blame, now);
     return undefined;
   }
 
   /** Whether the request is refused now. Doesn't start a trial. */
-  isRefused(fingerprint: string, now: number): boolean {
-    const blame = this.#blamed.get(fingerprint);
-    return blame !== undefined && now < blame.endsAt;
+  isRefused(
+    fingerprint: string,
+    now: number,
+    parts: readonly string[] = [],
+  ): boolean {
+    return this.#blames.findAll({ fingerprint, parts })
+      .some(({ endsAt }) => now < endsAt);
   }
 
   /**
@@ -156,20 +189,24 @@
   }
 
   /**
-   * Number of crashes that are evidence against the request; those before its
-   * answer started count half.
+   * Weight of the crashes that are evidence against a request or, by its name,
+   * a part.
    */
-  evidenceWeightOf(fingerprint: string): number {
-    return this.#suspects.get(fingerprint)?.weight ?? 0;
+  evidenceWeightOf(name: string): number {
+    return this.#suspects.find(name)?.weight ?? 0;
   }
 
   /**
-   * Removes suspicion and blame, as after a successful run. Returns whether the
-   * request was suspected or blamed.
+   * Removes suspicion and blame of a request, as after a successful run, or
+   * lifts the blame of the named parts. Returns whether there was any.
    */
-  clear(fingerprint: string): boolean {
-    const wasSuspect = this.#suspects.delete(fingerprint);
-    const wasBlamed = this.#blamed.delete(fingerprint);
+  clear(name: string): boolean {
+    const isOfParts = parsePartNames(name) !== undefined;
+    const wasSuspect = !isOfParts && this.#suspects.delete(name);
+    const wasBlamed = this.#blames.has(name);
+    const released = this.#blames.delete(name);
+    // Blames of parts are lifted by answers that show them to be wrong.
+    if (isOfParts) this.#suspects.includeCrashes(released);
     return wasSuspect || wasBlamed;
   }
 
@@ -180,119 +217,110 @@
    * come first.
    */
   listSuspicions(
-    fingerprints: Iterable<string> = this.#suspects.keys(),
+    fingerprints: Iterable<string> = this.#suspects.requestNames(),
   ): CrashReport[][] {
     return [...new Set(fingerprints)]
       .filter((fingerprint) =>
-        !this.mayRetry(fingerprint) && !this.#blamed.has(fingerprint)
+        !this.mayRetry(fingerprint) && !this.#blames.has(fingerprint)
       )
-      .map((fingerprint): Suspect => [
-        fingerprint,
-        this.#suspects.get(fingerprint)!,
-      ])
-      .sort(byTimeFromAnswerStart)
-      .map(([fingerprint, evidence]) => evidence.reportsFor(fingerprint));
+      .map((name): Suspect => ({ name, evidence: this.#suspects.find(name)! }))
+      .sort(compareByAnswerStart)
+      .map(({ name, evidence }) => evidence.reportsFor(name));
+  }
+
+  /**
+   * Suspected prompt parts with at least some weight of evidence; those with
+   * most come first.
+   */
+  listPartWatches({ minWeight }: { minWeight: number }): PartWatch[] {
+    return this.#suspects.listParts()
+      .map(({ name, evidence }) => ({
+        name,
+        evidence,
+        weight: evidence.weight,
+      }))
+      .filter(({ weight }) => weight >= minWeight)
+      .sort((left, right) => right.weight - left.weight)
+      .map(({ name, evidence }) => ({
+        part: parsePartNames(name)![0]!,
+        since: evidence.firstCrashAt,
+        thresholds: evidence.survivalThresholds,
+      }));
+  }
+
+  /** Whether a part is blamed, alone or with others. */
+  isPartBlamed(part: string): boolean {
+    return this.#blames.findCalmSince(part, Infinity).length > 0;
   }
 
   listBlames(): Blame[] {
-    return [...this.#blamed.values()];
+    return this.#blames.list();
   }
 
-  incarnationsOf(fingerprint: string): string[] {
-    return this.#suspects.get(fingerprint)?.incarnations ?? [];
+  incarnationsOf(name: string): string[] {
+    return this.#suspects.find(name)?.incarnations ?? [];
   }
 
   /**
-   * Drops suspects without a new crash for `EVIDENCE_RETENTION_MILLISECONDS`,
-   * 10 minutes, and blames that ended longer ago than their refusal period; to
-   * be called periodically.
+   * Drops old suspects, and blames that ended longer ago than their refusal
+   * period; to be called periodically.
    */
   expire(now: number): void {
-    for (const [fingerprint, { lastReportedAt }] of [...this.#suspects]) {
-      const isOld = now - lastReportedAt > EVIDENCE_RETENTION_MILLISECONDS;
-      if (isOld && !this.#blamed.has(fingerprint)) {
-        this.#suspects.delete(fingerprint);
-      }
-    }
-    for (const [fingerprint, { endsAt, termMilliseconds }] of this.#blamed) {
-      if (now - endsAt > termMilliseconds) this.clear(fingerprint);
+    this.#suspects.expire(now, (name) => this.#blames.has(name));
+    for (const name of this.#blames.listExpired(now)) {
+      this.#blames.delete(name);
+      this.#suspects.delete(name);
     }
   }
 
-  #decidableSuspects(now: number): Suspect[] {
-    return [...this.#suspects]
-      .filter(([fingerprint, { sufficientSince }]) =>
-        sufficientSince !== undefined &&
-        now - sufficientSince >= this.#options.decisionDelayMilliseconds &&
-        !this.#blamed.has(fingerprint)
-      )
-      .sort(byTimeFromAnswerStart);
-  }
-
-  #recordBlame(blame: Blame): void {
-    const { fingerprint, incarnations } = blame;
-    this.#blamed.delete(fingerprint);
-    this.#blamed.set(fingerprint, { ...blame });
-    dropOldest(this.#blamed, MAX_BLAMED_REQUESTS);
-    const all = [...incarnations, ...this.incarnationsOf(fingerprint)];
-    for (const incarnation of all) {
-      this.#attributeCrash(incarnation, fingerprint);
-    }
+  #findCulprit(now: number): Culprit | undefined {
+    const { decisionDelayMilliseconds } = this.#options;
+    const ageOf = ({ evidence: { sufficientSince } }: Suspect) =>
+      sufficientSince === undefined ? -Infinity : now - sufficientSince;
+    const suspects = this.#suspects.list();
+    return findCulprit({
+      suspects,
+      decidable: suspects.filter((suspect) =>
+        ageOf(suspect) >= decisionDelayMilliseconds &&
+        !this.#isExplained(suspect)
+      ),
+      mayWait: (suspect) =>
+        ageOf(suspect) < decisionDelayMilliseconds + AMBIGUITY_MILLISECONDS,
+    });
   }
 
-  /**
-   * Counts another crash during which a blamed request was in flight, as a
-   * trial or because some host still had it running. If no more than the time
-   * of a trial is left until `endsAt`, this counts as a failed trial and
-   * doubles the refusal period.
-   */
-  #extendBlame(blame: Blame, incarnation: string, now: number): void {
-    const wasTrialRun = blame.endsAt - now <= TRIAL_MILLISECONDS;
-    blame.crashes += 1;
-    blame.incarnations = [...blame.incarnations, incarnation].slice(
-      -MAX_INCARNATIONS_PER_BLAME,
-    );
-    if (wasTrialRun) {
-      blame.termMilliseconds = Math.min(
-        MAX_TERM_MILLISECONDS,
-        blame.termMilliseconds * 2,
+  /** Whether a blame explains the crashes that count against the suspect. */
+  #isExplained({ name, evidence }: Suspect): boolean {
+    if (evidence.kind === "request") return this.#blames.has(name);
+    if (!this.isPartBlamed(parsePartNames(name)![0]!)) return false;
+    const unexplained = evidence.incarnations
+      .filter((incarnation) =>
+        this.#blames.culpritOf(incarnation) === undefined
       );
-    }
-    blame.endsAt = now + blame.termMilliseconds;
-    this.#attributeCrash(incarnation, blame.fingerprint);
+    return evidence.weightOf(unexplained) < UNEXPLAINED_WEIGHT;
   }
 
-  /** Attributes a crash to one request: it no longer counts against others. */
-  #attributeCrash(incarnation: string, culprit: string): void {
-    this.#culpritByIncarnation.set(incarnation, culprit);
-    dropOldest(this.#culpritByIncarnation, MAX_ATTRIBUTED_CRASHES);
-    for (const [fingerprint, evidence] of [...this.#suspects]) {
-      if (fingerprint === culprit) continue;
-      evidence.remove(incarnation);
-      if (evidence.weight === 0) this.#suspects.delete(fingerprint);
-    }
+  /** Crashes that are attributed to a culprit count against no other. */
+  #attribute(incarnations: string[], culprit: string): void {
+    this.#suspects.excludeCrashes(incarnations, listSuspectNames(culprit));
   }
 
-  #refreshEvidence(fingerprint: string): CrashEvidence {
-    const known = this.#suspects.get(fingerprint);
-    const evidence = known ?? new CrashEvidence();
-    // Reinserted as the latest, the suspect is the last to be evicted.
-    this.#suspects.delete(fingerprint);
-    this.#suspects.set(fingerprint, evidence);
-    dropOldest(this.#suspects, MAX_SUSPECTS);
-    return evidence;
+  /** Returns the blame without the part, if it blames others. */
+  #freePart(part: string, blame: Blame): Blame | undefined {
+    const released = this.#blames.delete(blame.fingerprint);
+    const narrowed = this.#blames.withoutPart(blame, part);
+    if (narrowed === undefined) {
+      this.#suspects.includeCrashes(released);
+      return undefined;
+    }
+    this.#blames.record(narrowed, released);
+    this.#attribute(released, narrowed.fingerprint);
+    return narrowed;
   }
 }
 
-function byTimeFromAnswerStart(
-  [, left]: Suspect,
-  [, right]: Suspect,
-): number {
-  return left.meanMillisecondsFromAnswerStart -
-    right.meanMillisecondsFromAnswerStart;
-}
-
-function dropOldest(entries: Map<string, unknown>, maxSize: number): void {
-  if (entries.size <= maxSize) return;
-  entries.delete(entries.keys().next().value!);
+/** Names of the suspects that a blame is on. */
+function listSuspectNames(culprit: string): string[] {
+  const parts = parsePartNames(culprit);
+  return parts?.map((part) => nameParts([part])) ?? [culprit];
 }
--- a/packages/core/src/crashes/crash_report.ts
+++ b/packages/core/src/crashes/crash_report.ts
@@ -5,6 +5,11 @@
    * one request.
    */
   fingerprint: string;
+  /**
+   * Ids of the parts of its prompt that other requests may share; none if
+   * missing.
+   */
+  parts?: readonly string[];
   /**
    * Identifies one start of one backend server: `instance@bornAt` in gateways;
    * in reports of entry hosts, the incarnation of the agent's process and the
@@ -16,4 +21,9 @@
    * answer had started.
    */
   begunMilliseconds: number | undefined;
+  /**
+   * When the backend server crashed, monotonic milliseconds; the time of the
+   * report if missing.
+   */
+  crashedAt?: number;
 };
--- /dev/null
+++ b/packages/core/src/crashes/culprit.ts
@@ -0,0 +1,6 @@
+/** Who is to be blamed for crashes. */
+export type Culprit = {
+  /** A request's fingerprint, or the names of parts as in `nameParts`. */
+  name: string;
+  incarnations: string[];
+};
--- /dev/null
+++ b/packages/core/src/crashes/find_culprit.ts
@@ -0,0 +1,150 @@
+import { compareByAnswerStart } from "./compare_by_answer_start.ts";
+import type { Culprit } from "./culprit.ts";
+import type { Suspect } from "./suspect.ts";
+
+/** Parts that one blame names at most. */
+const MAX_BLAMED_PARTS = 4;
+/** Times to a crash vary by less for a culprit. */
+const BESIDE_RATIO = 1.5;
+
+type Options = {
+  /** Suspects with sufficient evidence. */
+  decidable: Suspect[];
+  /** All suspects. */
+  suspects: Suspect[];
+  /** Whether a suspect that can't be told from others is left for later. */
+  mayWait: (suspect: Suspect) => boolean;
+};
+
+/**
+ * Chooses who is blamed for crashes when requests of which no two are alike have
+ * one prompt part in common that crashes backend servers.
+ *
+ * At each crash stand a dozen other requests, and the parts that harmful and
+ * harmless requests share stand at all of them. Answers that have survived clear
+ * a part of the crashes before. Of the suspects that are left:
+ * - of the requests, the one whose answers had started the shortest time before
+ *   the crashes is the likeliest; of the parts, the one that explains most
+ *   crashes;
+ * - a request goes before parts, of which it has some, unless it merely stood
+ *   beside;
+ * - parts that were in the same requests at the same crashes can't be told
+ *   apart. Only requests with all of them are refused, so that no harmless
+ *   request is, until a crash or a survival without some of them tells.
+ */
+export function findCulprit(options: Options): Culprit | undefined {
+  const { decidable } = options;
+  const [request] = decidable.filter(({ evidence }) =>
+    evidence.kind === "request"
+  ).sort(compareByAnswerStart);
+  const parts = decidable.filter(({ evidence }) => evidence.kind === "part")
+    .sort((left, right) =>
+      right.evidence.weight - left.evidence.weight ||
+      compareByAnswerStart(left, right)
+    );
+  if (request !== undefined && !isBeside(request, parts[0])) {
+    const { name, evidence: { incarnations } } = request;
+    return { name, incarnations };
+  }
+  for (const part of parts) {
+    const culprit = describeCulprit(part, options);
+    if (culprit !== undefined) return culprit;
+  }
+  return undefined;
+}
+
+/** Whether answers with the part had started much later than the request's. */
+function isBeside(request: Suspect, part: Suspect | undefined): boolean {
+  if (part === undefined) return false;
+  const { meanMillisecondsFromAnswerStart } = part.evidence;
+  return request.evidence.meanMillisecondsFromAnswerStart >
+    meanMillisecondsFromAnswerStart * BESIDE_RATIO;
+}
+
+function describeCulprit(
+  part: Suspect,
+  { suspects, mayWait }: Options,
+): Culprit | undefined {
+  const { incarnations } = part.evidence;
+  const equals = suspects.filter((other) => isAtAll(other, incarnations));
+  const companions = equals.filter((other) =>
+    sharesRequests([part, other], incarnations)
+  );
+  const request = companions.find(({ evidence }) =>
+    evidence.kind === "request"
+  );
+  if (request !== undefined) return { name: request.name, incarnations };
+  const isClear = companions.length === equals.length &&
+    sharesRequests(companions, incarnations) &&
+    !isCoveredByOthers(incarnations, suspects);
+  if (!isClear && mayWait(part)) return undefined;
+  const parts = chooseParts(part, companions, incarnations);
+  return { name: joinNames(parts), incarnations };
+}
+
+/**
+ * Whether parts that were at some of the crashes each, with sufficient evidence,
+ * explain all of them together.
+ */
+function isCoveredByOthers(
+  incarnations: string[],
+  suspects: Suspect[],
+): boolean {
+  const all = new Set(incarnations);
+  const explained = new Set(
+    suspects
+      .filter(({ evidence }) =>
+        evidence.kind === "part" &&
+        evidence.sufficientSince !== undefined &&
+        evidence.incarnations.length < all.size &&
+        evidence.incarnations.every((incarnation) => all.has(incarnation))
+      )
+      .flatMap(({ evidence }) => evidence.incarnations),
+  );
+  return explained.size === all.size;
+}
+
+/** Whether the crashes all count against a suspect. */
+function isAtAll({ evidence }: Suspect, incarnations: string[]): boolean {
+  const counted = new Set(evidence.incarnations);
+  return incarnations.every((incarnation) => counted.has(incarnation));
+}
+
+/** Whether at each crash some request stood for all of the suspects. */
+function sharesRequests(
+  suspects: Suspect[],
+  incarnations: string[],
+): boolean {
+  return incarnations.every((incarnation) => {
+    const [first, ...others] = suspects.map(({ evidence }) =>
+      evidence.requestsAt(incarnation)
+    );
+    return [...first!].some((request) =>
+      others.every((requests) => requests.has(request))
+    );
+  });
+}
+
+/**
+ * The suspect with those of its companions that were in one request with it at
+ * each crash; the likeliest culprits first.
+ */
+function chooseParts(
+  suspect: Suspect,
+  companions: Suspect[],
+  incarnations: string[],
+): Suspect[] {
+  const chosen = [suspect];
+  for (const companion of companions.toSorted(compareByAnswerStart)) {
+    if (chosen.length >= MAX_BLAMED_PARTS) break;
+    if (companion.name === suspect.name) continue;
+    const extended = [...chosen, companion];
+    if (sharesRequests(extended, incarnations)) chosen.push(companion);
+  }
+  return chosen;
+}
+
+/** As `nameParts` does, of names. */
+function joinNames(parts: Suspect[]): string {
+  return parts.map(({ name }) => name).sort().join("+");
+}
--- /dev/null
+++ b/packages/core/src/crashes/observed_crash.ts
@@ -0,0 +1,12 @@
+/** A crash at which a suspect was in flight. */
+export type ObservedCrash = {
+  /** When the backend server crashed, monotonic milliseconds. */
+  at: number;
+  /**
+   * Time from the start of an answer to the crash, the shortest of those that
+   * the suspect stands for; undefined if none had started.
+   */
+  begunMilliseconds: number | undefined;
+  /** Fingerprints of the requests in flight that the suspect stands for. */
+  requests: Set<string>;
+};
--- /dev/null
+++ b/packages/core/src/crashes/survival_thresholds.ts
@@ -0,0 +1,7 @@
+/** How long answers have to live to speak for a prompt part, milliseconds. */
+export type SurvivalThresholds = {
+  /** Complete ones. */
+  complete: number;
+  /** Those that are still running. */
+  running: number;
+};
--- /dev/null
+++ b/packages/core/src/crashes/suspect_table.ts
@@ -0,0 +1,118 @@
+import { CrashEvidence } from "./crash_evidence.ts";
+import type { CrashReport } from "./crash_report.ts";
+import { nameParts } from "./name_parts.ts";
+import type { Suspect } from "./suspect.ts";
+
+/**
+ * How long after its latest crash a suspect that is not blamed stays suspected:
+ * older crashes say nothing about it.
+ */
+const EVIDENCE_RETENTION_MILLISECONDS = 600_000;
+const MAX_SUSPECTS = 4_096;
+/** Suspects looked at for one to evict, from the oldest on. */
+const MAX_EVICTION_CANDIDATES = 64;
+/** Fewer crashes make the first choice for an eviction. */
+const CRASHES_TO_KEEP = 2;
+
+/**
+ * What is gathered on requests and prompt parts: the crashes at which they were
+ * in flight. Bounded under a flood of either, without losing those that come
+ * again.
+ */
+export class SuspectTable {
+  /** By name; the most recently reported suspect is last. */
+  #requests = new Map<string, CrashEvidence>();
+  #parts = new Map<string, CrashEvidence>();
+
+  get size(): number {
+    return this.#requests.size + this.#parts.size;
+  }
+
+  get partCount(): number {
+    return this.#parts.size;
+  }
+
+  find(name: string): CrashEvidence | undefined {
+    return this.#requests.get(name) ?? this.#parts.get(name);
+  }
+
+  list(): Suspect[] {
+    return [...this.#requests, ...this.#parts]
+      .map(([name, evidence]) => ({ name, evidence }));
+  }
+
+  listParts(): Suspect[] {
+    return [...this.#parts].map(([name, evidence]) => ({ name, evidence }));
+  }
+
+  requestNames(): Iterable<string> {
+    return this.#requests.keys();
+  }
+
+  /** The names of the suspects for which the report is new evidence. */
+  add(report: CrashReport, now: number): string[] {
+    const { fingerprint, parts = [] } = report;
+    const request = refresh(this.#requests, fingerprint, "request");
+    const added = request.add(report, now) ? [fingerprint] : [];
+    for (const part of parts) {
+      const name = nameParts([part]);
+      if (refresh(this.#parts, name, "part").add(report, now)) added.push(name);
+    }
+    return added;
+  }
+
+  delete(name: string): boolean {
+    return this.#requests.delete(name) || this.#parts.delete(name);
+  }
+
+  /** The crashes no longer count against any but the named suspects. */
+  excludeCrashes(incarnations: string[], exempt: string[]): void {
+    for (const { name, evidence } of this.list()) {
+      if (exempt.includes(name)) continue;
+      for (const incarnation of incarnations) evidence.exclude(incarnation);
+    }
+  }
+
+  /** The crashes count against all suspects again. */
+  includeCrashes(incarnations: string[]): void {
+    for (const { evidence } of this.list()) {
+      for (const incarnation of incarnations) evidence.include(incarnation);
+    }
+  }
+
+  /**
+   * Drops suspects without a new crash for `EVIDENCE_RETENTION_MILLISECONDS`,
+   * 10 minutes, unless `isKept`.
+   */
+  expire(now: number, isKept: (name: string) => boolean): void {
+    for (const { name, evidence } of this.list()) {
+      const age = now - evidence.lastReportedAt;
+      const isOld = age > EVIDENCE_RETENTION_MILLISECONDS;
+      if (isOld && !isKept(name)) this.delete(name);
+    }
+  }
+}
+
+/** Reinserted as the latest, the suspect is the last to be evicted. */
+function refresh(
+  suspects: Map<string, CrashEvidence>,
+  name: string,
+  kind: "request" | "part",
+): CrashEvidence {
+  const evidence = suspects.get(name) ?? new CrashEvidence(kind);
+  suspects.delete(name);
+  suspects.set(name, evidence);
+  if (suspects.size > MAX_SUSPECTS) suspects.delete(chooseEvicted(suspects));
+  return evidence;
+}
+
+/** The oldest suspect, but rather one that was at a single crash. */
+function chooseEvicted(suspects: Map<string, CrashEvidence>): string {
+  let candidates = 0;
+  for (const [name, { incarnations }] of suspects) {
+    if (incarnations.length < CRASHES_TO_KEEP) return name;
+    candidates += 1;
+    if (candidates >= MAX_EVICTION_CANDIDATES) break;
+  }
+  return suspects.keys().next().value!;
+}
--- a/packages/core/src/gateway/backend_record.ts
+++ b/packages/core/src/gateway/backend_record.ts
@@ -190,6 +190,14 @@
     this.#unread -= 1;
   }
 
+  /**
+   * When part of any response last arrived from the backend server, monotonic
+   * milliseconds.
+   */
+  get lastReceivedAt(): number {
+    return this.#lastReceivedAt;
+  }
+
   /** Records that part of any response arrived from the backend server. */
   recordDataReceived(now: number): void {
     this.#lastReceivedAt = now;
--- a/packages/daemon/src/control/crash_attributor.ts
+++ b/packages/daemon/src/control/crash_attributor.ts
@@ -2,6 +2,8 @@
 import type { Blame } from "@teaselrouter/core/crashes/blame.ts";
 import { CrashLedger } from "@teaselrouter/core/crashes/crash_ledger.ts";
 import type { CrashReport } from "@teaselrouter/core/crashes/crash_report.ts";
+import type { SurvivalOutcome } from "@teaselrouter/core/crashes/survival_outcome.ts";
+import type { Survival } from "@teaselrouter/core/crashes/survival.ts";
 import { NewsRateLimiter } from "@teaselrouter/core/news/news_rate_limiter.ts";
 import {
   type CrashNews,
@@ -13,7 +15,10 @@
 import { decodeBlame } from "../transport/decode_blame.ts";
 import { decodeCrashReport } from "../transport/decode_crash_report.ts";
 import { encodeBlame } from "../transport/encode_blame.ts";
+import { decodeSurvival } from "../transport/decode_survival.ts";
 import { encodeCrashReport } from "../transport/encode_crash_report.ts";
+import { encodePartWatch } from "../transport/encode_part_watch.ts";
+import { encodeSurvival } from "../transport/encode_survival.ts";
 import { monotonicMilliseconds } from "../transport/monotonic_milliseconds.ts";
 
 /** Gateways detect and report the same server's end within this time. */
@@ -32,10 +37,17 @@
  * suspicion costs a commit.
  */
 const MAX_SUSPICIONS_PER_SECOND = 10;
+/** Bounds the watches sent to each gateway to 5 KB/s. */
+const MAX_WATCHES_PER_SECOND = 100;
+const MAX_WATCHES_AT_ONCE = 32;
+/** Weight of crashes from which answers on a part are watched. */
+const MIN_WATCHED_WEIGHT = 2;
 const EXPIRE_INTERVAL_MILLISECONDS = 10_000;
 
 type Options = { log: EventLog };
 
+type BlameSource = "decided" | "told" | "kept" | "narrowed";
+
 type Suspicion = { fingerprint: string; incarnations: string[] };
 
 /**
@@ -48,7 +60,8 @@
   readonly blameNews$ = new Subject<CrashNews>();
   /**
    * Reports of requests that no gateway should retry, as one more crash could
-   * be enough to blame them; for gateways, which see only their own attempts.
+   * be enough to blame them, and prompt parts of which answers that survive are
+   * to be reported; for gateways, which see only their own attempts.
    */
   readonly suspicionNews$ = new Subject<CrashNews>();
   /** Reports that gateways sent to this host, for other control hosts. */
@@ -74,6 +87,8 @@
   /** Fingerprints emitted as suspicions or restored; oldest first. */
   #persisted = new Set<string>();
   #persistBudget = new NewsRateLimiter(MAX_SUSPICIONS_PER_SECOND);
+  #watchBudget = new NewsRateLimiter(MAX_WATCHES_PER_SECOND);
+  #watchTimer: NodeJS.Timeout | undefined;
   #queuedReports: CrashReport[] = [];
   #reportBudget = new NewsRateLimiter(MAX_REPORTS_PER_SECOND);
   #reportTimer: NodeJS.Timeout | undefined;
@@ -90,6 +105,7 @@
 
   stop(): void {
     clearTimeout(this.#reportTimer);
+    clearTimeout(this.#watchTimer);
     clearTimeout(this.#decideTimer);
     clearInterval(this.#expireTimer);
   }
@@ -100,6 +116,7 @@
     for (const { fingerprint } of added) this.#persistSuspicion(fingerprint);
     this.#queueReports(added);
     for (const blame of this.#addBlames(news)) this.blamed$.next(blame);
+    this.#addSurvivals(news, { areLocal: true });
   }
 
   /** Adds the blames in the replicated state when this host starts. */
@@ -112,6 +129,7 @@
   addRemoteNews(news: CrashNews): void {
     this.#addReports(news);
     this.#addBlames(news);
+    this.#addSurvivals(news, { areLocal: false });
   }
 
   /** The current blames, for a new follower; undefined if there are none. */
@@ -126,7 +144,7 @@
       .slice(0, MAX_SUSPICION_REPORTS_PER_SECOND);
     return reports.length === 0
       ? undefined
-      : create(CrashNewsSchema, { reports: reports.map(encodeCrashReport) });
+      : create(CrashNewsSchema, { reports: encodeReports(reports) });
   }
 
   /** Adds the evidence in the replicated state on requests not blamed yet. */
@@ -159,14 +177,72 @@
 
   #addReports(news: CrashNews): CrashReport[] {
     const now = monotonicMilliseconds();
-    const newReports = news.reports.map(decodeCrashReport)
+    const newReports = news.reports
+      .map((report) => decodeCrashReport(report, now))
       .filter((report) => this.#ledger.recordReport(report, now));
     if (newReports.length === 0) return [];
     this.#scheduleDecision();
+    this.#scheduleWatches();
     this.#publishSuspicions(newReports.map(({ fingerprint }) => fingerprint));
     return newReports;
   }
 
+  /** Publishes which parts answers are watched for, those suspected most first. */
+  #scheduleWatches(): void {
+    this.#watchTimer ??= setTimeout(() => {
+      this.#watchTimer = undefined;
+      const now = monotonicMilliseconds();
+      const watches = this.#ledger
+        .listPartWatches({ minWeight: MIN_WATCHED_WEIGHT })
+        .slice(0, MAX_WATCHES_AT_ONCE);
+      const granted = this.#watchBudget.take(watches.length, now);
+      if (granted === 0) return;
+      this.suspicionNews$.next(create(CrashNewsSchema, {
+        watches: watches.slice(0, granted)
+          .map((watch) => encodePartWatch(watch, now)),
+      }));
+    }, REPORT_BATCH_MILLISECONDS);
+  }
+
+  /**
+   * Adds answers that have survived. Those that clear a part are passed on if a
+   * gateway told this host; other control hosts do so with theirs.
+   */
+  #addSurvivals(
+    { survivals }: CrashNews,
+    { areLocal }: { areLocal: boolean },
+  ): void {
+    const now = monotonicMilliseconds();
+    const passedOn: Survival[] = [];
+    for (const message of survivals) {
+      const survival = decodeSurvival(message, now);
+      const outcome = this.#ledger.recordSurvival(survival);
+      if (areLocal && (outcome.isNew || outcome.lifted.length > 0)) {
+        passedOn.push(survival);
+      }
+      if (outcome.lifted.length > 0) this.#publishLifted(survival, outcome);
+    }
+    if (passedOn.length === 0) return;
+    this.blameNews$.next(create(CrashNewsSchema, {
+      survivals: passedOn.map((survival) => encodeSurvival(survival, now)),
+    }));
+  }
+
+  #publishLifted(
+    { part, livedMilliseconds }: Survival,
+    { lifted, narrowed }: SurvivalOutcome,
+  ): void {
+    this.#options.log.warn("blame-lifted", {
+      lifted: lifted.join(","),
+      part,
+      lived_milliseconds: Math.round(livedMilliseconds),
+    });
+    this.blameNews$.next(create(CrashNewsSchema, { cleared: lifted }));
+    for (const name of lifted) this.cleared$.next(name);
+    if (narrowed.length > 0) this.#publishBlames(narrowed, "narrowed");
+    for (const blame of narrowed) this.blamed$.next(blame);
+  }
+
   /** Those above the budget are left until their next report. */
   #publishSuspicions(fingerprints: string[]): void {
     const now = monotonicMilliseconds();
@@ -182,7 +258,7 @@
     }
     if (reports.length === 0) return;
     this.suspicionNews$.next(
-      create(CrashNewsSchema, { reports: reports.map(encodeCrashReport) }),
+      create(CrashNewsSchema, { reports: encodeReports(reports) }),
     );
   }
 
@@ -225,7 +301,7 @@
     }, DECISION_DELAY_MILLISECONDS);
   }
 
-  #publishBlames(blames: Blame[], how: "decided" | "told" | "kept"): void {
+  #publishBlames(blames: Blame[], how: BlameSource): void {
     const now = monotonicMilliseconds();
     for (const blame of blames) {
       const fields = { ...toBlameFields(blame, now), how };
@@ -245,7 +321,7 @@
       this.#queuedReports = [];
       if (reports.length === 0) return;
       this.localReports$.next(
-        create(CrashNewsSchema, { reports: reports.map(encodeCrashReport) }),
+        create(CrashNewsSchema, { reports: encodeReports(reports) }),
       );
     }, REPORT_BATCH_MILLISECONDS);
   }
@@ -258,6 +334,11 @@
   }
 }
 
+function encodeReports(reports: CrashReport[]) {
+  const now = monotonicMilliseconds();
+  return reports.map((report) => encodeCrashReport(report, now));
+}
+
 /** Adds a fingerprint; above the maximum, the oldest one is dropped. */
 function rememberLatest(fingerprints: Set<string>, latest: string): void {
   fingerprints.add(latest);
--- a/packages/daemon/src/gateway/crash_reporter.ts
+++ b/packages/daemon/src/gateway/crash_reporter.ts
@@ -2,6 +2,7 @@
 import type { Blame } from "@teaselrouter/core/crashes/blame.ts";
 import { CrashLedger } from "@teaselrouter/core/crashes/crash_ledger.ts";
 import type { CrashReport } from "@teaselrouter/core/crashes/crash_report.ts";
+import type { Survival } from "@teaselrouter/core/crashes/survival.ts";
 import { NewsRateLimiter } from "@teaselrouter/core/news/news_rate_limiter.ts";
 import { incarnationOf } from "@teaselrouter/core/membership/incarnation_of.ts";
 import {
@@ -14,11 +15,17 @@
 import { decodeBlame } from "../transport/decode_blame.ts";
 import { decodeCrashReport } from "../transport/decode_crash_report.ts";
 import { encodeBlame } from "../transport/encode_blame.ts";
+import { decodePartWatch } from "../transport/decode_part_watch.ts";
+import { decodeSurvival } from "../transport/decode_survival.ts";
 import { encodeCrashReport } from "../transport/encode_crash_report.ts";
+import { encodeSurvival } from "../transport/encode_survival.ts";
 import { monotonicMilliseconds } from "../transport/monotonic_milliseconds.ts";
 import type { AdmittedCall } from "./admitted_call.ts";
 import type { EndedServer } from "./ended_server.ts";
 import { fingerprintCall } from "./fingerprint_call.ts";
+import type { InFlightCall } from "./in_flight_call.ts";
+import { isBlamedBy } from "./is_blamed_by.ts";
+import { SurvivalWatch } from "./survival_watch.ts";
 
 /**
  * How long this gateway waits after a crash before it blames a request itself.
@@ -32,12 +39,8 @@
 const MAX_REPORTS_PER_SECOND = 48;
 /** A newly followed control host gets the latest blames, up to this number. */
 const MAX_INITIAL_BLAMES = 64;
-
-type InFlightCall = {
-  call: AdmittedCall;
-  /** Called once the request is blamed. */
-  abort: (blame: Blame) => void;
-};
+/** A report with more prompt parts counts as several. */
+const PARTS_PER_REPORT = 8;
 
 type Options = {
   ended$: Observable<EndedServer>;
@@ -58,6 +61,10 @@
   #callsInFlight = new Set<InFlightCall>();
   #reports: CrashReport[] = [];
   #rateLimiter = new NewsRateLimiter(MAX_REPORTS_PER_SECOND);
+  #survivals = new SurvivalWatch({
+    listCalls: () => this.#callsInFlight,
+    report: (survivals) => this.#reportSurvivals(survivals),
+  });
   #reportTimer: NodeJS.Timeout | undefined;
   #decideTimer: NodeJS.Timeout | undefined;
 
@@ -70,6 +77,7 @@
   stop(): void {
     clearTimeout(this.#reportTimer);
     clearTimeout(this.#decideTimer);
+    this.#survivals.stop();
   }
 
   /**
@@ -80,13 +88,17 @@
   checkBlame(call: AdmittedCall): Blame | undefined {
     if (!this.#ledger.hasBlamed) return undefined;
     const now = monotonicMilliseconds();
-    return this.#ledger.checkBlame(fingerprintCall(call), now);
+    const { sharedParts } = call.metadata;
+    return this.#ledger.checkBlame(fingerprintCall(call), now, sharedParts);
   }
 
   /** Whether this host may retry the request on its own. */
   mayRetry(call: AdmittedCall): boolean {
-    return this.#ledger.suspectCount === 0 ||
-      this.#ledger.mayRetry(fingerprintCall(call));
+    if (this.#ledger.suspectCount === 0 && !this.#ledger.hasBlamed) return true;
+    const fingerprint = fingerprintCall(call);
+    const now = monotonicMilliseconds();
+    return this.#ledger.mayRetry(fingerprint) &&
+      !this.#ledger.isRefused(fingerprint, now, call.metadata.sharedParts);
   }
 
   /** @returns a function that ends the watch. */
@@ -95,8 +107,13 @@
     return () => void this.#callsInFlight.delete(inFlightCall);
   }
 
-  recordSuccess(call: AdmittedCall): void {
+  /**
+   * Records a good answer that has come to its end. `begunAt` is when its backend
+   * server began to work on it, monotonic milliseconds.
+   */
+  recordSuccess(call: AdmittedCall, begunAt: number): void {
     if (this.#ledger.suspectCount === 0 && !this.#ledger.hasBlamed) return;
+    this.#survivals.recordEnd(call, begunAt);
     const fingerprint = fingerprintCall(call);
     if (!this.#ledger.clear(fingerprint)) return;
     this.#options.publish(create(CrashNewsSchema, { cleared: [fingerprint] }));
@@ -115,14 +132,21 @@
     this.#ledger.expire(monotonicMilliseconds());
   }
 
-  #recordEnd({ announcement, interrupted }: EndedServer): void {
+  #recordEnd({ announcement, interrupted, at }: EndedServer): void {
     const now = monotonicMilliseconds();
     // One start of one backend server.
     const incarnation = incarnationOf(announcement);
-    for (const { fingerprint, begunMilliseconds } of interrupted) {
-      const report = { fingerprint, incarnation, begunMilliseconds };
+    for (const { call, fingerprint, begunMilliseconds } of interrupted) {
+      const report = {
+        fingerprint,
+        incarnation,
+        begunMilliseconds,
+        parts: call.metadata.sharedParts,
+        crashedAt: at,
+      };
       if (this.#ledger.recordReport(report, now)) this.#reports.push(report);
     }
+    this.#survivals.watch(this.#ledger.listPartWatches({ minWeight: 1 }));
     this.#scheduleDecision();
     this.#reportTimer ??= setTimeout(
       () => this.#publishReports(),
@@ -141,14 +165,17 @@
       .sort((left, right) =>
         this.#reportPriority(right) - this.#reportPriority(left)
       )
-      .slice(0, this.#rateLimiter.take(this.#reports.length, now));
+      .filter(({ parts = [] }) => {
+        const cost = 1 + Math.floor(parts.length / PARTS_PER_REPORT);
+        return this.#rateLimiter.take(cost, now) === cost;
+      });
     const droppedCount = this.#reports.length - published.length;
     this.#reports = [];
     if (droppedCount > 0) {
       this.#options.log.warn("crash-reports-left-out", { count: droppedCount });
     }
     if (published.length === 0) return;
-    const reports = published.map(encodeCrashReport);
+    const reports = published.map((report) => encodeCrashReport(report, now));
     this.#options.publish(create(CrashNewsSchema, { reports }));
   }
 
@@ -171,11 +198,27 @@
     }, DECISION_DELAY_MILLISECONDS);
   }
 
-  #applyUpdate({ reports, blamed, cleared }: CrashNews): void {
+  #reportSurvivals(survivals: Survival[]): void {
+    for (const survival of survivals) this.#ledger.recordSurvival(survival);
+    const now = monotonicMilliseconds();
+    this.#options.publish(create(CrashNewsSchema, {
+      survivals: survivals.map((survival) => encodeSurvival(survival, now)),
+    }));
+  }
+
+  #applyUpdate(
+    { reports, blamed, cleared, watches, survivals }: CrashNews,
+  ): void {
     const now = monotonicMilliseconds();
+    this.#survivals.watch(
+      watches.map((watch) => decodePartWatch(watch, now)),
+    );
+    for (const survival of survivals) {
+      this.#ledger.recordSurvival(decodeSurvival(survival, now));
+    }
     for (const fingerprint of cleared) this.#ledger.clear(fingerprint);
     for (const report of reports) {
-      this.#ledger.recordReport(decodeCrashReport(report), now);
+      this.#ledger.recordReport(decodeCrashReport(report, now), now);
     }
     if (reports.length > 0) this.#scheduleDecision();
     const learnt = blamed
@@ -195,7 +238,7 @@
 
   #abortInFlight(blame: Blame): void {
     for (const { call, abort } of [...this.#callsInFlight]) {
-      if (fingerprintCall(call) === blame.fingerprint) abort(blame);
+      if (isBlamedBy(blame, call)) abort(blame);
     }
   }
 
--- a/packages/daemon/src/gateway/crash_watch.ts
+++ b/packages/daemon/src/gateway/crash_watch.ts
@@ -28,8 +28,6 @@
   begunAt: number | undefined;
 };
 
-type SuspectedEnd = EndedServer & { at: number };
-
 type Options = {
   hasOpenConnection: (address: string) => boolean;
   /** Whether the backend server has asked not to be called now. */
@@ -46,12 +44,12 @@
 export class CrashWatch {
   readonly ended$ = new Subject<EndedServer>();
   #options: Options;
-  #gathering = new Map<string, SuspectedEnd>();
+  #gathering = new Map<string, EndedServer>();
   /**
    * Suspected ends whose backend server neither accepted nor refused the
    * check's connection, or was not to be checked, by instance.
    */
-  #pending = new Map<string, SuspectedEnd>();
+  #pending = new Map<string, EndedServer>();
 
   constructor(options: Options) {
     this.#options = options;
@@ -74,7 +72,7 @@
     setTimeout(() => this.#checkEnded(suspected), REQUEST_BATCH_MILLISECONDS);
   }
 
-  async #checkEnded(suspected: SuspectedEnd): Promise<void> {
+  async #checkEnded(suspected: EndedServer): Promise<void> {
     const { instance, address } = suspected.announcement;
     this.#gathering.delete(instance);
     if (this.#options.hasOpenConnection(address)) return;
--- a/packages/daemon/src/gateway/ended_server.ts
+++ b/packages/daemon/src/gateway/ended_server.ts
@@ -21,4 +21,6 @@
 export type EndedServer = {
   announcement: BackendAnnouncement;
   interrupted: Interrupted[];
+  /** When the first of them was broken off, monotonic milliseconds. */
+  at: number;
 };
--- a/packages/daemon/src/gateway/gateway_call.ts
+++ b/packages/daemon/src/gateway/gateway_call.ts
@@ -86,6 +86,7 @@
       routing,
       refusals,
       takeover,
+      progress: undefined,
     };
     context.retries.countRequest();
     const stopWatching = this.#interruptions.watch(active);
@@ -258,7 +259,10 @@
     routing.weightsVersion ??= metadata.weightsVersion;
     takeover.cancel("its backend server answers");
     message.on("data", () => takeover.cancel("its backend server goes on"));
+    const lastReceivedAt = () => record.lastReceivedAt;
+    if (goesOn) active.progress = { begunAt: now, lastReceivedAt };
     const end = await forwarder.forward(message, sent.answer);
+    active.progress = undefined;
     sent.end();
     const { framing, end: answerEnd } = sent.answer;
     this.#context.metrics.answersEnded.inc({ framing, end: answerEnd });
@@ -284,7 +288,10 @@
       return "again";
     }
     this.#response.end();
-    if (isGood) this.#context.crashes.recordSuccess(active.call);
+    if (isGood) {
+      const begunAt = findWorkBegunAt(active, sent, now);
+      this.#context.crashes.recordSuccess(active.call, begunAt);
+    }
     const reason = announcement.instance;
     this.#finisher.finish(active, {
       status,
@@ -297,19 +304,17 @@
   }
 
   #recordBreak(
-    { call }: ActiveCall,
-    { candidate: { announcement }, sentAt }: SentAttempt,
+    active: ActiveCall,
+    sent: SentAttempt,
     headAt: number | undefined,
   ): void {
+    const { announcement } = sent.candidate;
     // The end of a process that shuts down is no sign that a request crashed it.
     if (this.#context.pushbacks.isShuttingDown(announcement)) return;
-    // Only streams send their head when work on them begins. Other answers are
-    // sent at the end: for these, work counts from the sending of the request.
-    const begunAt = call.route.kind === "stream" ? headAt : sentAt;
     this.#context.crashWatch.recordBrokenRequest({
-      call,
+      call: active.call,
       announcement,
-      begunAt,
+      begunAt: findWorkBegunAt(active, sent, headAt),
     });
   }
 
@@ -330,3 +335,16 @@
     this.#finisher.refuse(active, refusal);
   }
 }
+
+/**
+ * When a backend server began to work on a request. Only streams send their head
+ * then. Other answers are sent at the end: for these, work counts from the
+ * sending of the request.
+ */
+function findWorkBegunAt<HeadAt extends number | undefined>(
+  { call }: ActiveCall,
+  { sentAt }: SentAttempt,
+  headAt: HeadAt,
+): HeadAt | number {
+  return call.route.kind === "stream" ? headAt : sentAt;
+}
--- a/packages/daemon/src/log/event_name.ts
+++ b/packages/daemon/src/log/event_name.ts
@@ -12,6 +12,7 @@
   | "backend-server-pushback"
   | "backend-server-silent"
   | "blame-kept"
+  | "blame-lifted"
   | "blamed-request-refused"
   | "call-fault"
   | "chunk-failed"
--- a/packages/daemon/src/transport/encode_crash_report.ts
+++ b/packages/daemon/src/transport/encode_crash_report.ts
@@ -8,10 +8,20 @@
 /** On the wire: the answer had not begun when the backend server ended. */
 const ANSWER_NOT_BEGUN = -1;
 
-/** Encodes a crash report for another process. */
-export function encodeCrashReport(report: CrashReport): CrashReportMessage {
+/**
+ * Encodes a crash report for another process; `now` is the local monotonic
+ * time.
+ */
+export function encodeCrashReport(
+  report: CrashReport,
+  now: number,
+): CrashReportMessage {
+  const { fingerprint, incarnation, parts, crashedAt } = report;
   return create(CrashReportSchema, {
-    ...report,
+    fingerprint,
+    incarnation,
+    parts: [...parts ?? []],
     begunMilliseconds: report.begunMilliseconds ?? ANSWER_NOT_BEGUN,
+    ageMilliseconds: Math.max(0, now - (crashedAt ?? now)),
   });
 }
