One trial run in all after a blame's term, with the leader's permit

After the term each gateway let one request through as a trial: with N gateways up to N at the same moment, for whole requests too (read from the code, and by a test that failed to compile before, as there was no permit). Now a gateway that has a request for it asks; the leading control host permits one gateway at a time and tells all. A gateway that is cut off runs none. Blames of parts have a first term of two minutes: a wrong one refuses many requests.

--- a/packages/core/src/crashes/blame_table.ts
+++ b/packages/core/src/crashes/blame_table.ts
@@ -9,6 +9,8 @@
  * it.
  */
 const INITIAL_TERM_MILLISECONDS = 900_000;
+/** As INITIAL_TERM_MILLISECONDS; a wrong blame refuses many requests. */
+const INITIAL_PART_TERM_MILLISECONDS = 120_000;
 const MAX_TERM_MILLISECONDS = 86_400_000;
 /**
  * Longer than any run, so that no second trial run starts while one is in
@@ -71,12 +73,15 @@
 
   /** Creates a blame and records it. */
   create({ name, incarnations, lastCrashAt }: Culprit, now: number): Blame {
+    const termMilliseconds = parsePartNames(name) === undefined
+      ? INITIAL_TERM_MILLISECONDS
+      : INITIAL_PART_TERM_MILLISECONDS;
     const blame = {
       fingerprint: name,
       crashes: incarnations.length,
       incarnations: incarnations.slice(-MAX_INCARNATIONS_PER_BLAME),
-      termMilliseconds: INITIAL_TERM_MILLISECONDS,
-      endsAt: now + INITIAL_TERM_MILLISECONDS,
+      termMilliseconds,
+      endsAt: now + termMilliseconds,
     };
     this.record(blame, incarnations);
     this.#entries.get(name)!.lastCrashAt = lastCrashAt;
@@ -122,9 +127,9 @@
   }
 
   /** Begins a trial run: others are refused until it ends or times out. */
-  beginTrial({ fingerprint }: Blame, now: number): void {
-    const { blame } = this.#entries.get(fingerprint)!;
-    blame.endsAt = now + TRIAL_MILLISECONDS;
+  beginTrial(name: string, now: number): void {
+    const entry = this.#entries.get(name);
+    if (entry !== undefined) entry.blame.endsAt = now + TRIAL_MILLISECONDS;
   }
 
   /** Removes a blame. Returns the incarnations that were attributed to it. */
--- a/packages/core/src/crashes/crash_ledger.ts
+++ b/packages/core/src/crashes/crash_ledger.ts
@@ -20,6 +20,11 @@
  * for another crash or an answer that survives.
  */
 const AMBIGUITY_MILLISECONDS = 280;
+/** Until a permit for a trial run has come; requests are refused meanwhile. */
+const PERMIT_WAIT_MILLISECONDS = 1_000;
+/** How long a permit is good for; much less than a trial run may take. */
+const PERMIT_MILLISECONDS = 5_000;
+
 type Options = {
   /**
    * A suspect is blamed only once this long has passed since its crashes became
@@ -27,6 +32,11 @@
    * arrive first. Further crashes don't put the decision off.
    */
   decisionDelayMilliseconds: number;
+  /**
+   * Whether trial runs wait for `permitTrial`, so that of many hosts only one
+   * admits a run; by default, this host admits one.
+   */
+  waitsForPermits?: boolean;
 };
 
 /**
@@ -49,6 +59,8 @@
   #options: Options;
   #suspects = new SuspectTable();
   #blames = new BlameTable();
+  /** Until when a trial run may begin here, by the blame's name. */
+  #trialPermits = new Map<string, number>();
 
   constructor(options: Options) {
     this.#options = options;
@@ -149,8 +161,9 @@
 
   /**
    * Returns the blame for which a request must be refused now; undefined if it
-   * may run. After the refusal period, one run is admitted as a trial. Others
-   * are refused until that run succeeds or until the trial times out.
+   * may run. After the refusal period, one run is admitted as a trial, once it
+   * is permitted where that is needed. Others are refused until that run succeeds
+   * or until the trial times out.
    */
   checkBlame(
     fingerprint: string,
@@ -158,12 +171,39 @@
     parts: readonly string[] = [],
   ): Blame | undefined {
     const blames = this.#blames.findAll({ fingerprint, parts });
-    const inForce = blames.find(({ endsAt }) => now < endsAt);
+    const unpermitted = blames.filter(({ fingerprint: name }) =>
+      !(now < this.#trialPermits.get(name)!)
+    );
+    const inForce = unpermitted.find(({ endsAt }) => now < endsAt);
     if (inForce !== undefined) return inForce;
-    for (const blame of blames) this.#blames.beginTrial(blame, now);
+    const [waiting] = unpermitted;
+    if (waiting !== undefined && this.#options.waitsForPermits) {
+      return { ...waiting, endsAt: now + PERMIT_WAIT_MILLISECONDS };
+    }
+    for (const { fingerprint: name } of blames) {
+      this.#trialPermits.delete(name);
+      this.#blames.beginTrial(name, now);
+    }
     return undefined;
   }
 
+  /** Whether a blame's refusal period is over, so that a trial run may begin. */
+  isDueForTrial(name: string, now: number): boolean {
+    const blame = this.#blames.get(name);
+    return blame !== undefined && now >= blame.endsAt;
+  }
+
+  /** A trial run begins at some host: until it times out, others are refused. */
+  beginTrial(name: string, now: number): void {
+    this.#blames.beginTrial(name, now);
+  }
+
+  /** Admits the next request that the blame applies to as the trial run. */
+  permitTrial(name: string, now: number): void {
+    if (!this.#blames.has(name)) return;
+    this.#trialPermits.set(name, now + PERMIT_MILLISECONDS);
+  }
+
   /** Whether the request is refused now. Doesn't start a trial. */
   isRefused(
     fingerprint: string,
@@ -249,6 +289,9 @@
    */
   expire(now: number): void {
     this.#suspects.expire(now, (name) => this.#blames.has(name));
+    for (const [name, until] of this.#trialPermits) {
+      if (now >= until) this.#trialPermits.delete(name);
+    }
     for (const name of this.#blames.listExpired(now)) {
       this.#blames.delete(name);
       this.#suspects.delete(name);
--- a/packages/core/src/crashes/crash_ledger_test.ts
+++ b/packages/core/src/crashes/crash_ledger_test.ts
@@ -133,6 +133,25 @@
   assert.equal(again?.termMilliseconds, 2 * blame!.termMilliseconds);
 });
 
+// Guards against trial runs of many hosts at the same moment.
+test("where trial runs need a permit, it admits one run", () => {
+  const ledger = new CrashLedger({
+    decisionDelayMilliseconds: DECISION_DELAY_MILLISECONDS,
+    waitsForPermits: true,
+  });
+  reportAll(ledger, ["a", "b", "c"].map((name) => culpritReport(name)));
+  const [blame] = ledger.blameSuspects(DECISION_DELAY_MILLISECONDS);
+  const trialAt = blame!.endsAt + 1;
+  assert.ok(ledger.checkBlame("culprit", trialAt), "not without a permit");
+  assert.ok(ledger.isDueForTrial("culprit", trialAt));
+  ledger.beginTrial("culprit", trialAt);
+  assert.ok(ledger.checkBlame("culprit", trialAt), "it is another host's");
+  ledger.permitTrial("culprit", trialAt);
+  assert.equal(ledger.checkBlame("culprit", trialAt + 1), undefined);
+  assert.ok(ledger.checkBlame("culprit", trialAt + 2), "one only");
+  assert.equal(ledger.isDueForTrial("culprit", trialAt + 3), false);
+});
+
 test("two requests that crash backend servers at once are both blamed", () => {
   const ledger = createLedger();
   const both = ["a", "b", "c", "d", "e", "f"].flatMap((name, index) => [
--- a/packages/daemon/src/control/crash_attributor.ts
+++ b/packages/daemon/src/control/crash_attributor.ts
@@ -20,6 +20,7 @@
 import { encodePartWatch } from "../transport/encode_part_watch.ts";
 import { encodeSurvival } from "../transport/encode_survival.ts";
 import { monotonicMilliseconds } from "../transport/monotonic_milliseconds.ts";
+import { TrialPermits } from "./trial_permits.ts";
 
 /** Gateways detect and report the same server's end within this time. */
 const DECISION_DELAY_MILLISECONDS = 120;
@@ -44,7 +45,11 @@
 const MIN_WATCHED_WEIGHT = 2;
 const EXPIRE_INTERVAL_MILLISECONDS = 10_000;
 
-type Options = { log: EventLog };
+type Options = {
+  log: EventLog;
+  /** Whether this host leads the control hosts now. */
+  isLeading: () => boolean;
+};
 
 type BlameSource = "decided" | "told" | "kept" | "narrowed";
 
@@ -89,6 +94,7 @@
   #persistBudget = new NewsRateLimiter(MAX_SUSPICIONS_PER_SECOND);
   #watchBudget = new NewsRateLimiter(MAX_WATCHES_PER_SECOND);
   #watchTimer: NodeJS.Timeout | undefined;
+  #trialPermits = new TrialPermits();
   #queuedReports: CrashReport[] = [];
   #reportBudget = new NewsRateLimiter(MAX_REPORTS_PER_SECOND);
   #reportTimer: NodeJS.Timeout | undefined;
@@ -117,6 +123,7 @@
     this.#queueReports(added);
     for (const blame of this.#addBlames(news)) this.blamed$.next(blame);
     this.#addSurvivals(news, { areLocal: true });
+    this.#permitTrials(news);
   }
 
   /** Adds the blames in the replicated state when this host starts. */
@@ -130,6 +137,10 @@
     this.#addReports(news);
     this.#addBlames(news);
     this.#addSurvivals(news, { areLocal: false });
+    for (const { fingerprint } of news.trialsPermitted) {
+      this.#trialPermits.record(fingerprint);
+      this.#ledger.beginTrial(fingerprint, monotonicMilliseconds());
+    }
   }
 
   /** The current blames, for a new follower; undefined if there are none. */
@@ -228,6 +239,22 @@
     }));
   }
 
+  /** Permits the trial runs that gateways ask for, each to one gateway. */
+  #permitTrials({ trialsWanted }: CrashNews): void {
+    if (!this.#options.isLeading()) return;
+    const now = monotonicMilliseconds();
+    const trialsPermitted = trialsWanted.filter(({ fingerprint }) =>
+      !this.#ledger.isRefused(fingerprint, now) &&
+      this.#trialPermits.tryBegin(fingerprint)
+    );
+    if (trialsPermitted.length === 0) return;
+    for (const { fingerprint, host } of trialsPermitted) {
+      this.#ledger.beginTrial(fingerprint, now);
+      this.#options.log.info("trial-permitted", { fingerprint, host });
+    }
+    this.blameNews$.next(create(CrashNewsSchema, { trialsPermitted }));
+  }
+
   #publishLifted(
     { part, livedMilliseconds }: Survival,
     { lifted, narrowed }: SurvivalOutcome,
--- a/packages/daemon/src/control/crash_attributor_test.ts
+++ b/packages/daemon/src/control/crash_attributor_test.ts
@@ -5,12 +5,13 @@
 import { EventLog } from "../log/event_log.ts";
 import { CrashAttributor } from "./crash_attributor.ts";
 
-function openAttributor() {
+function openAttributor({ isLeading = false } = {}) {
   const attributor = new CrashAttributor({
     log: new EventLog("control", "error", undefined, {
       write: () => undefined,
       flush: () => Promise.resolve(),
     }),
+    isLeading: () => isLeading,
   });
   const told: string[] = [];
   attributor.suspicionNews$.subscribe(({ reports }) =>
@@ -20,7 +21,11 @@
       ),
     )
   );
-  return { attributor, told };
+  const permitted: string[] = [];
+  attributor.blameNews$.subscribe(({ trialsPermitted }) =>
+    permitted.push(...trialsPermitted.map(({ host }) => host))
+  );
+  return { attributor, told, permitted };
 }
 
 function newsOf(fingerprint: string, incarnation: string) {
@@ -51,3 +56,72 @@
   assert.deepEqual(told, ["one a", "one b"]);
   attributor.stop();
 });
+
+function askForTrial(host: string) {
+  return create(CrashNewsSchema, {
+    trialsWanted: [{ fingerprint: "one", host }],
+  });
+}
+
+// Guards against a trial run at each gateway at the same moment, when the term
+// of a blame is over: each could end a backend server.
+test("of the gateways that ask for a trial run, the leader permits one", () => {
+  const leader = openAttributor({ isLeading: true });
+  const other = openAttributor();
+  for (const host of ["a", "b", "a"]) {
+    for (const { attributor } of [leader, other]) {
+      attributor.addLocalNews(askForTrial(host));
+    }
+  }
+  assert.deepEqual(leader.permitted, ["a"]);
+  assert.deepEqual(other.permitted, []);
+  const next = openAttributor({ isLeading: true });
+  next.attributor.addRemoteNews(
+    create(CrashNewsSchema, {
+      trialsPermitted: [{ fingerprint: "one", host: "a" }],
+    }),
+  );
+  next.attributor.addLocalNews(askForTrial("b"));
+  assert.deepEqual(next.permitted, [], "a new leader knows of it");
+  for (const { attributor } of [leader, other, next]) attributor.stop();
+});
+
+// Guards against a sound part that stays blamed: an answer that outlives what
+// crashes take narrows the blame, or lifts it, for all gateways.
+test("an answer that has survived frees the part of its blame", () => {
+  const { attributor } = openAttributor();
+  const news: string[] = [];
+  attributor.blameNews$.subscribe(({ cleared, blamed }) =>
+    news.push(
+      ...cleared.map((name) => `cleared ${name}`),
+      ...blamed.map(({ fingerprint }) => `blamed ${fingerprint}`),
+    )
+  );
+  attributor.addLocalNews(create(CrashNewsSchema, {
+    blamed: [{
+      fingerprint: "part:a+part:b",
+      crashes: 3,
+      incarnations: ["x", "y", "z"],
+      termMilliseconds: 60_000,
+      leftMilliseconds: 50_000,
+    }],
+  }));
+  const survivalOn = (part: string) =>
+    create(CrashNewsSchema, {
+      survivals: [{
+        part,
+        begunAgeMilliseconds: 900,
+        livedMilliseconds: 900,
+        isComplete: true,
+      }],
+    });
+  attributor.addLocalNews(survivalOn("a"));
+  attributor.addLocalNews(survivalOn("b"));
+  attributor.stop();
+  assert.deepEqual(news, [
+    "blamed part:a+part:b",
+    "cleared part:a+part:b",
+    "blamed part:b",
+    "cleared part:b",
+  ]);
+});
--- a/packages/daemon/src/control/platform_services.ts
+++ b/packages/daemon/src/control/platform_services.ts
@@ -10,6 +10,7 @@
 import type { Settings } from "../settings/settings.ts";
 import type { ClientPool } from "../transport/client_pool.ts";
 import { decodeBackend } from "../transport/decode_backend.ts";
+import { monotonicMilliseconds } from "../transport/monotonic_milliseconds.ts";
 import { FollowSet } from "../transport/follow_set.ts";
 import { ManifestFetcher } from "../rollout/manifest_fetcher.ts";
 import { RolloutHub } from "../rollout/rollout_hub.ts";
@@ -65,6 +66,7 @@
       ...options,
       dataCentre: settings.data_centre,
       isCurrent: () => this.#isCurrent,
+      isLeading: () => control()?.isLeading(monotonicMilliseconds()) ?? false,
     });
     this.#operations = new ControlOperationsHandler({
       control,
--- a/packages/daemon/src/control/shared_view.ts
+++ b/packages/daemon/src/control/shared_view.ts
@@ -50,6 +50,8 @@
    * after that, also while no leader is known.
    */
   isCurrent: () => boolean;
+  /** Whether this host leads the control hosts now. */
+  isLeading: () => boolean;
 };
 
 /**
--- a/packages/daemon/src/control/shared_view_test.ts
+++ b/packages/daemon/src/control/shared_view_test.ts
@@ -22,6 +22,7 @@
     replicatedState: createEmptyControlState,
     controlAddresses: () => [],
     isCurrent: () => true,
+    isLeading: () => false,
   });
 }
 
--- a/packages/daemon/src/gateway/crash_reporter.ts
+++ b/packages/daemon/src/gateway/crash_reporter.ts
@@ -3,6 +3,7 @@
 import { CrashLedger } from "@teaselrouter/core/crashes/crash_ledger.ts";
 import type { CrashReport } from "@teaselrouter/core/crashes/crash_report.ts";
 import type { Survival } from "@teaselrouter/core/crashes/survival.ts";
+import { parsePartNames } from "@teaselrouter/core/crashes/parse_part_names.ts";
 import { NewsRateLimiter } from "@teaselrouter/core/news/news_rate_limiter.ts";
 import { incarnationOf } from "@teaselrouter/core/membership/incarnation_of.ts";
 import {
@@ -42,7 +43,14 @@
 /** A report with more prompt parts counts as several. */
 const PARTS_PER_REPORT = 8;
 
+/** Control hosts are asked for trial runs at most this often. */
+const TRIAL_REQUEST_INTERVAL_MILLISECONDS = 1_000;
+/** How long an answer has to run to show that a blamed part does no harm. */
+const TRIAL_SURVIVAL_MILLISECONDS = 2_000;
+
 type Options = {
+  /** Name of this gateway. */
+  host: string;
   ended$: Observable<EndedServer>;
   updates$: Observable<CrashNews>;
   publish: (news: CrashNews) => void;
@@ -57,6 +65,7 @@
   #options: Options;
   #ledger = new CrashLedger({
     decisionDelayMilliseconds: DECISION_DELAY_MILLISECONDS,
+    waitsForPermits: true,
   });
   #callsInFlight = new Set<InFlightCall>();
   #reports: CrashReport[] = [];
@@ -65,6 +74,7 @@
     listCalls: () => this.#callsInFlight,
     report: (survivals) => this.#reportSurvivals(survivals),
   });
+  #trialsAskedAt = -Infinity;
   #reportTimer: NodeJS.Timeout | undefined;
   #decideTimer: NodeJS.Timeout | undefined;
 
@@ -82,14 +92,30 @@
 
   /**
    * Returns the blame for which a request must not be sent now, undefined if it
-   * may be. Once the blame's term has ended, the first call returns undefined,
-   * so that one request runs as a trial.
+   * may be. Once the blame's term has ended, a control host is asked for a trial:
+   * with its permit, one call returns undefined.
    */
   checkBlame(call: AdmittedCall): Blame | undefined {
     if (!this.#ledger.hasBlamed) return undefined;
     const now = monotonicMilliseconds();
     const { sharedParts } = call.metadata;
-    return this.#ledger.checkBlame(fingerprintCall(call), now, sharedParts);
+    const fingerprint = fingerprintCall(call);
+    const blame = this.#ledger.checkBlame(fingerprint, now, sharedParts);
+    if (
+      blame !== undefined && this.#ledger.isDueForTrial(blame.fingerprint, now)
+    ) {
+      this.#askForTrial(blame.fingerprint, now);
+    }
+    return blame;
+  }
+
+  #askForTrial(fingerprint: string, now: number): void {
+    const sinceLast = now - this.#trialsAskedAt;
+    if (sinceLast < TRIAL_REQUEST_INTERVAL_MILLISECONDS) return;
+    this.#trialsAskedAt = now;
+    const { host, publish } = this.#options;
+    const trialsWanted = [{ fingerprint, host }];
+    publish(create(CrashNewsSchema, { trialsWanted }));
   }
 
   /** Whether this host may retry the request on its own. */
@@ -206,10 +232,10 @@
     }));
   }
 
-  #applyUpdate(
-    { reports, blamed, cleared, watches, survivals }: CrashNews,
-  ): void {
+  #applyUpdate(news: CrashNews): void {
+    const { reports, blamed, cleared, watches, survivals } = news;
     const now = monotonicMilliseconds();
+    this.#applyTrials(news, now);
     this.#survivals.watch(
       watches.map((watch) => decodePartWatch(watch, now)),
     );
@@ -227,6 +253,19 @@
     if (learnt.length > 0) this.#applyBlames(learnt, "told");
   }
 
+  #applyTrials({ trialsPermitted }: CrashNews, now: number): void {
+    for (const { fingerprint, host } of trialsPermitted) {
+      this.#ledger.beginTrial(fingerprint, now);
+      if (host !== this.#options.host) continue;
+      this.#ledger.permitTrial(fingerprint, now);
+      const thresholds = { complete: 0, running: TRIAL_SURVIVAL_MILLISECONDS };
+      const parts = parsePartNames(fingerprint) ?? [];
+      this.#survivals.watch(
+        parts.map((part) => ({ part, since: now, thresholds })),
+      );
+    }
+  }
+
   #applyBlames(blames: Blame[], how: "decided" | "told"): void {
     const now = monotonicMilliseconds();
     for (const blame of blames) {
--- a/packages/daemon/src/gateway/gateway_app.ts
+++ b/packages/daemon/src/gateway/gateway_app.ts
@@ -144,6 +144,7 @@
       silence: new SilenceWatch(listening),
       crashWatch,
       crashes: new CrashReporter({
+        host: settings.name,
         ended$: crashWatch.ended$,
         updates$: feed.crashes$,
         publish: (value) =>
--- a/packages/daemon/src/gateway/gateway_fixture.ts
+++ b/packages/daemon/src/gateway/gateway_fixture.ts
@@ -278,6 +278,7 @@
       silence: new SilenceWatch(new ListeningTime()),
       crashWatch,
       crashes: new CrashReporter({
+        host: "gateway",
         ended$: crashWatch.ended$,
         updates$: feed.crashes$,
         publish: () => undefined,
--- a/packages/daemon/src/log/event_name.ts
+++ b/packages/daemon/src/log/event_name.ts
@@ -66,6 +66,7 @@
   | "stopped"
   | "stopping"
   | "takeover"
+  | "trial-permitted"
   | "unreadable"
   | "waiting-to-be-taken-in"
   | "weights-complete"
