Bounds of crash evidence: crashes a suspect, and work a report

A report of a crash that is laid to somebody already went through all suspects, up to 8,192, for each of up to 150 reports a second; it goes through those that it names. A suspect keeps its latest 64 crashes.

--- a/packages/core/src/crashes/crash_evidence.ts
+++ b/packages/core/src/crashes/crash_evidence.ts
@@ -17,6 +17,8 @@
 const UNSTARTED_ANSWER_MILLISECONDS = 60_000;
 /** Enough to tell which suspects stand for the same request at a crash. */
 const MAX_REQUESTS_PER_CRASH = 64;
+/** The oldest are forgotten; a blame takes a few. */
+const MAX_CRASHES = 64;
 
 /**
  * The backend server crashes at which one suspect was in flight there: a
@@ -52,6 +54,7 @@
       begunMilliseconds,
       requests: new Set([fingerprint]),
     });
+    if (this.#crashes.size > MAX_CRASHES) this.#forgetOldest();
     this.lastReportedAt = now;
     this.#updateSufficiency(now);
     return true;
@@ -190,6 +193,12 @@
       .map((incarnation) => this.#crashes.get(incarnation)!);
   }
 
+  #forgetOldest(): void {
+    const oldest = this.#crashes.keys().next().value!;
+    this.#crashes.delete(oldest);
+    this.#attributedElsewhere.delete(oldest);
+  }
+
   #addRequest(
     crash: ObservedCrash,
     { fingerprint, begunMilliseconds }: CrashReport,
--- a/packages/core/src/crashes/crash_ledger.ts
+++ b/packages/core/src/crashes/crash_ledger.ts
@@ -87,7 +87,7 @@
     const culprit = this.#blames.culpritOf(incarnation);
     this.#recordOutlived(report, now);
     if (culprit !== undefined) {
-      this.#attribute([incarnation], culprit);
+      this.#suspects.excludeReport(report, culprit);
       return listSuspectNames(culprit).some((name) => added.includes(name));
     }
     if (added.length === 0) return false;
--- a/packages/core/src/crashes/suspect_table.ts
+++ b/packages/core/src/crashes/suspect_table.ts
@@ -93,6 +93,17 @@
     return this.#requests.delete(name) || this.#parts.delete(name);
   }
 
+  /** The crash doesn't count against what the report names, but for `exempt`. */
+  excludeReport(
+    { fingerprint, parts = [], incarnation }: CrashReport,
+    exempt: string,
+  ): void {
+    const names = [fingerprint, ...parts.map((part) => nameParts([part]))];
+    for (const name of names) {
+      if (name !== exempt) this.find(name)?.exclude(incarnation);
+    }
+  }
+
   /** The crashes no longer count against any but the named suspect. */
   excludeCrashes(incarnations: string[], exempt: string): void {
     for (const { name, evidence } of this.list()) {
