A gateway in touch leaves blames of parts to control hosts

A gateway sees only its own answers: one that sees no good answer on a part could blame it before control hosts, which hear of all gateways, have judged, and its blame is taken over by all. It blames parts by itself only while no control host is connected.

A blame whose term is over is restored after a loss of power for one more term, as it is kept in memory, so that it waits for its trial run.

--- a/packages/core/src/crashes/crash_ledger.ts
+++ b/packages/core/src/crashes/crash_ledger.ts
@@ -37,6 +37,11 @@
    * admits a run; by default, this host admits one.
    */
   waitsForPermits?: boolean;
+  /**
+   * Whether this host may blame parts now: not one that sees a part of the
+   * answers only, while another sees all. By default, it may.
+   */
+  mayBlameParts?: () => boolean;
 };
 
 /**
@@ -299,13 +304,15 @@
   }
 
   #findCulprit(now: number): Culprit | undefined {
-    const { decisionDelayMilliseconds } = this.#options;
+    const { decisionDelayMilliseconds, mayBlameParts } = this.#options;
+    const isPartDecidable = mayBlameParts?.() ?? true;
     const ageOf = ({ evidence: { sufficientSince } }: Suspect) =>
       sufficientSince === undefined ? -Infinity : now - sufficientSince;
     const suspects = this.#suspects.list();
     return findCulprit({
       suspects,
       decidable: suspects.filter((suspect) =>
+        (suspect.evidence.kind === "request" || isPartDecidable) &&
         ageOf(suspect) >= decisionDelayMilliseconds &&
         this.#isSufficient(suspect, now) && !this.#blames.has(suspect.name)
       ),
--- a/packages/daemon/src/control/shared_view.ts
+++ b/packages/daemon/src/control/shared_view.ts
@@ -185,7 +185,10 @@
     );
     this.crashes.restoreBlames(
       rows.map((row) => blameFromRow(row, { timeOfDay, monotonic }))
-        .filter(({ endsAt }) => endsAt > monotonic),
+        // Once its term is over, a blame waits for a trial run.
+        .filter(({ endsAt, termMilliseconds }) =>
+          endsAt + termMilliseconds > monotonic
+        ),
     );
   }
 
--- a/packages/daemon/src/gateway/crash_reporter.ts
+++ b/packages/daemon/src/gateway/crash_reporter.ts
@@ -51,6 +51,8 @@
 type Options = {
   /** Name of this gateway. */
   host: string;
+  /** Whether a control host can be reached. */
+  isConnected: () => boolean;
   ended$: Observable<EndedServer>;
   updates$: Observable<CrashNews>;
   publish: (news: CrashNews) => void;
@@ -63,10 +65,7 @@
  */
 export class CrashReporter {
   #options: Options;
-  #ledger = new CrashLedger({
-    decisionDelayMilliseconds: DECISION_DELAY_MILLISECONDS,
-    waitsForPermits: true,
-  });
+  #ledger: CrashLedger;
   #callsInFlight = new Set<InFlightCall>();
   #reports: CrashReport[] = [];
   #rateLimiter = new NewsRateLimiter(MAX_REPORTS_PER_SECOND);
@@ -80,6 +79,12 @@
 
   constructor(options: Options) {
     this.#options = options;
+    this.#ledger = new CrashLedger({
+      decisionDelayMilliseconds: DECISION_DELAY_MILLISECONDS,
+      waitsForPermits: true,
+      // Control hosts hear of the answers at all gateways.
+      mayBlameParts: () => !options.isConnected(),
+    });
     options.ended$.subscribe((ended) => this.#recordEnd(ended));
     options.updates$.subscribe((update) => this.#applyUpdate(update));
   }
--- /dev/null
+++ b/packages/daemon/src/gateway/crash_reporter_test.ts
@@ -0,0 +1,141 @@
+import {
+  type CrashNews,
+  CrashNewsSchema,
+} from "@teaselrouter/messages/follow.ts";
+import { create } from "@bufbuild/protobuf";
+import type { BackendAnnouncement } from "@teaselrouter/core/membership/backend_announcement.ts";
+import { Buffer } from "node:buffer";
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { Subject } from "rxjs";
+import { EventLog } from "../log/event_log.ts";
+import { monotonicMilliseconds } from "../transport/monotonic_milliseconds.ts";
+import type { AdmittedCall } from "./admitted_call.ts";
+import { CrashReporter } from "./crash_reporter.ts";
+import type { EndedServer } from "./ended_server.ts";
+
+/** Until a gateway on its own has decided: a part is judged within a second. */
+const DECISION_MILLISECONDS = 1_300;
+const MINUTE_MILLISECONDS = 60_000;
+
+function callWith(id: string, ...sharedParts: string[]): AdmittedCall {
+  return {
+    id,
+    path: "/x",
+    workspace: "w",
+    metadata: { sharedParts },
+    body: Buffer.from(id),
+  } as unknown as AdmittedCall;
+}
+
+function openReporter({ isConnected }: { isConnected: boolean }) {
+  const ended$ = new Subject<EndedServer>();
+  const updates$ = new Subject<CrashNews>();
+  const published: CrashNews[] = [];
+  const reporter = new CrashReporter({
+    host: "gateway-1",
+    isConnected: () => isConnected,
+    ended$,
+    updates$,
+    publish: (news) => published.push(news),
+    log: new EventLog("gateway", "error", undefined, {
+      write: () => undefined,
+      flush: () => Promise.resolve(),
+    }),
+  });
+  /** A crash under an answer with the part that had just begun. */
+  const endUnder = (instance: string, at: number) =>
+    ended$.next({
+      announcement: { instance, bornAt: 1 } as BackendAnnouncement,
+      interrupted: [{
+        call: callWith(instance, "first", "harmful"),
+        fingerprint: instance,
+        begunMilliseconds: 20,
+      }],
+      at,
+    });
+  const crashThree = () => {
+    const now = monotonicMilliseconds();
+    endUnder("a", now - 400);
+    endUnder("b", now - 200);
+    endUnder("c", now);
+  };
+  return { reporter, updates$, published, crashThree };
+}
+
+function sleep(milliseconds: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, milliseconds));
+}
+
+// Guards against a gateway that goes on sending requests with a harmful part as
+// it is cut off from all control hosts.
+test("a gateway that is cut off blames a part by itself", async () => {
+  const { reporter, crashThree } = openReporter({ isConnected: false });
+  crashThree();
+  await sleep(DECISION_MILLISECONDS);
+  const harmful = callWith("new", "first", "harmful");
+  const blame = reporter.checkBlame(harmful);
+  assert.equal(blame?.fingerprint, "part:first+part:harmful");
+  assert.equal(reporter.mayRetry(harmful), false);
+  assert.equal(reporter.checkBlame(callWith("sound", "first")), undefined);
+  reporter.stop();
+});
+
+// Guards against a gateway that blames a part whose good answers come at others.
+test("a gateway in touch leaves the blame of a part to control hosts", async () => {
+  const { reporter, published, crashThree } = openReporter({
+    isConnected: true,
+  });
+  crashThree();
+  await sleep(DECISION_MILLISECONDS);
+  const harmful = callWith("new", "first", "harmful");
+  assert.equal(reporter.checkBlame(harmful), undefined);
+  const reports = published.flatMap((news) => news.reports);
+  assert.deepEqual(reports.map(({ parts }) => parts), [
+    ["first", "harmful"],
+    ["first", "harmful"],
+    ["first", "harmful"],
+  ]);
+  reporter.stop();
+});
+
+// Guards against requests with a blamed part that wait at a gateway or a backend
+// server, and against a trial run at a gateway that has no permit.
+test("a told blame ends what is under way, and one trial needs a permit", () => {
+  const { reporter, updates$, published } = openReporter({ isConnected: true });
+  const aborted: string[] = [];
+  for (const call of [callWith("waits", "bad", "x"), callWith("sound", "x")]) {
+    reporter.watch({
+      call,
+      abort: () => aborted.push(call.id),
+      progress: () => undefined,
+    });
+  }
+  updates$.next(create(CrashNewsSchema, {
+    blamed: [{
+      fingerprint: "part:bad",
+      crashes: 3,
+      incarnations: ["a", "b", "c"],
+      termMilliseconds: MINUTE_MILLISECONDS,
+      leftMilliseconds: 0,
+    }],
+  }));
+  assert.deepEqual(aborted, ["waits"]);
+  const harmful = callWith("new", "bad");
+  assert.ok(reporter.checkBlame(harmful), "its term is over, without a permit");
+  assert.deepEqual(
+    published.flatMap(({ trialsWanted }) => trialsWanted)
+      .map(({ fingerprint, host }) => `${fingerprint} ${host}`),
+    ["part:bad gateway-1"],
+  );
+  const permit = (host: string) =>
+    updates$.next(create(CrashNewsSchema, {
+      trialsPermitted: [{ fingerprint: "part:bad", host }],
+    }));
+  permit("gateway-2");
+  assert.ok(reporter.checkBlame(harmful), "another gateway has the permit");
+  permit("gateway-1");
+  assert.equal(reporter.checkBlame(harmful), undefined);
+  assert.ok(reporter.checkBlame(harmful), "one run only");
+  reporter.stop();
+});
--- a/packages/daemon/src/gateway/gateway_app.ts
+++ b/packages/daemon/src/gateway/gateway_app.ts
@@ -145,6 +145,7 @@
       crashWatch,
       crashes: new CrashReporter({
         host: settings.name,
+        isConnected: () => this.#followSet.connectedCount > 0,
         ended$: crashWatch.ended$,
         updates$: feed.crashes$,
         publish: (value) =>
--- a/packages/daemon/src/gateway/gateway_fixture.ts
+++ b/packages/daemon/src/gateway/gateway_fixture.ts
@@ -279,6 +279,7 @@
       crashWatch,
       crashes: new CrashReporter({
         host: "gateway",
+        isConnected: () => true,
         ended$: crashWatch.ended$,
         updates$: feed.crashes$,
         publish: () => undefined,
