Tests of evidence on prompt parts, and of a blamed part over a loss of power

Each names the failure it guards against: parts that can't be told apart, successes before a part turned harmful, short answers, a rack that fails, a flood of rare parts.

--- /dev/null
+++ b/packages/core/src/crashes/part_evidence_test.ts
@@ -0,0 +1,160 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { CrashLedger } from "./crash_ledger.ts";
+
+const HARMFUL = "bad";
+const FIRST = "first";
+/** Long enough for a decision on any part. */
+const DECISION_MILLISECONDS = 3_000;
+const CRASH_MILLISECONDS = 50;
+
+function createLedger(): CrashLedger {
+  return new CrashLedger({ decisionDelayMilliseconds: 120 });
+}
+
+let requestCount = 0;
+
+/** A crash soon after an answer to a request like no other has started. */
+function crash(ledger: CrashLedger, at: number, ...parts: string[]): string {
+  requestCount += 1;
+  const fingerprint = `request-${requestCount}`;
+  const report = {
+    fingerprint,
+    parts,
+    incarnation: `server-${requestCount}`,
+    begunMilliseconds: CRASH_MILLISECONDS,
+    crashedAt: at,
+  };
+  ledger.recordReport(report, at + 80);
+  return fingerprint;
+}
+
+function survive(ledger: CrashLedger, part: string, begunAt: number) {
+  const livedMilliseconds = 400;
+  return ledger.recordSurvival({
+    part,
+    begunAt,
+    livedMilliseconds,
+    isComplete: true,
+  });
+}
+
+function blame(ledger: CrashLedger, at: number): string[] {
+  return ledger.blameSuspects(at + DECISION_MILLISECONDS)
+    .map(({ fingerprint }) => fingerprint);
+}
+
+function isRefused(
+  ledger: CrashLedger,
+  at: number,
+  ...parts: string[]
+): boolean {
+  return ledger.isRefused("another", at + DECISION_MILLISECONDS, parts);
+}
+
+// Guards against a first part that is refused for what came with it.
+test("parts that can't be told apart are refused together only", () => {
+  const ledger = createLedger();
+  for (const at of [0, 300, 600]) crash(ledger, at, FIRST, HARMFUL);
+  assert.deepEqual(blame(ledger, 600), ["part:bad+part:first"]);
+  assert.equal(isRefused(ledger, 600, FIRST), false);
+  assert.equal(isRefused(ledger, 600, HARMFUL), false);
+  assert.equal(isRefused(ledger, 600, HARMFUL, FIRST, "more"), true);
+  const { lifted, narrowed } = survive(ledger, FIRST, 700);
+  assert.deepEqual(lifted, ["part:bad+part:first"]);
+  assert.deepEqual(narrowed.map(({ fingerprint }) => fingerprint), [
+    "part:bad",
+  ]);
+  assert.equal(isRefused(ledger, 600, HARMFUL), true);
+});
+
+// Guards against a harmful part that hides behind a blame of two.
+test("crashes without one of two blamed parts blame the other", () => {
+  const ledger = createLedger();
+  for (const at of [0, 300, 600]) crash(ledger, at, FIRST, HARMFUL);
+  blame(ledger, 600);
+  const later = 4_000;
+  for (const at of [0, 300, 600]) crash(ledger, later + at, "x", HARMFUL);
+  survive(ledger, "x", later + 400);
+  assert.deepEqual(blame(ledger, later + 600), ["part:bad"]);
+});
+
+// Guards against a part that was harmless all morning and is taken for so since.
+test("successes before a part turned harmful don't speak for it", () => {
+  const ledger = createLedger();
+  survive(ledger, HARMFUL, -5_000);
+  for (const at of [0, 300, 600]) crash(ledger, at, FIRST, HARMFUL);
+  survive(ledger, HARMFUL, -100);
+  survive(ledger, FIRST, 350);
+  assert.deepEqual(blame(ledger, 600), ["part:bad"]);
+});
+
+// Guards against answers that end before a crash comes, and speak for its cause.
+test("an answer shorter than crashes take doesn't speak for a part", () => {
+  const ledger = createLedger();
+  for (const at of [0, 300, 600]) crash(ledger, at, HARMFUL);
+  const short = { livedMilliseconds: 30, isComplete: true };
+  ledger.recordSurvival({ part: HARMFUL, begunAt: 700, ...short });
+  assert.deepEqual(blame(ledger, 600), ["part:bad"]);
+});
+
+// Guards against a sound part that stays blamed for crashes of another's.
+test("a survival after its last crash frees a part, and its crashes count again", () => {
+  const ledger = createLedger();
+  for (const at of [0, 300, 600]) crash(ledger, at, FIRST);
+  assert.deepEqual(blame(ledger, 600), ["part:first"]);
+  assert.deepEqual(survive(ledger, FIRST, 500).lifted, []);
+  assert.deepEqual(survive(ledger, FIRST, 650).lifted, ["part:first"]);
+  assert.equal(isRefused(ledger, 600, FIRST), false);
+});
+
+// Guards against counting one crash against both a request and its parts.
+test("crashes laid to a whole request speak against no part of it", () => {
+  const ledger = createLedger();
+  for (const [index, at] of [0, 300, 600].entries()) {
+    ledger.recordReport({
+      fingerprint: "same",
+      parts: [FIRST, "own"],
+      incarnation: `same-${index}`,
+      begunMilliseconds: CRASH_MILLISECONDS,
+      crashedAt: at,
+    }, at + 80);
+  }
+  assert.deepEqual(blame(ledger, 600), ["same"]);
+  for (const at of [4_000, 4_300]) crash(ledger, at, FIRST, "own");
+  assert.deepEqual(blame(ledger, 4_300), []);
+});
+
+// Guards against a rack that fails and takes with it what all requests share.
+test("crashes of one moment blame no part", () => {
+  const ledger = createLedger();
+  for (let server = 0; server < 10; server += 1) {
+    crash(ledger, server * 5, FIRST, "common");
+  }
+  assert.deepEqual(blame(ledger, 50), []);
+});
+
+// Guards against a flood of rare parts that pushes out the one at fault, or
+// exhausts a host's memory. A host takes 150 reports a second from another.
+test("a flood of rare parts stays within bounds, and the harmful one is found", () => {
+  const ledger = createLedger();
+  const REPORTS_PER_SECOND = 150;
+  const SECONDS = 120;
+  const HARMFUL_INTERVAL_SECONDS = 10;
+  for (let index = 0; index < SECONDS * REPORTS_PER_SECOND; index += 1) {
+    const at = index * 1_000 / REPORTS_PER_SECOND;
+    const isHarmful =
+      index % (HARMFUL_INTERVAL_SECONDS * REPORTS_PER_SECOND) === 0;
+    if (isHarmful) crash(ledger, at, `rare-${index}`, HARMFUL);
+    ledger.recordReport({
+      fingerprint: `flood-${index}`,
+      parts: [`rare-${index}-a`, `rare-${index}-b`],
+      incarnation: `flood-${Math.floor(index / 100)}`,
+      begunMilliseconds: 900,
+      crashedAt: at,
+    }, at);
+  }
+  assert.ok(ledger.suspectCount <= 2 * 4_096);
+  const [first] = ledger.listPartWatches({ minWeight: 3 });
+  assert.equal(first?.part, HARMFUL);
+});
