A request that stood beside a suspected part isn't blamed before the part is

Test: seen failing with the earlier findCulprit, by its order.

A report of an answer that had long run clears crashes only; it lifted blames at the host that heard it alone, without telling anybody.

--- a/packages/core/src/crashes/crash_ledger.ts
+++ b/packages/core/src/crashes/crash_ledger.ts
@@ -334,13 +334,12 @@
   #recordOutlived(report: CrashReport, now: number): void {
     const { parts = [], crashedAt = now, begunMilliseconds } = report;
     if (begunMilliseconds === undefined) return;
+    const begunAt = crashedAt - begunMilliseconds;
     for (const part of parts) {
-      this.recordSurvival({
-        part,
-        begunAt: crashedAt - begunMilliseconds,
-        livedMilliseconds: begunMilliseconds,
-        isComplete: false,
-      });
+      const evidence = this.#suspects.find(nameParts([part]));
+      const livedMilliseconds = begunMilliseconds;
+      const survival = { part, begunAt, livedMilliseconds, isComplete: false };
+      if (evidence?.isSurvival(survival)) evidence.clearBefore(begunAt);
     }
   }
 
--- a/packages/core/src/crashes/find_culprit.ts
+++ b/packages/core/src/crashes/find_culprit.ts
@@ -33,7 +33,7 @@
  *   request is, until a crash or a survival without some of them tells.
  */
 export function findCulprit(options: Options): Culprit | undefined {
-  const { decidable } = options;
+  const { decidable, suspects, mayWait } = options;
   const [request] = decidable.filter(({ evidence }) =>
     evidence.kind === "request"
   ).sort(compareByAnswerStart);
@@ -43,8 +43,11 @@
       classifyBreadth(left) - classifyBreadth(right) ||
       compareByAnswerStart(left, right)
     );
-  if (request !== undefined && !isBeside(request, parts[0])) {
-    return nameCulprit(request.name, request);
+  if (request !== undefined) {
+    const isBeside = stoodBeside(request, parts) ||
+      stoodBeside(request, suspects.filter(isSuspectedPart)) &&
+        mayWait(request);
+    if (!isBeside) return nameCulprit(request.name, request);
   }
   for (const part of parts) {
     const culprit = describeCulprit(part, options);
@@ -53,12 +56,21 @@
   return undefined;
 }
 
-/** Whether answers with the part had started much later than the request's. */
-function isBeside(request: Suspect, part: Suspect | undefined): boolean {
-  if (part === undefined) return false;
-  const { meanMillisecondsFromAnswerStart } = part.evidence;
-  return request.evidence.meanMillisecondsFromAnswerStart >
-    meanMillisecondsFromAnswerStart * BESIDE_RATIO;
+function isSuspectedPart({ evidence }: Suspect): boolean {
+  return evidence.kind === "part" && evidence.sufficientSince !== undefined;
+}
+
+/**
+ * Whether at the request's crashes answers with one of the parts had started
+ * much later than the request's.
+ */
+function stoodBeside({ evidence }: Suspect, parts: Suspect[]): boolean {
+  const { incarnations, meanMillisecondsFromAnswerStart } = evidence;
+  return parts.some((part) =>
+    meanMillisecondsFromAnswerStart >
+      part.evidence.meanMillisecondsFromAnswerStart * BESIDE_RATIO &&
+    isAtAll(part, incarnations)
+  );
 }
 
 function describeCulprit(
@@ -106,9 +118,8 @@
   const all = new Set(incarnations);
   const explained = new Set(
     suspects
+      .filter(isSuspectedPart)
       .filter(({ evidence }) =>
-        evidence.kind === "part" &&
-        evidence.sufficientSince !== undefined &&
         evidence.incarnations.length < all.size &&
         evidence.incarnations.every((incarnation) => all.has(incarnation))
       )
--- a/packages/core/src/crashes/part_evidence_test.ts
+++ b/packages/core/src/crashes/part_evidence_test.ts
@@ -125,6 +125,31 @@
   assert.deepEqual(blame(ledger, 4_300), []);
 });
 
+// Guards against refusing a sound request that was sent again and again, each
+// time beside one with a harmful part.
+test("a request beside a harmful part at three crashes is not blamed", () => {
+  const ledger = createLedger();
+  for (const [index, at] of [0, 200, 400].entries()) {
+    const incarnation = `both-${index}`;
+    const crashed = { incarnation, crashedAt: at };
+    ledger.recordReport({
+      ...crashed,
+      fingerprint: "beside",
+      parts: [FIRST, "own"],
+      begunMilliseconds: 900,
+    }, at + 80);
+    ledger.recordReport({
+      ...crashed,
+      fingerprint: `new-${index}`,
+      parts: [FIRST, HARMFUL],
+      begunMilliseconds: 40,
+    }, at + 80);
+  }
+  survive(ledger, FIRST, 50);
+  assert.deepEqual(ledger.blameSuspects(610), [], "not yet decidable");
+  assert.deepEqual(blame(ledger, 400), ["part:bad"]);
+});
+
 // Guards against a rack that fails and takes with it what all requests share.
 test("crashes of one moment blame no part", () => {
   const ledger = createLedger();
