Smaller pieces: news of suspicions, the gate of blames; one freeze of a host

No change of what happens: SuspicionNews leaves CrashAttributor, BlameGate leaves CrashLedger, names of parts are written and read by one format.

--- /dev/null
+++ b/acceptance/src/freeze_host.ts
@@ -0,0 +1,14 @@
+import type { EndToEndSystem } from "./end_to_end_system.ts";
+
+const FREEZE_MILLISECONDS = 1_500;
+
+/** Stops a host's process for a while, then has it go on. */
+export async function freezeHost(
+  system: EndToEndSystem,
+  name: string,
+): Promise<void> {
+  const { child } = system.cluster.findHost(name);
+  child.signal("SIGSTOP");
+  await new Promise((resolve) => setTimeout(resolve, FREEZE_MILLISECONDS));
+  child.signal("SIGCONT");
+}
--- a/acceptance/src/incident_day.ts
+++ b/acceptance/src/incident_day.ts
@@ -8,6 +8,7 @@
 import { countMostWithin } from "./count_most_within.ts";
 import type { FakeBackendServer } from "./fake_backend_server.ts";
 import { EndToEndSystem } from "./end_to_end_system.ts";
+import { freezeHost } from "./freeze_host.ts";
 
 const GATEWAYS = 10;
 const CONTROL_HOSTS = 3;
@@ -25,7 +26,6 @@
  */
 const BLAME_PROPAGATION_MILLISECONDS = 3_000;
 const WINDOW_MILLISECONDS = 4_000;
-const FREEZE_MILLISECONDS = 1_500;
 
 type Answer = { status: number; text: string; isBroken: boolean };
 type Disruption = {
@@ -92,7 +92,10 @@
         name: "gateway killed",
         inject: (system) => this.#restartGateway(system, gateway()),
       },
-      { name: "gateway frozen", inject: (system) => freeze(system, gateway()) },
+      {
+        name: "gateway frozen",
+        inject: (system) => freezeHost(system, gateway()),
+      },
       {
         name: "control host killed",
         inject: (system) => restart(system, this.#pick(system.controlNames)),
@@ -296,13 +299,6 @@
   await system.cluster.restart([name]);
 }
 
-async function freeze(system: EndToEndSystem, name: string): Promise<void> {
-  const { child } = system.cluster.findHost(name);
-  child.signal("SIGSTOP");
-  await sleep(FREEZE_MILLISECONDS);
-  child.signal("SIGCONT");
-}
-
 function sleep(milliseconds: number): Promise<void> {
   return new Promise((resolve) => setTimeout(resolve, milliseconds));
 }
--- a/acceptance/src/part_day.ts
+++ b/acceptance/src/part_day.ts
@@ -2,6 +2,7 @@
 import { hashText } from "@teaselrouter/core/random/hash_text.ts";
 import { performance } from "node:perf_hooks";
 import { EndToEndSystem } from "./end_to_end_system.ts";
+import { freezeHost } from "./freeze_host.ts";
 import { findPartDayFaults } from "./find_part_day_faults.ts";
 import type { PartDayResult } from "./part_day_result.ts";
 import type { PromptMix } from "./prompt_mix.ts";
@@ -18,7 +19,6 @@
 /** Crash from which every gateway has 3 s to refuse what holds the part. */
 const DECISIVE_CRASH = 5;
 const CONTACT_MILLISECONDS = 3_000;
-const FREEZE_MILLISECONDS = 1_500;
 /** From 5 to 9 s, when blames are being decided or have just been. */
 const TROUBLE_AT = { from: 5_000, spread: 4_000 };
 const OWN_CRASHES = 3;
@@ -108,7 +108,7 @@
       },
       {
         name: "gateway frozen",
-        inject: (system) => freeze(system, gatewayName(system)),
+        inject: (system) => freezeHost(system, gatewayName(system)),
         gateways: gateway,
       },
       {
@@ -118,7 +118,7 @@
       },
       {
         name: "control host frozen",
-        inject: (system) => freeze(system, controlName(system)),
+        inject: (system) => freezeHost(system, controlName(system)),
         gateways: () => [],
       },
       {
@@ -288,13 +288,6 @@
   return crashes[DECISIVE_CRASH - 1] ?? crashes.at(-1) ?? Infinity;
 }
 
-async function freeze(system: EndToEndSystem, name: string): Promise<void> {
-  const { child } = system.cluster.findHost(name);
-  child.signal("SIGSTOP");
-  await sleep(FREEZE_MILLISECONDS);
-  child.signal("SIGCONT");
-}
-
 function sleep(milliseconds: number): Promise<void> {
   return new Promise((resolve) => setTimeout(resolve, milliseconds));
 }
--- a/packages/core/src/crashes/blame_table.ts
+++ b/packages/core/src/crashes/blame_table.ts
@@ -2,6 +2,7 @@
 import type { Culprit } from "./culprit.ts";
 import { nameParts } from "./name_parts.ts";
 import { parsePartNames } from "./parse_part_names.ts";
+import type { RequestTraits } from "./request_traits.ts";
 
 /**
  * How long a request is refused after its first blame (its refusal period):
@@ -30,9 +31,6 @@
   lastCrashAt: number;
 };
 
-/** Names a request by its fingerprint and its prompt's shared parts. */
-type Traits = { fingerprint: string; parts: readonly string[] };
-
 /** The blames that are in force, and the crashes that are attributed to them. */
 export class BlameTable {
   /** By fingerprint or names of parts; the latest is last. */
@@ -61,7 +59,7 @@
   }
 
   /** All blames of a request, or of parts that are all in its prompt. */
-  findAll({ fingerprint, parts }: Traits): Blame[] {
+  findAll({ fingerprint, parts }: RequestTraits): Blame[] {
     const request = this.#entries.get(fingerprint);
     const found = request === undefined ? [] : [request.blame];
     if (parts.length === 0) return found;
--- a/packages/core/src/crashes/crash_ledger.ts
+++ b/packages/core/src/crashes/crash_ledger.ts
@@ -1,4 +1,5 @@
 import type { Blame } from "./blame.ts";
+import { BlameGate } from "./blame_gate.ts";
 import { BlameTable } from "./blame_table.ts";
 import { compareByAnswerStart } from "./compare_by_answer_start.ts";
 import { CRASHES_TO_BLAME } from "./crashes_to_blame.ts";
@@ -20,11 +21,6 @@
  * for another crash or an answer that survives.
  */
 const AMBIGUITY_MILLISECONDS = 280;
-/** Until a permit for a trial run has come; requests are refused meanwhile. */
-const PERMIT_WAIT_MILLISECONDS = 1_000;
-/** How long a permit is good for; much less than a trial run may take. */
-const PERMIT_MILLISECONDS = 5_000;
-
 type Options = {
   /**
    * A suspect is blamed only once this long has passed since its crashes became
@@ -64,11 +60,12 @@
   #options: Options;
   #suspects = new SuspectTable();
   #blames = new BlameTable();
-  /** Until when a trial run may begin here, by the blame's name. */
-  #trialPermits = new Map<string, number>();
+  #gate: BlameGate;
 
   constructor(options: Options) {
     this.#options = options;
+    const { waitsForPermits = false } = options;
+    this.#gate = new BlameGate(this.#blames, { waitsForPermits });
   }
 
   /** Whether any blame is stored, also one whose refusal period has ended. */
@@ -164,32 +161,23 @@
     return isNewer;
   }
 
-  /**
-   * Returns the blame for which a request must be refused now; undefined if it
-   * may run. After the refusal period, one run is admitted as a trial, once it
-   * is permitted where that is needed. Others are refused until that run succeeds
-   * or until the trial times out.
-   */
+  /** See `BlameGate.check`. */
   checkBlame(
     fingerprint: string,
     now: number,
     parts: readonly string[] = [],
   ): Blame | undefined {
-    const blames = this.#blames.findAll({ fingerprint, parts });
-    const unpermitted = blames.filter(({ fingerprint: name }) =>
-      !(now < this.#trialPermits.get(name)!)
-    );
-    const inForce = unpermitted.find(({ endsAt }) => now < endsAt);
-    if (inForce !== undefined) return inForce;
-    const [waiting] = unpermitted;
-    if (waiting !== undefined && this.#options.waitsForPermits) {
-      return { ...waiting, endsAt: now + PERMIT_WAIT_MILLISECONDS };
-    }
-    for (const { fingerprint: name } of blames) {
-      this.#trialPermits.delete(name);
-      this.#blames.beginTrial(name, now);
-    }
-    return undefined;
+    return this.#gate.check({ fingerprint, parts }, now);
+  }
+
+  /** Whether the request is refused now. Doesn't start a trial. */
+  isRefused(
+    fingerprint: string,
+    now: number,
+    parts: readonly string[] = [],
+  ): boolean {
+    return this.#blames.findAll({ fingerprint, parts })
+      .some(({ endsAt }) => now < endsAt);
   }
 
   /** Whether a blame's refusal period is over, so that a trial run may begin. */
@@ -205,18 +193,7 @@
 
   /** Admits the next request that the blame applies to as the trial run. */
   permitTrial(name: string, now: number): void {
-    if (!this.#blames.has(name)) return;
-    this.#trialPermits.set(name, now + PERMIT_MILLISECONDS);
-  }
-
-  /** Whether the request is refused now. Doesn't start a trial. */
-  isRefused(
-    fingerprint: string,
-    now: number,
-    parts: readonly string[] = [],
-  ): boolean {
-    return this.#blames.findAll({ fingerprint, parts })
-      .some(({ endsAt }) => now < endsAt);
+    this.#gate.permitTrial(name, now);
   }
 
   /**
@@ -294,9 +271,7 @@
    */
   expire(now: number): void {
     this.#suspects.expire(now, (name) => this.#blames.has(name));
-    for (const [name, until] of this.#trialPermits) {
-      if (now >= until) this.#trialPermits.delete(name);
-    }
+    this.#gate.expire(now);
     for (const name of this.#blames.listExpired(now)) {
       this.#blames.delete(name);
       this.#suspects.delete(name);
--- a/packages/core/src/crashes/find_culprit.ts
+++ b/packages/core/src/crashes/find_culprit.ts
@@ -1,5 +1,7 @@
 import { compareByAnswerStart } from "./compare_by_answer_start.ts";
 import type { Culprit } from "./culprit.ts";
+import { nameParts } from "./name_parts.ts";
+import { parsePartNames } from "./parse_part_names.ts";
 import type { Suspect } from "./suspect.ts";
 
 /** Parts that one blame names at most. */
@@ -91,7 +93,8 @@
     !isCoveredByOthers(incarnations, suspects);
   if (!isClear && mayWait(part)) return undefined;
   const parts = chooseParts(part, companions, incarnations);
-  return nameCulprit(joinNames(parts), part);
+  const names = parts.flatMap(({ name }) => parsePartNames(name)!);
+  return nameCulprit(nameParts(names), part);
 }
 
 function nameCulprit(name: string, { evidence }: Suspect): Culprit {
@@ -167,8 +170,3 @@
   }
   return chosen;
 }
-
-/** As `nameParts` does, of names. */
-function joinNames(parts: Suspect[]): string {
-  return parts.map(({ name }) => name).sort().join("+");
-}
--- a/packages/core/src/crashes/name_parts.ts
+++ b/packages/core/src/crashes/name_parts.ts
@@ -1,8 +1,7 @@
-/** No fingerprint, which is hexadecimal, contains it. */
-const PREFIX = "part:";
-const SEPARATOR = "+";
+import { PART_NAME_FORMAT } from "./part_name_format.ts";
 
 /** Name of one or more prompt parts, which stands where fingerprints do. */
 export function nameParts(parts: readonly string[]): string {
-  return [...parts].sort().map((part) => PREFIX + part).join(SEPARATOR);
+  const { prefix, separator } = PART_NAME_FORMAT;
+  return [...parts].sort().map((part) => prefix + part).join(separator);
 }
--- a/packages/core/src/crashes/parse_part_names.ts
+++ b/packages/core/src/crashes/parse_part_names.ts
@@ -1,8 +1,8 @@
-const PREFIX = "part:";
-const SEPARATOR = "+";
+import { PART_NAME_FORMAT } from "./part_name_format.ts";
 
 /** The parts that `nameParts` has named; undefined for a fingerprint. */
 export function parsePartNames(name: string): string[] | undefined {
-  if (!name.startsWith(PREFIX)) return undefined;
-  return name.split(SEPARATOR).map((part) => part.slice(PREFIX.length));
+  const { prefix, separator } = PART_NAME_FORMAT;
+  if (!name.startsWith(prefix)) return undefined;
+  return name.split(separator).map((part) => part.slice(prefix.length));
 }
--- a/packages/daemon/src/control/crash_attributor.ts
+++ b/packages/daemon/src/control/crash_attributor.ts
@@ -9,17 +9,18 @@
   type CrashNews,
   CrashNewsSchema,
 } from "@teaselrouter/messages/follow.ts";
-import { Subject } from "rxjs";
+import { type Observable, Subject } from "rxjs";
 import { toBlameFields } from "../log/to_blame_fields.ts";
 import type { EventLog } from "../log/event_log.ts";
 import { decodeBlame } from "../transport/decode_blame.ts";
 import { decodeCrashReport } from "../transport/decode_crash_report.ts";
 import { encodeBlame } from "../transport/encode_blame.ts";
 import { decodeSurvival } from "../transport/decode_survival.ts";
-import { encodeCrashReport } from "../transport/encode_crash_report.ts";
-import { encodePartWatch } from "../transport/encode_part_watch.ts";
 import { encodeSurvival } from "../transport/encode_survival.ts";
 import { monotonicMilliseconds } from "../transport/monotonic_milliseconds.ts";
+import { encodeReports } from "./encode_reports.ts";
+import { rememberLatest } from "./remember_latest.ts";
+import { SuspicionNews } from "./suspicion_news.ts";
 import { TrialPermits } from "./trial_permits.ts";
 
 /** Gateways detect and report the same server's end within this time. */
@@ -29,20 +30,11 @@
 const MAX_REPORTS_PER_SECOND = 150;
 /** A newly connected follower gets the latest blames, up to this number. */
 const MAX_INITIAL_BLAMES = 128;
-/** Bounds the suspicions sent to each gateway to 3 KB/s. */
-const MAX_SUSPICION_REPORTS_PER_SECOND = 30;
-/** As many suspicions as the replicated state keeps. */
-const MAX_REMEMBERED_FINGERPRINTS = 256;
 /**
  * Many requests are in flight when a backend server ends, and each persisted
  * suspicion costs a commit.
  */
 const MAX_SUSPICIONS_PER_SECOND = 10;
-/** Bounds the watches sent to each gateway to 5 KB/s. */
-const MAX_WATCHES_PER_SECOND = 100;
-const MAX_WATCHES_AT_ONCE = 32;
-/** Weight of crashes from which answers on a part are watched. */
-const MIN_WATCHED_WEIGHT = 2;
 const EXPIRE_INTERVAL_MILLISECONDS = 10_000;
 
 type Options = {
@@ -68,7 +60,7 @@
    * be enough to blame them, and prompt parts of which answers that survive are
    * to be reported; for gateways, which see only their own attempts.
    */
-  readonly suspicionNews$ = new Subject<CrashNews>();
+  readonly suspicionNews$: Observable<CrashNews>;
   /** Reports that gateways sent to this host, for other control hosts. */
   readonly localReports$ = new Subject<CrashNews>();
   /** Blames decided here or sent by a gateway, to be committed. */
@@ -84,16 +76,10 @@
   #ledger = new CrashLedger({
     decisionDelayMilliseconds: DECISION_DELAY_MILLISECONDS,
   });
-  /** Fingerprints in `suspicionNews$` so far; oldest first. */
-  #toldSuspects = new Set<string>();
-  #suspicionReportBudget = new NewsRateLimiter(
-    MAX_SUSPICION_REPORTS_PER_SECOND,
-  );
   /** Fingerprints emitted as suspicions or restored; oldest first. */
   #persisted = new Set<string>();
   #persistBudget = new NewsRateLimiter(MAX_SUSPICIONS_PER_SECOND);
-  #watchBudget = new NewsRateLimiter(MAX_WATCHES_PER_SECOND);
-  #watchTimer: NodeJS.Timeout | undefined;
+  #suspicions = new SuspicionNews(this.#ledger);
   #trialPermits = new TrialPermits();
   #queuedReports: CrashReport[] = [];
   #reportBudget = new NewsRateLimiter(MAX_REPORTS_PER_SECOND);
@@ -103,6 +89,7 @@
 
   constructor(options: Options) {
     this.#options = options;
+    this.suspicionNews$ = this.#suspicions.news$;
     this.#expireTimer = setInterval(
       () => this.#ledger.expire(monotonicMilliseconds()),
       EXPIRE_INTERVAL_MILLISECONDS,
@@ -111,7 +98,7 @@
 
   stop(): void {
     clearTimeout(this.#reportTimer);
-    clearTimeout(this.#watchTimer);
+    this.#suspicions.stop();
     clearTimeout(this.#decideTimer);
     clearInterval(this.#expireTimer);
   }
@@ -151,11 +138,7 @@
 
   /** The current suspicions, for a new gateway; undefined if there are none. */
   currentSuspicions(): CrashNews | undefined {
-    const reports = this.#ledger.listSuspicions().flat()
-      .slice(0, MAX_SUSPICION_REPORTS_PER_SECOND);
-    return reports.length === 0
-      ? undefined
-      : create(CrashNewsSchema, { reports: encodeReports(reports) });
+    return this.#suspicions.current();
   }
 
   /** Adds the evidence in the replicated state on requests not blamed yet. */
@@ -172,7 +155,7 @@
     }
     // Gateways may follow this host before it knows its log. The latest come
     // first, as the budget leaves out some.
-    this.#publishSuspicions(
+    this.#suspicions.tell(
       suspicions.map(({ fingerprint }) => fingerprint).reverse(),
     );
   }
@@ -193,28 +176,11 @@
       .filter((report) => this.#ledger.recordReport(report, now));
     if (newReports.length === 0) return [];
     this.#scheduleDecision();
-    this.#scheduleWatches();
-    this.#publishSuspicions(newReports.map(({ fingerprint }) => fingerprint));
+    this.#suspicions.scheduleWatches();
+    this.#suspicions.tell(newReports.map(({ fingerprint }) => fingerprint));
     return newReports;
   }
 
-  /** Publishes which parts answers are watched for, those suspected most first. */
-  #scheduleWatches(): void {
-    this.#watchTimer ??= setTimeout(() => {
-      this.#watchTimer = undefined;
-      const now = monotonicMilliseconds();
-      const watches = this.#ledger
-        .listPartWatches({ minWeight: MIN_WATCHED_WEIGHT })
-        .slice(0, MAX_WATCHES_AT_ONCE);
-      const granted = this.#watchBudget.take(watches.length, now);
-      if (granted === 0) return;
-      this.suspicionNews$.next(create(CrashNewsSchema, {
-        watches: watches.slice(0, granted)
-          .map((watch) => encodePartWatch(watch, now)),
-      }));
-    }, REPORT_BATCH_MILLISECONDS);
-  }
-
   /**
    * Adds answers that have survived. Those that clear a part are passed on if a
    * gateway told this host; other control hosts do so with theirs.
@@ -270,25 +236,6 @@
     for (const blame of narrowed) this.blamed$.next(blame);
   }
 
-  /** Those above the budget are left until their next report. */
-  #publishSuspicions(fingerprints: string[]): void {
-    const now = monotonicMilliseconds();
-    const untold = fingerprints
-      .filter((fingerprint) => !this.#toldSuspects.has(fingerprint));
-    const reports: CrashReport[] = [];
-    for (const suspicion of this.#ledger.listSuspicions(untold)) {
-      const { fingerprint } = suspicion[0]!;
-      const wanted = suspicion.length;
-      if (this.#suspicionReportBudget.take(wanted, now) < wanted) break;
-      rememberLatest(this.#toldSuspects, fingerprint);
-      reports.push(...suspicion);
-    }
-    if (reports.length === 0) return;
-    this.suspicionNews$.next(
-      create(CrashNewsSchema, { reports: encodeReports(reports) }),
-    );
-  }
-
   /** Adds blames and clears others; returns the blames that were new. */
   #addBlames({ blamed, cleared }: CrashNews): Blame[] {
     const now = monotonicMilliseconds();
@@ -308,9 +255,7 @@
     const committed = fingerprints
       .filter((fingerprint) => recorded.has(fingerprint));
     for (const fingerprint of committed) this.#persisted.delete(fingerprint);
-    for (const fingerprint of fingerprints) {
-      this.#toldSuspects.delete(fingerprint);
-    }
+    this.#suspicions.forget(fingerprints);
     const cleared = fingerprints
       .filter((fingerprint) => this.#ledger.clear(fingerprint));
     if (cleared.length === 0) return;
@@ -360,15 +305,3 @@
     });
   }
 }
-
-function encodeReports(reports: CrashReport[]) {
-  const now = monotonicMilliseconds();
-  return reports.map((report) => encodeCrashReport(report, now));
-}
-
-/** Adds a fingerprint; above the maximum, the oldest one is dropped. */
-function rememberLatest(fingerprints: Set<string>, latest: string): void {
-  fingerprints.add(latest);
-  if (fingerprints.size <= MAX_REMEMBERED_FINGERPRINTS) return;
-  fingerprints.delete(fingerprints.values().next().value!);
-}
--- /dev/null
+++ b/packages/daemon/src/control/suspicion_news.ts
@@ -0,0 +1,101 @@
+import { create } from "@bufbuild/protobuf";
+import type { CrashLedger } from "@teaselrouter/core/crashes/crash_ledger.ts";
+import type { CrashReport } from "@teaselrouter/core/crashes/crash_report.ts";
+import { NewsRateLimiter } from "@teaselrouter/core/news/news_rate_limiter.ts";
+import {
+  type CrashNews,
+  CrashNewsSchema,
+} from "@teaselrouter/messages/follow.ts";
+import { Subject } from "rxjs";
+import { encodePartWatch } from "../transport/encode_part_watch.ts";
+import { monotonicMilliseconds } from "../transport/monotonic_milliseconds.ts";
+import { encodeReports } from "./encode_reports.ts";
+import { rememberLatest } from "./remember_latest.ts";
+
+/** Bounds the suspicions sent to each gateway to 3 KB/s. */
+const MAX_SUSPICION_REPORTS_PER_SECOND = 30;
+/** Bounds the watches sent to each gateway to 5 KB/s. */
+const MAX_WATCHES_PER_SECOND = 100;
+const MAX_WATCHES_AT_ONCE = 32;
+/** Weight of crashes from which answers on a part are watched. */
+const MIN_WATCHED_WEIGHT = 2;
+const WATCH_BATCH_MILLISECONDS = 50;
+
+/**
+ * Tells gateways, which see only their own attempts, which requests none should
+ * retry and which prompt parts are suspected.
+ */
+export class SuspicionNews {
+  readonly news$ = new Subject<CrashNews>();
+  #ledger: CrashLedger;
+  /** Fingerprints told so far; oldest first. */
+  #told = new Set<string>();
+  #reportBudget = new NewsRateLimiter(MAX_SUSPICION_REPORTS_PER_SECOND);
+  #watchBudget = new NewsRateLimiter(MAX_WATCHES_PER_SECOND);
+  #watchTimer: NodeJS.Timeout | undefined;
+
+  constructor(ledger: CrashLedger) {
+    this.#ledger = ledger;
+  }
+
+  stop(): void {
+    clearTimeout(this.#watchTimer);
+  }
+
+  /** The current suspicions, for a new gateway; undefined if there are none. */
+  current(): CrashNews | undefined {
+    const reports = this.#ledger.listSuspicions().flat()
+      .slice(0, MAX_SUSPICION_REPORTS_PER_SECOND);
+    return reports.length === 0
+      ? undefined
+      : create(CrashNewsSchema, { reports: encodeReports(reports) });
+  }
+
+  /**
+   * Tells of those of the requests that are suspected, once. Those above the
+   * budget are left until their next report.
+   */
+  tell(fingerprints: string[]): void {
+    const now = monotonicMilliseconds();
+    const untold = fingerprints
+      .filter((fingerprint) => !this.#told.has(fingerprint));
+    const reports: CrashReport[] = [];
+    for (const suspicion of this.#ledger.listSuspicions(untold)) {
+      const { fingerprint } = suspicion[0]!;
+      const wanted = suspicion.length;
+      if (this.#reportBudget.take(wanted, now) < wanted) break;
+      rememberLatest(this.#told, fingerprint);
+      reports.push(...suspicion);
+    }
+    if (reports.length === 0) return;
+    this.news$.next(
+      create(CrashNewsSchema, { reports: encodeReports(reports) }),
+    );
+  }
+
+  /** The requests are told of again when they are suspected anew. */
+  forget(fingerprints: string[]): void {
+    for (const fingerprint of fingerprints) this.#told.delete(fingerprint);
+  }
+
+  /** Tells soon for which parts answers are watched, the most suspected first. */
+  scheduleWatches(): void {
+    this.#watchTimer ??= setTimeout(() => {
+      this.#watchTimer = undefined;
+      this.#tellWatches();
+    }, WATCH_BATCH_MILLISECONDS);
+  }
+
+  #tellWatches(): void {
+    const now = monotonicMilliseconds();
+    const watches = this.#ledger
+      .listPartWatches({ minWeight: MIN_WATCHED_WEIGHT })
+      .slice(0, MAX_WATCHES_AT_ONCE);
+    const granted = this.#watchBudget.take(watches.length, now);
+    if (granted === 0) return;
+    this.news$.next(create(CrashNewsSchema, {
+      watches: watches.slice(0, granted)
+        .map((watch) => encodePartWatch(watch, now)),
+    }));
+  }
+}
