--- a/packages/core/src/crashes/crash_traffic_fixture.ts
+++ b/packages/core/src/crashes/crash_traffic_fixture.ts
@@ -14,6 +14,13 @@
 type DrawParts = (random: Random) => string[];
 type Range = { least: number; most: number };
 
+type HarmfulKind = {
+  perSecond: number;
+  drawParts: DrawParts;
+  /** Whether all are one request that is sent again; its parts do no harm. */
+  isRepeated?: boolean;
+};
+
 export type CrashTraffic = {
   seed: number;
   servers: number;
@@ -21,7 +28,7 @@
   drawHarmless: DrawParts;
   lifetime: Range;
   /** Each kind comes this often; its parts crash what runs them. */
-  harmful: { perSecond: number; drawParts: DrawParts }[];
+  harmful: HarmfulKind[];
   /** From an answer's start to the crash, milliseconds. */
   crashDelay: Range;
   restartMilliseconds: number;
@@ -105,7 +112,8 @@
       ? traffic.drawHarmless
       : traffic.harmful[kind]!.drawParts;
     const parts = draw(random);
-    const fingerprint = `request-${count}`;
+    const isRepeated = kind !== undefined && traffic.harmful[kind]!.isRepeated;
+    const fingerprint = isRepeated ? `repeated-${kind}` : `request-${count}`;
     const isRefused = ledger.checkBlame(fingerprint, now, parts) !== undefined;
     if (kind === undefined) result.harmless.push({ at: now, isRefused });
     if (isRefused) return;
--- a/packages/core/src/crashes/part_blame_test.ts
+++ b/packages/core/src/crashes/part_blame_test.ts
@@ -101,6 +101,14 @@
   "in half of the traffic": [
     { perSecond: 40, drawParts: (random) => ["first", HARMFUL, rare(random)] },
   ],
+  "beside a whole request": [
+    { perSecond: 4, drawParts: () => ["first", HARMFUL] },
+    {
+      perSecond: 4,
+      drawParts: () => ["first", "common-1", "rare-1"],
+      isRepeated: true,
+    },
+  ],
   "two of them": [
     { perSecond: 4, drawParts: () => ["first", HARMFUL] },
     {
