--- a/acceptance/src/find_part_day_faults.ts
+++ b/acceptance/src/find_part_day_faults.ts
@@ -3,7 +3,7 @@
 /** Allowed late arrivals of requests with a crashing part. */
 const MAX_LATE_ARRIVALS = 3;
 const MIN_SERVED_SHARE = 0.9;
-/** Fewer harmless requests say nothing. */
+/** Fewer harmless requests are too small a sample. */
 const MIN_HARMLESS = 20;
 /** Allowed share of harmless requests that are refused for crashes. */
 const MAX_WRONG_BLAME_SHARE = 1 / 200;
--- a/acceptance/src/part_day.ts
+++ b/acceptance/src/part_day.ts
@@ -20,7 +20,7 @@
 const DECISIVE_CRASH = 5;
 const CONTACT_MILLISECONDS = 3_000;
 /** From 5 to 9 s, when blames are being decided or have just been. */
-const TROUBLE_AT = { from: 5_000, spread: 4_000 };
+const DISRUPTION_AT = { from: 5_000, spread: 4_000 };
 const OWN_CRASHES = 3;
 const OWN_CRASH_GAP_MILLISECONDS = 700;
 
@@ -33,20 +33,19 @@
   status: number;
   text: string;
 };
-type Trouble = {
+type Disruption = {
   name: string;
   inject: (system: EndToEndSystem) => Promise<unknown>;
-  /** Gateways that are disturbed. */
+  /** Gateways that are disrupted. */
   gateways: (system: EndToEndSystem) => string[];
 };
-/** `to` is Infinity until the trouble is over. */
-type Disturbance = { from: number; to: number; gateways: string[] };
+/** `to` is Infinity until the disruption is over. */
+type ActiveDisruption = { from: number; to: number; gateways: string[] };
 
 /**
- * Simulates a day in 18 s, on loopback: requests of which no two are alike, with
- * one prompt part in common that crashes engines, beside harmless ones that
- * share their caller and other parts. The seed draws how parts are shared, and
- * a trouble beside.
+ * Simulates a day in 18 s, on loopback: distinct requests whose prompts contain
+ * one part that crashes engines, among harmless ones with the same caller and
+ * other parts. The seed selects the mix of prompts and a disruption.
  */
 export class PartDay {
   #seed: number;
@@ -60,7 +59,7 @@
   });
   #sent: Promise<Sent>[] = [];
   #sentCount = 0;
-  #disturbance: Disturbance | undefined;
+  #activeDisruption: ActiveDisruption | undefined;
 
   constructor(seed: number) {
     this.#seed = seed;
@@ -70,10 +69,10 @@
 
   async run(): Promise<PartDayResult> {
     const system = this.#system;
-    // Each way to share parts is played without a trouble first.
-    const trouble = this.#seed < PROMPT_MIXES.length
+    // The first seeds run each mix without a disruption.
+    const disruption = this.#seed < PROMPT_MIXES.length
       ? undefined
-      : this.#drawTrouble();
+      : this.#drawDisruption();
     let keepLogs = true;
     try {
       await system.start();
@@ -81,11 +80,11 @@
         this.#makePartsHarmful(),
         this.#sendHarmless(),
         ...this.#mix.drawCrashing.map((_, part) => this.#sendCrashing(part)),
-        this.#crashByThemselves(),
-        trouble && this.#disturb(trouble),
+        this.#crashAtRandom(),
+        disruption && this.#disrupt(disruption),
       ]);
       const sent = await Promise.all(this.#sent);
-      const result = this.#buildResult(sent, trouble?.name ?? "none");
+      const result = this.#buildResult(sent, disruption?.name ?? "none");
       keepLogs = result.faults.length > 0;
       return result;
     } finally {
@@ -93,14 +92,14 @@
     }
   }
 
-  #drawTrouble(): Trouble {
+  #drawDisruption(): Disruption {
     const index = Math.floor(this.#random() * GATEWAYS);
     const control = Math.floor(this.#random() * CONTROL_HOSTS);
     const gateway = (system: EndToEndSystem) => [system.gatewayIps[index]!];
     const gatewayName = (system: EndToEndSystem) => system.gatewayNames[index]!;
     const controlName = (system: EndToEndSystem) =>
       system.controlNames[control]!;
-    const troubles: Trouble[] = [
+    const disruptions: Disruption[] = [
       {
         name: "gateway killed",
         inject: (system) => system.cluster.restart([gatewayName(system)]),
@@ -127,19 +126,19 @@
         gateways: (system) => system.gatewayIps,
       },
     ];
-    return troubles[Math.floor(this.#random() * troubles.length)]!;
+    return disruptions[Math.floor(this.#random() * disruptions.length)]!;
   }
 
-  async #disturb({ inject, gateways }: Trouble): Promise<void> {
-    await sleep(TROUBLE_AT.from + this.#random() * TROUBLE_AT.spread);
-    const disturbance: Disturbance = {
+  async #disrupt({ inject, gateways }: Disruption): Promise<void> {
+    await sleep(DISRUPTION_AT.from + this.#random() * DISRUPTION_AT.spread);
+    const active: ActiveDisruption = {
       from: performance.now(),
       to: Infinity,
       gateways: gateways(this.#system),
     };
-    this.#disturbance = disturbance;
+    this.#activeDisruption = active;
     await inject(this.#system);
-    disturbance.to = performance.now();
+    active.to = performance.now();
   }
 
   async #makePartsHarmful(): Promise<void> {
@@ -149,12 +148,12 @@
     }
   }
 
-  async #crashByThemselves(): Promise<void> {
+  async #crashAtRandom(): Promise<void> {
     if (this.#mix.crashingParts.length > 0) return;
     for (let crash = 0; crash < 7 * OWN_CRASHES; crash += 1) {
       await sleep(OWN_CRASH_GAP_MILLISECONDS * 2 * this.#random());
       const { engines } = this.#system;
-      // Its end comes while the day goes on.
+      // Not awaited: engines restart while others crash.
       engines[Math.floor(this.#random() * engines.length)]!.crash();
     }
   }
@@ -222,7 +221,7 @@
     }
   }
 
-  #buildResult(sent: Sent[], trouble: string): PartDayResult {
+  #buildResult(sent: Sent[], disruption: string): PartDayResult {
     const { engines } = this.#system;
     const byId = new Map(sent.map((request) => [request.id, request]));
     const crashes = engines.flatMap((engine) => engine.crashRecords)
@@ -244,17 +243,17 @@
     const harmless = sent.filter(({ part }) => part === undefined);
     const judged = harmless.filter(({ at, gateway }) =>
       at > lastDecisive + 2 * CONTACT_MILLISECONDS &&
-      !this.#isDisturbed(gateway, at)
+      !this.#isDisrupted(gateway, at)
     );
     const result = {
       seed: this.#seed,
       mix: this.#mix.name,
-      trouble,
+      disruption,
       crashes: crashes.length,
       lateArrivals: histories.map((history) => {
         const from = decisiveCrashOf(history.crashes) + CONTACT_MILLISECONDS;
         return history.arrivals.filter(({ at, gateway }) =>
-          at > from && !this.#isDisturbed(gateway, at)
+          at > from && !this.#isDisrupted(gateway, at)
         ).length;
       }),
       stoppedAfterMilliseconds: histories.map((history) =>
@@ -274,10 +273,10 @@
     return { ...result, faults: findPartDayFaults(result, harmless.length) };
   }
 
-  /** Whether the gateway was disturbed at some time in the 3 s before `at`. */
-  #isDisturbed(gateway: string, at: number): boolean {
-    if (this.#disturbance === undefined) return false;
-    const { from, to, gateways } = this.#disturbance;
+  /** Whether the gateway was disrupted at some time in the 3 s before `at`. */
+  #isDisrupted(gateway: string, at: number): boolean {
+    if (this.#activeDisruption === undefined) return false;
+    const { from, to, gateways } = this.#activeDisruption;
     return gateways.includes(gateway) && at > from &&
       at < to + CONTACT_MILLISECONDS;
   }
--- a/acceptance/src/part_day_result.ts
+++ b/acceptance/src/part_day_result.ts
@@ -2,11 +2,11 @@
 export type PartDayResult = {
   seed: number;
   mix: string;
-  trouble: string;
+  disruption: string;
   crashes: number;
   /**
    * For each crashing part, the arrivals later than 3 s after its fifth crash,
-   * from gateways that ran undisturbed.
+   * from gateways that ran without a disruption.
    */
   lateArrivals: number[];
   /**
@@ -15,8 +15,8 @@
    */
   stoppedAfterMilliseconds: (number | undefined)[];
   /**
-   * Harmless requests sent later than 6 s after the fifth crash, away from the
-   * day's trouble, and those of them that were served.
+   * Harmless requests sent later than 6 s after the fifth crash, outside the
+   * day's disruption, and those of them that were served.
    */
   harmless: { sent: number; served: number };
   /** Harmless requests of the day that were refused for crashes. */
--- a/acceptance/src/part_day_test.ts
+++ b/acceptance/src/part_day_test.ts
@@ -4,9 +4,9 @@
 
 const SEED = 1;
 
-// Guards against a prompt part that crashes engine after engine because no two
-// of the requests that hold it are alike.
-test("requests with a part that crashes engines are stopped, those beside go on", async () => {
+// Guards against a prompt part that crashes engine after engine as its requests
+// are all distinct.
+test("requests with a part that crashes engines are refused, and others are served", async () => {
   const day = await new PartDay(SEED).run();
   console.log(JSON.stringify(day));
   assert.deepEqual(day.faults, []);
--- a/acceptance/src/part_days.ts
+++ b/acceptance/src/part_days.ts
@@ -6,7 +6,7 @@
 // Runs one simulated day after another, one for each of `count` seeds from the
 // first on, and prints a line for each. Exits with 1 if a day has faults.
 console.log(
-  "seed crashes late stopped-after served blamed mix, trouble | faults",
+  "seed crashes late stopped-after served blamed mix, disruption | faults",
 );
 let faultyDays = 0;
 for (
@@ -22,7 +22,7 @@
     day.stoppedAfterMilliseconds.map((time) => time ?? "-").join("+") || "-",
     `${day.harmless.served}/${day.harmless.sent}`,
     day.wronglyBlamed,
-    `${day.mix}, ${day.trouble} | ${day.faults.join("; ")}`,
+    `${day.mix}, ${day.disruption} | ${day.faults.join("; ")}`,
   );
   if (day.faults.length > 0) faultyDays += 1;
 }
--- a/acceptance/src/prompt_mix.ts
+++ b/acceptance/src/prompt_mix.ts
@@ -12,7 +12,7 @@
   drawHarmless: DrawParts;
   /** One for each crashing part. */
   drawCrashing: DrawParts[];
-  /** Harmless until then, milliseconds from the start of the day. */
+  /** When the parts begin to crash engines, milliseconds from the day's start. */
   crashesFromMilliseconds?: number;
   /** Crashing requests come at the first gateway only, others at the rest. */
   separatesGateways?: boolean;
--- a/acceptance/src/prompt_mixes.ts
+++ b/acceptance/src/prompt_mixes.ts
@@ -17,7 +17,7 @@
   return [FIRST, drawCommon(random)];
 }
 
-/** Ways in which prompts can share parts with those that crash engines. */
+/** Mixes of prompts that share parts with those that crash engines. */
 export const PROMPT_MIXES: readonly PromptMix[] = [
   {
     name: "first part shared",
@@ -40,7 +40,7 @@
     drawCrashing: [(random) => [HARMFUL, drawCommon(random)]],
   },
   {
-    name: "turns harmful",
+    name: "harmful later",
     crashingParts: [COMMON[0]!],
     drawHarmless: (random) => {
       const common = drawCommon(random);
@@ -73,7 +73,7 @@
     separatesGateways: true,
   },
   {
-    name: "engines crash by themselves",
+    name: "engines crash at random",
     crashingParts: [],
     drawHarmless,
     drawCrashing: [],
--- a/packages/core/src/crashes/count_part_crashes.ts
+++ b/packages/core/src/crashes/count_part_crashes.ts
@@ -3,7 +3,7 @@
 
 /**
  * Crashes of one wave count at most this much. When a rack fails, parts that
- * many requests share stand at each of its crashes.
+ * many requests share are in flight at each of its crashes.
  */
 const MAX_WAVE_WEIGHT = 2;
 /** Longer than backend servers that fail together take to do so. */
--- a/packages/core/src/crashes/crash_ledger.ts
+++ b/packages/core/src/crashes/crash_ledger.ts
@@ -17,8 +17,8 @@
 import type { SurvivalOutcome } from "./survival_outcome.ts";
 
 /**
- * How much longer than the decision delay parts that can't be told apart wait
- * for another crash or an answer that survives.
+ * How much longer than the decision delay indistinguishable suspects wait for
+ * another crash or a surviving answer.
  */
 const AMBIGUITY_MILLISECONDS = 280;
 type Options = {
@@ -46,7 +46,7 @@
  *
  * One request among thousands crashes every backend server that runs it, and
  * is sent again, one attempt after the other or many at once, at any host; or
- * many requests, no two alike, share a prompt part that does. Each crash
+ * distinct requests share a prompt part that does. Each crash
  * interrupts all other requests in flight on that backend server, and these are
  * retried on the next one together with the harmful ones. By presence at crashes
  * alone, they look as guilty. Therefore:
@@ -54,7 +54,7 @@
  * - of the suspects, `findCulprit` chooses;
  * - a request that completes successfully is no longer suspected;
  * - an answer that survives clears the parts of its prompt of the crashes before
- *   it started. A part may turn harmful later.
+ *   it started, but not of later ones: a part can become harmful.
  */
 export class CrashLedger {
   #options: Options;
--- a/packages/core/src/crashes/crash_traffic_fixture.ts
+++ b/packages/core/src/crashes/crash_traffic_fixture.ts
@@ -32,7 +32,7 @@
   /** From an answer's start to the crash, milliseconds. */
   crashDelay: Range;
   restartMilliseconds: number;
-  /** Servers that fail by themselves, and when. */
+  /** Crashes that no request causes. */
   failures?: { at: number; count: number }[];
   milliseconds: number;
 };
--- a/packages/core/src/crashes/find_culprit.ts
+++ b/packages/core/src/crashes/find_culprit.ts
@@ -7,32 +7,31 @@
 /** Parts that one blame names at most. */
 const MAX_BLAMED_PARTS = 4;
 /** Times to a crash vary by less for a culprit. */
-const BESIDE_RATIO = 1.5;
+const BYSTANDER_RATIO = 1.5;
 
 type Options = {
   /** Suspects with sufficient evidence. */
   decidable: Suspect[];
   /** All suspects. */
   suspects: Suspect[];
-  /** Whether a suspect that can't be told from others is left for later. */
+  /** Whether the decision on an indistinguishable suspect can be deferred. */
   mayWait: (suspect: Suspect) => boolean;
 };
 
 /**
- * Chooses who is blamed for crashes when requests of which no two are alike have
- * one prompt part in common that crashes backend servers.
+ * Chooses who is blamed for crashes when distinct requests share a prompt part
+ * that crashes backend servers.
  *
- * At each crash stand a dozen other requests, and the parts that harmful and
- * harmless requests share stand at all of them. Answers that have survived clear
- * a part of the crashes before. Of the suspects that are left:
+ * A dozen other requests are in flight at each crash, and the parts that harmful
+ * and harmless requests share are in flight at all crashes. Surviving answers
+ * clear a part of earlier crashes. Of the remaining suspects:
  * - of the requests, the one whose answers had started the shortest time before
  *   the crashes is the likeliest; of the parts, the one that explains most
  *   crashes, then the one that few requests there held;
- * - a request goes before parts, of which it has some, unless it merely stood
- *   beside;
- * - parts that were in the same requests at the same crashes can't be told
- *   apart. Only requests with all of them are refused, so that no harmless
- *   request is, until a crash or a survival without some of them tells.
+ * - a request precedes its parts, unless it is a bystander;
+ * - parts of the same requests at the same crashes are indistinguishable. Only
+ *   requests with all of them are refused, so that no harmless request is, until
+ *   a crash or a surviving answer involves some of them only.
  */
 export function findCulprit(options: Options): Culprit | undefined {
   const { decidable, suspects, mayWait } = options;
@@ -46,10 +45,10 @@
       compareByAnswerStart(left, right)
     );
   if (request !== undefined) {
-    const isBeside = stoodBeside(request, parts) ||
-      stoodBeside(request, suspects.filter(isSuspectedPart)) &&
+    const isBystander = isBystanderOf(request, parts) ||
+      isBystanderOf(request, suspects.filter(isSuspectedPart)) &&
         mayWait(request);
-    if (!isBeside) return nameCulprit(request.name, request);
+    if (!isBystander) return nameCulprit(request.name, request);
   }
   for (const part of parts) {
     const culprit = describeCulprit(part, options);
@@ -66,11 +65,11 @@
  * Whether at the request's crashes answers with one of the parts had started
  * much later than the request's.
  */
-function stoodBeside({ evidence }: Suspect, parts: Suspect[]): boolean {
+function isBystanderOf({ evidence }: Suspect, parts: Suspect[]): boolean {
   const { incarnations, meanMillisecondsFromAnswerStart } = evidence;
   return parts.some((part) =>
     meanMillisecondsFromAnswerStart >
-      part.evidence.meanMillisecondsFromAnswerStart * BESIDE_RATIO &&
+      part.evidence.meanMillisecondsFromAnswerStart * BYSTANDER_RATIO &&
     isAtAll(part, incarnations)
   );
 }
--- a/packages/core/src/crashes/find_survival_thresholds.ts
+++ b/packages/core/src/crashes/find_survival_thresholds.ts
@@ -2,7 +2,7 @@
 import type { SurvivalThresholds } from "./survival_thresholds.ts";
 import { weighPartCrash } from "./weigh_part_crash.ts";
 
-/** Accidental crashes say nothing about how long crashes take. */
+/** Longer times are those of bystanders. */
 const MAX_CRASH_MILLISECONDS = 1_000;
 const MIN_RUNNING_MILLISECONDS = 200;
 /** How long a crash takes varies with the load. */
@@ -10,8 +10,8 @@
 
 /**
  * Derives from the crashes at which a part was in flight how long an answer has
- * to live to show that the part doesn't crash what runs it. Crashes that were
- * likely another answer's don't count.
+ * to live to show that the part is harmless. Crashes that another answer likely
+ * caused don't count.
  */
 export function findSurvivalThresholds(
   crashes: ObservedCrash[],
--- a/packages/core/src/crashes/is_sufficient.ts
+++ b/packages/core/src/crashes/is_sufficient.ts
@@ -2,8 +2,8 @@
 import type { Suspect } from "./suspect.ts";
 
 /**
- * Share of crashes that a part explains, below which it takes more of them: a
- * common part stands beside many crashes.
+ * Share of crashes that a part explains, below which more of them are needed: a
+ * common part is a bystander at many.
  */
 const CLEAR_SHARE = 0.75;
 /** Until news of an answer that has survived has come from any host. */
@@ -21,10 +21,9 @@
  *
  * All but one of a part's answers at a crash have survived until then: the more
  * there were, the more crashes it takes. So it does where other crashes are left
- * unexplained. Where servers crash faster than answers take to survive, a part
- * that is in all of the traffic looks as guilty as the one at fault; hence the
- * wait until answers that began after the part's first crash would have
- * survived, and this would be known.
+ * unexplained. Where servers crash faster than answers survive, a part of all
+ * traffic looks as guilty as the culprit; hence the wait until answers that began
+ * after the part's first crash would have survived, and this would be known.
  */
 export function isSufficient(
   { evidence }: Suspect,
--- a/packages/core/src/crashes/part_blame_test.ts
+++ b/packages/core/src/crashes/part_blame_test.ts
@@ -101,7 +101,7 @@
   "in half of the traffic": [
     { perSecond: 40, drawParts: (random) => ["first", HARMFUL, rare(random)] },
   ],
-  "beside a whole request": [
+  "with a harmful request": [
     { perSecond: 4, drawParts: () => ["first", HARMFUL] },
     {
       perSecond: 4,
@@ -118,8 +118,8 @@
   ],
 };
 
-// Guards against a prompt part that crashes server after server, as no two of
-// the requests that hold it are alike, and against blaming what stands beside.
+// Guards against a prompt part that crashes server after server as its requests
+// are all distinct, and against blaming bystanders.
 for (const [load, base] of Object.entries({ busy: BUSY, light: LIGHT })) {
   for (const [name, harmful] of Object.entries(KINDS)) {
     test(`a harmful part is found, ${name}, ${load} servers`, () => {
@@ -152,7 +152,7 @@
 // Guards against blaming what many requests share when servers fail for reasons
 // of their own, one after the other or all of a rack.
 for (const [load, base] of Object.entries({ busy: BUSY, light: LIGHT })) {
-  test(`servers that fail by themselves blame no part, ${load}`, () => {
+  test(`independent server failures blame no part, ${load}`, () => {
     assert.deepEqual(SEEDS.flatMap((seed) => findBlames(base, seed)), []);
   });
 }
--- a/packages/core/src/crashes/part_evidence_test.ts
+++ b/packages/core/src/crashes/part_evidence_test.ts
@@ -53,7 +53,7 @@
 }
 
 // Guards against a first part that is refused for what came with it.
-test("parts that can't be told apart are refused together only", () => {
+test("indistinguishable parts are refused in combination only", () => {
   const ledger = createLedger();
   for (const at of [0, 300, 600]) crash(ledger, at, FIRST, HARMFUL);
   assert.deepEqual(blame(ledger, 600), ["part:bad+part:first"]);
@@ -79,8 +79,8 @@
   assert.deepEqual(blame(ledger, later + 600), ["part:bad"]);
 });
 
-// Guards against a part that was harmless all morning and is taken for so since.
-test("successes before a part turned harmful don't speak for it", () => {
+// Guards against clearing a part by answers from before it became harmful.
+test("successes before a part became harmful don't clear it", () => {
   const ledger = createLedger();
   survive(ledger, HARMFUL, -5_000);
   for (const at of [0, 300, 600]) crash(ledger, at, FIRST, HARMFUL);
@@ -89,8 +89,8 @@
   assert.deepEqual(blame(ledger, 600), ["part:bad"]);
 });
 
-// Guards against answers that end before a crash comes, and speak for its cause.
-test("an answer shorter than crashes take doesn't speak for a part", () => {
+// Guards against answers that end before the crash and clear its cause.
+test("an answer shorter than the time to a crash doesn't clear a part", () => {
   const ledger = createLedger();
   for (const at of [0, 300, 600]) crash(ledger, at, HARMFUL);
   const short = { livedMilliseconds: 30, isComplete: true };
@@ -109,7 +109,7 @@
 });
 
 // Guards against counting one crash against both a request and its parts.
-test("crashes laid to a whole request speak against no part of it", () => {
+test("crashes attributed to a request are no evidence against its parts", () => {
   const ledger = createLedger();
   for (const [index, at] of [0, 300, 600].entries()) {
     ledger.recordReport({
@@ -126,8 +126,8 @@
 });
 
 // Guards against refusing a sound request that was sent again and again, each
-// time beside one with a harmful part.
-test("a request beside a harmful part at three crashes is not blamed", () => {
+// time while one with a harmful part was in flight.
+test("a bystander of a harmful part at three crashes is not blamed", () => {
   const ledger = createLedger();
   for (const [index, at] of [0, 150, 300].entries()) {
     const incarnation = `both-${index}`;
@@ -159,7 +159,7 @@
   assert.deepEqual(blame(ledger, 50), []);
 });
 
-// Guards against a flood of rare parts that pushes out the one at fault, or
+// Guards against a flood of rare parts that evicts the harmful one, or
 // exhausts a host's memory. A host takes 150 reports a second from another.
 test("a flood of rare parts stays within bounds, and the harmful one is found", () => {
   const ledger = createLedger();
--- a/packages/core/src/crashes/survival_thresholds.ts
+++ b/packages/core/src/crashes/survival_thresholds.ts
@@ -1,4 +1,4 @@
-/** How long answers have to live to speak for a prompt part, milliseconds. */
+/** How long answers have to live to clear a prompt part, milliseconds. */
 export type SurvivalThresholds = {
   /** Complete ones. */
   complete: number;
--- a/packages/daemon/src/control/crash_attributor.ts
+++ b/packages/daemon/src/control/crash_attributor.ts
@@ -4,6 +4,7 @@
 import type { CrashReport } from "@teaselrouter/core/crashes/crash_report.ts";
 import type { SurvivalOutcome } from "@teaselrouter/core/crashes/survival_outcome.ts";
 import type { Survival } from "@teaselrouter/core/crashes/survival.ts";
+import { TrialPermits } from "@teaselrouter/core/crashes/trial_permits.ts";
 import { NewsRateLimiter } from "@teaselrouter/core/news/news_rate_limiter.ts";
 import {
   type CrashNews,
@@ -21,7 +22,6 @@
 import { encodeReports } from "./encode_reports.ts";
 import { rememberLatest } from "./remember_latest.ts";
 import { SuspicionNews } from "./suspicion_news.ts";
-import { TrialPermits } from "./trial_permits.ts";
 
 /** Gateways detect and report the same server's end within this time. */
 const DECISION_DELAY_MILLISECONDS = 120;
@@ -124,9 +124,10 @@
     this.#addReports(news);
     this.#addBlames(news);
     this.#addSurvivals(news, { areLocal: false });
+    const now = monotonicMilliseconds();
     for (const { fingerprint } of news.trialsPermitted) {
-      this.#trialPermits.record(fingerprint);
-      this.#ledger.beginTrial(fingerprint, monotonicMilliseconds());
+      this.#trialPermits.record(fingerprint, now);
+      this.#ledger.beginTrial(fingerprint, now);
     }
   }
 
@@ -211,7 +212,7 @@
     const now = monotonicMilliseconds();
     const trialsPermitted = trialsWanted.filter(({ fingerprint }) =>
       !this.#ledger.isRefused(fingerprint, now) &&
-      this.#trialPermits.tryBegin(fingerprint)
+      this.#trialPermits.tryBegin(fingerprint, now)
     );
     if (trialsPermitted.length === 0) return;
     for (const { fingerprint, host } of trialsPermitted) {
--- a/packages/daemon/src/gateway/crash_reporter_test.ts
+++ b/packages/daemon/src/gateway/crash_reporter_test.ts
@@ -67,9 +67,9 @@
   return new Promise((resolve) => setTimeout(resolve, milliseconds));
 }
 
-// Guards against a gateway that goes on sending requests with a harmful part as
-// it is cut off from all control hosts.
-test("a gateway that is cut off blames a part by itself", async () => {
+// Guards against a gateway that keeps sending requests with a harmful part while
+// it is disconnected from all control hosts.
+test("a disconnected gateway blames a part", async () => {
   const { reporter, crashThree } = openReporter({ isConnected: false });
   crashThree();
   await sleep(DECISION_MILLISECONDS);
@@ -82,7 +82,7 @@
 });
 
 // Guards against a gateway that blames a part whose good answers come at others.
-test("a gateway in touch leaves the blame of a part to control hosts", async () => {
+test("a connected gateway leaves the blame of a part to control hosts", async () => {
   const { reporter, published, crashThree } = openReporter({
     isConnected: true,
   });
--- a/packages/daemon/src/gateway/survival_watch_test.ts
+++ b/packages/daemon/src/gateway/survival_watch_test.ts
@@ -58,9 +58,9 @@
   assert.deepEqual(reported.map(({ part }) => part), ["a"]);
 });
 
-// Guards against a part at fault that is cleared by an answer that says nothing:
-// begun before it turned harmful, too short, or of a server that stands still.
-test("answers that say nothing about a part are not reported", async () => {
+// Guards against clearing a harmful part by answers that started before it became
+// harmful, were too short, or belong to a silent server.
+test("answers that can't clear a part are not reported", async () => {
   const now = monotonicMilliseconds();
   const { watch, watchPart, reported } = openWatch([
     inFlight(callWith("a"), { begunAt: now - 3_000, receivedAt: now }),
