--- a/acceptance/src/part_day.ts
+++ b/acceptance/src/part_day.ts
@@ -16,13 +16,13 @@
 const HARMLESS_PER_SECOND = 40;
 const CRASHING_PER_SECOND = 5;
 const CRASHING_FROM_MILLISECONDS = 2_000;
-/** Crash from which every gateway has 3 s to refuse what holds the part. */
+/** Gateways must refuse requests with the part 3 s after this crash. */
 const DECISIVE_CRASH = 5;
-const CONTACT_MILLISECONDS = 3_000;
+const PROPAGATION_MILLISECONDS = 3_000;
 /** From 5 to 9 s, when blames are being decided or have just been. */
 const DISRUPTION_AT = { from: 5_000, spread: 4_000 };
-const OWN_CRASHES = 3;
-const OWN_CRASH_GAP_MILLISECONDS = 700;
+const RANDOM_CRASHES = 21;
+const MEAN_CRASH_INTERVAL_MILLISECONDS = 700;
 
 type Sent = {
   id: string;
@@ -150,8 +150,8 @@
 
   async #crashAtRandom(): Promise<void> {
     if (this.#mix.crashingParts.length > 0) return;
-    for (let crash = 0; crash < 7 * OWN_CRASHES; crash += 1) {
-      await sleep(OWN_CRASH_GAP_MILLISECONDS * 2 * this.#random());
+    for (let crash = 0; crash < RANDOM_CRASHES; crash += 1) {
+      await sleep(2 * MEAN_CRASH_INTERVAL_MILLISECONDS * this.#random());
       const { engines } = this.#system;
       // Not awaited: engines restart while others crash.
       engines[Math.floor(this.#random() * engines.length)]!.crash();
@@ -242,7 +242,7 @@
     );
     const harmless = sent.filter(({ part }) => part === undefined);
     const judged = harmless.filter(({ at, gateway }) =>
-      at > lastDecisive + 2 * CONTACT_MILLISECONDS &&
+      at > lastDecisive + 2 * PROPAGATION_MILLISECONDS &&
       !this.#isDisrupted(gateway, at)
     );
     const result = {
@@ -251,7 +251,8 @@
       disruption,
       crashes: crashes.length,
       lateArrivals: histories.map((history) => {
-        const from = decisiveCrashOf(history.crashes) + CONTACT_MILLISECONDS;
+        const from = decisiveCrashOf(history.crashes) +
+          PROPAGATION_MILLISECONDS;
         return history.arrivals.filter(({ at, gateway }) =>
           at > from && !this.#isDisrupted(gateway, at)
         ).length;
@@ -278,7 +279,7 @@
     if (this.#activeDisruption === undefined) return false;
     const { from, to, gateways } = this.#activeDisruption;
     return gateways.includes(gateway) && at > from &&
-      at < to + CONTACT_MILLISECONDS;
+      at < to + PROPAGATION_MILLISECONDS;
   }
 }
 
