One export a file for the seeded load; a predicate in place of a compared weight

Cause: the fixture exported three things and was one function of a hundred lines; thresholds compared a weight with 1 to ask whether an answer was young; two doc comments had to be read twice; a constant named no unit. Change: the load is a class of short methods, its types have files; hadFewYoungerAnswers asks what is meant. No decision changes: the random draws come in the same order.

--- a/acceptance/src/part_day.ts
+++ b/acceptance/src/part_day.ts
@@ -20,7 +20,7 @@
 const DECISIVE_CRASH = 5;
 const PROPAGATION_MILLISECONDS = 3_000;
 /** From 5 to 9 s, when blames are being decided or have just been. */
-const DISRUPTION_AT = { from: 5_000, spread: 4_000 };
+const DISRUPTION_MILLISECONDS = { from: 5_000, spread: 4_000 };
 const RANDOM_CRASHES = 21;
 const MEAN_CRASH_INTERVAL_MILLISECONDS = 700;
 
@@ -130,7 +130,10 @@
   }
 
   async #disrupt({ inject, gateways }: Disruption): Promise<void> {
-    await sleep(DISRUPTION_AT.from + this.#random() * DISRUPTION_AT.spread);
+    await sleep(
+      DISRUPTION_MILLISECONDS.from +
+        this.#random() * DISRUPTION_MILLISECONDS.spread,
+    );
     const active: ActiveDisruption = {
       from: performance.now(),
       to: Infinity,
--- a/packages/core/src/crashes/crash_ledger.ts
+++ b/packages/core/src/crashes/crash_ledger.ts
@@ -34,8 +34,8 @@
    */
   waitsForPermits?: boolean;
   /**
-   * Whether this host may blame parts now: not one that sees a part of the
-   * answers only, while another sees all. By default, it may.
+   * Whether this host may blame prompt parts now. A host that sees only its own
+   * answers leaves that to hosts that hear of all. By default, it may.
    */
   mayBlameParts?: () => boolean;
 };
--- a/packages/core/src/crashes/crash_traffic_fixture.ts
+++ b/packages/core/src/crashes/crash_traffic_fixture.ts
@@ -1,42 +1,15 @@
 import { createSeededRandom } from "../random/create_seeded_random.ts";
 import { CrashLedger } from "./crash_ledger.ts";
-import type { CrashReport } from "./crash_report.ts";
-import type { Survival } from "./survival.ts";
+import type { CrashTraffic } from "./crash_traffic.ts";
+import type { CrashTrafficResult } from "./crash_traffic_result.ts";
 
 const STEP_MILLISECONDS = 5;
 const DECISION_DELAY_MILLISECONDS = 120;
 const SURVIVAL_CHECK_MILLISECONDS = 50;
-const REPORT_DELAY = { least: 40, most: 110 };
+const REPORT_DELAY_MILLISECONDS = { least: 40, most: 110 };
 const LOST_SHARE = 0.05;
 const DOUBLED_SHARE = 0.1;
 
-type Random = () => number;
-type DrawParts = (random: Random) => string[];
-type Range = { least: number; most: number };
-
-type HarmfulKind = {
-  perSecond: number;
-  drawParts: DrawParts;
-  /** Whether all are one request that is sent again; its parts do no harm. */
-  isRepeated?: boolean;
-};
-
-export type CrashTraffic = {
-  seed: number;
-  servers: number;
-  harmlessPerSecond: number;
-  drawHarmless: DrawParts;
-  lifetime: Range;
-  /** Each kind comes this often; its parts crash what runs them. */
-  harmful: HarmfulKind[];
-  /** From an answer's start to the crash, milliseconds. */
-  crashDelay: Range;
-  restartMilliseconds: number;
-  /** Crashes that no request causes. */
-  failures?: { at: number; count: number }[];
-  milliseconds: number;
-};
-
 type Request = {
   fingerprint: string;
   parts: string[];
@@ -48,138 +21,167 @@
 type Server = { starts: number; upAt: number; running: Request[] };
 type Delivery = { at: number; deliver: (now: number) => void };
 
-export type CrashTrafficResult = {
-  /** Crashes by each kind of harmful requests, milliseconds. */
-  crashes: number[][];
-  /** When harmful requests of each kind arrived at a server. */
-  arrivals: number[][];
-  harmless: { at: number; isRefused: boolean }[];
-  blames: string[];
-};
-
 /**
  * Feeds a ledger with the crash reports and surviving answers of servers that
  * run many requests at once. Reports come late, in another order, twice or not
  * at all; a request is refused where the ledger says so.
  */
-export function runCrashTraffic(traffic: CrashTraffic): CrashTrafficResult {
-  const random = createSeededRandom(traffic.seed);
-  const between = ({ least, most }: Range) => least + random() * (most - least);
-  const ledger = new CrashLedger({
+export class CrashTrafficRun {
+  #traffic: CrashTraffic;
+  #random: () => number;
+  #ledger = new CrashLedger({
     decisionDelayMilliseconds: DECISION_DELAY_MILLISECONDS,
   });
-  const servers: Server[] = Array.from(
-    { length: traffic.servers },
-    () => ({ starts: 0, upAt: 0, running: [] }),
-  );
-  const result: CrashTrafficResult = {
-    crashes: traffic.harmful.map(() => []),
-    arrivals: traffic.harmful.map(() => []),
-    harmless: [],
-    blames: [],
-  };
-  let deliveries: Delivery[] = [];
-  let count = 0;
+  #servers: Server[];
+  #deliveries: Delivery[] = [];
+  #requestCount = 0;
+  #result: CrashTrafficResult;
+
+  constructor(traffic: CrashTraffic) {
+    this.#traffic = traffic;
+    this.#random = createSeededRandom(traffic.seed);
+    this.#servers = Array.from(
+      { length: traffic.servers },
+      () => ({ starts: 0, upAt: 0, running: [] }),
+    );
+    this.#result = {
+      crashes: traffic.harmful.map(() => []),
+      arrivals: traffic.harmful.map(() => []),
+      harmless: [],
+      blames: [],
+    };
+  }
+
+  run(): CrashTrafficResult {
+    const { milliseconds } = this.#traffic;
+    for (let now = 0; now < milliseconds; now += STEP_MILLISECONDS) {
+      this.#sendDue(now);
+      for (const server of this.#servers) this.#endAnswers(server, now);
+      this.#failServers(now);
+      this.#reportRunning(now);
+      this.#deliverDue(now);
+      for (const { fingerprint } of this.#ledger.blameSuspects(now)) {
+        this.#result.blames.push(fingerprint);
+      }
+    }
+    return this.#result;
+  }
+
+  #between({ least, most }: { least: number; most: number }): number {
+    return least + this.#random() * (most - least);
+  }
+
+  #sendDue(now: number): void {
+    const { harmlessPerSecond, harmful } = this.#traffic;
+    const seconds = STEP_MILLISECONDS / 1_000;
+    if (this.#random() < harmlessPerSecond * seconds) {
+      this.#send(now, undefined);
+    }
+    for (const [kind, { perSecond }] of harmful.entries()) {
+      if (this.#random() < perSecond * seconds) this.#send(now, kind);
+    }
+  }
+
+  #send(now: number, kind: number | undefined): void {
+    const { harmful, drawHarmless, lifetime, crashDelay } = this.#traffic;
+    this.#requestCount += 1;
+    const harmfulKind = kind === undefined ? undefined : harmful[kind]!;
+    const draw = harmfulKind?.drawParts ?? drawHarmless;
+    const parts = draw(this.#random);
+    const fingerprint = harmfulKind?.isRepeated
+      ? `repeated-${kind}`
+      : `request-${this.#requestCount}`;
+    const blame = this.#ledger.checkBlame(fingerprint, now, parts);
+    const isRefused = blame !== undefined;
+    if (kind === undefined) this.#result.harmless.push({ at: now, isRefused });
+    if (isRefused) return;
+    const up = this.#servers.filter(({ upAt }) => upAt <= now);
+    const server = up[Math.floor(this.#random() * up.length)];
+    if (server === undefined) return;
+    if (kind !== undefined) this.#result.arrivals[kind]!.push(now);
+    const endsAt = now +
+      this.#between(kind === undefined ? lifetime : crashDelay);
+    server.running.push({ fingerprint, parts, kind, begunAt: now, endsAt });
+  }
 
-  const deliverLater = (now: number, deliver: (now: number) => void) =>
-    deliveries.push({ at: now + between(REPORT_DELAY), deliver });
+  #endAnswers(server: Server, now: number): void {
+    const isOver = ({ endsAt }: Request) => endsAt <= now;
+    const harmful = server.running.find((request) =>
+      request.kind !== undefined && isOver(request)
+    );
+    if (harmful !== undefined) {
+      this.#result.crashes[harmful.kind!]!.push(now);
+      return this.#crash(server, now);
+    }
+    const ended = server.running.filter(isOver);
+    server.running = server.running.filter((request) => !isOver(request));
+    if (this.#ledger.hasSuspectedParts) this.#reportSurvivals(ended, now, true);
+  }
 
-  const crash = (server: Server, now: number) => {
+  #crash(server: Server, now: number): void {
     const interrupted = server.running;
-    const incarnation = `${servers.indexOf(server)}@${server.starts}`;
+    const incarnation = `${this.#servers.indexOf(server)}@${server.starts}`;
     server.starts += 1;
-    server.upAt = now + traffic.restartMilliseconds;
+    server.upAt = now + this.#traffic.restartMilliseconds;
     server.running = [];
     for (const { fingerprint, parts, kind, begunAt } of interrupted) {
-      const report: CrashReport = {
+      const report = {
         fingerprint,
         parts,
         incarnation,
         begunMilliseconds: now - begunAt,
         crashedAt: now,
       };
-      if (kind === undefined && random() < LOST_SHARE) continue;
-      const copies = random() < DOUBLED_SHARE ? 2 : 1;
+      if (kind === undefined && this.#random() < LOST_SHARE) continue;
+      const copies = this.#random() < DOUBLED_SHARE ? 2 : 1;
       for (let copy = 0; copy < copies; copy += 1) {
-        deliverLater(now, (later) => void ledger.recordReport(report, later));
+        this.#deliverLater(now, (later) => {
+          this.#ledger.recordReport(report, later);
+        });
       }
     }
-  };
+  }
 
-  const send = (now: number, kind: number | undefined) => {
-    count += 1;
-    const draw = kind === undefined
-      ? traffic.drawHarmless
-      : traffic.harmful[kind]!.drawParts;
-    const parts = draw(random);
-    const isRepeated = kind !== undefined && traffic.harmful[kind]!.isRepeated;
-    const fingerprint = isRepeated ? `repeated-${kind}` : `request-${count}`;
-    const isRefused = ledger.checkBlame(fingerprint, now, parts) !== undefined;
-    if (kind === undefined) result.harmless.push({ at: now, isRefused });
-    if (isRefused) return;
-    const up = servers.filter(({ upAt }) => upAt <= now);
-    const server = up[Math.floor(random() * up.length)];
-    if (server === undefined) return;
-    if (kind !== undefined) result.arrivals[kind]!.push(now);
-    const lives = between(
-      kind === undefined ? traffic.lifetime : traffic.crashDelay,
-    );
-    const endsAt = now + lives;
-    server.running.push({ fingerprint, parts, kind, begunAt: now, endsAt });
-  };
+  #failServers(now: number): void {
+    for (const { at, count } of this.#traffic.failures ?? []) {
+      if (at !== now) continue;
+      const up = this.#servers.filter(({ upAt }) => upAt <= now);
+      for (const server of up.slice(0, count)) this.#crash(server, now);
+    }
+  }
 
-  const findSurvivals = (now: number, isComplete: boolean, of: Request[]) => {
-    for (const { parts, begunAt } of of) {
+  #reportRunning(now: number): void {
+    const isDue = now % SURVIVAL_CHECK_MILLISECONDS === 0;
+    if (!isDue || !this.#ledger.hasSuspectedParts) return;
+    const running = this.#servers.flatMap((server) => server.running)
+      .filter(({ kind }) => kind === undefined);
+    this.#reportSurvivals(running, now, false);
+  }
+
+  #reportSurvivals(
+    requests: Request[],
+    now: number,
+    isComplete: boolean,
+  ): void {
+    for (const { parts, begunAt } of requests) {
+      const livedMilliseconds = now - begunAt;
       for (const part of parts) {
-        const survival: Survival = {
-          part,
-          begunAt,
-          livedMilliseconds: now - begunAt,
-          isComplete,
-        };
-        deliverLater(now, () => void ledger.recordSurvival(survival));
+        const survival = { part, begunAt, livedMilliseconds, isComplete };
+        this.#deliverLater(now, () => {
+          this.#ledger.recordSurvival(survival);
+        });
       }
     }
-  };
+  }
 
-  for (let now = 0; now < traffic.milliseconds; now += STEP_MILLISECONDS) {
-    const share = STEP_MILLISECONDS / 1_000;
-    if (random() < traffic.harmlessPerSecond * share) send(now, undefined);
-    for (const [kind, { perSecond }] of traffic.harmful.entries()) {
-      if (random() < perSecond * share) send(now, kind);
-    }
-    for (const server of servers) {
-      const harmful = server.running.find(({ kind, endsAt }) =>
-        kind !== undefined && endsAt <= now
-      );
-      if (harmful !== undefined) {
-        result.crashes[harmful.kind!]!.push(now);
-        crash(server, now);
-        continue;
-      }
-      const ended = server.running.filter(({ endsAt }) => endsAt <= now);
-      server.running = server.running.filter(({ endsAt }) => endsAt > now);
-      if (ledger.hasSuspectedParts) findSurvivals(now, true, ended);
-    }
-    for (const { at, count: failing } of traffic.failures ?? []) {
-      if (at !== now) continue;
-      const up = servers.filter(({ upAt }) => upAt <= now);
-      for (const server of up.slice(0, failing)) crash(server, now);
-    }
-    if (ledger.hasSuspectedParts && now % SURVIVAL_CHECK_MILLISECONDS === 0) {
-      findSurvivals(
-        now,
-        false,
-        servers.flatMap(({ running }) => running)
-          .filter(({ kind }) => kind === undefined),
-      );
-    }
-    const due = deliveries.filter(({ at }) => at <= now);
-    deliveries = deliveries.filter(({ at }) => at > now);
+  #deliverLater(now: number, deliver: Delivery["deliver"]): void {
+    const at = now + this.#between(REPORT_DELAY_MILLISECONDS);
+    this.#deliveries.push({ at, deliver });
+  }
+
+  #deliverDue(now: number): void {
+    const due = this.#deliveries.filter(({ at }) => at <= now);
+    this.#deliveries = this.#deliveries.filter(({ at }) => at > now);
     for (const { deliver } of due) deliver(now);
-    for (const { fingerprint } of ledger.blameSuspects(now)) {
-      result.blames.push(fingerprint);
-    }
   }
-  return result;
 }
--- a/packages/core/src/crashes/find_survival_thresholds.ts
+++ b/packages/core/src/crashes/find_survival_thresholds.ts
@@ -1,6 +1,6 @@
+import { hadFewYoungerAnswers } from "./had_few_younger_answers.ts";
 import type { ObservedCrash } from "./observed_crash.ts";
 import type { SurvivalThresholds } from "./survival_thresholds.ts";
-import { weighPartCrash } from "./weigh_part_crash.ts";
 
 /** Longer times are those of bystanders. */
 const MAX_CRASH_MILLISECONDS = 1_000;
@@ -17,7 +17,7 @@
   crashes: ObservedCrash[],
 ): SurvivalThresholds {
   const times = crashes
-    .filter((crash) => weighPartCrash(crash) === 1)
+    .filter(hadFewYoungerAnswers)
     .map(({ begunMilliseconds }) =>
       Math.min(begunMilliseconds!, MAX_CRASH_MILLISECONDS)
     )
--- a/packages/core/src/crashes/is_sufficient.ts
+++ b/packages/core/src/crashes/is_sufficient.ts
@@ -19,11 +19,14 @@
 /**
  * Whether the crashes are enough to blame a suspect.
  *
- * All but one of a part's answers at a crash have survived until then: the more
- * there were, the more crashes it takes. So it does where other crashes are left
- * unexplained. Where servers crash faster than answers survive, a part of all
- * traffic looks as guilty as the culprit; hence the wait until answers that began
- * after the part's first crash would have survived, and this would be known.
+ * For a part, more crashes are needed
+ * - the more of its answers had been running for long at each crash, as these
+ *   did not crash the backend server;
+ * - the more other crashes are left unexplained.
+ *
+ * A part is also given the time in which an answer that started after its first
+ * crash would have survived and been reported. Without it, a part of all traffic
+ * looks as guilty as the culprit while servers crash faster than answers survive.
  */
 export function isSufficient(
   { evidence }: Suspect,
--- a/packages/core/src/crashes/part_blame_test.ts
+++ b/packages/core/src/crashes/part_blame_test.ts
@@ -1,11 +1,9 @@
 import assert from "node:assert/strict";
 import process from "node:process";
 import { test } from "node:test";
-import {
-  type CrashTraffic,
-  type CrashTrafficResult,
-  runCrashTraffic,
-} from "./crash_traffic_fixture.ts";
+import type { CrashTraffic } from "./crash_traffic.ts";
+import { CrashTrafficRun } from "./crash_traffic_fixture.ts";
+import type { CrashTrafficResult } from "./crash_traffic_result.ts";
 
 /** More are run by hand. */
 const SEEDS = Array.from(
@@ -70,7 +68,7 @@
 
 /** Lists what a run violated, as text. */
 function findFaults(traffic: CrashTraffic): string[] {
-  const result = runCrashTraffic(traffic);
+  const result = new CrashTrafficRun(traffic).run();
   const late = countLate(result);
   const refused = result.harmless.filter(({ isRefused }) => isRefused).length;
   const served = 1 - refused / result.harmless.length;
@@ -146,7 +144,7 @@
   seed: number,
 ): string[] {
   const traffic = { ...base, seed, harmful: [], failures: FAILURES };
-  return runCrashTraffic(traffic).blames;
+  return new CrashTrafficRun(traffic).run().blames;
 }
 
 // Guards against blaming what many requests share when servers fail for reasons
