--- a/review/6/case.mjs
+++ b/review/6/case.mjs
@@ -1,5 +1,5 @@
-// A configuration whose weight store has a mistyped port is acknowledged. Once
-// new weights are named, every control process ends, also after each restart.
+// A backend server says that it leaves, and the control host that acknowledged
+// this loses power at once: the others never learn of it.
 
 import {
   BROKEN,
@@ -11,147 +11,177 @@
   now,
   Recorder,
   runCase,
+  sendRequest,
   sleep,
   waitUntil,
 } from "../helpers-2.mjs";
 
-const CONTROL_HOSTS = 3;
+const SERVERS = 3;
+const GATEWAYS = 4;
 const HEARTBEAT_MILLISECONDS = 1_200;
-const RESTART_DELAY_MILLISECONDS = 500;
-const WATCH_MILLISECONDS = 20_000;
-const READ_INTERVAL_MILLISECONDS = 250;
 const CONTACT_MILLISECONDS = 3_000;
-/** Ends of one process that break the rule, on half of the core. */
-const MAX_ENDS = 3;
-const MODEL = "model-1";
-/** No port is larger than 65,535. */
-const MISTYPED_ORIGIN = "127.0.0.1:80066";
+const DRAIN_MILLISECONDS = 2_000;
+const DOWN_MILLISECONDS = 5_000;
+/** From the acknowledgement until the server that leaves has ended. */
+const LINGER_MILLISECONDS = 5_500;
+const REQUEST_INTERVAL_MILLISECONDS = 25;
 
 const { LoopbackCluster } = await loadStandIn("loopback_cluster");
 const { FakeBackendServer } = await loadStandIn("fake_backend_server");
-const { FakeWeightStore } = await loadStandIn("fake_weight_store");
 const { buildConfiguration } = await loadStandIn("build_configuration");
 
 const recorder = new Recorder(import.meta.url);
 const cluster = new LoopbackCluster();
-const store = new FakeWeightStore();
-const engine = new FakeBackendServer({
-  instance: "engine-0",
-  store,
-  model: MODEL,
-});
+const servers = Array.from(
+  { length: SERVERS },
+  (_, index) =>
+    new FakeBackendServer({
+      instance: `plain-${index}`,
+      store: { chunks: 0 },
+      model: "",
+    }),
+);
+const gone = new Set();
 const timers = [];
-/** Ends of each control process that the script did not cause. */
-const ends = new Map();
-let isEnding = false;
-
-function configurationOf(version, origin) {
-  return buildConfiguration({
-    version,
-    store: origin,
-    model: MODEL,
-    chunks: store.chunks,
-  });
-}
-
-const control = (method, path, body) =>
-  callAny(cluster.controlUrls, method, path, body);
 
-/** As the platform does, starts a process again that has ended. */
-async function keepRunning(name) {
-  while (!isEnding) {
-    const code = await cluster.findHost(name).child.exited;
-    if (isEnding) return;
-    ends.set(name, (ends.get(name) ?? 0) + 1);
-    recorder.tell(`${name} ends by itself with code ${code}`);
-    await sleep(RESTART_DELAY_MILLISECONDS);
-    if (!isEnding) await cluster.restart([name]);
+/**
+ * plain-0 calls control host 0, and the others host 1 or 2, as long as these
+ * answer.
+ */
+function sendHeartbeats() {
+  for (const [index, server] of servers.entries()) {
+    if (gone.has(server)) continue;
+    const [first, ...others] = cluster.controlUrls;
+    callAny(
+      index === 0 ? [first, ...others] : others,
+      "PUT",
+      `/instances/${server.instance}`,
+      server.heartbeat("plain", "ready"),
+    );
   }
 }
 
 async function startSystem() {
-  await cluster.allocateAddresses(CONTROL_HOSTS);
-  const origin = await store.listen("127.0.0.1");
-  for (let index = 0; index < CONTROL_HOSTS; index += 1) {
-    cluster.start("control", index);
-  }
-  await engine.listen("127.0.0.1");
-  cluster.start("stager", 40, { app: engine.address, service: "writer" });
-  timers.push(
-    setInterval(() =>
-      control(
-        "PUT",
-        `/instances/${engine.instance}`,
-        engine.heartbeat("writer", "ready"),
-      ), HEARTBEAT_MILLISECONDS),
+  await cluster.allocateAddresses(3);
+  for (let index = 0; index < 3; index += 1) cluster.start("control", index);
+  const gateways = Array.from(
+    { length: GATEWAYS },
+    (_, index) => cluster.start("gateway", 10 + index),
   );
+  for (const server of servers) await server.listen("127.0.0.1");
+  sendHeartbeats();
+  timers.push(setInterval(sendHeartbeats, HEARTBEAT_MILLISECONDS));
+  const configuration = buildConfiguration({
+    version: 1,
+    store: "127.0.0.1:9",
+    model: "model-1",
+    chunks: 0,
+  });
   await waitUntil(
     async () =>
-      (await control("PUT", "/config", configurationOf(1, origin))).status ===
-        200,
+      (await callAny(cluster.controlUrls, "PUT", "/config", configuration))
+        .status === 200,
     "configured",
   );
-  await waitUntil(() => engine.version === 1, "version 1 loaded");
-  return origin;
+  for (const gateway of gateways) {
+    await waitUntil(
+      async () => (await pay(gateway, "warm")).status === 200,
+      "serving",
+    );
+  }
+  return gateways;
 }
 
-/** Reads the configuration at each control host. */
-async function readConfiguration() {
-  for (const [index, url] of cluster.controlUrls.entries()) {
-    const answer = await call(url, "GET", "/config");
-    const text = await answer.text;
-    const version = answer.status === 200 ? JSON.parse(text).version : "none";
-    recorder.add(
-      `reading at control-${index}: ${answer.status}, version ${version}`,
+function pay(gateway, id) {
+  return sendRequest(cluster.frontendUrl(gateway.ip), "/pay/seat", {
+    id,
+    body: "one seat",
+  });
+}
+
+/** The server says that it leaves, and is acknowledged. */
+async function leave({ instance }) {
+  const { child } = cluster.findHost("control-0");
+  let acknowledgedAt;
+  let killedAt;
+  const { status } = await call(
+    cluster.controlUrls[0],
+    "DELETE",
+    `/instances/${instance}`,
+    undefined,
+    () => {
+      acknowledgedAt = now();
+      if (hasTrouble) child.signal("SIGKILL");
+      killedAt = now();
+    },
+  );
+  if (status !== 200) throw new Error(`leaving is answered with ${status}`);
+  recorder.add(`control-0 acknowledges that ${instance} leaves`, acknowledgedAt);
+  if (hasTrouble) {
+    recorder.tell(
+      `control-0 loses power ${(killedAt - acknowledgedAt).toFixed(2)} ms ` +
+        "after its acknowledgement",
     );
-    if (version !== "none") return version;
   }
-  return undefined;
+  return { acknowledgedAt, killedAt };
 }
 
 async function play() {
-  const origin = await startSystem();
-  for (let index = 0; index < CONTROL_HOSTS; index += 1) {
-    keepRunning(`control-${index}`);
+  const gateways = await startSystem();
+  // Every machine is in touch.
+  await sleep(CONTACT_MILLISECONDS + 1_000);
+  const [leaving] = servers;
+  gone.add(leaving);
+  const { acknowledgedAt, killedAt } = await leave(leaving);
+  const results = [];
+  let count = 0;
+  const traffic = setInterval(() => {
+    count += 1;
+    const gateway = gateways[count % gateways.length];
+    results.push(pay(gateway, `r-${count}`));
+  }, REQUEST_INTERVAL_MILLISECONDS);
+  timers.push(traffic);
+  await sleep(killedAt + DOWN_MILLISECONDS - now());
+  const returnsAt = now();
+  if (hasTrouble) {
+    recorder.tell("control-0 starts again");
+    await cluster.restart(["control-0"]);
   }
-  await sleep(CONTACT_MILLISECONDS);
-  const sent = configurationOf(2, hasTrouble ? MISTYPED_ORIGIN : origin);
-  const { status } = await control("PUT", "/config", sent);
-  recorder.tell(
-    `configuration 2, with the weight store at ` +
-      `${hasTrouble ? MISTYPED_ORIGIN : "its address"}: ${status}`,
-  );
-  // Refused as invalid: nothing is in force that isn't valid.
-  if (hasTrouble && status >= 400 && status < 500) return HELD;
-  if (status !== 200) throw new Error("configuration 2 got no clear answer");
-  await sleep(CONTACT_MILLISECONDS);
-  const named = await control("POST", "/version-put", {
-    model: MODEL,
-    version: 2,
-  });
-  recorder.tell(`weights 2 are named: ${named.status}`);
-  const until = now() + WATCH_MILLISECONDS;
-  while (now() < until) {
-    await readConfiguration();
-    await sleep(READ_INTERVAL_MILLISECONDS);
+  await sleep(acknowledgedAt + LINGER_MILLISECONDS - now());
+  leaving.close();
+  recorder.tell("plain-0 ends");
+  await sleep(1_000);
+  clearInterval(traffic);
+
+  for (const { id, sentAt, status: answer } of await Promise.all(results)) {
+    recorder.add(`${id} sent; answered with ${answer}`, sentAt);
   }
-  isEnding = true;
-  const counts = [...ends].map(([name, count]) => `${name} ${count}`);
+  for (const { instance, arrivals } of servers) {
+    for (const { id, at } of arrivals) {
+      recorder.add(`${id} runs at ${instance}`, at);
+    }
+  }
+  // From the end of the time that the kill excuses until the next start.
+  const from = Math.max(
+    acknowledgedAt + DRAIN_MILLISECONDS,
+    killedAt + CONTACT_MILLISECONDS,
+  );
+  const late = leaving.arrivals.filter(({ at }) => at > from && at < returnsAt);
   recorder.tell(
-    `ends of processes: ${counts.join(", ") || "none"}; the engine has ` +
-      `version ${engine.version}`,
+    `${results.length} requests; plain-0 got ${late.length} of them between ` +
+      `${Math.round(from - acknowledgedAt)} and ` +
+      `${Math.round(returnsAt - acknowledgedAt)} ms after its leaving was ` +
+      "acknowledged",
   );
-  const often = [...ends.values()].filter((count) => count >= MAX_ENDS);
-  return often.length >= CONTROL_HOSTS / 2 ? BROKEN : HELD;
+  return late.length > 0 ? BROKEN : HELD;
 }
 
 await runCase({
   recorder,
   play,
   async end() {
-    isEnding = true;
     for (const timer of timers) clearInterval(timer);
     await cluster.stop();
-    for (const server of [engine, store]) server.close();
+    for (const server of servers) server.close();
   },
 });
--- a/review/helpers-2.mjs
+++ b/review/helpers-2.mjs
@@ -1,9 +1,8 @@
 // What the scripts of the cases 4 to 6 share: the record, calls to control
-// hosts, one request of a client, a weight store, and a bounded run.
+// hosts, one request of a client, and a bounded run.
 
-import { createHash } from "node:crypto";
 import { existsSync, writeFileSync } from "node:fs";
-import { Agent, createServer, request } from "node:http";
+import { Agent, request } from "node:http";
 import { dirname, join } from "node:path";
 import { performance } from "node:perf_hooks";
 import process from "node:process";
@@ -141,70 +140,6 @@
   });
 }
 
-/**
- * A weight store with the chunks and the link of the sheet: 48 of 49,152 bytes,
- * 15 Mbit/s.
- */
-export class WeightStore {
-  chunks = 48;
-  chunkBytes = 49_152;
-  #bitsPerMillisecond = 15_000;
-  #known = new Map();
-  #freeAt = 0;
-  #server = createServer((incoming, response) =>
-    this.#answer(incoming, response)
-  );
-
-  listen(host) {
-    return new Promise((resolve) =>
-      this.#server.listen(
-        0,
-        host,
-        () => resolve(`${host}:${this.#server.address().port}`),
-      )
-    );
-  }
-
-  close() {
-    this.#server.close();
-    this.#server.closeAllConnections();
-  }
-
-  chunk(version, chunk) {
-    const key = `${version}/${chunk}`;
-    if (!this.#known.has(key)) {
-      const seed = createHash("sha256").update(key).digest();
-      this.#known.set(key, Buffer.alloc(this.chunkBytes, seed));
-    }
-    return this.#known.get(key);
-  }
-
-  digest(version, chunk) {
-    return createHash("sha256").update(this.chunk(version, chunk))
-      .digest("hex");
-  }
-
-  async #answer(incoming, response) {
-    const url = new URL(incoming.url, "http://store");
-    const version = Number(url.searchParams.get("version"));
-    const [, kind, model] = url.pathname.split("/");
-    if (kind === "manifest") {
-      const digests = Array.from(
-        { length: this.chunks },
-        (_, chunk) => this.digest(version, chunk),
-      );
-      const { chunkBytes } = this;
-      const text = JSON.stringify({ model, version, chunkBytes, digests });
-      return void response.end(text);
-    }
-    const milliseconds = 8 * this.chunkBytes / this.#bitsPerMillisecond;
-    this.#freeAt = Math.max(this.#freeAt, now()) + milliseconds;
-    await sleep(this.#freeAt - now());
-    const chunk = Number(url.searchParams.get("chunkCount"));
-    response.end(this.chunk(version, chunk));
-  }
-}
-
 /**
  * Runs a case: exits with what `play` returns, or with 2 if it throws or takes
  * too long. `end` ends all processes.
