--- a/acceptance/src/end_to_end_system.ts
+++ b/acceptance/src/end_to_end_system.ts
@@ -3,7 +3,7 @@
   buildConfiguration,
   type ConfigurationChange,
 } from "./build_configuration.ts";
-import { LoopbackCluster } from "./loopback_cluster.ts";
+import { LoopbackCluster, type PlatformBounds } from "./loopback_cluster.ts";
 import { FakeBackendServer } from "./fake_backend_server.ts";
 import { FakeWeightStore } from "./fake_weight_store.ts";
 
@@ -30,6 +30,8 @@
   maxAttempts?: number;
   /** Further settings fields of the gateways. */
   gatewayFields?: Record<string, unknown>;
+  /** Overrides the usual bounds of the platform's rules. */
+  bounds?: Partial<PlatformBounds>;
 };
 
 /**
@@ -37,7 +39,7 @@
  * and a fake weight store.
  */
 export class EndToEndSystem {
-  readonly cluster = new LoopbackCluster();
+  readonly cluster: LoopbackCluster;
   readonly store = new FakeWeightStore();
   readonly engines: FakeBackendServer[] = [];
   /** The backend servers without an engine, which serve plain requests. */
@@ -64,8 +66,10 @@
       routeTimeoutMilliseconds = DEFAULT_ROUTE_TIMEOUT_MILLISECONDS,
       maxAttempts,
       gatewayFields = {},
+      bounds = {},
     }: Options = {},
   ) {
+    this.cluster = new LoopbackCluster(bounds);
     const { store } = this;
     this.#maxAttempts = maxAttempts;
     this.#routeTimeoutMilliseconds = routeTimeoutMilliseconds;
--- a/acceptance/src/fake_backend_server.ts
+++ b/acceptance/src/fake_backend_server.ts
@@ -23,6 +23,11 @@
 
 /** A request received; `at` is from `performance.now()`, milliseconds. */
 type Arrival = { id: string; at: number; instance: string };
+/** A request whose head was read, whatever came of it. */
+type Receipt = Arrival & {
+  /** Time that the request said was left; undefined without a number. */
+  deadlineMilliseconds: number | undefined;
+};
 type Options = {
   instance: string;
   store: FakeWeightStore;
@@ -83,6 +88,8 @@
    * it accepts them.
    */
   retryAfter: string | undefined;
+  /** Rejects requests as not run, without asking for a pause. */
+  isFull = false;
   /** Whether responses say that the server is shutting down. */
   isLeaving = false;
   /** Requests rejected with Retry-After; NaN where that is no number. */
@@ -90,6 +97,8 @@
   /** Responses that said that the server is shutting down. */
   readonly leavingNotices: Arrival[] = [];
   readonly arrivals: Arrival[] = [];
+  readonly receipts: Receipt[] = [];
+  readonly runs: Arrival[] = [];
   /** Requests read, also in a silence and if they were ended before its end. */
   readonly receivedRequestIds: string[] = [];
   /** Time and request of each crash; the id is undefined without a request. */
@@ -186,8 +195,9 @@
   }
 
   async #handle(request: IncomingMessage, response: ServerResponse) {
-    const body = await readAll(request);
     const attemptId = request.headers["attempt-id"];
+    if (attemptId !== undefined) this.#recordReceipt(request);
+    const body = await readAll(request);
     if (attemptId !== undefined) this.receivedRequestIds.push(`${attemptId}`);
     await this.#waitUntilSilenceEnds();
     if (response.destroyed) return;
@@ -209,6 +219,16 @@
     return this.#runRequest(request, body, response);
   }
 
+  #recordReceipt({ headers }: IncomingMessage): void {
+    const deadline = Number(headers["deadline-ms"] ?? NaN);
+    this.receipts.push({
+      id: String(headers["attempt-id"]),
+      at: performance.now(),
+      instance: this.instance,
+      deadlineMilliseconds: Number.isFinite(deadline) ? deadline : undefined,
+    });
+  }
+
   #loadWeights(body: Buffer, response: ServerResponse): void {
     const order = JSON.parse(body.toString());
     const { store } = this.#options;
@@ -245,7 +265,9 @@
       this.leavingNotices.push({ id, at: performance.now(), instance });
     }
     if (this.retryAfter !== undefined) return this.#reject(id, response);
+    if (this.isFull) return this.#refuse(id, response);
     this.ranRequestIds.push(id);
+    this.runs.push({ id, at: performance.now(), instance });
     if (this.rawAnswer !== undefined) {
       return void response.socket!.write(this.rawAnswer);
     }
@@ -300,6 +322,10 @@
     }).end(`failed with ${status}\n`);
   }
 
+  #refuse(id: string, response: ServerResponse): void {
+    response.writeHead(503, { "Attempt-Id": id, "Not-Executed": "1" }).end();
+  }
+
   #reject(id: string, response: ServerResponse): void {
     const retryAfter = this.retryAfter!;
     const seconds = DECIMAL_NUMBER.test(retryAfter) ? Number(retryAfter) : NaN;
--- a/acceptance/src/loopback_cluster.ts
+++ b/acceptance/src/loopback_cluster.ts
@@ -18,6 +18,21 @@
 /** Time from SIGTERM until the platform kills a process. */
 export const GRACE_SECONDS = 8;
 
+/** Bounds of the platform's rules, as its settings files give them. */
+export type PlatformBounds = {
+  retryBudgetRatio: number;
+  budgetWindowS: number;
+  retryBudgetSlack: number;
+  contactMs: number;
+};
+
+export const USUAL_BOUNDS: PlatformBounds = {
+  retryBudgetRatio: 0.2,
+  budgetWindowS: 10,
+  retryBudgetSlack: 102,
+  contactMs: 3_000,
+};
+
 type Role = "control" | "gateway" | "stager";
 type Host = { name: string; ip: string; child: Child };
 
@@ -41,6 +56,11 @@
   };
   #ip = "";
   #seeds: string[] = [];
+  #bounds: PlatformBounds;
+
+  constructor(bounds: Partial<PlatformBounds> = {}) {
+    this.#bounds = { ...USUAL_BOUNDS, ...bounds };
+  }
 
   /** Picks the ports and addresses of all hosts; must come before `start`. */
   async allocateAddresses(controlHosts: number): Promise<void> {
@@ -108,7 +128,11 @@
         dataDir: join(this.folder, name),
         faultTolerance: { machines: 1 },
         limits: { linkMbps: 100 },
-        bounds: { graceS: GRACE_SECONDS, version_ms: 8_000 },
+        bounds: {
+          graceS: GRACE_SECONDS,
+          version_ms: 8_000,
+          ...this.#bounds,
+        },
         ...extraFields,
       },
     );
--- a/acceptance/src/silence_traffic.ts
+++ b/acceptance/src/silence_traffic.ts
@@ -20,6 +20,8 @@
   pickGateway: (random: () => number) => string;
   frontendUrl: (gateway: string) => string;
   deadlineMilliseconds: number;
+  streamsPerSecond?: number;
+  plainRequestsPerSecond?: number;
 };
 
 /**
@@ -32,15 +34,21 @@
   #underWay = new Set<Promise<unknown>>();
   #isOver = false;
   #count = 0;
+  /** Multiplies the rate of the requests that come steadily. */
+  surge = 1;
 
   constructor(options: Options) {
     this.#options = options;
   }
 
   start(): void {
-    this.#follow(this.#sendSteadily("streams", STREAMS_PER_SECOND, pickStream));
+    const {
+      streamsPerSecond = STREAMS_PER_SECOND,
+      plainRequestsPerSecond = PLAIN_REQUESTS_PER_SECOND,
+    } = this.#options;
+    this.#follow(this.#sendSteadily("streams", streamsPerSecond, pickStream));
     this.#follow(
-      this.#sendSteadily("plain", PLAIN_REQUESTS_PER_SECOND, pickPlain),
+      this.#sendSteadily("plain", plainRequestsPerSecond, pickPlain),
     );
     for (let index = 0; index < SLOW_CLIENTS; index += 1) {
       this.#follow(this.#sendSlowly(`slow ${index}`));
@@ -70,7 +78,7 @@
     while (!this.#isOver) {
       const gateway = this.#options.pickGateway(random);
       this.#follow(this.#send({ gateway, ...pickRequest(random) }));
-      await sleep(2_000 * random() / perSecond);
+      await sleep(2_000 * random() / (perSecond * this.surge));
     }
   }
 
--- a/acceptance/src/silence_troubles.ts
+++ b/acceptance/src/silence_troubles.ts
@@ -18,12 +18,16 @@
 const HEADER_TIMEOUTS = [1_000, 2_000];
 const MAX_HEADER_BYTES = [8_192, 16_384, 32_768];
 const MAX_EXTRA_ROUTES = 3;
+const REPEATED_KILLS = 4;
+const REPEATED_KILL_GAP_MILLISECONDS = 1_000;
 
 type Span = { gateway: string; from: number; to: number };
 type Options = {
   system: EndToEndSystem;
   /** Creates the random numbers of one concurrent task. */
   createRandom: (task: string) => () => number;
+  /** Whether gateways are also killed again and again. */
+  repeatsKills?: boolean;
 };
 
 /** Planned and unplanned work beside the silences of a day. */
@@ -75,7 +79,7 @@
   }
 
   async #makeTroubles(endAt: number): Promise<void> {
-    const { system, createRandom } = this.#options;
+    const { system, createRandom, repeatsKills = false } = this.#options;
     const random = createRandom("troubles");
     const underWay: Promise<void>[] = [];
     while (performance.now() < endAt) {
@@ -90,6 +94,7 @@
           () => this.#reload(index),
           () => this.#freezeControlHosts(),
           () => this.#nameWeights(),
+          ...(repeatsKills ? [() => this.#killRepeatedly(index)] : []),
         ], random)(),
       );
     }
@@ -115,18 +120,34 @@
   }
 
   async #kill(index: number): Promise<void> {
-    await this.#trouble(index, "gateway killed", async (name, gateway) => {
-      const { cluster } = this.#options.system;
-      this.out.add(gateway);
-      const kill = { gateway, from: performance.now(), to: Infinity };
-      this.kills.push(kill);
-      const { exited } = cluster.findHost(name).child;
-      exited.then(() => {
-        kill.to = performance.now() + END_NOTICE_MILLISECONDS;
-      });
-      await cluster.restart([name]);
-      await this.#takeIn(gateway);
+    await this.#trouble(
+      index,
+      "gateway killed",
+      (name, gateway) => this.#killOnce(name, gateway),
+    );
+  }
+
+  async #killRepeatedly(index: number): Promise<void> {
+    const what = "gateway killed again and again";
+    await this.#trouble(index, what, async (name, gateway) => {
+      for (let count = 0; count < REPEATED_KILLS; count += 1) {
+        await this.#killOnce(name, gateway);
+        await sleep(REPEATED_KILL_GAP_MILLISECONDS);
+      }
+    });
+  }
+
+  async #killOnce(name: string, gateway: string): Promise<void> {
+    const { cluster } = this.#options.system;
+    this.out.add(gateway);
+    const kill = { gateway, from: performance.now(), to: Infinity };
+    this.kills.push(kill);
+    const { exited } = cluster.findHost(name).child;
+    exited.then(() => {
+      kill.to = performance.now() + END_NOTICE_MILLISECONDS;
     });
+    await cluster.restart([name]);
+    await this.#takeIn(gateway);
   }
 
   async #freezeGateway(index: number): Promise<void> {
