Gateways log which sends were retries, what each told and why there was no further one

The log could not tell hypotheses about repeats apart: a request's end named the servers that it was sent to, not which sends took a retry nor what time each server was told, and a retry that the budget refused left no trace but a 502. request-ended has sends now; retry-refused says once for each reason what was left, and teaselrouter_retries_refused_total counts by service and reason.

--- a/packages/daemon/src/gateway/backend_attempt.ts
+++ b/packages/daemon/src/gateway/backend_attempt.ts
@@ -31,6 +31,8 @@
   method: string;
   path: string;
   headers: string[];
+  /** Time that the headers say is left. */
+  deadlineMilliseconds?: number;
   body: Buffer | undefined;
   /** Id of the attempt; an answer with another id is rejected. */
   id: string;
@@ -91,6 +93,11 @@
     return this.#isSent;
   }
 
+  /** Time that the backend server was told; undefined if it was told nothing. */
+  get toldMilliseconds(): number | undefined {
+    return this.#isSent ? this.#options.deadlineMilliseconds : undefined;
+  }
+
   /** Whether this host, not the backend server, ended the attempt. */
   get isAborted(): boolean {
     return this.#isAborted;
--- a/packages/daemon/src/gateway/call_finisher.ts
+++ b/packages/daemon/src/gateway/call_finisher.ts
@@ -125,6 +125,7 @@
       service: call?.service.name,
       workspace: call?.workspace,
       instances: ended && [...ended.sender.tried].join(","),
+      sends: ended?.sender.describeSends(),
       placement: ended?.routing.placement?.kind,
       expected_milliseconds: forecast && Math.round(forecast.milliseconds),
       expected_slot: forecast && Math.round(forecast.slotWaitMilliseconds),
--- a/packages/daemon/src/gateway/call_routing.ts
+++ b/packages/daemon/src/gateway/call_routing.ts
@@ -21,6 +21,9 @@
   tried: ReadonlySet<string>;
 };
 
+/** Why a request is not sent once more. */
+type RetryRefusal = "no-attempt-left" | "suspected" | "no-retry-left";
+
 /**
  * Chooses backend servers for one request and decides whether the request may
  * be sent again after a failure.
@@ -37,6 +40,7 @@
   weightsVersion: number | undefined;
   #options: Options;
   #isDecided = false;
+  #loggedRefusals = new Set<RetryRefusal>();
 
   constructor(options: Options) {
     this.#options = options;
@@ -173,8 +177,27 @@
    */
   trySpendRetry(): boolean {
     const { context, call } = this.#options;
-    return this.#hasAttemptsLeft && context.crashes.mayRetry(call) &&
-      context.retries.trySpendRetry();
+    if (!this.#hasAttemptsLeft) return this.#refuseRetry("no-attempt-left");
+    if (!context.crashes.mayRetry(call)) return this.#refuseRetry("suspected");
+    return context.retries.trySpendRetry() ||
+      this.#refuseRetry("no-retry-left");
+  }
+
+  /** Logs and counts the reason, once for each request. */
+  #refuseRetry(reason: RetryRefusal): false {
+    if (this.#loggedRefusals.has(reason)) return false;
+    this.#loggedRefusals.add(reason);
+    const { context, call, tried } = this.#options;
+    const service = call.service.name;
+    context.metrics.retriesRefused.inc({ service, reason });
+    context.log.info("retry-refused", {
+      id: call.id,
+      service,
+      reason,
+      retries_left: Math.floor(context.retries.left),
+      sends: tried.size,
+    });
+    return false;
   }
 
   /** See `decideTakeover`. */
@@ -183,7 +206,7 @@
     const { pool, retries, crashes } = context;
     const query = this.#query({ willSend: true });
     const now = monotonicMilliseconds();
-    return decideTakeover(
+    const decision = decideTakeover(
       {
         isRetryable: this.isRetryable && crashes.mayRetry(call),
         hasAttemptsLeft: this.#hasAttemptsLeft,
@@ -194,6 +217,10 @@
       retries,
       now,
     );
+    if (decision.kind === "keep" && isRetryRefusal(decision.reason)) {
+      this.#refuseRetry(decision.reason);
+    }
+    return decision;
   }
 
   get #hasAttemptsLeft(): boolean {
@@ -201,3 +228,9 @@
     return tried.size < call.route.maxBackends;
   }
 }
+
+function isRetryRefusal(
+  reason: Extract<TakeoverDecision, { kind: "keep" }>["reason"],
+): reason is "no-attempt-left" | "no-retry-left" {
+  return reason === "no-attempt-left" || reason === "no-retry-left";
+}
--- a/packages/daemon/src/gateway/call_sender.ts
+++ b/packages/daemon/src/gateway/call_sender.ts
@@ -41,6 +41,21 @@
     return this.#attempts.some(({ isSent, hasEnded }) => isSent && !hasEnded);
   }
 
+  /**
+   * Each attempt in order, for the log: its instance, when it began after the
+   * request's start and what time it told, in milliseconds, and whether it took
+   * a retry; undefined without any.
+   */
+  describeSends(): string | undefined {
+    if (this.#attempts.length === 0) return undefined;
+    return this.#attempts.map((sent) => {
+      const after = Math.round(sent.sentAt - this.#call.startedAt);
+      const told = sent.toldMilliseconds ?? "unsent";
+      const { instance } = sent.candidate.announcement;
+      return `${instance}@${after}/${told}${sent.isRetry ? "/retry" : ""}`;
+    }).join(",");
+  }
+
   /** Aborts all attempts that have not ended. */
   abort(reason: string): void {
     for (const attempt of this.#attempts) attempt.abort(reason);
@@ -61,6 +76,7 @@
     const { promptTokens } = this.#call.metadata;
     const sentAt = monotonicMilliseconds();
     if (!options.isCounted) record.beginRequest(sentAt);
+    const isRetry = this.tried.size > 0;
     const attempt = this.#openCounted(candidate, options);
     this.tried.add(announcement.instance);
     this.#context.namedLimits.countSend(announcement);
@@ -95,7 +111,14 @@
       } else sent.end();
       return settled;
     });
-    const sent = new SentAttempt({ candidate, attempt, sentAt, outcome, use });
+    const sent = new SentAttempt({
+      candidate,
+      attempt,
+      sentAt,
+      isRetry,
+      outcome,
+      use,
+    });
     this.#attempts.push(sent);
     return sent;
   }
@@ -179,12 +202,14 @@
     const { connections, format, namedLimits, pushbacks } = this.#context;
     const call = this.#call;
     const left = Math.floor(call.deadlineAt - monotonicMilliseconds());
+    const deadlineMilliseconds = Math.max(1, left);
     return new BackendAttempt({
       address: announcement.address,
       agent: connections.agentFor(announcement.address),
       method: call.method,
       path: call.path,
       body: call.body,
+      deadlineMilliseconds,
       id: call.id,
       expectsEvents: call.route.kind === "stream" && call.route.resumable,
       format,
@@ -196,7 +221,7 @@
       headers: format.buildForwardHeaders(call.rawHeaders, {
         weightsVersion,
         resumesAfter,
-        deadlineMilliseconds: Math.max(1, left),
+        deadlineMilliseconds,
         instance: announcement.instance,
         workspace: call.workspace,
         rank: this.#rankOf(placement),
--- a/packages/daemon/src/gateway/sent_attempt.ts
+++ b/packages/daemon/src/gateway/sent_attempt.ts
@@ -9,6 +9,7 @@
   candidate: BackendCandidate;
   attempt: BackendAttempt;
   sentAt: number;
+  isRetry: boolean;
   outcome: Promise<AttemptOutcome>;
   /** Undefined where the backend servers' room isn't divided. */
   use?: RoomUse;
@@ -19,6 +20,8 @@
   readonly candidate: BackendCandidate;
   /** When the attempt began, monotonic milliseconds. */
   readonly sentAt: number;
+  /** Whether it took a retry from the budget. */
+  readonly isRetry: boolean;
   /**
    * Settles once; never rejects. After an answer the attempt goes on until
    * `end` is called.
@@ -32,10 +35,13 @@
   #isUnread = false;
   #hasEvents = false;
 
-  constructor({ candidate, attempt, sentAt, outcome, use }: Options) {
+  constructor(
+    { candidate, attempt, sentAt, isRetry, outcome, use }: Options,
+  ) {
     this.candidate = candidate;
     this.#attempt = attempt;
     this.sentAt = sentAt;
+    this.isRetry = isRetry;
     this.outcome = outcome;
     this.#use = use;
   }
@@ -47,6 +53,11 @@
     return this.#attempt.isSent;
   }
 
+  /** See `BackendAttempt.toldMilliseconds`. */
+  get toldMilliseconds(): number | undefined {
+    return this.#attempt.toldMilliseconds;
+  }
+
   /** Follows its answer. */
   get answer(): AnswerWatch {
     return this.#attempt.answer;
--- a/packages/daemon/src/log/event_name.ts
+++ b/packages/daemon/src/log/event_name.ts
@@ -56,6 +56,7 @@
   | "request-ended"
   | "request-failed"
   | "request-unreadable"
+  | "retry-refused"
   | "routing-change"
   | "routing-in-force"
   | "routing-unreadable"
--- a/packages/daemon/src/metrics/process_metrics.ts
+++ b/packages/daemon/src/metrics/process_metrics.ts
@@ -69,6 +69,8 @@
   readonly answersEnded: Counter<"framing" | "end">;
   /** Fields of answers that were ignored, in part or whole, by their name. */
   readonly answerFieldsUnreadable: Counter<"field">;
+  /** Requests that were not sent once more, by why; each once by reason. */
+  readonly retriesRefused: Counter<"service" | "reason">;
   /** Steps of takeovers from silent or failing backend servers. */
   readonly takeovers: Counter<"change">;
   /** Data centres that this gateway sends nothing to. */
@@ -154,6 +156,12 @@
       labelNames: ["field"],
       registers,
     });
+    this.retriesRefused = new Counter({
+      name: "teaselrouter_retries_refused_total",
+      help: "Requests that were not sent once more, by service and reason",
+      labelNames: ["service", "reason"],
+      registers,
+    });
     this.takeovers = new Counter({
       name: "teaselrouter_takeovers_total",
       help: "Takeovers from silent or failing backend servers, by step",
