Retries: a purse for each service, earned by its own requests and by time, empty at a start

Cause: each process kept a bound that all processes share, from what it alone had seen since it alone had started: one bucket for all services, full at each start, with a ratio and a reserve of its own instead of the deployment's.

Now each service has its own purse.

--- a/acceptance/src/budget/budget_day.ts
+++ b/acceptance/src/budget/budget_day.ts
@@ -89,6 +89,7 @@
       deadlineMilliseconds: DEADLINE_MILLISECONDS,
       streamsPerSecond: STREAMS_PER_SECOND,
       plainRequestsPerSecond: PLAIN_REQUESTS_PER_SECOND,
+      hasDistinctPaths: true,
     });
     this.#serverTroubles = new ServerTroubles({
       engines,
--- a/acceptance/src/send_traced_request.ts
+++ b/acceptance/src/send_traced_request.ts
@@ -19,6 +19,8 @@
   url: string;
   deadlineMilliseconds: number;
   events: number;
+  /** Defaults to the one path of all requests of this kind. */
+  path?: string | undefined;
   /** Pause before the last half of the body is sent. */
   bodyPauseMilliseconds?: number;
   /** Pause before the last half of the head is sent; only without a body. */
@@ -50,7 +52,7 @@
     isReused: false,
     error: "",
   };
-  const outgoing = openRequest(options.url + PATHS[kind], {
+  const outgoing = openRequest(options.url + (options.path ?? PATHS[kind]), {
     method: kind === "safe" ? "GET" : "POST",
     ...(headPauseMilliseconds === undefined
       ? { agent: options.agent ?? false }
--- a/acceptance/src/silence_traffic.ts
+++ b/acceptance/src/silence_traffic.ts
@@ -22,6 +22,8 @@
   deadlineMilliseconds: number;
   streamsPerSecond?: number;
   plainRequestsPerSecond?: number;
+  /** Whether requests that have no body differ in their paths. */
+  hasDistinctPaths?: boolean;
 };
 
 /**
@@ -118,12 +120,15 @@
       agent?: Agent;
     },
   ): Promise<void> {
-    const { frontendUrl, deadlineMilliseconds } = this.#options;
+    const { frontendUrl, deadlineMilliseconds, hasDistinctPaths } =
+      this.#options;
     this.#count += 1;
+    const isAlike = rest.kind !== "safe" || !hasDistinctPaths;
     const request = await sendTracedRequest({
       ...rest,
       id: `s-${this.#count}`,
       gateway,
+      path: isAlike ? undefined : `/look/${this.#count}`,
       url: frontendUrl(gateway),
       deadlineMilliseconds,
     });
--- a/packages/core/src/gateway/decide_takeover.ts
+++ b/packages/core/src/gateway/decide_takeover.ts
@@ -1,5 +1,5 @@
+import type { RetryPurse } from "../retries/retry_purse.ts";
 import type { BackendCandidate } from "./backend_candidate.ts";
-import type { SharedRetryBudget } from "./shared_retry_budget.ts";
 import type { TakeoverDecision } from "./takeover_decision.ts";
 
 type Request = {
@@ -38,7 +38,7 @@
  */
 export function decideTakeover(
   request: Request,
-  retries: SharedRetryBudget,
+  retries: RetryPurse,
   now: number,
 ): TakeoverDecision {
   if (!request.isRetryable) return keep("not-retryable");
@@ -46,7 +46,7 @@
   if (request.millisecondsLeft < MIN_MILLISECONDS_LEFT) {
     return keep("no-time-left");
   }
-  if (!retries.hasRetries) return keep("no-retry-left");
+  if (!retries.hasRetry(now)) return keep("no-retry-left");
   const candidates = request.listCandidates();
   const available = candidates.filter(({ record }) => record.isAvailable(now));
   if (available.length === 0) return keep("no-server-heard");
@@ -54,7 +54,7 @@
     available.filter((candidate) => hasPlace(candidate, now)),
   );
   if (target === undefined) return keep("no-place");
-  retries.trySpendRetry();
+  retries.trySpend(now);
   target.record.beginRequest(now);
   return { kind: "take-over", target };
 }
--- a/packages/daemon/src/gateway/call_finisher.ts
+++ b/packages/daemon/src/gateway/call_finisher.ts
@@ -77,7 +77,7 @@
   }
 
   #logCut(ended: EndedCall | undefined, refusal: CallRefusal): void {
-    const { log, metrics, retries } = this.#options.context;
+    const { log, metrics } = this.#options.context;
     const silence = ended?.takeover.evidence;
     const reason = refusal.cutReason ?? "server-broke-off";
     metrics.answersCut.inc({ reason });
@@ -88,7 +88,9 @@
       detail: refusal.reason,
       last_event: ended?.forwarder.lastEventId,
       silent_milliseconds: silence && Math.round(silence.silentMilliseconds),
-      retries_left: Math.floor(silence?.retriesLeft ?? retries.left),
+      retries_left: ended && Math.floor(
+        silence?.retriesLeft ?? ended.routing.retriesLeft,
+      ),
       to: silence?.to,
       kept: silence?.keptReason,
     });
--- a/packages/daemon/src/gateway/call_routing.ts
+++ b/packages/daemon/src/gateway/call_routing.ts
@@ -172,17 +172,25 @@
   }
 
   /**
-   * Spends one retry of the budget that all requests share. False if none is
-   * left or this request may not be sent again.
+   * Spends one retry of the budget that all requests for its service share.
+   * False if none is left or this request may not be sent again.
    */
   trySpendRetry(): boolean {
     const { context, call } = this.#options;
+    const now = monotonicMilliseconds();
     if (!this.#hasAttemptsLeft) return this.#refuseRetry("no-attempt-left");
     if (!context.crashes.mayRetry(call)) return this.#refuseRetry("suspected");
-    return context.retries.trySpendRetry() ||
+    return context.retries.purseOf(call.service.name, now).trySpend(now) ||
       this.#refuseRetry("no-retry-left");
   }
 
+  /** Retries that requests for its service may spend now, with a fraction. */
+  get retriesLeft(): number {
+    const { context, call } = this.#options;
+    const now = monotonicMilliseconds();
+    return context.retries.purseOf(call.service.name, now).left(now);
+  }
+
   /** Logs and counts the reason, once for each request. */
   #refuseRetry(reason: RetryRefusal): false {
     if (this.#loggedRefusals.has(reason)) return false;
@@ -194,7 +202,7 @@
       id: call.id,
       service,
       reason,
-      retries_left: Math.floor(context.retries.left),
+      retries_left: Math.floor(this.retriesLeft),
       sends: tried.size,
     });
     return false;
@@ -214,7 +222,7 @@
         listCandidates: () => pool.listUsable(query),
         choose: (candidates) => pool.chooseAmong(candidates, query),
       },
-      retries,
+      retries.purseOf(call.service.name, now),
       now,
     );
     if (decision.kind === "keep" && isRetryRefusal(decision.reason)) {
--- a/packages/daemon/src/gateway/call_takeover.ts
+++ b/packages/daemon/src/gateway/call_takeover.ts
@@ -124,13 +124,13 @@
 
   #decide(sent: SentAttempt): void {
     if (sent.hasEnded || this.#isReplacementHeard()) return;
-    const { context, routing } = this.#options;
+    const { routing } = this.#options;
     const { record } = sent.candidate;
     const now = monotonicMilliseconds();
     const decision = routing.decideTakeover();
     this.evidence = {
       silentMilliseconds: record.silentMilliseconds(now),
-      retriesLeft: context.retries.left,
+      retriesLeft: routing.retriesLeft,
       to: decision.kind === "take-over"
         ? decision.target.announcement.instance
         : undefined,
--- a/packages/daemon/src/gateway/gateway_app.ts
+++ b/packages/daemon/src/gateway/gateway_app.ts
@@ -3,7 +3,7 @@
 import { RegionRule } from "@teaselrouter/core/dispatch/region_rule.ts";
 import { UrgencyRoomPolicy } from "@teaselrouter/core/room/urgency_room_policy.ts";
 import { EvacuationRule } from "@teaselrouter/core/evacuations/evacuation_rule.ts";
-import { SharedRetryBudget } from "@teaselrouter/core/gateway/shared_retry_budget.ts";
+import { RetryBudgets } from "@teaselrouter/core/retries/retry_budgets.ts";
 import { ListeningTime } from "@teaselrouter/core/gateway/listening_time.ts";
 import { PatienceEstimator } from "@teaselrouter/core/gateway/patience_estimator.ts";
 import { createServer, type Server } from "node:http";
@@ -27,6 +27,7 @@
 import { CrashReporter } from "./crash_reporter.ts";
 import { CrashWatch } from "./crash_watch.ts";
 import type { GatewayContext } from "./gateway_context.ts";
+import { GatewayCount } from "./gateway_count.ts";
 import { GatewayServer } from "./gateway_server.ts";
 import { HeldBodies } from "./held_bodies.ts";
 import { NamedLimits } from "./named_limits.ts";
@@ -40,8 +41,12 @@
  * together.
  */
 const FOLLOWED_CONTROL_HOSTS = 3;
-/** Retries that one host may save up for a burst of failures. */
-const MAX_SAVED_RETRIES = 8;
+/**
+ * Shared bounds are divided among at least this many gateways, unless the bound
+ * of cold servers says another number: a margin for some that no control host
+ * knows of, since all of them have started anew.
+ */
+const MIN_GATEWAYS = 6;
 const HOUSEKEEPING_INTERVAL_MILLISECONDS = 500;
 /**
  * How long a stopping gateway goes on accepting connections while its readiness
@@ -74,6 +79,7 @@
   #followSet: FollowSet;
   #regionRule: RegionRule;
   #coldServers: ColdServers | undefined;
+  #count: GatewayCount;
   #context: GatewayContext;
   #room: UrgencyRoomPolicy;
   #server: GatewayServer;
@@ -137,14 +143,22 @@
     const endedServers$ = crashWatch.ended$.pipe(
       map(({ announcement }) => announcement),
     );
-    const { cold_servers } = settings.gateway!;
+    const { cold_servers, retry_budget } = settings.gateway!;
+    this.#count = new GatewayCount({
+      host: settings.name,
+      minGateways: cold_servers?.min_gateways ?? MIN_GATEWAYS,
+      feed,
+      publish: (value) => this.#followSet.broadcast({ case: "gateway", value }),
+      log,
+    });
+    const { gateways } = this.#count;
     this.#coldServers = cold_servers && new ColdServers({
       host: settings.name,
       bound: cold_servers,
+      division: gateways,
       feed,
       endedServers$,
       isConnected: () => this.#followSet.connectedCount > 0,
-      publish: (value) => this.#followSet.broadcast({ case: "gateway", value }),
       log,
       metrics,
     });
@@ -182,9 +196,14 @@
       heldBodies: new HeldBodies(settings.gateway!.max_held_body_bytes),
       namedLimits,
       pushbacks,
-      retries: new SharedRetryBudget({
-        ratio: settings.gateway!.retry_ratio,
-        maxSavedRetries: MAX_SAVED_RETRIES,
+      retries: new RetryBudgets({
+        bound: {
+          ratio: retry_budget.ratio,
+          slack: retry_budget.slack,
+          windowMilliseconds: retry_budget.window_seconds * 1_000,
+        },
+        countHosts: (now) => gateways.count(now),
+        now: monotonicMilliseconds(),
       }),
       patience: new PatienceEstimator(),
       silence: new SilenceWatch(listening),
@@ -247,7 +266,7 @@
     this.#isStopping = true;
     await sleep(BALANCER_NOTICE_MILLISECONDS);
     this.#options.log.info("port-closed", await this.#server.stopListening());
-    this.#coldServers?.leave();
+    this.#count.leave();
     await waitUntilQuiet({
       lastRequestAt: () => this.#server.lastRequestAt,
       maxMilliseconds: MAX_QUIET_WAIT_MILLISECONDS,
@@ -283,15 +302,19 @@
   }
 
   #runHousekeeping(): void {
-    const { feed, connections, log, metrics } = this.#context;
+    const { feed, connections, log, metrics, retries } = this.#context;
+    const now = monotonicMilliseconds();
     feed.expire();
     this.#coldServers?.observe();
+    this.#count.observe();
+    retries.observe(now);
+    retries.expire(now);
     metrics.evacuationsInForce.set(feed.evacuations.dataCentres.size);
     this.#context.crashes.expire();
     this.#context.pushbacks.expire();
     connections.retainOnly(feed.liveAddresses());
     this.#server.applyLimits();
-    reportRoom(metrics, this.#room.rooms, monotonicMilliseconds());
+    reportRoom(metrics, this.#room.rooms, now);
     if (this.#isReady() === this.#wasReady) return;
     this.#wasReady = !this.#wasReady;
     log.info("readiness", { ready: this.#wasReady });
--- a/packages/daemon/src/gateway/gateway_call.ts
+++ b/packages/daemon/src/gateway/gateway_call.ts
@@ -97,7 +97,11 @@
       takeover,
       progress: undefined,
     };
-    context.retries.countRequest();
+    context.retries.countRequest(
+      call.service.name,
+      call.startedAt,
+      monotonicMilliseconds(),
+    );
     const stopWatching = this.#interruptions.watch(active);
     try {
       await this.#sendUntilAnswered(active);
--- a/packages/daemon/src/gateway/gateway_context.ts
+++ b/packages/daemon/src/gateway/gateway_context.ts
@@ -1,6 +1,6 @@
 import type { DispatchTerms } from "@teaselrouter/core/dispatch/dispatch_terms.ts";
-import type { SharedRetryBudget } from "@teaselrouter/core/gateway/shared_retry_budget.ts";
 import type { PatienceEstimator } from "@teaselrouter/core/gateway/patience_estimator.ts";
+import type { RetryBudgets } from "@teaselrouter/core/retries/retry_budgets.ts";
 import type { EventLog } from "../log/event_log.ts";
 import type { ProcessMetrics } from "../metrics/process_metrics.ts";
 import type { RequestFormat } from "../platform/request_format.ts";
@@ -25,7 +25,7 @@
   heldBodies: HeldBodies;
   namedLimits: NamedLimits;
   pushbacks: ServerPushbacks;
-  retries: SharedRetryBudget;
+  retries: RetryBudgets;
   patience: PatienceEstimator;
   silence: SilenceWatch;
   crashWatch: CrashWatch;
--- a/packages/daemon/src/gateway/gateway_fixture.ts
+++ b/packages/daemon/src/gateway/gateway_fixture.ts
@@ -4,7 +4,7 @@
 import { createDefaultTerms } from "@teaselrouter/core/dispatch/create_default_terms.ts";
 import type { DispatchTerms } from "@teaselrouter/core/dispatch/dispatch_terms.ts";
 import { EvacuationRule } from "@teaselrouter/core/evacuations/evacuation_rule.ts";
-import { SharedRetryBudget } from "@teaselrouter/core/gateway/shared_retry_budget.ts";
+import { RetryBudgets } from "@teaselrouter/core/retries/retry_budgets.ts";
 import { BackendState } from "@teaselrouter/messages/follow.ts";
 import { Buffer } from "node:buffer";
 import { createServer, type Server, type Socket } from "node:net";
@@ -33,6 +33,9 @@
 const SERVICE = "service";
 const WAIT_MILLISECONDS = 5_000;
 
+const RETRY_BOUND = { ratio: 0.2, slack: 36, windowMilliseconds: 60_000 };
+const SAVING_MILLISECONDS = 20_000;
+
 type Event = { name: string; fields: Record<string, unknown> };
 type Route = RoutingConfiguration["routes"][number];
 type Limits = RoutingConfiguration["callerLimits"];
@@ -303,7 +306,7 @@
       heldBodies: new HeldBodies(this.#options.maximumHeldBytes),
       namedLimits,
       pushbacks,
-      retries: new SharedRetryBudget({ ratio: 0.1, maxSavedRetries: 8 }),
+      retries: createSavedRetries(),
       patience: new PatienceEstimator(),
       silence: new SilenceWatch(new ListeningTime()),
       crashWatch,
@@ -331,6 +334,20 @@
   }
 }
 
+/** Budgets of a gateway that has run for a while: eight retries a service. */
+function createSavedRetries(): RetryBudgets {
+  const now = monotonicMilliseconds();
+  const startedAt = now - SAVING_MILLISECONDS;
+  const retries = new RetryBudgets({
+    bound: RETRY_BOUND,
+    countHosts: () => 1,
+    now: startedAt,
+  });
+  const step = SAVING_MILLISECONDS / 100;
+  for (let at = startedAt; at <= now; at += step) retries.observe(at);
+  return retries;
+}
+
 async function findFreePort(): Promise<number> {
   const server = createServer();
   const port = await listenOnAnyPort(server);
--- a/packages/daemon/src/settings/settings_schema.ts
+++ b/packages/daemon/src/settings/settings_schema.ts
@@ -121,8 +121,17 @@
      * older weights.
      */
     weights_bound_milliseconds: z.number().int().min(0).default(8_000),
-    /** Maximum retries per request, over the requests of all hosts together. */
-    retry_ratio: z.number().min(0).max(1).default(0.1),
+    /** Bounds the retries that backend servers get from all gateways. */
+    retry_budget: z.strictObject({
+      /**
+       * In any window, the retries of a service are at most this multiple of the
+       * requests for it,
+       */
+      ratio: z.number().min(0).default(0.2),
+      /** plus this many. */
+      slack: z.number().min(0).default(100),
+      window_seconds: z.number().positive().default(10),
+    }).prefault({}),
     /**
      * Bounds the requests to backend servers that have just started, for
      * services whose configuration says what these bear. Without it nothing is
