A request says what time is left when it leaves, not when it began to wait

A server was told 2,999 ms where 1,741 were left, and worked on for a client that had gone: the head was built when an attempt began, and waited in Node.js's queue for one of 64 connections to that server, without a limit. Now an attempt waits for its turn first (BackendAgent.acquire) and builds its head when it has one; a head that is older than 350 ms as it could leave (the process stood still) isn't sent, and the attempt counts as not run.

told_deadline_test failed before: told 2,999 ms, 1,741 are left.

--- a/packages/daemon/src/gateway/backend_agent.ts
+++ b/packages/daemon/src/gateway/backend_agent.ts
@@ -1,5 +1,6 @@
 import { Agent, type ClientRequest } from "node:http";
 import type { Socket } from "node:net";
+import process from "node:process";
 
 /**
  * Fraction of a connection's idle timeout after which this gateway closes it. A
@@ -18,6 +19,11 @@
 
 /** Keep-alive connections to one backend server. */
 export class BackendAgent extends Agent {
+  #maxInUse: number;
+  #inUse = 0;
+  /** Opens requests that wait for a connection, in order. */
+  #waiting = new Set<() => void>();
+
   constructor(maxSockets: number) {
     super({
       keepAlive: true,
@@ -25,10 +31,42 @@
       scheduling: "lifo",
       timeout: MAX_IDLE_MILLISECONDS,
     });
+    this.#maxInUse = maxSockets;
+  }
+
+  /**
+   * Calls `open` once a request may have a connection, also at once; `release`
+   * is to be called when the request that it opened is closed. A request that
+   * waited in Node.js's own queue would leave with the head that it was given
+   * before. The returned function ends the wait.
+   */
+  acquire(open: () => void): () => void {
+    if (this.#inUse < this.#maxInUse) {
+      this.#inUse += 1;
+      open();
+      return () => {};
+    }
+    this.#waiting.add(open);
+    return () => void this.#waiting.delete(open);
+  }
+
+  /** Gives back what `acquire` granted. */
+  release(): void {
+    this.#inUse -= 1;
+    // The connection itself becomes free only behind the request's close.
+    process.nextTick(() => this.#openNext());
+  }
+
+  #openNext(): void {
+    const [open] = this.#waiting;
+    if (open === undefined || this.#inUse >= this.#maxInUse) return;
+    this.#waiting.delete(open);
+    this.#inUse += 1;
+    open();
   }
 
   get isUnused(): boolean {
-    return Object.keys(this.sockets).length === 0;
+    return Object.keys(this.sockets).length === 0 && this.#waiting.size === 0;
   }
 
   get hasOpen(): boolean {
--- a/packages/daemon/src/gateway/backend_attempt.ts
+++ b/packages/daemon/src/gateway/backend_attempt.ts
@@ -6,7 +6,10 @@
   request as openRequest,
 } from "node:http";
 import { AnswerWatch } from "../http/answer_watch.ts";
+import { discardRest } from "../http/discard_rest.ts";
+import { limitInterimAnswers } from "../http/limit_interim_answers.ts";
 import type { RequestFormat } from "../platform/request_format.ts";
+import { monotonicMilliseconds } from "../transport/monotonic_milliseconds.ts";
 import { splitAddress } from "../transport/split_address.ts";
 import type { AttemptOutcome } from "./attempt_outcome.ts";
 import type { BackendAgent } from "./backend_agent.ts";
@@ -19,6 +22,13 @@
  */
 const CONNECT_TIMEOUT_MILLISECONDS = 150;
 
+/**
+ * A head that is older when it could leave isn't sent: it would tell the backend
+ * server more time than is left. Longer than it takes to connect, and a turn of
+ * a busy process.
+ */
+const MAX_HEAD_AGE_MILLISECONDS = 350;
+
 /** Node.js reads answers with lower ones, and refuses to send them. */
 const MIN_STATUS = 100;
 
@@ -30,9 +40,8 @@
   agent: BackendAgent;
   method: string;
   path: string;
-  headers: string[];
-  /** Time that the headers say is left. */
-  deadlineMilliseconds?: number;
+  /** Builds the head when the request has a connection, or is about to. */
+  buildHead: () => Head;
   body: Buffer | undefined;
   /** Id of the attempt; an answer with another id is rejected. */
   id: string;
@@ -46,13 +55,22 @@
   onMetadata: (metadata: AnswerMetadata) => void;
 };
 
+type Head = {
+  headers: string[];
+  /** Time that the headers say is left. */
+  deadlineMilliseconds: number;
+};
+
 /** One attempt to send a request to one backend server. */
 export class BackendAttempt {
   /** Settles once; never rejects. */
   readonly outcome: Promise<AttemptOutcome>;
   readonly answer: AnswerWatch;
   #options: Options;
-  #request: ClientRequest;
+  /** Undefined while the attempt waits for a connection. */
+  #request: ClientRequest | undefined;
+  #deadlineMilliseconds: number | undefined;
+  #stopWaiting = () => {};
   #isSent = false;
   #isAborted = false;
   #settle!: (outcome: AttemptOutcome) => void;
@@ -63,29 +81,8 @@
     this.outcome = new Promise((resolve) => {
       this.#settle = resolve;
     });
-    const { address, agent, method, path, headers, body } = options;
-    this.#request = openRequest({
-      ...splitAddress(address),
-      agent,
-      method,
-      path,
-      headers: frameBody(headers, body) as unknown as Record<string, string>,
-      setHost: false,
-    });
-    this.answer = new AnswerWatch(this.#request, options);
-    this.#request.on("socket", (socket) => this.#handleSocket(socket));
-    this.#request.on("response", (message) => {
-      try {
-        this.#handleResponse(message);
-      } catch (error) {
-        // Thrown from here, it would end the process.
-        this.abort(`reading the answer's head failed: ${error}`);
-      }
-    });
-    this.#request.on("error", (error) => this.#fail(error.message));
-    this.#request.on("close", () => this.#fail("closed without an answer"));
-    this.#request.setNoDelay(true);
-    this.#request.end(body);
+    this.answer = new AnswerWatch(options);
+    this.#stopWaiting = options.agent.acquire(() => this.#open());
   }
 
   /** Whether a byte of the request may have reached the backend server. */
@@ -95,12 +92,12 @@
 
   /** Time that the backend server was told; undefined if it was told nothing. */
   get toldMilliseconds(): number | undefined {
-    return this.#isSent ? this.#options.deadlineMilliseconds : undefined;
+    return this.#isSent ? this.#deadlineMilliseconds : undefined;
   }
 
   /** Whether this host, not the backend server, ended the attempt. */
   get isAborted(): boolean {
-    return this.#isAborted;
+    return this.#isAborted || this.answer.isGivenUp;
   }
 
   /**
@@ -110,8 +107,9 @@
   abort(reason: string): void {
     this.#isAborted = true;
     this.answer.giveUp();
+    this.#stopWaiting();
     this.#fail(reason);
-    this.#request.destroy();
+    this.#request?.destroy();
   }
 
   /**
@@ -121,16 +119,59 @@
   withdraw(reason: string): void {
     if (this.#isSent) return;
     this.#isAborted = true;
+    this.#stopWaiting();
     this.#settle({ kind: "not-run", reason, isUnreachable: false });
     clearTimeout(this.#connectTimer);
-    this.#request.destroy();
+    this.#request?.destroy();
+  }
+
+  #open(): void {
+    const { address, agent, method, path, body, buildHead } = this.#options;
+    const builtAt = monotonicMilliseconds();
+    const { headers, deadlineMilliseconds } = buildHead();
+    this.#deadlineMilliseconds = deadlineMilliseconds;
+    const request = openRequest({
+      ...splitAddress(address),
+      agent,
+      method,
+      path,
+      headers: frameBody(headers, body) as unknown as Record<string, string>,
+      setHost: false,
+    });
+    this.#request = request;
+    this.answer.watch(request);
+    request.on("socket", (socket) => this.#handleSocket(socket, builtAt));
+    request.on("response", (message) => {
+      try {
+        this.#handleResponse(message);
+      } catch (error) {
+        // Thrown from here, it would end the process.
+        this.abort(`reading the answer's head failed: ${error}`);
+      }
+    });
+    limitInterimAnswers(request, (reason) => this.abort(reason));
+    request.on("error", (error) => this.#fail(error.message));
+    request.on("close", () => {
+      agent.release();
+      this.#fail("closed without an answer");
+    });
+    request.setNoDelay(true);
+    request.end(body);
   }
 
-  #handleSocket(socket: NonNullable<ClientRequest["socket"]>): void {
-    if (!socket.connecting) {
+  /** Node.js writes the head behind this, and behind what listens here. */
+  #handleSocket(
+    socket: NonNullable<ClientRequest["socket"]>,
+    builtAt: number,
+  ): void {
+    const beginSending = () => {
+      const age = monotonicMilliseconds() - builtAt;
+      if (age > MAX_HEAD_AGE_MILLISECONDS) {
+        return this.withdraw("its time was told too long ago");
+      }
       this.#isSent = true;
-      return;
-    }
+    };
+    if (!socket.connecting) return beginSending();
     // If this process itself was stalled, the timer fires before the pending
     // "connect" event is handled: let the event loop poll for it first.
     this.#connectTimer = setTimeout(() => {
@@ -140,7 +181,7 @@
     }, CONNECT_TIMEOUT_MILLISECONDS);
     socket.once("connect", () => {
       clearTimeout(this.#connectTimer);
-      this.#isSent = true;
+      beginSending();
     });
   }
 
@@ -162,7 +203,7 @@
       return;
     }
     if (metadata.isNotRun) {
-      message.resume();
+      discardRest(message);
       this.#settle({
         kind: "not-run",
         reason: `refused with ${status}`,
--- a/packages/daemon/src/gateway/backend_attempt_test.ts
+++ b/packages/daemon/src/gateway/backend_attempt_test.ts
@@ -55,7 +55,7 @@
     agent,
     method: "GET",
     path: "/",
-    headers: ["Host", "a"],
+    buildHead: () => ({ headers: ["Host", "a"], deadlineMilliseconds: 1_000 }),
     body: undefined,
     id: "a1",
     format,
@@ -110,7 +110,10 @@
       ...REQUEST,
       address: `${ADDRESS}:${port}`,
       agent,
-      headers: ["Host", "a"],
+      buildHead: () => ({
+        headers: ["Host", "a"],
+        deadlineMilliseconds: 1_000,
+      }),
     });
     const outcome = await sent.outcome;
     assert.ok(outcome.kind === "answer");
@@ -154,7 +157,7 @@
     agent,
     method: "GET",
     path: "/",
-    headers: [],
+    buildHead: () => ({ headers: [], deadlineMilliseconds: 1_000 }),
     body: undefined,
     id: "a1",
     format,
@@ -181,7 +184,10 @@
       ...REQUEST,
       address: `${ADDRESS}:${port}`,
       agent,
-      headers: ["Host", "a"],
+      buildHead: () => ({
+        headers: ["Host", "a"],
+        deadlineMilliseconds: 1_000,
+      }),
     });
   const running = open();
   const waiting = open();
@@ -223,7 +229,10 @@
       address: `${ADDRESS}:${port}`,
       agent,
       method,
-      headers: ["Host", "a"],
+      buildHead: () => ({
+        headers: ["Host", "a"],
+        deadlineMilliseconds: 1_000,
+      }),
       body: Buffer.from(smuggled),
     });
     assert.equal((await sent.outcome).kind, "answer");
--- a/packages/daemon/src/gateway/call_sender.ts
+++ b/packages/daemon/src/gateway/call_sender.ts
@@ -201,15 +201,26 @@
   ): BackendAttempt {
     const { connections, format, namedLimits, pushbacks } = this.#context;
     const call = this.#call;
-    const left = Math.floor(call.deadlineAt - monotonicMilliseconds());
-    const deadlineMilliseconds = Math.max(1, left);
+    const buildHead = () => {
+      const left = Math.floor(call.deadlineAt - monotonicMilliseconds());
+      const deadlineMilliseconds = Math.max(1, left);
+      const headers = format.buildForwardHeaders(call.rawHeaders, {
+        weightsVersion,
+        resumesAfter,
+        deadlineMilliseconds,
+        instance: announcement.instance,
+        workspace: call.workspace,
+        rank: this.#rankOf(placement),
+      });
+      return { headers, deadlineMilliseconds };
+    };
     return new BackendAttempt({
       address: announcement.address,
       agent: connections.agentFor(announcement.address),
       method: call.method,
       path: call.path,
       body: call.body,
-      deadlineMilliseconds,
+      buildHead,
       id: call.id,
       expectsEvents: call.route.kind === "stream" && call.route.resumable,
       format,
@@ -218,14 +229,6 @@
         pushbacks.recordAnswer(announcement, metadata, call.id);
         this.#countUnreadable(metadata.unreadableFields);
       },
-      headers: format.buildForwardHeaders(call.rawHeaders, {
-        weightsVersion,
-        resumesAfter,
-        deadlineMilliseconds,
-        instance: announcement.instance,
-        workspace: call.workspace,
-        rank: this.#rankOf(placement),
-      }),
     });
   }
 
--- a/packages/daemon/src/gateway/large_answer_test.ts
+++ b/packages/daemon/src/gateway/large_answer_test.ts
@@ -25,7 +25,8 @@
   await new Promise<void>((done) => server.listen(0, "127.0.0.1", done));
   const { port } = server.address() as AddressInfo;
   const sent = request({ host: "127.0.0.1", port });
-  const answer = new AnswerWatch(sent);
+  const answer = new AnswerWatch();
+  answer.watch(sent);
   const message = await new Promise<IncomingMessage>((resolve) => {
     sent.once("response", (received) => {
       answer.follow(received);
--- a/packages/daemon/src/gateway/told_deadline_test.ts
+++ b/packages/daemon/src/gateway/told_deadline_test.ts
@@ -61,3 +61,32 @@
     gateway.close();
   }
 });
+
+// Guards against a head that was built before a process stood still, and says
+// how much time there was before.
+test("a request whose head is too old when it could leave isn't sent", async () => {
+  const gateway = await GatewayFixture.open({
+    format: {
+      buildForwardHeaders: (raw) => {
+        const until = monotonicMilliseconds() + TOLERANCE_MILLISECONDS;
+        while (monotonicMilliseconds() < until);
+        return raw;
+      },
+    },
+    backend: (socket) => socket.on("data", () => socket.write(ANSWER)),
+  });
+  try {
+    const client = new RawClient(
+      gateway.port,
+      "GET /safe/ HTTP/1.1\r\nHost: x\r\nId: a1\r\n\r\n",
+    );
+    await client.receive(/^HTTP\/1\.1 503 /);
+    assert.equal(gateway.backendArrivals, 0);
+    const [ended] = gateway.fieldsOf("request-ended");
+    assert.equal(ended!.outcome, "not-run");
+    assert.match(String(ended!.sends), /^one@\d+\/unsent$/);
+    client.socket.destroy();
+  } finally {
+    gateway.close();
+  }
+});
--- a/packages/daemon/src/http/answer_watch.ts
+++ b/packages/daemon/src/http/answer_watch.ts
@@ -16,7 +16,7 @@
 
 /** Follows one answer, and says once it has ended whether it is whole. */
 export class AnswerWatch {
-  #request: ClientRequest;
+  #request: ClientRequest | undefined;
   #expectsEvents: boolean;
   /** The parser takes a reset behind an answer without a length for its end. */
   #hasConnectionFailed = false;
@@ -25,10 +25,13 @@
   #framing: AnswerFraming = "no-body";
   #position: EventPosition | undefined;
 
-  /** To be created before the request's connection is assigned. */
-  constructor(request: ClientRequest, options: Options = {}) {
-    this.#request = request;
+  constructor(options: Options = {}) {
     this.#expectsEvents = options.expectsEvents ?? false;
+  }
+
+  /** To be called before the request's connection is assigned. */
+  watch(request: ClientRequest): void {
+    this.#request = request;
     request.on("socket", (socket) => this.#detectReset(socket));
     request.on("error", () => {
       this.#hasConnectionFailed = true;
@@ -40,7 +43,7 @@
     const { headers, statusCode: status = 0 } = message;
     this.#message = message;
     this.#framing = findAnswerFraming({
-      method: this.#request.method,
+      method: this.#request?.method ?? "GET",
       status,
       transferEncoding: headers["transfer-encoding"],
       contentLength: headers["content-length"],
@@ -66,6 +69,10 @@
     this.#isGivenUp = true;
   }
 
+  get isGivenUp(): boolean {
+    return this.#isGivenUp;
+  }
+
   get framing(): AnswerFraming {
     return this.#framing;
   }
@@ -95,6 +102,6 @@
       if (socket.remoteAddress === undefined) this.#hasConnectionFailed = true;
     };
     socket.prependListener("end", checkForReset);
-    this.#request.once("close", () => socket.off("end", checkForReset));
+    this.#request?.once("close", () => socket.off("end", checkForReset));
   }
 }
