Bytes without end, in a head or a body, are closed by whoever reads them

Callers of a server in trouble held its connection, and some its bytes, for as long as it sent. Shown by tests that failed on the code before:

- Gateways: an answer left for another, and a refusal's body, were read to an end that never came; an event without an end was kept in memory; interim answers (1xx) were read until the deadline.
What a gateway closes so is no sign of a process that has ended; whether it ran stays unknown.
A call's answer was kept without a bound (by reading); now 32 MiB.

A plain body with sound framing goes on to its client until its time is over.

--- a/acceptance/src/broken_streams_test.ts
+++ b/acceptance/src/broken_streams_test.ts
@@ -15,7 +15,10 @@
 
 const system = new EndToEndSystem({ engines: 2, maxAttempts: 2 });
 
-before(() => system.start());
+before(async () => {
+  await system.start();
+  await system.saveRetries();
+});
 
 afterEach(() => {
   for (const engine of system.engines) {
--- a/acceptance/src/crashing_requests_test.ts
+++ b/acceptance/src/crashing_requests_test.ts
@@ -56,6 +56,7 @@
   let keepLogs = true;
   try {
     await system.start();
+    await system.saveRetries();
     for (const engine of system.engines) engine.crashingBodies = [CRASH_BODY];
     await scenario(system);
     keepLogs = false;
--- a/acceptance/src/end_to_end_system.ts
+++ b/acceptance/src/end_to_end_system.ts
@@ -11,6 +11,9 @@
 const START_TIMEOUT_MILLISECONDS = 20_000;
 const HEARTBEAT_INTERVAL_MILLISECONDS = 200;
 const CALL_TIMEOUT_MILLISECONDS = 1_000;
+/** From when gateways know how many they are; a retry takes about a second. */
+const SAVING_MILLISECONDS = 4_000;
+const COUNTED = /event=gateways-counted gateways=\d/;
 const DEFAULT_ENGINES = 2;
 const DEFAULT_ROUTE_TIMEOUT_MILLISECONDS = 2_000;
 /** First host indexes of gateways and of stagers; control hosts start at 0. */
@@ -140,6 +143,22 @@
     );
   }
 
+  /**
+   * Waits until the gateways have saved up retries, as they have when the
+   * platform's traffic starts, 12 s behind the machines.
+   */
+  async saveRetries(): Promise<void> {
+    const { cluster, gatewayNames } = this;
+    await this.#waitFor(
+      () =>
+        gatewayNames.every((name) =>
+          COUNTED.test(cluster.findHost(name).child.output)
+        ),
+      "counted",
+    );
+    await new Promise((resolve) => setTimeout(resolve, SAVING_MILLISECONDS));
+  }
+
   /**
    * Kills all control hosts and gateways at once, starts them again and waits
    * until the gateways are ready. Stagers and backend servers keep running.
--- a/packages/core/src/gateway/event_splitter.ts
+++ b/packages/core/src/gateway/event_splitter.ts
@@ -20,6 +20,12 @@
 export class EventSplitter {
   #position = new EventPosition();
   #rest: Buffer[] = [];
+  #restLength = 0;
+
+  /** Number of bytes received after the last complete event. */
+  get incompleteLength(): number {
+    return this.#restLength;
+  }
 
   /** Bytes received after the last complete event. */
   get incompleteBytes(): Buffer {
@@ -34,6 +40,7 @@
     const end = this.#position.advance(bytes);
     if (end === 0) {
       this.#rest.push(bytes);
+      this.#restLength += bytes.length;
       return { bytes: EMPTY_BUFFER, lastId: undefined };
     }
     const last = bytes.subarray(0, end);
@@ -41,6 +48,7 @@
       ? last
       : Buffer.concat([...this.#rest, last]);
     this.#rest = end < bytes.length ? [bytes.subarray(end)] : [];
+    this.#restLength = bytes.length - end;
     return { bytes: complete, lastId: findLastId(complete) };
   }
 }
--- a/packages/daemon/src/agent/backend_call.ts
+++ b/packages/daemon/src/agent/backend_call.ts
@@ -3,6 +3,8 @@
 import type { Buffer } from "node:buffer";
 import { splitAddress } from "../transport/split_address.ts";
 import { AnswerWatch } from "../http/answer_watch.ts";
+import { discardRest } from "../http/discard_rest.ts";
+import { limitInterimAnswers } from "../http/limit_interim_answers.ts";
 import type { BackendRateLimiter } from "./backend_rate_limiter.ts";
 import type { AgentState } from "./agent_state.ts";
 import type { EngineClient } from "./engine_client.ts";
@@ -14,6 +16,8 @@
 
 const connections = new Agent({ keepAlive: false });
 const ASK_AGAIN_DELAY_MILLISECONDS = 50;
+/** An answer is kept whole until it is read; a larger one has no end in sight. */
+const MAX_ANSWER_BYTES = 33_554_432;
 
 type BackendCallResult =
   | { kind: "answered" }
@@ -94,7 +98,8 @@
           "Teaselrouter-Workspace": this.#request.workspace,
         },
       });
-      const answer = new AnswerWatch(call);
+      const answer = new AnswerWatch();
+      answer.watch(call);
       call.once("socket", (socket) => {
         socket.once("connect", () => {
           isConnected = true;
@@ -119,6 +124,7 @@
           isKnownToHaveRun: false,
           reason: "no-http-answer",
         }));
+      limitInterimAnswers(call, (reason) => call.destroy(new Error(reason)));
       call.end(body);
     });
   }
@@ -130,7 +136,7 @@
     this.#limit.setLimit(parseLimit(response.headers[LIMIT_HEADER]));
     const { statusCode: status = 0, rawHeaders } = response;
     if (this.#state.pushback.recordAnswer({ status, rawHeaders })) {
-      response.resume();
+      discardRest(response);
       return Promise.resolve({ kind: "rejected" });
     }
     this.#settleSend(true);
@@ -160,7 +166,14 @@
     answer: AnswerWatch,
   ): Promise<BackendCallResult> {
     return new Promise((resolve) => {
-      response.on("data", (bytes: Buffer) => this.#exchange.append(bytes));
+      let isTooLarge = false;
+      response.on("data", (bytes: Buffer) => {
+        this.#exchange.append(bytes);
+        if (this.#exchange.bytes <= MAX_ANSWER_BYTES) return;
+        isTooLarge = true;
+        answer.giveUp();
+        response.destroy();
+      });
       response.on("error", () => undefined);
       response.once("close", () => {
         const { end } = answer;
@@ -168,7 +181,7 @@
         resolve({
           kind: "failed",
           isKnownToHaveRun: true,
-          reason: `answer-${end}`,
+          reason: isTooLarge ? "answer-too-large" : `answer-${end}`,
         });
       });
       response.resume();
--- a/packages/daemon/src/agent/engine_client.ts
+++ b/packages/daemon/src/agent/engine_client.ts
@@ -1,11 +1,12 @@
 import { Result } from "true-myth";
 import * as z from "zod";
-
+import { readTextWithin } from "../http/read_text_within.ts";
 import type { BackendPushback } from "./backend_pushback.ts";
 import { STATE_UNREADABLE } from "./state_unreadable.ts";
 
 const CALL_TIMEOUT_MILLISECONDS = 2_000;
 const PROBE_PATH = "/v1/probe";
+const MAX_ANSWER_BYTES = 65_536;
 
 const stateSchema = z.object({
   /** Version that is loaded completely; empty for none. */
@@ -46,7 +47,8 @@
   async readState(): Promise<Result<EngineState, string>> {
     const answer = await this.#call("GET", "/v1/state");
     if (answer.isErr) return Result.err(answer.error);
-    const text = await answer.value.text().catch(() => undefined);
+    const text = await readTextWithin(answer.value, MAX_ANSWER_BYTES)
+      .catch(() => undefined);
     if (text === undefined) return Result.err("engine-state-incomplete");
     const parsed = stateSchema.safeParse(parseJson(text));
     return parsed.success
@@ -61,6 +63,8 @@
       fencing_token: order.fencingToken,
     });
     if (answer.isErr) return Result.err(answer.error);
+    // What it says besides its status is of no use, or its end.
+    await answer.value.body?.cancel().catch(() => undefined);
     return answer.value.ok
       ? Result.ok(undefined)
       : Result.err(`load-refused-${answer.value.status}`);
@@ -74,7 +78,7 @@
   async probe(): Promise<Result<string, string>> {
     const answer = await this.#call("POST", PROBE_PATH, {});
     if (answer.isErr) return Result.err(answer.error);
-    await answer.value.text().catch(() => "");
+    await readTextWithin(answer.value, MAX_ANSWER_BYTES).catch(() => "");
     return answer.value.ok
       ? Result.ok(answer.value.headers.get("engine-version") ?? "")
       : Result.err(`probe-${answer.value.status}`);
--- a/packages/daemon/src/entry/operators/fetch_manifest.ts
+++ b/packages/daemon/src/entry/operators/fetch_manifest.ts
@@ -2,10 +2,13 @@
 import { weightsManifestSchema } from "@teaselrouter/core/spread/weights_manifest_schema.ts";
 import { Result } from "true-myth";
 import { describeIssue } from "../../http/describe_issue.ts";
+import { readTextWithin } from "../../http/read_text_within.ts";
 import { invalidRequest } from "../calls/invalid_request.ts";
 import type { Problem } from "../../http/problem.ts";
 
 const STORE_TIMEOUT_MILLISECONDS = 5_000;
+/** Digests of a quarter of a million chunks. */
+const MAX_MANIFEST_BYTES = 16_777_216;
 
 /** Fetches the manifest of a version from its weight store and validates it. */
 export async function fetchManifest(
@@ -22,8 +25,12 @@
     const answer = await fetch(url, {
       signal: AbortSignal.timeout(STORE_TIMEOUT_MILLISECONDS),
     });
-    if (!answer.ok) return refuse(`${url} answers ${answer.status}`);
-    const checked = weightsManifestSchema.safeParse(await answer.json());
+    if (!answer.ok) {
+      await answer.body?.cancel();
+      return refuse(`${url} answers ${answer.status}`);
+    }
+    const text = await readTextWithin(answer, MAX_MANIFEST_BYTES);
+    const checked = weightsManifestSchema.safeParse(JSON.parse(text));
     if (!checked.success) return refuse(describeIssue(checked.error).detail);
     if (checked.data.name !== name || checked.data.version !== version) {
       return refuse(`${url} has another name or version`);
--- a/packages/daemon/src/gateway/gateway_call.ts
+++ b/packages/daemon/src/gateway/gateway_call.ts
@@ -1,5 +1,6 @@
 import type { ReportedLoad } from "@teaselrouter/core/gateway/reported_load.ts";
 import type { IncomingMessage, ServerResponse } from "node:http";
+import { discardRest } from "../http/discard_rest.ts";
 import { monotonicMilliseconds } from "../transport/monotonic_milliseconds.ts";
 import { admitCall } from "./admit_call.ts";
 import type { ActiveCall } from "./active_call.ts";
@@ -263,12 +264,12 @@
     if (forwarder.hasBegun && !goesOn) {
       // The client has the head of a stream: this body can't go on with it.
       if (status >= 500 && acceptsRequests()) record.recordFailure(now);
-      message.resume();
+      discardRest(message);
       return "again";
     }
     if (status >= 500 && takeover.tryBegin(sent)) {
       if (acceptsRequests()) record.recordFailure(now);
-      message.resume();
+      discardRest(message);
       return "again";
     }
     if (isGood) record.endHalfOpen();
--- a/packages/daemon/src/gateway/stream_relay.ts
+++ b/packages/daemon/src/gateway/stream_relay.ts
@@ -5,6 +5,9 @@
 import type { AnswerWatch } from "../http/answer_watch.ts";
 import { monotonicMilliseconds } from "../transport/monotonic_milliseconds.ts";
 
+/** An event that is larger is taken for bytes without end. */
+const MAX_EVENT_BYTES = 1_048_576;
+
 /** An event's id is resumed after only if a header can hold it. */
 const SENDABLE_ID = /^[\t\x20-\x7e\x80-\xff]*$/;
 
@@ -62,6 +65,9 @@
       message.on("data", (bytes: Buffer) => {
         try {
           this.#forwardBytes(message, bytes);
+          if (this.#splitter.incompleteLength <= MAX_EVENT_BYTES) return;
+          answer.giveUp();
+          message.destroy();
         } catch (error) {
           reject(error);
         }
--- /dev/null
+++ b/packages/daemon/src/http/flooding_server_fixture.ts
@@ -0,0 +1,72 @@
+import { type AddressInfo, createServer, type Socket } from "node:net";
+
+const BODY_HEAD = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n" +
+  "Transfer-Encoding: chunked\r\n\r\n";
+const CHUNK = `10000\r\n${" ".repeat(65_536)}\r\n`;
+const WAIT_MILLISECONDS = 5_000;
+
+/** What comes without end, by where it comes. */
+export const FLOODS = {
+  head: {
+    first: "HTTP/1.1 200 OK\r\n",
+    rest: `Filler: ${"x".repeat(999)}\r\n`,
+  },
+  interim: { first: "", rest: "HTTP/1.1 102 Processing\r\n\r\n" },
+  body: { first: BODY_HEAD, rest: CHUNK },
+  failure: { first: BODY_HEAD.replace("200 OK", "500 No"), rest: CHUNK },
+};
+
+/**
+ * A server for tests that answers each request with bytes without end, until
+ * the connection is closed.
+ */
+export class FloodingServer {
+  address = "";
+  bytesSent = 0;
+  #flood: { first: string; rest: string };
+  #sockets = new Set<Socket>();
+  #server = createServer((socket) => {
+    this.#sockets.add(socket);
+    socket.on("error", () => undefined);
+    socket.once("close", () => this.#sockets.delete(socket));
+    socket.once("data", () => this.#send(socket));
+  });
+
+  constructor(kind: keyof typeof FLOODS) {
+    this.#flood = FLOODS[kind];
+  }
+
+  async open(): Promise<void> {
+    await new Promise<void>((resolve) =>
+      this.#server.listen(0, "127.0.0.1", resolve)
+    );
+    const { port } = this.#server.address() as AddressInfo;
+    this.address = `127.0.0.1:${port}`;
+  }
+
+  /** Whether all connections are closed within some seconds. */
+  async isLeft(): Promise<boolean> {
+    const until = performance.now() + WAIT_MILLISECONDS;
+    while (this.#sockets.size > 0 && performance.now() < until) {
+      await new Promise((resolve) => setTimeout(resolve, 10));
+    }
+    return this.#sockets.size === 0;
+  }
+
+  close(): void {
+    for (const socket of this.#sockets) socket.destroy();
+    this.#server.close();
+  }
+
+  #send(socket: Socket): void {
+    const { first, rest } = this.#flood;
+    socket.write(first);
+    const sendMore = () => {
+      if (socket.destroyed) return;
+      this.bytesSent += rest.length;
+      if (socket.write(rest)) setImmediate(sendMore);
+      else socket.once("drain", sendMore);
+    };
+    sendMore();
+  }
+}
--- a/packages/operator/src/client/operator_client.ts
+++ b/packages/operator/src/client/operator_client.ts
@@ -2,6 +2,8 @@
 import type { CallFailure } from "./call_failure.ts";
 
 const CALL_TIMEOUT_MILLISECONDS = 15_000;
+/** The status of thousands of hosts has some megabytes. */
+const MAX_ANSWER_BYTES = 67_108_864;
 
 type Problem = { detail?: string; type?: string };
 type ChangeRefusal = {
@@ -42,7 +44,7 @@
         body: body === undefined ? undefined : JSON.stringify(body),
         signal: AbortSignal.timeout(CALL_TIMEOUT_MILLISECONDS),
       });
-      content = await answer.json();
+      content = JSON.parse(await readText(answer));
     } catch (error) {
       return Result.err(this.#toTransportFailure(error, method));
     }
@@ -64,6 +66,17 @@
   }
 }
 
+/** Reads a body; rejects, and closes the connection, if it is too large. */
+async function readText(answer: Response): Promise<string> {
+  const decoder = new TextDecoder();
+  let text = "";
+  for await (const part of answer.body ?? []) {
+    text += decoder.decode(part, { stream: true });
+    if (text.length > MAX_ANSWER_BYTES) throw new Error("too large an answer");
+  }
+  return text + decoder.decode();
+}
+
 function toCallFailure(answer: Response, content: unknown): CallFailure {
   const outcome = answer.headers.get("teaselrouter-outcome");
   if (answer.status === 409) {
