--- a/acceptance/src/render_template_test.ts
+++ b/acceptance/src/render_template_test.ts
@@ -45,3 +45,23 @@
   });
   assert.equal(bound.gateway?.control_hosts.length, 2);
 });
+
+// Guards against a bound on retries that is ours instead of the deployment's.
+test("a gateway's settings have the deployment's bound on retries", () => {
+  const bounds = { graceS: 8, version_ms: 8_000 };
+  const given = render({
+    bounds: {
+      ...bounds,
+      retryBudgetRatio: 0.05,
+      retryBudgetSlack: 0,
+      budgetWindowS: 7.5,
+    },
+  });
+  assert.deepEqual(given.gateway?.retry_budget, {
+    ratio: 0.05,
+    slack: 0,
+    window_seconds: 7.5,
+  });
+  const { ratio } = render({ bounds }).gateway!.retry_budget;
+  assert.equal(ratio, 0.2);
+});
