--- a/packages/daemon/src/gateway/backend_agent.ts
+++ b/packages/daemon/src/gateway/backend_agent.ts
@@ -22,7 +22,7 @@
   #maxInUse: number;
   #inUse = 0;
   /** Opens requests that wait for a connection, in order. */
-  #waiting = new Set<() => void>();
+  #waiting = new Set<(isLater: boolean) => void>();
 
   constructor(maxSockets: number) {
     super({
@@ -38,12 +38,13 @@
    * Calls `open` once a request may have a connection, also at once; `release`
    * is to be called when the request that it opened is closed. A request that
    * waited in Node.js's own queue would leave with the head that it was given
-   * before. The returned function ends the wait.
+   * before. The returned function ends the wait. What `open` throws at once is
+   * thrown here; later it must not throw.
    */
-  acquire(open: () => void): () => void {
+  acquire(open: (isLater: boolean) => void): () => void {
     if (this.#inUse < this.#maxInUse) {
       this.#inUse += 1;
-      open();
+      open(false);
       return () => {};
     }
     this.#waiting.add(open);
@@ -62,7 +63,7 @@
     if (open === undefined || this.#inUse >= this.#maxInUse) return;
     this.#waiting.delete(open);
     this.#inUse += 1;
-    open();
+    open(true);
   }
 
   get isUnused(): boolean {
--- a/packages/daemon/src/gateway/backend_attempt.ts
+++ b/packages/daemon/src/gateway/backend_attempt.ts
@@ -82,7 +82,15 @@
       this.#settle = resolve;
     });
     this.answer = new AnswerWatch(options);
-    this.#stopWaiting = options.agent.acquire(() => this.#open());
+    this.#stopWaiting = options.agent.acquire((isLater) => {
+      try {
+        this.#open();
+      } catch (error) {
+        options.agent.release();
+        if (!isLater) throw error;
+        this.abort(`it can't be sent: ${error}`);
+      }
+    });
   }
 
   /** Whether a byte of the request may have reached the backend server. */
