--- a/acceptance/src/backend_pushback_test.ts
+++ b/acceptance/src/backend_pushback_test.ts
@@ -62,6 +62,7 @@
   const system = new EndToEndSystem({ engines: 3, gateways: 1 });
   try {
     await system.start();
+    await system.saveRetries();
     const [pausing, ...others] = system.engines;
     pausing!.retryAfter = "30";
     // The gateway hears of the pause, and saves up retries.
