--- a/acceptance/src/end_to_end_system.ts
+++ b/acceptance/src/end_to_end_system.ts
@@ -138,7 +138,10 @@
       "weights loaded",
     );
     await this.#waitFor(
-      async () => (await this.stream("warm")).status === 200,
+      async () => {
+        const answer = await this.stream("warm").catch(() => undefined);
+        return answer?.status === 200;
+      },
       "serving",
     );
   }
