--- a/acceptance/src/failing_servers_test.ts
+++ b/acceptance/src/failing_servers_test.ts
@@ -15,6 +15,7 @@
   engines: ENGINES,
   routeTimeoutMilliseconds: ROUTE_TIMEOUT_MILLISECONDS,
   maxAttempts: 3,
+  bounds: { retryBudgetSlack: 1_000 },
 });
 
 before(async () => {
