Retries at entry hosts: the same purses by service; a changed bound holds at once

An entry host kept one bucket for the calls of all services, 8 in 100, with ten retries more at each start: a service that failed as a whole was retried with what others had earned. It has a purse for each service now, as gateways have; the slack is divided among the hosts that the replicated state names, and one that isn't registered yet has none. A gateway whose settings file changes keeps the new ratio, slack and window at once: before, only a start did.

--- a/packages/core/src/retries/retry_budgets.ts
+++ b/packages/core/src/retries/retry_budgets.ts
@@ -11,10 +11,13 @@
  * that are read, and retries that arrive, some time after they were sent.
  */
 const KEPT_SHARE = 1 / 2;
-/** Requests come far more often than the time's part is worth reckoning. */
+/** Shorter steps of time earn too little to be added up with each request. */
 const MIN_STEP_MILLISECONDS = 50;
-/** A window, and the time before it in which what is spent there was earned. */
-const WINDOWS_OF_SLACK = 1 + KEPT_SHARE;
+/**
+ * The slack is earned over this many windows: what is spent in a window was
+ * earned in it, or up to `KEPT_SHARE` of one before it.
+ */
+const SLACK_WINDOWS = 1 + KEPT_SHARE;
 
 type Options = {
   bound: RetryBound;
@@ -36,25 +39,37 @@
  * add up whatever the number of hosts, services and starts.
  */
 export class RetryBudgets {
-  #options: Options;
-  #lifetime: number;
+  #bound: RetryBound;
+  #countHosts: Options["countHosts"];
+  #lifetimeMilliseconds: number;
   #purses = new Map<string, { purse: RetryPurse; usedAt: number }>();
   /** What time has earned for each service; nothing is spent from it. */
   #timeEarned: RetryPurse;
   #observedAt: number;
   #hosts: number | undefined;
 
-  constructor(options: Options) {
-    this.#options = options;
-    this.#lifetime = options.bound.windowMilliseconds * KEPT_SHARE;
-    this.#timeEarned = new RetryPurse(this.#lifetime);
-    this.#observedAt = options.now;
-    this.#hosts = options.countHosts(options.now);
+  constructor({ bound, countHosts, now }: Options) {
+    this.#bound = bound;
+    this.#countHosts = countHosts;
+    this.#lifetimeMilliseconds = bound.windowMilliseconds * KEPT_SHARE;
+    this.#timeEarned = new RetryPurse(this.#lifetimeMilliseconds);
+    this.#observedAt = now;
+    this.#hosts = countHosts(now);
+  }
+
+  /** Another bound holds from now on; what was earned under the last is gone. */
+  replaceBound(bound: RetryBound, now: number): void {
+    if (isSame(bound, this.#bound)) return;
+    this.#bound = bound;
+    this.#lifetimeMilliseconds = bound.windowMilliseconds * KEPT_SHARE;
+    this.#timeEarned = new RetryPurse(this.#lifetimeMilliseconds);
+    this.#purses.clear();
+    this.#observedAt = now;
   }
 
   /** @param sentAt when the request was read at the latest. */
   countRequest(service: string, sentAt: number, now: number): void {
-    const earned = this.#options.bound.ratio * EARNED_SHARE;
+    const earned = this.#bound.ratio * EARNED_SHARE;
     this.purseOf(service, now).earn(earned, Math.min(sentAt, now));
   }
 
@@ -70,18 +85,24 @@
     return entry.purse;
   }
 
-  /** Earns what falls to the time since the last call. */
+  /**
+   * Earns what falls to the time since the last call; to be called twice a
+   * second. A long pause earns nothing that is still there behind it.
+   */
   observe(now: number): void {
-    const elapsed = Math.min(now - this.#observedAt, this.#lifetime);
+    const elapsed = Math.min(
+      now - this.#observedAt,
+      this.#lifetimeMilliseconds,
+    );
     if (elapsed < MIN_STEP_MILLISECONDS) return;
-    const { bound, countHosts } = this.#options;
     const before = this.#hosts;
     this.#observedAt = now;
-    this.#hosts = countHosts(now);
+    this.#hosts = this.#countHosts(now);
     if (before === undefined || this.#hosts === undefined) return;
     const hosts = Math.max(before, this.#hosts);
-    const rate = bound.slack / (WINDOWS_OF_SLACK * bound.windowMilliseconds);
-    const earned = rate * elapsed / hosts;
+    const { slack, windowMilliseconds } = this.#bound;
+    const perMillisecond = slack / (SLACK_WINDOWS * windowMilliseconds);
+    const earned = perMillisecond * elapsed / hosts;
     const at = now - elapsed;
     this.#timeEarned.earn(earned, at);
     for (const { purse } of this.#purses.values()) purse.earn(earned, at);
@@ -93,7 +114,14 @@
    */
   expire(now: number): void {
     for (const [service, { usedAt }] of [...this.#purses]) {
-      if (now - usedAt > this.#lifetime) this.#purses.delete(service);
+      if (now - usedAt > this.#lifetimeMilliseconds) {
+        this.#purses.delete(service);
+      }
     }
   }
 }
+
+function isSame(left: RetryBound, right: RetryBound): boolean {
+  return left.ratio === right.ratio && left.slack === right.slack &&
+    left.windowMilliseconds === right.windowMilliseconds;
+}
--- a/packages/core/src/retries/retry_budgets_test.ts
+++ b/packages/core/src/retries/retry_budgets_test.ts
@@ -112,3 +112,16 @@
     ) < 1e-6,
   );
 });
+
+// Guards against a bound that is believed after the settings say another, and
+// against retries that the last one's ratio has earned.
+test("a changed bound holds at once", () => {
+  const budgets = build();
+  countRequests(budgets, "any", { requests: 1_000, now: 100 });
+  budgets.replaceBound({ ...BOUND, slack: 0 }, 200);
+  assert.ok(budgets.purseOf("any", 200).left(200) >= 99, "nothing has changed");
+  budgets.replaceBound({ ...BOUND, ratio: 0.02, slack: 0 }, 200);
+  assert.equal(spendAll(budgets, "any", 200), 0);
+  countRequests(budgets, "any", { requests: 101, now: 300 });
+  assert.equal(spendAll(budgets, "any", 300), 1);
+});
--- a/packages/daemon/src/entry/calls/repeatable_call.ts
+++ b/packages/daemon/src/entry/calls/repeatable_call.ts
@@ -1,7 +1,8 @@
 import { create } from "@bufbuild/protobuf";
 import type { BackendServerRow } from "@teaselrouter/core/routing/backend_server_row.ts";
+import type { RetryPurse } from "@teaselrouter/core/retries/retry_purse.ts";
 import type { OutlierDetector } from "@teaselrouter/core/routing/outlier_detector.ts";
-import type { RetryBudget } from "@teaselrouter/core/routing/retry_budget.ts";
+import type { RetryBudgets } from "@teaselrouter/core/retries/retry_budgets.ts";
 import type { Router } from "@teaselrouter/core/routing/router.ts";
 import type { ControlState } from "@teaselrouter/core/state/control_state.ts";
 import { CallService, RunRequestSchema } from "@teaselrouter/messages/agent.ts";
@@ -26,7 +27,7 @@
   state: () => ControlState;
   router: Router;
   outliers: OutlierDetector;
-  retries: RetryBudget;
+  retries: RetryBudgets;
   clients: ClientPool;
   crashes: CallCrashDetector;
 };
@@ -63,7 +64,8 @@
       this.#remainingMilliseconds(),
     );
     this.#response.once("close", abortOnClose);
-    this.#services.retries.countCall();
+    const now = monotonicMilliseconds();
+    this.#services.retries.countRequest(this.#call.service, now, now);
     try {
       return await this.#tryUntilAnswered();
     } finally {
@@ -96,10 +98,16 @@
       const { crashes } = this.#services;
       if (!crashes.mayRetry(this.#call)) return lastProblem;
       if (crashes.checkBlame(this.#call) !== undefined) return lastProblem;
-      if (!this.#services.retries.tryRetry()) return lastProblem;
+      const now = monotonicMilliseconds();
+      if (!this.#purse(now).trySpend(now)) return lastProblem;
     }
   }
 
+  /** Retries of all calls to the same service. */
+  #purse(now: number): RetryPurse {
+    return this.#services.retries.purseOf(this.#call.service, now);
+  }
+
   async #attempt(row: BackendServerRow): Promise<Attempt> {
     const request = create(RunRequestSchema, {
       requestId: randomUUID(),
@@ -183,6 +191,7 @@
     const isCut = attempt.kind === "failed" && this.#response.headersSent &&
       signal.reason !== CALLER_LEFT;
     if (!isCut) return;
+    const now = monotonicMilliseconds();
     const isUnreachable = attempt.problem.type === AGENT_UNREACHABLE;
     this.#cut = {
       ...about,
@@ -192,7 +201,7 @@
         ? "agent-unreachable"
         : "server-broke-off",
       detail: attempt.problem.type,
-      retriesLeft: this.#services.retries.left,
+      retriesLeft: Math.floor(this.#purse(now).left(now)),
     };
   }
 
--- a/packages/daemon/src/entry/entry_app.ts
+++ b/packages/daemon/src/entry/entry_app.ts
@@ -2,7 +2,7 @@
 import { BackendServerTable } from "@teaselrouter/core/routing/backend_server_table.ts";
 import { OutlierDetector } from "@teaselrouter/core/routing/outlier_detector.ts";
 import { PredictedWaitPolicy } from "@teaselrouter/core/routing/predicted_wait_policy.ts";
-import { RetryBudget } from "@teaselrouter/core/routing/retry_budget.ts";
+import { RetryBudgets } from "@teaselrouter/core/retries/retry_budgets.ts";
 import { Router } from "@teaselrouter/core/routing/router.ts";
 import { defaultSpreadOptions } from "@teaselrouter/core/spread/default_spread_options.ts";
 import { RarestRanking } from "@teaselrouter/core/spread/rarest_ranking.ts";
@@ -17,6 +17,8 @@
 import { Result } from "true-myth";
 import type { EventLog } from "../log/event_log.ts";
 import type { Settings } from "../settings/settings.ts";
+import { toRetryBound } from "../settings/to_retry_bound.ts";
+import { monotonicMilliseconds } from "../transport/monotonic_milliseconds.ts";
 import type { ClientPool } from "../transport/client_pool.ts";
 import { nextTurn } from "../transport/next_turn.ts";
 import { sleep } from "../transport/sleep.ts";
@@ -41,6 +43,7 @@
 
 /** A quarter of this is the delay between attempts to register. */
 const REGISTRATION_RETRY_BASE_MILLISECONDS = 1_000;
+const SAVING_INTERVAL_MILLISECONDS = 500;
 const DRAIN_POLL_MILLISECONDS = 25;
 const DEREGISTRATION_TIMEOUT_MILLISECONDS = 1_000;
 /** During a stop, the longest wait for 500 ms without a new request. */
@@ -84,6 +87,7 @@
   #incarnation = randomUUID();
   #registeredAt = Infinity;
   #stopping = false;
+  #timer: NodeJS.Timeout | undefined;
 
   constructor(options: Options) {
     const { settings, clients, log, metrics } = options;
@@ -111,7 +115,11 @@
       limits,
       clients,
       router: new Router({ table, outliers, policy, random: Math.random }),
-      retries: new RetryBudget(),
+      retries: new RetryBudgets({
+        bound: toRetryBound(entry.retry_budget),
+        countHosts: () => this.#countEntryHosts(control.state),
+        now: monotonicMilliseconds(),
+      }),
       crashes: new CallCrashDetector({ control, log }),
     };
     this.#coordinator = new SpreadCoordinator({
@@ -185,6 +193,10 @@
     if (listening.isErr) return listening;
     this.#context.control.start();
     this.#register();
+    this.#timer = setInterval(
+      () => this.#saveRetries(),
+      SAVING_INTERVAL_MILLISECONDS,
+    );
     return Result.ok(undefined);
   }
 
@@ -199,6 +211,7 @@
     this.#options.log.info("port-closed", await this.#server.stopListening());
     await this.#waitUntilDrained();
     this.#server.close();
+    clearInterval(this.#timer);
     await this.#deregister();
     this.#context.control.stop();
     this.#coordinator.stop();
@@ -235,6 +248,13 @@
     }, DEREGISTRATION_TIMEOUT_MILLISECONDS);
   }
 
+  #saveRetries(): void {
+    const { retries } = this.#context;
+    const now = monotonicMilliseconds();
+    retries.observe(now);
+    retries.expire(now);
+  }
+
   #isReady(): boolean {
     return this.#isWarmedUp() && !this.#stopping;
   }
@@ -292,6 +312,15 @@
    * Whether the replicated tables list this host. If so, it was registered
    * before and may use its guaranteed shares even when cut off from the leader.
    */
+  /**
+   * Each host that is registered, even while stopped or cut off, keeps its part;
+   * one that isn't yet has none.
+   */
+  #countEntryHosts({ entryHosts }: ControlState): number | undefined {
+    const { name } = this.#options.settings;
+    return entryHosts.has(name) ? entryHosts.size : undefined;
+  }
+
   #isRegistered(): boolean {
     const { state } = this.#context.control;
     return state.entryHosts.has(this.#options.settings.name);
--- a/packages/daemon/src/entry/entry_context.ts
+++ b/packages/daemon/src/entry/entry_context.ts
@@ -1,6 +1,6 @@
 import type { BackendServerTable } from "@teaselrouter/core/routing/backend_server_table.ts";
 import type { OutlierDetector } from "@teaselrouter/core/routing/outlier_detector.ts";
-import type { RetryBudget } from "@teaselrouter/core/routing/retry_budget.ts";
+import type { RetryBudgets } from "@teaselrouter/core/retries/retry_budgets.ts";
 import type { Router } from "@teaselrouter/core/routing/router.ts";
 import type { ClientPool } from "../transport/client_pool.ts";
 import type { CallCrashDetector } from "./calls/call_crash_detector.ts";
@@ -13,7 +13,7 @@
   table: BackendServerTable;
   router: Router;
   outliers: OutlierDetector;
-  retries: RetryBudget;
+  retries: RetryBudgets;
   limits: LimitsRegistry;
   crashes: CallCrashDetector;
   clients: ClientPool;
--- a/packages/daemon/src/gateway/gateway_app.ts
+++ b/packages/daemon/src/gateway/gateway_app.ts
@@ -17,6 +17,7 @@
 import type { ClientPool } from "../transport/client_pool.ts";
 import { FollowSet } from "../transport/follow_set.ts";
 import { listen } from "../transport/listen.ts";
+import { toRetryBound } from "../settings/to_retry_bound.ts";
 import { monotonicMilliseconds } from "../transport/monotonic_milliseconds.ts";
 import { sleep } from "../transport/sleep.ts";
 import { waitUntilQuiet } from "../transport/wait_until_quiet.ts";
@@ -79,7 +80,7 @@
   #followSet: FollowSet;
   #regionRule: RegionRule;
   #coldServers: ColdServers | undefined;
-  #count: GatewayCount;
+  #gatewayCount: GatewayCount;
   #context: GatewayContext;
   #room: UrgencyRoomPolicy;
   #server: GatewayServer;
@@ -144,14 +145,14 @@
       map(({ announcement }) => announcement),
     );
     const { cold_servers, retry_budget } = settings.gateway!;
-    this.#count = new GatewayCount({
+    this.#gatewayCount = new GatewayCount({
       host: settings.name,
       minGateways: cold_servers?.min_gateways ?? MIN_GATEWAYS,
       feed,
       publish: (value) => this.#followSet.broadcast({ case: "gateway", value }),
       log,
     });
-    const { gateways } = this.#count;
+    const { gateways } = this.#gatewayCount;
     this.#coldServers = cold_servers && new ColdServers({
       host: settings.name,
       bound: cold_servers,
@@ -197,11 +198,7 @@
       namedLimits,
       pushbacks,
       retries: new RetryBudgets({
-        bound: {
-          ratio: retry_budget.ratio,
-          slack: retry_budget.slack,
-          windowMilliseconds: retry_budget.window_seconds * 1_000,
-        },
+        bound: toRetryBound(retry_budget),
         countHosts: (now) => gateways.count(now),
         now: monotonicMilliseconds(),
       }),
@@ -245,12 +242,15 @@
   }
 
   /**
-   * Replaces the control hosts' addresses and the regions by those in the new
-   * settings; an empty list of addresses is ignored.
+   * Replaces the control hosts' addresses, the regions and the bound on retries
+   * by those in the new settings; an empty list of addresses is ignored.
    */
   reload(settings: Settings): void {
     this.#followSet.setSeeds(settings.gateway?.control_hosts ?? []);
     this.#regionRule.replaceRegions(settings.regions);
+    if (settings.gateway === undefined) return;
+    const bound = toRetryBound(settings.gateway.retry_budget);
+    this.#context.retries.replaceBound(bound, monotonicMilliseconds());
   }
 
   /**
@@ -266,7 +266,7 @@
     this.#isStopping = true;
     await sleep(BALANCER_NOTICE_MILLISECONDS);
     this.#options.log.info("port-closed", await this.#server.stopListening());
-    this.#count.leave();
+    this.#gatewayCount.leave();
     await waitUntilQuiet({
       lastRequestAt: () => this.#server.lastRequestAt,
       maxMilliseconds: MAX_QUIET_WAIT_MILLISECONDS,
@@ -306,7 +306,7 @@
     const now = monotonicMilliseconds();
     feed.expire();
     this.#coldServers?.observe();
-    this.#count.observe();
+    this.#gatewayCount.observe();
     retries.observe(now);
     retries.expire(now);
     metrics.evacuationsInForce.set(feed.evacuations.dataCentres.size);
--- a/packages/daemon/src/gateway/gateway_fixture.ts
+++ b/packages/daemon/src/gateway/gateway_fixture.ts
@@ -4,7 +4,7 @@
 import { createDefaultTerms } from "@teaselrouter/core/dispatch/create_default_terms.ts";
 import type { DispatchTerms } from "@teaselrouter/core/dispatch/dispatch_terms.ts";
 import { EvacuationRule } from "@teaselrouter/core/evacuations/evacuation_rule.ts";
-import { RetryBudgets } from "@teaselrouter/core/retries/retry_budgets.ts";
+import { createSavedRetries } from "@teaselrouter/core/retries/saved_retries_fixture.ts";
 import { BackendState } from "@teaselrouter/messages/follow.ts";
 import { Buffer } from "node:buffer";
 import { createServer, type Server, type Socket } from "node:net";
@@ -33,8 +33,7 @@
 const SERVICE = "service";
 const WAIT_MILLISECONDS = 5_000;
 
-const RETRY_BOUND = { ratio: 0.2, slack: 36, windowMilliseconds: 60_000 };
-const SAVING_MILLISECONDS = 20_000;
+const SAVED_RETRIES = 8;
 
 type Event = { name: string; fields: Record<string, unknown> };
 type Route = RoutingConfiguration["routes"][number];
@@ -306,7 +305,11 @@
       heldBodies: new HeldBodies(this.#options.maximumHeldBytes),
       namedLimits,
       pushbacks,
-      retries: createSavedRetries(),
+      retries: createSavedRetries({
+        retries: SAVED_RETRIES,
+        ratio: 0.2,
+        now: monotonicMilliseconds(),
+      }),
       patience: new PatienceEstimator(),
       silence: new SilenceWatch(new ListeningTime()),
       crashWatch,
@@ -334,20 +337,6 @@
   }
 }
 
-/** Budgets of a gateway that has run for a while: eight retries a service. */
-function createSavedRetries(): RetryBudgets {
-  const now = monotonicMilliseconds();
-  const startedAt = now - SAVING_MILLISECONDS;
-  const retries = new RetryBudgets({
-    bound: RETRY_BOUND,
-    countHosts: () => 1,
-    now: startedAt,
-  });
-  const step = SAVING_MILLISECONDS / 100;
-  for (let at = startedAt; at <= now; at += step) retries.observe(at);
-  return retries;
-}
-
 async function findFreePort(): Promise<number> {
   const server = createServer();
   const port = await listenOnAnyPort(server);
--- a/packages/daemon/src/settings/settings_schema.ts
+++ b/packages/daemon/src/settings/settings_schema.ts
@@ -7,6 +7,18 @@
 
 const bytesPerSecond = z.number().int().min(0);
 
+/**
+ * Bound on the retries of all hosts of a role: in any window, those of a service
+ * are at most `ratio` times the requests for it plus `slack`.
+ */
+function createRetryBudgetSchema({ ratio }: { ratio: number }) {
+  return z.strictObject({
+    ratio: z.number().min(0).default(ratio),
+    slack: z.number().min(0).default(100),
+    window_seconds: z.number().positive().default(10),
+  }).prefault({});
+}
+
 /** Schema of a settings file. */
 export const settingsSchema = z.strictObject({
   /** Name of this process, unique in the system. */
@@ -86,6 +98,8 @@
     request_idle_milliseconds: z.number().int().min(100).default(10_000),
     /** One-way latency to another data centre. */
     crossing_milliseconds: z.number().min(0).default(2),
+    /** Bounds the retries that backend servers get from all entry hosts. */
+    retry_budget: createRetryBudgetSchema({ ratio: 0.16 }),
   }).optional(),
   agent: z.strictObject({
     /**
@@ -122,16 +136,7 @@
      */
     weights_bound_milliseconds: z.number().int().min(0).default(8_000),
     /** Bounds the retries that backend servers get from all gateways. */
-    retry_budget: z.strictObject({
-      /**
-       * In any window, the retries of a service are at most this multiple of the
-       * requests for it,
-       */
-      ratio: z.number().min(0).default(0.2),
-      /** plus this many. */
-      slack: z.number().min(0).default(100),
-      window_seconds: z.number().positive().default(10),
-    }).prefault({}),
+    retry_budget: createRetryBudgetSchema({ ratio: 0.2 }),
     /**
      * Bounds the requests to backend servers that have just started, for
      * services whose configuration says what these bear. Without it nothing is
--- a/packages/experiments/src/failures/crashing_calls_test.ts
+++ b/packages/experiments/src/failures/crashing_calls_test.ts
@@ -1,7 +1,7 @@
 import { BackendServerTable } from "@teaselrouter/core/routing/backend_server_table.ts";
 import { createBackendServerRow } from "@teaselrouter/core/routing/create_backend_server_row.ts";
 import { OutlierDetector } from "@teaselrouter/core/routing/outlier_detector.ts";
-import { RetryBudget } from "@teaselrouter/core/routing/retry_budget.ts";
+import { createSavedRetries } from "@teaselrouter/core/retries/saved_retries_fixture.ts";
 import { RoundRobinPolicy } from "@teaselrouter/core/routing/round_robin_policy.ts";
 import { Router } from "@teaselrouter/core/routing/router.ts";
 import { applyCommand } from "@teaselrouter/core/state/apply_command.ts";
@@ -22,11 +22,13 @@
 import { Buffer } from "node:buffer";
 import { EventEmitter } from "node:events";
 import type { ServerResponse } from "node:http";
+import { monotonicMilliseconds } from "@teaselrouter/daemon/transport/monotonic_milliseconds.ts";
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { CrashingService } from "../fakes/crashing_service.ts";
 import { findFreeAddresses } from "../harness/find_free_addresses.ts";
 
+const SAVED_RETRIES = 10;
 const CRASHING_BODY = "crash";
 const SERVER_COUNT = 4;
 const ENTRY_HOST_COUNT = 2;
@@ -116,7 +118,11 @@
         state: () => this.#log.state,
         router: new Router({ table, outliers, policy, random: Math.random }),
         outliers,
-        retries: new RetryBudget(),
+        retries: createSavedRetries({
+          retries: SAVED_RETRIES,
+          ratio: 0.16,
+          now: monotonicMilliseconds(),
+        }),
         clients: this.#clients,
         crashes,
       },
--- a/packages/experiments/src/failures/entry_fixture.ts
+++ b/packages/experiments/src/failures/entry_fixture.ts
@@ -1,7 +1,7 @@
 import { BackendServerTable } from "@teaselrouter/core/routing/backend_server_table.ts";
 import { createBackendServerRow } from "@teaselrouter/core/routing/create_backend_server_row.ts";
 import { OutlierDetector } from "@teaselrouter/core/routing/outlier_detector.ts";
-import { RetryBudget } from "@teaselrouter/core/routing/retry_budget.ts";
+import { createSavedRetries } from "@teaselrouter/core/retries/saved_retries_fixture.ts";
 import { RoundRobinPolicy } from "@teaselrouter/core/routing/round_robin_policy.ts";
 import { Router } from "@teaselrouter/core/routing/router.ts";
 import { createEmptyControlState } from "@teaselrouter/core/state/create_empty_control_state.ts";
@@ -20,9 +20,11 @@
 import { ClientPool } from "@teaselrouter/daemon/transport/client_pool.ts";
 import { sleep } from "@teaselrouter/daemon/transport/sleep.ts";
 import { InternalServer } from "@teaselrouter/daemon/transport/internal_server.ts";
+import { monotonicMilliseconds } from "@teaselrouter/daemon/transport/monotonic_milliseconds.ts";
 import { createServer, type RequestListener } from "node:http";
 import { Relay } from "../harness/relay.ts";
 
+const SAVED_RETRIES = 10;
 const ANNOUNCEMENT_LIFETIME_MILLISECONDS = 60_000;
 const IDLE_MILLISECONDS = 2_000;
 /** Until the rate limit, which begins empty, lets some calls through. */
@@ -188,7 +190,11 @@
       outliers,
       limits: this.limits,
       clients: this.clients,
-      retries: new RetryBudget(),
+      retries: createSavedRetries({
+        retries: SAVED_RETRIES,
+        ratio: 0.16,
+        now: monotonicMilliseconds(),
+      }),
       crashes: this.#crashes,
       router: new Router({ table, outliers, policy, random: Math.random }),
     };
--- a/packages/experiments/src/overload/overload_model.ts
+++ b/packages/experiments/src/overload/overload_model.ts
@@ -4,7 +4,7 @@
 import { createBackendServerRow } from "@teaselrouter/core/routing/create_backend_server_row.ts";
 import { OutlierDetector } from "@teaselrouter/core/routing/outlier_detector.ts";
 import { PredictedWaitPolicy } from "@teaselrouter/core/routing/predicted_wait_policy.ts";
-import { RetryBudget } from "@teaselrouter/core/routing/retry_budget.ts";
+import { RetryBudgets } from "@teaselrouter/core/retries/retry_budgets.ts";
 import { RoundRobinPolicy } from "@teaselrouter/core/routing/round_robin_policy.ts";
 import { Router } from "@teaselrouter/core/routing/router.ts";
 import { createEmptyControlState } from "@teaselrouter/core/state/create_empty_control_state.ts";
@@ -12,6 +12,8 @@
 import { EventQueue } from "./event_queue.ts";
 import { ModelledBackend } from "./modelled_backend.ts";
 
+const SERVICE = "writer";
+const RETRY_BOUND = { ratio: 0.16, slack: 100, windowMilliseconds: 10_000 };
 const ENTRY_HOSTS = 4;
 const BACKENDS = 12;
 const SLOTS = 4;
@@ -58,7 +60,7 @@
   table: BackendServerTable;
   router: Router;
   outliers: OutlierDetector;
-  retries: RetryBudget;
+  retries: RetryBudgets;
 };
 
 /**
@@ -136,7 +138,11 @@
       table,
       outliers,
       router,
-      retries: new RetryBudget(),
+      retries: new RetryBudgets({
+        bound: RETRY_BOUND,
+        countHosts: () => ENTRY_HOSTS,
+        now: this.#events.now,
+      }),
     });
   }
 
@@ -146,7 +152,8 @@
       const entry = this.#entryHosts[Math.floor(this.#random() * ENTRY_HOSTS)]!;
       const serviceTimeFactor = -Math.log(1 - this.#random());
       this.#counts.calls += 1;
-      entry.retries.countCall();
+      const { now } = this.#events;
+      entry.retries.countRequest(SERVICE, now, now);
       const tried = new Set<string>();
       this.#send(entry, {
         serviceTimeFactor,
@@ -189,7 +196,7 @@
   ): BackendServerRow | undefined {
     const deadlineLeft = call.startedAt + DEADLINE_MILLISECONDS - now;
     const decision = entry.router.route(createEmptyControlState(), {
-      service: "writer",
+      service: SERVICE,
       prefix: "",
       // The naive baseline sends calls however long the predicted wait is.
       deadlineMilliseconds: this.#options.usesProduct ? deadlineLeft : Infinity,
@@ -218,7 +225,7 @@
       entry.outliers.recordFailure(end.row, now);
     }
     const mayRetry = usesProduct
-      ? entry.retries.tryRetry()
+      ? entry.retries.purseOf(SERVICE, now).trySpend(now)
       : call.tried.size < NAIVE_MAX_TRIED_BACKENDS;
     if (mayRetry) {
       this.#counts.retries += 1;
