--- a/packages/daemon/src/entry/calls/call_handler.ts
+++ b/packages/daemon/src/entry/calls/call_handler.ts
@@ -5,6 +5,7 @@
 import type { CheckedCall } from "./checked_call.ts";
 import type { Problem } from "../../http/problem.ts";
 import { readBody } from "../../http/read_body.ts";
+import type { RefusedRetry } from "./refused_retry.ts";
 import { RepeatableCall } from "./repeatable_call.ts";
 import { sendProblem } from "../../http/send_problem.ts";
 import { UnrepeatableCall } from "./unrepeatable_call.ts";
@@ -15,6 +16,7 @@
   idleMilliseconds: number;
   metrics: StatsdMetrics;
   onAnswerCut: (cut: AnswerCut) => void;
+  onRetryRefused: (refused: RefusedRetry) => void;
 };
 
 /** Handles callers' requests: checks them, applies limits and routes them. */
@@ -106,7 +108,10 @@
       const services = { ...context, state: () => context.control.state };
       const repeatableCall = new RepeatableCall(services, call, response);
       const problem = await repeatableCall.run();
-      const { cut } = repeatableCall;
+      const { cut, refusedRetry } = repeatableCall;
+      if (refusedRetry !== undefined) {
+        this.#options.onRetryRefused(refusedRetry);
+      }
       if (cut !== undefined) this.#options.onAnswerCut(cut);
       return problem && maskUnverifiedNotRun(request, problem);
     }
--- a/packages/daemon/src/entry/calls/repeatable_call.ts
+++ b/packages/daemon/src/entry/calls/repeatable_call.ts
@@ -15,6 +15,7 @@
 import type { AnswerPart } from "./answer_part.ts";
 import type { CallCrashDetector } from "./call_crash_detector.ts";
 import type { CheckedCall } from "./checked_call.ts";
+import type { RefusedRetry } from "./refused_retry.ts";
 import { AGENT_UNREACHABLE } from "./agent_unreachable.ts";
 import { ExchangeReader } from "./exchange_reader.ts";
 import type { Problem } from "../../http/problem.ts";
@@ -49,6 +50,7 @@
   #aborter = new AbortController();
   #triedBackendServers = new Set<string>();
   #cut: AnswerCut | undefined;
+  #refusedRetry: RefusedRetry | undefined;
 
   constructor(services: Services, call: CheckedCall, response: ServerResponse) {
     this.#services = services;
@@ -79,6 +81,11 @@
     return this.#cut;
   }
 
+  /** Set if the call failed and was not sent once more. */
+  get refusedRetry(): RefusedRetry | undefined {
+    return this.#refusedRetry;
+  }
+
   async #tryUntilAnswered(): Promise<Problem | undefined> {
     let lastProblem: Problem | undefined;
     while (true) {
@@ -95,14 +102,25 @@
       lastProblem = keepEarlierOutcome(lastProblem, attempt.problem);
       this.#triedBackendServers.add(decision.to.backendServer);
       if (!attempt.canRetry || this.#aborter.signal.aborted) return lastProblem;
-      const { crashes } = this.#services;
-      if (!crashes.mayRetry(this.#call)) return lastProblem;
-      if (crashes.checkBlame(this.#call) !== undefined) return lastProblem;
-      const now = monotonicMilliseconds();
-      if (!this.#purse(now).trySpend(now)) return lastProblem;
+      if (!this.#trySpendRetry()) return lastProblem;
     }
   }
 
+  #trySpendRetry(): boolean {
+    const { crashes } = this.#services;
+    const now = monotonicMilliseconds();
+    const isSuspected = !crashes.mayRetry(this.#call) ||
+      crashes.checkBlame(this.#call) !== undefined;
+    if (!isSuspected && this.#purse(now).trySpend(now)) return true;
+    this.#refusedRetry = {
+      service: this.#call.service,
+      reason: isSuspected ? "suspected" : "no-retry-left",
+      retriesLeft: Math.floor(this.#purse(now).left(now)),
+      sends: this.#triedBackendServers.size,
+    };
+    return false;
+  }
+
   /** Retries of all calls to the same service. */
   #purse(now: number): RetryPurse {
     return this.#services.retries.purseOf(this.#call.service, now);
--- a/packages/daemon/src/entry/calls/repeatable_call_test.ts
+++ b/packages/daemon/src/entry/calls/repeatable_call_test.ts
@@ -11,6 +11,7 @@
 import { ClientPool } from "../../transport/client_pool.ts";
 import { monotonicMilliseconds } from "../../transport/monotonic_milliseconds.ts";
 import type { CallCrashDetector } from "./call_crash_detector.ts";
+import type { RefusedRetry } from "./refused_retry.ts";
 import { RepeatableCall } from "./repeatable_call.ts";
 
 /** Nobody listens on this port: each attempt fails at once. */
@@ -18,11 +19,11 @@
 const SERVERS = 3;
 const OTHER_CALLS = 1_000;
 
-/** Makes a call that fails at every server; returns how many it tried. */
+/** Makes a call that fails at every server it tries. */
 async function countAttempts(
   service: string,
   retries: RetryBudgets,
-): Promise<number> {
+): Promise<{ attempts: number; refused: RefusedRetry | undefined }> {
   const clients = new ClientPool();
   let attempts = 0;
   const router = {
@@ -67,7 +68,7 @@
   );
   await call.run();
   clients.close();
-  return attempts;
+  return { attempts, refused: call.refusedRetry };
 }
 
 // Guards against a service that fails as a whole and is retried with what the
@@ -82,6 +83,15 @@
   for (let index = 0; index < OTHER_CALLS; index += 1) {
     retries.countRequest("large", now, now);
   }
-  assert.equal(await countAttempts("small", retries), 1);
-  assert.equal(await countAttempts("large", retries), SERVERS);
+  assert.deepEqual(await countAttempts("small", retries), {
+    attempts: 1,
+    refused: {
+      service: "small",
+      reason: "no-retry-left",
+      retriesLeft: 0,
+      sends: 1,
+    },
+  });
+  const large = await countAttempts("large", retries);
+  assert.deepEqual(large, { attempts: SERVERS, refused: undefined });
 });
--- a/packages/daemon/src/entry/entry_app.ts
+++ b/packages/daemon/src/entry/entry_app.ts
@@ -12,6 +12,7 @@
 import { AgentService } from "@teaselrouter/messages/agent.ts";
 import type { ProcessMetrics } from "../metrics/process_metrics.ts";
 import type { AnswerCut } from "./calls/answer_cut.ts";
+import type { RefusedRetry } from "./calls/refused_retry.ts";
 import { randomUUID } from "node:crypto";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { Result } from "true-myth";
@@ -137,6 +138,7 @@
       idleMilliseconds,
       metrics,
       onAnswerCut: (cut) => this.#reportCut(cut),
+      onRetryRefused: (refused) => this.#reportRefusedRetry(refused),
     });
     const operators = new OperatorApi({
       control,
@@ -341,6 +343,19 @@
     });
   }
 
+  #reportRefusedRetry(
+    { service, reason, retriesLeft, sends }: RefusedRetry,
+  ): void {
+    const { log, processMetrics } = this.#options;
+    processMetrics.retriesRefused.inc({ service, reason });
+    log.info("retry-refused", {
+      service,
+      reason,
+      retries_left: retriesLeft,
+      sends,
+    });
+  }
+
   #applyState(state: ControlState): void {
     this.#context.limits.updateContracts(state, Date.now());
     this.#context.crashes.applyBlames(state);
--- a/packages/experiments/src/failures/entry_fixture.ts
+++ b/packages/experiments/src/failures/entry_fixture.ts
@@ -87,6 +87,7 @@
       idleMilliseconds: IDLE_MILLISECONDS,
       metrics: this.#createMetrics(),
       onAnswerCut: (cut) => this.cuts.push(cut),
+      onRetryRefused: () => undefined,
     });
     this.server = new PublicServer({
       idleMilliseconds: IDLE_MILLISECONDS,
