--- a/acceptance/src/budget/budget_day.ts
+++ b/acceptance/src/budget/budget_day.ts
@@ -5,13 +5,19 @@
 import { performance } from "node:perf_hooks";
 import { EndToEndSystem } from "../end_to_end_system.ts";
 import { findPushbackFaults } from "../find_pushback_faults.ts";
-import { type PlatformBounds, USUAL_BOUNDS } from "../loopback_cluster.ts";
+import type { PlatformBounds } from "../platform_bounds.ts";
 import { SilenceTraffic } from "../silence_traffic.ts";
 import { SilenceTroubles } from "../silence_troubles.ts";
+import { USUAL_BOUNDS } from "../usual_bounds.ts";
 import type { BudgetRecord } from "./budget_record.ts";
+import type { BudgetRequest } from "./budget_request.ts";
+import { buildBudgetRecord } from "./build_budget_record.ts";
+import { countLongDeadlines } from "./count_long_deadlines.ts";
 import { findBudgetFaults } from "./find_budget_faults.ts";
-import { countLongDeadlines } from "./find_deadline_faults.ts";
-import { findFullestWindows, type RepeatWindow } from "./find_repeat_faults.ts";
+import { findFullestWindows } from "./find_fullest_windows.ts";
+import { findHarmFaults } from "./find_harm_faults.ts";
+import { HarmfulTraffic } from "./harmful_traffic.ts";
+import type { RepeatWindow } from "./repeat_window.ts";
 import { ServerTroubles } from "./server_troubles.ts";
 
 const DEFAULT_GATEWAYS = 6;
@@ -27,8 +33,8 @@
 const CALM_MILLISECONDS = 6_000;
 const MIN_CALM_SERVED_SHARE = 0.95;
 const STREAMS_PER_SECOND = 50;
-/** A small part of all requests. */
-const PLAIN_REQUESTS_PER_SECOND = 6;
+/** A small part of all requests, or a large one. */
+const PLAIN_REQUESTS_PER_SECOND = [6, 30];
 const RATIOS = [0.2, 0.1, 0.05];
 const SLACKS = [40, 20, 10];
 
@@ -48,8 +54,9 @@
 
 /**
  * Simulates a day on loopback on which backend servers fail, refuse, pause, go
- * mute, answer late and end, beside gateways that are stopped, killed and frozen
- * again and again. The seed also draws the bounds of the deployment.
+ * mute, answer late and end, by themselves or under a harmful request or part of
+ * a prompt, beside gateways that are stopped, killed and frozen again and again.
+ * The seed also draws the bounds of the deployment.
  */
 export class BudgetDay {
   #seed: number;
@@ -61,6 +68,7 @@
   #hostTroubles: SilenceTroubles;
   #serverTroubles: ServerTroubles;
   #traffic: SilenceTraffic;
+  #harmful: HarmfulTraffic;
 
   constructor(seed: number, gateways = DEFAULT_GATEWAYS) {
     this.#seed = seed;
@@ -71,6 +79,7 @@
       retryBudgetRatio: pick(RATIOS, random),
       retryBudgetSlack: pick(SLACKS, random),
     };
+    const plainRequestsPerSecond = pick(PLAIN_REQUESTS_PER_SECOND, random);
     this.#system = this.#createSystem();
     const system = this.#system;
     const { engines, plainServers, cluster } = system;
@@ -88,9 +97,14 @@
       frontendUrl: (gateway) => cluster.frontendUrl(gateway),
       deadlineMilliseconds: DEADLINE_MILLISECONDS,
       streamsPerSecond: STREAMS_PER_SECOND,
-      plainRequestsPerSecond: PLAIN_REQUESTS_PER_SECOND,
+      plainRequestsPerSecond,
       hasDistinctPaths: true,
     });
+    this.#harmful = new HarmfulTraffic({
+      system,
+      createRandom: this.#createRandom,
+      pickGateway: (random) => this.#pickGateway(random),
+    });
     this.#serverTroubles = new ServerTroubles({
       engines,
       plainServers,
@@ -110,6 +124,7 @@
       await Promise.all([
         this.#serverTroubles.run(milliseconds),
         this.#hostTroubles.run(milliseconds),
+        this.#harmful.run(milliseconds),
       ]);
       await sleep(CALM_MILLISECONDS);
       await this.#traffic.stop();
@@ -159,6 +174,7 @@
       deadlines: countLongDeadlines(record),
       faults: [
         ...findBudgetFaults(record),
+        ...this.#findHarmFaults(record),
         ...this.#findPauseFaults(record),
         ...this.#findCalmFaults(),
       ],
@@ -168,25 +184,44 @@
   #buildRecord(): BudgetRecord {
     const { engines, plainServers } = this.#system;
     const { kills, freezes, stops } = this.#hostTroubles;
-    const servers = [
-      ...engines.map((server) => ({ server, service: "writer" })),
-      ...plainServers.map((server) => ({ server, service: "plain" })),
-    ];
-    return {
+    const ended = [...engines, ...plainServers]
+      .flatMap(({ endedInstances }) => endedInstances);
+    return buildBudgetRecord({
+      system: this.#system,
       bounds: this.#bounds,
-      requests: this.#traffic.requests.map((request) => ({
+      requests: this.#listRequests(),
+      endedInstances: new Set(ended),
+      maxAttempts: MAX_ATTEMPTS,
+      disruptions: [...kills, ...freezes, ...stops],
+    });
+  }
+
+  #listRequests(): BudgetRequest[] {
+    const deadlineMilliseconds = DEADLINE_MILLISECONDS;
+    return [
+      ...this.#traffic.requests.map((request) => ({
         ...request,
         service: request.kind === "stream" ? "writer" : "plain",
-        deadlineMilliseconds: DEADLINE_MILLISECONDS,
+        deadlineMilliseconds,
       })),
-      arrivals: servers.flatMap(({ server, service }) =>
-        server.receipts.map((receipt) => ({ ...receipt, service }))
-      ),
-      runs: servers.flatMap(({ server }) => server.runs),
-      endedInstances: this.#serverTroubles.endedInstances,
-      maxAttempts: MAX_ATTEMPTS,
-      disruptions: [...kills, ...freezes, ...stops],
-    };
+      ...this.#harmful.sent.map((request) => ({
+        ...request,
+        kind: "stream" as const,
+        service: "writer",
+        deadlineMilliseconds,
+      })),
+    ];
+  }
+
+  #findHarmFaults({ arrivals, disruptions }: BudgetRecord): string[] {
+    return findHarmFaults({
+      sent: this.#harmful.sent,
+      ends: this.#system.engines.flatMap(({ crashRecords }) => crashRecords),
+      arrivals,
+      contactMs: this.#bounds.contactMs,
+      disruptions,
+      controlCuts: this.#hostTroubles.controlCuts,
+    });
   }
 
   #findPauseFaults({ requests, disruptions }: BudgetRecord): string[] {
--- a/acceptance/src/budget/budget_days.ts
+++ b/acceptance/src/budget/budget_days.ts
@@ -5,7 +5,9 @@
 
 // Runs one simulated day after another, one for each of `count` seeds from the
 // first on, and prints a line for each. Exits with 1 if a day has faults.
-console.log("seed sent served ratio slack windows late/told | faults");
+console.log(
+  "seed sent served ratio slack repeats/allowed told-too-much/late | faults",
+);
 let faultyDays = 0;
 for (
   let seed = Number(firstSeed);
--- a/acceptance/src/budget/budget_record.ts
+++ b/acceptance/src/budget/budget_record.ts
@@ -1,23 +1,6 @@
-import type { PlatformBounds } from "../loopback_cluster.ts";
-
-/** A request as its client sent it. */
-export type BudgetRequest = {
-  id: string;
-  kind: "stream" | "safe" | "unsafe";
-  service: string;
-  gateway: string;
-  sentAt: number;
-  deadlineMilliseconds: number;
-};
-
-/** A request that a backend server read, whatever came of it. */
-export type BudgetArrival = {
-  id: string;
-  service: string;
-  instance: string;
-  at: number;
-  deadlineMilliseconds: number | undefined;
-};
+import type { PlatformBounds } from "../platform_bounds.ts";
+import type { BudgetArrival } from "./budget_arrival.ts";
+import type { BudgetRequest } from "./budget_request.ts";
 
 /**
  * What clients and backend servers saw of a day's repeats. Times are from
--- a/acceptance/src/budget/find_budget_faults_test.ts
+++ b/acceptance/src/budget/find_budget_faults_test.ts
@@ -1,11 +1,9 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { USUAL_BOUNDS } from "../loopback_cluster.ts";
-import type {
-  BudgetArrival,
-  BudgetRecord,
-  BudgetRequest,
-} from "./budget_record.ts";
+import { USUAL_BOUNDS } from "../usual_bounds.ts";
+import type { BudgetArrival } from "./budget_arrival.ts";
+import type { BudgetRecord } from "./budget_record.ts";
+import type { BudgetRequest } from "./budget_request.ts";
 import { findBudgetFaults } from "./find_budget_faults.ts";
 
 const BOUNDS = {
--- a/acceptance/src/budget/server_troubles.ts
+++ b/acceptance/src/budget/server_troubles.ts
@@ -8,8 +8,8 @@
 const MAX_SPELL_MILLISECONDS = 6_000;
 const MAX_MUTE_MILLISECONDS = 2_500;
 const MAX_LATE_MILLISECONDS = 700;
-const BUSY_PROCESSES = 4;
-const SURGE = 3;
+const BUSY_PROCESS_COUNT = 4;
+const SURGE_FACTOR = 3;
 const FAILURE_STATUS = 500;
 const PAUSE_SECONDS = "0.8";
 
@@ -31,7 +31,6 @@
  */
 export class ServerTroubles {
   readonly names: string[] = [];
-  readonly endedInstances = new Set<string>();
   #options: Options;
   #begins: [string, Begin][] = [
     ["failing", beginFailing],
@@ -40,7 +39,7 @@
     ["pausing", beginPausing],
     ["mute", (server) => this.#beginMute(server)],
     ["late", (server) => this.#beginLate(server)],
-    ["ending", (server) => this.#beginEnding(server)],
+    ["ending", beginEnding],
   ];
 
   constructor(options: Options) {
@@ -100,16 +99,10 @@
     return () => clearInterval(timer);
   }
 
-  #beginEnding(server: FakeBackendServer): () => void {
-    this.endedInstances.add(server.instance);
-    void server.crash();
-    return () => {};
-  }
-
   async #keepBusy(milliseconds: number): Promise<void> {
     this.names.push("processors busy");
     const busy = Array.from(
-      { length: BUSY_PROCESSES },
+      { length: BUSY_PROCESS_COUNT },
       () => spawn(process.execPath, ["-e", "for (;;);"], { stdio: "ignore" }),
     );
     await sleep(milliseconds);
@@ -118,7 +111,7 @@
 
   async #surge(milliseconds: number): Promise<void> {
     this.names.push("surge");
-    this.#options.setSurge(SURGE);
+    this.#options.setSurge(SURGE_FACTOR);
     await sleep(milliseconds);
     this.#options.setSurge(1);
   }
@@ -129,6 +122,11 @@
   return () => server.failureStatus = undefined;
 }
 
+function beginEnding(server: FakeBackendServer): () => void {
+  void server.crash();
+  return () => {};
+}
+
 function beginFull(server: FakeBackendServer): () => void {
   server.isFull = true;
   return () => server.isFull = false;
--- a/acceptance/src/end_to_end_system.ts
+++ b/acceptance/src/end_to_end_system.ts
@@ -3,7 +3,8 @@
   buildConfiguration,
   type ConfigurationChange,
 } from "./build_configuration.ts";
-import { LoopbackCluster, type PlatformBounds } from "./loopback_cluster.ts";
+import { LoopbackCluster } from "./loopback_cluster.ts";
+import type { PlatformBounds } from "./platform_bounds.ts";
 import { FakeBackendServer } from "./fake_backend_server.ts";
 import { FakeWeightStore } from "./fake_weight_store.ts";
 
@@ -94,6 +95,14 @@
     }
   }
 
+  /** All backend servers, with the services they belong to. */
+  get servers(): { server: FakeBackendServer; service: string }[] {
+    return [
+      ...this.engines.map((server) => ({ server, service: "writer" })),
+      ...this.plainServers.map((server) => ({ server, service: "plain" })),
+    ];
+  }
+
   /** The first of the backend servers without an engine. */
   get plainServer(): FakeBackendServer {
     return this.plainServers[0]!;
@@ -326,11 +335,7 @@
   }
 
   #sendHeartbeats(): void {
-    const servers = [
-      ...this.engines.map((server) => [server, "writer"] as const),
-      ...this.plainServers.map((server) => [server, "plain"] as const),
-    ];
-    for (const [server, service] of servers) {
+    for (const { server, service } of this.servers) {
       if (server.isDown || server.isSilent) continue;
       const state = this.#leavingServers.has(server) ? "draining" : "ready";
       const { instance } = server;
--- a/acceptance/src/fake_backend_server.ts
+++ b/acceptance/src/fake_backend_server.ts
@@ -103,6 +103,8 @@
   readonly receivedRequestIds: string[] = [];
   /** Time and request of each crash; the id is undefined without a request. */
   readonly crashRecords: { at: number; id: string | undefined }[] = [];
+  /** Names of the instances that have crashed. */
+  readonly endedInstances: string[] = [];
   #openStreams = new Set<ServerResponse>();
   #isClosed = false;
   /** Version of the loaded weights; 0 for none. */
@@ -344,6 +346,7 @@
    */
   async crash(id?: string): Promise<void> {
     if (this.isDown) return;
+    this.endedInstances.push(this.instance);
     this.crashRecords.push({ at: performance.now(), id });
     const [host, port] = this.address.split(":");
     this.isDown = true;
--- a/acceptance/src/incident_day.ts
+++ b/acceptance/src/incident_day.ts
@@ -3,6 +3,7 @@
 import { performance } from "node:perf_hooks";
 import type { DayResult } from "./day_result.ts";
 import { findArrivalsUnderLimit } from "./find_arrivals_under_limit.ts";
+import { findPlayedRepeatFaults } from "./budget/find_played_repeat_faults.ts";
 import { findDayFaults } from "./find_day_faults.ts";
 import type { LimitPeriod } from "./limit_period.ts";
 import { countMostWithin } from "./count_most_within.ts";
@@ -50,8 +51,8 @@
   });
   #answers: Promise<Answer>[] = [];
   #limitPeriods: LimitPeriod[] = [];
-  /** The gateway that each request was sent to, by request id. */
-  #gatewayByRequest = new Map<string, string>();
+  /** Where and when each request was sent, by its id. */
+  #sent = new Map<string, { gateway: string; sentAt: number }>();
   /** When gateways restarted. */
   #restarts: { gateway: string; at: number }[] = [];
   #sentRequests = 0;
@@ -199,7 +200,7 @@
   ): Promise<Answer> {
     this.#sentRequests += 1;
     const id = `${kind}-${this.#sentRequests}`;
-    this.#gatewayByRequest.set(id, gateway);
+    this.#sent.set(id, { gateway, sentAt: performance.now() });
     try {
       const { status, text } = await this.#system.sendRequest("/write/x", {
         id,
@@ -229,7 +230,7 @@
         .map(({ at }) => at),
     }));
     const limitedArrivals = engines.at(-1)!.arrivals
-      .map(({ id, at }) => ({ at, gateway: this.#gatewayByRequest.get(id)! }));
+      .map(({ id, at }) => ({ at, gateway: this.#sent.get(id)!.gateway }));
     const limitResults = this.#limitPeriods.map((period) => ({
       arrivals: countMostWithin(
         findArrivalsUnderLimit({
@@ -268,7 +269,14 @@
       completed.filter(({ text }) =>
         text.split("\n\n").length !== STREAM_EVENTS + 1
       ).length;
-    return { ...result, faults: findDayFaults(result, incomplete) };
+    const sent = [...this.#sent].map(([id, request]) => ({ id, ...request }));
+    return {
+      ...result,
+      faults: [
+        ...findDayFaults(result, incomplete),
+        ...findPlayedRepeatFaults(this.#system, sent),
+      ],
+    };
   }
 }
 
--- a/acceptance/src/loopback_cluster.ts
+++ b/acceptance/src/loopback_cluster.ts
@@ -4,7 +4,9 @@
 import { tmpdir } from "node:os";
 import { dirname, join } from "node:path";
 import { fileURLToPath } from "node:url";
+import type { PlatformBounds } from "./platform_bounds.ts";
 import { renderTemplate } from "./render_template.ts";
+import { USUAL_BOUNDS } from "./usual_bounds.ts";
 
 const ROOT = join(dirname(fileURLToPath(import.meta.url)), "..", "..");
 const PROGRAM = join(ROOT, "target", "teaselrouterd.cjs");
@@ -18,21 +20,6 @@
 /** Time from SIGTERM until the platform kills a process. */
 export const GRACE_SECONDS = 8;
 
-/** Bounds of the platform's rules, as its settings files give them. */
-export type PlatformBounds = {
-  retryBudgetRatio: number;
-  budgetWindowS: number;
-  retryBudgetSlack: number;
-  contactMs: number;
-};
-
-export const USUAL_BOUNDS: PlatformBounds = {
-  retryBudgetRatio: 0.2,
-  budgetWindowS: 10,
-  retryBudgetSlack: 102,
-  contactMs: 3_000,
-};
-
 type Role = "control" | "gateway" | "stager";
 type Host = { name: string; ip: string; child: Child };
 
--- a/acceptance/src/part_day.ts
+++ b/acceptance/src/part_day.ts
@@ -2,6 +2,7 @@
 import { hashText } from "@teaselrouter/core/random/hash_text.ts";
 import assert from "node:assert/strict";
 import { performance } from "node:perf_hooks";
+import { findPlayedRepeatFaults } from "./budget/find_played_repeat_faults.ts";
 import { EndToEndSystem } from "./end_to_end_system.ts";
 import { freezeHost } from "./freeze_host.ts";
 import { findPartDayFaults } from "./find_part_day_faults.ts";
@@ -278,7 +279,18 @@
         harmless.filter(({ text }) => text.includes("ended under it")).length,
       faults: [],
     };
-    return { ...result, faults: findPartDayFaults(result, harmless.length) };
+    const requests = sent.map(({ id, gateway, at }) => ({
+      id,
+      gateway,
+      sentAt: at,
+    }));
+    return {
+      ...result,
+      faults: [
+        ...findPartDayFaults(result, harmless.length),
+        ...findPlayedRepeatFaults(this.#system, requests),
+      ],
+    };
   }
 
   /** Whether the gateway was disrupted at some time in the 3 s before `at`. */
--- a/acceptance/src/pushback_day.ts
+++ b/acceptance/src/pushback_day.ts
@@ -1,6 +1,7 @@
 import { createSeededRandom } from "@teaselrouter/core/random/create_seeded_random.ts";
 import { hashText } from "@teaselrouter/core/random/hash_text.ts";
 import { performance } from "node:perf_hooks";
+import { findPlayedRepeatFaults } from "./budget/find_played_repeat_faults.ts";
 import { EndToEndSystem } from "./end_to_end_system.ts";
 import type { FakeBackendServer } from "./fake_backend_server.ts";
 import { findPushbackFaults } from "./find_pushback_faults.ts";
@@ -252,6 +253,8 @@
     const incomplete = served.filter(({ text }) =>
       text.split("\n\n").length !== STREAM_EVENTS + 1
     );
+    const sent = [...this.#sent].map(([id, request]) => ({ id, ...request }));
+    faults.push(...findPlayedRepeatFaults(this.#system, sent));
     if (incomplete.length > 0) {
       faults.push(`${incomplete.length} responses were incomplete`);
     }
--- a/acceptance/src/silence_day.ts
+++ b/acceptance/src/silence_day.ts
@@ -3,6 +3,8 @@
 import { writeFileSync } from "node:fs";
 import { join } from "node:path";
 import { monitorEventLoopDelay, performance } from "node:perf_hooks";
+import { buildBudgetRecord } from "./budget/build_budget_record.ts";
+import { findBudgetFaults } from "./budget/find_budget_faults.ts";
 import { EndToEndSystem } from "./end_to_end_system.ts";
 import {
   findSilenceFaults,
@@ -13,12 +15,14 @@
 import { SilenceMaker } from "./silence_maker.ts";
 import { SilenceTraffic } from "./silence_traffic.ts";
 import { SilenceTroubles } from "./silence_troubles.ts";
+import { USUAL_BOUNDS } from "./usual_bounds.ts";
 
 const GATEWAYS = 10;
 const CONTROL_HOSTS = 3;
 const ENGINES = 6;
 const PLAIN_SERVERS = 2;
 const SLOTS = 16;
+const MAX_ATTEMPTS = 2;
 const EVENT_INTERVAL_MILLISECONDS = 100;
 const DEADLINE_MILLISECONDS = 8_000;
 const DAY_MILLISECONDS = 20_000;
@@ -154,6 +158,7 @@
       ),
       faults: [
         ...findSilenceFaults(this.#buildRecord()),
+        ...this.#findBudgetFaults(),
         ...this.#findCalmFaults(),
       ],
     };
@@ -180,6 +185,22 @@
       : [];
   }
 
+  #findBudgetFaults(): string[] {
+    const { kills, freezes, stops } = this.#troubles;
+    return findBudgetFaults(buildBudgetRecord({
+      system: this.#system,
+      bounds: USUAL_BOUNDS,
+      requests: this.#traffic.requests.map((request) => ({
+        ...request,
+        service: request.kind === "stream" ? "writer" : "plain",
+        deadlineMilliseconds: DEADLINE_MILLISECONDS,
+      })),
+      endedInstances: new Set(),
+      maxAttempts: MAX_ATTEMPTS,
+      disruptions: [...kills, ...freezes, ...stops],
+    }));
+  }
+
   #buildRecord(): SilenceDayRecord {
     const { engines, plainServers } = this.#system;
     const { kills, freezes, stops } = this.#troubles;
--- a/acceptance/src/silence_troubles.ts
+++ b/acceptance/src/silence_troubles.ts
@@ -35,6 +35,8 @@
   readonly kills: Span[] = [];
   readonly freezes: Span[] = [];
   readonly stops: Span[] = [];
+  /** Spans in which most control hosts stood still. */
+  readonly controlCuts: { from: number; to: number }[] = [];
   readonly names: string[] = [];
   /** Gateways that get no new connections. */
   readonly out = new Set<string>();
@@ -169,7 +171,10 @@
 
   async #freezeControlHosts(): Promise<void> {
     this.names.push("control hosts cut off");
+    const cut = { from: performance.now(), to: Infinity };
+    this.controlCuts.push(cut);
     await this.#freeze(this.#options.system.controlNames.slice(1));
+    cut.to = performance.now();
   }
 
   async #nameWeights(): Promise<void> {
