--- a/packages/experiments/src/failures/endless_answers_test.ts
+++ b/packages/experiments/src/failures/endless_answers_test.ts
@@ -6,11 +6,14 @@
 import { LinkPacer } from "@teaselrouter/daemon/spread/link_pacer.ts";
 import { OperatorClient } from "@teaselrouter/operator/client/operator_client.ts";
 import assert from "node:assert/strict";
+import { type AddressInfo, createServer } from "node:net";
 import { test } from "node:test";
 
 /** Within this time a caller knows that it gets no answer; an operator waits. */
 const MAX_MILLISECONDS = 6_000;
 const MAX_OPERATOR_MILLISECONDS = 17_000;
+const DRIP_BYTES = 1_024;
+const DRIP_MILLISECONDS = 300;
 const OPERATOR = "an operator's command";
 /** Beyond what a caller takes, a connection's buffers hold some of it. */
 const MAX_BYTES = 96 * 1_048_576;
@@ -70,3 +73,31 @@
     });
   }
 }
+
+// Guards against a source that sends a byte now and then, never stalls and holds
+// its host for hours.
+test("a chunk that comes byte by byte is left for another source", async () => {
+  const server = createServer((socket) => {
+    socket.on("error", () => undefined);
+    socket.write(`HTTP/1.1 200 OK\r\nContent-Length: ${DRIP_BYTES}\r\n\r\n`);
+    const timer = setInterval(() => socket.write("x"), DRIP_MILLISECONDS);
+    socket.once("close", () => clearInterval(timer));
+  });
+  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+  const { port } = server.address() as AddressInfo;
+  try {
+    const from = performance.now();
+    const fetched = await fetchBytes({
+      url: `http://127.0.0.1:${port}/`,
+      headers: {},
+      expectedBytes: DRIP_BYTES,
+      pacer: new LinkPacer(0),
+      signal: new AbortController().signal,
+      isFromStore: false,
+    });
+    assert.equal(fetched.isErr && fetched.error, "slow");
+    assert.ok(performance.now() - from < MAX_MILLISECONDS);
+  } finally {
+    server.close();
+  }
+});
