A leaving is acknowledged once the log has it; hosts hold to it whatever comes late

What callers saw: a backend server whose leaving or drain was answered with 200 got its share of the requests until its heartbeats had been missing for 6 s, as the one control host that knew had lost power within 4 ms.

Cause: the answer followed in the turn in which the change was put into the streams of followers, and nothing else kept it: a leaving is said once, was in no log, and was not remembered for a server that the host didn't know, or had taken for gone by its silence. Then a host's list or a delayed heartbeat brought the server back as ready.

Change: - departures are rows in the replicated log (`record-departures`), by instance and start, bounded in number and age.

--- a/acceptance/src/end_to_end_system.ts
+++ b/acceptance/src/end_to_end_system.ts
@@ -59,6 +59,7 @@
   #storeAddress = "";
   #heartbeatTimer: NodeJS.Timeout | undefined;
   #leavingServers = new Set<FakeBackendServer>();
+  #mutedServers = new Set<FakeBackendServer>();
 
   constructor(
     {
@@ -334,9 +335,15 @@
     this.#leavingServers.add(server);
   }
 
+  /** The server announces nothing any more, but still serves. */
+  stopHeartbeats(server: FakeBackendServer): void {
+    this.#mutedServers.add(server);
+  }
+
   #sendHeartbeats(): void {
     for (const { server, service } of this.servers) {
       if (server.isDown || server.isSilent) continue;
+      if (this.#mutedServers.has(server)) continue;
       const state = this.#leavingServers.has(server) ? "draining" : "ready";
       const { instance } = server;
       this.callControlHost(
--- a/packages/core/src/membership/backend_registry.ts
+++ b/packages/core/src/membership/backend_registry.ts
@@ -1,9 +1,10 @@
+import type { Departure } from "../departures/departure.ts";
+import { isOutdatedBy } from "../departures/is_outdated_by.ts";
+import { KnownDepartures } from "../departures/known_departures.ts";
+import { LAST_SEQUENCE } from "../departures/last_sequence.ts";
 import type { BackendAnnouncement } from "./backend_announcement.ts";
 import { isLaterAnnouncement } from "./is_later_announcement.ts";
 
-/** Higher than the sequence of any announcement. */
-const LAST_SEQUENCE = Number.MAX_SAFE_INTEGER;
-
 /** By which two announcements may differ in the time that they took. */
 const MAX_DELAY_DIFFERENCE_MILLISECONDS = 1_000;
 
@@ -12,12 +13,19 @@
   updatedAt: number;
   /** Whether it became cold without a new start, and still is. */
   isColdAgain: boolean;
+  /**
+   * Sequence of the announcement since which it leaves; undefined if it doesn't.
+   */
+  leavingSince: number | undefined;
 };
 
 type Options = {
   /** Time without an announcement after which a backend server is gone. */
   silenceTimeoutMilliseconds: number;
-  /** How long a gone backend server is kept, to reject late heartbeats. */
+  /**
+   * How long a gone backend server, or a departure of one that isn't known, is
+   * kept, to reject late heartbeats.
+   */
   goneRetentionMilliseconds: number;
 };
 
@@ -30,11 +38,15 @@
 export class BackendRegistry {
   #options: Options;
   #entries = new Map<string, Entry>();
+  #departures: KnownDepartures;
   /** Cached, as every request reads it; undefined when it must be rebuilt. */
   #live: BackendAnnouncement[] | undefined;
 
   constructor(options: Options) {
     this.#options = options;
+    this.#departures = new KnownDepartures(
+      options.goneRetentionMilliseconds,
+    );
   }
 
   /** Returns the backend servers that are not gone. */
@@ -60,6 +72,19 @@
     return this.#entries.get(instance)?.updatedAt ?? 0;
   }
 
+  /**
+   * Sequence of the announcement since which a live instance leaves; undefined
+   * if it doesn't leave, or isn't known.
+   */
+  leavingSince(instance: string): number | undefined {
+    return this.#entries.get(instance)?.leavingSince;
+  }
+
+  /** Departures still remembered, and when a host was first told of each. */
+  departures(): readonly { departure: Departure; toldAt: number }[] {
+    return this.#departures.all();
+  }
+
   /**
    * Merges an announcement. Returns the announcements that changed in a field
    * that affects routing; empty if the announcement is outdated.
@@ -67,8 +92,8 @@
   merge(announcement: BackendAnnouncement, now: number): BackendAnnouncement[] {
     const known = this.#entries.get(announcement.instance);
     if (
-      known !== undefined &&
-      !isLaterAnnouncement(announcement, known.announcement)
+      this.#departures.outdate(announcement) || known !== undefined &&
+        !isLaterAnnouncement(announcement, known.announcement)
     ) {
       return [];
     }
@@ -88,11 +113,26 @@
   }
 
   /**
-   * Marks an instance that announced its own end as gone. Earlier announcements
-   * of the same start that arrive late can't restore it.
+   * Takes on that an instance leaves or is gone. What says less of the same
+   * start and arrives late, from the instance or from another host, can't
+   * restore it, whether or not the instance is known here. Returns whether this
+   * was news, and the announcements that changed in a field that affects routing.
+   *
+   * @param toldAt when a control host was told, monotonic milliseconds
    */
-  markGone(instance: string, now: number): BackendAnnouncement[] {
-    return this.#markGone(instance, now, LAST_SEQUENCE);
+  depart(
+    departure: Departure,
+    { now, toldAt }: { now: number; toldAt: number },
+  ): { isNew: boolean; changed: BackendAnnouncement[] } {
+    const { instance, state, sequence } = departure;
+    const isNew = this.#departures.add(departure, toldAt);
+    const known = this.#entries.get(instance)?.announcement;
+    if (known === undefined || !isOutdatedBy(known, departure)) {
+      return { isNew, changed: [] };
+    }
+    const changed = { ...known, state, sequence };
+    this.#set(changed, now);
+    return { isNew, changed: [changed] };
   }
 
   /**
@@ -100,6 +140,7 @@
    * long. Returns the announcements newly marked as gone.
    */
   expire(now: number): BackendAnnouncement[] {
+    this.#departures.expire(now);
     const { silenceTimeoutMilliseconds, goneRetentionMilliseconds } =
       this.#options;
     const ended: BackendAnnouncement[] = [];
@@ -137,7 +178,14 @@
     updatedAt: number,
     isColdAgain = false,
   ): void {
-    const entry = { announcement, updatedAt, isColdAgain };
+    const known = this.#entries.get(announcement.instance);
+    const wasLeaving = known?.announcement.bornAt === announcement.bornAt
+      ? known.leavingSince
+      : undefined;
+    const leavingSince = announcement.state === "leaving"
+      ? wasLeaving ?? announcement.sequence
+      : undefined;
+    const entry = { announcement, updatedAt, isColdAgain, leavingSince };
     this.#entries.set(announcement.instance, entry);
     this.#live = undefined;
   }
--- a/packages/core/src/membership/backend_registry_test.ts
+++ b/packages/core/src/membership/backend_registry_test.ts
@@ -2,6 +2,8 @@
 import { test } from "node:test";
 import { createSeededRandom } from "../random/create_seeded_random.ts";
 import { BackendRegistry } from "./backend_registry.ts";
+import type { Departure } from "../departures/departure.ts";
+import { LAST_SEQUENCE } from "../departures/last_sequence.ts";
 import type { BackendAnnouncement } from "./backend_announcement.ts";
 
 function createAnnouncement(
@@ -22,6 +24,18 @@
   };
 }
 
+function leaveForGood(known: BackendRegistry, change: Partial<Departure> = {}) {
+  const departure: Departure = {
+    instance: "i-1",
+    bornAt: 1_000,
+    sequence: LAST_SEQUENCE,
+    state: "gone",
+    at: 5_000,
+    ...change,
+  };
+  return known.depart(departure, { now: 10, toldAt: 10 });
+}
+
 function registry(): BackendRegistry {
   return new BackendRegistry({
     silenceTimeoutMilliseconds: 6_000,
@@ -34,7 +48,7 @@
   // sent before, delayed by a cut link, arrives after that.
   const known = registry();
   known.merge(createAnnouncement({ sequence: 5 }), 0);
-  assert.equal(known.markGone("i-1", 10).length, 1);
+  assert.equal(leaveForGood(known).changed.length, 1);
   assert.deepEqual(known.merge(createAnnouncement({ sequence: 7 }), 20), []);
   assert.deepEqual(known.live(), []);
 });
@@ -42,7 +56,7 @@
 test("a start that reuses an instance id replaces the earlier start", () => {
   const known = registry();
   known.merge(createAnnouncement({ sequence: 900 }), 0);
-  known.markGone("i-1", 10);
+  leaveForGood(known);
   known.merge(createAnnouncement({ bornAt: 2_000, sequence: 1 }), 20);
   assert.equal(known.live()[0]?.bornAt, 2_000);
   assert.deepEqual(known.merge(createAnnouncement({ sequence: 901 }), 30), []);
--- a/packages/core/src/state/apply_command.ts
+++ b/packages/core/src/state/apply_command.ts
@@ -3,6 +3,7 @@
 import { applyClaimSettlement } from "../claims/apply_claim_settlement.ts";
 import { applyBlame } from "../crashes/apply_blame.ts";
 import { applySuspicion } from "../crashes/apply_suspicion.ts";
+import { applyDepartures } from "../departures/apply_departures.ts";
 import { applyContractChange } from "../contracts/apply_contract_change.ts";
 import { applyEvacuationOrder } from "../evacuations/apply_evacuation_order.ts";
 import { applyPermitRequest } from "../rollout/apply_permit_request.ts";
@@ -58,6 +59,8 @@
       return applyNamedWeights(state, command, index);
     case "order-evacuation":
       return applyEvacuationOrder(state, command, index);
+    case "record-departures":
+      return applyDepartures(state, command, index);
     case "blame-request":
       return applyBlame(state, command);
     case "suspect-request":
--- a/packages/core/src/state/command_schema.ts
+++ b/packages/core/src/state/command_schema.ts
@@ -1,5 +1,6 @@
 import * as z from "zod";
 import { contractContentSchema } from "../contracts/contract_content_schema.ts";
+import { departureSchema } from "../departures/departure_schema.ts";
 import { weightsManifestSchema } from "../spread/weights_manifest_schema.ts";
 
 const boundedText = z.string().min(1).max(512);
@@ -107,6 +108,11 @@
     expected: nonNegativeInteger,
     at: z.number().default(0),
   }),
+  z.strictObject({
+    kind: z.literal("record-departures"),
+    departures: z.array(departureSchema.omit({ at: true })).max(1_024),
+    at: z.number().default(0),
+  }),
   z.strictObject({
     kind: z.literal("blame-request"),
     fingerprint: boundedText,
--- a/packages/core/src/state/control_state.ts
+++ b/packages/core/src/state/control_state.ts
@@ -2,6 +2,7 @@
 import type { BlamedRequestRow } from "../crashes/blamed_request_row.ts";
 import type { SuspectedRequestRow } from "../crashes/suspected_request_row.ts";
 import type { ContractRow } from "../contracts/contract_row.ts";
+import type { Departure } from "../departures/departure.ts";
 import type { EvacuationRow } from "../evacuations/evacuation_row.ts";
 import type { EntryHostRow } from "../membership/entry_host_row.ts";
 import type { RoutingRow } from "../gateway/routing_row.ts";
@@ -33,6 +34,8 @@
   namedWeights: Map<string, NamedWeightsRow>;
   /** By data centre; also those whose evacuation has ended. */
   evacuations: Map<string, EvacuationRow>;
+  /** Starts of backend servers that leave or left, by instance, oldest first. */
+  departures: Map<string, Departure>;
   /**
    * Requests suspected of crashing the backend servers that run them, by
    * fingerprint, oldest first; also those that have been blamed since.
--- a/packages/core/src/state/create_empty_control_state.ts
+++ b/packages/core/src/state/create_empty_control_state.ts
@@ -13,6 +13,7 @@
     routing: undefined,
     namedWeights: new Map(),
     evacuations: new Map(),
+    departures: new Map(),
     suspectedRequests: new Map(),
     blamedRequests: new Map(),
     claims: new Map(),
--- a/packages/core/src/state/decode_control_state.ts
+++ b/packages/core/src/state/decode_control_state.ts
@@ -3,6 +3,7 @@
 import type { BlamedRequestRow } from "../crashes/blamed_request_row.ts";
 import type { SuspectedRequestRow } from "../crashes/suspected_request_row.ts";
 import type { ContractRow } from "../contracts/contract_row.ts";
+import type { Departure } from "../departures/departure.ts";
 import type { EvacuationRow } from "../evacuations/evacuation_row.ts";
 import type { EntryHostRow } from "../membership/entry_host_row.ts";
 import type { RoutingRow } from "../gateway/routing_row.ts";
@@ -25,6 +26,8 @@
   namedWeights?: NamedWeightsRow[];
   /** Missing in snapshots written by versions without evacuations. */
   evacuations?: EvacuationRow[];
+  /** Missing in snapshots written by versions that did not keep departures. */
+  departures?: Departure[];
   /** Missing in snapshots written by versions that did not blame requests. */
   suspectedRequests?: SuspectedRequestRow[];
   blamedRequests?: BlamedRequestRow[];
@@ -61,6 +64,7 @@
       encoded.evacuations ?? [],
       (row) => row.dataCentre,
     ),
+    departures: indexRowsBy(encoded.departures ?? [], (row) => row.instance),
     suspectedRequests: indexRowsBy(
       encoded.suspectedRequests ?? [],
       (row) => row.fingerprint,
--- a/packages/core/src/state/encode_control_state.ts
+++ b/packages/core/src/state/encode_control_state.ts
@@ -27,6 +27,7 @@
     routing: state.routing,
     namedWeights: [...state.namedWeights.values()],
     evacuations: [...state.evacuations.values()],
+    departures: [...state.departures.values()],
     suspectedRequests: [...state.suspectedRequests.values()],
     blamedRequests: [...state.blamedRequests.values()],
     claims: options.withClaims ? [...state.claims.values()] : [],
--- a/packages/daemon/src/control/control_host.ts
+++ b/packages/daemon/src/control/control_host.ts
@@ -1,4 +1,6 @@
 import type { RaftNode } from "@teaselrouter/core/consensus/raft_node.ts";
+import type { Departure } from "@teaselrouter/core/departures/departure.ts";
+import { readDepartures } from "@teaselrouter/core/departures/read_departures.ts";
 import { LimitAllotter } from "@teaselrouter/core/limits/limit_allotter.ts";
 import { applyCommand } from "@teaselrouter/core/state/apply_command.ts";
 import type { Command } from "@teaselrouter/core/state/command.ts";
@@ -55,6 +57,11 @@
    * it.
    */
   readonly stateReplaced$ = new Subject<void>();
+  /**
+   * Emits departures of backend servers that this host has stored. They are
+   * facts, so those of an entry that no leader has confirmed yet count, too.
+   */
+  readonly departures$ = new Subject<Departure[]>();
   readonly node: RaftNode;
   #driver: RaftDriver;
   #log: EventLog;
@@ -83,6 +90,10 @@
       this.getAllotter(monotonicMilliseconds())
     );
     this.#driver.committed$.subscribe((entry) => this.#apply(entry));
+    this.#driver.stored$.subscribe((entry) => {
+      const departures = departuresIn(entry);
+      if (departures.length > 0) this.departures$.next(departures);
+    });
     this.#driver.snapshotInstalled$.subscribe((snapshot) =>
       this.#installSnapshot(snapshot)
     );
@@ -107,6 +118,15 @@
       this.#state.appliedIndex >= this.node.commitIndex;
   }
 
+  /** All departures in the tables and in entries that aren't applied yet. */
+  storedDepartures(): Departure[] {
+    const later = this.node.entriesAfter(this.#state.appliedIndex);
+    return [
+      ...this.#state.departures.values(),
+      ...later.flatMap(departuresIn),
+    ];
+  }
+
   get state(): ControlState {
     return this.#state;
   }
@@ -313,5 +333,10 @@
     this.#recentCommandsAfter = snapshot.lastIndex;
     this.stateReplaced$.next();
     this.configurationChanged$.next();
+    this.departures$.next([...this.#state.departures.values()]);
   }
 }
+
+function departuresIn({ kind, data }: LogEntry): Departure[] {
+  return kind === EntryKind.COMMAND ? readDepartures(data) : [];
+}
--- a/packages/daemon/src/control/control_operations.ts
+++ b/packages/daemon/src/control/control_operations.ts
@@ -33,8 +33,15 @@
       isWaiting: () => boolean;
     },
   ): Promise<EvacuationAnswer>;
-  recordAnnouncement(announcement: BackendAnnouncement): void;
-  recordLeaving(instance: string): void;
+  /**
+   * Takes an announcement on. One that says that the backend server leaves is
+   * accepted once it outlives this host.
+   */
+  recordAnnouncement(
+    announcement: BackendAnnouncement,
+  ): Promise<"accepted" | "unavailable">;
+  /** Takes on that a backend server is gone, and is accepted likewise. */
+  recordLeaving(instance: string): Promise<"accepted" | "unavailable">;
   /** Logs input that could not be decoded, as from a newer or broken sender. */
   logUnreadable(what: string, detail: string): void;
 }
--- a/packages/daemon/src/control/control_operations_handler.ts
+++ b/packages/daemon/src/control/control_operations_handler.ts
@@ -1,4 +1,6 @@
 import { findConfigurationError } from "@teaselrouter/core/gateway/find_configuration_error.ts";
+import type { Departure } from "@teaselrouter/core/departures/departure.ts";
+import { LAST_SEQUENCE } from "@teaselrouter/core/departures/last_sequence.ts";
 import type { BackendAnnouncement } from "@teaselrouter/core/membership/backend_announcement.ts";
 import type { Command } from "@teaselrouter/core/state/command.ts";
 import {
@@ -14,6 +16,7 @@
 import type { ControlHost } from "./control_host.ts";
 import type { ControlOperations } from "./control_operations.ts";
 import { decodeForwardResponse } from "./decode_forward_response.ts";
+import { DepartureRecorder } from "./departure_recorder.ts";
 import { encodeForwardResponse } from "./encode_forward_response.ts";
 import { EvacuationOrders } from "./evacuation_orders.ts";
 import type { ExecutionResult } from "./execution_result.ts";
@@ -47,6 +50,7 @@
 export class ControlOperationsHandler implements ControlOperations {
   #options: Options;
   #evacuations: EvacuationOrders;
+  #departures: DepartureRecorder;
 
   constructor(options: Options) {
     const { control, view, log, listedDataCentres } = options;
@@ -60,6 +64,12 @@
         (await this.#execute(command, deadline))?.answer,
       log,
     });
+    this.#departures = new DepartureRecorder({
+      state: () => control()?.state,
+      commit: (command, deadline) => this.#execute(command, deadline),
+      log,
+      answerMilliseconds: ANSWER_DEADLINE_MILLISECONDS,
+    });
   }
 
   async replaceRouting(document: string) {
@@ -123,12 +133,28 @@
     return await this.#execute(command) !== undefined;
   }
 
-  recordAnnouncement(announcement: BackendAnnouncement): void {
-    this.#options.view.addLocalAnnouncement(announcement);
+  async recordAnnouncement(announcement: BackendAnnouncement) {
+    const { view } = this.#options;
+    view.addLocalAnnouncement(announcement);
+    const { instance, bornAt, sequence, state } = announcement;
+    if (state === "ready") return "accepted" as const;
+    const departure = { instance, bornAt, sequence, state, at: Date.now() };
+    const leavingSince = view.leavingSince(instance) ?? sequence;
+    if (leavingSince === sequence) view.addOwnDepartures([departure], "heard");
+    return await this.#departures.record(departure, leavingSince);
   }
 
-  recordLeaving(instance: string): void {
-    this.#options.view.removeLocalBackend(instance);
+  async recordLeaving(instance: string) {
+    const { view } = this.#options;
+    const departure: Departure = {
+      instance,
+      bornAt: view.findBackend(instance)?.bornAt,
+      sequence: LAST_SEQUENCE,
+      state: "gone",
+      at: Date.now(),
+    };
+    view.addOwnDepartures([departure], "heard");
+    return await this.#departures.record(departure);
   }
 
   logUnreadable(what: string, detail: string): void {
@@ -213,7 +239,8 @@
     if (outcome.kind === "committed") {
       return {
         outcome: ForwardOutcome.DONE,
-        routing: control.state.routing,
+        // Only reads need it: it can be megabytes, and departures are many.
+        routing: command === undefined ? control.state.routing : undefined,
         answer: command && outcome.result,
       };
     }
--- a/packages/daemon/src/control/follow_session.ts
+++ b/packages/daemon/src/control/follow_session.ts
@@ -5,6 +5,7 @@
   Backend,
   ControlUpdate,
   CrashNews,
+  Departure,
   EngineNotice,
   FollowerHello,
   GatewayPresences,
@@ -76,6 +77,8 @@
     const view = this.#view;
     this.#sendHeartbeat();
     this.#sendControlHosts();
+    const departures = view.allDepartures();
+    if (departures.length > 0) this.#sendDepartures(departures);
     this.#sendChangedState();
     this.#sendBackends(true, view.allBackends());
     this.#sendEngines(view.engineNotices());
@@ -83,6 +86,10 @@
     this.#subscriptions.add(
       backends$.subscribe((backends) => this.#sendBackends(false, backends)),
     );
+    const departures$ = isControl ? view.ownDepartures$ : view.departures$;
+    this.#subscriptions.add(
+      departures$.subscribe((news) => this.#sendDepartures(news)),
+    );
     this.#subscriptions.add(
       view.engines$.subscribe((notices) => this.#sendEngines(notices)),
     );
@@ -218,6 +225,10 @@
     this.#send({ case: "crashes", value: news });
   }
 
+  #sendDepartures(departures: Departure[]): void {
+    this.#send({ case: "departures", value: { departures } });
+  }
+
   #sendBackends(whole: boolean, backends: Backend[]): void {
     this.#send({ case: "backends", value: { whole, backends } });
   }
--- a/packages/daemon/src/control/follow_session_test.ts
+++ b/packages/daemon/src/control/follow_session_test.ts
@@ -5,6 +5,7 @@
   type ControlUpdate,
   FollowerToControlSchema,
 } from "@teaselrouter/messages/follow.ts";
+import type { Departure } from "@teaselrouter/core/departures/departure.ts";
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { EventLog } from "../log/event_log.ts";
@@ -31,16 +32,17 @@
     applyCommand(state, command, index);
     view.stateChanged$.next();
   };
-  const value = { host: "g", dataCentre: "here", isControl: false };
-  const start = () =>
+  const start = ({ isControl = false } = {}) => {
+    const value = { host: "g", dataCentre: "here", isControl };
     session.handleMessage(
       create(FollowerToControlSchema, { body: { case: "hello", value } }),
     );
+  };
   const stop = () => {
     session.close();
     view.stop();
   };
-  return { state, sent, order, start, stop };
+  return { state, view, sent, order, start, stop };
 }
 
 function evacuationsIn(sent: ControlUpdate["body"][]) {
@@ -79,3 +81,56 @@
     { index: 7, dataCentres: [] },
   ]);
 });
+
+function departuresIn(sent: ControlUpdate["body"][]): string[] {
+  return sent.flatMap((body) =>
+    body.case === "departures"
+      ? body.value.departures.map(({ instance }) => instance)
+      : []
+  );
+}
+
+function createDeparture(instance: string): Departure {
+  return { instance, bornAt: 1, sequence: 2, state: "leaving", at: 3 };
+}
+
+// Guards against a gateway that joins and takes a server for ready that has left:
+// the host that it follows has an old word of the server, or none.
+test("a follower is told who departed before it hears of servers or routes", () => {
+  const { state, view, sent, start, stop } = openSession();
+  applyCommand(
+    state,
+    { kind: "replace-routing", version: 1, document: "{}" },
+    1,
+  );
+  view.addOwnDepartures([createDeparture("i-1")], "stored");
+  start();
+  view.addRemoteDepartures([{
+    departure: createDeparture("i-2"),
+    toldAt: 0,
+  }]);
+  stop();
+  const cases = sent.map((body) => body.case);
+  const first = cases.indexOf("departures");
+  assert.ok(first >= 0);
+  assert.ok(first < cases.indexOf("routing"));
+  assert.ok(first < cases.indexOf("backends"));
+  assert.deepEqual(departuresIn(sent), ["i-1", "i-2"]);
+});
+
+// Guards against a host that holds a departure in its log while the one that was
+// told, or the leader, is lost: the others would hear of it only once there is a
+// leader again. None of it may circulate among control hosts.
+test("control hosts pass on what their log holds, and not what they were passed", () => {
+  const { view, sent, start, stop } = openSession();
+  start({ isControl: true });
+  view.addRemoteDepartures([{
+    departure: createDeparture("i-1"),
+    toldAt: 0,
+  }]);
+  view.addOwnDepartures([createDeparture("i-1")], "stored");
+  view.addOwnDepartures([createDeparture("i-2")], "stored");
+  view.addOwnDepartures([createDeparture("i-2")], "heard");
+  stop();
+  assert.deepEqual(departuresIn(sent), ["i-2"]);
+});
--- a/packages/daemon/src/control/platform_services.ts
+++ b/packages/daemon/src/control/platform_services.ts
@@ -9,6 +9,7 @@
 import type { PlatformAdapter } from "../platform/platform_adapter.ts";
 import type { Settings } from "../settings/settings.ts";
 import type { ClientPool } from "../transport/client_pool.ts";
+import { decodeDeparture } from "../transport/decode_departure.ts";
 import { decodeBackend } from "../transport/decode_backend.ts";
 import { monotonicMilliseconds } from "../transport/monotonic_milliseconds.ts";
 import { FollowSet } from "../transport/follow_set.ts";
@@ -128,6 +129,10 @@
     this.#subscribeToCrashes();
     options.started$.subscribe((started) => {
       started.configurationChanged$.subscribe(() => this.#applyRouting());
+      this.view.addOwnDepartures(started.storedDepartures(), "stored");
+      started.departures$.subscribe((departures) =>
+        this.view.addOwnDepartures(departures, "stored")
+      );
     });
   }
 
@@ -196,6 +201,12 @@
     if (body.case === "backends") {
       this.view.addRemoteAnnouncements(body.value.backends.map(decodeBackend));
     }
+    if (body.case === "departures") {
+      const now = monotonicMilliseconds();
+      this.view.addRemoteDepartures(
+        body.value.departures.map((each) => decodeDeparture(each, now)),
+      );
+    }
     if (body.case === "crashes") this.view.crashes.addRemoteNews(body.value);
     if (body.case === "limits") this.view.limits.addRemoteNews(body.value);
     if (body.case === "gateways") {
--- a/packages/daemon/src/control/raft_driver.ts
+++ b/packages/daemon/src/control/raft_driver.ts
@@ -38,6 +38,8 @@
  */
 export class RaftDriver {
   readonly committed$ = new Subject<LogEntry>();
+  /** Entries that are on this host's disk, whether or not they are committed. */
+  readonly stored$ = new Subject<LogEntry>();
   readonly snapshotInstalled$ = new Subject<SnapshotData>();
   /** Emits when the known leader, or whether this member leads, changes. */
   readonly leadership$ = new Subject<void>();
@@ -152,6 +154,7 @@
     ) {
       return false;
     }
+    for (const entry of output.entries) this.stored$.next(entry);
     if (last !== undefined) node.markSynced(last.index, last.term);
     return true;
   }
--- a/packages/daemon/src/control/shared_view.ts
+++ b/packages/daemon/src/control/shared_view.ts
@@ -1,10 +1,12 @@
 import { blameFromRow } from "@teaselrouter/core/crashes/blame_from_row.ts";
+import type { Departure as KnownDeparture } from "@teaselrouter/core/departures/departure.ts";
 import { BackendRegistry } from "@teaselrouter/core/membership/backend_registry.ts";
 import type { BackendAnnouncement } from "@teaselrouter/core/membership/backend_announcement.ts";
 import { NamedVersions } from "@teaselrouter/core/rollout/named_versions.ts";
 import type { ControlState } from "@teaselrouter/core/state/control_state.ts";
 import type {
   Backend,
+  Departure,
   EngineLoad,
   EngineNotice,
 } from "@teaselrouter/messages/follow.ts";
@@ -12,6 +14,7 @@
 import type { EventLog } from "../log/event_log.ts";
 import { monotonicMilliseconds } from "../transport/monotonic_milliseconds.ts";
 import { encodeBackend } from "../transport/encode_backend.ts";
+import { encodeDeparture } from "../transport/encode_departure.ts";
 import { CrashAttributor } from "./crash_attributor.ts";
 import { GatewayCounter } from "./gateway_counter.ts";
 import { LimitDivider } from "./limit_divider.ts";
@@ -73,6 +76,10 @@
    * nothing for routing are batched.
    */
   readonly localBackends$ = new Subject<Backend[]>();
+  /** Departures that were news to this host. */
+  readonly departures$ = new Subject<Departure[]>();
+  /** Those of them that it did not hear from another control host's stream. */
+  readonly ownDepartures$ = new Subject<Departure[]>();
   /** Emits when the replicated state changed. */
   readonly stateChanged$ = new Subject<void>();
   readonly controlHostsChanged$ = new Subject<void>();
@@ -222,6 +229,23 @@
     return this.#registry.all().map(encodeBackend);
   }
 
+  findBackend(instance: string): BackendAnnouncement | undefined {
+    return this.#registry.get(instance);
+  }
+
+  /** See `BackendRegistry.leavingSince`. */
+  leavingSince(instance: string): number | undefined {
+    return this.#registry.leavingSince(instance);
+  }
+
+  /** All departures still remembered, also of unknown backend servers. */
+  allDepartures(): Departure[] {
+    const now = monotonicMilliseconds();
+    return this.#registry.departures().map(({ departure, toldAt }) =>
+      encodeDeparture(departure, now - toldAt)
+    );
+  }
+
   engineNotices(): EngineNotice[] {
     return [...this.#notices.values()];
   }
@@ -237,11 +261,27 @@
     this.#publishChanges(changed, "heard");
   }
 
-  /** Marks a backend server as gone that reported its leaving to this host. */
-  removeLocalBackend(instance: string): void {
-    const ended = this.#registry.markGone(instance, monotonicMilliseconds());
-    if (ended.length > 0) this.localBackends$.next(ended.map(encodeBackend));
-    this.#publishChanges(ended, "heard");
+  /**
+   * Adds departures that backend servers reported to this host, or that its log
+   * holds: followers are told at once, whoever confirms them later.
+   */
+  addOwnDepartures(departures: KnownDeparture[], how: string): void {
+    const toldAt = monotonicMilliseconds();
+    const { news, changed } = this.#depart(
+      departures.map((departure) => ({ departure, toldAt })),
+      how,
+    );
+    if (changed.length > 0) {
+      this.localBackends$.next(changed.map(encodeBackend));
+    }
+    if (news.length > 0) this.ownDepartures$.next(news);
+  }
+
+  /** Adds departures that another control host knows. */
+  addRemoteDepartures(
+    told: { departure: KnownDeparture; toldAt: number }[],
+  ): void {
+    this.#depart(told, "passed-on");
   }
 
   /** Adds announcements that another control host received. */
@@ -287,6 +327,31 @@
     );
   }
 
+  #depart(
+    told: { departure: KnownDeparture; toldAt: number }[],
+    how: string,
+  ): { news: Departure[]; changed: BackendAnnouncement[] } {
+    const now = monotonicMilliseconds();
+    const news: Departure[] = [];
+    const changed: BackendAnnouncement[] = [];
+    for (const { departure, toldAt } of told) {
+      const taken = this.#registry.depart(departure, { now, toldAt });
+      changed.push(...taken.changed);
+      if (!taken.isNew) continue;
+      news.push(encodeDeparture(departure, now - toldAt));
+      const { instance, state, sequence } = departure;
+      this.#options.log.info("departure-known", {
+        instance,
+        state,
+        sequence,
+        how,
+      });
+    }
+    if (news.length > 0) this.departures$.next(news);
+    this.#publishChanges(changed, how);
+    return { news, changed };
+  }
+
   #publishChanges(changed: BackendAnnouncement[], how: string): void {
     if (changed.length === 0) return;
     for (const announcement of changed) {
--- a/packages/daemon/src/gateway/control_feed.ts
+++ b/packages/daemon/src/gateway/control_feed.ts
@@ -6,6 +6,7 @@
 import type {
   ControlUpdate,
   CrashNews,
+  Departure,
   EngineLoad,
   EngineNotice,
   Evacuations,
@@ -17,6 +18,7 @@
 import { Subject } from "rxjs";
 import type { EventLog } from "../log/event_log.ts";
 import type { RoutingDecoder } from "../platform/routing_decoder.ts";
+import { decodeDeparture } from "../transport/decode_departure.ts";
 import { decodeBackend } from "../transport/decode_backend.ts";
 import type { FollowSet } from "../transport/follow_set.ts";
 import { monotonicMilliseconds } from "../transport/monotonic_milliseconds.ts";
@@ -148,6 +150,8 @@
       case "backends":
         if (body.value.whole) this.#hasBackends = true;
         return this.#applyBackends(body.value.backends.map(decodeBackend));
+      case "departures":
+        return this.#applyDepartures(body.value.departures);
       case "evacuations":
         return this.#applyEvacuations(body.value);
       case "weights":
@@ -183,9 +187,22 @@
 
   #applyBackends(announcements: BackendAnnouncement[]): void {
     const now = monotonicMilliseconds();
-    const changed = announcements.flatMap((announcement) =>
-      this.#registry.merge(announcement, now)
+    this.#publishChanges(
+      announcements.flatMap((announcement) =>
+        this.#registry.merge(announcement, now)
+      ),
     );
+  }
+
+  #applyDepartures(departures: Departure[]): void {
+    const now = monotonicMilliseconds();
+    this.#publishChanges(departures.flatMap((each) => {
+      const { departure, toldAt } = decodeDeparture(each, now);
+      return this.#registry.depart(departure, { now, toldAt }).changed;
+    }));
+  }
+
+  #publishChanges(changed: BackendAnnouncement[]): void {
     if (changed.length === 0) return;
     for (const { instance, address, state, sequence } of changed) {
       this.#options.log.info("backend-server-changed", {
--- a/packages/daemon/src/log/event_name.ts
+++ b/packages/daemon/src/log/event_name.ts
@@ -22,6 +22,8 @@
   | "control-host-lost"
   | "control-started"
   | "crash-reports-left-out"
+  | "departure-answered"
+  | "departure-known"
   | "disk-full"
   | "engine-adopted"
   | "engine-moved"
