--- a/acceptance/src/fake_backend_server.ts
+++ b/acceptance/src/fake_backend_server.ts
@@ -33,6 +33,8 @@
   store: FakeWeightStore;
   model: string;
   slots?: number | undefined;
+  /** Start time in its heartbeats, Unix milliseconds; an old one by default. */
+  bornAt?: number;
 };
 
 /**
@@ -144,7 +146,7 @@
   }
 
   get #startTime(): number {
-    return FIRST_START_TIME + this.crashCount;
+    return (this.#options.bornAt ?? FIRST_START_TIME) + this.crashCount;
   }
 
   async listen(host: string): Promise<void> {
