--- a/packages/core/src/departures/apply_departures.ts
+++ b/packages/core/src/departures/apply_departures.ts
@@ -24,7 +24,9 @@
   index: number,
 ): CommandResult {
   for (const [instance, { at }] of departures) {
-    if (command.at - at > RETENTION_MILLISECONDS) departures.delete(instance);
+    // Oldest first: a release has hundreds of rows and as many commands.
+    if (command.at - at <= RETENTION_MILLISECONDS) break;
+    departures.delete(instance);
   }
   for (const reported of command.departures) {
     const departure = { ...reported, at: command.at };
--- a/packages/core/src/state/encode_control_state.ts
+++ b/packages/core/src/state/encode_control_state.ts
@@ -2,8 +2,8 @@
 
 type Options = {
   /**
-   * False for entry hosts, which do not use claims: claims are most of the
-   * bytes.
+   * False for entry hosts, which use neither claims, most of the bytes, nor
+   * departures.
    */
   withClaims: boolean;
 };
@@ -27,7 +27,7 @@
     routing: state.routing,
     namedWeights: [...state.namedWeights.values()],
     evacuations: [...state.evacuations.values()],
-    departures: [...state.departures.values()],
+    departures: options.withClaims ? [...state.departures.values()] : [],
     suspectedRequests: [...state.suspectedRequests.values()],
     blamedRequests: [...state.blamedRequests.values()],
     claims: options.withClaims ? [...state.claims.values()] : [],
