--- a/acceptance/src/departures/leaving_times.ts
+++ b/acceptance/src/departures/leaving_times.ts
@@ -45,17 +45,19 @@
     { length: SERVERS },
     (_, index) => `${group}-${index}`,
   );
-  await Promise.all(names.map((name, index) =>
-    callControlHost(urlOf(name, index), "PUT", {
-      service: "unused",
-      address: `127.9.${Math.floor(index / 250)}.${1 + index % 250}:80`,
-      zone: "here",
-      slots: 4,
-      state: "ready",
-      sequence: 1,
-      born: Date.now(),
-    })
-  ));
+  await Promise.all(
+    names.map((name, index) =>
+      callControlHost(urlOf(name, index), "PUT", {
+        service: "unused",
+        address: `127.9.${Math.floor(index / 250)}.${1 + index % 250}:80`,
+        zone: "here",
+        slots: 4,
+        state: "ready",
+        sequence: 1,
+        born: Date.now(),
+      })
+    ),
+  );
   await sleep(SETTLE_MILLISECONDS);
   return names;
 }
