--- a/acceptance/src/broken_streams_test.ts
+++ b/acceptance/src/broken_streams_test.ts
@@ -2,6 +2,7 @@
 import { after, afterEach, before, test } from "node:test";
 import { EndToEndSystem } from "./end_to_end_system.ts";
 import type { FakeBackendServer } from "./fake_backend_server.ts";
+import { watchFailures } from "./watch_failures.ts";
 
 const EVENTS = 8;
 const BREAK_AFTER_EVENTS = 3;
@@ -34,7 +35,8 @@
   }
 });
 
-after(() => system.stop());
+const hasFailed = watchFailures();
+after(() => system.stop({ keepLogs: hasFailed() }));
 
 /** Makes the engine answer with neither a length nor chunks, and break off. */
 function breakNextStream(
--- a/acceptance/src/cold_servers_test.ts
+++ b/acceptance/src/cold_servers_test.ts
@@ -39,6 +39,7 @@
       },
     },
   });
+  let keepLogs = true;
   try {
     await system.start();
     await system.configure(2, {
@@ -95,7 +96,8 @@
     assert.ok(arrivals.length >= GATEWAYS, "it is not left idle");
     const unserved = (await Promise.all(answers)).filter(Boolean);
     assert.deepEqual(unserved, [], "all others are served");
+    keepLogs = false;
   } finally {
-    await system.stop();
+    await system.stop({ keepLogs });
   }
 });
--- a/acceptance/src/departures/acknowledged_leaving_test.ts
+++ b/acceptance/src/departures/acknowledged_leaving_test.ts
@@ -5,6 +5,7 @@
 import { EndToEndSystem } from "../end_to_end_system.ts";
 import type { FakeBackendServer } from "../fake_backend_server.ts";
 import { callControlHost } from "./call_control_host.ts";
+import { watchFailures } from "../watch_failures.ts";
 
 /** After an acknowledgement no request may reach the server. */
 const DRAIN_MILLISECONDS = 2_000;
@@ -26,7 +27,8 @@
   await system.start();
   await waitUntil(isEachServerUsed, ACKNOWLEDGEMENT_MILLISECONDS);
 });
-after(() => system.stop());
+const hasFailed = watchFailures();
+after(() => system.stop({ keepLogs: hasFailed() }));
 
 function sleep(milliseconds: number): Promise<void> {
   return new Promise((resolve) => setTimeout(resolve, milliseconds));
--- a/acceptance/src/end_to_end_system_test.ts
+++ b/acceptance/src/end_to_end_system_test.ts
@@ -12,11 +12,13 @@
 
 async function withSystem(scenario: (system: EndToEndSystem) => Promise<void>) {
   const system = new EndToEndSystem();
+  let keepLogs = true;
   try {
     await system.start();
     await scenario(system);
+    keepLogs = false;
   } finally {
-    await system.stop();
+    await system.stop({ keepLogs });
   }
 }
 
--- a/acceptance/src/evacuation_test.ts
+++ b/acceptance/src/evacuation_test.ts
@@ -5,6 +5,7 @@
 import { performance } from "node:perf_hooks";
 import { after, before, test } from "node:test";
 import { EndToEndSystem } from "./end_to_end_system.ts";
+import { watchFailures } from "./watch_failures.ts";
 
 /** Within which an evacuation must be obeyed after its acknowledgement. */
 const EVACUATION_BOUND_MILLISECONDS = 5_000;
@@ -31,7 +32,8 @@
   remaining!.zone = OTHER_ZONE;
   await system.start();
 });
-after(() => system.stop());
+const hasFailed = watchFailures();
+after(() => system.stop({ keepLogs: hasFailed() }));
 
 type Method = "POST" | "DELETE";
 
--- a/acceptance/src/failed_answers_test.ts
+++ b/acceptance/src/failed_answers_test.ts
@@ -2,6 +2,7 @@
 import { after, afterEach, before, test } from "node:test";
 import { setTimeout as sleep } from "node:timers/promises";
 import { EndToEndSystem } from "./end_to_end_system.ts";
+import { watchFailures } from "./watch_failures.ts";
 
 /** Four engines, of which a request may be sent to three, and one gateway. */
 const system = new EndToEndSystem({
@@ -22,7 +23,8 @@
   }
 });
 
-after(() => system.stop());
+const hasFailed = watchFailures();
+after(() => system.stop({ keepLogs: hasFailed() }));
 
 // Guards against failures that are forwarded though another server could answer.
 test("a request that a server failed is answered by another", async () => {
--- a/acceptance/src/failing_servers_test.ts
+++ b/acceptance/src/failing_servers_test.ts
@@ -4,6 +4,7 @@
 import { EndToEndSystem } from "./end_to_end_system.ts";
 import type { FakeBackendServer } from "./fake_backend_server.ts";
 import { streamText } from "./stream_text.ts";
+import { watchFailures } from "./watch_failures.ts";
 
 const ENGINES = 4;
 const STREAM_EVENTS = 8;
@@ -32,7 +33,8 @@
   }
 });
 
-after(() => system.stop());
+const hasFailed = watchFailures();
+after(() => system.stop({ keepLogs: hasFailed() }));
 
 /** Waits until so many engines have received the request; returns them. */
 async function waitForArrivals(
--- a/acceptance/src/gateway_count_test.ts
+++ b/acceptance/src/gateway_count_test.ts
@@ -34,6 +34,7 @@
   const latestCount = (name: string) =>
     [...child(name).output.matchAll(/event=gateways-counted gateways=(\w+)/g)]
       .at(-1)?.[1];
+  let keepLogs = true;
   try {
     await system.start();
     const [stopped, killed, ...others] = system.gatewayNames;
@@ -46,7 +47,8 @@
     child(killed!).signal("SIGKILL");
     await sleep(OBSERVATION_MILLISECONDS);
     assert.ok(countIs(7)(), counts());
+    keepLogs = false;
   } finally {
-    await system.stop();
+    await system.stop({ keepLogs });
   }
 });
--- a/acceptance/src/silent_servers_test.ts
+++ b/acceptance/src/silent_servers_test.ts
@@ -3,6 +3,7 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { EndToEndSystem } from "./end_to_end_system.ts";
 import { streamText } from "./stream_text.ts";
+import { watchFailures } from "./watch_failures.ts";
 
 const ENGINES = 4;
 const STREAM_EVENTS = 16;
@@ -30,7 +31,8 @@
   }
 });
 
-after(() => system.stop());
+const hasFailed = watchFailures();
+after(() => system.stop({ keepLogs: hasFailed() }));
 
 async function stream(id: string): Promise<Outcome> {
   try {
