--- a/acceptance/src/incident_day.ts
+++ b/acceptance/src/incident_day.ts
@@ -230,6 +230,8 @@
         .map(({ at }) => at),
     }));
     const limitedArrivals = engines.at(-1)!.arrivals
+      // The request that waits for the system's start is none of the day's.
+      .filter(({ id }) => this.#sent.has(id))
       .map(({ id, at }) => ({ at, gateway: this.#sent.get(id)!.gateway }));
     const limitResults = this.#limitPeriods.map((period) => ({
       arrivals: countMostWithin(
