Names and sentences of departures, read as somebody who joins today

A name stood for two things: Departure of the core and of the messages (the latter is DepartureMessage where both meet), and recordLeaving, though leaving is the state of a server that drains (recordEnd). Limits say what they count. Five sentences that had to be read twice are written anew.

--- a/packages/core/src/departures/apply_departures.ts
+++ b/packages/core/src/departures/apply_departures.ts
@@ -24,7 +24,7 @@
   index: number,
 ): CommandResult {
   for (const [instance, { at }] of departures) {
-    // Oldest first: a release has hundreds of rows and as many commands.
+    // Oldest first: a release writes hundreds of rows, so not all are looked at.
     if (command.at - at <= RETENTION_MILLISECONDS) break;
     departures.delete(instance);
   }
--- a/packages/core/src/departures/departure_schema.ts
+++ b/packages/core/src/departures/departure_schema.ts
@@ -4,8 +4,8 @@
 export const departureSchema = z.strictObject({
   instance: z.string().min(1).max(512),
   /**
-   * Start that departs, Unix milliseconds. Missing if nobody knew it who was
-   * told: then every start before `at` departs.
+   * Start that departs, Unix milliseconds. Missing if the host that was told
+   * didn't know the instance: then every start before `at` departs.
    */
   bornAt: z.number().optional(),
   /** Announcements of the start up to this one are outdated. */
--- a/packages/core/src/departures/is_outdated_by.ts
+++ b/packages/core/src/departures/is_outdated_by.ts
@@ -6,8 +6,8 @@
 type Word = Pick<BackendAnnouncement, "bornAt" | "sequence" | "state">;
 
 /**
- * Whether what is known of an instance, or arrives late, says less than its
- * departure does. A later start of the instance is not held back.
+ * Whether an instance's departure supersedes another word of it. It doesn't
+ * where the word is of a later start, or says the same or more.
  */
 export function isOutdatedBy(word: Word, departure: Departure): boolean {
   const { bornAt, sequence, state, at } = departure;
--- a/packages/core/src/departures/known_departures.ts
+++ b/packages/core/src/departures/known_departures.ts
@@ -4,7 +4,7 @@
 import { laterDeparture } from "./later_departure.ts";
 
 /** As many as the replicated tables hold. */
-const MAX_DEPARTURES = 8_192;
+const MAX_KNOWN_DEPARTURES = 8_192;
 
 type Known = { departure: Departure; toldAt: number };
 
@@ -30,14 +30,14 @@
     }
     this.#known.delete(departure.instance);
     this.#known.set(departure.instance, { departure, toldAt });
-    if (this.#known.size > MAX_DEPARTURES) {
+    if (this.#known.size > MAX_KNOWN_DEPARTURES) {
       this.#known.delete(this.#known.keys().next().value!);
     }
     return true;
   }
 
   /** Whether an announcement says less than a departure that is known. */
-  outdate(announcement: BackendAnnouncement): boolean {
+  outdates(announcement: BackendAnnouncement): boolean {
     const known = this.#known.get(announcement.instance);
     return known !== undefined && isOutdatedBy(announcement, known.departure);
   }
--- a/packages/core/src/membership/backend_registry.ts
+++ b/packages/core/src/membership/backend_registry.ts
@@ -92,7 +92,7 @@
   merge(announcement: BackendAnnouncement, now: number): BackendAnnouncement[] {
     const known = this.#entries.get(announcement.instance);
     if (
-      this.#departures.outdate(announcement) || known !== undefined &&
+      this.#departures.outdates(announcement) || known !== undefined &&
         !isLaterAnnouncement(announcement, known.announcement)
     ) {
       return [];
@@ -113,10 +113,10 @@
   }
 
   /**
-   * Takes on that an instance leaves or is gone. What says less of the same
-   * start and arrives late, from the instance or from another host, can't
-   * restore it, whether or not the instance is known here. Returns whether this
-   * was news, and the announcements that changed in a field that affects routing.
+   * Takes on that an instance leaves or is gone. Earlier words of the same start
+   * that arrive later can't restore it, whether or not the instance is known
+   * here. Returns whether this was news, and the announcements that changed in a
+   * field that affects routing.
    *
    * @param toldAt when a control host was told, monotonic milliseconds
    */
--- a/packages/daemon/src/control/control_operations.ts
+++ b/packages/daemon/src/control/control_operations.ts
@@ -41,7 +41,7 @@
     announcement: BackendAnnouncement,
   ): Promise<"accepted" | "unavailable">;
   /** Takes on that a backend server is gone, and is accepted likewise. */
-  recordLeaving(instance: string): Promise<"accepted" | "unavailable">;
+  recordEnd(instance: string): Promise<"accepted" | "unavailable">;
   /** Logs input that could not be decoded, as from a newer or broken sender. */
   logUnreadable(what: string, detail: string): void;
 }
--- a/packages/daemon/src/control/control_operations_handler.ts
+++ b/packages/daemon/src/control/control_operations_handler.ts
@@ -144,7 +144,7 @@
     return await this.#departures.record(departure, leavingSince);
   }
 
-  async recordLeaving(instance: string) {
+  async recordEnd(instance: string) {
     const { view } = this.#options;
     const departure: Departure = {
       instance,
--- a/packages/daemon/src/control/departure_recorder.ts
+++ b/packages/daemon/src/control/departure_recorder.ts
@@ -8,7 +8,7 @@
 
 /** Many servers of one service can leave at once. */
 const BATCH_MILLISECONDS = 5;
-const MAX_BATCH = 256;
+const MAX_BATCH_DEPARTURES = 256;
 
 type DepartureAnswer = "accepted" | "unavailable";
 
@@ -70,7 +70,10 @@
   }
 
   #addToBatch(departure: Departure): Promise<Committed> {
-    if ((this.#batch?.departures.length ?? MAX_BATCH) >= MAX_BATCH) {
+    if (
+      (this.#batch?.departures.length ?? MAX_BATCH_DEPARTURES) >=
+        MAX_BATCH_DEPARTURES
+    ) {
       this.#batch = this.#startBatch();
     }
     this.#batch!.departures.push(departure);
--- a/packages/daemon/src/control/shared_view.ts
+++ b/packages/daemon/src/control/shared_view.ts
@@ -1,12 +1,12 @@
 import { blameFromRow } from "@teaselrouter/core/crashes/blame_from_row.ts";
-import type { Departure as KnownDeparture } from "@teaselrouter/core/departures/departure.ts";
+import type { Departure } from "@teaselrouter/core/departures/departure.ts";
 import { BackendRegistry } from "@teaselrouter/core/membership/backend_registry.ts";
 import type { BackendAnnouncement } from "@teaselrouter/core/membership/backend_announcement.ts";
 import { NamedVersions } from "@teaselrouter/core/rollout/named_versions.ts";
 import type { ControlState } from "@teaselrouter/core/state/control_state.ts";
 import type {
   Backend,
-  Departure,
+  Departure as DepartureMessage,
   EngineLoad,
   EngineNotice,
 } from "@teaselrouter/messages/follow.ts";
@@ -77,9 +77,9 @@
    */
   readonly localBackends$ = new Subject<Backend[]>();
   /** Departures that were news to this host. */
-  readonly departures$ = new Subject<Departure[]>();
-  /** Those of them that it did not hear from another control host's stream. */
-  readonly ownDepartures$ = new Subject<Departure[]>();
+  readonly departures$ = new Subject<DepartureMessage[]>();
+  /** Of these, those told by backend servers themselves or stored in its log. */
+  readonly ownDepartures$ = new Subject<DepartureMessage[]>();
   /** Emits when the replicated state changed. */
   readonly stateChanged$ = new Subject<void>();
   readonly controlHostsChanged$ = new Subject<void>();
@@ -239,7 +239,7 @@
   }
 
   /** All departures still remembered, also of unknown backend servers. */
-  allDepartures(): Departure[] {
+  allDepartures(): DepartureMessage[] {
     const now = monotonicMilliseconds();
     return this.#registry.departures().map(({ departure, toldAt }) =>
       encodeDeparture(departure, now - toldAt)
@@ -265,7 +265,7 @@
    * Adds departures that backend servers reported to this host, or that its log
    * holds: followers are told at once, whoever confirms them later.
    */
-  addOwnDepartures(departures: KnownDeparture[], how: string): void {
+  addOwnDepartures(departures: Departure[], how: string): void {
     const toldAt = monotonicMilliseconds();
     const { news, changed } = this.#depart(
       departures.map((departure) => ({ departure, toldAt })),
@@ -279,7 +279,7 @@
 
   /** Adds departures that another control host knows. */
   addRemoteDepartures(
-    told: { departure: KnownDeparture; toldAt: number }[],
+    told: { departure: Departure; toldAt: number }[],
   ): void {
     this.#depart(told, "passed-on");
   }
@@ -328,11 +328,11 @@
   }
 
   #depart(
-    told: { departure: KnownDeparture; toldAt: number }[],
+    told: { departure: Departure; toldAt: number }[],
     how: string,
-  ): { news: Departure[]; changed: BackendAnnouncement[] } {
+  ): { news: DepartureMessage[]; changed: BackendAnnouncement[] } {
     const now = monotonicMilliseconds();
-    const news: Departure[] = [];
+    const news: DepartureMessage[] = [];
     const changed: BackendAnnouncement[] = [];
     for (const { departure, toldAt } of told) {
       const taken = this.#registry.depart(departure, { now, toldAt });
--- a/packages/daemon/src/transport/decode_departure.ts
+++ b/packages/daemon/src/transport/decode_departure.ts
@@ -1,5 +1,8 @@
-import type { Departure as KnownDeparture } from "@teaselrouter/core/departures/departure.ts";
-import { BackendState, type Departure } from "@teaselrouter/messages/follow.ts";
+import type { Departure } from "@teaselrouter/core/departures/departure.ts";
+import {
+  BackendState,
+  type Departure as DepartureMessage,
+} from "@teaselrouter/messages/follow.ts";
 
 /**
  * Decodes a departure that another process passed on.
@@ -7,9 +10,9 @@
  * @param now monotonic milliseconds
  */
 export function decodeDeparture(
-  { instance, bornAt, sequence, state, at, ageMilliseconds }: Departure,
+  { instance, bornAt, sequence, state, at, ageMilliseconds }: DepartureMessage,
   now: number,
-): { departure: KnownDeparture; toldAt: number } {
+): { departure: Departure; toldAt: number } {
   return {
     departure: {
       instance,
--- a/packages/daemon/src/transport/encode_departure.ts
+++ b/packages/daemon/src/transport/encode_departure.ts
@@ -1,8 +1,8 @@
 import { create } from "@bufbuild/protobuf";
-import type { Departure as KnownDeparture } from "@teaselrouter/core/departures/departure.ts";
+import type { Departure } from "@teaselrouter/core/departures/departure.ts";
 import {
   BackendState,
-  type Departure,
+  type Departure as DepartureMessage,
   DepartureSchema,
 } from "@teaselrouter/messages/follow.ts";
 
@@ -12,9 +12,9 @@
  * @param ageMilliseconds since a control host was told
  */
 export function encodeDeparture(
-  { instance, bornAt, sequence, state, at }: KnownDeparture,
+  { instance, bornAt, sequence, state, at }: Departure,
   ageMilliseconds: number,
-): Departure {
+): DepartureMessage {
   return create(DepartureSchema, {
     instance,
     ...(bornAt !== undefined && { bornAt }),
