--- a/acceptance/src/end_to_end_system.ts
+++ b/acceptance/src/end_to_end_system.ts
@@ -5,6 +5,7 @@
 } from "./build_configuration.ts";
 import { LoopbackCluster } from "./loopback_cluster.ts";
 import type { PlatformBounds } from "./platform_bounds.ts";
+import type { EndingTerms } from "./endings/ending_terms.ts";
 import { FakeBackendServer } from "./fake_backend_server.ts";
 import { FakeWeightStore } from "./fake_weight_store.ts";
 
@@ -36,7 +37,7 @@
   gatewayFields?: Record<string, unknown>;
   /** Overrides the usual bounds of the platform's rules. */
   bounds?: Partial<PlatformBounds>;
-};
+} & EndingTerms;
 
 /**
  * A complete system on loopback: all daemon processes, with fake backend servers
@@ -56,6 +57,7 @@
   #maxAttempts: number | undefined;
   #slots: number | undefined;
   #gatewayFields: Record<string, unknown>;
+  #heartbeatMilliseconds: number;
   #storeAddress = "";
   #heartbeatTimer: NodeJS.Timeout | undefined;
   #leavingServers = new Set<FakeBackendServer>();
@@ -72,6 +74,8 @@
       maxAttempts,
       gatewayFields = {},
       bounds = {},
+      drawEnding,
+      heartbeatMilliseconds = HEARTBEAT_INTERVAL_MILLISECONDS,
     }: Options = {},
   ) {
     this.cluster = new LoopbackCluster(bounds);
@@ -80,6 +84,7 @@
     this.#routeTimeoutMilliseconds = routeTimeoutMilliseconds;
     this.#slots = slots;
     this.#gatewayFields = gatewayFields;
+    this.#heartbeatMilliseconds = heartbeatMilliseconds;
     this.#gatewayCount = gateways;
     this.#controlHostCount = controlHosts;
     for (let index = 0; index < engines; index += 1) {
@@ -94,6 +99,7 @@
         new FakeBackendServer({ instance, store, model: "" }),
       );
     }
+    for (const { server } of this.servers) server.drawEnding = drawEnding;
   }
 
   /** All backend servers, with the services they belong to. */
@@ -137,7 +143,7 @@
     }
     this.#heartbeatTimer = setInterval(
       () => this.#sendHeartbeats(),
-      HEARTBEAT_INTERVAL_MILLISECONDS,
+      this.#heartbeatMilliseconds,
     );
     await this.#waitFor(() => this.configure(1), "configured");
     for (const ip of this.gatewayIps) {
--- a/acceptance/src/fake_backend_server.ts
+++ b/acceptance/src/fake_backend_server.ts
@@ -8,6 +8,7 @@
 } from "node:http";
 import type { AddressInfo } from "node:net";
 import { performance } from "node:perf_hooks";
+import type { ServerEnding } from "./endings/server_ending.ts";
 import type { FakeWeightStore } from "./fake_weight_store.ts";
 
 const DEFAULT_STREAM_EVENTS = 8;
@@ -77,6 +78,8 @@
   crashingParts: readonly string[] = [];
   /** Whether a restart is announced under the same name, as a new start. */
   keepsName = false;
+  /** Called at each end, for how it ends; undefined for the usual way. */
+  drawEnding: (() => ServerEnding) | undefined;
   /** Data centre in its heartbeats. */
   zone = "here";
   /** Until when it announces that it is cold, `performance.now()`. */
@@ -109,6 +112,9 @@
   readonly endedInstances: string[] = [];
   #openStreams = new Set<ServerResponse>();
   #isClosed = false;
+  #name: string;
+  /** What the port does while the server is down. */
+  #downPort: ServerEnding["port"] = "refuses";
   /** Version of the loaded weights; 0 for none. */
   version = 0;
   address = "";
@@ -124,6 +130,10 @@
 
   constructor(options: Options) {
     this.#options = options;
+    this.#name = options.instance;
+    this.#server.on("connection", (socket) => {
+      if (this.isDown && this.#downPort === "closes") socket.destroy();
+    });
   }
 
   /**
@@ -131,9 +141,7 @@
    * it keeps its name.
    */
   get instance(): string {
-    const { instance } = this.#options;
-    const isFirst = this.crashCount === 0 || this.keepsName;
-    return isFirst ? instance : `${instance}-${this.crashCount}`;
+    return this.#name;
   }
 
   /** Number of crashes so far. */
@@ -200,6 +208,7 @@
 
   async #handle(request: IncomingMessage, response: ServerResponse) {
     const attemptId = request.headers["attempt-id"];
+    if (this.isDown) return this.#refuse(String(attemptId), response);
     if (attemptId !== undefined) this.#recordReceipt(request);
     const body = await readAll(request);
     if (attemptId !== undefined) this.receivedRequestIds.push(`${attemptId}`);
@@ -348,9 +357,12 @@
    */
   async crash(id?: string): Promise<void> {
     if (this.isDown) return;
+    const ending = this.#beginEnding();
     this.endedInstances.push(this.instance);
     this.crashRecords.push({ at: performance.now(), id });
-    const [host, port] = this.address.split(":");
+    if (!this.keepsName) {
+      this.#name = `${this.#options.instance}-${this.crashCount}`;
+    }
     this.isDown = true;
     this.version = 0;
     this.#acceptedOrders = 0;
@@ -358,15 +370,39 @@
     const brokenStreams = [...this.#openStreams];
     this.#openStreams.clear();
     await Promise.all(brokenStreams.map((stream) => this.#breakOff(stream)));
+    if (ending.port === "refuses") await this.#closePort();
+    else this.#server.closeAllConnections();
+    await sleep(ending.restartMilliseconds);
+    if (this.#isClosed) return;
+    if (ending.port === "refuses") await this.#openPort();
+    // Whoever was answered meanwhile has no connection to the next start.
+    else this.#server.closeAllConnections();
+    this.isDown = false;
+  }
+
+  /** How the server ends now. */
+  #beginEnding(): Pick<ServerEnding, "port" | "restartMilliseconds"> {
+    const ending = this.drawEnding?.();
+    this.#downPort = ending?.port ?? "refuses";
+    if (ending === undefined) {
+      return { port: "refuses", restartMilliseconds: RESTART_MILLISECONDS };
+    }
+    this.breakEnd = ending.breakEnd;
+    this.keepsName = ending.keepsName;
+    return ending;
+  }
+
+  async #closePort(): Promise<void> {
     const closed = new Promise((resolve) => this.#server.close(resolve));
     this.#server.closeAllConnections();
     await closed;
-    await sleep(RESTART_MILLISECONDS);
-    if (this.#isClosed) return;
+  }
+
+  async #openPort(): Promise<void> {
+    const [host, port] = this.address.split(":");
     await new Promise<void>((resolve) =>
       this.#server.listen(Number(port), host, () => resolve())
     );
-    this.isDown = false;
   }
 
   async #streamEvents(
--- a/acceptance/src/incident_day.ts
+++ b/acceptance/src/incident_day.ts
@@ -7,6 +7,7 @@
 import { findDayFaults } from "./find_day_faults.ts";
 import type { LimitPeriod } from "./limit_period.ts";
 import { countMostWithin } from "./count_most_within.ts";
+import type { EndingTerms } from "./endings/ending_terms.ts";
 import type { FakeBackendServer } from "./fake_backend_server.ts";
 import { EndToEndSystem } from "./end_to_end_system.ts";
 import { freezeHost } from "./freeze_host.ts";
@@ -44,11 +45,7 @@
 export class IncidentDay {
   #seed: number;
   #random: () => number;
-  #system = new EndToEndSystem({
-    engines: ENGINES,
-    gateways: GATEWAYS,
-    controlHosts: CONTROL_HOSTS,
-  });
+  #system: EndToEndSystem;
   #answers: Promise<Answer>[] = [];
   #limitPeriods: LimitPeriod[] = [];
   /** Where and when each request was sent, by its id. */
@@ -57,9 +54,15 @@
   #restarts: { gateway: string; at: number }[] = [];
   #sentRequests = 0;
 
-  constructor(seed: number) {
+  constructor(seed: number, terms: EndingTerms = {}) {
     this.#seed = seed;
     this.#random = createSeededRandom(hashText(String(seed)));
+    this.#system = new EndToEndSystem({
+      engines: ENGINES,
+      gateways: GATEWAYS,
+      controlHosts: CONTROL_HOSTS,
+      ...terms,
+    });
   }
 
   async run(): Promise<DayResult> {
--- a/acceptance/src/part_day.ts
+++ b/acceptance/src/part_day.ts
@@ -3,6 +3,7 @@
 import assert from "node:assert/strict";
 import { performance } from "node:perf_hooks";
 import { findPlayedRepeatFaults } from "./budget/find_played_repeat_faults.ts";
+import type { EndingTerms } from "./endings/ending_terms.ts";
 import { EndToEndSystem } from "./end_to_end_system.ts";
 import { freezeHost } from "./freeze_host.ts";
 import { findPartDayFaults } from "./find_part_day_faults.ts";
@@ -55,20 +56,22 @@
   #seed: number;
   #random: () => number;
   #mix: PromptMix;
-  #system = new EndToEndSystem({
-    engines: ENGINES,
-    gateways: GATEWAYS,
-    controlHosts: CONTROL_HOSTS,
-    slots: SLOTS,
-  });
+  #system: EndToEndSystem;
   #sent: Promise<Sent>[] = [];
   #sentCount = 0;
   #activeDisruption: ActiveDisruption | undefined;
 
-  constructor(seed: number) {
+  constructor(seed: number, terms: EndingTerms = {}) {
     this.#seed = seed;
     this.#random = createSeededRandom(hashText(`part ${seed}`));
     this.#mix = PROMPT_MIXES[seed % PROMPT_MIXES.length]!;
+    this.#system = new EndToEndSystem({
+      engines: ENGINES,
+      gateways: GATEWAYS,
+      controlHosts: CONTROL_HOSTS,
+      slots: SLOTS,
+      ...terms,
+    });
   }
 
   async run(): Promise<PartDayResult> {
