Checks of breaks are logged and counted by what they found

Cause: a break whose check ended with "alive" left no trace, so that logs couldn't tell ends without evidence from evidence that came late or was lost. Change: break-checked, teaselrouter_breaks_checked_total by what was found.

--- a/packages/daemon/src/gateway/crash_watch.ts
+++ b/packages/daemon/src/gateway/crash_watch.ts
@@ -1,6 +1,7 @@
 import type { BackendAnnouncement } from "@teaselrouter/core/membership/backend_announcement.ts";
 import { type Observable, Subject } from "rxjs";
 import type { EventLog } from "../log/event_log.ts";
+import type { ProcessMetrics } from "../metrics/process_metrics.ts";
 import { probeProcessEnd } from "../transport/probe_process_end.ts";
 import { monotonicMilliseconds } from "../transport/monotonic_milliseconds.ts";
 import type { AdmittedCall } from "./admitted_call.ts";
@@ -16,6 +17,12 @@
  */
 const PENDING_MILLISECONDS = 15_000;
 
+const PORT_FINDINGS = {
+  ended: "refuses",
+  alive: "accepts",
+  unknown: "no-answer",
+} as const;
+
 /** A request in flight whose connection a backend server closed. */
 type BrokenRequest = {
   call: AdmittedCall;
@@ -34,6 +41,7 @@
   isClosed: (announcement: BackendAnnouncement) => boolean;
   backends$: Observable<BackendAnnouncement[]>;
   log: EventLog;
+  metrics: ProcessMetrics;
 };
 
 /**
@@ -75,13 +83,28 @@
   async #checkEnded(suspected: EndedServer): Promise<void> {
     const { instance, address } = suspected.announcement;
     this.#gathering.delete(instance);
-    if (this.#options.hasOpenConnection(address)) return;
+    if (this.#options.hasOpenConnection(address)) {
+      return this.#logCheck(suspected, "open-connection");
+    }
     const mayProbe = !this.#options.isClosed(suspected.announcement);
     const answer = mayProbe ? await probeProcessEnd(address) : "unknown";
+    this.#logCheck(suspected, mayProbe ? PORT_FINDINGS[answer] : "not-asked");
     if (answer === "ended") return this.#confirmEnd(suspected, "refuses");
     if (answer === "unknown") this.#pending.set(instance, suspected);
   }
 
+  #logCheck({ announcement, interrupted, at }: EndedServer, found: string) {
+    const { log, metrics } = this.#options;
+    metrics.breaksChecked.inc({ found });
+    log.info("break-checked", {
+      instance: announcement.instance,
+      address: announcement.address,
+      found,
+      interrupted: interrupted.length,
+      milliseconds: Math.round(monotonicMilliseconds() - at),
+    });
+  }
+
   /**
    * Confirms ends that could not be checked directly: a later start at the same
    * address shows them.
--- a/packages/daemon/src/gateway/crash_watch_test.ts
+++ b/packages/daemon/src/gateway/crash_watch_test.ts
@@ -4,6 +4,7 @@
 import { test } from "node:test";
 import { Subject } from "rxjs";
 import { EventLog } from "../log/event_log.ts";
+import { ProcessMetrics } from "../metrics/process_metrics.ts";
 import type { AdmittedCall } from "./admitted_call.ts";
 import { CrashWatch } from "./crash_watch.ts";
 
@@ -42,6 +43,7 @@
     isClosed: () => isClosed,
     backends$,
     log: new EventLog("gateway", "error"),
+    metrics: new ProcessMetrics(),
   });
   const ended: string[] = [];
   watch.ended$.subscribe((end) => ended.push(end.announcement.instance));
--- a/packages/daemon/src/gateway/gateway_app.ts
+++ b/packages/daemon/src/gateway/gateway_app.ts
@@ -132,6 +132,7 @@
       isClosed: (announcement) => pushbacks.isClosed(announcement),
       backends$: feed.backends$,
       log,
+      metrics,
     });
     const namedLimits = new NamedLimits({
       host: settings.name,
--- a/packages/daemon/src/gateway/gateway_fixture.ts
+++ b/packages/daemon/src/gateway/gateway_fixture.ts
@@ -267,6 +267,7 @@
       isClosed: (announcement) => pushbacks.isClosed(announcement),
       backends$: feed.backends$,
       log,
+      metrics: this.metrics,
     });
     const namedLimits = new NamedLimits({
       host: "gateway",
--- a/packages/daemon/src/log/event_name.ts
+++ b/packages/daemon/src/log/event_name.ts
@@ -15,6 +15,7 @@
   | "blame-kept"
   | "blame-lifted"
   | "blamed-request-refused"
+  | "break-checked"
   | "call-fault"
   | "chunk-failed"
   | "chunk-not-sent"
--- a/packages/daemon/src/metrics/process_metrics.ts
+++ b/packages/daemon/src/metrics/process_metrics.ts
@@ -67,6 +67,8 @@
   readonly answersCut: Counter<"reason">;
   /** Answers of backend servers, by what framed them and how they ended. */
   readonly answersEnded: Counter<"framing" | "end">;
+  /** Breaks by backend servers, by what the check of their ports found. */
+  readonly breaksChecked: Counter<"found">;
   /** Fields of answers that were ignored, in part or whole, by their name. */
   readonly answerFieldsUnreadable: Counter<"field">;
   /** Requests that were not sent once more, by why; each once by reason. */
@@ -150,6 +152,12 @@
       labelNames: ["framing", "end"],
       registers,
     });
+    this.breaksChecked = new Counter({
+      name: "teaselrouter_breaks_checked_total",
+      help: "Breaks by backend servers, by what the check of the port found",
+      labelNames: ["found"],
+      registers,
+    });
     this.answerFieldsUnreadable = new Counter({
       name: "teaselrouter_answer_fields_unreadable_total",
       help: "Fields of answers that were ignored, in part or whole",
