--- a/packages/daemon/src/gateway/crash_watch_test.ts
+++ b/packages/daemon/src/gateway/crash_watch_test.ts
@@ -61,3 +61,33 @@
   assert.equal(connections, 1);
   server.close();
 });
+
+// Guards against an end that is evidence for nobody because the next process
+// accepts connections before the port is asked.
+test("the end of a backend server that is back at once is told by its next start", async (context) => {
+  const server = createServer((socket) => socket.destroy());
+  context.after(() => server.close());
+  await new Promise<void>((resolve) => server.listen(0, ADDRESS, resolve));
+  const { port } = server.address() as AddressInfo;
+  const announcement = {
+    instance: "one",
+    address: `${ADDRESS}:${port}`,
+    state: "ready",
+    bornAt: 1,
+  } as BackendAnnouncement;
+  const backends$ = new Subject<BackendAnnouncement[]>();
+  const watch = new CrashWatch({
+    hasOpenConnection: () => false,
+    isClosed: () => false,
+    backends$,
+    log: new EventLog("gateway", "error"),
+    metrics: new ProcessMetrics(),
+  });
+  const ended: string[] = [];
+  watch.ended$.subscribe((end) => ended.push(end.announcement.instance));
+  watch.recordBrokenRequest({ call: CALL, announcement, begunAt: 0 });
+  await new Promise((resolve) => setTimeout(resolve, CHECK_MILLISECONDS));
+  assert.deepEqual(ended, []);
+  backends$.next([{ ...announcement, instance: "two", bornAt: 2 }]);
+  assert.deepEqual(ended, ["one"]);
+});
