A break is laid to an end by what is heard later, not by one look at the port

Callers saw repeats beyond the budget: requests, and prompt parts, went on to end servers that were back within milliseconds, or whose port never closed. Cause: an absence of proof was taken for proof of absence. The gateway looked once, 30 ms behind a break; a port that accepted, or any open connection, ended the matter for good, whatever was heard of a next start afterwards. A second break of the same start also pushed the first out. Change: UnresolvedBreaks (core) keeps breaks until something proves them to be an end (the port refuses, a later start at the address by heartbeat or by the stager's notice, another instance's 421) or not (more of an answer from before; answers to later requests with no start heard for 3 s; a departure), for 15 s at most. Of several breaks the first that nothing outlived is the end. What a late proof brings is watched for survivals as long as a prompt one. Servers that have said that they leave are no evidence.

--- a/packages/core/src/crashes/crash_evidence.ts
+++ b/packages/core/src/crashes/crash_evidence.ts
@@ -15,6 +15,8 @@
  * suspects rank after those whose answers had started.
  */
 const UNSTARTED_ANSWER_MILLISECONDS = 60_000;
+/** Reports of crashes that the port showed take no longer. */
+const PROMPT_REPORT_MILLISECONDS = 150;
 /** Enough to tell which suspects stand for the same request at a crash. */
 const MAX_REQUESTS_PER_CRASH = 64;
 /** The oldest are forgotten; a blame takes a few. */
@@ -179,6 +181,18 @@
     return Math.min(...this.#counted.map(({ scene }) => scene.at));
   }
 
+  /**
+   * Since when answers are watched for one that outlives the crashes, monotonic
+   * milliseconds: from the first crash on, or from its proof, if that came late.
+   */
+  get watchedSince(): number {
+    return Math.min(
+      ...this.#counted.map(({ scene: { at, knownAt } }) =>
+        Math.max(at, knownAt - PROMPT_REPORT_MILLISECONDS)
+      ),
+    );
+  }
+
   /** When the latest of the crashes was, monotonic milliseconds. */
   get lastCrashAt(): number {
     return Math.max(...this.#counted.map(({ scene }) => scene.at));
--- a/packages/core/src/crashes/crash_traffic.ts
+++ b/packages/core/src/crashes/crash_traffic.ts
@@ -22,6 +22,8 @@
   /** From an answer's start to the crash. */
   crashDelay: Range;
   restartMilliseconds: number;
+  /** From a crash until it is proved; none if absent. */
+  proofDelay?: Range;
   /** Crashes that no request causes; `at` in milliseconds. */
   failures?: { at: number; count: number }[];
   milliseconds: number;
--- a/packages/core/src/crashes/crash_traffic_fixture.ts
+++ b/packages/core/src/crashes/crash_traffic_fixture.ts
@@ -157,6 +157,10 @@
     this.#lastCrashAt = now;
     server.upAt = now + this.#traffic.restartMilliseconds;
     server.running = [];
+    const { proofDelay } = this.#traffic;
+    const provedAt = proofDelay === undefined
+      ? now
+      : now + this.#between(proofDelay);
     for (const { fingerprint, parts, kind, begunAt } of interrupted) {
       const report = {
         fingerprint,
@@ -168,7 +172,7 @@
       if (kind === undefined && this.#random() < LOST_SHARE) continue;
       const copies = this.#random() < DOUBLED_SHARE ? 2 : 1;
       for (let copy = 0; copy < copies; copy += 1) {
-        this.#deliverLater(now, (later) => {
+        this.#deliverLater(provedAt, (later) => {
           this.#ledger.recordReport(report, later);
         });
       }
--- a/packages/core/src/crashes/crash_traffic_loads.ts
+++ b/packages/core/src/crashes/crash_traffic_loads.ts
@@ -22,5 +22,12 @@
   restartMilliseconds: 400,
 };
 
+/** Servers are back at once, which only the news of their starts shows. */
+const QUICK: Load = {
+  ...LIGHT,
+  restartMilliseconds: 5,
+  proofDelay: { least: 100, most: 1_300 },
+};
+
 /** Servers and requests of simulated traffic. */
-export const CRASH_TRAFFIC_LOADS = { busy: BUSY, light: LIGHT };
+export const CRASH_TRAFFIC_LOADS = { busy: BUSY, light: LIGHT, quick: QUICK };
--- a/packages/core/src/crashes/is_sufficient.ts
+++ b/packages/core/src/crashes/is_sufficient.ts
@@ -25,7 +25,8 @@
  * - the more other crashes are left unexplained.
  *
  * A part is also given the time in which an answer that started after its first
- * crash would have survived and been reported. Without it, a part of all traffic
+ * crash would have survived and been reported, counted from when answers are
+ * watched: the proof of a crash may take seconds. Without it, a part of all traffic
  * looks as guilty as the culprit while servers crash faster than answers survive.
  */
 export function isSufficient(
@@ -38,7 +39,7 @@
   const doubt = Math.max(1, CLEAR_SHARE / share);
   const needed = CRASHES_TO_BLAME * evidence.meanDistinctAnswers * doubt;
   const { running } = evidence.survivalThresholds;
-  const watchedFor = now - evidence.firstCrashAt;
+  const watchedFor = now - evidence.watchedSince;
   return weight >= needed &&
     watchedFor >= running + SURVIVAL_NEWS_MILLISECONDS;
 }
--- a/packages/core/src/crashes/part_blame_test.ts
+++ b/packages/core/src/crashes/part_blame_test.ts
@@ -34,9 +34,11 @@
   return ["first", common(random), rare(random)];
 }
 
-const { busy, light } = CRASH_TRAFFIC_LOADS;
+const { busy, light, quick } = CRASH_TRAFFIC_LOADS;
 const BUSY = { ...busy, drawHarmless };
 const LIGHT = { ...light, drawHarmless };
+const QUICK = { ...quick, drawHarmless };
+const LOADS = { busy: BUSY, light: LIGHT, quick: QUICK };
 
 /** Lists what a run violated, as text. */
 function findFaults(traffic: CrashTraffic): string[] {
@@ -90,7 +92,7 @@
 
 // Guards against a prompt part that crashes server after server as its requests
 // are all distinct, and against blaming bystanders.
-for (const [load, base] of Object.entries({ busy: BUSY, light: LIGHT })) {
+for (const [load, base] of Object.entries(LOADS)) {
   for (const [name, harmful] of Object.entries(KINDS)) {
     test(`a harmful part is found, ${name}, ${load} servers`, () => {
       const faults = SEEDS.flatMap((seed) =>
@@ -121,7 +123,7 @@
 
 // Guards against blaming what many requests share when servers fail for reasons
 // of their own, one after the other or all of a rack.
-for (const [load, base] of Object.entries({ busy: BUSY, light: LIGHT })) {
+for (const [load, base] of Object.entries(LOADS)) {
   test(`independent server failures blame no part, ${load}`, () => {
     assert.deepEqual(SEEDS.flatMap((seed) => findBlames(base, seed)), []);
   });
--- a/packages/core/src/crashes/suspect_table.ts
+++ b/packages/core/src/crashes/suspect_table.ts
@@ -71,7 +71,11 @@
   #recordScene(report: CrashReport, now: number): CrashScene {
     const { fingerprint, incarnation, begunMilliseconds } = report;
     const scene = this.#scenes.get(incarnation) ??
-      { at: report.crashedAt ?? now, begunMilliseconds: new Map() };
+      {
+        at: report.crashedAt ?? now,
+        knownAt: now,
+        begunMilliseconds: new Map(),
+      };
     this.#scenes.set(incarnation, scene);
     if (this.#scenes.size > MAX_SCENES) {
       this.#scenes.delete(this.#scenes.keys().next().value!);
--- a/packages/core/src/gateway/answer_metadata.ts
+++ b/packages/core/src/gateway/answer_metadata.ts
@@ -4,6 +4,8 @@
 export type AnswerMetadata = {
   /** Id of the attempt that this is the response to; undefined if missing. */
   id: string | undefined;
+  /** Instance that the response names as its own; undefined if it names none. */
+  instance: string | undefined;
   /** Whether the response states that the request has not run and won't run. */
   isNotRun: boolean;
   /**
--- a/packages/core/src/membership/backend_registry.ts
+++ b/packages/core/src/membership/backend_registry.ts
@@ -80,6 +80,11 @@
     return this.#entries.get(instance)?.leavingSince;
   }
 
+  /** Whether an announcement says less than a departure that is known. */
+  hasDeparted(announcement: BackendAnnouncement): boolean {
+    return this.#departures.outdates(announcement);
+  }
+
   /** Departures still remembered, and when a host was first told of each. */
   departures(): readonly { departure: Departure; toldAt: number }[] {
     return this.#departures.all();
--- a/packages/daemon/src/gateway/backend_agent_test.ts
+++ b/packages/daemon/src/gateway/backend_agent_test.ts
@@ -29,6 +29,7 @@
         readAnswer: () => ({ id: undefined, isNotRun: false }),
       } as never,
       onMetadata: () => undefined,
+      onMisdirected: () => undefined,
     });
   const waitForAsked = async (count: number) => {
     while (asked.length < count) {
--- a/packages/daemon/src/gateway/backend_attempt.ts
+++ b/packages/daemon/src/gateway/backend_attempt.ts
@@ -53,6 +53,8 @@
    * other than the one addressed sent the answer.
    */
   onMetadata: (metadata: AnswerMetadata) => void;
+  /** Called with the metadata of an answer by another backend server. */
+  onMisdirected: (metadata: AnswerMetadata) => void;
 };
 
 type Head = {
@@ -71,7 +73,7 @@
   #request: ClientRequest | undefined;
   #deadlineMilliseconds: number | undefined;
   #stopWaiting = () => {};
-  #isSent = false;
+  #sentAt: number | undefined;
   #isAborted = false;
   #settle!: (outcome: AttemptOutcome) => void;
   #connectTimer: NodeJS.Timeout | undefined;
@@ -95,12 +97,17 @@
 
   /** Whether a byte of the request may have reached the backend server. */
   get isSent(): boolean {
-    return this.#isSent;
+    return this.#sentAt !== undefined;
+  }
+
+  /** When its first byte was sent, monotonic milliseconds; undefined before. */
+  get sentAt(): number | undefined {
+    return this.#sentAt;
   }
 
   /** Time that the backend server was told; undefined if it was told nothing. */
   get toldMilliseconds(): number | undefined {
-    return this.#isSent ? this.#deadlineMilliseconds : undefined;
+    return this.isSent ? this.#deadlineMilliseconds : undefined;
   }
 
   /** Whether this host, not the backend server, ended the attempt. */
@@ -125,7 +132,7 @@
    * does nothing.
    */
   withdraw(reason: string): void {
-    if (this.#isSent) return;
+    if (this.isSent) return;
     this.#isAborted = true;
     this.#stopWaiting();
     this.#settle({ kind: "not-run", reason, isUnreachable: false });
@@ -177,7 +184,7 @@
       if (age > MAX_HEAD_AGE_MILLISECONDS) {
         return this.withdraw("its time was told too long ago");
       }
-      this.#isSent = true;
+      this.#sentAt = monotonicMilliseconds();
     };
     if (!socket.connecting) return beginSending();
     // If this process itself was stalled, the timer fires before the pending
@@ -194,7 +201,7 @@
   }
 
   #handleResponse(message: IncomingMessage): void {
-    const { format, id, onMetadata } = this.#options;
+    const { format, id, onMetadata, onMisdirected } = this.#options;
     const status = message.statusCode ?? 0;
     message.on("error", () => undefined);
     if (status < MIN_STATUS) {
@@ -205,7 +212,8 @@
       status,
       message.rawHeaders,
     );
-    if (status !== MISDIRECTED_STATUS) onMetadata(metadata);
+    if (status === MISDIRECTED_STATUS) onMisdirected(metadata);
+    else onMetadata(metadata);
     if (metadata.id !== undefined && metadata.id !== id) {
       this.abort("the answer is another request's");
       return;
@@ -226,7 +234,7 @@
   #fail(reason: string): void {
     clearTimeout(this.#connectTimer);
     this.#settle(
-      this.#isSent
+      this.isSent
         ? { kind: "broken", reason, isAborted: this.#isAborted }
         : { kind: "not-run", reason, isUnreachable: true },
     );
--- a/packages/daemon/src/gateway/backend_attempt_test.ts
+++ b/packages/daemon/src/gateway/backend_attempt_test.ts
@@ -18,6 +18,7 @@
   buildForwardHeaders: (raw) => raw,
   readAnswer: (headers) => ({
     id: headers["id"] as string | undefined,
+    instance: undefined,
     isNotRun: headers["not-run"] !== undefined,
     isSigned: true,
     weightsVersion: undefined,
@@ -39,6 +40,7 @@
   id: "a1",
   format,
   onMetadata: () => undefined,
+  onMisdirected: () => undefined,
 };
 
 /** Sends one request to a backend server that handles it with `answer`. */
@@ -60,6 +62,7 @@
     id: "a1",
     format,
     onMetadata: () => undefined,
+    onMisdirected: () => undefined,
   });
   const outcome = await sent.outcome;
   const body = outcome.kind === "answer"
@@ -162,6 +165,7 @@
     id: "a1",
     format,
     onMetadata: () => undefined,
+    onMisdirected: () => undefined,
   });
   const outcome = await refused.outcome;
   assert.ok(outcome.kind === "not-run" && outcome.isUnreachable);
--- a/packages/daemon/src/gateway/backend_pool_test.ts
+++ b/packages/daemon/src/gateway/backend_pool_test.ts
@@ -42,6 +42,7 @@
 
 const PAUSE: AnswerMetadata = {
   id: "a",
+  instance: undefined,
   isNotRun: true,
   isSigned: false,
   weightsVersion: undefined,
--- a/packages/daemon/src/gateway/call_sender.ts
+++ b/packages/daemon/src/gateway/call_sender.ts
@@ -163,17 +163,24 @@
    */
   #trackLiveness(
     sent: SentAttempt,
-    { message }: Extract<AttemptOutcome, { kind: "answer" }>,
+    { message, metadata }: Extract<AttemptOutcome, { kind: "answer" }>,
   ): void {
-    const { candidate: { record }, sentAt } = sent;
+    const { candidate: { record, announcement }, sentAt } = sent;
+    const { crashWatch } = this.#context;
+    // Who answers without a signature may be a proxy.
+    const recordAnswer = () => {
+      if (!metadata.isSigned) return;
+      crashWatch.recordAnswer(announcement, sent.firstByteAt);
+    };
+    recordAnswer();
     const now = monotonicMilliseconds();
     record.recordResponseTime(now - sentAt);
     record.recordDataReceived(now);
     if (sent.answer.isEventStream) sent.beginEvents(now);
-    message.on(
-      "data",
-      () => record.recordDataReceived(monotonicMilliseconds()),
-    );
+    message.on("data", () => {
+      record.recordDataReceived(monotonicMilliseconds());
+      recordAnswer();
+    });
     message.on("pause", () => sent.pauseReading());
     message.on("resume", () => sent.resumeReading());
   }
@@ -199,7 +206,8 @@
     { announcement }: BackendCandidate,
     { weightsVersion, resumesAfter, placement }: SendOptions,
   ): BackendAttempt {
-    const { connections, format, namedLimits, pushbacks } = this.#context;
+    const { connections, format, namedLimits, pushbacks, crashWatch } =
+      this.#context;
     const call = this.#call;
     const buildHead = () => {
       const left = Math.floor(call.deadlineAt - monotonicMilliseconds());
@@ -229,6 +237,12 @@
         pushbacks.recordAnswer(announcement, metadata, call.id);
         this.#countUnreadable(metadata.unreadableFields);
       },
+      onMisdirected: ({ instance }) => {
+        if (instance === undefined || instance === announcement.instance) {
+          return;
+        }
+        crashWatch.recordMisdirection(announcement);
+      },
     });
   }
 
--- a/packages/daemon/src/gateway/control_feed.ts
+++ b/packages/daemon/src/gateway/control_feed.ts
@@ -2,6 +2,7 @@
 import { BackendRegistry } from "@teaselrouter/core/membership/backend_registry.ts";
 import { KnownEvacuations } from "@teaselrouter/core/evacuations/known_evacuations.ts";
 import { NamedVersions } from "@teaselrouter/core/rollout/named_versions.ts";
+import type { ServerStart } from "@teaselrouter/core/crashes/server_start.ts";
 import type { BackendAnnouncement } from "@teaselrouter/core/membership/backend_announcement.ts";
 import type {
   ControlUpdate,
@@ -44,6 +45,8 @@
 /** State that the gateway has received from the control hosts. */
 export class ControlFeed {
   readonly backends$ = new Subject<BackendAnnouncement[]>();
+  /** Starts of engines, as the stagers on their hosts tell of them. */
+  readonly engineStarts$ = new Subject<ServerStart>();
   /** Load of the engines, as read by the stagers on their hosts. */
   readonly loads$ = new Subject<EngineLoad[]>();
   /** Requests that crash the backend servers that run them. */
@@ -120,6 +123,21 @@
     return this.#currentLookup().byAddress.get(address);
   }
 
+  /** Whether the backend server has said that it leaves, or is gone. */
+  hasDeparted(announcement: BackendAnnouncement): boolean {
+    return this.#registry.hasDeparted(announcement);
+  }
+
+  /** Starts that are known at an address, of live processes. */
+  listStarts(address: string): ServerStart[] {
+    const backend = this.backendAt(address);
+    const notice = this.engineAt(address);
+    return [
+      ...(backend === undefined ? [] : [backend]),
+      ...(notice === undefined ? [] : [toServerStart(notice)]),
+    ];
+  }
+
   liveAddresses(): Set<string> {
     return new Set(this.#currentLookup().byAddress.keys());
   }
@@ -248,6 +266,9 @@
       return void this.#engines.delete(notice.engineAddress);
     }
     this.#engines.set(notice.engineAddress, notice);
+    if (known?.engineBornAt !== notice.engineBornAt) {
+      this.engineStarts$.next(toServerStart(notice));
+    }
     // Every followed control host sends the same notice: log it once.
     if (known !== undefined && isSameNotice(known, notice)) return;
     this.#options.log.info("engine-notice", {
@@ -258,6 +279,12 @@
   }
 }
 
+function toServerStart(
+  { engineAddress, engineBornAt }: EngineNotice,
+): ServerStart {
+  return { address: engineAddress, instance: undefined, bornAt: engineBornAt };
+}
+
 function isSameNotice(left: EngineNotice, right: EngineNotice): boolean {
   return left.accepting === right.accepting &&
     left.servingVersion === right.servingVersion &&
--- a/packages/daemon/src/gateway/crash_reporter_test.ts
+++ b/packages/daemon/src/gateway/crash_reporter_test.ts
@@ -53,6 +53,7 @@
         begunMilliseconds: 20,
       }],
       at,
+      verdict: "refuses",
     });
   const crashThree = () => {
     const now = monotonicMilliseconds();
--- a/packages/daemon/src/gateway/crash_watch.ts
+++ b/packages/daemon/src/gateway/crash_watch.ts
@@ -1,3 +1,8 @@
+import { isProcessEnd } from "@teaselrouter/core/crashes/is_process_end.ts";
+import type { ResolvedBreak } from "@teaselrouter/core/crashes/resolved_break.ts";
+import type { ServerBreak } from "@teaselrouter/core/crashes/server_break.ts";
+import type { ServerStart } from "@teaselrouter/core/crashes/server_start.ts";
+import { UnresolvedBreaks } from "@teaselrouter/core/crashes/unresolved_breaks.ts";
 import type { BackendAnnouncement } from "@teaselrouter/core/membership/backend_announcement.ts";
 import { type Observable, Subject } from "rxjs";
 import type { EventLog } from "../log/event_log.ts";
@@ -7,15 +12,10 @@
 import type { AdmittedCall } from "./admitted_call.ts";
 import type { EndedServer } from "./ended_server.ts";
 import { fingerprintCall } from "./fingerprint_call.ts";
+import type { InterruptedCall } from "./interrupted_call.ts";
 
 /** When a process ends, all of its connections close within this time. */
 const REQUEST_BATCH_MILLISECONDS = 30;
-/**
- * How long an end that could not be checked waits for a later start at the same
- * address, which confirms it. By then a backend server that ended is back, or
- * known to be gone.
- */
-const PENDING_MILLISECONDS = 15_000;
 
 const PORT_FINDINGS = {
   ended: "refuses",
@@ -33,67 +33,119 @@
    * before); for other routes, when the request was sent.
    */
   begunAt: number | undefined;
+  /** When the request was sent, monotonic milliseconds. */
+  sentAt: number;
 };
 
 type Options = {
   hasOpenConnection: (address: string) => boolean;
   /** Whether the backend server has asked not to be called now. */
   isClosed: (announcement: BackendAnnouncement) => boolean;
+  /** Whether the backend server has said that it leaves, or is gone. */
+  hasDeparted: (announcement: BackendAnnouncement) => boolean;
+  /** The starts that are known at an address. */
+  listStarts: (address: string) => ServerStart[];
   backends$: Observable<BackendAnnouncement[]>;
+  /** Starts of engines, as stagers tell of them. */
+  engineStarts$: Observable<ServerStart>;
   log: EventLog;
   metrics: ProcessMetrics;
 };
 
 /**
  * Finds out whether a broken request was caused by the end of the backend
- * server's process or only of one connection. When the process ends, all
- * connections to it close and all requests in flight there are interrupted.
+ * server's process or only of one connection: asks the port, and waits for what
+ * is heard of the server afterwards.
  */
 export class CrashWatch {
   readonly ended$ = new Subject<EndedServer>();
   #options: Options;
-  #gathering = new Map<string, EndedServer>();
-  /**
-   * Suspected ends whose backend server neither accepted nor refused the
-   * check's connection, or was not to be checked, by instance.
-   */
-  #pending = new Map<string, EndedServer>();
+  #breaks = new UnresolvedBreaks<InterruptedCall>();
 
   constructor(options: Options) {
     this.#options = options;
-    options.backends$.subscribe((changed) => this.#resolvePending(changed));
+    options.backends$.subscribe((changed) => {
+      for (const announcement of changed) this.#hearOf(announcement);
+    });
+    options.engineStarts$.subscribe((start) => this.#hearOfStart(start));
   }
 
   /**
    * To be called for each request that a backend server, not this host, broke
    * off.
    */
-  recordBrokenRequest({ call, announcement, begunAt }: BrokenRequest): void {
+  recordBrokenRequest(
+    { call, announcement, begunAt, sentAt }: BrokenRequest,
+  ): void {
+    if (this.#options.hasDeparted(announcement)) return;
     const now = monotonicMilliseconds();
-    const begunMilliseconds = begunAt === undefined ? undefined : now - begunAt;
-    const fingerprint = fingerprintCall(call);
-    const known = this.#gathering.get(announcement.instance);
-    const interrupted = { call, fingerprint, begunMilliseconds };
-    if (known !== undefined) return void known.interrupted.push(interrupted);
-    const suspected = { announcement, interrupted: [interrupted], at: now };
-    this.#gathering.set(announcement.instance, suspected);
-    setTimeout(() => this.#checkEnded(suspected), REQUEST_BATCH_MILLISECONDS);
+    const interrupted = {
+      call,
+      fingerprint: fingerprintCall(call),
+      begunMilliseconds: begunAt === undefined ? undefined : now - begunAt,
+    };
+    const added = this.#breaks.add({ announcement, interrupted, sentAt, now });
+    if (added === undefined) return;
+    setTimeout(() => this.#check(added), REQUEST_BATCH_MILLISECONDS);
   }
 
-  async #checkEnded(suspected: EndedServer): Promise<void> {
-    const { instance, address } = suspected.announcement;
-    this.#gathering.delete(instance);
-    if (this.#options.hasOpenConnection(address)) {
-      return this.#logCheck(suspected, "open-connection");
+  /**
+   * To be called for each part of an answer that an instance has surely sent;
+   * `sentAt` is when its request was sent, monotonic milliseconds.
+   */
+  recordAnswer(announcement: BackendAnnouncement, sentAt: number): void {
+    if (this.#breaks.size === 0) return;
+    const now = monotonicMilliseconds();
+    this.#settle(this.#breaks.recordAnswer(announcement, { sentAt, now }));
+  }
+
+  /** To be called when another instance answers in a backend server's place. */
+  recordMisdirection(announcement: BackendAnnouncement): void {
+    if (this.#breaks.size === 0) return;
+    this.#settle(this.#breaks.recordMisdirection(announcement));
+  }
+
+  /** To be called about twice a second. */
+  expire(): void {
+    this.#settle(this.#breaks.expire(monotonicMilliseconds()));
+  }
+
+  async #check(added: ServerBreak<InterruptedCall>): Promise<void> {
+    const { address } = added.announcement;
+    // News of a start may have come before its predecessor's end was noticed.
+    for (const start of this.#options.listStarts(address)) {
+      this.#hearOfStart(start);
     }
-    const mayProbe = !this.#options.isClosed(suspected.announcement);
-    const answer = mayProbe ? await probeProcessEnd(address) : "unknown";
-    this.#logCheck(suspected, mayProbe ? PORT_FINDINGS[answer] : "not-asked");
-    if (answer === "ended") return this.#confirmEnd(suspected, "refuses");
-    if (answer === "unknown") this.#pending.set(instance, suspected);
+    const found = await this.#askPort(added.announcement);
+    this.#logCheck(added, found);
+    if (found === "refuses") this.#settle(this.#breaks.recordRefusal(added));
   }
 
-  #logCheck({ announcement, interrupted, at }: EndedServer, found: string) {
+  async #askPort(announcement: BackendAnnouncement): Promise<string> {
+    const { hasOpenConnection, isClosed } = this.#options;
+    // Each connection costs the backend server something.
+    if (hasOpenConnection(announcement.address)) return "open-connection";
+    if (isClosed(announcement)) return "not-asked";
+    return PORT_FINDINGS[await probeProcessEnd(announcement.address)];
+  }
+
+  #hearOf(announcement: BackendAnnouncement): void {
+    if (this.#breaks.size === 0) return;
+    if (this.#options.hasDeparted(announcement)) {
+      this.#settle(this.#breaks.recordDeparture(announcement));
+    }
+    if (announcement.state !== "gone") this.#hearOfStart(announcement);
+  }
+
+  #hearOfStart({ address, instance, bornAt }: ServerStart): void {
+    const now = monotonicMilliseconds();
+    this.#settle(this.#breaks.recordStart({ address, instance, bornAt }, now));
+  }
+
+  #logCheck(
+    { announcement, interrupted, at }: ServerBreak<InterruptedCall>,
+    found: string,
+  ): void {
     const { log, metrics } = this.#options;
     metrics.breaksChecked.inc({ found });
     log.info("break-checked", {
@@ -105,32 +157,31 @@
     });
   }
 
-  /**
-   * Confirms ends that could not be checked directly: a later start at the same
-   * address shows them.
-   */
-  #resolvePending(changed: BackendAnnouncement[]): void {
-    if (this.#pending.size === 0) return;
-    const now = monotonicMilliseconds();
-    for (const [instance, suspected] of [...this.#pending]) {
-      const { announcement, at } = suspected;
-      const isReplaced = changed.some((later) =>
-        later.address === announcement.address &&
-        later.bornAt > announcement.bornAt
-      );
-      if (!isReplaced && now - at <= PENDING_MILLISECONDS) continue;
-      this.#pending.delete(instance);
-      if (isReplaced) this.#confirmEnd(suspected, "replaced");
+  #settle(resolved: ResolvedBreak<InterruptedCall>[]): void {
+    for (const each of resolved) {
+      const { announcement, interrupted, at } = each;
+      const isPlanned = isProcessEnd(each.verdict) &&
+        this.#options.hasDeparted(announcement);
+      const verdict = isPlanned ? "departed" : each.verdict;
+      this.#options.metrics.breaksResolved.inc({ verdict });
+      this.#options.log.info("break-resolved", {
+        instance: announcement.instance,
+        address: announcement.address,
+        verdict,
+        interrupted: interrupted.length,
+        milliseconds: Math.round(monotonicMilliseconds() - at),
+      });
+      if (isProcessEnd(verdict)) this.#confirmEnd(each);
     }
   }
 
-  #confirmEnd(ended: EndedServer, how: "refuses" | "replaced"): void {
-    const { announcement, interrupted } = ended;
+  #confirmEnd(ended: EndedServer): void {
+    const { announcement, interrupted, verdict } = ended;
     for (const { call, fingerprint, begunMilliseconds } of interrupted) {
       this.#options.log.info("backend-server-ended", {
         instance: announcement.instance,
         address: announcement.address,
-        how,
+        how: verdict,
         id: call.id,
         fingerprint,
         parts: call.metadata.sharedParts.join(","),
--- a/packages/daemon/src/gateway/crash_watch_test.ts
+++ b/packages/daemon/src/gateway/crash_watch_test.ts
@@ -41,14 +41,22 @@
   const watch = new CrashWatch({
     hasOpenConnection: () => false,
     isClosed: () => isClosed,
+    hasDeparted: () => false,
+    listStarts: () => [],
     backends$,
+    engineStarts$: new Subject(),
     log: new EventLog("gateway", "error"),
     metrics: new ProcessMetrics(),
   });
   const ended: string[] = [];
   watch.ended$.subscribe((end) => ended.push(end.announcement.instance));
   const recordBreak = async () => {
-    watch.recordBrokenRequest({ call: CALL, announcement, begunAt: 0 });
+    watch.recordBrokenRequest({
+      call: CALL,
+      announcement,
+      begunAt: 0,
+      sentAt: 0,
+    });
     await new Promise((resolve) => setTimeout(resolve, CHECK_MILLISECONDS));
   };
   await recordBreak();
@@ -79,13 +87,21 @@
   const watch = new CrashWatch({
     hasOpenConnection: () => false,
     isClosed: () => false,
+    hasDeparted: () => false,
+    listStarts: () => [],
     backends$,
+    engineStarts$: new Subject(),
     log: new EventLog("gateway", "error"),
     metrics: new ProcessMetrics(),
   });
   const ended: string[] = [];
   watch.ended$.subscribe((end) => ended.push(end.announcement.instance));
-  watch.recordBrokenRequest({ call: CALL, announcement, begunAt: 0 });
+  watch.recordBrokenRequest({
+    call: CALL,
+    announcement,
+    begunAt: 0,
+    sentAt: 0,
+  });
   await new Promise((resolve) => setTimeout(resolve, CHECK_MILLISECONDS));
   assert.deepEqual(ended, []);
   backends$.next([{ ...announcement, instance: "two", bornAt: 2 }]);
--- a/packages/daemon/src/gateway/ended_server.ts
+++ b/packages/daemon/src/gateway/ended_server.ts
@@ -1,26 +1,8 @@
-import type { BackendAnnouncement } from "@teaselrouter/core/membership/backend_announcement.ts";
-import type { AdmittedCall } from "./admitted_call.ts";
-
-/** A request that was in flight at a backend server when that one ended. */
-type Interrupted = {
-  call: AdmittedCall;
-  fingerprint: string;
-  /**
-   * Milliseconds from when the backend server began to work on the request to
-   * its end. For a stream, counted from the arrival of its answer's head;
-   * undefined if none had arrived. For other routes, counted from the sending
-   * of the request.
-   */
-  begunMilliseconds: number | undefined;
-};
+import type { ResolvedBreak } from "@teaselrouter/core/crashes/resolved_break.ts";
+import type { InterruptedCall } from "./interrupted_call.ts";
 
 /**
  * The end of one incarnation of a backend server, with this host's requests
  * that were in flight there.
  */
-export type EndedServer = {
-  announcement: BackendAnnouncement;
-  interrupted: Interrupted[];
-  /** When the first of them was broken off, monotonic milliseconds. */
-  at: number;
-};
+export type EndedServer = ResolvedBreak<InterruptedCall>;
--- a/packages/daemon/src/gateway/gateway_app.ts
+++ b/packages/daemon/src/gateway/gateway_app.ts
@@ -7,7 +7,7 @@
 import { ListeningTime } from "@teaselrouter/core/gateway/listening_time.ts";
 import { PatienceEstimator } from "@teaselrouter/core/gateway/patience_estimator.ts";
 import { createServer, type Server } from "node:http";
-import { map } from "rxjs";
+import { filter, map } from "rxjs";
 import { Result } from "true-myth";
 import type { EventLog } from "../log/event_log.ts";
 import { reportRoom } from "../metrics/report_room.ts";
@@ -130,7 +130,10 @@
     const crashWatch = new CrashWatch({
       hasOpenConnection: (address) => connections.hasOpen(address),
       isClosed: (announcement) => pushbacks.isClosed(announcement),
+      hasDeparted: (announcement) => feed.hasDeparted(announcement),
+      listStarts: (address) => feed.listStarts(address),
       backends$: feed.backends$,
+      engineStarts$: feed.engineStarts$,
       log,
       metrics,
     });
@@ -142,7 +145,9 @@
       random: Math.random,
       log,
     });
+    // Where a later start is known, it has been taken in as such.
     const endedServers$ = crashWatch.ended$.pipe(
+      filter(({ verdict }) => verdict !== "replaced"),
       map(({ announcement }) => announcement),
     );
     const { cold_servers, retry_budget } = settings.gateway!;
@@ -312,6 +317,7 @@
     retries.expire(now);
     metrics.evacuationsInForce.set(feed.evacuations.dataCentres.size);
     this.#context.crashes.expire();
+    this.#context.crashWatch.expire();
     this.#context.pushbacks.expire();
     connections.retainOnly(feed.liveAddresses());
     this.#server.applyLimits();
--- a/packages/daemon/src/gateway/gateway_call.ts
+++ b/packages/daemon/src/gateway/gateway_call.ts
@@ -340,6 +340,7 @@
       call: active.call,
       announcement,
       begunAt: findWorkBegunAt(active, sent, headAt),
+      sentAt: sent.firstByteAt,
     });
   }
 
--- a/packages/daemon/src/gateway/gateway_fixture.ts
+++ b/packages/daemon/src/gateway/gateway_fixture.ts
@@ -82,6 +82,7 @@
   buildForwardHeaders: (raw) => dropFraming(raw),
   readAnswer: (headers) => ({
     id: undefined,
+    instance: undefined,
     isNotRun: headers["not-run"] !== undefined,
     isSigned: true,
     weightsVersion: undefined,
@@ -265,7 +266,10 @@
     const crashWatch = new CrashWatch({
       hasOpenConnection: (address) => connections.hasOpen(address),
       isClosed: (announcement) => pushbacks.isClosed(announcement),
+      hasDeparted: (announcement) => feed.hasDeparted(announcement),
+      listStarts: (address) => feed.listStarts(address),
       backends$: feed.backends$,
+      engineStarts$: feed.engineStarts$,
       log,
       metrics: this.metrics,
     });
--- /dev/null
+++ b/packages/daemon/src/gateway/interrupted_call.ts
@@ -0,0 +1,14 @@
+import type { AdmittedCall } from "./admitted_call.ts";
+
+/** A request that was in flight at a backend server when that one ended. */
+export type InterruptedCall = {
+  call: AdmittedCall;
+  fingerprint: string;
+  /**
+   * Milliseconds from when the backend server began to work on the request to
+   * its end. For a stream, counted from the arrival of its answer's head;
+   * undefined if none had arrived. For other routes, counted from the sending
+   * of the request.
+   */
+  begunMilliseconds: number | undefined;
+};
--- a/packages/daemon/src/gateway/sent_attempt.ts
+++ b/packages/daemon/src/gateway/sent_attempt.ts
@@ -53,6 +53,11 @@
     return this.#attempt.isSent;
   }
 
+  /** When its first byte was sent, or else when it began. */
+  get firstByteAt(): number {
+    return this.#attempt.sentAt ?? this.sentAt;
+  }
+
   /** See `BackendAttempt.toldMilliseconds`. */
   get toldMilliseconds(): number | undefined {
     return this.#attempt.toldMilliseconds;
--- a/packages/daemon/src/log/event_name.ts
+++ b/packages/daemon/src/log/event_name.ts
@@ -16,6 +16,7 @@
   | "blame-lifted"
   | "blamed-request-refused"
   | "break-checked"
+  | "break-resolved"
   | "call-fault"
   | "chunk-failed"
   | "chunk-not-sent"
--- a/packages/daemon/src/metrics/process_metrics.ts
+++ b/packages/daemon/src/metrics/process_metrics.ts
@@ -69,6 +69,8 @@
   readonly answersEnded: Counter<"framing" | "end">;
   /** Breaks by backend servers, by what the check of their ports found. */
   readonly breaksChecked: Counter<"found">;
+  /** Breaks by backend servers, by what was found out about each. */
+  readonly breaksResolved: Counter<"verdict">;
   /** Fields of answers that were ignored, in part or whole, by their name. */
   readonly answerFieldsUnreadable: Counter<"field">;
   /** Requests that were not sent once more, by why; each once by reason. */
@@ -158,6 +160,12 @@
       labelNames: ["found"],
       registers,
     });
+    this.breaksResolved = new Counter({
+      name: "teaselrouter_breaks_resolved_total",
+      help: "Breaks by backend servers, by whether their process had ended",
+      labelNames: ["verdict"],
+      registers,
+    });
     this.answerFieldsUnreadable = new Counter({
       name: "teaselrouter_answer_fields_unreadable_total",
       help: "Fields of answers that were ignored, in part or whole",
