An odd entry of another writer is refused where it comes in, and dropped elsewhere

Callers got 503 for a share of their requests, for as long as an entry with an impossible port was known: Node.js throws for it, into whoever sends. Cause: an entry was checked for its types only, and believed everywhere. Change: findAnnouncementFault (core) bounds addresses, numbers and names; control hosts answer 400 with one log line before anything is kept or told, followers and control hosts drop such an entry of another host alone. A send to an impossible address fails as its own attempt; calls and fetches to an impossible URL fail with a reason.

--- a/packages/core/src/gateway/find_configuration_error.ts
+++ b/packages/core/src/gateway/find_configuration_error.ts
@@ -1,3 +1,4 @@
+import { isHostAddress } from "../membership/is_host_address.ts";
 import type { RoutingConfiguration } from "./routing_configuration.ts";
 
 type Fault = { field: string; detail: string };
@@ -11,7 +12,8 @@
 ): Fault | undefined {
   return findTargetFault(configuration) ??
     findDuplicateRouteFault(configuration) ??
-    findDuplicateKeyFault(configuration);
+    findDuplicateKeyFault(configuration) ??
+    findStoreFault(configuration);
 }
 
 function findTargetFault(
@@ -35,6 +37,15 @@
   return undefined;
 }
 
+function findStoreFault(
+  { services }: RoutingConfiguration,
+): Fault | undefined {
+  const odd = services.find(({ weightStore }) =>
+    weightStore !== undefined && !isHostAddress(weightStore.address)
+  );
+  return odd && { field: odd.name, detail: "its origin can't be an address" };
+}
+
 function findDuplicateRouteFault(
   { routes }: RoutingConfiguration,
 ): Fault | undefined {
--- a/packages/daemon/src/agent/agent_server.ts
+++ b/packages/daemon/src/agent/agent_server.ts
@@ -1,4 +1,4 @@
-import type { Buffer } from "node:buffer";
+import { parseJson } from "../http/parse_json.ts";
 import {
   createServer,
   type IncomingMessage,
@@ -90,7 +90,9 @@
       idleMilliseconds: IDLE_TIMEOUT_MILLISECONDS,
     });
     if (body.isErr) return sendProblem(response, body.error);
-    const parsed = announcementSchema.safeParse(parseJson(body.value));
+    const parsed = announcementSchema.safeParse(
+      parseJson(body.value.toString("utf8")).unwrapOr(undefined),
+    );
     if (!parsed.success) {
       return sendProblem(response, {
         status: 400,
@@ -126,11 +128,3 @@
     response.end();
   }
 }
-
-function parseJson(bytes: Buffer): unknown {
-  try {
-    return JSON.parse(bytes.toString("utf8"));
-  } catch {
-    return undefined;
-  }
-}
--- a/packages/daemon/src/agent/engine_client.ts
+++ b/packages/daemon/src/agent/engine_client.ts
@@ -1,3 +1,4 @@
+import { parseJson } from "../http/parse_json.ts";
 import { Result } from "true-myth";
 import * as z from "zod";
 import { readTextWithin } from "../http/read_text_within.ts";
@@ -50,7 +51,7 @@
     const text = await readTextWithin(answer.value, MAX_ANSWER_BYTES)
       .catch(() => undefined);
     if (text === undefined) return Result.err("engine-state-incomplete");
-    const parsed = stateSchema.safeParse(parseJson(text));
+    const parsed = stateSchema.safeParse(parseJson(text).unwrapOr(undefined));
     return parsed.success
       ? Result.ok(parsed.data)
       : Result.err(STATE_UNREADABLE);
@@ -107,11 +108,3 @@
     }
   }
 }
-
-function parseJson(text: string): unknown {
-  try {
-    return JSON.parse(text);
-  } catch {
-    return undefined;
-  }
-}
--- a/packages/daemon/src/control/control_operations.ts
+++ b/packages/daemon/src/control/control_operations.ts
@@ -35,11 +35,11 @@
   ): Promise<EvacuationAnswer>;
   /**
    * Takes an announcement on. One that says that the backend server leaves is
-   * accepted once it outlives this host.
+   * accepted once it outlives this host. One that can't be right is invalid.
    */
   recordAnnouncement(
     announcement: BackendAnnouncement,
-  ): Promise<"accepted" | "unavailable">;
+  ): Promise<"accepted" | "unavailable" | "invalid">;
   /** Takes on that a backend server is gone, and is accepted likewise. */
   recordEnd(instance: string): Promise<"accepted" | "unavailable">;
   /** Logs input that could not be decoded, as from a newer or broken sender. */
--- a/packages/daemon/src/control/control_operations_handler.ts
+++ b/packages/daemon/src/control/control_operations_handler.ts
@@ -1,3 +1,4 @@
+import { findAnnouncementFault } from "@teaselrouter/core/membership/find_announcement_fault.ts";
 import { findConfigurationError } from "@teaselrouter/core/gateway/find_configuration_error.ts";
 import type { Departure } from "@teaselrouter/core/departures/departure.ts";
 import { LAST_SEQUENCE } from "@teaselrouter/core/departures/last_sequence.ts";
@@ -134,6 +135,12 @@
   }
 
   async recordAnnouncement(announcement: BackendAnnouncement) {
+    const fault = findAnnouncementFault(announcement);
+    if (fault !== undefined) {
+      const what = `heartbeat of ${announcement.instance}`;
+      this.logUnreadable(what, `its ${fault} can't be right`);
+      return "invalid" as const;
+    }
     const { view } = this.#options;
     view.addLocalAnnouncement(announcement);
     const { instance, bornAt, sequence, state } = announcement;
--- a/packages/daemon/src/control/platform_services.ts
+++ b/packages/daemon/src/control/platform_services.ts
@@ -10,7 +10,7 @@
 import type { Settings } from "../settings/settings.ts";
 import type { ClientPool } from "../transport/client_pool.ts";
 import { decodeDeparture } from "../transport/decode_departure.ts";
-import { decodeBackend } from "../transport/decode_backend.ts";
+import { decodeUsableBackends } from "../transport/decode_usable_backends.ts";
 import { monotonicMilliseconds } from "../transport/monotonic_milliseconds.ts";
 import { FollowSet } from "../transport/follow_set.ts";
 import { ManifestFetcher } from "../rollout/manifest_fetcher.ts";
@@ -199,7 +199,9 @@
    */
   #handleUpdate({ body }: ControlUpdate): void {
     if (body.case === "backends") {
-      this.view.addRemoteAnnouncements(body.value.backends.map(decodeBackend));
+      this.view.addRemoteAnnouncements(
+        decodeUsableBackends(body.value.backends, this.#options.log),
+      );
     }
     if (body.case === "departures") {
       const now = monotonicMilliseconds();
--- a/packages/daemon/src/entry/operators/fetch_manifest.ts
+++ b/packages/daemon/src/entry/operators/fetch_manifest.ts
@@ -2,6 +2,7 @@
 import { weightsManifestSchema } from "@teaselrouter/core/spread/weights_manifest_schema.ts";
 import { Result } from "true-myth";
 import { describeIssue } from "../../http/describe_issue.ts";
+import { parseJson } from "../../http/parse_json.ts";
 import { readTextWithin } from "../../http/read_text_within.ts";
 import { invalidRequest } from "../calls/invalid_request.ts";
 import type { Problem } from "../../http/problem.ts";
@@ -30,7 +31,9 @@
       return refuse(`${url} answers ${answer.status}`);
     }
     const text = await readTextWithin(answer, MAX_MANIFEST_BYTES);
-    const checked = weightsManifestSchema.safeParse(JSON.parse(text));
+    const parsed = parseJson(text);
+    if (parsed.isErr) return refuse(`${url} is not JSON: ${parsed.error}`);
+    const checked = weightsManifestSchema.safeParse(parsed.value);
     if (!checked.success) return refuse(describeIssue(checked.error).detail);
     if (checked.data.name !== name || checked.data.version !== version) {
       return refuse(`${url} has another name or version`);
--- a/packages/daemon/src/entry/operators/operator_api.ts
+++ b/packages/daemon/src/entry/operators/operator_api.ts
@@ -16,6 +16,7 @@
 import type { ProposalReply } from "../sessions/proposal_reply.ts";
 import { invalidRequest } from "../calls/invalid_request.ts";
 import type { Problem } from "../../http/problem.ts";
+import { parseJson } from "../../http/parse_json.ts";
 import { readBody } from "../../http/read_body.ts";
 import { sendProblem } from "../../http/send_problem.ts";
 
@@ -236,11 +237,9 @@
       idleMilliseconds: this.#options.idleMilliseconds,
     });
     if (body.isErr) return Result.err(body.error);
-    try {
-      return Result.ok(JSON.parse(body.value.toString("utf8")));
-    } catch {
-      return Result.err(invalidRequest("body", "the body is not JSON"));
-    }
+    return parseJson(body.value.toString("utf8")).mapErr((reason) =>
+      invalidRequest("body", `the body is not JSON: ${reason}`)
+    );
   }
 }
 
--- a/packages/daemon/src/gateway/backend_attempt.ts
+++ b/packages/daemon/src/gateway/backend_attempt.ts
@@ -1,4 +1,5 @@
 import type { AnswerMetadata } from "@teaselrouter/core/gateway/answer_metadata.ts";
+import { isServerAddress } from "@teaselrouter/core/membership/is_server_address.ts";
 import type { Buffer } from "node:buffer";
 import {
   type ClientRequest,
@@ -141,6 +142,11 @@
   }
 
   #open(): void {
+    // Node.js throws for a port out of range, into whoever sends.
+    if (!isServerAddress(this.#options.address)) {
+      this.#options.agent.release();
+      return this.#fail("its backend server's address can't be right");
+    }
     const { address, agent, method, path, body, buildHead } = this.#options;
     const builtAt = monotonicMilliseconds();
     const { headers, deadlineMilliseconds } = buildHead();
--- a/packages/daemon/src/gateway/control_feed.ts
+++ b/packages/daemon/src/gateway/control_feed.ts
@@ -20,7 +20,7 @@
 import type { EventLog } from "../log/event_log.ts";
 import type { RoutingDecoder } from "../platform/routing_decoder.ts";
 import { decodeDeparture } from "../transport/decode_departure.ts";
-import { decodeBackend } from "../transport/decode_backend.ts";
+import { decodeUsableBackends } from "../transport/decode_usable_backends.ts";
 import type { FollowSet } from "../transport/follow_set.ts";
 import { monotonicMilliseconds } from "../transport/monotonic_milliseconds.ts";
 
@@ -167,7 +167,9 @@
         return this.#applyRouting(body.value);
       case "backends":
         if (body.value.whole) this.#hasBackends = true;
-        return this.#applyBackends(body.value.backends.map(decodeBackend));
+        return this.#applyBackends(
+          decodeUsableBackends(body.value.backends, this.#options.log),
+        );
       case "departures":
         return this.#applyDepartures(body.value.departures);
       case "evacuations":
--- a/packages/daemon/src/spread/fetch_bytes.ts
+++ b/packages/daemon/src/spread/fetch_bytes.ts
@@ -1,5 +1,5 @@
 import { Buffer } from "node:buffer";
-import { Agent, get } from "node:http";
+import { Agent, type ClientRequest, get, type RequestOptions } from "node:http";
 import { Result } from "true-myth";
 import { clampTimer } from "../transport/clamp_timer.ts";
 import type { LinkPacer } from "./link_pacer.ts";
@@ -42,7 +42,9 @@
       resolve(result);
     };
     const agent = options.isFromStore ? storeAgent : peerAgent;
-    const request = get(url, { agent, headers, signal });
+    const opened = openRequest(url, { agent, headers, signal });
+    if (opened.isErr) return resolve(Result.err(opened.error));
+    const request = opened.value;
     const fail = (reason: string) => {
       settle(Result.err(reason));
       request.destroy();
@@ -84,3 +86,15 @@
     });
   });
 }
+
+/** Node.js throws for a URL that can't be right. */
+function openRequest(
+  url: string,
+  options: RequestOptions,
+): Result<ClientRequest, string> {
+  try {
+    return Result.ok(get(url, options));
+  } catch (error) {
+    return Result.err(error instanceof Error ? error.message : String(error));
+  }
+}
--- a/packages/daemon/src/transport/probe_process_end.ts
+++ b/packages/daemon/src/transport/probe_process_end.ts
@@ -1,3 +1,4 @@
+import { isHostAddress } from "@teaselrouter/core/membership/is_host_address.ts";
 import { createConnection } from "node:net";
 import { splitAddress } from "./split_address.ts";
 
@@ -15,6 +16,7 @@
 export function probeProcessEnd(
   address: string,
 ): Promise<"ended" | "alive" | "unknown"> {
+  if (!isHostAddress(address)) return Promise.resolve("unknown");
   return new Promise((resolve) => {
     const socket = createConnection({
       ...splitAddress(address),
