--- a/acceptance/src/incident_day.ts
+++ b/acceptance/src/incident_day.ts
@@ -50,8 +50,8 @@
   #limitPeriods: LimitPeriod[] = [];
   /** Where and when each request was sent, by its id. */
   #sent = new Map<string, { gateway: string; sentAt: number }>();
-  /** When gateways restarted. */
-  #restarts: { gateway: string; at: number }[] = [];
+  /** From when gateways had been killed until they had restarted. */
+  #restarts: { gateway: string; from: number; at: number }[] = [];
   #sentRequests = 0;
 
   constructor(seed: number, terms: EndingTerms = {}) {
@@ -125,15 +125,17 @@
 
   async #restartGateway(system: EndToEndSystem, name: string): Promise<void> {
     const gateway = system.gatewayIps[system.gatewayNames.indexOf(name)]!;
+    const from = performance.now();
     await restart(system, name);
-    this.#restarts.push({ gateway, at: performance.now() });
+    this.#restarts.push({ gateway, from, at: performance.now() });
   }
 
   async #restartAll(system: EndToEndSystem): Promise<void> {
+    const from = performance.now();
     await system.restartAll();
     const at = performance.now();
     for (const gateway of system.gatewayIps) {
-      this.#restarts.push({ gateway, at });
+      this.#restarts.push({ gateway, from, at });
     }
   }
 
@@ -218,6 +220,15 @@
     }
   }
 
+  /** Whether the request's gateway was out of touch, being killed or new. */
+  #hasJustRestarted(id: string, arrivedAt: number): boolean {
+    const gateway = this.#sent.get(id)?.gateway;
+    return this.#restarts.some((restart) =>
+      restart.gateway === gateway && arrivedAt >= restart.from &&
+      arrivedAt <= restart.at + BLAME_PROPAGATION_MILLISECONDS
+    );
+  }
+
   #buildResult(answers: Answer[], disruptions: Disruption[]): DayResult {
     const engines = this.#system.engines;
     const arrivals = engines.flatMap((engine) => engine.arrivals);
@@ -230,6 +241,7 @@
       )
         .sort((left, right) => left - right),
       arrivals: arrivals.filter(({ id }) => isOfBody(index)(id))
+        .filter(({ id, at }) => !this.#hasJustRestarted(id, at))
         .map(({ at }) => at),
     }));
     const limitedArrivals = engines.at(-1)!.arrivals
