Agents tell ends of their backend servers that are proved late

Callers through entry hosts: a call that ends backend servers which are back before their port is asked was blamed by nobody, as at gateways. Cause: the same belief: the agent asked the port once, and told entry hosts of no end where it accepted. Change: the agent keeps the break (UnresolvedBreaks) until its backend server announces a later start, answers or is silent for 15 s, and tells entry hosts of a late proof (BackendEnded); these keep calls that were broken off for 20 s, and take proof and break in any order. A process that says no start time can't be told apart from its next one, as before.

--- a/packages/daemon/src/agent/agent_app.ts
+++ b/packages/daemon/src/agent/agent_app.ts
@@ -170,6 +170,9 @@
       this.#log.info("backend-server-pushback", { change: kind, ...fields })
     );
     this.#state.changed$.subscribe(() => this.#broadcastAnnouncement());
+    this.#runner.lateEnds$.subscribe((value) =>
+      this.#links.broadcast(() => ({ case: "backendEnded", value }))
+    );
     this.#links.incoming$.subscribe(({ message }) =>
       this.#handleMessage(message)
     );
--- a/packages/daemon/src/agent/call_runner.ts
+++ b/packages/daemon/src/agent/call_runner.ts
@@ -62,9 +62,22 @@
     this.#subscription = this.#state.pushback.changes$.subscribe(() =>
       this.#refuseQueued()
     );
+    this.#subscription.add(
+      this.#state.changed$.subscribe(() => this.#recordStart()),
+    );
     this.#timer = setInterval(() => this.#sweep(), SWEEP_INTERVAL_MILLISECONDS);
   }
 
+  /** Ends of the backend server that were proved late. */
+  get lateEnds$(): BackendIncarnations["lateEnds$"] {
+    return this.#incarnations.lateEnds$;
+  }
+
+  #recordStart(): void {
+    const { backend } = this.#state;
+    if (backend !== undefined) this.#incarnations.recordStart(backend);
+  }
+
   stop(): void {
     clearInterval(this.#timer);
     this.#subscription.unsubscribe();
@@ -193,6 +206,7 @@
   async #start(request: RunRequest, exchange: Exchange): Promise<void> {
     this.#running += 1;
     const sentAt = monotonicMilliseconds();
+    const backend = this.#state.backend!;
     const call = new BackendCall({
       state: this.#state,
       engine: this.#engine,
@@ -214,12 +228,14 @@
       const callOutcome = outcome.isKnownToHaveRun
         ? CallOutcome.RAN
         : CallOutcome.UNKNOWN;
-      const { address } = this.#state.backend!;
       const isEndExpected = this.#state.pushback.isShuttingDown;
-      const endedIncarnation = await this.#incarnations.findEndedIncarnation(
-        address,
+      const endedIncarnation = await this.#incarnations.findEndedIncarnation({
+        requestId: request.requestId,
         sentAt,
-      );
+        backend,
+        current: () => this.#state.backend!,
+        isEndExpected,
+      });
       if (endedIncarnation !== "") {
         this.#limit.reset();
         this.#state.pushback.reset();
@@ -234,6 +250,7 @@
     } else {
       const { slots } = this.#state.backend!;
       this.#serviceTime.record(monotonicMilliseconds() - sentAt, slots);
+      this.#incarnations.recordAnswer({ sentAt, backend });
     }
     this.#running -= 1;
     this.#startNext();
@@ -325,6 +342,7 @@
    * reader go first.
    */
   #sweep(): void {
+    this.#incarnations.expire();
     const now = Date.now();
     let bytes = 0;
     for (const exchange of [...this.#exchanges.values()].reverse()) {
--- a/packages/daemon/src/entry/calls/call_crash_detector.ts
+++ b/packages/daemon/src/entry/calls/call_crash_detector.ts
@@ -19,8 +19,21 @@
 const EXPIRE_INTERVAL_MILLISECONDS = 10_000;
 const FINGERPRINT_HEX_DIGITS = 24;
 
+/** By then an agent has heard of its backend server's next start, or never will. */
+const MAX_PROOF_MILLISECONDS = 20_000;
+const MAX_UNPROVED_CALLS = 1_024;
+
 type Options = { control: Proposer; log: EventLog };
 
+/** A call that a backend server broke off, whether or not it ended. */
+type UnprovedCall = {
+  call: CheckedCall;
+  /** When the call or its answer began, monotonic milliseconds. */
+  begunAt: number;
+  /** When it was broken off, monotonic milliseconds. */
+  brokenAt: number;
+};
+
 /**
  * Detects calls that crash the backend servers which run them, and refuses
  * them. Blames are stored in the replicated tables, so that they reach the
@@ -34,6 +47,13 @@
   /** Fingerprints of the blamed calls in the replicated tables. */
   #replicatedFingerprints = new Set<string>();
   #proposals: CrashRecordProposals;
+  /** By request id, oldest first. */
+  #unproved = new Map<string, UnprovedCall>();
+  /**
+   * Incarnations that were proved to have ended under calls that aren't known
+   * here as broken off, by request id: another host's, or not yet.
+   */
+  #provedEarly = new Map<string, string>();
   #decideTimer: NodeJS.Timeout | undefined;
   #expireTimer: NodeJS.Timeout;
 
@@ -46,7 +66,7 @@
       onDropped: ({ kind }) => log.warn("blame-kept", { kind, kept: false }),
     });
     this.#expireTimer = setInterval(
-      () => this.#ledger.expire(monotonicMilliseconds()),
+      () => this.#expire(),
       EXPIRE_INTERVAL_MILLISECONDS,
     );
   }
@@ -104,17 +124,56 @@
       this.#ledger.mayRetry(computeFingerprint(call));
   }
 
+  /**
+   * Records that a backend server broke off a call. It may be proved later that
+   * it ended.
+   */
+  recordBreak(requestId: string, call: CheckedCall, begunAt: number): void {
+    const incarnation = this.#provedEarly.get(requestId);
+    if (incarnation !== undefined) {
+      return this.recordCrash(call, incarnation, begunAt);
+    }
+    const brokenAt = monotonicMilliseconds();
+    setLatest(this.#unproved, requestId, { call, begunAt, brokenAt });
+  }
+
+  /** Records the proof that a backend server ended during calls. */
+  recordLateEnd(incarnation: string, requestIds: string[]): void {
+    for (const requestId of requestIds) {
+      const unproved = this.#unproved.get(requestId);
+      if (unproved === undefined) {
+        setLatest(this.#provedEarly, requestId, incarnation);
+        continue;
+      }
+      this.#unproved.delete(requestId);
+      const { call, begunAt, brokenAt } = unproved;
+      this.recordCrash(call, incarnation, begunAt, brokenAt);
+    }
+  }
+
+  #expire(): void {
+    const now = monotonicMilliseconds();
+    this.#ledger.expire(now);
+    for (const [requestId, { brokenAt }] of this.#unproved) {
+      if (now - brokenAt > MAX_PROOF_MILLISECONDS) {
+        this.#unproved.delete(requestId);
+      }
+    }
+  }
+
   /**
    * Records that a backend server ended during a call. `begunAt` is when the
-   * call or its answer began, in monotonic milliseconds.
+   * call or its answer began, `crashedAt` when it was broken off, in monotonic
+   * milliseconds.
    */
   recordCrash(
     call: CheckedCall,
     incarnation: string,
     begunAt: number,
+    crashedAt = monotonicMilliseconds(),
   ): void {
     const now = monotonicMilliseconds();
-    const begunMilliseconds = now - begunAt;
+    const begunMilliseconds = crashedAt - begunAt;
     const fingerprint = computeFingerprint(call);
     this.#options.log.info("backend-server-ended", {
       instance: incarnation,
@@ -122,7 +181,7 @@
       begun_milliseconds: Math.round(begunMilliseconds),
     });
     this.#ledger.recordReport(
-      { fingerprint, incarnation, begunMilliseconds },
+      { fingerprint, incarnation, begunMilliseconds, crashedAt },
       now,
     );
     this.#scheduleDecision();
@@ -163,6 +222,17 @@
   }
 }
 
+/** Adds an entry; the oldest is forgotten where there are too many. */
+function setLatest<Value>(
+  entries: Map<string, Value>,
+  requestId: string,
+  value: Value,
+): void {
+  entries.set(requestId, value);
+  if (entries.size <= MAX_UNPROVED_CALLS) return;
+  entries.delete(entries.keys().next().value!);
+}
+
 /**
  * Hashes service, path, workspace and body, so that all attempts of one call
  * have the same fingerprint.
--- a/packages/daemon/src/entry/calls/call_crash_detector_test.ts
+++ b/packages/daemon/src/entry/calls/call_crash_detector_test.ts
@@ -20,7 +20,7 @@
 }
 
 /** A detector whose log commits nothing before its third proposal. */
-function openDetector() {
+function openDetector(crashed = ["a", "b", "c"]) {
   const state = createEmptyControlState();
   const proposed: Command["kind"][] = [];
   const committed: Command["kind"][] = [];
@@ -47,7 +47,7 @@
       flush: () => Promise.resolve(),
     }),
   });
-  for (const incarnation of ["a", "b", "c"]) {
+  for (const incarnation of crashed) {
     detector.recordCrash(CALL, incarnation, monotonicMilliseconds());
   }
   return { detector, proposed, committed };
@@ -72,3 +72,32 @@
   assert.equal(committed.at(-1), "lift-blame");
   detector.stop();
 });
+
+// Guards against ends that are proved only after their calls were answered as
+// failed, or before this host has heard of that.
+test("a call is blamed for ends that are proved late, or early", async () => {
+  const { detector, committed } = openDetector([]);
+  const breakOff = (requestId: string) =>
+    detector.recordBreak(requestId, CALL, monotonicMilliseconds() - 20);
+  breakOff("one");
+  breakOff("two");
+  detector.recordLateEnd("a", ["one", "another host's"]);
+  detector.recordLateEnd("b", ["two"]);
+  assert.equal(detector.mayRetry(CALL), false);
+  detector.recordLateEnd("c", ["three"]);
+  breakOff("three");
+  await sleep(3_000);
+  assert.deepEqual(committed, ["blame-request"]);
+  detector.stop();
+});
+
+test("a break that is never proved to be an end blames nothing", async () => {
+  const { detector, proposed } = openDetector([]);
+  for (const requestId of ["one", "two", "three"]) {
+    detector.recordBreak(requestId, CALL, monotonicMilliseconds());
+  }
+  await sleep(400);
+  assert.deepEqual(proposed, []);
+  assert.equal(detector.mayRetry(CALL), true);
+  detector.stop();
+});
--- a/packages/daemon/src/entry/calls/exchange_reader.ts
+++ b/packages/daemon/src/entry/calls/exchange_reader.ts
@@ -45,6 +45,10 @@
     this.#options = options;
   }
 
+  get requestId(): string {
+    return this.#options.request.requestId;
+  }
+
   /** Since the last frame, or since the call was sent. */
   get silentMilliseconds(): number {
     return monotonicMilliseconds() - this.#heardAt;
--- a/packages/daemon/src/entry/calls/repeatable_call.ts
+++ b/packages/daemon/src/entry/calls/repeatable_call.ts
@@ -192,6 +192,8 @@
         case "refused":
           if (part.endedIncarnation !== "") {
             crashes.recordCrash(this.#call, part.endedIncarnation, begunAt);
+          } else if (part.outcome !== "not-run") {
+            crashes.recordBreak(reader.requestId, this.#call, begunAt);
           }
           return this.#failRefused(part);
         case "broken":
--- a/packages/daemon/src/entry/calls/unrepeatable_call.ts
+++ b/packages/daemon/src/entry/calls/unrepeatable_call.ts
@@ -172,6 +172,9 @@
           if (part.endedIncarnation !== "") {
             const { crashes } = this.#services;
             crashes.recordCrash(this.#call, part.endedIncarnation, begunAt);
+          } else if (part.outcome !== "not-run") {
+            const { crashes } = this.#services;
+            crashes.recordBreak(reader.requestId, this.#call, begunAt);
           }
           if (part.outcome === "not-run") {
             return this.#cancelClaim(
--- a/packages/daemon/src/entry/entry_app.ts
+++ b/packages/daemon/src/entry/entry_app.ts
@@ -177,6 +177,8 @@
           coordinator: this.#coordinator,
           permits: this.#permits,
           log,
+          onLateEnd: ({ incarnation, requestIds }) =>
+            this.#context.crashes.recordLateEnd(incarnation, requestIds),
           newestSessions: this.#newestSessions,
         });
         const outgoing = toAsyncIterable(session.outgoing$);
--- a/packages/daemon/src/entry/sessions/agent_session.ts
+++ b/packages/daemon/src/entry/sessions/agent_session.ts
@@ -7,6 +7,7 @@
 import type {
   AgentToEntry,
   Announcement,
+  BackendEnded,
   EntryToAgent,
   LoadReport,
   PermitRequest,
@@ -34,6 +35,8 @@
   coordinator: SpreadCoordinator;
   permits: PermitQueue;
   log: EventLog;
+  /** Called when a backend server is proved to have ended under calls. */
+  onLateEnd: (ended: BackendEnded) => void;
   /**
    * The newest session of each agent, by backend server. Closing an older
    * session leaves the agent registered.
@@ -92,6 +95,8 @@
         return;
       case "heartbeat":
         return this.#updateHeardAt();
+      case "backendEnded":
+        return this.#options.onLateEnd(body.value);
     }
   }
 
--- a/packages/daemon/src/entry/sessions/agent_session_test.ts
+++ b/packages/daemon/src/entry/sessions/agent_session_test.ts
@@ -49,6 +49,7 @@
       removeHost: () => undefined,
     } as unknown as SpreadCoordinator,
     permits: {} as PermitQueue,
+    onLateEnd: () => undefined,
     log: new EventLog("entry", "error", undefined, {
       write: () => undefined,
       flush: () => Promise.resolve(),
