--- a/acceptance/src/budget/budget_day.ts
+++ b/acceptance/src/budget/budget_day.ts
@@ -3,6 +3,7 @@
 import { writeFileSync } from "node:fs";
 import { join } from "node:path";
 import { performance } from "node:perf_hooks";
+import type { EndingTerms } from "../endings/ending_terms.ts";
 import { EndToEndSystem } from "../end_to_end_system.ts";
 import { findPushbackFaults } from "../find_pushback_faults.ts";
 import type { PlatformBounds } from "../platform_bounds.ts";
@@ -61,6 +62,7 @@
 export class BudgetDay {
   #seed: number;
   #gateways: number;
+  #terms: EndingTerms;
   #bounds: PlatformBounds;
   #system: EndToEndSystem;
   #createRandom = (task: string) =>
@@ -70,9 +72,14 @@
   #traffic: SilenceTraffic;
   #harmful: HarmfulTraffic;
 
-  constructor(seed: number, gateways = DEFAULT_GATEWAYS) {
+  constructor(
+    seed: number,
+    gateways = DEFAULT_GATEWAYS,
+    terms: EndingTerms = {},
+  ) {
     this.#seed = seed;
     this.#gateways = gateways;
+    this.#terms = terms;
     const random = this.#createRandom("bounds");
     this.#bounds = {
       ...USUAL_BOUNDS,
@@ -108,6 +115,7 @@
     this.#serverTroubles = new ServerTroubles({
       engines,
       plainServers,
+      resetsBeforeEnds: this.#terms.drawEnding !== undefined,
       random: this.#createRandom("servers"),
       setSurge: (surge) => {
         this.#traffic.surge = surge;
@@ -147,6 +155,7 @@
       routeTimeoutMilliseconds: DEADLINE_MILLISECONDS,
       maxAttempts: MAX_ATTEMPTS,
       bounds: this.#bounds,
+      ...this.#terms,
     });
   }
 
--- a/acceptance/src/budget/server_troubles.ts
+++ b/acceptance/src/budget/server_troubles.ts
@@ -8,6 +8,7 @@
 const MAX_SPELL_MILLISECONDS = 6_000;
 const MAX_MUTE_MILLISECONDS = 2_500;
 const MAX_LATE_MILLISECONDS = 700;
+const MAX_RESET_GAP_MILLISECONDS = 2_000;
 const BUSY_PROCESS_COUNT = 4;
 const SURGE_FACTOR = 3;
 const FAILURE_STATUS = 500;
@@ -16,6 +17,11 @@
 type Options = {
   engines: readonly FakeBackendServer[];
   plainServers: readonly FakeBackendServer[];
+  /**
+   * Whether servers also reset all connections, go on, and end soon for another
+   * reason.
+   */
+  resetsBeforeEnds: boolean;
   random: () => number;
   /** Multiplies the rate of requests. */
   setSurge: (surge: number) => void;
@@ -44,6 +50,8 @@
 
   constructor(options: Options) {
     this.#options = options;
+    if (!options.resetsBeforeEnds) return;
+    this.#begins.push(["resetting", (server) => this.#beginResetting(server)]);
   }
 
   async run(milliseconds: number): Promise<void> {
@@ -90,6 +98,13 @@
     return () => {};
   }
 
+  #beginResetting(server: FakeBackendServer): () => void {
+    server.resetConnections();
+    const wait = MAX_RESET_GAP_MILLISECONDS * this.#options.random();
+    const timer = setTimeout(() => server.crash(), wait);
+    return () => clearTimeout(timer);
+  }
+
   /** Answers come late again and again, each shorter than a silence. */
   #beginLate(server: FakeBackendServer): () => void {
     const timer = setInterval(
--- a/acceptance/src/endings/ending_days.ts
+++ b/acceptance/src/endings/ending_days.ts
@@ -1,7 +1,7 @@
 import process from "node:process";
 import { playEndingDay } from "./play_ending_day.ts";
 
-const [firstSeed = "1", count = "30"] = process.argv.slice(2);
+const [firstSeed = "1", count = "30", kind] = process.argv.slice(2);
 
 // Plays one day after another, one for each of `count` seeds from the first on,
 // and prints a line for each. Exits with 1 if a day has faults.
@@ -12,7 +12,10 @@
   seed < Number(firstSeed) + Number(count);
   seed++
 ) {
-  const { name, ends, late, served, faults } = await playEndingDay(seed);
+  const { name, ends, late, served, faults } = await playEndingDay(
+    seed,
+    kind === "budget" ? kind : "harm",
+  );
   console.log(seed, ends, late, served, `${name} | ${faults.join("; ")}`);
   if (faults.length > 0) faultyDays += 1;
 }
--- a/acceptance/src/endings/play_ending_day.ts
+++ b/acceptance/src/endings/play_ending_day.ts
@@ -1,3 +1,4 @@
+import { BudgetDay } from "../budget/budget_day.ts";
 import { IncidentDay } from "../incident_day.ts";
 import { PartDay } from "../part_day.ts";
 import { drawEndingTerms } from "./draw_ending_terms.ts";
@@ -5,17 +6,41 @@
 /** Which day a seed plays, what came of it, and what it violated. */
 type EndingDayResult = {
   name: string;
+  /** Ends of servers; of a budget day, its troubles. */
   ends: string;
+  /** Arrivals that came late; of a budget day, repeats that were told too much. */
   late: string;
   served: string;
   faults: string[];
 };
 
+/** Plays a day of all that the bound on repeats says, with such ends. */
+async function playBudgetDay(seed: number): Promise<EndingDayResult> {
+  const terms = drawEndingTerms(seed);
+  const day = await new BudgetDay(seed, undefined, terms).run();
+  return {
+    name: `budget, ${terms.heartbeatMilliseconds} ms; ${
+      day.windows.map(({ service, repeats, allowed }) =>
+        `${service} ${repeats}/${allowed.toFixed(0)}`
+      ).join(", ")
+    }`,
+    ends: String(day.troubles.length),
+    late: `${day.deadlines.long}/${day.deadlines.judged}`,
+    served: `${day.served}/${day.sent}`,
+    faults: day.faults,
+  };
+}
+
 /**
  * Plays a day on which backend servers end in many ways, under prompt parts or
- * under requests that are sent again and again.
+ * under requests that are sent again and again; or, of kind "budget", beside
+ * gateways that end, too.
  */
-export async function playEndingDay(seed: number): Promise<EndingDayResult> {
+export async function playEndingDay(
+  seed: number,
+  kind: "harm" | "budget" = "harm",
+): Promise<EndingDayResult> {
+  if (kind === "budget") return await playBudgetDay(seed);
   const terms = drawEndingTerms(seed);
   const { heartbeatMilliseconds } = terms;
   if (seed % 2 === 0) {
--- a/acceptance/src/fake_backend_server.ts
+++ b/acceptance/src/fake_backend_server.ts
@@ -183,6 +183,13 @@
     while (this.isSilent) await sleep(this.#silentUntil - performance.now());
   }
 
+  /** Breaks all connections, and goes on. */
+  resetConnections(): void {
+    for (const stream of this.#openStreams) stream.socket?.resetAndDestroy();
+    this.#openStreams.clear();
+    this.#server.closeAllConnections();
+  }
+
   close(): void {
     this.#isClosed = true;
     this.#server.close();
