Breaks that can't be told apart under a name that is used again all count

Found by reading: where a server resets its connections, answers on, and ends soon after under other requests, to be back under its name, the proof went to the reset alone; what stood at the end was taken for what a port without a process closed. Its new test fails on the code before ('b after-end').

--- a/packages/core/src/crashes/unresolved_breaks.ts
+++ b/packages/core/src/crashes/unresolved_breaks.ts
@@ -54,7 +54,9 @@
  * where its name is used again, news of a later start may still be on its way.
  *
  * Of several breaks of one start, its end is the first that nothing outlived:
- * what is broken off later was sent to a port without a process.
+ * what is broken off later was sent to a port without a process. Where the name
+ * is used again, those between which the instance answered can't be told apart,
+ * and all count.
  */
 export class UnresolvedBreaks<Interrupted> {
   /** By incarnation, in the order of the breaks. */
@@ -174,11 +176,13 @@
     isOutlived: (pending: PendingBreak<Interrupted>) => boolean,
     verdict: BreakVerdict,
   ): ResolvedBreak<Interrupted>[] {
-    const breaks = this.#breaks.get(incarnation) ?? [];
-    const end = breaks.find((pending) => !isOutlived(pending));
+    let isAfterEnd = false;
     return this.#resolve(incarnation, (pending) => {
       if (isOutlived(pending)) return "answers";
-      return pending === end ? verdict : "after-end";
+      if (isAfterEnd) return "after-end";
+      // What answered behind it may have been this process or the next one.
+      isAfterEnd = pending.answeredAt === undefined;
+      return verdict;
     });
   }
 
--- a/packages/core/src/crashes/unresolved_breaks_test.ts
+++ b/packages/core/src/crashes/unresolved_breaks_test.ts
@@ -146,6 +146,21 @@
   assert.deepEqual(describe(resolved), ["b replaced"]);
 });
 
+// Guards against evidence that goes to a reset alone, where the server ended soon
+// after it under other requests and is back under its name.
+test("of breaks between which a name that is used again answered, all count", () => {
+  const breaks = breakAt1000();
+  breaks.recordAnswer(ONE, { sentAt: 1_100, now: 1_200 });
+  breakOff(breaks, "b", { sentAt: 1_900, now: 2_000 });
+  breakOff(breaks, "c", { sentAt: 2_050, now: 2_060 });
+  const resolved = breaks.recordStart(startOf("one", 2), 2_100);
+  assert.deepEqual(describe(resolved), [
+    "a replaced",
+    "b replaced",
+    "c after-end",
+  ]);
+});
+
 test("a port that refuses proves the latest break to be the end", () => {
   const breaks = breakAt1000();
   const last = breakOff(breaks, "b", { sentAt: 1_200, now: 1_400 });
