A port that closes each connection at once proves an end, without the next start

Change: the gateway waits 0.1 s for its check's connection to be closed; if it is, it asks again 0.2 s later, and takes two closes for the end of the process, unless the instance has answered since (a server with too many connections closes new ones, and answers on others).

--- a/packages/core/src/crashes/break_verdict.ts
+++ b/packages/core/src/crashes/break_verdict.ts
@@ -3,6 +3,7 @@
  *
  * The process has ended:
  * - "refuses": its port refuses connections;
+ * - "closes": its port closes connections at once, again and again;
  * - "replaced": a later start at its address was heard of;
  * - "misdirected": another instance answered at its address.
  *
@@ -16,6 +17,7 @@
  */
 export type BreakVerdict =
   | "refuses"
+  | "closes"
   | "replaced"
   | "misdirected"
   | "goes-on"
--- a/packages/core/src/crashes/is_process_end.ts
+++ b/packages/core/src/crashes/is_process_end.ts
@@ -2,6 +2,7 @@
 
 const PROCESS_ENDS: readonly BreakVerdict[] = [
   "refuses",
+  "closes",
   "replaced",
   "misdirected",
 ];
--- a/packages/core/src/crashes/unresolved_breaks.ts
+++ b/packages/core/src/crashes/unresolved_breaks.ts
@@ -46,8 +46,8 @@
  * gives up the port.
  *
  * A port that accepts connections proves nothing. Only these do:
- * - a port that refuses, another instance's answer, or the news of a later
- *   start, which may come seconds later: the process ended;
+ * - a port that refuses or closes each connection, another instance's answer, or
+ *   the news of a later start, which may come seconds later: the process ended;
  * - more of an answer to a request from before the break: it goes on.
  *
  * An answer to a later request shows that the instance runs, but not since when:
@@ -108,6 +108,21 @@
     });
   }
 
+  /**
+   * The port closed connections at once behind a break, and again later. A
+   * server that goes on answers meanwhile.
+   */
+  recordClosing(
+    { announcement }: ServerBreak<Interrupted>,
+  ): ResolvedBreak<Interrupted>[] {
+    const incarnation = incarnationOf(announcement);
+    const hasAnswered = this.#breaks.get(incarnation)?.some(({ answeredAt }) =>
+      answeredAt !== undefined
+    );
+    if (hasAnswered) return [];
+    return this.#resolveEnd(incarnation, () => false, "closes");
+  }
+
   /** A process was heard to have started. */
   recordStart(start: ServerStart, now: number): ResolvedBreak<Interrupted>[] {
     if (this.#size === 0) return [];
--- a/packages/daemon/src/gateway/crash_watch.ts
+++ b/packages/daemon/src/gateway/crash_watch.ts
@@ -9,6 +9,7 @@
 import type { ProcessMetrics } from "../metrics/process_metrics.ts";
 import { probeProcessEnd } from "../transport/probe_process_end.ts";
 import { monotonicMilliseconds } from "../transport/monotonic_milliseconds.ts";
+import { sleep } from "../transport/sleep.ts";
 import type { AdmittedCall } from "./admitted_call.ts";
 import type { EndedServer } from "./ended_server.ts";
 import { fingerprintCall } from "./fingerprint_call.ts";
@@ -17,8 +18,15 @@
 /** When a process ends, all of its connections close within this time. */
 const REQUEST_BATCH_MILLISECONDS = 30;
 
+/**
+ * A port that closes connections is asked again: a server that has too many of
+ * them does so for a moment.
+ */
+const ASK_AGAIN_MILLISECONDS = 200;
+
 const PORT_FINDINGS = {
   ended: "refuses",
+  closed: "closes",
   alive: "accepts",
   unknown: "no-answer",
 } as const;
@@ -116,9 +124,18 @@
     for (const start of this.#options.listStarts(address)) {
       this.#hearOfStart(start);
     }
-    const found = await this.#askPort(added.announcement);
+    const found = await this.#askPortTwice(added.announcement);
     this.#logCheck(added, found);
     if (found === "refuses") this.#settle(this.#breaks.recordRefusal(added));
+    if (found === "closes") this.#settle(this.#breaks.recordClosing(added));
+  }
+
+  /** Returns "closes" only where the port did so both times. */
+  async #askPortTwice(announcement: BackendAnnouncement): Promise<string> {
+    const found = await this.#askPort(announcement);
+    if (found !== "closes") return found;
+    await sleep(ASK_AGAIN_MILLISECONDS);
+    return await this.#askPort(announcement);
   }
 
   async #askPort(announcement: BackendAnnouncement): Promise<string> {
@@ -126,7 +143,8 @@
     // Each connection costs the backend server something.
     if (hasOpenConnection(announcement.address)) return "open-connection";
     if (isClosed(announcement)) return "not-asked";
-    return PORT_FINDINGS[await probeProcessEnd(announcement.address)];
+    const { address } = announcement;
+    return PORT_FINDINGS[await probeProcessEnd(address, { awaitsClose: true })];
   }
 
   #hearOf(announcement: BackendAnnouncement): void {
--- a/packages/daemon/src/transport/probe_process_end.ts
+++ b/packages/daemon/src/transport/probe_process_end.ts
@@ -7,6 +7,17 @@
  * process is unknown.
  */
 const PROBE_TIMEOUT_MILLISECONDS = 150;
+/** A server waits for a request for much longer. */
+const CLOSE_MILLISECONDS = 100;
+
+type Finding = "ended" | "closed" | "alive" | "unknown";
+type Options = {
+  /**
+   * Whether to wait for the connection to be closed again at once, as by whoever
+   * holds the port of a process that has ended.
+   */
+  awaitsClose?: boolean;
+};
 
 /**
  * Finds out whether the process that listened at `address` has ended, by
@@ -15,20 +26,29 @@
  */
 export function probeProcessEnd(
   address: string,
-): Promise<"ended" | "alive" | "unknown"> {
+  { awaitsClose = false }: Options = {},
+): Promise<Finding> {
   if (!isHostAddress(address)) return Promise.resolve("unknown");
   return new Promise((resolve) => {
     const socket = createConnection({
       ...splitAddress(address),
       timeout: PROBE_TIMEOUT_MILLISECONDS,
     });
-    const finish = (result: "ended" | "alive" | "unknown") => {
+    let isConnected = false;
+    const finish = (result: Finding) => {
       resolve(result);
       socket.destroy();
     };
-    socket.once("connect", () => finish("alive"));
-    socket.once("timeout", () => finish("unknown"));
+    socket.once("connect", () => {
+      if (!awaitsClose) return finish("alive");
+      isConnected = true;
+      setTimeout(() => finish("alive"), CLOSE_MILLISECONDS);
+    });
+    socket.once("data", () => finish("alive"));
+    socket.once("end", () => finish("closed"));
+    socket.once("timeout", () => finish(isConnected ? "alive" : "unknown"));
     socket.once("error", (error: { code?: string }) => {
+      if (isConnected) return finish("closed");
       finish(error.code === "ECONNREFUSED" ? "ended" : "unknown");
     });
   });
