What is broken off behind a proved end is evidence against nobody

Change: UnresolvedBreaks remembers proved ends for a minute; what was sent behind one is no break, until the instance answers such a request.

--- a/packages/core/src/crashes/unresolved_breaks.ts
+++ b/packages/core/src/crashes/unresolved_breaks.ts
@@ -1,5 +1,6 @@
 import type { BackendAnnouncement } from "../membership/backend_announcement.ts";
 import { incarnationOf } from "../membership/incarnation_of.ts";
+import { isProcessEnd } from "./is_process_end.ts";
 import type { BreakVerdict } from "./break_verdict.ts";
 import type { ResolvedBreak } from "./resolved_break.ts";
 import type { ServerBreak } from "./server_break.ts";
@@ -19,6 +20,8 @@
 const MAX_WAIT_MILLISECONDS = 15_000;
 /** Longer than the news of a start takes, two heartbeats and their way. */
 const START_NEWS_MILLISECONDS = 3_000;
+/** Longer than a host goes on sending to a backend server that has ended. */
+const END_RETENTION_MILLISECONDS = 60_000;
 /** Under a flood of breaks the oldest are given up. */
 const MAX_BREAKS = 1_024;
 
@@ -62,19 +65,27 @@
   /** By incarnation, in the order of the breaks. */
   #breaks = new Map<string, PendingBreak<Interrupted>[]>();
   #size = 0;
+  /** When starts of backend servers ended, by incarnation. */
+  #endedAt = new Map<string, number>();
 
   get size(): number {
     return this.#size;
   }
 
+  /** Whether nothing that is heard matters now. */
+  get isIdle(): boolean {
+    return this.#size === 0 && this.#endedAt.size === 0;
+  }
+
   /**
    * Adds a request that a backend server broke off. Returns the break if it is a
-   * new one, not the same as that of other requests.
+   * new one, not the same as that of other requests, nor behind the end.
    */
   add(
     { announcement, interrupted, sentAt, now }: BrokenRequest<Interrupted>,
   ): ServerBreak<Interrupted> | undefined {
     const incarnation = incarnationOf(announcement);
+    if (sentAt > (this.#endedAt.get(incarnation) ?? Infinity)) return undefined;
     const known = this.#breaks.get(incarnation) ?? [];
     const last = known.at(-1);
     const age = now - (last?.at ?? -Infinity);
@@ -157,7 +168,12 @@
     announcement: BackendAnnouncement,
     { sentAt, now }: { sentAt: number; now: number },
   ): ResolvedBreak<Interrupted>[] {
-    return this.#resolve(incarnationOf(announcement), (pending) => {
+    const incarnation = incarnationOf(announcement);
+    // The name is used again, or whoever holds the port was taken for its end.
+    if (sentAt > (this.#endedAt.get(incarnation) ?? Infinity)) {
+      this.#endedAt.delete(incarnation);
+    }
+    return this.#resolve(incarnation, (pending) => {
       if (now <= pending.at + READING_MILLISECONDS) return undefined;
       if (sentAt < pending.at) return "goes-on";
       pending.answeredAt ??= now;
@@ -174,6 +190,11 @@
 
   /** Gives up breaks that nothing was heard of in time. */
   expire(now: number): ResolvedBreak<Interrupted>[] {
+    for (const [incarnation, endedAt] of this.#endedAt) {
+      if (now - endedAt > END_RETENTION_MILLISECONDS) {
+        this.#endedAt.delete(incarnation);
+      }
+    }
     let excess = this.#size - MAX_BREAKS;
     return [...this.#breaks.keys()].flatMap((incarnation) =>
       this.#resolve(incarnation, ({ at, answeredAt = now }) => {
@@ -214,6 +235,7 @@
       if (verdict === undefined) return true;
       const { announcement, interrupted, at } = pending;
       resolved.push({ announcement, interrupted, at, verdict });
+      if (isProcessEnd(verdict)) this.#endedAt.set(incarnation, at);
       return false;
     });
     if (left.length === 0) this.#breaks.delete(incarnation);
--- a/packages/daemon/src/gateway/crash_watch.ts
+++ b/packages/daemon/src/gateway/crash_watch.ts
@@ -102,7 +102,7 @@
    * `sentAt` is when its request was sent, monotonic milliseconds.
    */
   recordAnswer(announcement: BackendAnnouncement, sentAt: number): void {
-    if (this.#breaks.size === 0) return;
+    if (this.#breaks.isIdle) return;
     const now = monotonicMilliseconds();
     this.#settle(this.#breaks.recordAnswer(announcement, { sentAt, now }));
   }
