The test of a reused process id asks when the first process started

Its lock named process 1 with the start time 0, which no process has on most machines; here process 1 started in tick 0, so the lock was its own, and was rightly held. The test takes process 1's start time and adds one.

--- a/packages/storage/src/data_folder_test.ts
+++ b/packages/storage/src/data_folder_test.ts
@@ -229,10 +229,15 @@
   rmSync(path, { recursive: true });
 });
 
+/** When the first process started, in clock ticks; 0 on some machines. */
+function readStartTime(): string {
+  const fields = readFileSync("/proc/1/stat", "utf8").split(") ")[1]!;
+  return fields.split(" ")[19]!;
+}
+
 test("a folder locked by a running process is refused", async () => {
   const path = await createFolderWithEntries(1);
-  const fields = readFileSync("/proc/1/stat", "utf8").split(") ")[1]!;
-  writeFileSync(join(path, "lock"), `1 ${fields.split(" ")[19]}`);
+  writeFileSync(join(path, "lock"), `1 ${readStartTime()}`);
   const opened = await DataFolder.open(path, NAME);
   assert.ok(opened.isErr && opened.error.kind === "in-use");
   rmSync(path, { recursive: true });
@@ -243,7 +248,8 @@
   // to another process. If the lock held only the id, the folder would stay
   // locked and the control host would exit at every start.
   const path = temporaryFolder();
-  writeFileSync(join(path, "lock"), "1 0");
+  const startedAt = Number(readStartTime());
+  writeFileSync(join(path, "lock"), `1 ${startedAt + 1}`);
   const opened = await DataFolder.open(path, NAME);
   assert.ok(opened.isOk);
   await opened.value.close();
