A path that can't be decoded ends no stager

Found while looking for a test of odd input at each reader: 'GET /%zz' at a stager's chunk port threw in the server's handler, and ended the process; an agent closed the connection without an answer, an operator's call likewise. Cause: decodeURIComponent throws, and was called ahead of any guard. Change: decodePath returns no segments for such a path, which is not found. Evidence: create_chunk_server_test fails on the code before (uncaughtException, 'URI malformed') and passes.

--- a/packages/daemon/src/agent/agent_server.ts
+++ b/packages/daemon/src/agent/agent_server.ts
@@ -1,3 +1,4 @@
+import { decodePath } from "../http/decode_path.ts";
 import { parseJson } from "../http/parse_json.ts";
 import {
   createServer,
@@ -62,8 +63,7 @@
     request: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
-    const parts = (request.url ?? "").split("/").slice(1)
-      .map(decodeURIComponent);
+    const parts = decodePath(request.url ?? "");
     if (request.method === "POST" && request.url === "/v1/announce") {
       return await this.#handleAnnouncement(request, response);
     }
--- a/packages/daemon/src/entry/operators/operator_api.ts
+++ b/packages/daemon/src/entry/operators/operator_api.ts
@@ -16,6 +16,7 @@
 import type { ProposalReply } from "../sessions/proposal_reply.ts";
 import { invalidRequest } from "../calls/invalid_request.ts";
 import type { Problem } from "../../http/problem.ts";
+import { decodePath } from "../../http/decode_path.ts";
 import { parseJson } from "../../http/parse_json.ts";
 import { readBody } from "../../http/read_body.ts";
 import { sendProblem } from "../../http/send_problem.ts";
@@ -84,7 +85,7 @@
     response: ServerResponse,
   ): Promise<void> {
     const url = new URL(request.url ?? "", "http://entry");
-    const parts = url.pathname.split("/").slice(3).map(decodeURIComponent);
+    const parts = decodePath(url.pathname).slice(2);
     const reply = request.method === "GET"
       ? await this.#handleRead(parts, url.searchParams)
       : await this.#handleChange(request, parts);
--- a/packages/daemon/src/stager/create_chunk_server.ts
+++ b/packages/daemon/src/stager/create_chunk_server.ts
@@ -1,5 +1,6 @@
 import { createServer, type Server } from "node:http";
 import type { EventLog } from "../log/event_log.ts";
+import { decodePath } from "../http/decode_path.ts";
 import type { ChunkSender } from "../spread/chunk_sender.ts";
 
 type Options = { chunkSender: ChunkSender; log: EventLog };
@@ -11,8 +12,7 @@
 export function createChunkServer({ chunkSender, log }: Options): Server {
   return createServer((request, response) => {
     response.on("error", () => undefined);
-    const pathSegments = (request.url ?? "").split("/").slice(1)
-      .map(decodeURIComponent);
+    const pathSegments = decodePath(request.url ?? "");
     if (request.method !== "GET" || pathSegments[0] !== "chunks") {
       return void response.writeHead(404).end();
     }
