--- a/acceptance/src/endings/ending_days.ts
+++ b/acceptance/src/endings/ending_days.ts
@@ -1,4 +1,5 @@
 import process from "node:process";
+import type { EndingDayKind } from "./ending_day_kind.ts";
 import { playEndingDay } from "./play_ending_day.ts";
 
 const [firstSeed = "1", count = "30", kind] = process.argv.slice(2);
@@ -14,7 +15,7 @@
 ) {
   const { name, ends, late, served, faults } = await playEndingDay(
     seed,
-    kind === "budget" ? kind : "harm",
+    kind as EndingDayKind | undefined,
   );
   console.log(seed, ends, late, served, `${name} | ${faults.join("; ")}`);
   if (faults.length > 0) faultyDays += 1;
--- a/acceptance/src/pushback_day.ts
+++ b/acceptance/src/pushback_day.ts
@@ -2,6 +2,7 @@
 import { hashText } from "@teaselrouter/core/random/hash_text.ts";
 import { performance } from "node:perf_hooks";
 import { findPlayedRepeatFaults } from "./budget/find_played_repeat_faults.ts";
+import type { EndingTerms } from "./endings/ending_terms.ts";
 import { EndToEndSystem } from "./end_to_end_system.ts";
 import type { FakeBackendServer } from "./fake_backend_server.ts";
 import { findPushbackFaults } from "./find_pushback_faults.ts";
@@ -47,19 +48,21 @@
  */
 export class PushbackDay {
   #seed: number;
-  #system = new EndToEndSystem({
-    engines: ENGINES,
-    gateways: GATEWAYS,
-    controlHosts: CONTROL_HOSTS,
-  });
+  #system: EndToEndSystem;
   #answers: Promise<Answer>[] = [];
   #sent = new Map<string, { gateway: string; sentAt: number }>();
   #excuses: { gateway: string; from: number; to: number }[] = [];
   #troubles: string[] = [];
   #isOver = false;
 
-  constructor(seed: number) {
+  constructor(seed: number, terms: EndingTerms = {}) {
     this.#seed = seed;
+    this.#system = new EndToEndSystem({
+      engines: ENGINES,
+      gateways: GATEWAYS,
+      controlHosts: CONTROL_HOSTS,
+      ...terms,
+    });
   }
 
   async run(): Promise<PushbackDayResult> {
--- a/packages/daemon/src/gateway/gateway_fixture.ts
+++ b/packages/daemon/src/gateway/gateway_fixture.ts
@@ -1,3 +1,5 @@
+import { parseJson } from "../http/parse_json.ts";
+import type { ControlUpdate } from "@teaselrouter/messages/follow.ts";
 import { ListeningTime } from "@teaselrouter/core/gateway/listening_time.ts";
 import { PatienceEstimator } from "@teaselrouter/core/gateway/patience_estimator.ts";
 import type { RoutingConfiguration } from "@teaselrouter/core/gateway/routing_configuration.ts";
@@ -9,7 +11,6 @@
 import { Buffer } from "node:buffer";
 import { createServer, type Server, type Socket } from "node:net";
 import { map, Subject } from "rxjs";
-import { Result } from "true-myth";
 import type { EventLog } from "../log/event_log.ts";
 import { ProcessMetrics } from "../metrics/process_metrics.ts";
 import type { RequestFormat } from "../platform/request_format.ts";
@@ -214,6 +215,11 @@
     this.#sendUpdate({ case: "evacuations", value: { index, dataCentres } });
   }
 
+  /** Tells the gateway what a control host may tell. */
+  tell(body: ControlUpdate["body"]): void {
+    this.#sendUpdate(body);
+  }
+
   close(): void {
     this.server.closeAll();
     this.context.connections.close();
@@ -254,7 +260,8 @@
     const isStopping = () => this.isStopping;
     const feed = new ControlFeed({
       followSet: { updates$: this.#updates$ } as unknown as FollowSet,
-      decodeRouting: (text) => Result.ok(JSON.parse(text)),
+      decodeRouting: (text) =>
+        parseJson(text).map((value) => value as RoutingConfiguration),
       log,
     });
     const connections = new BackendConnections();
