--- a/packages/daemon/src/stager/create_chunk_server_test.ts
+++ b/packages/daemon/src/stager/create_chunk_server_test.ts
@@ -1,5 +1,6 @@
 import assert from "node:assert/strict";
-import { type AddressInfo } from "node:net";
+import type { IncomingMessage, ServerResponse } from "node:http";
+import type { AddressInfo } from "node:net";
 import { test } from "node:test";
 import { EventLog } from "../log/event_log.ts";
 import type { ChunkSender } from "../spread/chunk_sender.ts";
@@ -11,7 +12,7 @@
 test("a path that can't be decoded is not found, and others are served", async (context) => {
   const server = createChunkServer({
     chunkSender: {
-      send: (_request, response) => {
+      send: (_request: IncomingMessage, response: ServerResponse) => {
         response.writeHead(200).end();
         return Promise.resolve();
       },
