A follower leaves what a stream that never opened would have sent

Found by the new test of odd addresses in lists of control hosts, which didn't end: a follower of a control host that can't be reached left an interval behind each attempt, five a second, each of which went on to fill a buffer twice a second or so that nobody reads (six after 1.2 s, none for addresses that fail before the stream is built). Cause: the messages of a stream are subscribed to as it is asked for, and left by its reader; one whose connection is refused never reads. Change: the attempt's own end ends them.

--- a/packages/daemon/src/transport/follow_link.ts
+++ b/packages/daemon/src/transport/follow_link.ts
@@ -5,12 +5,14 @@
   FollowService,
 } from "@teaselrouter/messages/follow.ts";
 import {
+  fromEvent,
   interval,
   map,
   merge,
   type Observable,
   startWith,
   Subject,
+  takeUntil,
 } from "rxjs";
 import type { EventLog } from "../log/event_log.ts";
 import type { ClientPool } from "./client_pool.ts";
@@ -130,13 +132,17 @@
     let reason = "closed";
     try {
       const updates = clients.client(FollowService, address).follow(
-        toAsyncIterable(this.#outgoing()),
+        // A stream that never opens doesn't read, nor leave what it would read.
+        toAsyncIterable(
+          this.#outgoing().pipe(takeUntil(fromEvent(stop.signal, "abort"))),
+        ),
         { signal: stop.signal },
       );
       for await (const update of updates) this.#handleUpdate(update);
     } catch (error) {
       reason = error instanceof Error ? error.message : String(error);
     }
+    stop.abort();
     clients.dropConnection(address);
     if (this.#connected) log.warn("control-host-lost", { address, reason });
     this.#connected = false;
