An address that can't be right fails its calls, not its caller's process

Found by the test of odd addresses: a client for an address that is no URL ('999.0.0.1:80', a port out of range) threw as it was asked for. Followers caught that; links between members of the log, agents' and entry hosts' links asked ahead of their guards, so that an odd member in the list ended the process (unhandled rejection, 'Invalid URL'). Change: the pool returns a client each of whose calls is refused as unavailable. Evidence: odd_peers_test, the second, fails on the code before and passes.

--- a/packages/daemon/src/transport/client_pool.ts
+++ b/packages/daemon/src/transport/client_pool.ts
@@ -1,6 +1,7 @@
 import type { DescService } from "@bufbuild/protobuf";
 import { type Client, createClient } from "@connectrpc/connect";
 import { createConnectTransport } from "@connectrpc/connect-node";
+import { createUnreachableTransport } from "./create_unreachable_transport.ts";
 import { GuardedSessionManager } from "./guarded_session_manager.ts";
 import { MAX_MESSAGE_BYTES } from "./max_message_bytes.ts";
 import { MIN_COMPRESSED_BYTES } from "./min_compressed_bytes.ts";
@@ -9,6 +10,8 @@
 const PING_INTERVAL_MILLISECONDS = 2_000;
 const PING_TIMEOUT_MILLISECONDS = 1_500;
 const IDLE_TIMEOUT_MILLISECONDS = 60_000;
+/** Stands for an address that can't be one; nothing is sent there. */
+const UNREACHABLE_URL = "http://unreachable.invalid";
 
 /** Keeps one HTTP/2 connection to each other process, opened on first use. */
 export class ClientPool {
@@ -70,6 +73,12 @@
 
 function connect(address: string): PooledConnection {
   const baseUrl = `http://${address}`;
+  if (!URL.canParse(baseUrl)) {
+    return new PooledConnection({
+      manager: new GuardedSessionManager(UNREACHABLE_URL),
+      transport: createUnreachableTransport(address),
+    });
+  }
   const manager = new GuardedSessionManager(baseUrl, {
     pingIntervalMs: PING_INTERVAL_MILLISECONDS,
     pingTimeoutMs: PING_TIMEOUT_MILLISECONDS,
