Ends and breaks, read as somebody who joins today

Read twice: what 'goes on answers' meant at a port that closes; which 30 ms the two constants were; what MAX_UNPROVED_CALLS bounds beside calls without a proof; that 'closed' is a finding of the port's check.

--- a/packages/core/src/crashes/unresolved_breaks.ts
+++ b/packages/core/src/crashes/unresolved_breaks.ts
@@ -5,9 +5,8 @@
 import type { ResolvedBreak } from "./resolved_break.ts";
 import type { ServerBreak } from "./server_break.ts";
 import type { ServerStart } from "./server_start.ts";
+import { SIMULTANEOUS_MILLISECONDS } from "./simultaneous_milliseconds.ts";
 
-/** When a process ends, all of its connections close within this time. */
-const SIMULTANEOUS_MILLISECONDS = 30;
 /**
  * A busy host may take this long to read what arrived at the same moment, from
  * before an end as well as the closes that it brought.
@@ -120,8 +119,9 @@
   }
 
   /**
-   * The port closed connections at once behind a break, and again later. A
-   * server that goes on answers meanwhile.
+   * The port closed connections at once behind a break, and again later. That
+   * proves nothing where the instance has answered since: one with too many
+   * connections closes new ones, too.
    */
   recordClosing(
     { announcement }: ServerBreak<Interrupted>,
@@ -169,7 +169,7 @@
     { sentAt, now }: { sentAt: number; now: number },
   ): ResolvedBreak<Interrupted>[] {
     const incarnation = incarnationOf(announcement);
-    // The name is used again, or whoever holds the port was taken for its end.
+    // Its name is used again, or it hadn't ended.
     if (sentAt > (this.#endedAt.get(incarnation) ?? Infinity)) {
       this.#endedAt.delete(incarnation);
     }
--- a/packages/daemon/src/entry/calls/call_crash_detector.ts
+++ b/packages/daemon/src/entry/calls/call_crash_detector.ts
@@ -21,7 +21,8 @@
 
 /** By then an agent has heard of its backend server's next start, or never will. */
 const MAX_PROOF_MILLISECONDS = 20_000;
-const MAX_UNPROVED_CALLS = 1_024;
+/** Each of calls without a proof, and of proofs without a call. */
+const MAX_KEPT_CALLS = 1_024;
 
 type Options = { control: Proposer; log: EventLog };
 
@@ -229,7 +230,7 @@
   value: Value,
 ): void {
   entries.set(requestId, value);
-  if (entries.size <= MAX_UNPROVED_CALLS) return;
+  if (entries.size <= MAX_KEPT_CALLS) return;
   entries.delete(entries.keys().next().value!);
 }
 
--- a/packages/daemon/src/gateway/crash_watch.ts
+++ b/packages/daemon/src/gateway/crash_watch.ts
@@ -2,6 +2,7 @@
 import type { ResolvedBreak } from "@teaselrouter/core/crashes/resolved_break.ts";
 import type { ServerBreak } from "@teaselrouter/core/crashes/server_break.ts";
 import type { ServerStart } from "@teaselrouter/core/crashes/server_start.ts";
+import { SIMULTANEOUS_MILLISECONDS } from "@teaselrouter/core/crashes/simultaneous_milliseconds.ts";
 import { UnresolvedBreaks } from "@teaselrouter/core/crashes/unresolved_breaks.ts";
 import type { BackendAnnouncement } from "@teaselrouter/core/membership/backend_announcement.ts";
 import { type Observable, Subject } from "rxjs";
@@ -15,9 +16,6 @@
 import { fingerprintCall } from "./fingerprint_call.ts";
 import type { InterruptedCall } from "./interrupted_call.ts";
 
-/** When a process ends, all of its connections close within this time. */
-const REQUEST_BATCH_MILLISECONDS = 30;
-
 /**
  * A port that closes connections is asked again: a server that has too many of
  * them does so for a moment.
@@ -94,7 +92,7 @@
     };
     const added = this.#breaks.add({ announcement, interrupted, sentAt, now });
     if (added === undefined) return;
-    setTimeout(() => this.#check(added), REQUEST_BATCH_MILLISECONDS);
+    setTimeout(() => this.#check(added), SIMULTANEOUS_MILLISECONDS);
   }
 
   /**
--- a/packages/daemon/src/transport/probe_process_end.ts
+++ b/packages/daemon/src/transport/probe_process_end.ts
@@ -21,8 +21,9 @@
 
 /**
  * Finds out whether the process that listened at `address` has ended, by
- * connecting to that address. Only a refused connection means "ended": a host
- * that is partitioned or powered off sends no reply, which means "unknown".
+ * connecting to that address. Only a refused connection means "ended". A host
+ * that is partitioned or powered off sends no reply, which means "unknown". With
+ * `awaitsClose`, a connection that is closed again at once means "closed".
  */
 export function probeProcessEnd(
   address: string,
