--- a/acceptance/src/callers/caller_terms.ts
+++ b/acceptance/src/callers/caller_terms.ts
@@ -1,3 +1,4 @@
+import type { Absence } from "./absence.ts";
 import type { PowerLoss } from "./power_loss.ts";
 
 /**
@@ -16,7 +17,10 @@
   drawRepeatDelay?: () => number;
   /** Harmful requests a second. */
   harmfulPerSecond?: number;
+  /** Harmful requests come so many at once, in milliseconds from each other. */
+  crowds?: { size: number; intervalMilliseconds: number };
   /** Milliseconds from the start of an answer until its server ends. */
   drawCrashDelay?: () => number;
   powerLosses?: PowerLoss[];
+  absences?: Absence[];
 };
--- a/acceptance/src/freeze_host.ts
+++ b/acceptance/src/freeze_host.ts
@@ -6,9 +6,10 @@
 export async function freezeHost(
   system: EndToEndSystem,
   name: string,
+  milliseconds = FREEZE_MILLISECONDS,
 ): Promise<void> {
   const { child } = system.cluster.findHost(name);
   child.signal("SIGSTOP");
-  await new Promise((resolve) => setTimeout(resolve, FREEZE_MILLISECONDS));
+  await new Promise((resolve) => setTimeout(resolve, milliseconds));
   child.signal("SIGCONT");
 }
--- a/acceptance/src/loopback_cluster.ts
+++ b/acceptance/src/loopback_cluster.ts
@@ -136,10 +136,14 @@
     return host;
   }
 
-  /** Kills hosts and starts them again on the same data and addresses. */
-  async restart(names: string[]): Promise<void> {
+  /**
+   * Kills hosts and starts them again on the same data and addresses, at once or
+   * so many milliseconds later.
+   */
+  async restart(names: string[], { awayMilliseconds = 0 } = {}): Promise<void> {
     const killed = names.map((name) => this.findHost(name));
     for (const { child } of killed) child.signal("SIGKILL");
+    await new Promise((resolve) => setTimeout(resolve, awayMilliseconds));
     await this.#startAgain(killed);
   }
 
--- a/acceptance/src/part_day.ts
+++ b/acceptance/src/part_day.ts
@@ -3,6 +3,7 @@
 import assert from "node:assert/strict";
 import { performance } from "node:perf_hooks";
 import { findPlayedRepeatFaults } from "./budget/find_played_repeat_faults.ts";
+import type { Absence } from "./callers/absence.ts";
 import type { CallerTerms } from "./callers/caller_terms.ts";
 import type { PowerLoss } from "./callers/power_loss.ts";
 import type { EndingTerms } from "./endings/ending_terms.ts";
@@ -82,10 +83,11 @@
 
   async run(): Promise<PartDayResult> {
     const system = this.#system;
-    const { powerLosses = [], drawCrashDelay } = this.#callers;
+    const { powerLosses = [], absences = [], drawCrashDelay } = this.#callers;
     // The first seeds run each mix without a disruption.
     const disruption =
-      this.#seed < PROMPT_MIXES.length || powerLosses.length > 0
+      this.#seed < PROMPT_MIXES.length || powerLosses.length > 0 ||
+        absences.length > 0
         ? undefined
         : this.#drawDisruption();
     let keepLogs = true;
@@ -98,6 +100,7 @@
       }
       await Promise.all([
         this.#losePower(powerLosses),
+        this.#keepAway(absences),
         this.#makePartsHarmful(),
         this.#sendHarmless(),
         ...this.#mix.drawCrashing.map((_, part) => this.#sendCrashing(part)),
@@ -167,16 +170,10 @@
 
   /** Hosts lose power, one time after the other. */
   async #losePower(losses: PowerLoss[]): Promise<void> {
-    const { gatewayNames, controlNames, gatewayIps, cluster, engines } =
-      this.#system;
-    const until = performance.now() + DAY_MILLISECONDS;
-    for (const { behindCrash, delay, hosts } of losses) {
-      const crashes = () =>
-        engines.reduce((sum, { crashCount }) => sum + crashCount, 0);
-      while (crashes() < behindCrash && performance.now() < until) {
-        await sleep(POLL_MILLISECONDS);
-      }
-      await sleep(delay);
+    const { gatewayNames, controlNames, gatewayIps, cluster } = this.#system;
+    for (const loss of losses) {
+      await this.#awaitCrash(loss);
+      const { hosts } = loss;
       // Without control hosts no gateway is in touch.
       const active = {
         from: performance.now(),
@@ -194,6 +191,43 @@
     }
   }
 
+  /** Gateways are away for a while, some at a time; requests come at the rest. */
+  async #keepAway(absences: Absence[]): Promise<void> {
+    const { gatewayNames, gatewayIps, cluster } = this.#system;
+    for (const absence of absences) {
+      await this.#awaitCrash(absence);
+      const { gateways, milliseconds, how } = absence;
+      const names = gatewayNames.slice(0, gateways);
+      const active = {
+        from: performance.now(),
+        to: Infinity,
+        gateways: gatewayIps.slice(0, gateways),
+      };
+      this.#disruptions.push(active);
+      if (how === "killed") {
+        await cluster.restart(names, { awayMilliseconds: milliseconds });
+      } else {
+        await Promise.all(
+          names.map((name) => freezeHost(this.#system, name, milliseconds)),
+        );
+      }
+      active.to = performance.now();
+    }
+  }
+
+  async #awaitCrash(
+    { behindCrash, delay }: { behindCrash: number; delay: number },
+  ): Promise<void> {
+    const until = performance.now() + DAY_MILLISECONDS;
+    const { engines } = this.#system;
+    const crashes = () =>
+      engines.reduce((sum, { crashCount }) => sum + crashCount, 0);
+    while (crashes() < behindCrash && performance.now() < until) {
+      await sleep(POLL_MILLISECONDS);
+    }
+    await sleep(delay);
+  }
+
   /** Waits also for what is sent again meanwhile. */
   async #awaitAnswers(): Promise<Sent[]> {
     while (true) {
@@ -234,10 +268,15 @@
     const { harmfulPerSecond = CRASHING_PER_SECOND } = this.#callers;
     const perSecond = harmfulPerSecond / this.#mix.drawCrashing.length;
     const to = this.#mix.separatesGateways ? 1 : GATEWAYS;
+    const { crowds } = this.#callers;
     await sleep(CRASHING_FROM_MILLISECONDS);
     while (performance.now() < until) {
-      this.#send(this.#drawGateway(0, to), part);
-      await sleep(2_000 * this.#random() / perSecond);
+      for (let count = 0; count < (crowds?.size ?? 1); count += 1) {
+        this.#send(this.#drawGateway(0, to), part);
+      }
+      await sleep(
+        crowds?.intervalMilliseconds ?? 2_000 * this.#random() / perSecond,
+      );
     }
   }
 
--- a/packages/core/src/crashes/crash_traffic.ts
+++ b/packages/core/src/crashes/crash_traffic.ts
@@ -5,6 +5,8 @@
 type HarmfulKind = {
   perSecond: number;
   drawParts: DrawParts;
+  /** They come so many at once, so long after each other; by default alone. */
+  crowd?: { size: number; gap: Range };
   /** Whether all are one request that is sent again; its parts do no harm. */
   isRepeated?: boolean;
   /**
@@ -44,6 +46,18 @@
     delay: Range;
     isOfGatewaysOnly?: boolean;
   };
+  /**
+   * Gateways that are away behind a harmful crash, counted from 1; requests go to
+   * the others meanwhile. Who is `killed` loses what it knows, who is `frozen`
+   * tells it later, who is `silent` is killed without a word, and who has `moved`
+   * begins to follow another control host.
+   */
+  absences?: {
+    behindCrash: number;
+    gateways: number[];
+    milliseconds: number;
+    how: "killed" | "frozen" | "silent" | "moved";
+  }[];
   /** Crashes that no request causes; `at` in milliseconds. */
   failures?: { at: number; count: number }[];
   milliseconds: number;
--- a/packages/core/src/crashes/crash_traffic_fixture.ts
+++ b/packages/core/src/crashes/crash_traffic_fixture.ts
@@ -13,6 +13,7 @@
 import type { TrafficRequest } from "./traffic_request_fixture.ts";
 
 const STEP_MILLISECONDS = 5;
+const CROWDS_FROM_MILLISECONDS = 1_000;
 const SURVIVAL_CHECK_MILLISECONDS = 50;
 /** From a loss of power until gateways accept requests again. */
 const OUTAGE_MILLISECONDS = 1_500;
@@ -38,6 +39,8 @@
   #servers: Server[];
   #callerEvents: TrafficEvent[] = [];
   #requestCount = 0;
+  /** When the next crowd of each kind comes. */
+  #crowdAt: number[] = [];
   #lastCrashAt = -Infinity;
   #downUntil = -Infinity;
   /** Kinds of the crashes of which no report has arrived, by incarnation. */
@@ -96,11 +99,19 @@
     if (this.#random() < harmlessPerSecond * seconds) {
       this.#send(now, undefined);
     }
-    for (const [kind, { perSecond }] of harmful.entries()) {
-      if (this.#random() < perSecond * seconds) this.#send(now, kind);
+    for (const [kind, { perSecond, crowd }] of harmful.entries()) {
+      if (crowd !== undefined) this.#sendCrowd(kind, now);
+      else if (this.#random() < perSecond * seconds) this.#send(now, kind);
     }
   }
 
+  #sendCrowd(kind: number, now: number): void {
+    const { size, gap } = this.#traffic.harmful[kind]!.crowd!;
+    if (now < (this.#crowdAt[kind] ?? CROWDS_FROM_MILLISECONDS)) return;
+    this.#crowdAt[kind] = now + this.#between(gap);
+    for (let count = 0; count < size; count += 1) this.#send(now, kind);
+  }
+
   #send(now: number, kind: number | undefined): void {
     const { harmful, drawHarmless } = this.#traffic;
     this.#requestCount += 1;
@@ -132,13 +143,17 @@
     const up = this.#servers.filter(({ upAt }) => upAt <= now);
     const server = up[Math.floor(this.#random() * up.length)];
     if (server === undefined) return;
-    if (kind !== undefined) this.#result.arrivals[kind]!.push(now);
     const endsAt = now +
       this.#between(kind === undefined ? lifetime : crashDelay);
     const leavesAt = now + this.#drawLeaving(kind);
+    const gateway = this.#drawGateway(now);
+    if (gateway === undefined) return this.#repeat(request, now);
+    if (kind !== undefined && this.#hosts.isInTouch(gateway, now)) {
+      this.#result.arrivals[kind]!.push(now);
+    }
     const sent: TrafficRequest = {
       ...request,
-      gateway: this.#drawGateway(),
+      gateway,
       begunAt: now,
       endsAt,
       leavesAt,
@@ -149,9 +164,13 @@
     if (leavesAt < endsAt) this.#repeat(sent, leavesAt);
   }
 
-  #drawGateway(): number {
+  /** One of those that are there, if any. */
+  #drawGateway(now: number): number | undefined {
     const { gateways = 1 } = this.#traffic;
-    return gateways === 1 ? 0 : Math.floor(this.#random() * gateways);
+    if (gateways === 1) return 0;
+    const present = Array.from({ length: gateways }, (_, index) => index)
+      .filter((gateway) => this.#hosts.isPresent(gateway, now));
+    return present[Math.floor(this.#random() * present.length)];
   }
 
   /** Gateways give up requests whose callers leave. */
@@ -219,6 +238,7 @@
       this.#result.crashes[harmful.kind!]!.push(now);
       this.#unheard.set(incarnationOf(server.announcement), harmful.kind!);
       this.#crash(server, now);
+      this.#scheduleAbsences(now);
       return this.#scheduleLossOfPower(now);
     }
     const ended = server.running.filter(isOver);
@@ -275,6 +295,31 @@
     });
   }
 
+  #scheduleAbsences(now: number): void {
+    const crashes = this.#result.crashes.flat().length;
+    for (const absence of this.#traffic.absences ?? []) {
+      if (absence.behindCrash !== crashes) continue;
+      for (const gateway of absence.gateways) {
+        if (absence.how === "killed" || absence.how === "silent") {
+          this.#leaveAllOf(gateway, now);
+        }
+        this.#hosts.keepAway(gateway, absence, now);
+      }
+    }
+  }
+
+  /** With its gateway, a request loses its caller. */
+  #leaveAllOf(gateway: number, now: number): void {
+    for (const { running } of this.#servers) {
+      for (const request of running) {
+        if (request.gateway !== gateway || request.leavesAt <= now) continue;
+        request.leavesAt = now;
+        request.isGivenUp = true;
+        this.#repeat(request, now);
+      }
+    }
+  }
+
   #noteHeard({ incarnation, crashedAt }: CrashReport): void {
     const kind = this.#unheard.get(incarnation);
     if (kind === undefined) return;
@@ -312,15 +357,12 @@
     now: number,
     isComplete: boolean,
   ): void {
-    for (const { parts, begunAt } of requests) {
+    for (const { parts, begunAt, gateway } of requests) {
       const livedMilliseconds = now - begunAt;
       for (const part of parts) {
         const survival = { part, begunAt, livedMilliseconds, isComplete };
-        this.#hosts.reportSurvival(
-          survival,
-          now,
-          () => this.#noteSurvival(survival),
-        );
+        const onHeard = () => this.#noteSurvival(survival);
+        this.#hosts.reportSurvival(survival, { gateway, now, onHeard });
       }
     }
   }
--- a/packages/core/src/crashes/traffic_hosts_fixture.ts
+++ b/packages/core/src/crashes/traffic_hosts_fixture.ts
@@ -6,6 +6,7 @@
 import type { ClockReadings } from "./clock_readings.ts";
 import { CrashLedger } from "./crash_ledger.ts";
 import type { CrashReport } from "./crash_report.ts";
+import type { CrashTraffic } from "./crash_traffic.ts";
 import type { GivenUpRun } from "./given_up_run.ts";
 import { GivenUpRuns } from "./given_up_runs.ts";
 import { runDueEvents } from "./run_due_events_fixture.ts";
@@ -20,13 +21,19 @@
 const KEEPING_DELAY_MILLISECONDS = 60;
 /** From the news of a start until a server counts as replaced. */
 const REPLACED_MILLISECONDS = 700;
+/** From a gateway's start until it is in touch. */
+const PROPAGATION_MILLISECONDS = 3_000;
 /** Gateways are there long before the traffic. */
 const WATCHED_FROM = -60_000;
 /** Of the start of the traffic. */
 const UNIX_MILLISECONDS = 1_700_000_000_000;
+/** Until a control host drops a gateway of which it hears nothing. */
+const SILENCE_MILLISECONDS = 5_000;
 const LOST_SHARE = 0.05;
 const DOUBLED_SHARE = 0.1;
 
+type Absence = NonNullable<CrashTraffic["absences"]>[number];
+
 type Options = {
   gateways: number;
   random: () => number;
@@ -61,6 +68,8 @@
   /** What the log has. */
   #state = createEmptyControlState();
   #proposed = new Set<string>();
+  /** Gateways that are away, and until when. */
+  #awayUntil = new Map<number, number>();
 
   constructor(options: Options) {
     this.#options = options;
@@ -72,6 +81,61 @@
     for (const _ of this.#givenUp) this.#coverage.addWatcher(now, now);
   }
 
+  /** Whether a gateway takes requests. */
+  isPresent(gateway: number, now: number): boolean {
+    return (this.#awayUntil.get(gateway) ?? -Infinity) <= now;
+  }
+
+  /** Whether a gateway has been there for long. */
+  isInTouch(gateway: number, now: number): boolean {
+    const awayUntil = this.#awayUntil.get(gateway) ?? -Infinity;
+    return awayUntil + PROPAGATION_MILLISECONDS <= now;
+  }
+
+  /** A gateway is away for a while. */
+  keepAway(
+    gateway: number,
+    { milliseconds, how }: Pick<Absence, "milliseconds" | "how">,
+    now: number,
+  ): void {
+    const until = now + milliseconds;
+    if (how !== "moved") this.#awayUntil.set(gateway, until);
+    const ofGateway = (event: TrafficEvent) => event.gateway === gateway;
+    if (how === "frozen") {
+      for (const event of this.#deliveries.filter(ofGateway)) {
+        event.at = Math.max(event.at, until);
+      }
+    } else if (how !== "moved") {
+      this.#deliveries = this.#deliveries.filter((event) => !ofGateway(event));
+      this.#givenUp[gateway] = new GivenUpRuns();
+    }
+    const isDropped = how === "killed" || how === "moved";
+    const droppedAt = now + (isDropped ? 0 : SILENCE_MILLISECONDS);
+    const startedAt = how === "killed" || how === "silent"
+      ? until
+      : WATCHED_FROM;
+    if (droppedAt < until) {
+      this.#deliveries.push({
+        at: droppedAt,
+        run: (later) => this.#coverage.removeWatcher(later),
+      });
+      this.#deliveries.push({
+        at: until,
+        run: (later) => this.#coverage.addWatcher(startedAt, later),
+      });
+    } else if (how === "silent") {
+      // The new connection comes before the old one is dropped.
+      this.#deliveries.push({
+        at: until,
+        run: (later) => this.#coverage.addWatcher(startedAt, later),
+      });
+      this.#deliveries.push({
+        at: droppedAt,
+        run: (later) => this.#coverage.removeWatcher(later),
+      });
+    }
+  }
+
   /** Delivers what is due. Returns names of new blames. */
   step(now: number): string[] {
     this.#deliveries = runDueEvents(this.#deliveries, now);
@@ -100,17 +164,25 @@
       this.#reportLater(buildReport(request, incarnation, at), {
         provedAt,
         mayBeLost: request.kind === undefined,
+        gateway: request.gateway,
       });
     }
     this.#reportGivenUp(crash, { isSeen: interrupted.length > 0 });
   }
 
-  reportSurvival(survival: Survival, now: number, onHeard: () => void): void {
+  reportSurvival(
+    survival: Survival,
+    { gateway, now, onHeard }: {
+      gateway: number;
+      now: number;
+      onHeard: () => void;
+    },
+  ): void {
     this.#deliverLater(now, (later) => {
       this.#coverage.recordSurvival(later);
       this.ledger.recordSurvival(survival);
       onHeard();
-    });
+    }, gateway);
   }
 
   /** Hosts lose power, and control hosts start again with what the log has. */
@@ -155,7 +227,7 @@
   ): void {
     const incarnation = incarnationOf(announcement);
     if (this.#givenUp.every(({ size }) => size === 0)) return;
-    for (const runs of this.#givenUp) {
+    for (const [gateway, runs] of this.#givenUp.entries()) {
       const report = (
         given: GivenUpRun<TrafficRequest>[],
         endedAt: number,
@@ -163,7 +235,8 @@
       ) => {
         for (const { run } of given) {
           const heard = buildReport(run, incarnation, endedAt);
-          this.#reportLater(heard, { provedAt: now, mayBeLost: false });
+          const terms = { provedAt: now, mayBeLost: false, gateway };
+          this.#reportLater(heard, terms);
         }
       };
       if (isSeen) {
@@ -186,7 +259,11 @@
 
   #reportLater(
     report: CrashReport,
-    { provedAt, mayBeLost }: { provedAt: number; mayBeLost: boolean },
+    { provedAt, mayBeLost, gateway }: {
+      provedAt: number;
+      mayBeLost: boolean;
+      gateway: number;
+    },
   ): void {
     if (mayBeLost && this.#options.random() < LOST_SHARE) return;
     const copies = this.#options.random() < DOUBLED_SHARE ? 2 : 1;
@@ -194,7 +271,7 @@
       this.#deliverLater(provedAt, (later) => {
         this.ledger.recordReport(report, later);
         this.#options.onReport(report);
-      });
+      }, gateway);
     }
   }
 
@@ -217,9 +294,21 @@
     return least + this.#options.random() * (most - least);
   }
 
-  #deliverLater(now: number, run: TrafficEvent["run"]): void {
-    const at = now + this.#between(REPORT_DELAY_MILLISECONDS);
-    this.#deliveries.push({ at, run });
+  #deliverLater(
+    now: number,
+    run: TrafficEvent["run"],
+    gateway?: number,
+  ): void {
+    // A frozen gateway speaks once it goes on.
+    const from = gateway === undefined
+      ? now
+      : Math.max(now, this.#awayUntil.get(gateway) ?? -Infinity);
+    const at = from + this.#between(REPORT_DELAY_MILLISECONDS);
+    this.#deliveries.push({
+      at,
+      run,
+      ...(gateway !== undefined && { gateway }),
+    });
   }
 }
 
