Logs: what holds a blame back

Which guard holds a decision couldn't be told from weight and number of ends. crash-evidence says so from three known ends on: few-crashes, crowded, unwatched, enough.

--- a/packages/core/src/crashes/crash_ledger.ts
+++ b/packages/core/src/crashes/crash_ledger.ts
@@ -9,7 +9,7 @@
 import type { ClockReadings } from "./clock_readings.ts";
 import type { CrashRow } from "./crash_row.ts";
 import { findCulprit } from "./find_culprit.ts";
-import { isSufficient } from "./is_sufficient.ts";
+import { findHold } from "./find_hold.ts";
 import { LiftedBlames } from "./lifted_blames.ts";
 import { listUnkeptCrashes } from "./list_unkept_crashes.ts";
 import { listPartWatches } from "./list_part_watches.ts";
@@ -294,8 +294,11 @@
   }
 
   /** See `describeEvidence`. */
-  describeEvidence(options: { limit: number }): string[] {
-    return describeEvidence(this.#suspects.list(), options);
+  describeEvidence({ limit, now }: { limit: number; now: number }): string[] {
+    return describeEvidence(this.#suspects.list(), {
+      limit,
+      findHold: (suspect) => this.#findHold(suspect, now),
+    });
   }
 
   listBlames(): Blame[] {
@@ -330,21 +333,22 @@
       decidable: suspects.filter((suspect) =>
         (suspect.evidence.kind === "request" || isPartDecidable) &&
         ageOf(suspect) >= decisionDelayMilliseconds &&
-        this.#isSufficient(suspect, now) && !this.#blames.has(suspect.name)
+        this.#findHold(suspect, now) === undefined &&
+        !this.#blames.has(suspect.name)
       ),
       mayWait: (suspect) =>
         ageOf(suspect) < decisionDelayMilliseconds + AMBIGUITY_MILLISECONDS,
     });
   }
 
-  #isSufficient(suspect: Suspect, now: number): boolean {
+  #findHold(suspect: Suspect, now: number) {
     const { firstCrashAt } = suspect.evidence;
     const unexplainedCrashes = this.#suspects.listCrashesSince(firstCrashAt)
       .filter((incarnation) =>
         this.#blames.culpritOf(incarnation) === undefined
       ).length;
     const coveredSince = this.#options.coveredSince?.(now) ?? -Infinity;
-    return isSufficient(suspect, { unexplainedCrashes, coveredSince, now });
+    return findHold(suspect, { unexplainedCrashes, coveredSince, now });
   }
 
   /** An answer that has long run when its server crashes didn't crash it. */
--- a/packages/core/src/crashes/is_sufficient.ts
+++ b/packages/core/src/crashes/find_hold.ts
@@ -19,7 +19,13 @@
 };
 
 /**
- * Whether the crashes are enough to blame a suspect.
+ * What holds a suspect's blame back: too few crashes, answers or crashes beside
+ * it, or that nobody would have told yet of an answer that survives.
+ */
+type Hold = "few-crashes" | "crowded" | "unwatched";
+
+/**
+ * Why the crashes are not enough to blame a suspect; undefined if they are.
  *
  * For a part, more crashes are needed
  * - the more of its answers had been running for long at each crash, as these
@@ -32,17 +38,19 @@
  * be away. Without it, a part of all traffic
  * looks as guilty as the culprit while servers crash faster than answers survive.
  */
-export function isSufficient(
+export function findHold(
   { evidence }: Suspect,
   { unexplainedCrashes, coveredSince, now }: Options,
-): boolean {
+): Hold | undefined {
   const { kind, weight } = evidence;
-  if (kind === "request") return weight >= CRASHES_TO_BLAME;
+  if (weight < CRASHES_TO_BLAME) return "few-crashes";
+  if (kind === "request") return undefined;
   const share = evidence.summedWeight / unexplainedCrashes;
   const doubt = Math.max(1, CLEAR_SHARE / share);
   const needed = CRASHES_TO_BLAME * evidence.meanDistinctAnswers * doubt;
+  if (weight < needed) return "crowded";
   const { running } = evidence.survivalThresholds;
   const watchedFor = now - Math.max(evidence.watchedSince, coveredSince);
-  return weight >= needed &&
-    watchedFor >= running + SURVIVAL_NEWS_MILLISECONDS;
+  const isWatched = watchedFor >= running + SURVIVAL_NEWS_MILLISECONDS;
+  return isWatched ? undefined : "unwatched";
 }
--- a/packages/daemon/src/control/crash_attributor.ts
+++ b/packages/daemon/src/control/crash_attributor.ts
@@ -321,10 +321,11 @@
   }
 
   #logEvidence(): void {
-    if (this.#evidenceLines.take(1, monotonicMilliseconds()) === 0) return;
+    const now = monotonicMilliseconds();
+    if (this.#evidenceLines.take(1, now) === 0) return;
+    const limit = SUSPECTS_PER_LINE;
     this.#options.log.info("crash-evidence", {
-      suspects: this.#ledger.describeEvidence({ limit: SUSPECTS_PER_LINE })
-        .join(","),
+      suspects: this.#ledger.describeEvidence({ limit, now }).join(","),
     });
   }
 
