What comes late in a planned stop isn't passed on to be cut

What users of a system like ours saw: in a planned stop of one machine, in calm, requests that came late in the grace were passed on and cut at its end.

Cause: the bound of 3 s was asked when the head arrived, and had no margin. Now a gateway refuses from 2.5 s on, as not run, what has not been read whole by then; the port closes at 3 s as before.

--- a/packages/daemon/src/gateway/gateway_app.ts
+++ b/packages/daemon/src/gateway/gateway_app.ts
@@ -57,6 +57,12 @@
  * rest is a margin.
  */
 const BALANCER_NOTICE_MILLISECONDS = 3_000;
+/**
+ * How long it passes requests on: what is passed on later may outlast the grace
+ * time. The margin before the port closes is for requests on their way, and for a
+ * process that is slow to notice the signal.
+ */
+const PASS_ON_MILLISECONDS = 2_500;
 const DRAIN_POLL_MILLISECONDS = 50;
 /** The rest of the grace time is for answers. */
 const MAX_QUIET_WAIT_MILLISECONDS = 1_500;
@@ -273,7 +279,8 @@
 
   /**
    * Stops without cutting off answers. The readiness check fails first, so that
-   * the load balancer sends no more requests; then connections are closed after
+   * the load balancer sends no more requests; then requests are refused, and
+   * connections are closed after
    * their answers. Resolves after the last answer, or just before the process
    * would be killed.
    */
@@ -282,7 +289,9 @@
     const drainDeadline = monotonicMilliseconds() + grace_milliseconds -
       GRACE_MARGIN_MILLISECONDS;
     this.#isStopping = true;
-    await sleep(BALANCER_NOTICE_MILLISECONDS);
+    await sleep(PASS_ON_MILLISECONDS);
+    this.#server.refuseNew();
+    await sleep(BALANCER_NOTICE_MILLISECONDS - PASS_ON_MILLISECONDS);
     this.#options.log.info("port-closed", await this.#server.stopListening());
     this.#gatewayCount.leave();
     await waitUntilQuiet({
--- a/packages/daemon/src/gateway/gateway_call.ts
+++ b/packages/daemon/src/gateway/gateway_call.ts
@@ -8,6 +8,7 @@
 import type { AttemptOutcome } from "./attempt_outcome.ts";
 import { CallFinisher } from "./call_finisher.ts";
 import { CallInterruptions } from "./call_interruptions.ts";
+import type { CallRefusal } from "./call_refusal.ts";
 import { CallRouting } from "./call_routing.ts";
 import { CallSender } from "./call_sender.ts";
 import { CallTakeover } from "./call_takeover.ts";
@@ -24,6 +25,8 @@
   response: ServerResponse;
   /** Whether no request has arrived behind this one on its connection. */
   isLatest: () => boolean;
+  /** The refusal of what has not been read whole before a stop, once due. */
+  lateRefusal?: () => CallRefusal | undefined;
 };
 
 /** Handles one client request, from its head to the end of its answer. */
@@ -35,12 +38,14 @@
   #finisher: CallFinisher;
   #interruptions: CallInterruptions;
   #body: ReturnType<HeldBodies["open"]>;
+  #lateRefusal: () => CallRefusal | undefined;
 
   constructor(options: Options) {
     this.#context = options.context;
     this.#request = options.request;
     this.#body = options.context.heldBodies.open();
     this.#response = options.response;
+    this.#lateRefusal = options.lateRefusal ?? (() => undefined);
     this.#finisher = new CallFinisher(options);
     this.#interruptions = new CallInterruptions(options, this.#finisher);
   }
@@ -71,6 +76,8 @@
     });
     if (admitted.isErr) return this.#finisher.refuse(undefined, admitted.error);
     if (this.#finisher.isOver) return;
+    const refusal = this.#lateRefusal();
+    if (refusal !== undefined) return this.#finisher.refuse(undefined, refusal);
     const call = admitted.value;
     const isOver = () => this.#finisher.isOver;
     const sender = new CallSender(context, call);
--- a/packages/daemon/src/gateway/gateway_server.ts
+++ b/packages/daemon/src/gateway/gateway_server.ts
@@ -29,6 +29,11 @@
 const MAX_ACCEPT_MILLISECONDS = 1_500;
 /** Another gateway takes the request at once. */
 const STOP_RETRY_MILLISECONDS = 100;
+const LATE_REFUSAL = {
+  status: 503,
+  reason: "this gateway is about to stop",
+  retryAfterMilliseconds: STOP_RETRY_MILLISECONDS,
+};
 
 /** The client ended its side of the connection within a request. */
 const INPUT_ENDED_CODE = "HPE_INVALID_EOF_STATE";
@@ -92,11 +97,15 @@
   }
 
   /**
-   * Stops listening. Requests that arrive on open connections are refused from
-   * now on: the grace time that is left may be too short for an answer.
+   * Requests that arrive from now on are refused, as are those of which the rest
+   * arrives: the grace time that is left may be too short for an answer.
    */
-  stopListening(): ReturnType<typeof stopAccepting> {
+  refuseNew(): void {
     this.#isClosing = true;
+  }
+
+  stopListening(): ReturnType<typeof stopAccepting> {
+    this.refuseNew();
     const maxMilliseconds = MAX_ACCEPT_MILLISECONDS;
     return stopAccepting(this.#server, { maxMilliseconds });
   }
@@ -130,7 +139,8 @@
     const context = this.#context;
     if (context.isStopping()) response.shouldKeepAlive = false;
     const isLatest = () => answers.isLatest(response);
-    const options = { context, request, response, isLatest };
+    const lateRefusal = () => this.#isClosing ? LATE_REFUSAL : undefined;
+    const options = { context, request, response, isLatest, lateRefusal };
     if (this.#isClosing) return this.#refuseLate(options);
     const call = new GatewayCall(options);
     this.#calls.add(call);
@@ -140,11 +150,7 @@
   #refuseLate(
     options: ConstructorParameters<typeof CallFinisher>[0],
   ): void {
-    new CallFinisher(options).refuse(undefined, {
-      status: 503,
-      reason: "this gateway is about to stop",
-      retryAfterMilliseconds: STOP_RETRY_MILLISECONDS,
-    });
+    new CallFinisher(options).refuse(undefined, LATE_REFUSAL);
   }
 
   /**
