Answers without end, many at once, stay within an agent's bound

A report of another operator: a faulty worker's bytes without end were kept until the process that had called it ran out of memory.

All answers under way share 64 MiB (AnswerRoom); above, those that hold an equal share or more end as too large, so small ones beside them go on.

--- a/packages/daemon/src/agent/backend_call.ts
+++ b/packages/daemon/src/agent/backend_call.ts
@@ -1,3 +1,4 @@
+import type { AnswerRoom } from "@teaselrouter/core/answers/answer_room.ts";
 import type { RunRequest } from "@teaselrouter/messages/agent.ts";
 import { Agent, type IncomingMessage, request as send } from "node:http";
 import type { Buffer } from "node:buffer";
@@ -16,8 +17,6 @@
 
 const connections = new Agent({ keepAlive: false });
 const ASK_AGAIN_DELAY_MILLISECONDS = 50;
-/** An answer is kept whole until it is read; a larger one has no end in sight. */
-const MAX_ANSWER_BYTES = 33_554_432;
 
 type BackendCallResult =
   | { kind: "answered" }
@@ -40,6 +39,8 @@
   engine: EngineClient;
   request: RunRequest;
   exchange: Exchange;
+  /** For the answers of all calls, which are kept whole until they are read. */
+  room: AnswerRoom;
 };
 
 /** One call to the backend server on this host. */
@@ -49,6 +50,7 @@
   #engine: EngineClient;
   #request: RunRequest;
   #exchange: Exchange;
+  #room: AnswerRoom;
   #weightsEpoch: number;
   #version: string;
   /** Monotonic milliseconds. */
@@ -62,6 +64,7 @@
     this.#engine = options.engine;
     this.#request = options.request;
     this.#exchange = options.exchange;
+    this.#room = options.room;
     this.#weightsEpoch = state.weightsEpoch;
     this.#version = state.servingVersion;
     this.#deadlineAt = monotonicMilliseconds() +
@@ -167,15 +170,17 @@
   ): Promise<BackendCallResult> {
     return new Promise((resolve) => {
       let isTooLarge = false;
+      const place = this.#room.open();
       response.on("data", (bytes: Buffer) => {
         this.#exchange.append(bytes);
-        if (this.#exchange.bytes <= MAX_ANSWER_BYTES) return;
+        if (this.#room.tryGrow(place, bytes.length)) return;
         isTooLarge = true;
         answer.giveUp();
         response.destroy();
       });
       response.on("error", () => undefined);
       response.once("close", () => {
+        this.#room.release(place);
         const { end } = answer;
         if (end === "whole") return resolve(this.#finish());
         resolve({
--- a/packages/experiments/src/failures/endless_calls_test.ts
+++ b/packages/experiments/src/failures/endless_calls_test.ts
@@ -1,6 +1,7 @@
 import assert from "node:assert/strict";
 import { Buffer } from "node:buffer";
 import type { ServerResponse } from "node:http";
+import process from "node:process";
 import { test } from "node:test";
 import type { EntryFixture } from "./entry_fixture.ts";
 import { withEntryFixture } from "./with_entry_fixture.ts";
@@ -86,3 +87,34 @@
     );
   });
 }
+
+const CALLS = 32;
+const SAMPLE_MILLISECONDS = 10;
+/** What two hosts of the design have: the agent's and the entry host's. */
+const MAX_GROWTH_BYTES = 2 * 128 * 1_048_576;
+
+function usedBytes(): number {
+  const { heapUsed, external } = process.memoryUsage();
+  return heapUsed + external;
+}
+
+// Guards against a backend server that answers many calls at once with bytes
+// without end, and an agent that keeps them all.
+test("answers without end, many at once, stay within an agent's bound", async () => {
+  await withEntryFixture(
+    (_request, response) => void flood(response, () => response.write(PART)),
+    async (fixture) => {
+      const before = usedBytes();
+      let most = before;
+      const timer = setInterval(
+        () => most = Math.max(most, usedBytes()),
+        SAMPLE_MILLISECONDS,
+      );
+      await Promise.all(Array.from({ length: CALLS }, () => call(fixture)));
+      clearInterval(timer);
+      const growth = most - before;
+      console.log(`${CALLS} floods: ${Math.round(growth / 1_048_576)} MB`);
+      assert.ok(growth <= MAX_GROWTH_BYTES, `${growth} bytes`);
+    },
+  );
+});
