Listed: two harmful parts in one crowd; a test that shows it

By its kept logs bad2 is blamed 1.6 s behind the crowd for eight ends, which leave bad1's seven for nobody; the next crowd, 5.3 s later, ends eleven servers under it.

--- a/packages/core/src/crashes/part_bound_test.ts
+++ b/packages/core/src/crashes/part_bound_test.ts
@@ -164,6 +164,21 @@
   assert.deepEqual(findFaults(drawAll), []);
 });
 
+// Guards against one harmful part that takes the crashes of another off it, as the
+// requests of both end the same servers.
+test("two harmful parts are found though their crowds come together", () => {
+  const faults = findFaults((random) => {
+    const crowd = drawCrowds(random);
+    return {
+      harmful: [
+        { ...crowd, drawParts: () => ["first", HARMFUL] },
+        { ...crowd, drawParts: (drawn) => ["first", common(drawn), "worse"] },
+      ],
+    };
+  });
+  assert.deepEqual(faults, []);
+});
+
 /** Several of a rack at one moment, all, or one after the other. */
 function drawOutages(random: Random, servers: number) {
   return Array.from({ length: 5 }, (_, index) => {
