--- a/packages/daemon/src/control/crash_attributor.ts
+++ b/packages/daemon/src/control/crash_attributor.ts
@@ -1,5 +1,4 @@
 import { create } from "@bufbuild/protobuf";
-import { AnswerWatch } from "@teaselrouter/core/crashes/answer_watch.ts";
 import type { Blame } from "@teaselrouter/core/crashes/blame.ts";
 import { CrashLedger } from "@teaselrouter/core/crashes/crash_ledger.ts";
 import type { CrashRow } from "@teaselrouter/core/crashes/crash_row.ts";
@@ -7,9 +6,7 @@
 import type { SurvivalOutcome } from "@teaselrouter/core/crashes/survival_outcome.ts";
 import type { Survival } from "@teaselrouter/core/crashes/survival.ts";
 import { TrialPermits } from "@teaselrouter/core/crashes/trial_permits.ts";
-import { WatchCoverage } from "@teaselrouter/core/crashes/watch_coverage.ts";
 import type { BackendAnnouncement } from "@teaselrouter/core/membership/backend_announcement.ts";
-import { incarnationOf } from "@teaselrouter/core/membership/incarnation_of.ts";
 import { NewsRateLimiter } from "@teaselrouter/core/news/news_rate_limiter.ts";
 import {
   type CrashNews,
@@ -24,6 +21,7 @@
 import { decodeSurvival } from "../transport/decode_survival.ts";
 import { encodeSurvival } from "../transport/encode_survival.ts";
 import { monotonicMilliseconds } from "../transport/monotonic_milliseconds.ts";
+import { AnswerObserver } from "./answer_observer.ts";
 import { encodeReports } from "./encode_reports.ts";
 import { rememberLatest } from "./remember_latest.ts";
 import { SuspicionNews } from "./suspicion_news.ts";
@@ -52,15 +50,6 @@
   listServers?: () => BackendAnnouncement[];
 };
 
-/** A gateway that follows this host. */
-type GatewayWatcher = {
-  /** To be called with each message of it. */
-  hear: () => void;
-  recordSurvivals: (survivals: Survival[]) => void;
-  /** To be called when it no longer follows this host. */
-  leave: () => void;
-};
-
 type BlameSource = "decided" | "told" | "kept" | "narrowed";
 
 type Suspicion = { fingerprint: string; incarnations: string[] };
@@ -91,12 +80,11 @@
   /** Fingerprints cleared because the request completed successfully. */
   readonly cleared$ = new Subject<string>();
   #options: Options;
-  #coverage = new WatchCoverage();
-  #answers = new AnswerWatch();
+  #observer = new AnswerObserver();
   #ledger = new CrashLedger({
     decisionDelayMilliseconds: DECISION_DELAY_MILLISECONDS,
-    coveredSince: (now) => this.#coverage.since(now),
-    answers: this.#answers,
+    coveredSince: (now) => this.#observer.coverage.since(now),
+    answers: this.#observer.answers,
   });
   /** Fingerprints emitted as suspicions or restored; oldest first. */
   #persisted = new Set<string>();
@@ -130,28 +118,17 @@
    * To be called when a gateway begins to follow this host, with the time since
    * its process started.
    */
-  addWatcher(runningMilliseconds: number): GatewayWatcher {
-    const now = monotonicMilliseconds();
-    const startedAt = now - runningMilliseconds;
-    this.#coverage.addWatcher(startedAt, now);
-    const watcher = this.#answers.join(startedAt, now);
-    return {
-      hear: () => this.#answers.hear(watcher, monotonicMilliseconds()),
-      recordSurvivals: (survivals) => {
-        const heardAt = monotonicMilliseconds();
-        for (const { begunAt } of survivals) {
-          this.#answers.recordSurvival(watcher, begunAt, heardAt);
-        }
-      },
-      leave: () => {
-        this.#coverage.removeWatcher(monotonicMilliseconds());
-        this.#answers.leave(watcher);
-      },
-    };
+  addWatcher(
+    runningMilliseconds: number,
+  ): ReturnType<AnswerObserver["addWatcher"]> {
+    return this.#observer.addWatcher(runningMilliseconds);
   }
 
   /** Adds news from a gateway that follows this host. */
-  addLocalNews(news: CrashNews, watcher?: GatewayWatcher): void {
+  addLocalNews(
+    news: CrashNews,
+    watcher?: ReturnType<AnswerObserver["addWatcher"]>,
+  ): void {
     const added = this.#addReports(news);
     for (const { fingerprint } of added) this.#persistSuspicion(fingerprint);
     this.#queueReports(added);
@@ -258,7 +235,9 @@
     { areLocal }: { areLocal: boolean },
   ): Survival[] {
     const now = monotonicMilliseconds();
-    if (areLocal && survivals.length > 0) this.#coverage.recordSurvival(now);
+    if (areLocal && survivals.length > 0) {
+      this.#observer.coverage.recordSurvival(now);
+    }
     const decoded = survivals.map((message) => decodeSurvival(message, now));
     const passedOn: Survival[] = [];
     for (const survival of decoded) {
@@ -276,17 +255,10 @@
     return decoded;
   }
 
-  /** Records whether at least half of the servers that run models are there. */
   #observeServers(): void {
-    const { listServers = () => [] } = this.#options;
-    const there = listServers().filter(({ state }) => state !== "gone");
-    const engines = there.filter(({ models }) => models.length > 0);
-    const servers = engines.length > 0 ? engines : there;
-    const ended = servers
-      .filter((server) => this.#ledger.hasEnded(incarnationOf(server)));
-    this.#answers.recordServing(
-      2 * ended.length <= servers.length,
-      monotonicMilliseconds(),
+    this.#observer.observeServers(
+      this.#options.listServers?.() ?? [],
+      (incarnation) => this.#ledger.hasEnded(incarnation),
     );
   }
 
