--- a/acceptance/src/part_day.ts
+++ b/acceptance/src/part_day.ts
@@ -3,9 +3,8 @@
 import assert from "node:assert/strict";
 import { performance } from "node:perf_hooks";
 import { findPlayedRepeatFaults } from "./budget/find_played_repeat_faults.ts";
-import type { Absence } from "./callers/absence.ts";
 import type { CallerTerms } from "./callers/caller_terms.ts";
-import type { PowerLoss } from "./callers/power_loss.ts";
+import { HostTroubles } from "./callers/host_troubles.ts";
 import type { EndingTerms } from "./endings/ending_terms.ts";
 import { EndToEndSystem } from "./end_to_end_system.ts";
 import { freezeHost } from "./freeze_host.ts";
@@ -29,7 +28,6 @@
 const DISRUPTION_MILLISECONDS = { from: 5_000, spread: 4_000 };
 /** Gateways read no part of a prompt with any other id. */
 const PART_ID = /^[0-9a-z]{1,32}$/;
-const POLL_MILLISECONDS = 10;
 const RANDOM_CRASHES = 21;
 const MEAN_CRASH_INTERVAL_MILLISECONDS = 700;
 
@@ -49,8 +47,6 @@
   /** Gateways that are disrupted. */
   gateways: (system: EndToEndSystem) => string[];
 };
-/** `to` is Infinity until the disruption is over. */
-type ActiveDisruption = { from: number; to: number; gateways: string[] };
 
 /**
  * Simulates a day in 18 s, on loopback: distinct requests whose prompts contain
@@ -64,7 +60,7 @@
   #system: EndToEndSystem;
   #sent: Promise<Sent>[] = [];
   #sentCount = 0;
-  #disruptions: ActiveDisruption[] = [];
+  #troubles: HostTroubles;
   #callers: CallerTerms;
 
   constructor(seed: number, terms: EndingTerms & CallerTerms = {}) {
@@ -79,6 +75,9 @@
       slots: SLOTS,
       ...terms,
     });
+    this.#troubles = new HostTroubles(this.#system, {
+      milliseconds: DAY_MILLISECONDS,
+    });
   }
 
   async run(): Promise<PartDayResult> {
@@ -99,8 +98,8 @@
         }
       }
       await Promise.all([
-        this.#losePower(powerLosses),
-        this.#keepAway(absences),
+        this.#troubles.losePower(powerLosses),
+        this.#troubles.keepAway(absences),
         this.#makePartsHarmful(),
         this.#sendHarmless(),
         ...this.#mix.drawCrashing.map((_, part) => this.#sendCrashing(part)),
@@ -158,74 +157,10 @@
       DISRUPTION_MILLISECONDS.from +
         this.#random() * DISRUPTION_MILLISECONDS.spread,
     );
-    const active: ActiveDisruption = {
-      from: performance.now(),
-      to: Infinity,
-      gateways: gateways(this.#system),
-    };
-    this.#disruptions.push(active);
-    await inject(this.#system);
-    active.to = performance.now();
-  }
-
-  /** Hosts lose power, one time after the other. */
-  async #losePower(losses: PowerLoss[]): Promise<void> {
-    const { gatewayNames, controlNames, gatewayIps, cluster } = this.#system;
-    for (const loss of losses) {
-      await this.#awaitCrash(loss);
-      const { hosts } = loss;
-      // Without control hosts no gateway is in touch.
-      const active = {
-        from: performance.now(),
-        to: Infinity,
-        gateways: gatewayIps,
-      };
-      this.#disruptions.push(active);
-      if (hosts === "all") await this.#system.restartAll();
-      else {
-        await cluster.restart(
-          hosts === "control" ? controlNames : gatewayNames,
-        );
-      }
-      active.to = performance.now();
-    }
-  }
-
-  /** Gateways are away for a while, some at a time; requests come at the rest. */
-  async #keepAway(absences: Absence[]): Promise<void> {
-    const { gatewayNames, gatewayIps, cluster } = this.#system;
-    for (const absence of absences) {
-      await this.#awaitCrash(absence);
-      const { gateways, milliseconds, how } = absence;
-      const names = gatewayNames.slice(0, gateways);
-      const active = {
-        from: performance.now(),
-        to: Infinity,
-        gateways: gatewayIps.slice(0, gateways),
-      };
-      this.#disruptions.push(active);
-      if (how === "killed") {
-        await cluster.restart(names, { awayMilliseconds: milliseconds });
-      } else {
-        await Promise.all(
-          names.map((name) => freezeHost(this.#system, name, milliseconds)),
-        );
-      }
-      active.to = performance.now();
-    }
-  }
-
-  async #awaitCrash(
-    { behindCrash, delay }: { behindCrash: number; delay: number },
-  ): Promise<void> {
-    const until = performance.now() + DAY_MILLISECONDS;
-    const { engines } = this.#system;
-    const crashes = () =>
-      engines.reduce((sum, { crashCount }) => sum + crashCount, 0);
-    while (crashes() < behindCrash && performance.now() < until) {
-      await sleep(POLL_MILLISECONDS);
-    }
-    await sleep(delay);
+    await this.#troubles.disrupt(
+      gateways(this.#system),
+      () => inject(this.#system),
+    );
   }
 
   /** Waits also for what is sent again meanwhile. */
@@ -374,7 +309,7 @@
     const harmless = sent.filter(({ part }) => part === undefined);
     const judged = harmless.filter(({ at, gateway }) =>
       at > lastDecisive + 2 * PROPAGATION_MILLISECONDS &&
-      !this.#isDisrupted(gateway, at)
+      !this.#troubles.isDisrupted(gateway, at)
     );
     const result = {
       seed: this.#seed,
@@ -385,7 +320,7 @@
         const from = decisiveCrashOf(history.crashes) +
           PROPAGATION_MILLISECONDS;
         return history.arrivals.filter(({ at, gateway }) =>
-          at > from && !this.#isDisrupted(gateway, at)
+          at > from && !this.#troubles.isDisrupted(gateway, at)
         ).length;
       }),
       stoppedAfterMilliseconds: histories.map((history) =>
@@ -415,14 +350,6 @@
       ],
     };
   }
-
-  /** Whether the gateway was disrupted at some time in the 3 s before `at`. */
-  #isDisrupted(gateway: string, at: number): boolean {
-    return this.#disruptions.some(({ from, to, gateways }) =>
-      gateways.includes(gateway) && at > from &&
-      at < to + PROPAGATION_MILLISECONDS
-    );
-  }
 }
 
 /** When the fifth crash was, or the last of fewer; Infinity without any. */
