--- a/packages/core/src/crashes/answer_watch.ts
+++ b/packages/core/src/crashes/answer_watch.ts
@@ -15,16 +15,17 @@
 type Watcher = { since: number; heardAt: number };
 
 /**
- * Tells since when at least one host sees answers while servers give them: most
- * are there, or some answer survives. Load pattern: hosts are killed, freeze or lose power without a word, or
- * most servers are gone, and no answer that survives is heard of.
+ * Measures how long at least one host has seen answers while servers gave them:
+ * most are there, or some answer survives. Load pattern: hosts are killed, freeze
+ * or lose power without a word, or most servers are gone, and no answer that
+ * survives is heard of.
  */
 export class AnswerWatch {
   #watchers = new Set<Watcher>();
   #isServing = true;
   /** While most servers are gone: until when some are known to answer. */
   #answeredUntil = -Infinity;
-  /** When nobody could answer; `to` is Infinity while nobody can. */
+  /** When nobody could answer, oldest first; `to` is Infinity while nobody can. */
   #pauses: { from: number; to: number }[] = [];
 
   /** `startedAt` is when the host's process started, monotonic milliseconds. */
--- a/packages/core/src/crashes/find_hold.ts
+++ b/packages/core/src/crashes/find_hold.ts
@@ -35,8 +35,8 @@
  * A part is also given the time in which an answer that started after its first
  * crash would have survived and been reported, counted from when answers are
  * watched: the proof of a crash may take seconds, and hosts that see answers may
- * be away. Without it, a part of all traffic
- * looks as guilty as the culprit while servers crash faster than answers survive.
+ * be away. Without it, a part of all traffic looks as guilty as the culprit while
+ * servers crash faster than answers survive.
  * `isOverdue` bounds how long any of this holds a blame back.
  */
 export function findHold(
