Names that stood for two things, and a constant that stood twice

AnswerWatch is the watch of one HTTP answer already: what sees answers is AnswerVisibility. Room is slots and a place a region already: an agent's bound is AnswerMemory. SURVIVAL_NEWS_MILLISECONDS has a file of its own. Three comments that had to be read twice are rewritten.

--- a/packages/core/src/crashes/answer_watch.ts
+++ b/packages/core/src/crashes/answer_visibility.ts
@@ -15,12 +15,13 @@
 type Watcher = { since: number; heardAt: number };
 
 /**
- * Measures how long at least one host has seen answers while servers gave them:
- * most are there, or some answer survives. Load pattern: hosts are killed, freeze
- * or lose power without a word, or most servers are gone, and no answer that
- * survives is heard of.
+ * Measures for how long an answer that survives would have been seen: at least
+ * one host that sees answers is there, and either most servers are, or some
+ * answer has just survived. Load pattern: hosts are killed, freeze or lose power
+ * without a word, or most servers are gone, and no answer that survives is heard
+ * of.
  */
-export class AnswerWatch {
+export class AnswerVisibility {
   #watchers = new Set<Watcher>();
   #isServing = true;
   /** While most servers are gone: until when some are known to answer. */
--- a/packages/core/src/crashes/answer_watch_test.ts
+++ b/packages/core/src/crashes/answer_visibility_test.ts
@@ -1,13 +1,13 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { AnswerWatch } from "./answer_watch.ts";
+import { AnswerVisibility } from "./answer_visibility.ts";
 
 const LONG_AGO = -60_000;
 
 // Guards against a harmful part that goes on crashing servers while most of the
 // hosts that see answers are away.
 test("one host that is there sees answers", () => {
-  const answers = new AnswerWatch();
+  const answers = new AnswerVisibility();
   const watchers = [0, 1, 2, 3].map(() => answers.join(LONG_AGO, 0));
   for (const watcher of watchers.slice(1)) answers.leave(watcher);
   answers.hear(watchers[0]!, 1_900);
@@ -18,7 +18,7 @@
 // Guards against blaming what all requests share, as nobody is there to tell of
 // answers that survive.
 test("hosts that are gone, silent or new see no answers", () => {
-  const answers = new AnswerWatch();
+  const answers = new AnswerVisibility();
   assert.ok(answers.measure(0, 5_000).untilNow < 0, "none");
   const watcher = answers.join(LONG_AGO, 0);
   assert.ok(answers.measure(0, 2_100).untilNow < 0, "silent for 2.1 s");
@@ -31,7 +31,7 @@
 
 // Guards against a host that is believed to see answers behind its last word.
 test("what a host has seen is known until its last word", () => {
-  const answers = new AnswerWatch();
+  const answers = new AnswerVisibility();
   const watcher = answers.join(LONG_AGO, 0);
   answers.hear(watcher, 1_200);
   assert.equal(answers.measure(1_000, 3_000).untilHeard, 200);
@@ -40,7 +40,7 @@
 // Guards against blaming what all requests share while no server can answer, and
 // against a guard that begins anew each time.
 test("time in which nobody can answer doesn't count, and the rest is kept", () => {
-  const answers = new AnswerWatch();
+  const answers = new AnswerVisibility();
   const watcher = answers.join(LONG_AGO, 0);
   const measure = (now: number) => {
     answers.hear(watcher, now);
--- a/packages/core/src/crashes/crash_ledger.ts
+++ b/packages/core/src/crashes/crash_ledger.ts
@@ -1,4 +1,4 @@
-import type { AnswerWatch } from "./answer_watch.ts";
+import type { AnswerVisibility } from "./answer_visibility.ts";
 import type { Blame } from "./blame.ts";
 import { BlameGate } from "./blame_gate.ts";
 import { BlameTable } from "./blame_table.ts";
@@ -52,7 +52,7 @@
    */
   coveredSince?: (now: number) => number;
   /** Whether answers are seen at all; by default they are. */
-  answers?: AnswerWatch;
+  answers?: AnswerVisibility;
 };
 
 /**
--- a/packages/core/src/crashes/crash_traffic.ts
+++ b/packages/core/src/crashes/crash_traffic.ts
@@ -5,7 +5,7 @@
 type HarmfulKind = {
   perSecond: number;
   drawParts: DrawParts;
-  /** They come so many at once, so long after each other; by default alone. */
+  /** How many come at once, and the time from one crowd to the next. */
   crowd?: { size: number; gap: Range };
   /** Whether all are one request that is sent again; its parts do no harm. */
   isRepeated?: boolean;
--- a/packages/core/src/crashes/find_hold.ts
+++ b/packages/core/src/crashes/find_hold.ts
@@ -1,4 +1,5 @@
 import { CRASHES_TO_BLAME } from "./crashes_to_blame.ts";
+import { SURVIVAL_NEWS_MILLISECONDS } from "./survival_news_milliseconds.ts";
 import type { Suspect } from "./suspect.ts";
 
 /**
@@ -6,8 +7,6 @@
  * common part is a bystander at many.
  */
 const CLEAR_SHARE = 0.75;
-/** Until news of an answer that has survived has come from any host. */
-const SURVIVAL_NEWS_MILLISECONDS = 300;
 
 type Options = {
   /** Crashes since the suspect's first that no blame explains. */
--- a/packages/core/src/crashes/is_overdue.ts
+++ b/packages/core/src/crashes/is_overdue.ts
@@ -1,14 +1,13 @@
-import type { AnswerWatch } from "./answer_watch.ts";
+import type { AnswerVisibility } from "./answer_visibility.ts";
+import { SURVIVAL_NEWS_MILLISECONDS } from "./survival_news_milliseconds.ts";
 import type { Suspect } from "./suspect.ts";
 
 /** Until an answer has begun on what a common part is in. */
 const NEXT_ANSWER_MILLISECONDS = 1_200;
-/** Until news of an answer that has survived has come from any host. */
-const SURVIVAL_NEWS_MILLISECONDS = 300;
 
 type Options = {
-  /** Absent where the host's own answers are all that count. */
-  answers: AnswerWatch | undefined;
+  /** Absent at a host that judges by its own answers alone. */
+  answers: AnswerVisibility | undefined;
   /** Monotonic milliseconds. */
   now: number;
 };
--- a/packages/core/src/crashes/part_evidence_test.ts
+++ b/packages/core/src/crashes/part_evidence_test.ts
@@ -1,6 +1,6 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { AnswerWatch } from "./answer_watch.ts";
+import { AnswerVisibility } from "./answer_visibility.ts";
 import { CrashLedger } from "./crash_ledger.ts";
 
 const HARMFUL = "bad";
@@ -259,7 +259,7 @@
 // Guards against blaming what all requests share when all servers fail at once:
 // nobody is left to answer.
 test("crashes of one moment blame no part while nobody can answer", () => {
-  const answers = new AnswerWatch();
+  const answers = new AnswerVisibility();
   const watcher = answers.join(-60_000, 0);
   const ledger = new CrashLedger({ decisionDelayMilliseconds: 120, answers });
   failRack(ledger);
--- a/packages/core/src/crashes/traffic_hosts_fixture.ts
+++ b/packages/core/src/crashes/traffic_hosts_fixture.ts
@@ -2,7 +2,7 @@
 import { incarnationOf } from "../membership/incarnation_of.ts";
 import { createEmptyControlState } from "../state/create_empty_control_state.ts";
 import { applyCrash } from "./apply_crash.ts";
-import { AnswerWatch } from "./answer_watch.ts";
+import { AnswerVisibility } from "./answer_visibility.ts";
 import type { Blame } from "./blame.ts";
 import type { ClockReadings } from "./clock_readings.ts";
 import { CrashLedger } from "./crash_ledger.ts";
@@ -62,8 +62,8 @@
 export class TrafficHosts {
   #options: Options;
   #coverage = new WatchCoverage();
-  #answers = new AnswerWatch();
-  #watchers = new Map<number, ReturnType<AnswerWatch["join"]>>();
+  #answers = new AnswerVisibility();
+  #watchers = new Map<number, ReturnType<AnswerVisibility["join"]>>();
   /** The latest start of each server that control hosts know. */
   #starts = new Map<string, BackendAnnouncement>();
   ledger = this.#createLedger();
@@ -93,7 +93,7 @@
     this.#watchers.set(gateway, this.#answers.join(startedAt, now));
   }
 
-  #leave(watcher: ReturnType<AnswerWatch["join"]>, now: number): void {
+  #leave(watcher: ReturnType<AnswerVisibility["join"]>, now: number): void {
     this.#coverage.removeWatcher(now);
     this.#answers.leave(watcher);
   }
--- a/packages/daemon/src/agent/backend_call.ts
+++ b/packages/daemon/src/agent/backend_call.ts
@@ -1,4 +1,4 @@
-import type { AnswerRoom } from "@teaselrouter/core/answers/answer_room.ts";
+import type { AnswerMemory } from "@teaselrouter/core/answers/answer_memory.ts";
 import type { RunRequest } from "@teaselrouter/messages/agent.ts";
 import { Agent, type IncomingMessage, request as send } from "node:http";
 import type { Buffer } from "node:buffer";
@@ -40,7 +40,7 @@
   request: RunRequest;
   exchange: Exchange;
   /** For the answers of all calls, which are kept whole until they are read. */
-  room: AnswerRoom;
+  memory: AnswerMemory;
 };
 
 /** One call to the backend server on this host. */
@@ -50,7 +50,7 @@
   #engine: EngineClient;
   #request: RunRequest;
   #exchange: Exchange;
-  #room: AnswerRoom;
+  #memory: AnswerMemory;
   #weightsEpoch: number;
   #version: string;
   /** Monotonic milliseconds. */
@@ -64,7 +64,7 @@
     this.#engine = options.engine;
     this.#request = options.request;
     this.#exchange = options.exchange;
-    this.#room = options.room;
+    this.#memory = options.memory;
     this.#weightsEpoch = state.weightsEpoch;
     this.#version = state.servingVersion;
     this.#deadlineAt = monotonicMilliseconds() +
@@ -170,17 +170,17 @@
   ): Promise<BackendCallResult> {
     return new Promise((resolve) => {
       let isTooLarge = false;
-      const place = this.#room.open();
+      const kept = this.#memory.open();
       response.on("data", (bytes: Buffer) => {
         this.#exchange.append(bytes);
-        if (this.#room.tryGrow(place, bytes.length)) return;
+        if (this.#memory.tryGrow(kept, bytes.length)) return;
         isTooLarge = true;
         answer.giveUp();
         response.destroy();
       });
       response.on("error", () => undefined);
       response.once("close", () => {
-        this.#room.release(place);
+        this.#memory.release(kept);
         const { end } = answer;
         if (end === "whole") return resolve(this.#finish());
         resolve({
--- a/packages/daemon/src/agent/backend_call_test.ts
+++ b/packages/daemon/src/agent/backend_call_test.ts
@@ -1,4 +1,4 @@
-import { AnswerRoom } from "@teaselrouter/core/answers/answer_room.ts";
+import { AnswerMemory } from "@teaselrouter/core/answers/answer_memory.ts";
 import { create } from "@bufbuild/protobuf";
 import { RunRequestSchema } from "@teaselrouter/messages/agent.ts";
 import assert from "node:assert/strict";
@@ -36,7 +36,7 @@
   const exchange = new Exchange("one", true);
   try {
     const result = await new BackendCall({
-      room: new AnswerRoom(),
+      memory: new AnswerMemory(),
       state,
       limit: new BackendRateLimiter(),
       engine: undefined as unknown as EngineClient,
--- a/packages/daemon/src/agent/call_runner.ts
+++ b/packages/daemon/src/agent/call_runner.ts
@@ -1,4 +1,4 @@
-import { AnswerRoom } from "@teaselrouter/core/answers/answer_room.ts";
+import { AnswerMemory } from "@teaselrouter/core/answers/answer_memory.ts";
 import { AgentClaims } from "@teaselrouter/core/claims/agent_claims.ts";
 import { queueRetryAfterMilliseconds } from "@teaselrouter/core/routing/queue_retry_after_milliseconds.ts";
 import { ServiceTimeEstimate } from "@teaselrouter/core/routing/service_time_estimate.ts";
@@ -47,7 +47,7 @@
   #incarnations: BackendIncarnations;
   #limit = new BackendRateLimiter();
   #exchanges = new Map<string, Exchange>();
-  #room = new AnswerRoom();
+  #memory = new AnswerMemory();
   #running = 0;
   #queue: QueuedCall[] = [];
   #serviceTime = new ServiceTimeEstimate();
@@ -210,7 +210,7 @@
     const sentAt = monotonicMilliseconds();
     const backend = this.#state.backend!;
     const call = new BackendCall({
-      room: this.#room,
+      memory: this.#memory,
       state: this.#state,
       engine: this.#engine,
       limit: this.#limit,
--- a/packages/daemon/src/control/answer_observer.ts
+++ b/packages/daemon/src/control/answer_observer.ts
@@ -1,4 +1,4 @@
-import { AnswerWatch } from "@teaselrouter/core/crashes/answer_watch.ts";
+import { AnswerVisibility } from "@teaselrouter/core/crashes/answer_visibility.ts";
 import type { Survival } from "@teaselrouter/core/crashes/survival.ts";
 import { WatchCoverage } from "@teaselrouter/core/crashes/watch_coverage.ts";
 import type { BackendAnnouncement } from "@teaselrouter/core/membership/backend_announcement.ts";
@@ -17,7 +17,7 @@
 /** Observes which gateways see answers, and which backend servers give them. */
 export class AnswerObserver {
   readonly coverage = new WatchCoverage();
-  readonly answers = new AnswerWatch();
+  readonly answers = new AnswerVisibility();
 
   /** `runningMilliseconds` is the time since the gateway's process started. */
   addWatcher(runningMilliseconds: number): GatewayWatcher {
