Parts of prompts are judged by good ends, core

Cause: who is at fault was decided by when an answer's head had come and by how long answers had lived. A harmful run need not show a head, and an end need not follow within the time that passed for a survival. Class: a decision that rests on a moment that the culprit need not show.

Change: judgePart asks how likely a part that harms nobody would be at so many ends and at no good end. Guards of the former decision go with it: visibility, coverage, overdue, weights by younger answers, survival thresholds. An end that is laid to one part still counts against another in other requests.

--- a/packages/core/src/crashes/crash_evidence.ts
+++ b/packages/core/src/crashes/crash_evidence.ts
@@ -1,28 +1,17 @@
-import { countPartCrashes } from "./count_part_crashes.ts";
-import { countOlderAnswers } from "./count_older_answers.ts";
 import { countRequestCrashes } from "./count_request_crashes.ts";
 import type { CrashReport } from "./crash_report.ts";
 import { CRASHES_TO_BLAME } from "./crashes_to_blame.ts";
-import { findSurvivalThresholds } from "./find_survival_thresholds.ts";
 import type { CrashScene } from "./crash_scene.ts";
 import type { ObservedCrash } from "./observed_crash.ts";
 import { isSimilarCrash } from "./is_similar_crash.ts";
-import type { Survival } from "./survival.ts";
-import type { SurvivalThresholds } from "./survival_thresholds.ts";
-import { BYSTANDER_WEIGHT } from "./bystander_weight.ts";
-import { weighPartCrash } from "./weigh_part_crash.ts";
 
 /**
  * Stands in for `begunMilliseconds` where no answer had started, so that such
  * suspects rank after those whose answers had started.
  */
 const UNSTARTED_ANSWER_MILLISECONDS = 60_000;
-/** Reports of crashes that the port showed take no longer. */
-const PROMPT_REPORT_MILLISECONDS = 150;
 /** Enough to tell which suspects stand for the same request at a crash. */
 const MAX_REQUESTS_PER_CRASH = 64;
-/** From so many crashes on, guards against a wrong blame of a part have a bound. */
-const MANY_CRASHES = 5;
 /** The oldest are forgotten; a blame takes a few. */
 const MAX_CRASHES = 64;
 
@@ -41,8 +30,8 @@
   /** When the latest new crash was reported, monotonic milliseconds. */
   lastReportedAt = -Infinity;
   #sufficientSince: number | undefined;
-  /** An answer that started then has survived; earlier crashes don't count. */
-  #survivedAt = -Infinity;
+  /** A request sent then came to its good end; earlier crashes don't count. */
+  #goodAt = -Infinity;
 
   constructor(kind: "request" | "part") {
     this.kind = kind;
@@ -52,7 +41,7 @@
   add(report: CrashReport, scene: CrashScene, now: number): boolean {
     const { fingerprint, incarnation, begunMilliseconds } = report;
     const { isGivenUp = false } = report;
-    if (scene.at <= this.#survivedAt) return false;
+    if (scene.at <= this.#goodAt) return false;
     const known = this.#crashes.get(incarnation);
     if (known !== undefined) {
       this.#addRequest(known, report);
@@ -62,6 +51,7 @@
     this.#crashes.set(incarnation, {
       scene,
       begunMilliseconds,
+      sentMilliseconds: listKnown(report),
       isGivenUp,
       requests: new Set([fingerprint]),
     });
@@ -92,24 +82,13 @@
   }
 
   /**
-   * Whether an answer shows that a part didn't crash what ran it when the
-   * answer started.
+   * Drops crashes before a request was sent that came to a good end. Returns
+   * whether there were any.
    */
-  isSurvival({ livedMilliseconds, isComplete }: Survival): boolean {
-    const { complete, running } = this.survivalThresholds;
-    return isComplete
-      ? livedMilliseconds > complete
-      : livedMilliseconds >= running;
-  }
-
-  /**
-   * Drops crashes before an answer that has survived. Returns whether there
-   * were any.
-   */
-  clearBefore(begunAt: number): boolean {
-    this.#survivedAt = Math.max(this.#survivedAt, begunAt);
+  clearBefore(sentAt: number): boolean {
+    this.#goodAt = Math.max(this.#goodAt, sentAt);
     const before = [...this.#crashes].filter(([, { scene }]) =>
-      scene.at <= begunAt
+      scene.at <= sentAt
     );
     for (const [incarnation] of before) {
       this.#crashes.delete(incarnation);
@@ -120,13 +99,19 @@
   }
 
   /**
-   * Since when the crashes are enough for a blame, monotonic milliseconds;
-   * undefined if they are not.
+   * Since when there is enough for a blame, monotonic milliseconds; undefined if
+   * there is not. For a part `judge` says so.
    */
   get sufficientSince(): number | undefined {
     return this.#sufficientSince;
   }
 
+  /** Records whether there is enough to blame a part. */
+  judge(isGuilty: boolean, now: number): void {
+    if (!isGuilty) this.#sufficientSince = undefined;
+    else this.#sufficientSince ??= now;
+  }
+
   /** Number of its crashes, also of those that don't count. */
   get knownCrashes(): number {
     return this.#crashes.size;
@@ -157,25 +142,15 @@
     });
   }
 
+  /** Number of the crashes that count; for a request, those in doubt by less. */
   get weight(): number {
-    return this.weightOf(this.incarnations);
+    const crashes = this.#counted;
+    return this.kind === "part" ? crashes.length : countRequestCrashes(crashes);
   }
 
-  /** Weight of some of the crashes. */
-  weightOf(incarnations: string[]): number {
-    const crashes = incarnations
-      .map((incarnation) => this.#crashes.get(incarnation)!);
-    return this.kind === "part"
-      ? countPartCrashes(crashes)
-      : countRequestCrashes(crashes);
-  }
-
-  /** Weight of the crashes that count, or may count again. */
-  get watchedWeight(): number {
-    const crashes = this.#watched;
-    return this.kind === "part"
-      ? countPartCrashes(crashes)
-      : countRequestCrashes(crashes);
+  /** Number of the crashes that count, or may count again. */
+  get watchedCrashes(): number {
+    return this.#watched.length;
   }
 
   /** When the first of these crashes was, monotonic milliseconds. */
@@ -183,12 +158,11 @@
     return Math.min(...this.#watched.map(({ scene }) => scene.at));
   }
 
-  /** Sum of the weights that its crashes have one by one, of a part. */
-  get summedWeight(): number {
-    return this.#counted.reduce(
-      (sum, crash) => sum + weighPartCrash(crash),
-      0,
-    );
+  /** Incarnations whose crashes others explain alone. */
+  get explained(): string[] {
+    const counted = new Set(this.incarnations);
+    return [...this.#crashes.keys()]
+      .filter((incarnation) => !counted.has(incarnation));
   }
 
   /** Mean time from the start of the suspect's answer to the crash. */
@@ -202,44 +176,31 @@
     return sum / Math.max(1, counted.length);
   }
 
-  /**
-   * Mean number of the suspect's answers by crash, without those that may have
-   * started too late to crash the backend server themselves: all but one have
-   * survived until then.
-   */
-  get meanDistinctAnswers(): number {
+  /** Mean number of the suspect's requests by crash. */
+  get meanRequests(): number {
     const counted = this.#counted;
-    const sum = counted.reduce(
-      (total, crash) => total + 1 + countOlderAnswers(crash),
-      0,
-    );
+    const sum = counted.reduce((total, { requests }) =>
+      total + requests.size, 0);
     return sum / Math.max(1, counted.length);
   }
 
+  /** Mean time from sending a request to the crash, 0 if none is known. */
+  get meanMillisecondsFromSending(): number {
+    const times = this.#counted
+      .flatMap(({ sentMilliseconds }) => sentMilliseconds);
+    return times.reduce((sum, time) => sum + time, 0) /
+      Math.max(1, times.length);
+  }
+
   /** When the first of the crashes was, monotonic milliseconds. */
   get firstCrashAt(): number {
     return Math.min(...this.#counted.map(({ scene }) => scene.at));
   }
 
-  /**
-   * Since when answers are watched for one that outlives the crashes, monotonic
-   * milliseconds: from the first crash on, or from its proof, if that came late.
-   */
-  get watchedSince(): number {
-    return Math.min(...this.#counted.map(knownInTime));
-  }
-
-  /**
-   * Since when the crashes are many, at each of which an answer on it had just
-   * begun, monotonic milliseconds; Infinity if they aren't.
-   */
-  get manySince(): number {
-    if (this.kind === "request") return Infinity;
-    const times = this.#counted
-      .filter((crash) => weighPartCrash(crash) > BYSTANDER_WEIGHT)
-      .map(knownInTime)
-      .sort((left, right) => left - right);
-    return times[MANY_CRASHES - 1] ?? Infinity;
+  /** When the nth of the crashes was, monotonic milliseconds. */
+  crashAt(ordinal: number): number | undefined {
+    return this.#counted.map(({ scene }) => scene.at)
+      .sort((left, right) => left - right)[ordinal - 1];
   }
 
   /** When the latest of the crashes was, monotonic milliseconds. */
@@ -247,10 +208,6 @@
     return Math.max(...this.#counted.map(({ scene }) => scene.at));
   }
 
-  get survivalThresholds(): SurvivalThresholds {
-    return findSurvivalThresholds([...this.#crashes.values()]);
-  }
-
   /** Crashes for which answers are watched: also those that may count again. */
   get #watched(): ObservedCrash[] {
     return [...this.#crashes]
@@ -282,13 +239,13 @@
     this.#attributedElsewhere.delete(oldest);
   }
 
-  #addRequest(
-    crash: ObservedCrash,
-    { fingerprint, begunMilliseconds, isGivenUp = false }: CrashReport,
-  ): void {
+  #addRequest(crash: ObservedCrash, report: CrashReport): void {
+    const { fingerprint, begunMilliseconds, isGivenUp = false } = report;
     crash.isGivenUp &&= isGivenUp;
-    if (crash.requests.size < MAX_REQUESTS_PER_CRASH) {
+    const isNew = !crash.requests.has(fingerprint);
+    if (isNew && crash.requests.size < MAX_REQUESTS_PER_CRASH) {
       crash.requests.add(fingerprint);
+      crash.sentMilliseconds.push(...listKnown(report));
     }
     if (begunMilliseconds === undefined) return;
     crash.begunMilliseconds = Math.min(
@@ -298,12 +255,14 @@
   }
 
   #updateSufficiency(now: number): void {
-    if (this.weight < CRASHES_TO_BLAME) this.#sufficientSince = undefined;
-    else this.#sufficientSince ??= now;
+    if (this.kind === "part") return;
+    this.judge(this.weight >= CRASHES_TO_BLAME, now);
   }
 }
 
-/** When a crash was, or its proof, if that came late; monotonic milliseconds. */
-function knownInTime({ scene: { at, knownAt } }: ObservedCrash): number {
-  return Math.max(at, knownAt - PROMPT_REPORT_MILLISECONDS);
+function listKnown(
+  { sentMilliseconds, begunMilliseconds }: CrashReport,
+): number[] {
+  const known = sentMilliseconds ?? begunMilliseconds;
+  return known === undefined ? [] : [known];
 }
--- a/packages/core/src/crashes/crash_ledger.ts
+++ b/packages/core/src/crashes/crash_ledger.ts
@@ -1,4 +1,3 @@
-import type { AnswerVisibility } from "./answer_visibility.ts";
 import type { Blame } from "./blame.ts";
 import { BlameGate } from "./blame_gate.ts";
 import { BlameTable } from "./blame_table.ts";
@@ -10,25 +9,30 @@
 import type { ClockReadings } from "./clock_readings.ts";
 import type { CrashRow } from "./crash_row.ts";
 import { findCulprit } from "./find_culprit.ts";
-import { findHold } from "./find_hold.ts";
-import { isOverdue } from "./is_overdue.ts";
+import type { GoodEnd } from "./good_end.ts";
+import type { GoodEndNews } from "./good_end_news.ts";
+import type { GoodEndOutcome } from "./good_end_outcome.ts";
+import { GoodEndTally } from "./good_end_tally.ts";
+import { judgePart } from "./judge_part.ts";
 import { LiftedBlames } from "./lifted_blames.ts";
 import { listUnkeptCrashes } from "./list_unkept_crashes.ts";
 import { listPartWatches } from "./list_part_watches.ts";
 import { nameParts } from "./name_parts.ts";
 import { parsePartNames } from "./parse_part_names.ts";
 import { reportsFromRow } from "./reports_from_row.ts";
+import type { PartVerdict } from "./part_verdict.ts";
 import type { PartWatch } from "./part_watch.ts";
 import type { Suspect } from "./suspect.ts";
 import { SuspectTable } from "./suspect_table.ts";
-import type { Survival } from "./survival.ts";
-import type { SurvivalOutcome } from "./survival_outcome.ts";
 
 /**
  * How much longer than the decision delay indistinguishable suspects wait for
  * another crash or a surviving answer.
  */
 const AMBIGUITY_MILLISECONDS = 280;
+/** Good ends for a decision have come by then, or won't come. */
+const PENDING_MILLISECONDS = 60_000;
+
 type Options = {
   /**
    * A suspect is blamed only once this long has passed since its crashes became
@@ -46,13 +50,6 @@
    * answers leaves that to hosts that hear of all. By default, it may.
    */
   mayBlameParts?: () => boolean;
-  /**
-   * Since when most answers are watched for those that survive, monotonic
-   * milliseconds; by default always.
-   */
-  coveredSince?: (now: number) => number;
-  /** Whether answers are seen at all; by default they are. */
-  answers?: AnswerVisibility;
 };
 
 /**
@@ -68,14 +65,17 @@
  * - a crash attributed to one culprit is not evidence against any other;
  * - of the suspects, `findCulprit` chooses;
  * - a request that completes successfully is no longer suspected;
- * - an answer that survives clears the parts of its prompt of the crashes before
- *   it started, but not of later ones: a part can become harmful.
+ * - an answer that comes to its good end clears the parts of its prompt of the
+ *   crashes before its request was sent, but not of later ones: a part can become
+ *   harmful;
+ * - a part is judged by the good ends that others have meanwhile, see `judgePart`.
  */
 export class CrashLedger {
   #options: Options;
   #suspects = new SuspectTable();
   #blames = new BlameTable();
   #lifted = new LiftedBlames();
+  #goodEnds = new GoodEndTally();
   #gate: BlameGate;
 
   constructor(options: Options) {
@@ -119,7 +119,6 @@
   #record(report: CrashReport, added: string[], now: number): boolean {
     const { fingerprint, incarnation, parts = [] } = report;
     const culprit = this.#blames.culpritOf(incarnation);
-    this.#recordOutlived(report, now);
     if (culprit !== undefined) {
       this.#suspects.excludeReport(report, culprit);
       return listSuspectNames(culprit).some((name) => added.includes(name));
@@ -134,19 +133,39 @@
   }
 
   /**
-   * Records an answer that may have survived on a prompt part. Clears the part
-   * of earlier crashes, and frees it from blames without a crash since the
-   * answer started.
+   * Adds what a host tells of good ends; `source` names one run of its process.
+   * Returns those that changed something.
+   */
+  addGoodEnds(
+    source: string,
+    news: GoodEndNews,
+  ): { end: GoodEnd; outcome: GoodEndOutcome }[] {
+    const changes = news.ends
+      .map((end) => ({ end, outcome: this.recordGoodEnd(end) }))
+      .filter(({ outcome }) => outcome.isNew || outcome.lifted.length > 0);
+    this.#goodEnds.add(source, news);
+    return changes;
+  }
+
+  /** Forgets what a host that is gone had counted. */
+  forgetGoodEndsOf(source: string): void {
+    this.#goodEnds.forget(source);
+  }
+
+  /**
+   * Records a good end of an answer on a prompt part. Clears the part of crashes
+   * before its request was sent, and frees it from blames without a crash since.
    */
-  recordSurvival(survival: Survival): SurvivalOutcome {
-    const { part, begunAt, isComplete } = survival;
-    const outcome: SurvivalOutcome = { isNew: false, lifted: [], narrowed: [] };
+  recordGoodEnd({ part, sentAt }: GoodEnd): GoodEndOutcome {
     const evidence = this.#suspects.find(nameParts([part]));
-    // Without evidence, how long a crash takes is not known.
-    const isEnough = evidence?.isSurvival(survival) ?? isComplete;
-    if (!isEnough) return outcome;
-    outcome.isNew = evidence?.clearBefore(begunAt) ?? false;
-    for (const blame of this.#blames.findCalmSince(part, begunAt)) {
+    const isFirst = evidence !== undefined && this.#goodEnds.noteEnd(part);
+    const isCleared = evidence?.clearBefore(sentAt) ?? false;
+    const outcome: GoodEndOutcome = {
+      isNew: isFirst || isCleared,
+      lifted: [],
+      narrowed: [],
+    };
+    for (const blame of this.#blames.findCalmSince(part, sentAt)) {
       outcome.lifted.push(blame.fingerprint);
       const narrowed = this.#freePart(part, blame);
       if (narrowed !== undefined) outcome.narrowed.push(narrowed);
@@ -170,11 +189,11 @@
    * Whether `blameSuspects` has to be called again: there is sufficient evidence
    * against a suspect, but more reports of the same crash may still arrive.
    */
-  get hasPendingSuspects(): boolean {
-    return this.#suspects.list().some((suspect) =>
-      (suspect.evidence.sufficientSince !== undefined ||
-        suspect.evidence.manySince !== Infinity) &&
-      !this.#blames.has(suspect.name)
+  hasPendingSuspects(now: number): boolean {
+    return this.#suspects.list().some(({ name, evidence }) =>
+      evidence.weight >= CRASHES_TO_BLAME &&
+      now - evidence.lastReportedAt <= PENDING_MILLISECONDS &&
+      !this.#blames.has(name)
     );
   }
 
@@ -284,14 +303,14 @@
   }
 
   /**
-   * Blamed prompt parts, then suspected ones with at least some weight of
-   * evidence, those with most first.
+   * Blamed prompt parts, then suspected ones with at least some crashes,
+   * those with most first.
    */
-  listPartWatches({ minWeight }: { minWeight: number }): PartWatch[] {
+  listPartWatches({ minCrashes }: { minCrashes: number }): PartWatch[] {
     return listPartWatches({
       suspects: this.#suspects.listParts(),
       blamed: this.#blames.listParts(),
-      minWeight,
+      minCrashes,
     });
   }
 
@@ -307,10 +326,7 @@
   describeEvidence({ limit, now }: { limit: number; now: number }): string[] {
     return describeEvidence(this.#suspects.list(), {
       limit,
-      findHold: (suspect) =>
-        this.#isOverdue(suspect, now)
-          ? "overdue"
-          : this.#findHold(suspect, now),
+      judge: (suspect) => this.#judge(suspect, now),
     });
   }
 
@@ -341,50 +357,30 @@
     const ageOf = ({ evidence: { sufficientSince } }: Suspect) =>
       sufficientSince === undefined ? -Infinity : now - sufficientSince;
     const suspects = this.#suspects.list();
-    const overdue = new Set(
-      suspects.filter((suspect) => this.#isOverdue(suspect, now)),
-    );
+    for (const suspect of suspects) {
+      if (suspect.evidence.kind === "request") continue;
+      suspect.evidence.judge(this.#judge(suspect, now).isGuilty, now);
+    }
     return findCulprit({
       suspects,
       decidable: suspects.filter((suspect) =>
         (suspect.evidence.kind === "request" || isPartDecidable) &&
         !this.#blames.has(suspect.name) &&
-        (overdue.has(suspect) ||
-          ageOf(suspect) >= decisionDelayMilliseconds &&
-            this.#findHold(suspect, now) === undefined)
+        ageOf(suspect) >= decisionDelayMilliseconds
       ),
       mayWait: (suspect) =>
-        !overdue.has(suspect) &&
         ageOf(suspect) < decisionDelayMilliseconds + AMBIGUITY_MILLISECONDS,
     });
   }
 
-  #isOverdue(suspect: Suspect, now: number): boolean {
-    const { answers } = this.#options;
-    return isOverdue(suspect, { answers, now });
-  }
-
-  #findHold(suspect: Suspect, now: number) {
-    const { firstCrashAt } = suspect.evidence;
-    const unexplainedCrashes = this.#suspects.listCrashesSince(firstCrashAt)
-      .filter((incarnation) =>
-        this.#blames.culpritOf(incarnation) === undefined
-      ).length;
-    const coveredSince = this.#options.coveredSince?.(now) ?? -Infinity;
-    return findHold(suspect, { unexplainedCrashes, coveredSince, now });
-  }
-
-  /** An answer that has long run when its server crashes didn't crash it. */
-  #recordOutlived(report: CrashReport, now: number): void {
-    const { parts = [], crashedAt = now, begunMilliseconds } = report;
-    if (begunMilliseconds === undefined || report.isGivenUp) return;
-    const begunAt = crashedAt - begunMilliseconds;
-    for (const part of parts) {
-      const evidence = this.#suspects.find(nameParts([part]));
-      const livedMilliseconds = begunMilliseconds;
-      const survival = { part, begunAt, livedMilliseconds, isComplete: false };
-      if (evidence?.isSurvival(survival)) evidence.clearBefore(begunAt);
-    }
+  #judge({ name, evidence }: Suspect, now: number): PartVerdict {
+    const { firstCrashAt, explained } = evidence;
+    return judgePart({
+      evidence,
+      since: this.#suspects.countSince(firstCrashAt, explained),
+      goodEnds: this.#goodEnds.measure(parsePartNames(name)![0]!),
+      now,
+    });
   }
 
   /**
--- a/packages/core/src/crashes/crash_report.ts
+++ b/packages/core/src/crashes/crash_report.ts
@@ -21,6 +21,8 @@
    * answer had started.
    */
   begunMilliseconds: number | undefined;
+  /** Time from sending the request to the crash; `begunMilliseconds` if missing. */
+  sentMilliseconds?: number;
   /**
    * When the backend server crashed, monotonic milliseconds; the time of the
    * report if missing.
--- a/packages/core/src/crashes/crash_scene.ts
+++ b/packages/core/src/crashes/crash_scene.ts
@@ -9,11 +9,8 @@
    * crash until another is reported: no answers were watched meanwhile.
    */
   knownAt: number;
-  /**
-   * Time from the start of each answer in flight to the crash, by the request's
-   * fingerprint.
-   */
-  begunMilliseconds: Map<string, number>;
-  /** Of those in flight, the ones that had begun last. */
+  /** Fingerprints of the requests with prompt parts that were in flight. */
+  requests: Set<string>;
+  /** Of all in flight, the ones that had been sent last. */
   youngest: CrashReport[];
 };
--- a/packages/core/src/crashes/find_culprit.ts
+++ b/packages/core/src/crashes/find_culprit.ts
@@ -1,4 +1,5 @@
 import { compareByAnswerStart } from "./compare_by_answer_start.ts";
+import { CRASHES_TO_BLAME } from "./crashes_to_blame.ts";
 import type { Culprit } from "./culprit.ts";
 import { nameParts } from "./name_parts.ts";
 import { parsePartNames } from "./parse_part_names.ts";
@@ -29,7 +30,7 @@
  * - a request precedes its parts, unless it is a bystander;
  * - parts of the same requests at the same crashes are indistinguishable. Only
  *   requests with all of them are refused, so that no harmless request is, until
- *   a crash or a surviving answer involves some of them only.
+ *   a crash or a good end involves some of them only.
  */
 export function findCulprit(options: Options): Culprit | undefined {
   const { decidable, suspects, mayWait } = options;
@@ -39,11 +40,12 @@
   const parts = decidable.filter(({ evidence }) => evidence.kind === "part")
     .sort((left, right) =>
       right.evidence.incarnations.length - left.evidence.incarnations.length ||
-      classifyBreadth(left) - classifyBreadth(right) ||
+      left.evidence.meanRequests - right.evidence.meanRequests ||
       compareByAnswerStart(left, right)
     );
   if (request !== undefined) {
-    const isBystander = isBystanderOf(request, parts) ||
+    const isBystander = isExplainedBy(request, parts) ||
+      isBystanderOf(request, parts) ||
       isBystanderOf(request, suspects.filter(isSuspectedPart)) &&
         mayWait(request);
     if (!isBystander) return nameCulprit(request.name, request);
@@ -56,7 +58,16 @@
 }
 
 function isSuspectedPart({ evidence }: Suspect): boolean {
-  return evidence.kind === "part" && evidence.sufficientSince !== undefined;
+  return evidence.kind === "part" && evidence.weight >= CRASHES_TO_BLAME;
+}
+
+/** Whether one of the parts was at all of a request's crashes, and at others. */
+function isExplainedBy({ evidence }: Suspect, parts: Suspect[]): boolean {
+  const { incarnations } = evidence;
+  return parts.some((part) =>
+    part.evidence.incarnations.length > incarnations.length &&
+    isAtAll(part, incarnations)
+  );
 }
 
 /**
@@ -99,14 +110,6 @@
   return { name, incarnations, lastCrashAt };
 }
 
-/**
- * By the power of two how many answers with a part had started at a crash. One
- * is enough for a crash; many together show that the part is common.
- */
-function classifyBreadth({ evidence }: Suspect): number {
-  return Math.floor(Math.log2(evidence.meanDistinctAnswers));
-}
-
 /**
  * Whether parts that were at some of the crashes each, with sufficient evidence,
  * explain all of them together.
--- a/packages/core/src/crashes/survival_outcome.ts
+++ b/packages/core/src/crashes/good_end_outcome.ts
@@ -1,7 +1,7 @@
 import type { Blame } from "./blame.ts";
 
-/** What a surviving answer has changed. */
-export type SurvivalOutcome = {
+/** What an answer that came to a good end has changed. */
+export type GoodEndOutcome = {
   /** Whether a part was cleared of crashes. */
   isNew: boolean;
   /** Names of the blames that were lifted. */
--- /dev/null
+++ b/packages/core/src/crashes/good_end_tally.ts
@@ -0,0 +1,86 @@
+import type { GoodEndNews } from "./good_end_news.ts";
+import type { GoodEndTotals } from "./good_end_totals.ts";
+
+/** The latest told of are kept; hosts watch fewer. */
+const MAX_PARTS = 1_024;
+const NONE: GoodEndTotals = { count: 0, runMilliseconds: 0 };
+
+type PartTally = {
+  /** Totals of each host from which ends without the part are counted. */
+  from: Map<string, GoodEndTotals>;
+  hasGoodEnd: boolean;
+};
+
+/**
+ * Counts how many answers have come to good ends since a prompt part had the
+ * latest of its own, over all hosts that watch it. Only what such a host has
+ * counted speaks against a part. Load pattern: hosts that see answers start, stop,
+ * freeze and tell late.
+ */
+export class GoodEndTally {
+  #totals = new Map<string, GoodEndTotals>();
+  #parts = new Map<string, PartTally>();
+
+  /** Adds what a host tells. `source` names one run of its process. */
+  add(source: string, { totals, starts, ends }: GoodEndNews): void {
+    const known = this.#totals.get(source) ?? NONE;
+    if (totals.count >= known.count) this.#totals.set(source, totals);
+    for (const { part } of ends) this.noteEnd(part);
+    for (const { part, totals: start } of starts) {
+      const tally = this.#refresh(part);
+      const known = tally.from.get(source);
+      const first = tally.hasGoodEnd ? totals : start;
+      const from = known === undefined ? first : later(known, start);
+      tally.from.set(source, from);
+    }
+  }
+
+  /** Forgets a host that is gone, with all that it counted. */
+  forget(source: string): void {
+    this.#totals.delete(source);
+    for (const { from } of this.#parts.values()) from.delete(source);
+  }
+
+  /**
+   * An answer on the part has come to a good end. Returns whether none was known
+   * of since it is watched.
+   */
+  noteEnd(part: string): boolean {
+    const tally = this.#refresh(part);
+    const isFirst = !tally.hasGoodEnd;
+    tally.hasGoodEnd = true;
+    for (const source of tally.from.keys()) {
+      tally.from.set(source, this.#totals.get(source) ?? NONE);
+    }
+    return isFirst;
+  }
+
+  /** Answers without the part that came to good ends since its latest one. */
+  measure(part: string): GoodEndTotals {
+    const sum = { ...NONE };
+    for (const [source, from] of this.#parts.get(part)?.from ?? []) {
+      const totals = this.#totals.get(source) ?? from;
+      sum.count += Math.max(0, totals.count - from.count);
+      sum.runMilliseconds += Math.max(
+        0,
+        totals.runMilliseconds - from.runMilliseconds,
+      );
+    }
+    return sum;
+  }
+
+  #refresh(part: string): PartTally {
+    const tally = this.#parts.get(part) ??
+      { from: new Map(), hasGoodEnd: false };
+    this.#parts.delete(part);
+    this.#parts.set(part, tally);
+    if (this.#parts.size > MAX_PARTS) {
+      this.#parts.delete(this.#parts.keys().next().value!);
+    }
+    return tally;
+  }
+}
+
+function later(left: GoodEndTotals, right: GoodEndTotals): GoodEndTotals {
+  return left.count > right.count ? left : right;
+}
--- a/packages/core/src/crashes/is_similar_crash.ts
+++ b/packages/core/src/crashes/is_similar_crash.ts
@@ -1,4 +1,3 @@
-import { hadFewYoungerAnswers } from "./had_few_younger_answers.ts";
 import type { ObservedCrash } from "./observed_crash.ts";
 
 /** How long a crash takes varies with the load. */
@@ -7,19 +6,20 @@
 const MIN_MILLISECONDS = 100;
 
 /**
- * Whether a suspect's answer had begun as shortly before a crash as before other
- * crashes: who only stands beside had mostly begun long before.
+ * Whether a suspect's request had been sent as shortly before a crash as before
+ * other crashes: who only stands beside had mostly been sent long before.
  */
 export function isSimilarCrash(
   crash: ObservedCrash,
   others: ObservedCrash[],
 ): boolean {
-  const { begunMilliseconds } = crash;
-  if (begunMilliseconds === undefined) return false;
   const longest = Math.max(
     MIN_MILLISECONDS,
-    ...others.map((other) => other.begunMilliseconds ?? 0),
+    ...others.map(findYoungest).filter((age) => age < Infinity),
   );
-  return hadFewYoungerAnswers(crash) &&
-    begunMilliseconds <= longest * LONGEST_MARGIN;
+  return findYoungest(crash) <= longest * LONGEST_MARGIN;
+}
+
+function findYoungest({ sentMilliseconds }: ObservedCrash): number {
+  return Math.min(Infinity, ...sentMilliseconds);
 }
--- /dev/null
+++ b/packages/core/src/crashes/judge_part.ts
@@ -0,0 +1,67 @@
+import { CRASHES_TO_BLAME } from "./crashes_to_blame.ts";
+import { estimateBystanderLikelihood } from "./estimate_bystander_likelihood.ts";
+import type { CrashEvidence } from "./crash_evidence.ts";
+import type { GoodEndTotals } from "./good_end_totals.ts";
+import type { PartVerdict } from "./part_verdict.ts";
+
+/** Of some hundred parts that stand at several crashes, few are blamed in vain. */
+const MAX_LIKELIHOOD = 1e-5;
+/** From so many crashes on a decision has a bound. */
+const MANY_CRASHES = 5;
+/** Of three seconds in which hosts have to be told as well. */
+const MANY_FOR_MILLISECONDS = 2_000;
+const MAX_LIKELIHOOD_OF_MANY = 3e-3;
+/** Answers last about twice as long as they have lasted at any moment. */
+const LENGTH_BY_AGE = 2;
+
+type Circumstances = {
+  evidence: CrashEvidence;
+  /** All crashes since the part's first, and the requests in flight there. */
+  since: { crashes: number; requests: number };
+  /** Good ends without the part since its latest one. */
+  goodEnds: GoodEndTotals;
+  /** Monotonic milliseconds. */
+  now: number;
+};
+
+/**
+ * Judges whether a prompt part crashes what runs it, by good ends alone: of the
+ * runs on a harmful part none comes to one, whenever the crash comes and whatever
+ * of the answer has come before. A decision needs three crashes, and more good
+ * ends without the part than a harmless one would let pass. Load pattern: requests
+ * that share a part crash server after server, among hundreds that share others.
+ */
+export function judgePart(
+  { evidence, since, goodEnds, now }: Circumstances,
+): PartVerdict {
+  const crashes = evidence.incarnations.length;
+  if (crashes < CRASHES_TO_BLAME) {
+    return { isGuilty: false, likelihood: 1 };
+  }
+  const likelihood = estimateBystanderLikelihood({
+    crashes,
+    allCrashes: Math.max(crashes, since.crashes),
+    goodGroups: countGoodGroups({ evidence, since, goodEnds }),
+  });
+  const manyAt = evidence.crashAt(MANY_CRASHES) ?? Infinity;
+  const isLate = now - manyAt >= MANY_FOR_MILLISECONDS;
+  const most = isLate ? MAX_LIKELIHOOD_OF_MANY : MAX_LIKELIHOOD;
+  return { isGuilty: likelihood <= most, likelihood };
+}
+
+/**
+ * Good ends in groups of as many runs as a crash breaks off. Longer runs are in
+ * flight at more crashes for each good end, so they count by length.
+ */
+function countGoodGroups(
+  { evidence, since, goodEnds }: Omit<Circumstances, "now">,
+): number {
+  const { count, runMilliseconds } = goodEnds;
+  if (count === 0) return 0;
+  const runsPerCrash = Math.max(1, since.requests / since.crashes);
+  const length = Math.max(
+    runMilliseconds / count,
+    LENGTH_BY_AGE * evidence.meanMillisecondsFromSending,
+  );
+  return runMilliseconds / length / runsPerCrash;
+}
--- a/packages/core/src/crashes/list_part_watches.ts
+++ b/packages/core/src/crashes/list_part_watches.ts
@@ -1,4 +1,3 @@
-import { nameParts } from "./name_parts.ts";
 import { parsePartNames } from "./parse_part_names.ts";
 import type { PartWatch } from "./part_watch.ts";
 import type { Suspect } from "./suspect.ts";
@@ -8,38 +7,28 @@
   suspects: Suspect[];
   /** Blamed prompt parts, with the time of the latest crash. */
   blamed: { part: string; lastCrashAt: number }[];
-  /** Least weight of evidence against a part that is not blamed. */
-  minWeight: number;
+  /** Least number of crashes of a part that is not blamed. */
+  minCrashes: number;
 };
 
 /**
- * Lists the prompt parts for which surviving answers count: blamed ones, then
+ * Lists the prompt parts of which good ends count: blamed ones, then
  * suspected ones, those with most evidence first.
  */
 export function listPartWatches(
-  { suspects, blamed, minWeight }: Options,
+  { suspects, blamed, minCrashes }: Options,
 ): PartWatch[] {
-  const byName = new Map(
-    suspects.map(({ name, evidence }) => [name, evidence]),
-  );
-  const ofBlamed = blamed.flatMap(({ part, lastCrashAt }) => {
-    const evidence = byName.get(nameParts([part]));
-    if (evidence === undefined) return [];
-    return {
-      part,
-      since: lastCrashAt,
-      thresholds: evidence.survivalThresholds,
-    };
-  });
+  const ofBlamed = blamed.map(({ part, lastCrashAt }) => ({
+    part,
+    since: lastCrashAt,
+  }));
   const ofSuspects = suspects
+    .map(({ name, evidence }) => ({ name, evidence, crashes: evidence.watchedCrashes }))
+    .filter(({ crashes }) => crashes >= minCrashes)
+    .sort((left, right) => right.crashes - left.crashes)
     .map(({ name, evidence }) => ({
-      weight: evidence.watchedWeight,
       part: parsePartNames(name)![0]!,
       since: evidence.firstWatchedAt,
-      thresholds: evidence.survivalThresholds,
-    }))
-    .filter(({ weight }) => weight >= minWeight)
-    .sort((left, right) => right.weight - left.weight)
-    .map(({ weight: _weight, ...watch }) => watch);
+    }));
   return [...ofBlamed, ...ofSuspects];
 }
--- a/packages/core/src/crashes/observed_crash.ts
+++ b/packages/core/src/crashes/observed_crash.ts
@@ -8,6 +8,11 @@
    * the suspect stands for; undefined if none had started.
    */
   begunMilliseconds: number | undefined;
+  /**
+   * Times from sending the requests that the suspect stands for to the crash, as
+   * far as known.
+   */
+  sentMilliseconds: number[];
   /** Whether all requests that the suspect stands for had been given up. */
   isGivenUp: boolean;
   /** Fingerprints of the requests in flight that the suspect stands for. */
--- a/packages/core/src/crashes/select_youngest.ts
+++ b/packages/core/src/crashes/select_youngest.ts
@@ -3,11 +3,12 @@
 type BegunRequest = {
   fingerprint: string;
   begunMilliseconds: number | null | undefined;
+  sentMilliseconds?: number;
 };
 
 /**
- * Of the requests at a crash, by fingerprint the latest entry, those whose
- * answers had begun last.
+ * Of the requests at a crash, by fingerprint the latest entry, those that had been
+ * sent last, as far as known, or whose answers had begun last.
  */
 export function selectYoungest<Request extends BegunRequest>(
   requests: Request[],
@@ -20,6 +21,8 @@
     .slice(0, REQUESTS_PER_CRASH_ROW);
 }
 
-function timeOf({ begunMilliseconds }: BegunRequest): number {
-  return begunMilliseconds ?? Number.MAX_VALUE;
+function timeOf(
+  { sentMilliseconds, begunMilliseconds }: BegunRequest,
+): number {
+  return sentMilliseconds ?? begunMilliseconds ?? Number.MAX_VALUE;
 }
--- a/packages/core/src/crashes/suspect_table.ts
+++ b/packages/core/src/crashes/suspect_table.ts
@@ -15,7 +15,7 @@
 /** Suspects looked at for one to evict, from the oldest on. */
 const MAX_EVICTION_CANDIDATES = 64;
 const MAX_SCENES = 1_024;
-const MAX_ANSWERS_PER_SCENE = 256;
+const MAX_REQUESTS_PER_SCENE = 256;
 /** Fewer crashes make the first choice for an eviction. */
 const CRASHES_TO_KEEP = 2;
 
@@ -89,21 +89,20 @@
     report: CrashReport,
     { now, knownAt }: { now: number; knownAt: number },
   ): CrashScene {
-    const { fingerprint, incarnation, begunMilliseconds } = report;
+    const { fingerprint, incarnation, parts = [] } = report;
     const scene = this.#scenes.get(incarnation) ??
       {
         at: report.crashedAt ?? now,
         knownAt,
-        begunMilliseconds: new Map(),
+        requests: new Set(),
         youngest: [],
       };
     this.#scenes.set(incarnation, scene);
     if (this.#scenes.size > MAX_SCENES) {
       this.#scenes.delete(this.#scenes.keys().next().value!);
     }
-    const times = scene.begunMilliseconds;
-    if (begunMilliseconds !== undefined && times.size < MAX_ANSWERS_PER_SCENE) {
-      times.set(fingerprint, begunMilliseconds);
+    if (parts.length > 0 && scene.requests.size < MAX_REQUESTS_PER_SCENE) {
+      scene.requests.add(fingerprint);
     }
     scene.youngest = selectYoungest([...scene.youngest, report]);
     return scene;
@@ -114,10 +113,23 @@
     return this.#scenes;
   }
 
-  /** Incarnations that crashed at a time or later. */
-  listCrashesSince(time: number): string[] {
-    return [...this.#scenes].filter(([, { at }]) => at >= time)
-      .map(([incarnation]) => incarnation);
+  /**
+   * Number of crashes at a time or later, but for those left out, at which
+   * requests with prompt parts were in flight, and of these requests.
+   */
+  countSince(
+    time: number,
+    leftOut: readonly string[],
+  ): { crashes: number; requests: number } {
+    const sizes = [...this.#scenes]
+      .filter(([incarnation, { at, requests }]) =>
+        at >= time && requests.size > 0 && !leftOut.includes(incarnation)
+      )
+      .map(([, { requests }]) => requests.size);
+    return {
+      crashes: sizes.length,
+      requests: sizes.reduce((sum, size) => sum + size, 0),
+    };
   }
 
   delete(name: string): boolean {
@@ -152,8 +164,9 @@
     }
     const requests = evidence?.requestsAt(incarnation) ?? new Set();
     const ofCulprit = this.#requestsOf(culprit, incarnation);
+    // What stood beside the culprit in another request may be harmful as well.
     const isShared = ofCulprit.some((request) => requests.has(request));
-    evidence?.exclude(incarnation, { isShared });
+    if (isShared) evidence?.exclude(incarnation, { isShared });
   }
 
   /** Requests that a culprit, a request or parts, stands for at a crash. */
