--- a/packages/core/src/crashes/crash_ledger.ts
+++ b/packages/core/src/crashes/crash_ledger.ts
@@ -358,7 +358,8 @@
       sufficientSince === undefined ? -Infinity : now - sufficientSince;
     const suspects = this.#suspects.list();
     for (const suspect of suspects) {
-      if (suspect.evidence.kind === "request") continue;
+      const { kind, knownCrashes } = suspect.evidence;
+      if (kind === "request" || knownCrashes < CRASHES_TO_BLAME) continue;
       suspect.evidence.judge(this.#judge(suspect, now).isGuilty, now);
     }
     return findCulprit({
