--- a/packages/core/src/crashes/crash_evidence.ts
+++ b/packages/core/src/crashes/crash_evidence.ts
@@ -179,8 +179,10 @@
   /** Mean number of the suspect's requests by crash. */
   get meanRequests(): number {
     const counted = this.#counted;
-    const sum = counted.reduce((total, { requests }) =>
-      total + requests.size, 0);
+    const sum = counted.reduce(
+      (total, { requests }) => total + requests.size,
+      0,
+    );
     return sum / Math.max(1, counted.length);
   }
 
--- a/packages/core/src/crashes/list_part_watches.ts
+++ b/packages/core/src/crashes/list_part_watches.ts
@@ -23,7 +23,11 @@
     since: lastCrashAt,
   }));
   const ofSuspects = suspects
-    .map(({ name, evidence }) => ({ name, evidence, crashes: evidence.watchedCrashes }))
+    .map(({ name, evidence }) => ({
+      name,
+      evidence,
+      crashes: evidence.watchedCrashes,
+    }))
     .filter(({ crashes }) => crashes >= minCrashes)
     .sort((left, right) => right.crashes - left.crashes)
     .map(({ name, evidence }) => ({
--- a/packages/daemon/src/control/crash_attributor.ts
+++ b/packages/daemon/src/control/crash_attributor.ts
@@ -3,10 +3,9 @@
 import { CrashLedger } from "@teaselrouter/core/crashes/crash_ledger.ts";
 import type { CrashRow } from "@teaselrouter/core/crashes/crash_row.ts";
 import type { CrashReport } from "@teaselrouter/core/crashes/crash_report.ts";
-import type { SurvivalOutcome } from "@teaselrouter/core/crashes/survival_outcome.ts";
-import type { Survival } from "@teaselrouter/core/crashes/survival.ts";
+import type { GoodEndOutcome } from "@teaselrouter/core/crashes/good_end_outcome.ts";
+import type { GoodEnd } from "@teaselrouter/core/crashes/good_end.ts";
 import { TrialPermits } from "@teaselrouter/core/crashes/trial_permits.ts";
-import type { BackendAnnouncement } from "@teaselrouter/core/membership/backend_announcement.ts";
 import { NewsRateLimiter } from "@teaselrouter/core/news/news_rate_limiter.ts";
 import {
   type CrashNews,
@@ -18,11 +17,12 @@
 import { decodeBlame } from "../transport/decode_blame.ts";
 import { decodeCrashReport } from "../transport/decode_crash_report.ts";
 import { encodeBlame } from "../transport/encode_blame.ts";
-import { decodeSurvival } from "../transport/decode_survival.ts";
-import { encodeSurvival } from "../transport/encode_survival.ts";
+import { decodeGoodEnds } from "../transport/decode_good_ends.ts";
+import { decodePartGoodEnds } from "../transport/decode_part_good_ends.ts";
+import { encodePartGoodEnd } from "../transport/encode_part_good_end.ts";
 import { monotonicMilliseconds } from "../transport/monotonic_milliseconds.ts";
-import { AnswerObserver } from "./answer_observer.ts";
 import { encodeReports } from "./encode_reports.ts";
+import { GoodEndSources } from "./good_end_sources.ts";
 import { rememberLatest } from "./remember_latest.ts";
 import { SuspicionNews } from "./suspicion_news.ts";
 
@@ -46,8 +46,6 @@
   log: EventLog;
   /** Whether this host leads the control hosts now. */
   isLeading: () => boolean;
-  /** The backend servers known; by default none. */
-  listServers?: () => BackendAnnouncement[];
 };
 
 type BlameSource = "decided" | "told" | "kept" | "narrowed";
@@ -64,8 +62,8 @@
   readonly blameNews$ = new Subject<CrashNews>();
   /**
    * Reports of requests that no gateway should retry, as one more crash could
-   * be enough to blame them, and prompt parts of which answers that survive are
-   * to be reported; for gateways, which see only their own attempts.
+   * be enough to blame them, and prompt parts of which good ends are to be
+   * reported; for gateways, which see only their own attempts.
    */
   readonly suspicionNews$: Observable<CrashNews>;
   /** Reports that gateways sent to this host, for other control hosts. */
@@ -80,15 +78,13 @@
   /** Fingerprints cleared because the request completed successfully. */
   readonly cleared$ = new Subject<string>();
   #options: Options;
-  #observer = new AnswerObserver();
   #ledger = new CrashLedger({
     decisionDelayMilliseconds: DECISION_DELAY_MILLISECONDS,
-    coveredSince: (now) => this.#observer.coverage.since(now),
-    answers: this.#observer.answers,
   });
   /** Fingerprints emitted as suspicions or restored; oldest first. */
   #persisted = new Set<string>();
   #persistBudget = new NewsRateLimiter(MAX_SUSPICIONS_PER_SECOND);
+  #goodEndSources = new GoodEndSources();
   #suspicions = new SuspicionNews(this.#ledger);
   #trialPermits = new TrialPermits();
   #evidenceLines = new NewsRateLimiter(MAX_EVIDENCE_LINES_PER_SECOND);
@@ -114,30 +110,24 @@
     clearInterval(this.#expireTimer);
   }
 
-  /**
-   * To be called when a gateway begins to follow this host, with the time since
-   * its process started.
-   */
-  addWatcher(
-    runningMilliseconds: number,
-  ): ReturnType<AnswerObserver["addWatcher"]> {
-    return this.#observer.addWatcher(runningMilliseconds);
-  }
-
-  /** Adds news from a gateway that follows this host. */
-  addLocalNews(
-    news: CrashNews,
-    watcher?: ReturnType<AnswerObserver["addWatcher"]>,
-  ): void {
+  /** Adds news from a gateway that follows this host by the given session. */
+  addLocalNews(news: CrashNews, session: object): void {
     const added = this.#addReports(news);
     for (const { fingerprint } of added) this.#persistSuspicion(fingerprint);
     this.#queueReports(added);
     for (const blame of this.#addBlames(news)) this.blamed$.next(blame);
-    const survivals = this.#addSurvivals(news, { areLocal: true });
-    watcher?.recordSurvivals(survivals);
+    this.#addLocalGoodEnds(news, session);
     this.#permitTrials(news);
   }
 
+  /**
+   * To be called when a follower's session is over: what its gateway had counted
+   * speaks against no part any more.
+   */
+  endSession(session: object): void {
+    this.#forgetGoodEnds(this.#goodEndSources.end(session));
+  }
+
   /** Adds the blames in the replicated state when this host starts. */
   restoreBlames(blames: Blame[]): void {
     const newBlames = blames.filter((blame) => this.#ledger.mergeBlame(blame));
@@ -148,8 +138,8 @@
   addRemoteNews(news: CrashNews): void {
     this.#addReports(news);
     this.#addBlames(news);
-    this.#addSurvivals(news, { areLocal: false });
     const now = monotonicMilliseconds();
+    this.#addPassedGoodEnds(news, now);
     for (const { fingerprint } of news.trialsPermitted) {
       this.#trialPermits.record(fingerprint, now);
       this.#ledger.beginTrial(fingerprint, now);
@@ -218,7 +208,6 @@
       .map((report) => decodeCrashReport(report, now))
       .filter((report) => this.#ledger.recordReport(report, now));
     if (newReports.length === 0) return [];
-    this.#observeServers();
     this.#scheduleDecision();
     this.#suspicions.scheduleWatches();
     this.#suspicions.tellEnds(newReports);
@@ -227,39 +216,42 @@
   }
 
   /**
-   * Adds answers that have survived. Those that clear a part are passed on if a
-   * gateway told this host; other control hosts do so with theirs. Returns them.
+   * Adds what a gateway tells of good ends. Those that clear a part are passed on;
+   * other control hosts do so with theirs.
    */
-  #addSurvivals(
-    { survivals }: CrashNews,
-    { areLocal }: { areLocal: boolean },
-  ): Survival[] {
+  #addLocalGoodEnds({ goodEnds }: CrashNews, session: object): void {
+    if (goodEnds === undefined) return;
     const now = monotonicMilliseconds();
-    if (areLocal && survivals.length > 0) {
-      this.#observer.coverage.recordSurvival(now);
+    const { source } = goodEnds;
+    this.#forgetGoodEnds(this.#goodEndSources.record(source, session));
+    const news = decodeGoodEnds(goodEnds, now);
+    const changes = this.#ledger.addGoodEnds(source, news);
+    this.#publishChanges(changes);
+    if (changes.length > 0) {
+      const partGoodEnds = changes
+        .map(({ end }) => encodePartGoodEnd(end, now));
+      this.blameNews$.next(create(CrashNewsSchema, { partGoodEnds }));
     }
-    const decoded = survivals.map((message) => decodeSurvival(message, now));
-    const passedOn: Survival[] = [];
-    for (const survival of decoded) {
-      const outcome = this.#ledger.recordSurvival(survival);
-      if (areLocal && (outcome.isNew || outcome.lifted.length > 0)) {
-        passedOn.push(survival);
-      }
-      if (outcome.lifted.length > 0) this.#publishLifted(survival, outcome);
-    }
-    if (passedOn.length > 0) {
-      this.blameNews$.next(create(CrashNewsSchema, {
-        survivals: passedOn.map((survival) => encodeSurvival(survival, now)),
-      }));
+    if (this.#ledger.hasPendingSuspects(now)) this.#scheduleDecision();
+  }
+
+  /** Adds good ends that another control host passes on. */
+  #addPassedGoodEnds({ partGoodEnds }: CrashNews, now: number): void {
+    if (partGoodEnds.length === 0) return;
+    const changes = decodePartGoodEnds(partGoodEnds, now)
+      .map((end) => ({ end, outcome: this.#ledger.recordGoodEnd(end) }));
+    this.#publishChanges(changes);
+    if (this.#ledger.hasPendingSuspects(now)) this.#scheduleDecision();
+  }
+
+  #publishChanges(changes: { end: GoodEnd; outcome: GoodEndOutcome }[]): void {
+    for (const { end, outcome } of changes) {
+      if (outcome.lifted.length > 0) this.#publishLifted(end, outcome);
     }
-    return decoded;
   }
 
-  #observeServers(): void {
-    this.#observer.observeServers(
-      this.#options.listServers?.() ?? [],
-      (incarnation) => this.#ledger.hasEnded(incarnation),
-    );
+  #forgetGoodEnds(source: string | undefined): void {
+    if (source !== undefined) this.#ledger.forgetGoodEndsOf(source);
   }
 
   /** Permits the trial runs that gateways ask for, each to one gateway. */
@@ -279,13 +271,13 @@
   }
 
   #publishLifted(
-    { part, livedMilliseconds }: Survival,
-    { lifted, narrowed }: SurvivalOutcome,
+    { part, sentAt, endedAt }: GoodEnd,
+    { lifted, narrowed }: GoodEndOutcome,
   ): void {
     this.#options.log.warn("blame-lifted", {
       lifted: lifted.join(","),
       part,
-      lived_milliseconds: Math.round(livedMilliseconds),
+      run_milliseconds: Math.round(endedAt - sentAt),
     });
     this.blameNews$.next(create(CrashNewsSchema, { cleared: lifted }));
     for (const name of lifted) this.cleared$.next(name);
@@ -332,12 +324,12 @@
   #scheduleDecision(): void {
     this.#decideTimer ??= setTimeout(() => {
       this.#decideTimer = undefined;
-      this.#observeServers();
       this.#logEvidence();
-      const blames = this.#ledger.blameSuspects(monotonicMilliseconds());
+      const now = monotonicMilliseconds();
+      const blames = this.#ledger.blameSuspects(now);
       if (blames.length > 0) this.#publishBlames(blames, "decided");
       for (const blame of blames) this.blamed$.next(blame);
-      if (this.#ledger.hasPendingSuspects) this.#scheduleDecision();
+      if (this.#ledger.hasPendingSuspects(now)) this.#scheduleDecision();
     }, DECISION_DELAY_MILLISECONDS);
   }
 
--- a/packages/daemon/src/control/crash_attributor_test.ts
+++ b/packages/daemon/src/control/crash_attributor_test.ts
@@ -5,6 +5,9 @@
 import { EventLog } from "../log/event_log.ts";
 import { CrashAttributor } from "./crash_attributor.ts";
 
+/** Of a gateway that follows. */
+const SESSION = {};
+
 function openAttributor({ isLeading = false } = {}) {
   const attributor = new CrashAttributor({
     log: new EventLog("control", "error", undefined, {
@@ -38,7 +41,7 @@
 // at other gateways.
 test("a request at two crashes is told to gateways once", () => {
   const { attributor, told } = openAttributor();
-  attributor.addLocalNews(newsOf("one", "a"));
+  attributor.addLocalNews(newsOf("one", "a"), SESSION);
   assert.deepEqual(told, []);
   attributor.addRemoteNews(newsOf("one", "b"));
   attributor.addRemoteNews(newsOf("one", "b"));
@@ -70,7 +73,7 @@
   const other = openAttributor();
   for (const host of ["a", "b", "a"]) {
     for (const { attributor } of [leader, other]) {
-      attributor.addLocalNews(askForTrial(host));
+      attributor.addLocalNews(askForTrial(host), SESSION);
     }
   }
   assert.deepEqual(leader.permitted, ["a"]);
@@ -81,7 +84,7 @@
       trialsPermitted: [{ fingerprint: "one", host: "a" }],
     }),
   );
-  next.attributor.addLocalNews(askForTrial("b"));
+  next.attributor.addLocalNews(askForTrial("b"), SESSION);
   assert.deepEqual(next.permitted, [], "a new leader knows of it");
   for (const { attributor } of [leader, other, next]) attributor.stop();
 });
@@ -109,25 +112,27 @@
   });
 }
 
-function newsOfSurvival(part: string) {
+function newsOfGoodEnd(part: string) {
   return create(CrashNewsSchema, {
-    survivals: [{
-      part,
-      begunAgeMilliseconds: 900,
-      livedMilliseconds: 900,
-      isComplete: true,
-    }],
+    goodEnds: {
+      source: "g@1",
+      totals: { count: 1, runMilliseconds: 900 },
+      ends: [{ part, sentAgeMilliseconds: 900, endedAgeMilliseconds: 0 }],
+    },
   });
 }
 
-// Guards against a sound part that stays blamed: an answer that outlives what
-// crashes take narrows the blame, or lifts it, for all gateways.
-test("an answer that has survived frees the part of its blame", () => {
+// Guards against a sound part that stays blamed: an answer that comes to its
+// good end narrows the blame, or lifts it, for all gateways.
+test("a good end frees the part of its blame", () => {
   const { attributor } = openAttributor();
   const news = listBlameNews(attributor);
-  attributor.addLocalNews(newsOfBlame("part:a+part:b", ["x", "y", "z"]));
-  attributor.addLocalNews(newsOfSurvival("a"));
-  attributor.addLocalNews(newsOfSurvival("b"));
+  attributor.addLocalNews(
+    newsOfBlame("part:a+part:b", ["x", "y", "z"]),
+    SESSION,
+  );
+  attributor.addLocalNews(newsOfGoodEnd("a"), SESSION);
+  attributor.addLocalNews(newsOfGoodEnd("b"), SESSION);
   attributor.stop();
   assert.deepEqual(news, [
     "blamed part:a+part:b",
@@ -143,14 +148,14 @@
   const { attributor } = openAttributor();
   const kept: string[] = [];
   attributor.blamed$.subscribe(({ fingerprint }) => kept.push(fingerprint));
-  attributor.addLocalNews(newsOfBlame("part:a", ["x", "y", "z"]));
-  attributor.addLocalNews(newsOfSurvival("a"));
+  attributor.addLocalNews(newsOfBlame("part:a", ["x", "y", "z"]), SESSION);
+  attributor.addLocalNews(newsOfGoodEnd("a"), SESSION);
   const news = listBlameNews(attributor);
   kept.length = 0;
-  attributor.addLocalNews(newsOfBlame("part:a", ["x", "y", "z"]));
+  attributor.addLocalNews(newsOfBlame("part:a", ["x", "y", "z"]), SESSION);
   assert.deepEqual(news, ["cleared part:a"]);
   assert.deepEqual(kept, []);
-  attributor.addLocalNews(newsOfBlame("part:a", ["x", "y", "new"]));
+  attributor.addLocalNews(newsOfBlame("part:a", ["x", "y", "new"]), SESSION);
   assert.deepEqual(news, ["cleared part:a", "blamed part:a"]);
   assert.deepEqual(kept, ["part:a"]);
   attributor.stop();
@@ -179,9 +184,9 @@
   const { attributors, queue } = linkAttributors(3);
   const [first, second] = attributors;
   const blame = newsOfBlame("part:a", ["x", "y", "z"]);
-  first!.addLocalNews(blame);
-  first!.addLocalNews(newsOfSurvival("a"));
-  second!.addLocalNews(blame);
+  first!.addLocalNews(blame, SESSION);
+  first!.addLocalNews(newsOfGoodEnd("a"), SESSION);
+  second!.addLocalNews(blame, SESSION);
   let messages = 0;
   for (; queue.length > 0 && messages < 1_000; messages += 1) queue.shift()!();
   for (const attributor of attributors) attributor.stop();
--- a/packages/daemon/src/control/follow_session.ts
+++ b/packages/daemon/src/control/follow_session.ts
@@ -40,8 +40,6 @@
   #wantsLoads = false;
   #gatewayTeller: GatewayTeller;
   #sentAt = monotonicMilliseconds();
-  /** Undefined for a control host. */
-  #watcher: ReturnType<SharedView["crashes"]["addWatcher"]> | undefined;
 
   constructor(view: SharedView) {
     this.#view = view;
@@ -53,12 +51,11 @@
 
   handleMessage(message: FollowerToControl): void {
     this.#lastMessageAt = monotonicMilliseconds();
-    this.#watcher?.hear();
     if (message.body.case === "hello") {
       this.#start(message.body.value);
     }
     if (message.body.case === "crashes") {
-      this.#view.crashes.addLocalNews(message.body.value, this.#watcher);
+      this.#view.crashes.addLocalNews(message.body.value, this);
     }
     if (message.body.case === "limits") {
       this.#view.limits.addLocalNews(message.body.value);
@@ -74,9 +71,10 @@
   close(): void {
     this.#subscriptions.unsubscribe();
     this.outgoing$.complete();
+    this.#view.crashes.endSession(this);
   }
 
-  #start({ isControl, host, runningMilliseconds }: FollowerHello): void {
+  #start({ isControl, host }: FollowerHello): void {
     const view = this.#view;
     this.#sendHeartbeat();
     this.#sendControlHosts();
@@ -104,11 +102,6 @@
         this.#send({ case: "loads", value: { loads } })
       ),
     );
-    if (!isControl) {
-      const watcher = view.crashes.addWatcher(runningMilliseconds);
-      this.#watcher = watcher;
-      this.#subscriptions.add(() => watcher.leave());
-    }
     this.#startSendingCrashes(isControl);
     this.#startSendingLimits(isControl, host);
     this.#startSendingGateways(isControl);
--- a/packages/daemon/src/control/shared_view.ts
+++ b/packages/daemon/src/control/shared_view.ts
@@ -118,10 +118,7 @@
 
   constructor(options: Options) {
     this.#options = options;
-    this.crashes = new CrashAttributor({
-      ...options,
-      listServers: () => this.#registry.all(),
-    });
+    this.crashes = new CrashAttributor(options);
     this.gateways = new GatewayCounter(options);
     this.#timer = setInterval(
       () => this.#expire(),
--- a/packages/daemon/src/control/suspicion_news.ts
+++ b/packages/daemon/src/control/suspicion_news.ts
@@ -18,8 +18,8 @@
 /** Bounds the watches sent to each gateway to 5 KB/s. */
 const MAX_WATCHES_PER_SECOND = 100;
 const MAX_WATCHES_AT_ONCE = 32;
-/** Weight of crashes from which answers on a part are watched. */
-const MIN_WATCHED_WEIGHT = 2;
+/** From so many crashes on, good ends on a part are watched for. */
+const MIN_WATCHED_CRASHES = 2;
 const WATCH_BATCH_MILLISECONDS = 50;
 /** Bounds the ends told to each gateway to 2 KB/s. */
 const MAX_ENDS_PER_SECOND = 32;
@@ -102,7 +102,7 @@
     for (const fingerprint of fingerprints) this.#told.delete(fingerprint);
   }
 
-  /** Tells soon for which parts answers are watched, the most suspected first. */
+  /** Tells soon for which parts good ends are watched for, the most suspected first. */
   scheduleWatches(): void {
     this.#watchTimer ??= setTimeout(() => {
       this.#watchTimer = undefined;
@@ -122,7 +122,7 @@
 
   #encodeWatches(): PartWatch[] {
     const now = monotonicMilliseconds();
-    return this.#ledger.listPartWatches({ minWeight: MIN_WATCHED_WEIGHT })
+    return this.#ledger.listPartWatches({ minCrashes: MIN_WATCHED_CRASHES })
       .slice(0, MAX_WATCHES_AT_ONCE)
       .map((watch) => encodePartWatch(watch, now));
   }
--- a/packages/daemon/src/entry/calls/call_crash_detector.ts
+++ b/packages/daemon/src/entry/calls/call_crash_detector.ts
@@ -202,9 +202,10 @@
   #scheduleDecision(): void {
     this.#decideTimer ??= setTimeout(() => {
       this.#decideTimer = undefined;
-      const blames = this.#ledger.blameSuspects(monotonicMilliseconds());
+      const now = monotonicMilliseconds();
+      const blames = this.#ledger.blameSuspects(now);
       for (const blame of blames) this.#replicateBlame(blame);
-      if (this.#ledger.hasPendingSuspects) this.#scheduleDecision();
+      if (this.#ledger.hasPendingSuspects(now)) this.#scheduleDecision();
     }, DECISION_DELAY_MILLISECONDS);
   }
 
--- a/packages/daemon/src/gateway/active_call.ts
+++ b/packages/daemon/src/gateway/active_call.ts
@@ -1,5 +1,4 @@
 import type { AdmittedCall } from "./admitted_call.ts";
-import type { AnswerProgress } from "./answer_progress.ts";
 import type { AnswerForwarder } from "./answer_forwarder.ts";
 import type { CallRouting } from "./call_routing.ts";
 import type { CallSender } from "./call_sender.ts";
@@ -14,6 +13,4 @@
   routing: CallRouting;
   refusals: RefusalBuilder;
   takeover: CallTakeover;
-  /** Of the current answer, a good stream; undefined without one. */
-  progress: AnswerProgress | undefined;
 };
--- a/packages/daemon/src/gateway/call_interruptions.ts
+++ b/packages/daemon/src/gateway/call_interruptions.ts
@@ -49,7 +49,6 @@
     return context.crashes.watch({
       call,
       abort: (blame) => this.#guard(() => this.#abortBlamed(active, blame)),
-      progress: () => active.progress,
     });
   }
 
--- a/packages/daemon/src/gateway/crash_reporter.ts
+++ b/packages/daemon/src/gateway/crash_reporter.ts
@@ -3,7 +3,7 @@
 import { CrashLedger } from "@teaselrouter/core/crashes/crash_ledger.ts";
 import type { CrashReport } from "@teaselrouter/core/crashes/crash_report.ts";
 import { RecentReports } from "@teaselrouter/core/crashes/recent_reports.ts";
-import type { Survival } from "@teaselrouter/core/crashes/survival.ts";
+import type { GoodEndNews } from "@teaselrouter/core/crashes/good_end_news.ts";
 import { parsePartNames } from "@teaselrouter/core/crashes/parse_part_names.ts";
 import { NewsRateLimiter } from "@teaselrouter/core/news/news_rate_limiter.ts";
 import { incarnationOf } from "@teaselrouter/core/membership/incarnation_of.ts";
@@ -11,6 +11,7 @@
   type CrashNews,
   CrashNewsSchema,
 } from "@teaselrouter/messages/follow.ts";
+import { randomUUID } from "node:crypto";
 import type { Observable } from "rxjs";
 import { toBlameFields } from "../log/to_blame_fields.ts";
 import type { EventLog } from "../log/event_log.ts";
@@ -18,16 +19,16 @@
 import { decodeCrashReport } from "../transport/decode_crash_report.ts";
 import { encodeBlame } from "../transport/encode_blame.ts";
 import { decodePartWatch } from "../transport/decode_part_watch.ts";
-import { decodeSurvival } from "../transport/decode_survival.ts";
+import { decodePartGoodEnds } from "../transport/decode_part_good_ends.ts";
 import { encodeCrashReport } from "../transport/encode_crash_report.ts";
-import { encodeSurvival } from "../transport/encode_survival.ts";
+import { encodeGoodEnds } from "../transport/encode_good_ends.ts";
 import { monotonicMilliseconds } from "../transport/monotonic_milliseconds.ts";
 import type { AdmittedCall } from "./admitted_call.ts";
 import type { EndedRuns } from "./ended_runs.ts";
 import { fingerprintCall } from "./fingerprint_call.ts";
+import { GoodEndWatch } from "./good_end_watch.ts";
 import type { InFlightCall } from "./in_flight_call.ts";
 import { isBlamedBy } from "./is_blamed_by.ts";
-import { SurvivalWatch } from "./survival_watch.ts";
 
 /**
  * How long this gateway waits after a crash before it blames a request itself.
@@ -46,8 +47,6 @@
 
 /** Control hosts are asked for trial runs at most this often. */
 const TRIAL_REQUEST_INTERVAL_MILLISECONDS = 1_000;
-/** How long an answer has to run to show that a blamed part does no harm. */
-const TRIAL_SURVIVAL_MILLISECONDS = 2_000;
 
 type Options = {
   /** Name of this gateway. */
@@ -71,16 +70,16 @@
   #reports: CrashReport[] = [];
   #recentReports = new RecentReports();
   #rateLimiter = new NewsRateLimiter(MAX_REPORTS_PER_SECOND);
-  #survivals = new SurvivalWatch({
-    listCalls: () => this.#callsInFlight,
-    report: (survivals) => this.#reportSurvivals(survivals),
-  });
+  #goodEnds = new GoodEndWatch({ report: (news) => this.#tellGoodEnds(news) });
+  /** Names this run of the process. */
+  #source: string;
   #trialsAskedAt = -Infinity;
   #reportTimer: NodeJS.Timeout | undefined;
   #decideTimer: NodeJS.Timeout | undefined;
 
   constructor(options: Options) {
     this.#options = options;
+    this.#source = `${options.host}@${randomUUID()}`;
     this.#ledger = new CrashLedger({
       decisionDelayMilliseconds: DECISION_DELAY_MILLISECONDS,
       waitsForPermits: true,
@@ -94,7 +93,7 @@
   stop(): void {
     clearTimeout(this.#reportTimer);
     clearTimeout(this.#decideTimer);
-    this.#survivals.stop();
+    this.#goodEnds.stop();
   }
 
   /**
@@ -141,12 +140,12 @@
   }
 
   /**
-   * Records a good answer that has come to its end. `begunAt` is when its backend
-   * server began to work on it, monotonic milliseconds.
+   * Records a good answer that has come to its end, whole. `sentAt` is when its
+   * request was sent to the backend server, monotonic milliseconds.
    */
-  recordSuccess(call: AdmittedCall, begunAt: number): void {
+  recordSuccess(call: AdmittedCall, sentAt: number): void {
+    this.#goodEnds.recordEnd(call, sentAt);
     if (this.#ledger.suspectCount === 0 && !this.#ledger.hasBlamed) return;
-    this.#survivals.recordEnd(call, begunAt);
     const fingerprint = fingerprintCall(call);
     this.#recentReports.forget(fingerprint);
     if (!this.#ledger.clear(fingerprint)) return;
@@ -155,9 +154,11 @@
 
   /**
    * Latest blames and reports, for a control host that this gateway begins to
-   * follow and that may know nothing; undefined for none.
+   * follow and that may know nothing; undefined for none. Good ends are told
+   * soon, to all.
    */
   currentNews(): CrashNews | undefined {
+    this.#goodEnds.tellAnew();
     const now = monotonicMilliseconds();
     const blames = this.#ledger.listBlames().slice(-MAX_INITIAL_BLAMES);
     const reports = this.#recentReports.list(now);
@@ -178,11 +179,13 @@
     const now = monotonicMilliseconds();
     // One start of one backend server.
     const incarnation = incarnationOf(announcement);
-    for (const { call, fingerprint, begunMilliseconds } of interrupted) {
+    for (const each of interrupted) {
+      const { call, fingerprint, begunMilliseconds, sentMilliseconds } = each;
       const report = {
         fingerprint,
         incarnation,
         begunMilliseconds,
+        sentMilliseconds,
         parts: call.metadata.sharedParts,
         crashedAt: at,
         isGivenUp: areGivenUp,
@@ -191,7 +194,7 @@
       this.#reports.push(report);
       this.#recentReports.add(report, now);
     }
-    this.#survivals.watch(this.#ledger.listPartWatches({ minWeight: 1 }));
+    this.#goodEnds.watch(this.#ledger.listPartWatches({ minCrashes: 1 }));
     this.#scheduleDecision();
     this.#reportTimer ??= setTimeout(
       () => this.#publishReports(),
@@ -234,32 +237,31 @@
   #scheduleDecision(): void {
     this.#decideTimer ??= setTimeout(() => {
       this.#decideTimer = undefined;
-      const blames = this.#ledger.blameSuspects(monotonicMilliseconds());
+      const now = monotonicMilliseconds();
+      const blames = this.#ledger.blameSuspects(now);
       if (blames.length > 0) {
         this.#applyBlames(blames, "decided");
         this.#options.publish(this.#encodeBlames(blames));
       }
-      if (this.#ledger.hasPendingSuspects) this.#scheduleDecision();
+      if (this.#ledger.hasPendingSuspects(now)) this.#scheduleDecision();
     }, DECISION_DELAY_MILLISECONDS);
   }
 
-  #reportSurvivals(survivals: Survival[]): void {
-    for (const survival of survivals) this.#ledger.recordSurvival(survival);
+  #tellGoodEnds(news: GoodEndNews): void {
+    this.#ledger.addGoodEnds(this.#source, news);
     const now = monotonicMilliseconds();
-    this.#options.publish(create(CrashNewsSchema, {
-      survivals: survivals.map((survival) => encodeSurvival(survival, now)),
-    }));
+    if (this.#ledger.hasPendingSuspects(now)) this.#scheduleDecision();
+    const goodEnds = encodeGoodEnds(this.#source, news, now);
+    this.#options.publish(create(CrashNewsSchema, { goodEnds }));
   }
 
   #applyUpdate(news: CrashNews): void {
-    const { reports, blamed, cleared, watches, survivals } = news;
+    const { reports, blamed, cleared, watches, partGoodEnds } = news;
     const now = monotonicMilliseconds();
     this.#applyTrials(news, now);
-    this.#survivals.watch(
-      watches.map((watch) => decodePartWatch(watch, now)),
-    );
-    for (const survival of survivals) {
-      this.#ledger.recordSurvival(decodeSurvival(survival, now));
+    this.#goodEnds.watch(watches.map((watch) => decodePartWatch(watch, now)));
+    for (const end of decodePartGoodEnds(partGoodEnds, now)) {
+      this.#ledger.recordGoodEnd(end);
     }
     for (const fingerprint of cleared) {
       this.#recentReports.forget(fingerprint);
@@ -280,11 +282,8 @@
       this.#ledger.beginTrial(fingerprint, now);
       if (host !== this.#options.host) continue;
       this.#ledger.permitTrial(fingerprint, now);
-      const thresholds = { complete: 0, running: TRIAL_SURVIVAL_MILLISECONDS };
       const parts = parsePartNames(fingerprint) ?? [];
-      this.#survivals.watch(
-        parts.map((part) => ({ part, since: now, thresholds })),
-      );
+      this.#goodEnds.watch(parts.map((part) => ({ part, since: now })));
     }
   }
 
--- a/packages/daemon/src/gateway/crash_reporter_test.ts
+++ b/packages/daemon/src/gateway/crash_reporter_test.ts
@@ -51,6 +51,7 @@
         call: callWith(instance, "first", "harmful"),
         fingerprint: instance,
         begunMilliseconds: 20,
+        sentMilliseconds: 45,
       }],
       at,
       verdict: "refuses",
@@ -106,11 +107,7 @@
   const { reporter, updates$, published } = openReporter({ isConnected: true });
   const aborted: string[] = [];
   for (const call of [callWith("waits", "bad", "x"), callWith("sound", "x")]) {
-    reporter.watch({
-      call,
-      abort: () => aborted.push(call.id),
-      progress: () => undefined,
-    });
+    reporter.watch({ call, abort: () => aborted.push(call.id) });
   }
   updates$.next(create(CrashNewsSchema, {
     blamed: [{
--- a/packages/daemon/src/gateway/crash_watch.ts
+++ b/packages/daemon/src/gateway/crash_watch.ts
@@ -89,6 +89,7 @@
       call,
       fingerprint: fingerprintCall(call),
       begunMilliseconds: begunAt === undefined ? undefined : now - begunAt,
+      sentMilliseconds: now - sentAt,
     };
     const added = this.#breaks.add({ announcement, interrupted, sentAt, now });
     if (added === undefined) return;
--- a/packages/daemon/src/gateway/gateway_call.ts
+++ b/packages/daemon/src/gateway/gateway_call.ts
@@ -103,7 +103,6 @@
       routing,
       refusals,
       takeover,
-      progress: undefined,
     };
     context.retries.countRequest(
       call.service.name,
@@ -283,10 +282,7 @@
     routing.weightsVersion ??= metadata.weightsVersion;
     takeover.cancel("its backend server answers");
     message.on("data", () => takeover.cancel("its backend server goes on"));
-    const lastReceivedAt = () => record.lastReceivedAt;
-    if (goesOn) active.progress = { begunAt: now, lastReceivedAt };
     const end = await forwarder.forward(message, sent.answer);
-    active.progress = undefined;
     sent.end();
     const { framing, end: answerEnd } = sent.answer;
     this.#context.metrics.answersEnded.inc({ framing, end: answerEnd });
@@ -313,8 +309,7 @@
     }
     this.#response.end();
     if (isGood) {
-      const begunAt = findWorkBegunAt(active, sent, now);
-      this.#context.crashes.recordSuccess(active.call, begunAt);
+      this.#context.crashes.recordSuccess(active.call, sent.firstByteAt);
     }
     const reason = announcement.instance;
     this.#finisher.finish(active, {
--- a/packages/daemon/src/gateway/given_up_watch.ts
+++ b/packages/daemon/src/gateway/given_up_watch.ts
@@ -110,9 +110,10 @@
         given_up_milliseconds: Math.round(at - givenUpAt),
       });
     }
-    const interrupted = runs.map(({ run, begunAt }) => ({
+    const interrupted = runs.map(({ run, begunAt, sentAt }) => ({
       ...run,
       begunMilliseconds: Math.max(0, at - begunAt),
+      sentMilliseconds: Math.max(0, at - sentAt),
     }));
     this.ended$.next({ announcement, interrupted, at, areGivenUp: true });
   }
--- a/packages/daemon/src/gateway/interrupted_call.ts
+++ b/packages/daemon/src/gateway/interrupted_call.ts
@@ -16,4 +16,6 @@
    * of the request.
    */
   begunMilliseconds: number | undefined;
+  /** Milliseconds from the sending of the request to the end. */
+  sentMilliseconds: number;
 };
--- a/packages/daemon/src/transport/decode_crash_report.ts
+++ b/packages/daemon/src/transport/decode_crash_report.ts
@@ -9,12 +9,16 @@
   message: CrashReportMessage,
   now: number,
 ): CrashReport {
-  const { fingerprint, incarnation, begunMilliseconds } = message;
+  const { fingerprint, incarnation, begunMilliseconds, sentMilliseconds } =
+    message;
+  const isSentKnown = sentMilliseconds !== undefined &&
+    Number.isFinite(sentMilliseconds) && sentMilliseconds >= 0;
   return {
     fingerprint,
     incarnation,
     parts: [...message.parts],
     begunMilliseconds: begunMilliseconds < 0 ? undefined : begunMilliseconds,
+    ...(isSentKnown ? { sentMilliseconds } : {}),
     crashedAt: now - message.ageMilliseconds,
     isGivenUp: message.givenUp,
   };
--- a/packages/daemon/src/transport/decode_part_watch.ts
+++ b/packages/daemon/src/transport/decode_part_watch.ts
@@ -6,15 +6,9 @@
  * which ages are counted.
  */
 export function decodePartWatch(
-  message: PartWatchMessage,
+  { part, sinceAgeMilliseconds }: PartWatchMessage,
   now: number,
 ): PartWatch {
-  return {
-    part: message.part,
-    since: now - message.sinceAgeMilliseconds,
-    thresholds: {
-      complete: message.completeMilliseconds,
-      running: message.runningMilliseconds,
-    },
-  };
+  const isKnown = Number.isFinite(sinceAgeMilliseconds);
+  return { part, since: isKnown ? now - sinceAgeMilliseconds : now };
 }
--- a/packages/daemon/src/transport/encode_crash_report.ts
+++ b/packages/daemon/src/transport/encode_crash_report.ts
@@ -16,12 +16,14 @@
   report: CrashReport,
   now: number,
 ): CrashReportMessage {
-  const { fingerprint, incarnation, parts, crashedAt } = report;
+  const { fingerprint, incarnation, parts, crashedAt, sentMilliseconds } =
+    report;
   return create(CrashReportSchema, {
     fingerprint,
     incarnation,
     parts: [...parts ?? []],
     begunMilliseconds: report.begunMilliseconds ?? ANSWER_NOT_BEGUN,
+    ...(sentMilliseconds === undefined ? {} : { sentMilliseconds }),
     givenUp: report.isGivenUp ?? false,
     ageMilliseconds: Math.max(0, now - (crashedAt ?? now)),
   });
--- a/packages/daemon/src/transport/encode_part_watch.ts
+++ b/packages/daemon/src/transport/encode_part_watch.ts
@@ -7,13 +7,11 @@
 
 /** Encodes a watch for another process; `now` is the local monotonic time. */
 export function encodePartWatch(
-  { part, since, thresholds }: PartWatch,
+  { part, since }: PartWatch,
   now: number,
 ): PartWatchMessage {
   return create(PartWatchSchema, {
     part,
     sinceAgeMilliseconds: Math.max(0, now - since),
-    completeMilliseconds: thresholds.complete,
-    runningMilliseconds: thresholds.running,
   });
 }
--- a/packages/daemon/src/transport/follow_link.ts
+++ b/packages/daemon/src/transport/follow_link.ts
@@ -152,10 +152,7 @@
     const hello = create(FollowerToControlSchema, {
       body: {
         case: "hello",
-        value: {
-          ...this.#options.hello,
-          runningMilliseconds: monotonicMilliseconds(),
-        },
+        value: this.#options.hello,
       },
     });
     const heartbeats$ = interval(HEARTBEAT_INTERVAL_MILLISECONDS).pipe(
