--- a/packages/daemon/src/control/crash_attributor_test.ts
+++ b/packages/daemon/src/control/crash_attributor_test.ts
@@ -7,6 +7,10 @@
 
 /** Of a gateway that follows. */
 const SESSION = {};
+/** More than a harmless part would let pass in three crashes. */
+const SOUND_ANSWERS = 100;
+/** Several decisions. */
+const DECISION_MILLISECONDS = 600;
 
 function openAttributor({ isLeading = false } = {}) {
   const attributor = new CrashAttributor({
@@ -161,6 +165,104 @@
   attributor.stop();
 });
 
+function listPassedOn(attributor: CrashAttributor): string[] {
+  const passedOn: string[] = [];
+  attributor.blameNews$.subscribe(({ partGoodEnds }) =>
+    passedOn.push(...partGoodEnds.map(({ part }) => part))
+  );
+  return passedOn;
+}
+
+// Guards against control hosts that don't hear what clears a part, or that pass it
+// on to each other again and again.
+test("a good end that frees a part is passed on by the host that a gateway tells", () => {
+  const first = openAttributor().attributor;
+  const second = openAttributor().attributor;
+  for (const attributor of [first, second]) {
+    attributor.addRemoteNews(newsOfBlame("part:a", ["x", "y", "z"]));
+  }
+  const passedByFirst = listPassedOn(first);
+  const passedBySecond = listPassedOn(second);
+  const news = listBlameNews(second);
+  first.blameNews$.subscribe(({ partGoodEnds }) =>
+    second.addRemoteNews(create(CrashNewsSchema, { partGoodEnds }))
+  );
+  first.addLocalNews(newsOfGoodEnd("a"), SESSION);
+  first.addLocalNews(newsOfGoodEnd("a"), SESSION);
+  first.addLocalNews(newsOfGoodEnd("other"), SESSION);
+  for (const attributor of [first, second]) attributor.stop();
+  assert.deepEqual(passedByFirst, ["a"]);
+  assert.deepEqual(passedBySecond, []);
+  assert.deepEqual(news, ["cleared part:a"]);
+});
+
+/** Three crashes under one part, and what a gateway has counted meanwhile. */
+function tellHarmful(attributor: CrashAttributor, session: object): void {
+  for (const [index, incarnation] of ["x", "y", "z"].entries()) {
+    const reports = [{
+      fingerprint: incarnation,
+      incarnation,
+      parts: ["harmful"],
+      begunMilliseconds: 20,
+      sentMilliseconds: 45,
+      ageMilliseconds: 1_000 - 100 * index,
+    }];
+    attributor.addLocalNews(create(CrashNewsSchema, { reports }), session);
+  }
+  tellCount(attributor, session, 0);
+}
+
+function tellCount(
+  attributor: CrashAttributor,
+  session: object,
+  count: number,
+): void {
+  const none = { count: 0, runMilliseconds: 0 };
+  const goodEnds = {
+    source: "g@1",
+    totals: { count, runMilliseconds: 150 * count },
+    starts: [{ part: "harmful", totals: none }],
+  };
+  attributor.addLocalNews(create(CrashNewsSchema, { goodEnds }), session);
+}
+
+// Guards against counts of a gateway that is gone, and can't tell of good ends on a
+// part any more, and against losing those of one that follows anew.
+test("what a gateway has counted stands while a session tells of it", async () => {
+  const former = {};
+  const latest = {};
+  const judge = async (...ended: object[]) => {
+    const { attributor } = openAttributor();
+    const news = listBlameNews(attributor);
+    tellHarmful(attributor, former);
+    tellCount(attributor, latest, SOUND_ANSWERS);
+    for (const session of ended) attributor.endSession(session);
+    await new Promise((resolve) => setTimeout(resolve, DECISION_MILLISECONDS));
+    attributor.stop();
+    return news;
+  };
+  assert.deepEqual(await judge(), ["blamed part:harmful"]);
+  assert.deepEqual(await judge(former), ["blamed part:harmful"]);
+  assert.deepEqual(await judge(former, latest), []);
+  assert.deepEqual(await judge(latest, former), []);
+});
+
+// Guards against a decision that waits for the next crash although the good ends
+// that it lacked have come.
+test("good ends that come after the crashes decide", async () => {
+  const { attributor } = openAttributor();
+  const news = listBlameNews(attributor);
+  tellHarmful(attributor, SESSION);
+  const sleep = () =>
+    new Promise((resolve) => setTimeout(resolve, DECISION_MILLISECONDS));
+  await sleep();
+  assert.deepEqual(news, []);
+  tellCount(attributor, SESSION, SOUND_ANSWERS);
+  await sleep();
+  attributor.stop();
+  assert.deepEqual(news, ["blamed part:harmful"]);
+});
+
 /** Control hosts that tell each other all news, each message one turn later. */
 function linkAttributors(count: number) {
   const queue: (() => void)[] = [];
--- a/packages/daemon/src/control/follow_session_test.ts
+++ b/packages/daemon/src/control/follow_session_test.ts
@@ -7,7 +7,7 @@
 } from "@teaselrouter/messages/follow.ts";
 import type { Departure } from "@teaselrouter/core/departures/departure.ts";
 import assert from "node:assert/strict";
-import { test } from "node:test";
+import { mock, test } from "node:test";
 import { EventLog } from "../log/event_log.ts";
 import { FollowSession } from "./follow_session.ts";
 import { SharedView } from "./shared_view.ts";
@@ -32,6 +32,7 @@
     applyCommand(state, command, index);
     view.stateChanged$.next();
   };
+  const endedSessions = mock.method(view.crashes, "endSession");
   const start = ({ isControl = false } = {}) => {
     const value = { host: "g", dataCentre: "here", isControl };
     session.handleMessage(
@@ -42,7 +43,7 @@
     session.close();
     view.stop();
   };
-  return { state, view, sent, order, start, stop };
+  return { state, view, session, sent, endedSessions, order, start, stop };
 }
 
 function evacuationsIn(sent: ControlUpdate["body"][]) {
@@ -134,3 +135,12 @@
   stop();
   assert.deepEqual(departuresIn(sent), ["i-2"]);
 });
+
+// Guards against counts of a gateway that is gone.
+test("a session that is over speaks for no gateway any more", () => {
+  const { session, endedSessions, start, stop } = openSession();
+  start();
+  assert.equal(endedSessions.mock.callCount(), 0);
+  stop();
+  assert.deepEqual(endedSessions.mock.calls[0]?.arguments, [session]);
+});
--- a/packages/daemon/src/gateway/crash_reporter_test.ts
+++ b/packages/daemon/src/gateway/crash_reporter_test.ts
@@ -17,6 +17,11 @@
 /** Until a gateway on its own has decided: a part is judged within a second. */
 const DECISION_MILLISECONDS = 1_300;
 const MINUTE_MILLISECONDS = 60_000;
+/** Several checks for good ends to tell of. */
+const TELL_MILLISECONDS = 200;
+/** More than a harmless part would let pass in three crashes. */
+const SOUND_ANSWERS = 100;
+const SOUND_MILLISECONDS = 150;
 
 function callWith(id: string, ...sharedParts: string[]): AdmittedCall {
   return {
@@ -62,7 +67,23 @@
     endUnder("b", now - 200);
     endUnder("c", now);
   };
-  return { reporter, updates$, published, crashThree };
+  const answer = (...parts: string[]) =>
+    reporter.recordSuccess(
+      callWith("sound", ...parts),
+      monotonicMilliseconds() - SOUND_MILLISECONDS,
+    );
+  const crashThreeAmongSound = () => {
+    crashThree();
+    for (let index = 0; index < SOUND_ANSWERS; index += 1) answer("other");
+  };
+  return {
+    reporter,
+    updates$,
+    published,
+    answer,
+    crashThree,
+    crashThreeAmongSound,
+  };
 }
 
 function sleep(milliseconds: number): Promise<void> {
@@ -72,8 +93,10 @@
 // Guards against a gateway that keeps sending requests with a harmful part while
 // it is disconnected from all control hosts.
 test("a disconnected gateway blames a part", async () => {
-  const { reporter, crashThree } = openReporter({ isConnected: false });
-  crashThree();
+  const { reporter, crashThreeAmongSound } = openReporter({
+    isConnected: false,
+  });
+  crashThreeAmongSound();
   await sleep(DECISION_MILLISECONDS);
   const harmful = callWith("new", "first", "harmful");
   const blame = reporter.checkBlame(harmful);
@@ -83,16 +106,69 @@
   reporter.stop();
 });
 
+// Guards against blaming a sound part for what came with it.
+test("a disconnected gateway doesn't blame a part that has a good end", async () => {
+  const { reporter, answer, crashThreeAmongSound } = openReporter({
+    isConnected: false,
+  });
+  crashThreeAmongSound();
+  answer("first");
+  await sleep(DECISION_MILLISECONDS);
+  const blame = reporter.checkBlame(callWith("new", "first", "harmful"));
+  assert.equal(blame?.fingerprint, "part:harmful");
+  reporter.stop();
+});
+
+// Guards against control hosts that take a gateway's counts for those of its
+// earlier run or of another gateway, or that don't hear of them when they come late.
+test("a gateway tells of good ends as one run, and anew to those that follow", async () => {
+  const { reporter, published, answer, crashThree } = openReporter({
+    isConnected: true,
+  });
+  const { reporter: next, published: publishedNext, ...others } = openReporter({
+    isConnected: true,
+  });
+  const countsTold = (news: CrashNews[]) =>
+    news.flatMap(({ goodEnds }) => goodEnds?.totals?.count ?? []);
+  const startsTold = (news: CrashNews[]) =>
+    news.flatMap(({ goodEnds }) =>
+      goodEnds?.starts.map(({ part, totals }) => `${part} ${totals!.count}`) ??
+        []
+    );
+  answer("other");
+  crashThree();
+  others.crashThree();
+  answer("first");
+  await sleep(TELL_MILLISECONDS);
+  assert.deepEqual(countsTold(published), [2]);
+  assert.deepEqual(startsTold(published).sort(), ["first 2", "harmful 0"]);
+  published.length = 0;
+  reporter.currentNews();
+  await sleep(TELL_MILLISECONDS);
+  assert.deepEqual(startsTold(published).sort(), ["first 2", "harmful 0"]);
+  const sources = [published, publishedNext].map((news) =>
+    news.find(({ goodEnds }) => goodEnds !== undefined)!.goodEnds!.source
+  );
+  assert.notEqual(sources[0], sources[1]);
+  for (const source of sources) assert.match(source, /^gateway-1@./);
+  reporter.stop();
+  next.stop();
+});
+
 // Guards against a gateway that blames a part whose good answers come at others.
 test("a connected gateway leaves the blame of a part to control hosts", async () => {
-  const { reporter, published, crashThree } = openReporter({
+  const { reporter, published, crashThreeAmongSound } = openReporter({
     isConnected: true,
   });
-  crashThree();
+  crashThreeAmongSound();
   await sleep(DECISION_MILLISECONDS);
   const harmful = callWith("new", "first", "harmful");
   assert.equal(reporter.checkBlame(harmful), undefined);
   const reports = published.flatMap((news) => news.reports);
+  assert.deepEqual(
+    reports.map(({ sentMilliseconds }) => sentMilliseconds),
+    [45, 45, 45],
+  );
   assert.deepEqual(reports.map(({ parts }) => parts), [
     ["first", "harmful"],
     ["first", "harmful"],
