--- a/packages/daemon/src/gateway/crash_reporter.ts
+++ b/packages/daemon/src/gateway/crash_reporter.ts
@@ -37,6 +37,8 @@
  * when it is cut off from them.
  */
 const DECISION_DELAY_MILLISECONDS = 500;
+/** The delay counts from the first look at which there is enough evidence. */
+const DECISION_INTERVAL_MILLISECONDS = 100;
 const REPORT_BATCH_MILLISECONDS = 50;
 /** Amounts to 3 KB a second for each control host that is followed. */
 const MAX_REPORTS_PER_SECOND = 48;
@@ -244,7 +246,7 @@
         this.#options.publish(this.#encodeBlames(blames));
       }
       if (this.#ledger.hasPendingSuspects(now)) this.#scheduleDecision();
-    }, DECISION_DELAY_MILLISECONDS);
+    }, DECISION_INTERVAL_MILLISECONDS);
   }
 
   #tellGoodEnds(news: GoodEndNews): void {
