--- a/packages/daemon/src/gateway/crash_reporter.ts
+++ b/packages/daemon/src/gateway/crash_reporter.ts
@@ -47,6 +47,8 @@
 /** A report with more prompt parts counts as several. */
 const PARTS_PER_REPORT = 8;
 
+/** Few, as each message of good ends has them. */
+const RUN_CHARACTERS = 8;
 /** Control hosts are asked for trial runs at most this often. */
 const TRIAL_REQUEST_INTERVAL_MILLISECONDS = 1_000;
 
@@ -81,7 +83,7 @@
 
   constructor(options: Options) {
     this.#options = options;
-    this.#source = `${options.host}@${randomUUID()}`;
+    this.#source = `${options.host}@${randomUUID().slice(0, RUN_CHARACTERS)}`;
     this.#ledger = new CrashLedger({
       decisionDelayMilliseconds: DECISION_DELAY_MILLISECONDS,
       waitsForPermits: true,
