--- a/acceptance/src/fake_backend_server.ts
+++ b/acceptance/src/fake_backend_server.ts
@@ -84,8 +84,17 @@
   zone = "here";
   /** Until when it announces that it is cold, `performance.now()`. */
   coldUntil = -Infinity;
-  /** Milliseconds from the start of an answer until its request crashes it. */
+  /** Milliseconds from a request until the first byte of its answer. */
+  drawFirstByte = () => 0;
+  /** Whether the answer to a request that crashes the server begins before. */
+  drawHead = () => true;
+  /**
+   * Milliseconds from the first byte of an answer, or from when it would have
+   * come, until its request crashes the server.
+   */
   drawCrashDelay = () => CRASH_DELAY_MILLISECONDS;
+  /** Milliseconds that a stream takes; by default as its events take. */
+  drawStreamLength: (() => number) | undefined;
   /** Whether the server has crashed and not yet restarted. */
   isDown = false;
   /** Requests per second announced in responses; undefined for no limit. */
@@ -299,9 +308,40 @@
     if (failureStatus !== undefined) {
       return this.#fail(failureStatus, id, response);
     }
+    const isCrashing = this.#isCrashing(headers["prefix-hash"], body);
+    const hasHead = !isCrashing || this.drawHead();
+    const { crashCount } = this;
+    const hasEnded = () => this.crashCount !== crashCount;
+    if (isCrashing || headers["model"] !== undefined) {
+      this.#openStreams.add(response);
+      response.once("close", () => this.#openStreams.delete(response));
+    }
+    const firstByte = this.drawFirstByte();
+    if (firstByte > 0) {
+      await sleep(firstByte);
+      await this.#waitUntilSilenceEnds();
+    }
+    if (hasEnded() || (response.destroyed && !isCrashing)) return;
+    if (hasHead) this.#writeHead(request, response);
+    if (isCrashing) {
+      if (hasHead) response.flushHeaders();
+      await sleep(this.drawCrashDelay());
+      return hasEnded() ? undefined : this.crash(id);
+    }
+    if (headers["model"] === undefined) {
+      const echo = [request.method, request.url, headers["tenant"], body];
+      return void response.end(echo.join(" "));
+    }
+    await this.#streamEvents(response, {
+      after: Number(headers["last-event-id"] ?? 0),
+      events: Number(headers["stream-events"] ?? this.streamEvents),
+    });
+  }
+
+  #writeHead({ headers }: IncomingMessage, response: ServerResponse): void {
     if (this.framesByConnection) frameByConnection(response);
     response.writeHead(200, {
-      "Attempt-Id": id,
+      "Attempt-Id": String(headers["attempt-id"]),
       "Server-Signature": this.instance,
       ...(headers["model"] !== undefined && {
         "Content-Type": "text/event-stream",
@@ -312,20 +352,6 @@
         "Server-Limit": String(this.limitPerSecond),
       }),
     });
-    if (this.#isCrashing(headers["prefix-hash"], body)) {
-      response.flushHeaders();
-      this.#openStreams.add(response);
-      await sleep(this.drawCrashDelay());
-      return this.crash(id);
-    }
-    if (headers["model"] === undefined) {
-      const echo = [request.method, request.url, headers["tenant"], body];
-      return void response.end(echo.join(" "));
-    }
-    await this.#streamEvents(response, {
-      after: Number(headers["last-event-id"] ?? 0),
-      events: Number(headers["stream-events"] ?? this.streamEvents),
-    });
   }
 
   #isCrashing(prefix: string | string[] | undefined, body: Buffer): boolean {
@@ -419,8 +445,9 @@
     { after, events }: { after: number; events: number },
   ): Promise<void> {
     if (response.destroyed) return;
-    this.#openStreams.add(response);
-    response.once("close", () => this.#openStreams.delete(response));
+    const eventMilliseconds = this.drawStreamLength === undefined
+      ? this.eventIntervalMilliseconds
+      : this.drawStreamLength() / events;
     const breakAfter = this.breakAfterEvents.shift() ?? Infinity;
     const { paddingBytes } = this;
     for (let event = after + 1; event <= events; event += 1) {
@@ -428,7 +455,7 @@
       if (this.isFrozen || !this.#openStreams.has(response)) return;
       if (event > breakAfter) {
         response.write(`id: ${event}\nda`);
-        await sleep(this.eventIntervalMilliseconds);
+        await sleep(eventMilliseconds);
         return this.#breakOff(response);
       }
       const padding = paddingBytes === 0
@@ -437,7 +464,7 @@
       response.write(
         `${padding}id: ${event}${this.idLineEnd}data: t${event}\n\n`,
       );
-      await sleep(this.eventIntervalMilliseconds);
+      await sleep(eventMilliseconds);
     }
     await this.#waitUntilSilenceEnds();
     if (this.#openStreams.has(response)) response.end();
@@ -445,7 +472,9 @@
 
   async #breakOff(response: ServerResponse): Promise<void> {
     // Bytes that are still in the process are lost with the connection.
-    if (this.framesByConnection) await writeOut(response, PARTIAL_EVENT);
+    if (this.framesByConnection && response.headersSent) {
+      await writeOut(response, PARTIAL_EVENT);
+    }
     if (this.breakEnd === "reset") response.socket?.resetAndDestroy();
     else response.destroy();
   }
--- a/acceptance/src/part_day.ts
+++ b/acceptance/src/part_day.ts
@@ -7,6 +7,8 @@
 import { HostTroubles } from "./callers/host_troubles.ts";
 import type { EndingTerms } from "./endings/ending_terms.ts";
 import { EndToEndSystem } from "./end_to_end_system.ts";
+import type { EngineTerms } from "./engines/engine_terms.ts";
+import type { FakeBackendServer } from "./fake_backend_server.ts";
 import { freezeHost } from "./freeze_host.ts";
 import { findPartDayFaults } from "./find_part_day_faults.ts";
 import type { PartDayResult } from "./part_day_result.ts";
@@ -62,10 +64,17 @@
   #sentCount = 0;
   #troubles: HostTroubles;
   #callers: CallerTerms;
+  #engines: EngineTerms;
+  #milliseconds: number;
 
-  constructor(seed: number, terms: EndingTerms & CallerTerms = {}) {
+  constructor(
+    seed: number,
+    terms: EndingTerms & CallerTerms & EngineTerms = {},
+  ) {
     this.#seed = seed;
     this.#callers = terms;
+    this.#engines = terms;
+    this.#milliseconds = terms.milliseconds ?? DAY_MILLISECONDS;
     this.#random = createSeededRandom(hashText(`part ${seed}`));
     this.#mix = PROMPT_MIXES[seed % PROMPT_MIXES.length]!;
     this.#system = new EndToEndSystem({
@@ -76,13 +85,13 @@
       ...terms,
     });
     this.#troubles = new HostTroubles(this.#system, {
-      milliseconds: DAY_MILLISECONDS,
+      milliseconds: this.#milliseconds,
     });
   }
 
   async run(): Promise<PartDayResult> {
     const system = this.#system;
-    const { powerLosses = [], absences = [], drawCrashDelay } = this.#callers;
+    const { powerLosses = [], absences = [] } = this.#callers;
     // The first seeds run each mix without a disruption.
     const disruption =
       this.#seed < PROMPT_MIXES.length || powerLosses.length > 0 ||
@@ -92,10 +101,8 @@
     let keepLogs = true;
     try {
       await system.start();
-      if (drawCrashDelay !== undefined) {
-        for (const engine of system.engines) {
-          engine.drawCrashDelay = drawCrashDelay;
-        }
+      for (const engine of system.engines) {
+        Object.assign(engine, this.#listEngineDraws());
       }
       await Promise.all([
         this.#troubles.losePower(powerLosses),
@@ -115,6 +122,18 @@
     }
   }
 
+  /** What the day says of its engines; they draw anything else as usual. */
+  #listEngineDraws(): Partial<FakeBackendServer> {
+    const { drawFirstByte, drawHead, drawStreamLength } = this.#engines;
+    const { drawCrashDelay } = this.#callers;
+    return {
+      ...(drawFirstByte && { drawFirstByte }),
+      ...(drawHead && { drawHead }),
+      ...(drawStreamLength && { drawStreamLength }),
+      ...(drawCrashDelay && { drawCrashDelay }),
+    };
+  }
+
   #drawDisruption(): Disruption {
     const index = Math.floor(this.#random() * GATEWAYS);
     const control = Math.floor(this.#random() * CONTROL_HOSTS);
@@ -190,17 +209,19 @@
   }
 
   async #sendHarmless(): Promise<void> {
-    const until = performance.now() + DAY_MILLISECONDS;
+    const until = performance.now() + this.#milliseconds;
     const from = this.#mix.separatesGateways ? 1 : 0;
+    const { harmlessPerSecond = HARMLESS_PER_SECOND } = this.#engines;
     while (performance.now() < until) {
       this.#send(this.#drawGateway(from, GATEWAYS), undefined);
-      await sleep(2_000 * this.#random() / HARMLESS_PER_SECOND);
+      await sleep(2_000 * this.#random() / harmlessPerSecond);
     }
   }
 
   async #sendCrashing(part: number): Promise<void> {
-    const until = performance.now() + DAY_MILLISECONDS;
+    const until = performance.now() + this.#milliseconds;
     const { harmfulPerSecond = CRASHING_PER_SECOND } = this.#callers;
+    if (harmfulPerSecond === 0) return;
     const perSecond = harmfulPerSecond / this.#mix.drawCrashing.length;
     const to = this.#mix.separatesGateways ? 1 : GATEWAYS;
     const { crowds } = this.#callers;
@@ -303,7 +324,8 @@
       }),
     }));
     const lastDecisive = Math.max(
-      ...histories.map((history) => decisiveCrashOf(history.crashes)),
+      ...histories.filter((history) => history.crashes.length > 0)
+        .map((history) => decisiveCrashOf(history.crashes)),
       crashes[0]?.at ?? 0,
     );
     const harmless = sent.filter(({ part }) => part === undefined);
