--- a/packages/core/src/crashes/crash_ledger.ts
+++ b/packages/core/src/crashes/crash_ledger.ts
@@ -371,6 +371,7 @@
       ),
       mayWait: (suspect) =>
         ageOf(suspect) < decisionDelayMilliseconds + AMBIGUITY_MILLISECONDS,
+      isBlamed: (name) => this.#blames.has(name),
     });
   }
 
--- a/packages/core/src/crashes/crash_traffic_fixture.ts
+++ b/packages/core/src/crashes/crash_traffic_fixture.ts
@@ -20,6 +20,7 @@
 type Server = {
   announcement: BackendAnnouncement;
   upAt: number;
+  /** In the order of sending; those beyond its slots wait. */
   running: TrafficRequest[];
 };
 
@@ -80,7 +81,9 @@
     for (let now = 0; now < milliseconds; now += STEP_MILLISECONDS) {
       this.#callerEvents = runDueEvents(this.#callerEvents, now);
       this.#sendDue(now);
+      if (this.#traffic.storms?.includes(now)) this.#leaveInStorm(now);
       for (const server of this.#servers) {
+        this.#beginAnswers(server, now);
         this.#giveUp(server, now);
         this.#endAnswers(server, now);
       }
@@ -100,7 +103,8 @@
     if (this.#random() < harmlessPerSecond * seconds) {
       this.#send(now, undefined);
     }
-    for (const [kind, { perSecond, crowd }] of harmful.entries()) {
+    for (const [kind, { perSecond, crowd, until }] of harmful.entries()) {
+      if (until !== undefined && now >= until) continue;
       if (crowd !== undefined) this.#sendCrowd(kind, now);
       else if (this.#random() < perSecond * seconds) this.#send(now, kind);
     }
@@ -134,7 +138,7 @@
     >,
     now: number,
   ): void {
-    const { lifetime, crashDelay } = this.#traffic;
+    const { lifetime, crashDelay, firstByte } = this.#traffic;
     const { fingerprint, parts, kind } = request;
     if (now < this.#downUntil) return this.#repeat(request, now);
     const blame = this.#hosts.ledger.checkBlame(fingerprint, now, parts);
@@ -143,10 +147,11 @@
       : undefined;
     if (blame !== undefined) return this.#repeat(request, now);
     const up = this.#servers.filter(({ upAt }) => upAt <= now);
-    const server = up[Math.floor(this.#random() * up.length)];
+    const server = this.#chooseServer(up);
     if (server === undefined) return;
-    const endsAt = now +
-      this.#between(kind === undefined ? lifetime : crashDelay);
+    const lengthMilliseconds = this.#between(
+      kind === undefined ? lifetime : crashDelay,
+    );
     const leavesAt = now + this.#drawLeaving(kind);
     const gateway = this.#drawGateway(now);
     if (gateway === undefined) return this.#repeat(request, now);
@@ -156,14 +161,66 @@
     const sent: TrafficRequest = {
       ...request,
       gateway,
-      begunAt: now,
-      endsAt,
+      sentAt: now,
+      begunAt: undefined,
+      hasHead: this.#drawHead(kind),
+      firstByteMilliseconds: firstByte === undefined
+        ? 0
+        : this.#between(firstByte),
+      lengthMilliseconds,
+      firstByteAt: Infinity,
+      endsAt: Infinity,
       leavesAt,
+      hasWaited: false,
       isGivenUp: false,
       outcome,
     };
     server.running.push(sent);
-    if (leavesAt < endsAt) this.#repeat(sent, leavesAt);
+    this.#start(server, now);
+    this.#beginAnswers(server, now);
+    sent.hasWaited = sent.endsAt === Infinity;
+    if (!sent.hasWaited && leavesAt < sent.endsAt) this.#repeat(sent, leavesAt);
+  }
+
+  #drawHead(kind: number | undefined): boolean {
+    const { headShare } = kind === undefined
+      ? {}
+      : this.#traffic.harmful[kind]!;
+    return headShare === undefined || this.#random() < headShare;
+  }
+
+  /** Any of them or, where requests may have to wait, the emptier of two. */
+  #chooseServer(up: Server[]): Server | undefined {
+    const server = up[Math.floor(this.#random() * up.length)];
+    if (this.#traffic.slots === undefined || server === undefined) {
+      return server;
+    }
+    const other = up[Math.floor(this.#random() * up.length)]!;
+    return other.running.length < server.running.length ? other : server;
+  }
+
+  /** The server starts on what waits there while it has room. */
+  #start({ running }: Server, now: number): void {
+    const { slots = Infinity } = this.#traffic;
+    for (const run of running.slice(0, slots)) {
+      if (run.endsAt < Infinity) continue;
+      run.firstByteAt = now + run.firstByteMilliseconds;
+      run.endsAt = run.firstByteAt + run.lengthMilliseconds;
+    }
+  }
+
+  #beginAnswers({ running }: Server, now: number): void {
+    for (const run of running) {
+      if (run.begunAt !== undefined || !run.hasHead) continue;
+      if (run.firstByteAt <= now) run.begunAt = now;
+    }
+  }
+
+  /** Callers of all harmless requests leave. */
+  #leaveInStorm(now: number): void {
+    for (const run of this.#servers.flatMap(({ running }) => running)) {
+      if (run.kind === undefined) run.leavesAt = Math.min(run.leavesAt, now);
+    }
   }
 
   /** One of those that are there, if any. */
@@ -175,13 +232,21 @@
     return present[Math.floor(this.#random() * present.length)];
   }
 
-  /** Gateways give up requests whose callers leave. */
-  #giveUp({ announcement, running }: Server, now: number): void {
-    for (const run of running) {
-      if (run.isGivenUp || run.leavesAt > now) continue;
+  /**
+   * Gateways give up requests whose callers leave. A server drops those of them
+   * that wait.
+   */
+  #giveUp(server: Server, now: number): void {
+    const given = server.running
+      .filter(({ isGivenUp, leavesAt }) => !isGivenUp && leavesAt <= now);
+    if (given.length === 0) return;
+    for (const run of given) {
       run.isGivenUp = true;
-      this.#hosts.giveUp(announcement, run);
+      this.#hosts.giveUp(server.announcement, run);
+      if (run.hasWaited) this.#repeat(run, now);
     }
+    server.running = server.running
+      .filter(({ isGivenUp, endsAt }) => !isGivenUp || endsAt < Infinity);
   }
 
   #drawLeaving(kind: number | undefined): number {
@@ -246,6 +311,7 @@
     }
     const ended = server.running.filter(isOver);
     server.running = server.running.filter((request) => !isOver(request));
+    if (ended.length > 0) this.#start(server, now);
     const heard = ended.filter(({ leavesAt, endsAt }) => leavesAt > endsAt);
     for (const { outcome } of heard) outcome!.isServed = true;
     for (const run of heard) this.#hosts.recordGoodEnd(run, now);
--- a/packages/core/src/crashes/find_culprit.ts
+++ b/packages/core/src/crashes/find_culprit.ts
@@ -15,6 +15,8 @@
   suspects: Suspect[];
   /** Whether the decision on an indistinguishable suspect can be deferred. */
   mayWait: (suspect: Suspect) => boolean;
+  /** Whether there is a blame of that name. */
+  isBlamed: (name: string) => boolean;
 };
 
 /**
@@ -52,7 +54,9 @@
   }
   for (const part of parts) {
     const culprit = describeCulprit(part, options);
-    if (culprit !== undefined) return culprit;
+    if (culprit !== undefined && !options.isBlamed(culprit.name)) {
+      return culprit;
+    }
   }
   return undefined;
 }
--- a/packages/core/src/crashes/traffic_hosts_fixture.ts
+++ b/packages/core/src/crashes/traffic_hosts_fixture.ts
@@ -171,12 +171,12 @@
   }
 
   giveUp(announcement: BackendAnnouncement, run: TrafficRequest): void {
-    const { begunAt, leavesAt } = run;
+    const { begunAt, sentAt, leavesAt } = run;
     this.#givenUp[run.gateway]!.add({
       announcement,
       run,
-      begunAt,
-      sentAt: begunAt,
+      begunAt: begunAt ?? sentAt,
+      sentAt,
       givenUpAt: leavesAt,
     });
   }
@@ -195,8 +195,8 @@
   }
 
   /** An answer that a gateway has passed on whole. */
-  recordGoodEnd({ gateway, parts, begunAt }: TrafficRequest, now: number) {
-    const end = { parts, sentAt: begunAt, endedAt: now };
+  recordGoodEnd({ gateway, parts, sentAt }: TrafficRequest, now: number) {
+    const end = { parts, sentAt, endedAt: now };
     this.#recorders[gateway]!.record(end);
   }
 
@@ -331,7 +331,7 @@
 }
 
 function buildReport(
-  { fingerprint, parts, begunAt, leavesAt }: TrafficRequest,
+  { fingerprint, parts, begunAt, sentAt, leavesAt }: TrafficRequest,
   incarnation: string,
   crashedAt: number,
 ): CrashReport {
@@ -339,8 +339,8 @@
     fingerprint,
     parts,
     incarnation,
-    begunMilliseconds: crashedAt - begunAt,
-    sentMilliseconds: crashedAt - begunAt,
+    begunMilliseconds: begunAt === undefined ? undefined : crashedAt - begunAt,
+    sentMilliseconds: crashedAt - sentAt,
     crashedAt,
     isGivenUp: leavesAt <= crashedAt,
   };
