--- a/packages/core/src/crashes/crash_ledger.ts
+++ b/packages/core/src/crashes/crash_ledger.ts
@@ -76,6 +76,7 @@
   #blames = new BlameTable();
   #lifted = new LiftedBlames();
   #goodEnds = new GoodEndTally();
+  #running = new GoodEndTally();
   #gate: BlameGate;
 
   constructor(options: Options) {
@@ -147,9 +148,18 @@
     return changes;
   }
 
+  /**
+   * Adds what a host tells of answers that are running well, in the shape of good
+   * ends. They clear nothing, as what runs may still crash its server.
+   */
+  addRunningAnswers(source: string, news: GoodEndNews): void {
+    this.#running.add(source, news);
+  }
+
   /** Forgets what a host that is gone had counted. */
   forgetGoodEndsOf(source: string): void {
     this.#goodEnds.forget(source);
+    this.#running.forget(source);
   }
 
   /**
@@ -314,6 +324,14 @@
     });
   }
 
+  /** To be called with the watches that hosts were told of. */
+  noteWatches(watches: readonly PartWatch[], now: number): void {
+    for (const { part } of watches) {
+      this.#goodEnds.noteWatch(part, now);
+      this.#running.noteWatch(part, now);
+    }
+  }
+
   /** Rows of the crashes of which more is known than is stored in `kept`. */
   listUnkept(
     kept: ReadonlyMap<string, CrashRow>,
@@ -358,9 +376,11 @@
       sufficientSince === undefined ? -Infinity : now - sufficientSince;
     const suspects = this.#suspects.list();
     for (const suspect of suspects) {
-      const { kind, knownCrashes } = suspect.evidence;
-      if (kind === "request" || knownCrashes < CRASHES_TO_BLAME) continue;
-      suspect.evidence.judge(this.#judge(suspect, now).isGuilty, now);
+      const { evidence } = suspect;
+      if (evidence.kind === "request") continue;
+      const isGuilty = evidence.knownCrashes >= CRASHES_TO_BLAME &&
+        this.#judge(suspect, now).isGuilty;
+      evidence.judge(isGuilty, now);
     }
     return findCulprit({
       suspects,
@@ -377,10 +397,12 @@
 
   #judge({ name, evidence }: Suspect, now: number): PartVerdict {
     const { firstCrashAt, explained } = evidence;
+    const [part] = parsePartNames(name)!;
     return judgePart({
       evidence,
       since: this.#suspects.countSince(firstCrashAt, explained),
-      goodEnds: this.#goodEnds.measure(parsePartNames(name)![0]!),
+      goodEnds: this.#goodEnds.measure(part!, now),
+      running: this.#running.measure(part!, now),
       now,
     });
   }
--- a/packages/core/src/crashes/crash_traffic_fixture.ts
+++ b/packages/core/src/crashes/crash_traffic_fixture.ts
@@ -13,6 +13,9 @@
 import type { TrafficRequest } from "./traffic_request_fixture.ts";
 
 const STEP_MILLISECONDS = 5;
+const RUNNING_CHECK_MILLISECONDS = 50;
+/** How long an answer has to be written to count as running well. */
+const RUNNING_WELL_MILLISECONDS = 200;
 const CROWDS_FROM_MILLISECONDS = 1_000;
 /** From a loss of power until gateways accept requests again. */
 const OUTAGE_MILLISECONDS = 1_500;
@@ -48,6 +51,8 @@
   #harmfulRequests = new Set<string>();
   /** By part, when the latest request was sent that is known to have ended well. */
   #goodSentAt = new Map<string, number>();
+  /** Runs that their gateways have noted. */
+  #runningWell = new WeakSet<TrafficRequest>();
   #result: CrashTrafficResult;
 
   constructor(traffic: CrashTraffic) {
@@ -88,6 +93,7 @@
         this.#endAnswers(server, now);
       }
       this.#failServers(now);
+      if (now % RUNNING_CHECK_MILLISECONDS === 0) this.#noteRunning(now);
       this.#result.blames.push(...this.#hosts.step(now));
     }
     return this.#result;
@@ -417,6 +423,24 @@
     }
   }
 
+  /** Gateways can't tell harmful answers from others that are written. */
+  #noteRunning(now: number): void {
+    for (const run of this.#servers.flatMap(({ running }) => running)) {
+      const { begunAt = Infinity, leavesAt, kind, gateway } = run;
+      if (now - begunAt < RUNNING_WELL_MILLISECONDS || leavesAt <= now) {
+        continue;
+      }
+      if (kind !== undefined && !this.#traffic.harmful[kind]!.isWriting) {
+        continue;
+      }
+      if (!this.#hosts.isWatching(gateway) || this.#runningWell.has(run)) {
+        continue;
+      }
+      this.#runningWell.add(run);
+      this.#hosts.recordRunning(run, now);
+    }
+  }
+
   #noteGoodEnd({ part, sentAt }: GoodEnd): void {
     const known = this.#goodSentAt.get(part) ?? -Infinity;
     this.#goodSentAt.set(part, Math.max(known, sentAt));
--- a/packages/core/src/crashes/good_end_recorder.ts
+++ b/packages/core/src/crashes/good_end_recorder.ts
@@ -40,6 +40,8 @@
   /** By part; the latest watch is last. */
   #watched = new Map<string, WatchedPart>();
   #hasNews = false;
+  /** What is being told, as it was when the telling began. */
+  #telling: GoodEndNews | undefined;
 
   get isWatching(): boolean {
     return this.#watched.size > 0;
@@ -84,24 +86,34 @@
 
   /**
    * What there is to tell; undefined for nothing. At most `limit` parts are told
-   * of, the rest next time; totals grow only with a telling of all, so that no
-   * part lacks an end among those that are counted.
+   * of, the rest next time; totals grow only once all are told, so that no part
+   * lacks an end among those that are counted.
    */
   takeNews(now: number, limit: number): GoodEndNews | undefined {
     for (const [part, { until }] of this.#watched) {
       if (now > until) this.#watched.delete(part);
     }
-    if (!this.#hasNews) return undefined;
-    const untold = [...this.#watched.values()]
-      .filter((watched) => watched.untold !== undefined);
-    const told = untold.slice(0, limit);
-    const ends = told.map((watched) => watched.untold!);
-    for (const watched of told) watched.untold = undefined;
-    if (told.length < untold.length) {
-      return { totals: { count: 0, runMilliseconds: 0 }, starts: [], ends };
+    const telling = this.#telling ?? this.#beginTelling();
+    if (telling === undefined) return undefined;
+    const ends = telling.ends.splice(0, limit);
+    if (telling.ends.length > 0) {
+      this.#telling = telling;
+      return { ends, starts: [], totals: { count: 0, runMilliseconds: 0 } };
     }
+    this.#telling = undefined;
+    return { ...telling, ends };
+  }
+
+  #beginTelling(): GoodEndNews | undefined {
+    if (!this.#hasNews) return undefined;
     this.#hasNews = false;
-    return { totals: this.#totals, starts: this.#takeStarts(), ends };
+    const starts = this.#takeStarts();
+    const ends = [...this.#watched.values()].flatMap((watched) => {
+      const { untold } = watched;
+      watched.untold = undefined;
+      return untold ?? [];
+    });
+    return { totals: this.#totals, starts, ends };
   }
 
   #takeStarts(): GoodEndNews["starts"] {
--- a/packages/core/src/crashes/good_end_tally.ts
+++ b/packages/core/src/crashes/good_end_tally.ts
@@ -5,10 +5,15 @@
 const MAX_PARTS = 1_024;
 const NONE: GoodEndTotals = { count: 0, runMilliseconds: 0 };
 
+/** Hosts go on watching for longer after they were told to. */
+const WATCHED_MILLISECONDS = 50_000;
+
 type PartTally = {
   /** Totals of each host from which ends without the part are counted. */
   from: Map<string, GoodEndTotals>;
   hasGoodEnd: boolean;
+  /** When hosts were told last to watch the part, monotonic milliseconds. */
+  watchedAt: number;
 };
 
 /**
@@ -55,10 +60,18 @@
     return isFirst;
   }
 
+  /** Hosts are told to watch the part. */
+  noteWatch(part: string, now: number): void {
+    this.#refresh(part).watchedAt = now;
+  }
+
   /** Answers without the part that came to good ends since its latest one. */
-  measure(part: string): GoodEndTotals {
+  measure(part: string, now: number): GoodEndTotals {
     const sum = { ...NONE };
-    for (const [source, from] of this.#parts.get(part)?.from ?? []) {
+    const tally = this.#parts.get(part);
+    if (tally === undefined) return sum;
+    if (now - tally.watchedAt > WATCHED_MILLISECONDS) return sum;
+    for (const [source, from] of tally.from) {
       const totals = this.#totals.get(source) ?? from;
       sum.count += Math.max(0, totals.count - from.count);
       sum.runMilliseconds += Math.max(
@@ -71,7 +84,7 @@
 
   #refresh(part: string): PartTally {
     const tally = this.#parts.get(part) ??
-      { from: new Map(), hasGoodEnd: false };
+      { from: new Map(), hasGoodEnd: false, watchedAt: -Infinity };
     this.#parts.delete(part);
     this.#parts.set(part, tally);
     if (this.#parts.size > MAX_PARTS) {
--- a/packages/core/src/crashes/judge_part.ts
+++ b/packages/core/src/crashes/judge_part.ts
@@ -20,6 +20,8 @@
   since: { crashes: number; requests: number };
   /** Good ends without the part since its latest one. */
   goodEnds: GoodEndTotals;
+  /** Answers without the part that run well since the latest one with it. */
+  running: GoodEndTotals;
   /** Monotonic milliseconds. */
   now: number;
 };
@@ -28,21 +30,26 @@
  * Judges whether a prompt part crashes what runs it, by good ends alone: of the
  * runs on a harmful part none comes to one, whenever the crash comes and whatever
  * of the answer has come before. A decision needs three crashes, and more good
- * ends without the part than a harmless one would let pass. Load pattern: requests
+ * ends without the part than a harmless one would let pass. Where a harmful run
+ * doesn't get as far as an answer that runs well, those count as well, which come
+ * sooner. Load pattern: requests
  * that share a part crash server after server, among hundreds that share others.
  */
 export function judgePart(
-  { evidence, since, goodEnds, now }: Circumstances,
+  circumstances: Circumstances,
 ): PartVerdict {
+  const { evidence, since, goodEnds, running, now } = circumstances;
   const crashes = evidence.incarnations.length;
   if (crashes < CRASHES_TO_BLAME) {
     return { isGuilty: false, likelihood: 1 };
   }
-  const likelihood = estimateBystanderLikelihood({
-    crashes,
-    allCrashes: Math.max(crashes, since.crashes),
-    goodGroups: countGoodGroups({ evidence, since, goodEnds }),
-  });
+  const estimate = (answers: GoodEndTotals) =>
+    estimateBystanderLikelihood({
+      crashes,
+      allCrashes: Math.max(crashes, since.crashes),
+      goodGroups: countGroups(answers, circumstances),
+    });
+  const likelihood = Math.min(estimate(goodEnds), estimate(running));
   const manyAt = evidence.crashAt(MANY_CRASHES) ?? Infinity;
   const isLate = now - manyAt >= MANY_FOR_MILLISECONDS;
   const most = isLate ? MAX_LIKELIHOOD_OF_MANY : MAX_LIKELIHOOD;
@@ -50,18 +57,17 @@
 }
 
 /**
- * Good ends in groups of as many runs as a crash breaks off. Longer runs are in
- * flight at more crashes for each good end, so they count by length.
+ * Answers in groups of as many runs as a crash breaks off. Longer runs are in
+ * flight at more crashes for each answer.
  */
-function countGoodGroups(
-  { evidence, since, goodEnds }: Omit<Circumstances, "now">,
+function countGroups(
+  { count }: GoodEndTotals,
+  { evidence, since, goodEnds }: Circumstances,
 ): number {
-  const { count, runMilliseconds } = goodEnds;
   if (count === 0) return 0;
   const runsPerCrash = Math.max(1, since.requests / since.crashes);
-  const length = Math.max(
-    runMilliseconds / count,
-    LENGTH_BY_AGE * evidence.meanMillisecondsFromSending,
-  );
-  return runMilliseconds / length / runsPerCrash;
+  const usual = goodEnds.runMilliseconds / Math.max(1, goodEnds.count);
+  const length = LENGTH_BY_AGE * evidence.meanMillisecondsFromSending;
+  const share = usual === 0 ? 1 : Math.min(1, usual / length);
+  return count * share / runsPerCrash;
 }
--- a/packages/core/src/crashes/traffic_hosts_fixture.ts
+++ b/packages/core/src/crashes/traffic_hosts_fixture.ts
@@ -64,6 +64,8 @@
   #options: Options;
   /** What each gateway has seen of good ends. */
   #recorders: GoodEndRecorder[] = [];
+  /** What each gateway has seen of answers that run well. */
+  #runRecorders: GoodEndRecorder[] = [];
   /** Names each gateway's process, which may have started anew. */
   #sources: string[] = [];
   #startCount = 0;
@@ -93,6 +95,7 @@
     this.#startCount += 1;
     this.#sources[gateway] = `gateway-${gateway}-${this.#startCount}`;
     this.#recorders[gateway] = new GoodEndRecorder();
+    this.#runRecorders[gateway] = new GoodEndRecorder();
   }
 
   /** Whether a gateway takes requests. */
@@ -113,6 +116,7 @@
     now: number,
   ): void {
     if (!this.isPresent(gateway, now)) return;
+    if (this.#recorders[gateway] === undefined) return;
     const until = now + milliseconds;
     if (how !== "moved") this.#awayUntil.set(gateway, until);
     const ofGateway = (event: TrafficEvent) => event.gateway === gateway;
@@ -135,7 +139,10 @@
       run: () => this.ledger.forgetGoodEndsOf(source),
     }, {
       at: until,
-      run: () => this.#recorders[gateway]!.tellAnew(),
+      run: () => {
+        this.#recorders[gateway]!.tellAnew();
+        this.#runRecorders[gateway]!.tellAnew();
+      },
     });
   }
 
@@ -155,14 +162,27 @@
   #tell(now: number): void {
     const watches = this.ledger.listPartWatches({ minCrashes: 2 })
       .slice(0, WATCHES_PER_TELLING);
+    this.ledger.noteWatches(watches, now);
     for (const [gateway, recorder] of this.#recorders.entries()) {
       if (!this.isPresent(gateway, now)) continue;
       if (watches.length > 0) {
         this.#deliverLater(now, (later) => recorder.watch(watches, later));
       }
+      const source = this.#sources[gateway]!;
+      const runs = this.#runRecorders[gateway]!;
+      if (watches.length > 0) {
+        this.#deliverLater(now, (later) => runs.watch(watches, later));
+      }
+      const running = runs.takeNews(now, ENDS_PER_TELLING);
+      if (running !== undefined) {
+        this.#deliverLater(
+          now,
+          () => this.ledger.addRunningAnswers(source, running),
+          gateway,
+        );
+      }
       const news = recorder.takeNews(now, ENDS_PER_TELLING);
       if (news === undefined) continue;
-      const source = this.#sources[gateway]!;
       this.#deliverLater(now, () => {
         this.ledger.addGoodEnds(source, news);
         for (const end of news.ends) this.#options.onGoodEnd(end);
@@ -200,6 +220,16 @@
     this.#recorders[gateway]!.record(end);
   }
 
+  /** An answer that a gateway has seen run well for a while. */
+  recordRunning({ gateway, parts, sentAt }: TrafficRequest, now: number) {
+    const runs = this.#runRecorders[gateway]!;
+    if (runs.isWatching) runs.record({ parts, sentAt, endedAt: now });
+  }
+
+  isWatching(gateway: number): boolean {
+    return this.#runRecorders[gateway]!.isWatching;
+  }
+
   /** Hosts lose power, and control hosts start again with what the log has. */
   losePower(
     now: number,
--- a/packages/daemon/src/control/suspicion_news.ts
+++ b/packages/daemon/src/control/suspicion_news.ts
@@ -2,10 +2,10 @@
 import type { CrashLedger } from "@teaselrouter/core/crashes/crash_ledger.ts";
 import type { CrashReport } from "@teaselrouter/core/crashes/crash_report.ts";
 import { NewsRateLimiter } from "@teaselrouter/core/news/news_rate_limiter.ts";
+import type { PartWatch } from "@teaselrouter/core/crashes/part_watch.ts";
 import {
   type CrashNews,
   CrashNewsSchema,
-  type PartWatch,
 } from "@teaselrouter/messages/follow.ts";
 import { Subject } from "rxjs";
 import { encodePartWatch } from "../transport/encode_part_watch.ts";
@@ -52,7 +52,9 @@
   current(): CrashNews | undefined {
     const reports = this.#ledger.listSuspicions().flat()
       .slice(0, MAX_SUSPICION_REPORTS_PER_SECOND);
-    const watches = this.#encodeWatches();
+    const now = monotonicMilliseconds();
+    const watches = this.#listWatches()
+      .map((watch) => encodePartWatch(watch, now));
     return reports.length + watches.length === 0
       ? undefined
       : create(CrashNewsSchema, { reports: encodeReports(reports), watches });
@@ -111,19 +113,19 @@
   }
 
   #tellWatches(): void {
-    const watches = this.#encodeWatches();
+    const watches = this.#listWatches();
     const now = monotonicMilliseconds();
     const granted = this.#watchBudget.take(watches.length, now);
     if (granted === 0) return;
-    this.news$.next(
-      create(CrashNewsSchema, { watches: watches.slice(0, granted) }),
-    );
+    const told = watches.slice(0, granted);
+    this.#ledger.noteWatches(told, now);
+    this.news$.next(create(CrashNewsSchema, {
+      watches: told.map((watch) => encodePartWatch(watch, now)),
+    }));
   }
 
-  #encodeWatches(): PartWatch[] {
-    const now = monotonicMilliseconds();
+  #listWatches(): PartWatch[] {
     return this.#ledger.listPartWatches({ minCrashes: MIN_WATCHED_CRASHES })
-      .slice(0, MAX_WATCHES_AT_ONCE)
-      .map((watch) => encodePartWatch(watch, now));
+      .slice(0, MAX_WATCHES_AT_ONCE);
   }
 }
--- a/packages/daemon/src/gateway/crash_reporter.ts
+++ b/packages/daemon/src/gateway/crash_reporter.ts
@@ -198,7 +198,9 @@
       this.#reports.push(report);
       this.#recentReports.add(report, now);
     }
-    this.#goodEnds.watch(this.#ledger.listPartWatches({ minCrashes: 1 }));
+    const watches = this.#ledger.listPartWatches({ minCrashes: 1 });
+    this.#ledger.noteWatches(watches, now);
+    this.#goodEnds.watch(watches);
     this.#scheduleDecision();
     this.#reportTimer ??= setTimeout(
       () => this.#publishReports(),
