--- a/packages/core/src/crashes/crash_evidence.ts
+++ b/packages/core/src/crashes/crash_evidence.ts
@@ -194,6 +194,14 @@
       Math.max(1, times.length);
   }
 
+  /**
+   * Where the suspect's requests stand among all in flight at each crash, from 0
+   * for those sent last to 1 for those sent first.
+   */
+  get agePositions(): number[] {
+    return this.#counted.map(findAgePosition);
+  }
+
   /** When the first of the crashes was, monotonic milliseconds. */
   get firstCrashAt(): number {
     return Math.min(...this.#counted.map(({ scene }) => scene.at));
@@ -268,3 +276,15 @@
   const known = sentMilliseconds ?? begunMilliseconds;
   return known === undefined ? [] : [known];
 }
+
+function findAgePosition({ scene, requests }: ObservedCrash): number {
+  const all = [...scene.sentMilliseconds]
+    .filter(([, age]) => !Number.isNaN(age))
+    .sort(([, left], [, right]) => left - right);
+  const positions = all
+    .map(([fingerprint], index) => ({ fingerprint, index }))
+    .filter(({ fingerprint }) => requests.has(fingerprint))
+    .map(({ index }) => (index + 1 / 2) / all.length);
+  if (positions.length === 0) return 1 / 2;
+  return positions.reduce((sum, each) => sum + each, 0) / positions.length;
+}
--- a/packages/core/src/crashes/crash_scene.ts
+++ b/packages/core/src/crashes/crash_scene.ts
@@ -9,8 +9,11 @@
    * crash until another is reported: no answers were watched meanwhile.
    */
   knownAt: number;
-  /** Fingerprints of the requests with prompt parts that were in flight. */
-  requests: Set<string>;
+  /**
+   * Time from sending each request with prompt parts that was in flight to the
+   * crash, milliseconds, by fingerprint; NaN if not known.
+   */
+  sentMilliseconds: Map<string, number>;
   /** Of all in flight, the ones that had been sent last. */
   youngest: CrashReport[];
 };
--- a/packages/core/src/crashes/judge_part.ts
+++ b/packages/core/src/crashes/judge_part.ts
@@ -1,5 +1,6 @@
 import { CRASHES_TO_BLAME } from "./crashes_to_blame.ts";
 import { estimateBystanderLikelihood } from "./estimate_bystander_likelihood.ts";
+import { estimateYouthLikelihood } from "./estimate_youth_likelihood.ts";
 import type { CrashEvidence } from "./crash_evidence.ts";
 import type { GoodEndTotals } from "./good_end_totals.ts";
 import type { PartVerdict } from "./part_verdict.ts";
@@ -10,7 +11,9 @@
 const MANY_CRASHES = 5;
 /** Of three seconds in which hosts have to be told as well. */
 const MANY_FOR_MILLISECONDS = 2_000;
-const MAX_LIKELIHOOD_OF_MANY = 3e-3;
+const MAX_LIKELIHOOD_OF_MANY = 1e-3;
+/** Of all crashes: who is at fewer may be at them by chance, as others are. */
+const MANY_SHARE = 0.75;
 /** Answers last about twice as long as they have lasted at any moment. */
 const LENGTH_BY_AGE = 2;
 
@@ -49,9 +52,11 @@
       allCrashes: Math.max(crashes, since.crashes),
       goodGroups: countGroups(answers, circumstances),
     });
-  const likelihood = Math.min(estimate(goodEnds), estimate(running));
+  const likelihood = Math.min(estimate(goodEnds), estimate(running)) *
+    estimateYouthLikelihood(evidence.agePositions);
   const manyAt = evidence.crashAt(MANY_CRASHES) ?? Infinity;
-  const isLate = now - manyAt >= MANY_FOR_MILLISECONDS;
+  const isLate = now - manyAt >= MANY_FOR_MILLISECONDS &&
+    crashes >= MANY_SHARE * since.crashes;
   const most = isLate ? MAX_LIKELIHOOD_OF_MANY : MAX_LIKELIHOOD;
   return { isGuilty: likelihood <= most, likelihood };
 }
--- a/packages/core/src/crashes/suspect_table.ts
+++ b/packages/core/src/crashes/suspect_table.ts
@@ -94,15 +94,17 @@
       {
         at: report.crashedAt ?? now,
         knownAt,
-        requests: new Set(),
+        sentMilliseconds: new Map(),
         youngest: [],
       };
     this.#scenes.set(incarnation, scene);
     if (this.#scenes.size > MAX_SCENES) {
       this.#scenes.delete(this.#scenes.keys().next().value!);
     }
-    if (parts.length > 0 && scene.requests.size < MAX_REQUESTS_PER_SCENE) {
-      scene.requests.add(fingerprint);
+    const ages = scene.sentMilliseconds;
+    if (parts.length > 0 && ages.size < MAX_REQUESTS_PER_SCENE) {
+      const { sentMilliseconds, begunMilliseconds } = report;
+      ages.set(fingerprint, sentMilliseconds ?? begunMilliseconds ?? NaN);
     }
     scene.youngest = selectYoungest([...scene.youngest, report]);
     return scene;
@@ -122,10 +124,11 @@
     leftOut: readonly string[],
   ): { crashes: number; requests: number } {
     const sizes = [...this.#scenes]
-      .filter(([incarnation, { at, requests }]) =>
-        at >= time && requests.size > 0 && !leftOut.includes(incarnation)
+      .filter(([incarnation, { at, sentMilliseconds }]) =>
+        at >= time && sentMilliseconds.size > 0 &&
+        !leftOut.includes(incarnation)
       )
-      .map(([, { requests }]) => requests.size);
+      .map(([, { sentMilliseconds }]) => sentMilliseconds.size);
     return {
       crashes: sizes.length,
       requests: sizes.reduce((sum, size) => sum + size, 0),
