--- a/packages/core/src/crashes/crash_evidence.ts
+++ b/packages/core/src/crashes/crash_evidence.ts
@@ -195,11 +195,11 @@
   }
 
   /**
-   * Where the suspect's requests stand among all in flight at each crash, from 0
+   * Where each of the suspect's requests stands among all in flight there, from 0
    * for those sent last to 1 for those sent first.
    */
   get agePositions(): number[] {
-    return this.#counted.map(findAgePosition);
+    return this.#counted.flatMap(listAgePositions);
   }
 
   /** When the first of the crashes was, monotonic milliseconds. */
@@ -277,14 +277,12 @@
   return known === undefined ? [] : [known];
 }
 
-function findAgePosition({ scene, requests }: ObservedCrash): number {
+function listAgePositions({ scene, requests }: ObservedCrash): number[] {
   const all = [...scene.sentMilliseconds]
     .filter(([, age]) => !Number.isNaN(age))
     .sort(([, left], [, right]) => left - right);
-  const positions = all
+  return all
     .map(([fingerprint], index) => ({ fingerprint, index }))
     .filter(({ fingerprint }) => requests.has(fingerprint))
     .map(({ index }) => (index + 1 / 2) / all.length);
-  if (positions.length === 0) return 1 / 2;
-  return positions.reduce((sum, each) => sum + each, 0) / positions.length;
 }
--- a/packages/core/src/crashes/estimate_youth_likelihood.ts
+++ b/packages/core/src/crashes/estimate_youth_likelihood.ts
@@ -1,5 +1,5 @@
 /** More would rest on ages alone, and all requests of a new part are young. */
-const MIN_LIKELIHOOD = 1e-3;
+const MIN_LIKELIHOOD = 1e-2;
 
 /**
  * How likely the requests of a part that harms nobody would be so young among all
@@ -8,6 +8,7 @@
  * requests come there, most of the time.
  */
 export function estimateYouthLikelihood(positions: readonly number[]): number {
+  if (positions.length === 0) return 1;
   const mean = positions.reduce((sum, each) => sum + each, 0) /
     positions.length;
   const below = Math.max(0, 1 / 2 - mean);
--- a/packages/core/src/crashes/good_end_tally.ts
+++ b/packages/core/src/crashes/good_end_tally.ts
@@ -25,12 +25,19 @@
 export class GoodEndTally {
   #totals = new Map<string, GoodEndTotals>();
   #parts = new Map<string, PartTally>();
+  /** Parts of a host's ends that no totals have followed yet. */
+  #toldEnds = new Map<string, Set<string>>();
 
   /** Adds what a host tells. `source` names one run of its process. */
   add(source: string, { totals, starts, ends }: GoodEndNews): void {
     const known = this.#totals.get(source) ?? NONE;
+    const told = this.#toldEnds.get(source) ?? new Set<string>();
+    for (const { part } of ends) told.add(part);
     if (totals.count >= known.count) this.#totals.set(source, totals);
-    for (const { part } of ends) this.noteEnd(part);
+    for (const part of told) this.noteEnd(part);
+    // Without totals there is more to come, and these ends are among theirs.
+    if (totals.count === 0) this.#toldEnds.set(source, told);
+    else this.#toldEnds.delete(source);
     for (const { part, totals: start } of starts) {
       const tally = this.#refresh(part);
       const known = tally.from.get(source);
@@ -43,6 +50,7 @@
   /** Forgets a host that is gone, with all that it counted. */
   forget(source: string): void {
     this.#totals.delete(source);
+    this.#toldEnds.delete(source);
     for (const { from } of this.#parts.values()) from.delete(source);
   }
 
--- a/packages/core/src/crashes/judge_part.ts
+++ b/packages/core/src/crashes/judge_part.ts
@@ -11,9 +11,10 @@
 const MANY_CRASHES = 5;
 /** Of three seconds in which hosts have to be told as well. */
 const MANY_FOR_MILLISECONDS = 2_000;
-const MAX_LIKELIHOOD_OF_MANY = 1e-3;
-/** Of all crashes: who is at fewer may be at them by chance, as others are. */
-const MANY_SHARE = 0.75;
+/** At most of all crashes, and at fewer, where it may be by chance, as others. */
+const MAX_LIKELIHOOD_AT_MOST = 1e-3;
+const MAX_LIKELIHOOD_AT_SOME = 1e-4;
+const MOST_SHARE = 0.75;
 /** Answers last about twice as long as they have lasted at any moment. */
 const LENGTH_BY_AGE = 2;
 
@@ -55,9 +56,11 @@
   const likelihood = Math.min(estimate(goodEnds), estimate(running)) *
     estimateYouthLikelihood(evidence.agePositions);
   const manyAt = evidence.crashAt(MANY_CRASHES) ?? Infinity;
-  const isLate = now - manyAt >= MANY_FOR_MILLISECONDS &&
-    crashes >= MANY_SHARE * since.crashes;
-  const most = isLate ? MAX_LIKELIHOOD_OF_MANY : MAX_LIKELIHOOD;
+  const isLate = now - manyAt >= MANY_FOR_MILLISECONDS;
+  const lateMost = crashes >= MOST_SHARE * since.crashes
+    ? MAX_LIKELIHOOD_AT_MOST
+    : MAX_LIKELIHOOD_AT_SOME;
+  const most = isLate ? lateMost : MAX_LIKELIHOOD;
   return { isGuilty: likelihood <= most, likelihood };
 }
 
