--- a/packages/core/src/crashes/estimate_youth_likelihood.ts
+++ b/packages/core/src/crashes/estimate_youth_likelihood.ts
@@ -1,5 +1,5 @@
 /** More would rest on ages alone, and all requests of a new part are young. */
-const MIN_LIKELIHOOD = 1e-2;
+const MIN_LIKELIHOOD = 1e-3;
 
 /**
  * How likely the requests of a part that harms nobody would be so young among all
--- a/packages/daemon/src/control/crash_attributor.ts
+++ b/packages/daemon/src/control/crash_attributor.ts
@@ -117,6 +117,7 @@
     this.#queueReports(added);
     for (const blame of this.#addBlames(news)) this.blamed$.next(blame);
     this.#addLocalGoodEnds(news, session);
+    this.#addRunning(news, session);
     this.#permitTrials(news);
   }
 
@@ -235,6 +236,15 @@
     if (this.#ledger.hasPendingSuspects(now)) this.#scheduleDecision();
   }
 
+  #addRunning({ running }: CrashNews, session: object): void {
+    if (running === undefined) return;
+    const now = monotonicMilliseconds();
+    const { source } = running;
+    this.#forgetGoodEnds(this.#goodEndSources.record(source, session));
+    this.#ledger.addRunningAnswers(source, decodeGoodEnds(running, now));
+    if (this.#ledger.hasPendingSuspects(now)) this.#scheduleDecision();
+  }
+
   /** Adds good ends that another control host passes on. */
   #addPassedGoodEnds({ partGoodEnds }: CrashNews, now: number): void {
     if (partGoodEnds.length === 0) return;
--- a/packages/daemon/src/gateway/active_call.ts
+++ b/packages/daemon/src/gateway/active_call.ts
@@ -1,4 +1,5 @@
 import type { AdmittedCall } from "./admitted_call.ts";
+import type { AnswerProgress } from "./answer_progress.ts";
 import type { AnswerForwarder } from "./answer_forwarder.ts";
 import type { CallRouting } from "./call_routing.ts";
 import type { CallSender } from "./call_sender.ts";
@@ -13,4 +14,6 @@
   routing: CallRouting;
   refusals: RefusalBuilder;
   takeover: CallTakeover;
+  /** Of the current answer, a good stream; undefined without one. */
+  progress: AnswerProgress | undefined;
 };
--- a/packages/daemon/src/gateway/call_interruptions.ts
+++ b/packages/daemon/src/gateway/call_interruptions.ts
@@ -49,6 +49,7 @@
     return context.crashes.watch({
       call,
       abort: (blame) => this.#guard(() => this.#abortBlamed(active, blame)),
+      progress: () => active.progress,
     });
   }
 
--- a/packages/daemon/src/gateway/crash_reporter.ts
+++ b/packages/daemon/src/gateway/crash_reporter.ts
@@ -2,6 +2,7 @@
 import type { Blame } from "@teaselrouter/core/crashes/blame.ts";
 import { CrashLedger } from "@teaselrouter/core/crashes/crash_ledger.ts";
 import type { CrashReport } from "@teaselrouter/core/crashes/crash_report.ts";
+import type { PartWatch } from "@teaselrouter/core/crashes/part_watch.ts";
 import { RecentReports } from "@teaselrouter/core/crashes/recent_reports.ts";
 import type { GoodEndNews } from "@teaselrouter/core/crashes/good_end_news.ts";
 import { parsePartNames } from "@teaselrouter/core/crashes/parse_part_names.ts";
@@ -24,6 +25,7 @@
 import { encodeGoodEnds } from "../transport/encode_good_ends.ts";
 import { monotonicMilliseconds } from "../transport/monotonic_milliseconds.ts";
 import type { AdmittedCall } from "./admitted_call.ts";
+import type { AnswerProgress } from "./answer_progress.ts";
 import type { EndedRuns } from "./ended_runs.ts";
 import { fingerprintCall } from "./fingerprint_call.ts";
 import { GoodEndWatch } from "./good_end_watch.ts";
@@ -51,6 +53,8 @@
 const RUN_CHARACTERS = 8;
 /** Control hosts are asked for trial runs at most this often. */
 const TRIAL_REQUEST_INTERVAL_MILLISECONDS = 1_000;
+/** How long an answer has to be written to count as running well. */
+const RUNNING_WELL_MILLISECONDS = 200;
 
 type Options = {
   /** Name of this gateway. */
@@ -75,6 +79,12 @@
   #recentReports = new RecentReports();
   #rateLimiter = new NewsRateLimiter(MAX_REPORTS_PER_SECOND);
   #goodEnds = new GoodEndWatch({ report: (news) => this.#tellGoodEnds(news) });
+  #running = new GoodEndWatch({
+    report: (news) => this.#tellRunning(news),
+    observe: () => this.#noteRunning(),
+  });
+  /** Answers that were noted as running well. */
+  #noted = new WeakSet<AnswerProgress>();
   /** Names this run of the process. */
   #source: string;
   #trialsAskedAt = -Infinity;
@@ -98,6 +108,7 @@
     clearTimeout(this.#reportTimer);
     clearTimeout(this.#decideTimer);
     this.#goodEnds.stop();
+    this.#running.stop();
   }
 
   /**
@@ -163,6 +174,7 @@
    */
   currentNews(): CrashNews | undefined {
     this.#goodEnds.tellAnew();
+    this.#running.tellAnew();
     const now = monotonicMilliseconds();
     const blames = this.#ledger.listBlames().slice(-MAX_INITIAL_BLAMES);
     const reports = this.#recentReports.list(now);
@@ -200,7 +212,7 @@
     }
     const watches = this.#ledger.listPartWatches({ minCrashes: 1 });
     this.#ledger.noteWatches(watches, now);
-    this.#goodEnds.watch(watches);
+    this.#watchParts(watches);
     this.#scheduleDecision();
     this.#reportTimer ??= setTimeout(
       () => this.#publishReports(),
@@ -253,6 +265,30 @@
     }, DECISION_INTERVAL_MILLISECONDS);
   }
 
+  #watchParts(watches: readonly PartWatch[]): void {
+    this.#goodEnds.watch(watches);
+    this.#running.watch(watches);
+  }
+
+  #noteRunning(): void {
+    for (const { call, progress } of this.#callsInFlight) {
+      const running = progress();
+      if (running === undefined || this.#noted.has(running)) continue;
+      const { sentAt, begunAt, lastReceivedAt } = running;
+      if (lastReceivedAt() - begunAt < RUNNING_WELL_MILLISECONDS) continue;
+      this.#noted.add(running);
+      this.#running.recordEnd(call, sentAt);
+    }
+  }
+
+  #tellRunning(news: GoodEndNews): void {
+    this.#ledger.addRunningAnswers(this.#source, news);
+    const now = monotonicMilliseconds();
+    if (this.#ledger.hasPendingSuspects(now)) this.#scheduleDecision();
+    const running = encodeGoodEnds(this.#source, news, now);
+    this.#options.publish(create(CrashNewsSchema, { running }));
+  }
+
   #tellGoodEnds(news: GoodEndNews): void {
     this.#ledger.addGoodEnds(this.#source, news);
     const now = monotonicMilliseconds();
@@ -265,7 +301,7 @@
     const { reports, blamed, cleared, watches, partGoodEnds } = news;
     const now = monotonicMilliseconds();
     this.#applyTrials(news, now);
-    this.#goodEnds.watch(watches.map((watch) => decodePartWatch(watch, now)));
+    this.#watchParts(watches.map((watch) => decodePartWatch(watch, now)));
     for (const end of decodePartGoodEnds(partGoodEnds, now)) {
       this.#ledger.recordGoodEnd(end);
     }
@@ -289,7 +325,7 @@
       if (host !== this.#options.host) continue;
       this.#ledger.permitTrial(fingerprint, now);
       const parts = parsePartNames(fingerprint) ?? [];
-      this.#goodEnds.watch(parts.map((part) => ({ part, since: now })));
+      this.#watchParts(parts.map((part) => ({ part, since: now })));
     }
   }
 
--- a/packages/daemon/src/gateway/gateway_call.ts
+++ b/packages/daemon/src/gateway/gateway_call.ts
@@ -103,6 +103,7 @@
       routing,
       refusals,
       takeover,
+      progress: undefined,
     };
     context.retries.countRequest(
       call.service.name,
@@ -282,7 +283,11 @@
     routing.weightsVersion ??= metadata.weightsVersion;
     takeover.cancel("its backend server answers");
     message.on("data", () => takeover.cancel("its backend server goes on"));
+    const lastReceivedAt = () => record.lastReceivedAt;
+    const { firstByteAt: sentAt } = sent;
+    if (goesOn) active.progress = { sentAt, begunAt: now, lastReceivedAt };
     const end = await forwarder.forward(message, sent.answer);
+    active.progress = undefined;
     sent.end();
     const { framing, end: answerEnd } = sent.answer;
     this.#context.metrics.answersEnded.inc({ framing, end: answerEnd });
--- a/packages/daemon/src/gateway/good_end_watch.ts
+++ b/packages/daemon/src/gateway/good_end_watch.ts
@@ -9,11 +9,15 @@
 /** Amounts to 6 KB a second for each control host that is followed. */
 const MAX_ENDS_PER_SECOND = 128;
 
-type Options = { report: (news: GoodEndNews) => void };
+type Options = {
+  report: (news: GoodEndNews) => void;
+  /** Called ahead of each telling, for what is to be recorded only then. */
+  observe?: () => void;
+};
 
 /**
- * Tells of the answers that come to good ends at this gateway while prompt parts
- * are suspected. See `GoodEndRecorder`.
+ * Tells of the answers that come to good ends, or run well, at this gateway while
+ * prompt parts are suspected. See `GoodEndRecorder`.
  */
 export class GoodEndWatch {
   #options: Options;
@@ -58,6 +62,7 @@
   }
 
   #check(): void {
+    this.#options.observe?.();
     const now = monotonicMilliseconds();
     // All of a second's are granted at its beginning.
     this.#granted = this.#rateLimiter.take(MAX_ENDS_PER_SECOND, now) ||
