Traffic without processes: first bytes, heads or none, slots, ends seconds later

Cause: simulated answers began as they were sent, servers ran any number at once, and gateways heard nothing of harmful answers that write on.

`firstByte`, `slots` (what waits dies with its server, or is dropped as its caller leaves), and by harmful kind `headShare`, `isWriting` and `until`; `storms` of leaving callers. `sentAt` stands beside `begunAt`, which is undefined until the first byte; reports without a head carry no `begunMilliseconds`.

--- a/packages/core/src/crashes/crash_traffic.ts
+++ b/packages/core/src/crashes/crash_traffic.ts
@@ -16,6 +16,12 @@
   repeats?: { most: number; delay: Range };
   /** From sending until its caller leaves; by default it stays. */
   leaving?: Range;
+  /** Share whose answers begin before the crash; by default all. */
+  headShare?: number;
+  /** Whether answers that have begun are seen to go on until the crash. */
+  isWriting?: boolean;
+  /** Until when it is sent, milliseconds; by default always. */
+  until?: number;
 };
 
 /** Requests, harmless and harmful, to servers that run many at once. */
@@ -24,11 +30,18 @@
   servers: number;
   harmlessPerSecond: number;
   drawHarmless: DrawParts;
-  /** Of harmless answers. */
+  /**
+   * Requests that each server runs at the same time; more wait there. By default
+   * without a limit.
+   */
+  slots?: number;
+  /** From when a server starts on a request to its first byte; by default none. */
+  firstByte?: Range;
+  /** Of harmless answers, from their first byte on. */
   lifetime: Range;
   /** Each kind crashes what runs it. */
   harmful: HarmfulKind[];
-  /** From an answer's start to the crash. */
+  /** From an answer's first byte, or when it would have come, to the crash. */
   crashDelay: Range;
   restartMilliseconds: number;
   /** From a crash until it is proved; none if absent. */
@@ -58,6 +71,8 @@
     milliseconds: number;
     how: "killed" | "frozen" | "silent" | "moved";
   }[];
+  /** All callers of harmless requests leave at these times, milliseconds. */
+  storms?: number[];
   /** Crashes that no request causes; `at` in milliseconds. */
   failures?: { at: number; count: number }[];
   milliseconds: number;
--- a/packages/core/src/crashes/crash_traffic_fixture.ts
+++ b/packages/core/src/crashes/crash_traffic_fixture.ts
@@ -23,6 +23,7 @@
 type Server = {
   announcement: BackendAnnouncement;
   upAt: number;
+  /** In the order of sending; those beyond its slots wait. */
   running: TrafficRequest[];
 };
 
@@ -85,7 +86,9 @@
     for (let now = 0; now < milliseconds; now += STEP_MILLISECONDS) {
       this.#callerEvents = runDueEvents(this.#callerEvents, now);
       this.#sendDue(now);
+      if (this.#traffic.storms?.includes(now)) this.#leaveInStorm(now);
       for (const server of this.#servers) {
+        this.#beginAnswers(server, now);
         this.#giveUp(server, now);
         this.#endAnswers(server, now);
       }
@@ -106,7 +109,8 @@
     if (this.#random() < harmlessPerSecond * seconds) {
       this.#send(now, undefined);
     }
-    for (const [kind, { perSecond, crowd }] of harmful.entries()) {
+    for (const [kind, { perSecond, crowd, until }] of harmful.entries()) {
+      if (until !== undefined && now >= until) continue;
       if (crowd !== undefined) this.#sendCrowd(kind, now);
       else if (this.#random() < perSecond * seconds) this.#send(now, kind);
     }
@@ -140,7 +144,7 @@
     >,
     now: number,
   ): void {
-    const { lifetime, crashDelay } = this.#traffic;
+    const { lifetime, crashDelay, firstByte } = this.#traffic;
     const { fingerprint, parts, kind } = request;
     if (now < this.#downUntil) return this.#repeat(request, now);
     const blame = this.#hosts.ledger.checkBlame(fingerprint, now, parts);
@@ -149,10 +153,11 @@
       : undefined;
     if (blame !== undefined) return this.#repeat(request, now);
     const up = this.#servers.filter(({ upAt }) => upAt <= now);
-    const server = up[Math.floor(this.#random() * up.length)];
+    const server = this.#chooseServer(up);
     if (server === undefined) return;
-    const endsAt = now +
-      this.#between(kind === undefined ? lifetime : crashDelay);
+    const lengthMilliseconds = this.#between(
+      kind === undefined ? lifetime : crashDelay,
+    );
     const leavesAt = now + this.#drawLeaving(kind);
     const gateway = this.#drawGateway(now);
     if (gateway === undefined) return this.#repeat(request, now);
@@ -162,14 +167,66 @@
     const sent: TrafficRequest = {
       ...request,
       gateway,
-      begunAt: now,
-      endsAt,
+      sentAt: now,
+      begunAt: undefined,
+      hasHead: this.#drawHead(kind),
+      firstByteMilliseconds: firstByte === undefined
+        ? 0
+        : this.#between(firstByte),
+      lengthMilliseconds,
+      firstByteAt: Infinity,
+      endsAt: Infinity,
       leavesAt,
+      hasWaited: false,
       isGivenUp: false,
       outcome,
     };
     server.running.push(sent);
-    if (leavesAt < endsAt) this.#repeat(sent, leavesAt);
+    this.#start(server, now);
+    this.#beginAnswers(server, now);
+    sent.hasWaited = sent.endsAt === Infinity;
+    if (!sent.hasWaited && leavesAt < sent.endsAt) this.#repeat(sent, leavesAt);
+  }
+
+  #drawHead(kind: number | undefined): boolean {
+    const { headShare } = kind === undefined
+      ? {}
+      : this.#traffic.harmful[kind]!;
+    return headShare === undefined || this.#random() < headShare;
+  }
+
+  /** Any of them or, where requests may have to wait, the emptier of two. */
+  #chooseServer(up: Server[]): Server | undefined {
+    const server = up[Math.floor(this.#random() * up.length)];
+    if (this.#traffic.slots === undefined || server === undefined) {
+      return server;
+    }
+    const other = up[Math.floor(this.#random() * up.length)]!;
+    return other.running.length < server.running.length ? other : server;
+  }
+
+  /** The server starts on what waits there while it has room. */
+  #start({ running }: Server, now: number): void {
+    const { slots = Infinity } = this.#traffic;
+    for (const run of running.slice(0, slots)) {
+      if (run.endsAt < Infinity) continue;
+      run.firstByteAt = now + run.firstByteMilliseconds;
+      run.endsAt = run.firstByteAt + run.lengthMilliseconds;
+    }
+  }
+
+  #beginAnswers({ running }: Server, now: number): void {
+    for (const run of running) {
+      if (run.begunAt !== undefined || !run.hasHead) continue;
+      if (run.firstByteAt <= now) run.begunAt = now;
+    }
+  }
+
+  /** Callers of all harmless requests leave. */
+  #leaveInStorm(now: number): void {
+    for (const run of this.#servers.flatMap(({ running }) => running)) {
+      if (run.kind === undefined) run.leavesAt = Math.min(run.leavesAt, now);
+    }
   }
 
   /** One of those that are there, if any. */
@@ -181,13 +238,21 @@
     return present[Math.floor(this.#random() * present.length)];
   }
 
-  /** Gateways give up requests whose callers leave. */
-  #giveUp({ announcement, running }: Server, now: number): void {
-    for (const run of running) {
-      if (run.isGivenUp || run.leavesAt > now) continue;
+  /**
+   * Gateways give up requests whose callers leave. A server drops those of them
+   * that wait.
+   */
+  #giveUp(server: Server, now: number): void {
+    const given = server.running
+      .filter(({ isGivenUp, leavesAt }) => !isGivenUp && leavesAt <= now);
+    if (given.length === 0) return;
+    for (const run of given) {
       run.isGivenUp = true;
-      this.#hosts.giveUp(announcement, run);
+      this.#hosts.giveUp(server.announcement, run);
+      if (run.hasWaited) this.#repeat(run, now);
     }
+    server.running = server.running
+      .filter(({ isGivenUp, endsAt }) => !isGivenUp || endsAt < Infinity);
   }
 
   #drawLeaving(kind: number | undefined): number {
@@ -252,6 +317,7 @@
     }
     const ended = server.running.filter(isOver);
     server.running = server.running.filter((request) => !isOver(request));
+    if (ended.length > 0) this.#start(server, now);
     const heard = ended.filter(({ leavesAt, endsAt }) => leavesAt > endsAt);
     for (const { outcome } of heard) outcome!.isServed = true;
     if (this.#hosts.ledger.hasSuspectedParts) {
@@ -363,7 +429,10 @@
     const isDue = now % SURVIVAL_CHECK_MILLISECONDS === 0;
     if (!isDue || !this.#hosts.ledger.hasSuspectedParts) return;
     const running = this.#servers.flatMap((server) => server.running)
-      .filter(({ kind, leavesAt }) => kind === undefined && leavesAt > now);
+      .filter(({ kind, leavesAt }) =>
+        leavesAt > now &&
+        (kind === undefined || this.#traffic.harmful[kind]!.isWriting)
+      );
     this.#reportSurvivals(running, now, false);
   }
 
@@ -373,6 +442,7 @@
     isComplete: boolean,
   ): void {
     for (const { parts, begunAt, gateway } of requests) {
+      if (begunAt === undefined) continue;
       const livedMilliseconds = now - begunAt;
       for (const part of parts) {
         const survival = { part, begunAt, livedMilliseconds, isComplete };
--- a/packages/core/src/crashes/traffic_hosts_fixture.ts
+++ b/packages/core/src/crashes/traffic_hosts_fixture.ts
@@ -177,12 +177,12 @@
   }
 
   giveUp(announcement: BackendAnnouncement, run: TrafficRequest): void {
-    const { begunAt, leavesAt } = run;
+    const { begunAt, sentAt, leavesAt } = run;
     this.#givenUp[run.gateway]!.add({
       announcement,
       run,
-      begunAt,
-      sentAt: begunAt,
+      begunAt: begunAt ?? sentAt,
+      sentAt,
       givenUpAt: leavesAt,
     });
   }
@@ -365,7 +365,7 @@
     fingerprint,
     parts,
     incarnation,
-    begunMilliseconds: crashedAt - begunAt,
+    begunMilliseconds: begunAt === undefined ? undefined : crashedAt - begunAt,
     crashedAt,
     isGivenUp: leavesAt <= crashedAt,
   };
--- a/packages/core/src/crashes/traffic_request_fixture.ts
+++ b/packages/core/src/crashes/traffic_request_fixture.ts
@@ -8,10 +8,22 @@
   kind: number | undefined;
   /** Index of the gateway that sent it. */
   gateway: number;
-  begunAt: number;
+  sentAt: number;
+  /** Undefined until the first byte of its answer has come. */
+  begunAt: number | undefined;
+  /** Whether its answer begins before its end. */
+  hasHead: boolean;
+  /** From when its server starts on it. */
+  firstByteMilliseconds: number;
+  /** From its first byte on. */
+  lengthMilliseconds: number;
+  /** Infinity while it waits at its server. */
+  firstByteAt: number;
   endsAt: number;
   /** When its caller leaves; its server goes on. */
   leavesAt: number;
+  /** Whether it had to wait at its server when it was sent. */
+  hasWaited: boolean;
   isGivenUp: boolean;
   /** How many times its caller sends it again behind a failure. */
   repeatsLeft: number;
