Slack is earned over two windows: retries that wait for a connection came on top

Where servers take long to begin, a retry waits for a connection (64 a gateway and server), and what was saved up arrives together with what is earned while it waits: up to a third more than the slack where requests earn little. Users' windows can't have been this: with the sites' 0.2 and slack 228 the ratio's unused part outweighs it; it takes a service with few requests that spends all.

Change: two windows, as for the ratio. A quarter less slack for each gateway.

--- a/packages/core/src/retries/retry_budgets.ts
+++ b/packages/core/src/retries/retry_budgets.ts
@@ -6,18 +6,20 @@
  * the requests of up to two windows, of which only the fuller one counts.
  */
 const EARNED_SHARE = 1 / 2;
+/** Part of a window for which a retry is kept. */
+const KEPT_SHARE = 1 / 2;
 /**
- * Part of a window for which a retry is kept. The other half is for requests
- * that are read, and retries that arrive, some time after they were sent.
+ * Part of a window for which requests and retries may be under way. A retry
+ * waits where the answers of servers take long.
  */
-const KEPT_SHARE = 1 / 2;
-/** Shorter steps of time earn too little to be added up with each request. */
-const MIN_STEP_MILLISECONDS = 50;
+const UNDER_WAY_SHARE = 1 - KEPT_SHARE;
 /**
- * The slack is earned over this many windows: what is spent in a window was
- * earned in it, or up to `KEPT_SHARE` of one before it.
+ * The slack is earned over this many windows: what arrives in a window was spent
+ * in it or up to `UNDER_WAY_SHARE` before, and earned up to `KEPT_SHARE` earlier.
  */
-const SLACK_WINDOWS = 1 + KEPT_SHARE;
+const SLACK_WINDOWS = 1 + KEPT_SHARE + UNDER_WAY_SHARE;
+/** Shorter steps of time earn too little to be added up with each request. */
+const MIN_STEP_MILLISECONDS = 50;
 
 type Options = {
   bound: RetryBound;
--- a/packages/core/src/retries/retry_budgets_test.ts
+++ b/packages/core/src/retries/retry_budgets_test.ts
@@ -70,10 +70,10 @@
   const budgets = build({ hosts: 3, slack: 90 });
   for (let now = 100; now <= 20_000; now += 100) budgets.observe(now);
   const spent = spendAll(budgets, "quiet", 20_000);
-  assert.ok(spent >= 8 && spent <= 10, `${spent}`);
+  assert.ok(spent >= 6 && spent <= 7, `${spent}`);
   assert.equal(spendAll(budgets, "quiet", 20_010), 0);
   assert.ok(
-    spendAll(budgets, "other", 20_010) >= 8,
+    spendAll(budgets, "other", 20_010) >= 6,
     "each service has its own",
   );
 });
--- a/packages/core/src/retries/retry_schedules_test.ts
+++ b/packages/core/src/retries/retry_schedules_test.ts
@@ -26,6 +26,16 @@
   savesForLulls: boolean;
   /** Chance that a host spends all that it has, in each step. */
   spendChance: number;
+  /**
+   * Part of the time under way that is the retries': they wait for a connection
+   * to servers whose answers take long. The rest is the requests'.
+   */
+  retryDelayShare: number;
+  /**
+   * Windows from one in whose first half all retries wait alike, as the servers
+   * are full, to the next; 0 if each waits on its own.
+   */
+  fullPeriod: number;
 };
 
 /** Plays hosts that save up what they can and spend it all at once. */
@@ -37,8 +47,15 @@
   const start = (now: number) =>
     new RetryBudgets({ bound, countHosts: () => hosts, now });
   const running = Array.from({ length: hosts }, () => start(0));
-  const maxDelay = bound.windowMilliseconds * UNDER_WAY_SHARE / 2;
-  const delay = () => maxDelay * random();
+  const maxDelay = bound.windowMilliseconds * UNDER_WAY_SHARE;
+  const maxRetryDelay = maxDelay * schedule.retryDelayShare;
+  const maxRequestDelay = maxDelay - maxRetryDelay;
+  const retryDelay = (now: number) => {
+    const { fullPeriod } = schedule;
+    if (fullPeriod === 0) return maxRetryDelay * random();
+    const isFull = (now / bound.windowMilliseconds) % fullPeriod < 1 / 2;
+    return isFull ? maxRetryDelay : 0;
+  };
   const weights = Array.from({ length: services }, () => random() ** 4);
   const end = WINDOWS_PLAYED * bound.windowMilliseconds;
   for (let now = 0; now < end; now += STEP_MILLISECONDS) {
@@ -53,13 +70,13 @@
           isLull ? 0 : schedule.load * weight * 4 * random() + random(),
         );
         for (let request = 0; request < requests; request += 1) {
-          sent.push({ service, at: now - delay() });
+          sent.push({ service, at: now - maxRequestDelay * random() });
           budgets.countRequest(service, now, now);
         }
         const isSaving = schedule.savesForLulls && !isLull;
         if (isSaving || random() >= schedule.spendChance) continue;
         while (budgets.purseOf(service, now).trySpend(now)) {
-          repeats.push({ service, at: now + delay() });
+          repeats.push({ service, at: now + retryDelay(now) });
         }
       }
     }
@@ -102,6 +119,21 @@
   return excesses.reduce((most, each) => Math.max(most, each), -Infinity);
 }
 
+/** All that is saved waits for half a window, and what follows doesn't. */
+const WAITING: Schedule = {
+  seed: 0,
+  bound: { ratio: 0.01, slack: 102, windowMilliseconds: 2_000 },
+  hosts: 1,
+  services: 1,
+  startChance: 0,
+  load: 0,
+  period: 2,
+  savesForLulls: false,
+  spendChance: 0.3,
+  retryDelayShare: 1,
+  fullPeriod: 2,
+};
+
 // Guards against hosts that each keep a bound which all of them share by what
 // each has seen alone, since it alone has started.
 test("repeats stay within ratio and slack for any hosts, services, loads and starts", () => {
@@ -119,12 +151,14 @@
     period: fc.constantFrom(2, 3, 9),
     savesForLulls: fc.boolean(),
     spendChance: fc.constantFrom(0.01, 0.05, 0.3, 1),
+    retryDelayShare: fc.constantFrom(0, 0.5, 1),
+    fullPeriod: fc.constantFrom(0, 1, 2, 3),
   });
   fc.assert(
     fc.property(schedule, (each) => {
       const excess = findExcess(play(each), each.bound);
       assert.ok(excess <= 0, `${excess} too many`);
     }),
-    { numRuns: 120 },
+    { numRuns: 240, examples: [[WAITING]] },
   );
 });
--- a/packages/core/src/retries/saved_retries_fixture.ts
+++ b/packages/core/src/retries/saved_retries_fixture.ts
@@ -2,7 +2,7 @@
 
 const SAVING_MILLISECONDS = 20_000;
 const WINDOW_MILLISECONDS = 60_000;
-const SLACK_WINDOWS = 1.5;
+const SLACK_WINDOWS = 2;
 const STEPS = 100;
 
 /** Budgets of a host that has run for a while, for tests. */
