Check of pauses: a pause and a notice end with the start that asked for them

Cause: the check knew a server by its name alone.

Change: a pause and a notice end at the server's next end. Excuses are sought in the shorter span only, so the check is stricter there; servers with new names are judged as before. The test also holds that an end before the pause excuses nothing.

--- a/acceptance/src/find_pushback_faults.ts
+++ b/acceptance/src/find_pushback_faults.ts
@@ -32,10 +32,11 @@
       excuse.gateway === gateway && excuse.from <= to && excuse.to >= from
     );
   const faults: string[] = [];
-  for (const { arrivals, rejections, leavingNotices } of servers) {
+  for (const server of servers) {
+    const { arrivals, rejections, leavingNotices } = server;
     for (const { id, at, instance, seconds } of rejections) {
       const gateway = gatewayOf(id);
-      const endsAt = at + 1_000 * seconds;
+      const endsAt = Math.min(at + 1_000 * seconds, findEnd(server, at));
       if (!(endsAt > at) || isExcused(gateway, at, endsAt)) continue;
       const unwanted = arrivals.filter((arrival) =>
         arrival.instance === instance && gatewayOf(arrival.id) === gateway &&
@@ -49,8 +50,10 @@
     }
     for (const notice of leavingNotices) {
       const gateway = gatewayOf(notice.id);
+      const endsAt = findEnd(server, notice.at);
       const late = arrivals.filter(({ id, at, instance }) =>
         instance === notice.instance && gatewayOf(id) === gateway &&
+        at < endsAt &&
         sent.get(id)!.sentAt > notice.at + DRAIN_MILLISECONDS &&
         !isExcused(gateway, notice.at, at)
       );
@@ -62,3 +65,8 @@
   }
   return [...new Set(faults)];
 }
+
+/** When the server ended next: a later start, also of its name, asks anew. */
+function findEnd({ crashRecords }: FakeBackendServer, from: number): number {
+  return crashRecords.map(({ at }) => at).find((at) => at >= from) ?? Infinity;
+}
--- a/acceptance/src/find_pushback_faults_test.ts
+++ b/acceptance/src/find_pushback_faults_test.ts
@@ -7,8 +7,10 @@
 
 /** One server that asks one gateway for a pause, or says that it leaves. */
 function play(
-  { arrivals, isLeaving = false, excuses = [] }: {
+  { arrivals, isLeaving = false, ends = [], excuses = [] }: {
     arrivals: number[];
+    /** When the server ended, to start anew under its name. */
+    ends?: number[];
     isLeaving?: boolean;
     excuses?: { gateway: string; from: number; to: number }[];
   },
@@ -23,6 +25,7 @@
     arrivals: [told, ...later],
     rejections: isLeaving ? [] : [{ ...told, seconds: PAUSE_SECONDS }],
     leavingNotices: isLeaving ? [told] : [],
+    crashRecords: ends.map((at) => ({ at, id: undefined })),
   } as unknown as FakeBackendServer;
   const sent = new Map(
     [told, ...later].map((
@@ -55,3 +58,15 @@
   ]);
   assert.deepEqual(play({ arrivals: [1_900], isLeaving: true }), []);
 });
+
+// Guards against a check that blames requests of a later start, which asked for
+// nothing, and one that an end before the pause switches off.
+test("a pause and a notice end with the server that asked", () => {
+  const arrivals = [600, 1_000, 1_900];
+  const pause = "one got 3 in a pause of 2 s asked of gateway";
+  assert.deepEqual(play({ arrivals, ends: [550] }), []);
+  assert.deepEqual(play({ arrivals, ends: [-100, 1_950] }), [pause]);
+  const notice = { arrivals: [2_100], isLeaving: true };
+  assert.deepEqual(play({ ...notice, ends: [2_050] }), []);
+  assert.equal(play({ ...notice, ends: [-100, 2_150] }).length, 1);
+});
