Listed, with a test: crowds of a harmful request whose ends show no byte

A request under which three servers have ended has to be refused by all gateways 3 s later. An end under a request whose answer had not begun counts for half (UNSTARTED_ANSWER_WEIGHT), and three are asked for: without a head six ends are. Sent one by one, six come in those 3 s; sent in crowds they don't.

Test: six copies at once each 4 s, two gateways, four engines, 300 ms to the end without a byte.

--- a/acceptance/src/crashing_requests_test.ts
+++ b/acceptance/src/crashing_requests_test.ts
@@ -19,6 +19,13 @@
 const COMMIT_MILLISECONDS = 3_000;
 const SERVED_REQUESTS = 30;
 const CHECK_TIMEOUT_MILLISECONDS = 10_000;
+const CROWDS = 4;
+const CROWD_SIZE = 6;
+const CROWD_INTERVAL_MILLISECONDS = 4_000;
+const FIRST_BYTE_MILLISECONDS = 300;
+/** From the third end until every gateway has to refuse the request. */
+const KNOWN_MILLISECONDS = 3_000;
+const MAX_LATE_ARRIVALS = 3;
 
 function sleep(milliseconds: number): Promise<void> {
   return new Promise((resolve) => setTimeout(resolve, milliseconds));
@@ -107,6 +114,29 @@
   assert.ok(isDone, `${served} other requests were served`);
 }
 
+/** Sends the crashing request several times at once, to all gateways. */
+async function askInCrowds(system: EndToEndSystem): Promise<void> {
+  for (let crowd = 0; crowd < CROWDS; crowd += 1) {
+    const copies = Array.from({ length: CROWD_SIZE }, (_, copy) => {
+      const gateway = system.gatewayIps[copy % GATEWAYS]!;
+      return ask(system, {
+        id: `crash-${crowd}-${copy}`,
+        gateway,
+        body: CRASH_BODY,
+      });
+    });
+    await Promise.all([...copies, sleep(CROWD_INTERVAL_MILLISECONDS)]);
+  }
+}
+
+function countLateArrivals({ engines }: EndToEndSystem): number {
+  const ends = engines.flatMap(({ crashRecords }) => crashRecords)
+    .map(({ at }) => at).sort((left, right) => left - right);
+  const knownAt = (ends[2] ?? Infinity) + KNOWN_MILLISECONDS;
+  return engines.flatMap(({ arrivals }) => arrivals)
+    .filter(({ id, at }) => id.startsWith("crash-") && at > knownAt).length;
+}
+
 function countCrashes(system: EndToEndSystem): number {
   return system.engines.reduce((sum, engine) => sum + engine.crashCount, 0);
 }
@@ -141,6 +171,22 @@
   });
 });
 
+// Guards against ends that count for half, as no byte of an answer tells that
+// the request had begun: six servers would end before it is refused.
+test("crowds of a request are refused though servers end before any byte", async () => {
+  await withCrashingEngines(async (system) => {
+    for (const engine of system.engines) {
+      engine.drawFirstByte = () => FIRST_BYTE_MILLISECONDS;
+      engine.drawHead = () => false;
+      engine.drawCrashDelay = () => 0;
+    }
+    await askInCrowds(system);
+    const late = countLateArrivals(system);
+    console.log(`${countCrashes(system)} crashes, ${late} arrivals late`);
+    assert.ok(late <= MAX_LATE_ARRIVALS, `${late} arrivals late`);
+  });
+});
+
 // Guards against gateways that know only of the crashes that they saw: once one
 // more could be enough for a blame, each would still retry on its own.
 test("a gateway retries no request that is suspected through another gateway", async () => {
