--- a/acceptance/src/budget/budget_day.ts
+++ b/acceptance/src/budget/budget_day.ts
@@ -17,9 +17,12 @@
 import { findBudgetFaults } from "./find_budget_faults.ts";
 import { findFullestWindows } from "./find_fullest_windows.ts";
 import { findHarmFaults } from "./find_harm_faults.ts";
+import type { Harm } from "./harm.ts";
 import { HarmfulTraffic } from "./harmful_traffic.ts";
 import type { RepeatWindow } from "./repeat_window.ts";
 import { ServerTroubles } from "./server_troubles.ts";
+import { slowDownServers } from "./slow_down_servers.ts";
+import type { SlowEngineTerms } from "./slow_engine_terms.ts";
 
 const DEFAULT_GATEWAYS = 6;
 const CONTROL_HOSTS = 3;
@@ -39,6 +42,10 @@
 const RATIOS = [0.2, 0.1, 0.05];
 const SLACKS = [40, 20, 10];
 
+type Terms = EndingTerms & Partial<SlowEngineTerms> & {
+  /** What ends engines, beside their troubles; all kinds by default. */
+  harms?: readonly Harm[];
+};
 type BudgetDayResult = {
   seed: number;
   bounds: PlatformBounds;
@@ -62,7 +69,7 @@
 export class BudgetDay {
   #seed: number;
   #gateways: number;
-  #terms: EndingTerms;
+  #terms: Terms;
   #bounds: PlatformBounds;
   #system: EndToEndSystem;
   #createRandom = (task: string) =>
@@ -75,7 +82,7 @@
   constructor(
     seed: number,
     gateways = DEFAULT_GATEWAYS,
-    terms: EndingTerms = {},
+    terms: Terms = {},
   ) {
     this.#seed = seed;
     this.#gateways = gateways;
@@ -93,6 +100,7 @@
     for (const engine of engines) {
       engine.eventIntervalMilliseconds = EVENT_INTERVAL_MILLISECONDS;
     }
+    slowDownServers([...engines, ...plainServers], terms);
     this.#hostTroubles = new SilenceTroubles({
       system,
       createRandom: this.#createRandom,
@@ -103,12 +111,13 @@
       pickGateway: (random) => this.#pickGateway(random),
       frontendUrl: (gateway) => cluster.frontendUrl(gateway),
       deadlineMilliseconds: DEADLINE_MILLISECONDS,
-      streamsPerSecond: STREAMS_PER_SECOND,
-      plainRequestsPerSecond,
+      streamsPerSecond: STREAMS_PER_SECOND * (terms.streamShare ?? 1),
+      plainRequestsPerSecond: plainRequestsPerSecond * (terms.plainShare ?? 1),
       hasDistinctPaths: true,
     });
     this.#harmful = new HarmfulTraffic({
       system,
+      harms: terms.harms,
       createRandom: this.#createRandom,
       pickGateway: (random) => this.#pickGateway(random),
     });
--- a/acceptance/src/budget/budget_days.ts
+++ b/acceptance/src/budget/budget_days.ts
@@ -1,10 +1,13 @@
 import process from "node:process";
 import { BudgetDay } from "./budget_day.ts";
+import { drawSlowEngineTerms } from "./draw_slow_engine_terms.ts";
 
-const [firstSeed = "1", count = "50", gateways] = process.argv.slice(2);
+const [firstSeed = "1", count = "50", gateways = "6", engines = "slow"] =
+  process.argv.slice(2);
 
 // Runs one simulated day after another, one for each of `count` seeds from the
-// first on, and prints a line for each. Exits with 1 if a day has faults.
+// first on, and prints a line for each. Engines begin to answer late and end as
+// each seed draws it, or, "quick", at once. Exits with 1 if a day has faults.
 console.log(
   "seed sent served ratio slack repeats/allowed told-too-much/late | faults",
 );
@@ -16,7 +19,8 @@
 ) {
   const day = await new BudgetDay(
     seed,
-    gateways === undefined ? undefined : Number(gateways),
+    Number(gateways),
+    engines === "slow" ? drawSlowEngineTerms(seed) : {},
   ).run();
   const { bounds, windows, deadlines } = day;
   console.log(
--- a/acceptance/src/budget/harmful_traffic.ts
+++ b/acceptance/src/budget/harmful_traffic.ts
@@ -2,10 +2,9 @@
 import type { EndToEndSystem } from "../end_to_end_system.ts";
 import type { Harm } from "./harm.ts";
 
+const PER_SECOND: Record<Harm, number> = { request: 1.5, part: 3 };
 const HARMFUL_BODY = "harmful";
 const HARMFUL_PART = "bad0";
-const REQUESTS_PER_SECOND = 1.5;
-const PART_REQUESTS_PER_SECOND = 3;
 /** The servers are sound at first, so that answers on them are known. */
 const SOUND_MILLISECONDS = 2_000;
 
@@ -15,6 +14,8 @@
   /** Creates the random numbers of one concurrent task. */
   createRandom: (task: string) => () => number;
   pickGateway: (random: () => number) => string;
+  /** What is sent; all kinds by default. */
+  harms?: readonly Harm[] | undefined;
 };
 
 /**
@@ -38,25 +39,19 @@
       engine.crashingBodies = [HARMFUL_BODY];
       engine.crashingParts = [HARMFUL_PART];
     }
-    await Promise.all([
-      this.#sendSteadily("request", REQUESTS_PER_SECOND, endAt),
-      this.#sendSteadily("part", PART_REQUESTS_PER_SECOND, endAt),
-    ]);
+    const { harms = ["request", "part"] } = this.#options;
+    await Promise.all(harms.map((harm) => this.#sendSteadily(harm, endAt)));
     await Promise.all(this.#underWay);
   }
 
-  async #sendSteadily(
-    harm: Harm,
-    perSecond: number,
-    endAt: number,
-  ): Promise<void> {
+  async #sendSteadily(harm: Harm, endAt: number): Promise<void> {
     const { createRandom, pickGateway } = this.#options;
     const random = createRandom(`harmful ${harm}`);
     while (performance.now() < endAt) {
       const sending = this.#send(harm, pickGateway(random));
       this.#underWay.add(sending);
       sending.finally(() => this.#underWay.delete(sending));
-      await sleep(2_000 * random() / perSecond);
+      await sleep(2_000 * random() / PER_SECOND[harm]);
     }
   }
 
--- a/acceptance/src/incident_day.ts
+++ b/acceptance/src/incident_day.ts
@@ -7,6 +7,8 @@
 import { findDayFaults } from "./find_day_faults.ts";
 import type { LimitPeriod } from "./limit_period.ts";
 import { countMostWithin } from "./count_most_within.ts";
+import { slowDownServers } from "./budget/slow_down_servers.ts";
+import type { SlowEngineTerms } from "./budget/slow_engine_terms.ts";
 import type { EndingTerms } from "./endings/ending_terms.ts";
 import type { FakeBackendServer } from "./fake_backend_server.ts";
 import { EndToEndSystem } from "./end_to_end_system.ts";
@@ -45,6 +47,7 @@
 export class IncidentDay {
   #seed: number;
   #random: () => number;
+  #requestsPerSecond: number;
   #system: EndToEndSystem;
   #answers: Promise<Answer>[] = [];
   #limitPeriods: LimitPeriod[] = [];
@@ -54,8 +57,12 @@
   #restarts: { gateway: string; from: number; at: number }[] = [];
   #sentRequests = 0;
 
-  constructor(seed: number, terms: EndingTerms = {}) {
+  constructor(
+    seed: number,
+    terms: EndingTerms & Partial<SlowEngineTerms> = {},
+  ) {
     this.#seed = seed;
+    this.#requestsPerSecond = REQUESTS_PER_SECOND * (terms.streamShare ?? 1);
     this.#random = createSeededRandom(hashText(String(seed)));
     this.#system = new EndToEndSystem({
       engines: ENGINES,
@@ -63,6 +70,7 @@
       controlHosts: CONTROL_HOSTS,
       ...terms,
     });
+    slowDownServers(this.#system.engines, terms);
   }
 
   async run(): Promise<DayResult> {
@@ -163,7 +171,7 @@
       const padding = "x".repeat(this.#random() * MAX_BODY_BYTES);
       const body = `${this.#sentRequests} ${padding}`;
       this.#answers.push(this.#sendRequest("other", this.#drawGateway(), body));
-      await sleep(2_000 * this.#random() / REQUESTS_PER_SECOND);
+      await sleep(2_000 * this.#random() / this.#requestsPerSecond);
     }
   }
 
--- a/acceptance/src/incident_days.ts
+++ b/acceptance/src/incident_days.ts
@@ -1,10 +1,14 @@
 import process from "node:process";
+import { drawSlowEngineTerms } from "./budget/draw_slow_engine_terms.ts";
 import { IncidentDay } from "./incident_day.ts";
 
-const [firstSeed = "1", count = "30"] = process.argv.slice(2);
+const [firstSeed = "1", count = "30", engines = "quick"] = process.argv.slice(
+  2,
+);
 
 // Runs one simulated day after another, one for each of `count` seeds from the
-// first on, and prints a line for each. Exits with 1 if a day has faults.
+// first on, and prints a line for each. With "slow" engines begin to answer late
+// and end as each seed draws it. Exits with 1 if a day has faults.
 console.log(
   "seed served refused broken wrong-blame ends late limit troubles | faults",
 );
@@ -14,7 +18,10 @@
   seed < Number(firstSeed) + Number(count);
   seed++
 ) {
-  const day = await new IncidentDay(seed).run();
+  const day = await new IncidentDay(
+    seed,
+    engines === "slow" ? drawSlowEngineTerms(seed) : {},
+  ).run();
   console.log(
     seed,
     day.served,
