--- a/packages/daemon/src/control/raft_driver.ts
+++ b/packages/daemon/src/control/raft_driver.ts
@@ -17,6 +17,8 @@
 
 const TICK_INTERVAL_MILLISECONDS = 20;
 const FULL_DISK_RETRY_MILLISECONDS = 500;
+/** Half of an election time: two of these in a row can cost a leader its term. */
+const LOGGED_STALL_MILLISECONDS = 200;
 
 type Options = {
   node: RaftNode;
@@ -50,6 +52,7 @@
   #isStopped = false;
   #lastLeadership = { leader: "", isLeading: false };
   #timer: NodeJS.Timeout | undefined;
+  #tickedAt = monotonicMilliseconds();
 
   constructor(options: Options) {
     this.#options = options;
@@ -62,8 +65,12 @@
   }
 
   start(): void {
+    this.#tickedAt = monotonicMilliseconds();
     this.#timer = setInterval(() => {
-      this.#options.node.tick(monotonicMilliseconds());
+      const now = monotonicMilliseconds();
+      this.#logStall(now - this.#tickedAt);
+      this.#tickedAt = now;
+      this.#options.node.tick(now);
       this.#processOutput();
       this.#publishLeadershipChange();
     }, TICK_INTERVAL_MILLISECONDS);
@@ -98,6 +105,14 @@
     });
   }
 
+  #logStall(milliseconds: number): void {
+    if (milliseconds < LOGGED_STALL_MILLISECONDS) return;
+    this.#options.log.warn("stood-still", {
+      milliseconds: Math.round(milliseconds),
+      leader: this.#options.node.leaderId || "none",
+    });
+  }
+
   #publishLeadershipChange(): void {
     const { node } = this.#options;
     const isLeading = node.isLeading(monotonicMilliseconds()) &&
@@ -105,6 +120,9 @@
     const { leaderId: leader } = node;
     const known = this.#lastLeadership;
     if (leader === known.leader && isLeading === known.isLeading) return;
+    if (known.isLeading && !isLeading) {
+      this.#options.log.info("leadership-lost", { term: node.term });
+    }
     this.#lastLeadership = { leader, isLeading };
     this.leadership$.next();
   }
