Have a learner take the place of a voter that is gone before the next loss

Cause: a control host that is gone for good counted as a voter until it had been silent for 6 s, at each new leader anew. The users' rules stop counting it 4 s behind the start of its successor; from then on another disk may be lost while all others lose power. In between two of three voters were gone for good, and what had been acknowledged could never be read again, though two hosts held it. Class: a wait that is longer than the time for which the loss may be counted on.

The place of a voter that is only away for longer than 2 s is taken, too, where there is a spare host; it returns as a learner.

Open: a new leader still counts the silence from its own beginning, so leaders that change every 2 s put it off; a replacement whose successor comes first and whose predecessor gets SIGTERM leaves 2 s.

--- a/acceptance/src/loopback_cluster.ts
+++ b/acceptance/src/loopback_cluster.ts
@@ -81,6 +81,10 @@
     return this.#seeds.map((seed) => `http://${seed}`);
   }
 
+  controlUrl(index: number): string {
+    return `http://${this.hostIp(index)}:${this.#ports.control}`;
+  }
+
   frontendUrl(ip: string): string {
     return `http://${ip}:${this.#ports.frontend}`;
   }
@@ -137,16 +141,31 @@
   }
 
   /**
-   * Kills hosts and starts them again on the same data and addresses, at once or
-   * so many milliseconds later.
+   * Kills hosts and starts them again on the same addresses, at once or so many
+   * milliseconds later, and on the same data, unless they lose their disks.
    */
-  async restart(names: string[], { awayMilliseconds = 0 } = {}): Promise<void> {
+  async restart(
+    names: string[],
+    { awayMilliseconds = 0, lostDisks = [] as string[] } = {},
+  ): Promise<void> {
     const killed = names.map((name) => this.findHost(name));
     for (const { child } of killed) child.signal("SIGKILL");
+    await Promise.all(killed.map(({ child }) => child.exited));
+    for (const name of lostDisks) {
+      rmSync(join(this.folder, name), { recursive: true, force: true });
+    }
     await new Promise((resolve) => setTimeout(resolve, awayMilliseconds));
     await this.#startAgain(killed);
   }
 
+  /** Kills a host for good. */
+  async remove(name: string): Promise<void> {
+    const host = this.findHost(name);
+    host.child.signal("SIGKILL");
+    await host.child.exited;
+    this.#hosts = this.#hosts.filter((other) => other !== host);
+  }
+
   /**
    * Stops a host as the platform does: it is killed if it still runs after the
    * grace time. Then starts it again on the same data and address.
--- a/packages/core/src/membership/plan_membership.ts
+++ b/packages/core/src/membership/plan_membership.ts
@@ -18,10 +18,11 @@
 /** Candidates ask to join twice a second; one that stopped asking is gone. */
 const CANDIDATE_EXPIRY_MILLISECONDS = 3_000;
 /**
- * Longer than a restart takes on these hosts: a voter that returns with its
- * disk is better than a new one that has to replicate all data first.
+ * A host that is gone for good counts as lost until 4 s behind the start of its
+ * successor, so a caught-up learner has to vote by then: another disk may be
+ * lost at once. A voter that returns later becomes a learner in its turn.
  */
-const LOST_VOTER_MILLISECONDS = 6_000;
+const LOST_VOTER_MILLISECONDS = 2_000;
 const LOST_LEARNER_MILLISECONDS = 10_000;
 /** A member counts as running if a message from it arrived within this time. */
 const RUNNING_MILLISECONDS = 1_000;
--- a/packages/core/src/membership/plan_membership_test.ts
+++ b/packages/core/src/membership/plan_membership_test.ts
@@ -84,6 +84,24 @@
   );
 });
 
+// Guards against a lost voter that counts for so long that the next loss, which
+// may come once its successor has caught up, leaves no majority for good.
+test("a learner takes a lost voter's place before the next loss may come", () => {
+  const members = [
+    member("a"),
+    member("b"),
+    member("c"),
+    member("d", { learner: true }),
+  ];
+  const silentFor = (milliseconds: number) =>
+    plan({
+      members,
+      heardAt: (id) => id === "c" ? NOW - milliseconds : NOW,
+    });
+  assert.equal(silentFor(1_500), undefined);
+  assert.deepEqual(silentFor(2_100), ["a", "b", "d:learner"]);
+});
+
 test("voters are spread over the data centres", () => {
   const members = [
     member("a", { dataCentre: "x" }),
