Have a control host that stops give its vote to a learner

Cause: a replacement that is planned starts the successor first and stops the host that goes with SIGTERM once the successor has caught up; from then on the one that is gone no longer counts as a loss.

--- a/acceptance/src/configurations/replaced_core_test.ts
+++ b/acceptance/src/configurations/replaced_core_test.ts
@@ -15,20 +15,38 @@
   const which = isLeader ? "the leader" : "a follower";
   // Guards against a core that waits for a host that is gone for good: with a
   // second disk lost, nothing that was acknowledged could ever be read again.
-  test(`a lost disk behind the replacement of ${which} loses no configuration`, async () => {
-    const system = new EndToEndSystem({
-      engines: 1,
-      controlHosts: CONTROL_HOSTS,
-    });
-    let keepLogs = true;
-    try {
-      await system.start();
-      await loseTwo(system, isLeader);
-      keepLogs = false;
-    } finally {
-      await system.stop({ keepLogs });
-    }
+  test(`a lost disk behind the replacement of ${which} loses no configuration`, () =>
+    withSystem((system) => loseTwo(system, isLeader)));
+}
+
+// Guards against a planned replacement that leaves a time in which the host that
+// was stopped is missed: its successor has caught up long before.
+test("a lost disk behind a planned replacement loses no configuration", () =>
+  withSystem(async (system) => {
+    const { cluster, controlNames } = system;
+    const successor = startSuccessor(system);
+    await sleep(CATCH_UP_MILLISECONDS);
+    const leader = findLeader(system);
+    const [other, kept] = controlNames.filter((name) => name !== leader);
+    await cluster.removeGracefully(leader);
+    await loseDisk(system, { disk: other!, hosts: [other!, kept!, successor] });
+  }));
+
+async function withSystem(
+  play: (system: EndToEndSystem) => Promise<void>,
+): Promise<void> {
+  const system = new EndToEndSystem({
+    engines: 1,
+    controlHosts: CONTROL_HOSTS,
   });
+  let keepLogs = true;
+  try {
+    await system.start();
+    await play(system);
+    keepLogs = false;
+  } finally {
+    await system.stop({ keepLogs });
+  }
 }
 
 async function loseTwo(
@@ -39,20 +57,29 @@
   const leader = findLeader(system);
   const [follower, other] = controlNames.filter((name) => name !== leader);
   const gone = isLeader ? leader : follower!;
+  const kept = isLeader ? follower! : leader;
   await cluster.remove(gone);
   await sleep(SUCCESSOR_AFTER_MILLISECONDS);
-  cluster.start("control", CONTROL_HOSTS, { bootstrap: false });
-  const successorUrl = cluster.controlUrl(CONTROL_HOSTS);
+  const successor = startSuccessor(system);
   await sleep(CATCH_UP_MILLISECONDS);
+  await loseDisk(system, { disk: other!, hosts: [other!, kept, successor] });
+}
+
+function startSuccessor({ cluster }: EndToEndSystem): string {
+  return cluster.start("control", CONTROL_HOSTS, { bootstrap: false }).name;
+}
+
+/** All hosts lose power behind an acknowledgement, and one its disk. */
+async function loseDisk(
+  system: EndToEndSystem,
+  { disk, hosts }: { disk: string; hosts: string[] },
+): Promise<void> {
+  const { cluster } = system;
   const isAccepted = () => system.configure(2);
   assert.ok(await waitUntil(isAccepted, READ_BACK_MILLISECONDS));
-  const remaining = [
-    ...controlNames.filter((name) => name !== gone),
-    `control-${CONTROL_HOSTS}`,
-  ];
-  await cluster.restart(remaining, { lostDisks: [other!] });
-  const isReadBack = async () =>
-    (await readVersion(`${successorUrl}/config`)) === 2;
+  await cluster.restart(hosts, { lostDisks: [disk] });
+  const url = `${cluster.controlUrl(CONTROL_HOSTS)}/config`;
+  const isReadBack = async () => (await readVersion(url)) === 2;
   assert.ok(
     await waitUntil(isReadBack, READ_BACK_MILLISECONDS),
     "the configuration can't be read back",
--- a/acceptance/src/loopback_cluster.ts
+++ b/acceptance/src/loopback_cluster.ts
@@ -166,19 +166,20 @@
     this.#hosts = this.#hosts.filter((other) => other !== host);
   }
 
+  /** Stops a host for good, as the platform does. */
+  async removeGracefully(name: string): Promise<void> {
+    const host = this.findHost(name);
+    await this.#stopGracefully(host);
+    this.#hosts = this.#hosts.filter((other) => other !== host);
+  }
+
   /**
    * Stops a host as the platform does: it is killed if it still runs after the
    * grace time. Then starts it again on the same data and address.
    */
   async restartGracefully(name: string): Promise<void> {
     const host = this.findHost(name);
-    host.child.signal("SIGTERM");
-    const timer = setTimeout(
-      () => host.child.signal("SIGKILL"),
-      1_000 * GRACE_SECONDS,
-    );
-    await host.child.exited;
-    clearTimeout(timer);
+    await this.#stopGracefully(host);
     await this.#startAgain([host]);
   }
 
@@ -197,6 +198,16 @@
     this.findHost(name).child.signal("SIGHUP");
   }
 
+  async #stopGracefully({ child }: Host): Promise<void> {
+    child.signal("SIGTERM");
+    const timer = setTimeout(
+      () => child.signal("SIGKILL"),
+      1_000 * GRACE_SECONDS,
+    );
+    await child.exited;
+    clearTimeout(timer);
+  }
+
   async #startAgain(hosts: Host[]): Promise<void> {
     await Promise.all(hosts.map(({ child }) => child.exited));
     this.#hosts = this.#hosts.filter((host) => !hosts.includes(host));
--- a/packages/core/src/membership/plan_membership.ts
+++ b/packages/core/src/membership/plan_membership.ts
@@ -1,7 +1,10 @@
 import { create } from "@bufbuild/protobuf";
 import { type Member, MemberSchema } from "@teaselrouter/messages/control.ts";
 
-/** A control host that asked to join. */
+/**
+ * A control host that asked to join, or, as a learner, to vote no longer since
+ * it stops.
+ */
 type Candidate = { member: Member; askedAt: number };
 
 type MembershipView = {
@@ -63,7 +66,9 @@
 
 function addLearner(view: MembershipView): Member[] | undefined {
   const known = new Set(view.members.map(({ id }) => id));
-  const joining = freshCandidates(view).find(({ id }) => !known.has(id));
+  const joining = freshCandidates(view).find(({ id, learner }) =>
+    !known.has(id) && !learner
+  );
   return joining &&
     [...view.members, create(MemberSchema, { ...joining, learner: true })];
 }
@@ -76,12 +81,19 @@
   return lost && view.members.filter(({ id }) => id !== lost.id);
 }
 
-/** Removes a silent voter only if a running learner can take its place. */
+/**
+ * Removes a voter that is silent, or stops, only if a running learner can take
+ * its place.
+ */
 function removeLostVoter(view: MembershipView): Member[] | undefined {
   if (readyLearners(view).length === 0) return undefined;
+  const stopping = new Set(
+    freshCandidates(view).filter(({ learner }) => learner).map(({ id }) => id),
+  );
   const lost = view.members.find((member) =>
     !member.learner && member.id !== view.selfId &&
-    view.now - view.heardAt(member.id) > LOST_VOTER_MILLISECONDS
+    (stopping.has(member.id) ||
+      view.now - view.heardAt(member.id) > LOST_VOTER_MILLISECONDS)
   );
   return lost && view.members.filter(({ id }) => id !== lost.id);
 }
--- a/packages/core/src/membership/plan_membership_test.ts
+++ b/packages/core/src/membership/plan_membership_test.ts
@@ -102,6 +102,22 @@
   assert.deepEqual(silentFor(2_100), ["a", "b", "d:learner"]);
 });
 
+// Guards against a host that stops for good and is missed until it has been
+// silent for long, and against one that is lost for want of a spare host.
+test("a voter that stops gives its vote to a learner at once", () => {
+  const candidates = [{ member: member("c", { learner: true }), askedAt: NOW }];
+  assert.equal(plan({ candidates }), undefined);
+  const members = [
+    member("a"),
+    member("b"),
+    member("c"),
+    member("d", { learner: true }),
+  ];
+  assert.deepEqual(plan({ candidates, members }), ["a", "b", "d:learner"]);
+  const without = [member("a"), member("b"), member("d", { learner: true })];
+  assert.deepEqual(plan({ candidates, members: without }), ["a", "b", "d"]);
+});
+
 test("voters are spread over the data centres", () => {
   const members = [
     member("a", { dataCentre: "x" }),
--- a/packages/daemon/src/control/control_app.ts
+++ b/packages/daemon/src/control/control_app.ts
@@ -27,6 +27,7 @@
 import { joinCluster } from "./join_cluster.ts";
 import { canBootstrapCluster } from "./can_bootstrap_cluster.ts";
 import { MembershipManager } from "./membership_manager.ts";
+import { giveUpVote } from "./give_up_vote.ts";
 import { PeerLinks } from "./peer_links.ts";
 import { PlatformServices } from "./platform_services.ts";
 import { RaftDriver } from "./raft_driver.ts";
@@ -153,7 +154,7 @@
 
   /**
    * Transfers leadership before stopping, so that no change is refused in the
-   * meantime.
+   * meantime, and the vote to a spare host if there is one.
    */
   async stop(): Promise<void> {
     this.#isStopped = true;
@@ -167,6 +168,10 @@
         await sleep(TRANSFER_POLL_MILLISECONDS);
       }
     }
+    if (this.#membershipManager !== undefined) {
+      const { clients } = this.#options;
+      await giveUpVote({ control: this.#control!, self: this.#self, clients });
+    }
     this.#membershipManager?.stop();
     this.#platformServices?.stop();
     await this.#driver?.stop();
