Decode and store a large configuration once, however often it is sent

Operators send it again each second, to any control host; each decoded it (7 to 62 ms on a whole processor, these hosts have 0.15 of one, and a leader that is silent for 400 ms loses its term), the leader appended it anew, and each entry went to all members once more. Eight leaders followed each other in 30 s; none acknowledged it. Class: work that is repeated because it is late, and makes it later. Each other change of state decoded the document in force again, too.

Failed try: a leader that stood still for more than its election time waited for the others' answers before it gave up its term.

--- a/packages/daemon/src/control/control_host.ts
+++ b/packages/daemon/src/control/control_host.ts
@@ -67,6 +67,11 @@
   #log: EventLog;
   #state: ControlState;
   #pendingProposals = new Map<number, PendingProposal>();
+  /**
+   * Configurations that are being committed, which operators send again
+   * meanwhile: each would be stored, and sent to all members, once more.
+   */
+  #routingUnderWay = new Map<string, Promise<ProposalOutcome>>();
   #recentCommands: EntryHostCommand[] = [];
   /** `#recentCommands` holds all commands for entry hosts after this index. */
   #recentCommandsAfter: number;
@@ -181,6 +186,25 @@
   async propose(
     command: Command,
     options: { untilInForce: boolean },
+  ): Promise<ProposalOutcome> {
+    if (command.kind !== "replace-routing") {
+      return await this.#propose(command, options);
+    }
+    const { term } = this.node;
+    const key = `${term} ${command.version} ${command.document}`;
+    const underWay = this.#routingUnderWay.get(key) ??
+      this.#propose(command, options);
+    this.#routingUnderWay.set(key, underWay);
+    try {
+      return await underWay;
+    } finally {
+      this.#routingUnderWay.delete(key);
+    }
+  }
+
+  async #propose(
+    command: Command,
+    options: { untilInForce: boolean },
   ): Promise<ProposalOutcome> {
     const now = monotonicMilliseconds();
     if (!this.isLeading(now)) return { kind: "not-proposed" };
--- a/packages/daemon/src/control/platform_services.ts
+++ b/packages/daemon/src/control/platform_services.ts
@@ -7,6 +7,8 @@
 import type { EventLog } from "../log/event_log.ts";
 import type { Closable } from "../platform/closable.ts";
 import type { PlatformAdapter } from "../platform/platform_adapter.ts";
+import { rememberDecoded } from "../platform/remember_decoded.ts";
+import type { RoutingDecoder } from "../platform/routing_decoder.ts";
 import type { Settings } from "../settings/settings.ts";
 import type { ClientPool } from "../transport/client_pool.ts";
 import { decodeDeparture } from "../transport/decode_departure.ts";
@@ -48,6 +50,7 @@
 export class PlatformServices {
   readonly view: SharedView;
   #options: Options;
+  #decodeRouting: RoutingDecoder;
   #operations: ControlOperationsHandler;
   #otherControlHosts: FollowSet;
   #manifests: ManifestFetcher;
@@ -65,6 +68,7 @@
 
   constructor(options: Options) {
     const { settings, clients, log, platform, control } = options;
+    this.#decodeRouting = rememberDecoded(platform.decodeRouting);
     const selfAddress = settings.internal.listen;
     this.#options = options;
     this.view = new SharedView({
@@ -81,7 +85,7 @@
       view: this.view,
       clients,
       log,
-      decodeRouting: platform.decodeRouting,
+      decodeRouting: this.#decodeRouting,
       listedDataCentres: options.listedDataCentres,
     });
     this.#manifests = new ManifestFetcher({
@@ -240,14 +244,14 @@
    * the first entry of the current leader.
    */
   #applyRouting(): void {
-    const { control, replicatedState, platform, log } = this.#options;
+    const { control, replicatedState, log } = this.#options;
     const isFirst = !this.#isCurrent;
     this.#isCurrent ||= control()?.isCaughtUp ?? false;
     if (!this.#isCurrent) return;
     this.view.handleStateChange({ isFirst });
     const { routing } = replicatedState();
     if (routing === undefined) return;
-    const decoded = platform.decodeRouting(routing.document);
+    const decoded = this.#decodeRouting(routing.document);
     if (decoded.isOk) return this.#manifests.updateTargets(decoded.value);
     log.error("routing-unreadable", {
       version: routing.version,
