--- a/packages/core/src/gateway/find_configuration_error.ts
+++ b/packages/core/src/gateway/find_configuration_error.ts
@@ -66,17 +66,17 @@
 function findDuplicateKeyFault(
   { workspaces }: RoutingConfiguration,
 ): Fault | undefined {
-  const workspaceByKey = new Map<string, string>();
+  const workspaceByKey = new Map<string, (typeof workspaces)[number]>();
   for (const workspace of workspaces) {
     for (const key of workspace.keys) {
-      const otherWorkspace = workspaceByKey.get(key);
-      if (otherWorkspace !== undefined && otherWorkspace !== workspace.name) {
+      const other = workspaceByKey.get(key);
+      if (other !== undefined && other !== workspace) {
         return {
           field: workspace.name,
-          detail: `a key is also that of workspace "${otherWorkspace}"`,
+          detail: `a key is also that of workspace "${other.name}"`,
         };
       }
-      workspaceByKey.set(key, workspace.name);
+      workspaceByKey.set(key, workspace);
     }
   }
   return undefined;
--- a/packages/core/src/gateway/route_table_test.ts
+++ b/packages/core/src/gateway/route_table_test.ts
@@ -86,7 +86,10 @@
     configuration({
       workspaces: [{ name: "a", keys: ["k"] }, { name: "b", keys: ["k"] }],
     }),
+    configuration({
+      workspaces: [{ name: "a", keys: ["k"] }, { name: "a", keys: ["k"] }],
+    }),
   ];
   const fields = faults.map((faulty) => findConfigurationError(faulty)?.field);
-  assert.deepEqual(fields, ["drafts", "same", "drafts", "b"]);
+  assert.deepEqual(fields, ["drafts", "same", "drafts", "b", "a"]);
 });
