--- a/acceptance/src/end_to_end_system.ts
+++ b/acceptance/src/end_to_end_system.ts
@@ -216,7 +216,14 @@
     version: number,
     change: ConfigurationChange = {},
   ): Promise<boolean> {
-    const configuration = buildConfiguration({
+    const document = this.buildDocument(version, change);
+    const answer = await this.callControlHost("PUT", "/config", document);
+    return answer.status === 200;
+  }
+
+  /** A configuration as an operator sends it. */
+  buildDocument(version: number, change: ConfigurationChange): string {
+    return JSON.stringify(buildConfiguration({
       version,
       store: this.#storeAddress,
       model: MODEL,
@@ -226,9 +233,7 @@
         { maxAttempts: this.#maxAttempts }),
       ...(this.#slots !== undefined && { slots: this.#slots }),
       ...change,
-    });
-    const answer = await this.callControlHost("PUT", "/config", configuration);
-    return answer.status === 200;
+    }));
   }
 
   /** Tells the control hosts which version of the weights engines must load. */
--- a/acceptance/src/loopback_cluster.ts
+++ b/acceptance/src/loopback_cluster.ts
@@ -217,6 +217,10 @@
     }
   }
 
+  listProcesses(): { name: string; pid: number }[] {
+    return this.#hosts.map(({ name, child }) => ({ name, pid: child.pid }));
+  }
+
   findHost(name: string): Host {
     const host = this.#hosts.find((candidate) => candidate.name === name);
     if (host === undefined) throw new Error(`no host ${name} was started`);
