--- a/packages/core/src/membership/plan_membership_test.ts
+++ b/packages/core/src/membership/plan_membership_test.ts
@@ -84,6 +84,40 @@
   );
 });
 
+// Guards against a lost voter that counts for so long that the next loss, which
+// may come once its successor has caught up, leaves no majority for good.
+test("a learner takes a lost voter's place before the next loss may come", () => {
+  const members = [
+    member("a"),
+    member("b"),
+    member("c"),
+    member("d", { learner: true }),
+  ];
+  const silentFor = (milliseconds: number) =>
+    plan({
+      members,
+      heardAt: (id) => id === "c" ? NOW - milliseconds : NOW,
+    });
+  assert.equal(silentFor(1_500), undefined);
+  assert.deepEqual(silentFor(2_100), ["a", "b", "d:learner"]);
+});
+
+// Guards against a host that stops for good and is missed until it has been
+// silent for long, and against one that is lost for want of a spare host.
+test("a voter that stops gives its vote to a learner at once", () => {
+  const candidates = [{ member: member("c", { learner: true }), askedAt: NOW }];
+  assert.equal(plan({ candidates }), undefined);
+  const members = [
+    member("a"),
+    member("b"),
+    member("c"),
+    member("d", { learner: true }),
+  ];
+  assert.deepEqual(plan({ candidates, members }), ["a", "b", "d:learner"]);
+  const without = [member("a"), member("b"), member("d", { learner: true })];
+  assert.deepEqual(plan({ candidates, members: without }), ["a", "b", "d"]);
+});
+
 test("voters are spread over the data centres", () => {
   const members = [
     member("a", { dataCentre: "x" }),
