--- a/packages/core/src/crashes/part_evidence_test.ts
+++ b/packages/core/src/crashes/part_evidence_test.ts
@@ -363,6 +363,141 @@
   assert.deepEqual(blame(ledger, 4_000), ["part:bad"]);
 });
 
+/** Gateways of their own that watch the ledger's parts. */
+function openGateways(ledger: CrashLedger, count: number): Gateway[] {
+  return Array.from(
+    { length: count },
+    (_, index) => new Gateway(ledger, `gateway-${index}`),
+  );
+}
+
+// Guards against a harmful part that goes on crashing servers while most of the
+// gateways are away, for good or not.
+test("one gateway that is left decides, and those that are gone aren't waited for", () => {
+  const ledger = createLedger();
+  const [left, ...others] = openGateways(ledger, 4);
+  for (const gateway of [left!, ...others]) {
+    gateway.answer({ count: 9, at: -9 });
+  }
+  for (const at of [0, 300, 600]) crash(ledger, at, HARMFUL);
+  for (const gateway of [left!, ...others]) {
+    gateway.watch(700);
+    gateway.tell(700);
+  }
+  for (const index of [1, 2, 3]) ledger.forgetGoodEndsOf(`gateway-${index}`);
+  const names: string[] = [];
+  for (let now = 800; now <= 3_000; now += STEP_MILLISECONDS) {
+    left!.watch(now);
+    left!.answer({ count: 20, at: now });
+    left!.tell(now);
+    names.push(...ledger.blameSuspects(now).map((each) => each.fingerprint));
+  }
+  assert.deepEqual(names, ["part:bad"]);
+});
+
+// Guards against blaming what all requests share on the word of gateways that are
+// killed, or have just started: nobody is there to tell of answers on it.
+test("gateways that are killed, silent or new speak against no part", () => {
+  const ledger = createLedger();
+  const [killed, silent] = openGateways(ledger, 2);
+  silent!.answer({ count: 5_000, at: -100 });
+  for (const at of [0, 300, 600]) crash(ledger, at, FIRST);
+  for (const gateway of [killed!, silent!]) {
+    gateway.watch(700);
+    gateway.tell(700);
+  }
+  killed!.answer({ count: 500, at: 750 });
+  killed!.tell(800);
+  ledger.addRunningAnswers("gateway-0", {
+    totals: { count: 500, runMilliseconds: 100_000 },
+    starts: [{ part: FIRST, totals: { count: 0, runMilliseconds: 0 } }],
+    ends: [],
+  });
+  ledger.forgetGoodEndsOf("gateway-0");
+  const anew = new Gateway(ledger, "gateway-0-anew");
+  for (let now = 800; now <= 60_000; now += STEP_MILLISECONDS) {
+    anew.watch(now);
+    anew.tell(now);
+    killed!.tell(now);
+    assert.deepEqual(ledger.blameSuspects(now), []);
+  }
+});
+
+// Guards against a gateway that stands still and goes on, and whose answers on
+// other parts count ahead of those on a sound one.
+test("a gateway that tells late blames no part that its answers clear", () => {
+  const ledger = createLedger();
+  const [late] = openGateways(ledger, 1);
+  for (const at of [0, 300, 600]) crash(ledger, at, FIRST, HARMFUL);
+  late!.watch(700);
+  late!.tell(700);
+  late!.answer({ count: 5, at: 1_200, parts: [FIRST] });
+  late!.answer({ count: 500, at: 1_300 });
+  assert.deepEqual(ledger.blameSuspects(6_000), []);
+  late!.tell(6_100);
+  const names: string[] = [];
+  for (let now = 6_100; now <= 9_000; now += STEP_MILLISECONDS) {
+    late!.watch(now);
+    late!.answer({ count: 20, at: now });
+    late!.answer({ count: 1, at: now, parts: [FIRST] });
+    late!.tell(now);
+    names.push(...ledger.blameSuspects(now).map((each) => each.fingerprint));
+  }
+  assert.deepEqual(names, ["part:bad"]);
+});
+
+// Guards against a harmful part that goes on crashing servers once a control host
+// has started anew: its gateways have watched all the while.
+test("a control host that starts anew counts what gateways have watched", () => {
+  const before = createLedger();
+  for (const at of [0, 300, 600]) crash(before, at, HARMFUL);
+  const recorder = new GoodEndRecorder();
+  const watches = before.listPartWatches({ minCrashes: 2 });
+  recorder.watch(watches, 700);
+  recorder.takeNews(700, ENDS_PER_TELLING);
+  for (let index = 0; index < 200; index += 1) {
+    recorder.record({ parts: ["harmless"], sentAt: 600, endedAt: 1_000 });
+  }
+  recorder.takeNews(1_000, ENDS_PER_TELLING);
+  const after = createLedger();
+  for (const at of [0, 300, 600]) crash(after, at, HARMFUL);
+  recorder.tellAnew();
+  const news = recorder.takeNews(1_100, ENDS_PER_TELLING);
+  after.noteWatches(watches, 1_100);
+  after.addGoodEnds("gateway", news!);
+  assert.deepEqual(after.blameSuspects(1_100), []);
+  const blames = after.blameSuspects(1_230);
+  assert.deepEqual(blames.map(({ fingerprint }) => fingerprint), ["part:bad"]);
+});
+
+// Guards against blaming what all requests share while no server can answer, and
+// against a count that begins anew each time.
+test("time in which nobody can answer doesn't count, and the count is kept", () => {
+  const ledger = createLedger();
+  for (const at of [0, 300, 600]) crash(ledger, at, HARMFUL);
+  const few = 30;
+  answerWell(ledger, { count: few, at: 700 });
+  for (let now = 800; now <= 20_000; now += STEP_MILLISECONDS) {
+    answerWell(ledger, { count: 0, at: now });
+    assert.deepEqual(ledger.blameSuspects(now), []);
+  }
+  answerWell(ledger, { count: few, at: 20_100 });
+  assert.deepEqual(blame(ledger, 20_100, { answers: 0 }), ["part:bad"]);
+});
+
+// Guards against blaming a common part as most servers are gone, and the few left
+// answer little.
+test("few answers of the servers left blame nothing that some of them hold", () => {
+  const ledger = createLedger();
+  failRack(ledger);
+  for (let now = 500; now <= 30_000; now += 500) {
+    const isCommon = now % 2_000 === 0;
+    const parts = isCommon ? [FIRST, "common"] : [FIRST];
+    answerWell(ledger, { count: 1, at: now, parts });
+    assert.deepEqual(ledger.blameSuspects(now), []);
+  }
+});
+
 // Guards against a flood of rare parts that evicts the harmful one, or
 // exhausts a host's memory. A host takes 150 reports a second from another.
 test("a flood of rare parts stays within bounds, and the harmful one is found", () => {
