--- a/packages/core/src/crashes/crash_evidence.ts
+++ b/packages/core/src/crashes/crash_evidence.ts
@@ -134,6 +134,16 @@
     return this.#crashes.get(incarnation)?.requests ?? new Set();
   }
 
+  /** Whether all requests that it stands for there were at other crashes, too. */
+  isRepeatedAt(incarnation: string): boolean {
+    const others = [...this.#crashes]
+      .filter(([each]) => each !== incarnation)
+      .map(([, { requests }]) => requests);
+    return [...this.requestsAt(incarnation)].every((request) =>
+      others.some((requests) => requests.has(request))
+    );
+  }
+
   reportsFor(fingerprint: string): CrashReport[] {
     return this.incarnations.map((incarnation) => {
       const { begunMilliseconds, isGivenUp } = this.#crashes.get(incarnation)!;
--- a/packages/core/src/crashes/crash_ledger.ts
+++ b/packages/core/src/crashes/crash_ledger.ts
@@ -30,6 +30,11 @@
  * another crash or a surviving answer.
  */
 const AMBIGUITY_MILLISECONDS = 280;
+/**
+ * As long for a request that may merely stand beside a suspected part, until there
+ * are enough good ends.
+ */
+const BYSTANDER_MILLISECONDS = 1_500;
 /** Good ends for a decision have come by then, or won't come. */
 const PENDING_MILLISECONDS = 60_000;
 
@@ -390,7 +395,11 @@
         ageOf(suspect) >= decisionDelayMilliseconds
       ),
       mayWait: (suspect) =>
-        ageOf(suspect) < decisionDelayMilliseconds + AMBIGUITY_MILLISECONDS,
+        ageOf(suspect) < decisionDelayMilliseconds + (
+              suspect.evidence.kind === "request"
+                ? BYSTANDER_MILLISECONDS
+                : AMBIGUITY_MILLISECONDS
+            ),
       isBlamed: (name) => this.#blames.has(name),
     });
   }
--- a/packages/core/src/crashes/good_end_tally.ts
+++ b/packages/core/src/crashes/good_end_tally.ts
@@ -70,15 +70,17 @@
 
   /** Hosts are told to watch the part. */
   noteWatch(part: string, now: number): void {
-    this.#refresh(part).watchedAt = now;
+    const tally = this.#refresh(part);
+    // Hosts have ended the watch meanwhile, and tell of its start anew.
+    if (isOver(tally, now)) tally.from.clear();
+    tally.watchedAt = now;
   }
 
   /** Answers without the part that came to good ends since its latest one. */
   measure(part: string, now: number): GoodEndTotals {
     const sum = { ...NONE };
     const tally = this.#parts.get(part);
-    if (tally === undefined) return sum;
-    if (now - tally.watchedAt > WATCHED_MILLISECONDS) return sum;
+    if (tally === undefined || isOver(tally, now)) return sum;
     for (const [source, from] of tally.from) {
       const totals = this.#totals.get(source) ?? from;
       sum.count += Math.max(0, totals.count - from.count);
@@ -102,6 +104,10 @@
   }
 }
 
+function isOver({ watchedAt }: PartTally, now: number): boolean {
+  return now - watchedAt > WATCHED_MILLISECONDS;
+}
+
 function later(left: GoodEndTotals, right: GoodEndTotals): GoodEndTotals {
   return left.count > right.count ? left : right;
 }
--- a/packages/core/src/crashes/judge_part.ts
+++ b/packages/core/src/crashes/judge_part.ts
@@ -7,6 +7,8 @@
 
 /** Of some hundred parts that stand at several crashes, few are blamed in vain. */
 const MAX_LIKELIHOOD = 1e-5;
+/** Until then ages say nothing: all may be young. */
+const MAX_LIKELIHOOD_BY_ANSWERS = 0.1;
 /** From so many crashes on a decision has a bound. */
 const MANY_CRASHES = 5;
 /** Of three seconds in which hosts have to be told as well. */
@@ -53,8 +55,10 @@
       allCrashes: Math.max(crashes, since.crashes),
       goodGroups: countGroups(answers, circumstances),
     });
-  const likelihood = Math.min(estimate(goodEnds), estimate(running)) *
-    estimateYouthLikelihood(evidence.agePositions);
+  const byAnswers = Math.min(estimate(goodEnds), estimate(running));
+  const likelihood = byAnswers <= MAX_LIKELIHOOD_BY_ANSWERS
+    ? byAnswers * estimateYouthLikelihood(evidence.agePositions)
+    : byAnswers;
   const manyAt = evidence.crashAt(MANY_CRASHES) ?? Infinity;
   const isLate = now - manyAt >= MANY_FOR_MILLISECONDS;
   const lateMost = crashes >= MOST_SHARE * since.crashes
--- a/packages/core/src/crashes/suspect_table.ts
+++ b/packages/core/src/crashes/suspect_table.ts
@@ -167,9 +167,11 @@
     }
     const requests = evidence?.requestsAt(incarnation) ?? new Set();
     const ofCulprit = this.#requestsOf(culprit, incarnation);
-    // What stood beside the culprit in another request may be harmful as well.
     const isShared = ofCulprit.some((request) => requests.has(request));
-    if (isShared) evidence?.exclude(incarnation, { isShared });
+    // What stood beside the culprit in other requests may be harmful as well, but
+    // for one request that was sent again and again.
+    const isRepeated = evidence?.isRepeatedAt(incarnation) ?? false;
+    if (isShared || isRepeated) evidence?.exclude(incarnation, { isShared });
   }
 
   /** Requests that a culprit, a request or parts, stands for at a crash. */
