Failing test: an empty control host has gateways leave the members

Gateways take each list that they are told: all three closed their streams to both members within the same 40 ms and obeyed an older version from 2.3 s behind an acknowledgement on, in touch. The stand-in had named outdated hosts to it, more than the users' platform does, which may name a host that has just been replaced for seconds.

Not tried: to name none before the host is current.

--- a/packages/daemon/src/control/follow_session_test.ts
+++ b/packages/daemon/src/control/follow_session_test.ts
@@ -12,14 +12,16 @@
 import { FollowSession } from "./follow_session.ts";
 import { SharedView } from "./shared_view.ts";
 
-function openSession() {
+function openSession(
+  { controlAddresses = [] as string[], isCurrent = (): boolean => true } = {},
+) {
   const state = createEmptyControlState();
   const view = new SharedView({
     log: new EventLog("c", "error"),
     dataCentre: "here",
     replicatedState: () => state,
-    controlAddresses: () => [],
-    isCurrent: () => true,
+    controlAddresses: () => controlAddresses,
+    isCurrent,
     isLeading: () => false,
     hasLeader: () => true,
   });
@@ -134,3 +136,29 @@
   stop();
   assert.deepEqual(departuresIn(sent), ["i-2"]);
 });
+
+// Guards against gateways that leave the members for the hosts that an empty one
+// was told of as it started, of which some are gone.
+test("a host that isn't current yet names no control hosts", () => {
+  let isCurrent = false;
+  const controlAddresses = ["10.0.0.1:7700"];
+  const { sent, view, start, stop } = openSession({
+    controlAddresses,
+    isCurrent: () => isCurrent,
+  });
+  const named = () =>
+    sent.filter((body) => body.case === "controlHosts")
+      .map(({ value }) => value.addresses);
+  start();
+  view.controlHostsChanged$.next();
+  const namedEarly = named();
+  isCurrent = true;
+  view.stateChanged$.next();
+  view.stateChanged$.next();
+  const namedOnce = named();
+  view.controlHostsChanged$.next();
+  stop();
+  assert.deepEqual(namedEarly, []);
+  assert.deepEqual(namedOnce, [controlAddresses]);
+  assert.equal(named().length, 2);
+});
