Stand-in: hosts that start are told the control hosts of now

Seeds stayed those of the first start, so a host without its disk behind two replacements asked only hosts that were gone, and a successor's time counted from before its process ran. Both are the stand-in's: the platform writes the settings at each start.

--- a/acceptance/src/configurations/configuration_troubles.ts
+++ b/acceptance/src/configurations/configuration_troubles.ts
@@ -176,6 +176,10 @@
     ];
     const gone = cluster.controlUrl(Number(host.slice(8)));
     controlUrls.splice(controlUrls.indexOf(gone), 1, cluster.controlUrl(next));
+    cluster.listControlHosts(
+      this.#controlNames.map((name) => Number(name.slice(8))),
+    );
+    await this.#waitForStarts();
     await sleep(CATCH_UP_MILLISECONDS);
   }
 
--- a/acceptance/src/loopback_cluster.ts
+++ b/acceptance/src/loopback_cluster.ts
@@ -81,6 +81,16 @@
     return this.#seeds.map((seed) => `http://${seed}`);
   }
 
+  /**
+   * Names the control hosts to those that start from now on, as the platform
+   * does, and to its callers.
+   */
+  listControlHosts(indexes: number[]): void {
+    this.#seeds = indexes.map((index) =>
+      `${this.hostIp(index)}:${this.#ports.control}`
+    );
+  }
+
   controlUrl(index: number): string {
     return `http://${this.hostIp(index)}:${this.#ports.control}`;
   }
