A first watch takes nothing back that gateways have told ahead of it

crash_attributor_test, "what a gateway has counted stands", failed on the merged code: a gateway watches a part from its own first report on, before a control host tells it to, and the first noting of a watch cleared its start. Only a watch that begins again counts anew now.

--- a/packages/core/src/crashes/good_end_tally.ts
+++ b/packages/core/src/crashes/good_end_tally.ts
@@ -62,17 +62,16 @@
     const tally = this.#refresh(part);
     const isFirst = !tally.hasGoodEnd;
     tally.hasGoodEnd = true;
-    for (const source of tally.from.keys()) {
-      tally.from.set(source, this.#totals.get(source) ?? NONE);
-    }
+    this.#countAnew(tally);
     return isFirst;
   }
 
   /** Hosts are told to watch the part. */
   noteWatch(part: string, now: number): void {
     const tally = this.#refresh(part);
-    // Hosts have ended the watch meanwhile, and tell of its start anew.
-    if (isOver(tally, now)) tally.from.clear();
+    const isAnew = tally.watchedAt > -Infinity && isOver(tally, now);
+    // Hosts may have ended the watch meanwhile, and told of no end since.
+    if (isAnew) this.#countAnew(tally);
     tally.watchedAt = now;
   }
 
@@ -92,6 +91,12 @@
     return sum;
   }
 
+  #countAnew({ from }: PartTally): void {
+    for (const source of from.keys()) {
+      from.set(source, this.#totals.get(source) ?? NONE);
+    }
+  }
+
   #refresh(part: string): PartTally {
     const tally = this.#parts.get(part) ??
       { from: new Map(), hasGoodEnd: false, watchedAt: -Infinity };
