Followers are told of control hosts once the host that tells is current

Cause: the word of one that knows less counts like any other. A session names control hosts only once its host's state is current.

--- a/packages/daemon/src/control/follow_session.ts
+++ b/packages/daemon/src/control/follow_session.ts
@@ -33,6 +33,7 @@
   readonly outgoing$ = new Subject<ControlUpdate>();
   #view: SharedView;
   #lastMessageAt = monotonicMilliseconds();
+  #hasSentControlHosts = false;
   #sentEvacuationsIndex = -1;
   #sentRoutingVersion = -1;
   #sentWeightVersions = new Map<string, number>();
@@ -179,7 +180,10 @@
     this.#send({ case: "heartbeat", value: { dataCentre } });
   }
 
+  /** Those in the settings may be gone, and are told by no host's own log. */
   #sendControlHosts(): void {
+    if (!this.#view.isCurrent) return;
+    this.#hasSentControlHosts = true;
     const addresses = this.#view.controlAddresses();
     this.#send({ case: "controlHosts", value: { addresses } });
   }
@@ -191,6 +195,7 @@
    */
   #sendChangedState(): void {
     if (!this.#view.isCurrent) return;
+    if (!this.#hasSentControlHosts) this.#sendControlHosts();
     this.#sendEvacuations();
     const { routing, namedWeights } = this.#view.replicatedState();
     if (routing !== undefined && routing.version > this.#sentRoutingVersion) {
