--- a/packages/core/src/crashes/crash_evidence.ts
+++ b/packages/core/src/crashes/crash_evidence.ts
@@ -6,12 +6,14 @@
 import { isSimilarCrash } from "./is_similar_crash.ts";
 
 /**
- * Stands in for `begunMilliseconds` where no answer had started, so that such
- * suspects rank after those whose answers had started.
+ * Stands in for `begunMilliseconds` where no answer had started and it isn't known
+ * when the request was sent.
  */
 const UNSTARTED_ANSWER_MILLISECONDS = 60_000;
 /** Enough to tell which suspects stand for the same request at a crash. */
 const MAX_REQUESTS_PER_CRASH = 64;
+/** Longer than backend servers that fail together take to do so. */
+const MOMENT_MILLISECONDS = 100;
 /** The oldest are forgotten; a blame takes a few. */
 const MAX_CRASHES = 64;
 
@@ -175,12 +177,16 @@
       .filter((incarnation) => !counted.has(incarnation));
   }
 
-  /** Mean time from the start of the suspect's answer to the crash. */
+  /**
+   * Mean time from the start of the suspect's answer to the crash, or from sending
+   * its request where no answer had started.
+   */
   get meanMillisecondsFromAnswerStart(): number {
     const counted = this.#counted;
     const sum = counted.reduce(
-      (total, { begunMilliseconds }) =>
-        total + (begunMilliseconds ?? UNSTARTED_ANSWER_MILLISECONDS),
+      (total, { begunMilliseconds, sentMilliseconds }) =>
+        total + (begunMilliseconds ??
+          Math.min(UNSTARTED_ANSWER_MILLISECONDS, ...sentMilliseconds)),
       0,
     );
     return sum / Math.max(1, counted.length);
@@ -212,6 +218,15 @@
     return this.#counted.flatMap(listAgePositions);
   }
 
+  /** How many moments the crashes were at: one for all of a rack that fails. */
+  get moments(): number {
+    const times = this.#counted.map(({ scene }) => scene.at)
+      .sort((left, right) => left - right);
+    return times.filter((at, index) =>
+      index === 0 || at - times[index - 1]! > MOMENT_MILLISECONDS
+    ).length;
+  }
+
   /** When the first of the crashes was, monotonic milliseconds. */
   get firstCrashAt(): number {
     return Math.min(...this.#counted.map(({ scene }) => scene.at));
--- a/packages/core/src/crashes/crash_ledger.ts
+++ b/packages/core/src/crashes/crash_ledger.ts
@@ -104,11 +104,6 @@
     return this.#suspects.scenes.has(incarnation);
   }
 
-  /** Whether any prompt part is suspected. */
-  get hasSuspectedParts(): boolean {
-    return this.#suspects.partCount > 0;
-  }
-
   /** Records a report. Returns whether it added new evidence. */
   recordReport(report: CrashReport, now: number): boolean {
     return this.#record(report, this.#suspects.add(report, now), now);
@@ -171,12 +166,12 @@
    * Records a good end of an answer on a prompt part. Clears the part of crashes
    * before its request was sent, and frees it from blames without a crash since.
    */
-  recordGoodEnd({ part, sentAt }: GoodEnd): GoodEndOutcome {
+  recordGoodEnd({ part, sentAt, endedAt }: GoodEnd): GoodEndOutcome {
     const evidence = this.#suspects.find(nameParts([part]));
-    const isFirst = evidence !== undefined && this.#goodEnds.noteEnd(part);
     const isCleared = evidence?.clearBefore(sentAt) ?? false;
+    const isDue = evidence !== undefined && this.#noteGoodEnd(part, endedAt);
     const outcome: GoodEndOutcome = {
-      isNew: isFirst || isCleared,
+      isNew: isDue || isCleared,
       lifted: [],
       narrowed: [],
     };
@@ -188,6 +183,12 @@
     return outcome;
   }
 
+  /** Returns whether hosts that hear of other answers are to be told. */
+  #noteGoodEnd(part: string, endedAt: number): boolean {
+    this.#running.noteEnd(part);
+    return this.#goodEnds.noteEnd(part, endedAt);
+  }
+
   /** Blames the suspects with sufficient evidence, and returns these blames. */
   blameSuspects(now: number): Blame[] {
     const newBlames: Blame[] = [];
@@ -206,6 +207,7 @@
    */
   hasPendingSuspects(now: number): boolean {
     return this.#suspects.list().some(({ name, evidence }) =>
+      evidence.knownCrashes >= CRASHES_TO_BLAME &&
       evidence.weight >= CRASHES_TO_BLAME &&
       now - evidence.lastReportedAt <= PENDING_MILLISECONDS &&
       !this.#blames.has(name)
--- a/packages/core/src/crashes/good_end_tally.ts
+++ b/packages/core/src/crashes/good_end_tally.ts
@@ -8,10 +8,15 @@
 /** Hosts go on watching for longer after they were told to. */
 const WATCHED_MILLISECONDS = 50_000;
 
+/** From one telling of a part's good ends to the next. */
+const PASSING_MILLISECONDS = 200;
+
 type PartTally = {
   /** Totals of each host from which ends without the part are counted. */
   from: Map<string, GoodEndTotals>;
   hasGoodEnd: boolean;
+  /** When the latest end that others were told of was, monotonic milliseconds. */
+  passedOnAt: number;
   /** When hosts were told last to watch the part, monotonic milliseconds. */
   watchedAt: number;
 };
@@ -55,15 +60,16 @@
   }
 
   /**
-   * An answer on the part has come to a good end. Returns whether none was known
-   * of since it is watched.
+   * An answer on the part has come to a good end. Returns whether hosts that hear
+   * of other answers are to be told: of each, but not too often.
    */
-  noteEnd(part: string): boolean {
+  noteEnd(part: string, endedAt = -Infinity): boolean {
     const tally = this.#refresh(part);
-    const isFirst = !tally.hasGoodEnd;
     tally.hasGoodEnd = true;
     this.#countAnew(tally);
-    return isFirst;
+    if (endedAt - tally.passedOnAt < PASSING_MILLISECONDS) return false;
+    tally.passedOnAt = endedAt;
+    return true;
   }
 
   /** Hosts are told to watch the part. */
@@ -99,7 +105,12 @@
 
   #refresh(part: string): PartTally {
     const tally = this.#parts.get(part) ??
-      { from: new Map(), hasGoodEnd: false, watchedAt: -Infinity };
+      {
+        from: new Map(),
+        hasGoodEnd: false,
+        passedOnAt: -Infinity,
+        watchedAt: -Infinity,
+      };
     this.#parts.delete(part);
     this.#parts.set(part, tally);
     if (this.#parts.size > MAX_PARTS) {
--- a/packages/core/src/crashes/judge_part_test.ts
+++ b/packages/core/src/crashes/judge_part_test.ts
@@ -220,3 +220,15 @@
     assert.ok(times.length <= 12, `${times.length} crashes in row ${row}`);
   }
 });
+
+// Guards against a rare part of which a few servers of a rack held one request
+// each as they failed together, and that nobody asks for again.
+test("fewer than five crashes of one moment blame no part", () => {
+  const good = totals(100_000);
+  for (const count of [3, 4]) {
+    const evidence = gather(Array.from({ length: count }, (_, index) => index));
+    assert.equal(judge({ evidence, allCrashes: 12, good }).isGuilty, false);
+  }
+  const apart = gather([0, 500, 1_000]);
+  assert.equal(judge({ evidence: apart, allCrashes: 3, good }).isGuilty, true);
+});
--- a/packages/core/src/crashes/part_evidence_test.ts
+++ b/packages/core/src/crashes/part_evidence_test.ts
@@ -522,3 +522,27 @@
   const [first] = ledger.listPartWatches({ minCrashes: 3 });
   assert.equal(first?.part, HARMFUL);
 });
+
+// Guards against a sound part of answers that aren't streams, or are short: they
+// end well all the time, and none of them is seen to run well.
+test("good ends of a part speak against a blame by answers that run well", () => {
+  const ledger = createLedger();
+  for (const at of [0, 700, 1_400]) crash(ledger, at, "plain");
+  const runs = new GoodEndRecorder();
+  const names: string[] = [];
+  for (let now = 1_500; now <= 15_000; now += STEP_MILLISECONDS) {
+    runs.watch(ledger.listPartWatches({ minCrashes: 2 }), now);
+    answerWell(ledger, { count: 0, at: now });
+    // Sent ahead of the crashes: it clears none of them.
+    ledger.recordGoodEnd({ part: "plain", sentAt: -100, endedAt: now });
+    for (let index = 0; index < 40; index += 1) {
+      runs.record({ parts: ["other"], sentAt: now - 300, endedAt: now });
+    }
+    const news = runs.takeNews(now, 6);
+    if (news !== undefined) ledger.addRunningAnswers("gateway", news);
+    names.push(
+      ...ledger.blameSuspects(now).map(({ fingerprint }) => fingerprint),
+    );
+  }
+  assert.deepEqual(names, []);
+});
--- a/packages/core/src/crashes/recent_reports.ts
+++ b/packages/core/src/crashes/recent_reports.ts
@@ -7,7 +7,7 @@
 /**
  * The latest reports of this host, for a control host that it begins to follow:
  * one that was away, or lost power, has not heard of them. Of many, those of
- * requests that had begun last are kept.
+ * requests that had been sent last are kept.
  */
 export class RecentReports {
   #reports: { report: CrashReport; at: number }[] = [];
@@ -16,7 +16,7 @@
     this.#reports = this.#reports
       .filter(({ at }) => now - at <= RETENTION_MILLISECONDS);
     this.#reports.push({ report, at: now });
-    if (this.#reports.length > MAX_REPORTS) this.#dropOldestBegun();
+    if (this.#reports.length > MAX_REPORTS) this.#dropOldestSent();
   }
 
   /** A request has come to a good end: it didn't cause these crashes. */
@@ -31,9 +31,11 @@
       .map(({ report }) => report);
   }
 
-  #dropOldestBegun(): void {
+  #dropOldestSent(): void {
     const times = this.#reports
-      .map(({ report }) => report.begunMilliseconds ?? Infinity);
+      .map(({ report: { sentMilliseconds, begunMilliseconds } }) =>
+        sentMilliseconds ?? begunMilliseconds ?? Infinity
+      );
     this.#reports.splice(times.indexOf(Math.max(...times)), 1);
   }
 }
--- a/packages/core/src/crashes/recent_reports_test.ts
+++ b/packages/core/src/crashes/recent_reports_test.ts
@@ -23,3 +23,21 @@
   assert.equal(reports.list(1_000).length, 63);
   assert.deepEqual(reports.list(61_000), []);
 });
+
+// Guards against evidence that is dropped first since no answer had begun, though
+// what ends a server mostly does so before others there have begun.
+test("requests that were sent last are kept, whether answers had begun or not", () => {
+  const reports = new RecentReports();
+  for (let index = 0; index < 100; index += 1) {
+    reports.add({
+      fingerprint: `request-${index}`,
+      incarnation: "server@1",
+      ...(index < 10
+        ? { begunMilliseconds: undefined, sentMilliseconds: 200 }
+        : { begunMilliseconds: 300, sentMilliseconds: 500 + index }),
+    }, index);
+  }
+  const unstarted = reports.list(1_000)
+    .filter(({ begunMilliseconds }) => begunMilliseconds === undefined);
+  assert.equal(unstarted.length, 10);
+});
--- a/packages/daemon/src/control/crash_attributor.ts
+++ b/packages/daemon/src/control/crash_attributor.ts
@@ -233,7 +233,7 @@
         .map(({ end }) => encodePartGoodEnd(end, now));
       this.blameNews$.next(create(CrashNewsSchema, { partGoodEnds }));
     }
-    if (this.#ledger.hasPendingSuspects(now)) this.#scheduleDecision();
+    this.#scheduleIfPending(now);
   }
 
   #addRunning({ running }: CrashNews, session: object): void {
@@ -242,7 +242,7 @@
     const { source } = running;
     this.#forgetGoodEnds(this.#goodEndSources.record(source, session));
     this.#ledger.addRunningAnswers(source, decodeGoodEnds(running, now));
-    if (this.#ledger.hasPendingSuspects(now)) this.#scheduleDecision();
+    this.#scheduleIfPending(now);
   }
 
   /** Adds good ends that another control host passes on. */
@@ -251,7 +251,7 @@
     const changes = decodePartGoodEnds(partGoodEnds, now)
       .map((end) => ({ end, outcome: this.#ledger.recordGoodEnd(end) }));
     this.#publishChanges(changes);
-    if (this.#ledger.hasPendingSuspects(now)) this.#scheduleDecision();
+    this.#scheduleIfPending(now);
   }
 
   #publishChanges(changes: { end: GoodEnd; outcome: GoodEndOutcome }[]): void {
@@ -331,6 +331,11 @@
     for (const fingerprint of committed) this.cleared$.next(fingerprint);
   }
 
+  #scheduleIfPending(now: number): void {
+    if (this.#decideTimer !== undefined) return;
+    if (this.#ledger.hasPendingSuspects(now)) this.#scheduleDecision();
+  }
+
   #scheduleDecision(): void {
     this.#decideTimer ??= setTimeout(() => {
       this.#decideTimer = undefined;
@@ -339,7 +344,7 @@
       const blames = this.#ledger.blameSuspects(now);
       if (blames.length > 0) this.#publishBlames(blames, "decided");
       for (const blame of blames) this.blamed$.next(blame);
-      if (this.#ledger.hasPendingSuspects(now)) this.#scheduleDecision();
+      this.#scheduleIfPending(now);
     }, DECISION_DELAY_MILLISECONDS);
   }
 
--- a/packages/daemon/src/gateway/crash_reporter.ts
+++ b/packages/daemon/src/gateway/crash_reporter.ts
@@ -53,6 +53,8 @@
 const RUN_CHARACTERS = 8;
 /** Control hosts are asked for trial runs at most this often. */
 const TRIAL_REQUEST_INTERVAL_MILLISECONDS = 1_000;
+/** Of those that this host suspects itself; control hosts tell of others. */
+const MAX_OWN_WATCHES = 128;
 /** How long an answer has to be written to count as running well. */
 const RUNNING_WELL_MILLISECONDS = 200;
 
@@ -210,7 +212,9 @@
       this.#reports.push(report);
       this.#recentReports.add(report, now);
     }
-    const watches = this.#ledger.listPartWatches({ minCrashes: 1 });
+    // The latest are the last to be forgotten.
+    const watches = this.#ledger.listPartWatches({ minCrashes: 1 })
+      .slice(0, MAX_OWN_WATCHES).reverse();
     this.#ledger.noteWatches(watches, now);
     this.#watchParts(watches);
     this.#scheduleDecision();
@@ -245,11 +249,16 @@
     this.#options.publish(create(CrashNewsSchema, { reports }));
   }
 
-  #reportPriority({ fingerprint, begunMilliseconds }: CrashReport): number {
-    const soon = begunMilliseconds === undefined
-      ? 0
-      : 1 / (1 + begunMilliseconds);
-    return this.#ledger.evidenceWeightOf(fingerprint) + soon;
+  #reportPriority(
+    { fingerprint, sentMilliseconds, begunMilliseconds }: CrashReport,
+  ): number {
+    const age = sentMilliseconds ?? begunMilliseconds ?? Infinity;
+    return this.#ledger.evidenceWeightOf(fingerprint) + 1 / (1 + age);
+  }
+
+  #scheduleIfPending(now: number): void {
+    if (this.#decideTimer !== undefined) return;
+    if (this.#ledger.hasPendingSuspects(now)) this.#scheduleDecision();
   }
 
   #scheduleDecision(): void {
@@ -284,7 +293,7 @@
   #tellRunning(news: GoodEndNews): void {
     this.#ledger.addRunningAnswers(this.#source, news);
     const now = monotonicMilliseconds();
-    if (this.#ledger.hasPendingSuspects(now)) this.#scheduleDecision();
+    this.#scheduleIfPending(now);
     const running = encodeGoodEnds(this.#source, news, now);
     this.#options.publish(create(CrashNewsSchema, { running }));
   }
@@ -292,7 +301,7 @@
   #tellGoodEnds(news: GoodEndNews): void {
     this.#ledger.addGoodEnds(this.#source, news);
     const now = monotonicMilliseconds();
-    if (this.#ledger.hasPendingSuspects(now)) this.#scheduleDecision();
+    this.#scheduleIfPending(now);
     const goodEnds = encodeGoodEnds(this.#source, news, now);
     this.#options.publish(create(CrashNewsSchema, { goodEnds }));
   }
--- a/packages/daemon/src/gateway/gateway_call.ts
+++ b/packages/daemon/src/gateway/gateway_call.ts
@@ -313,7 +313,8 @@
       return "again";
     }
     this.#response.end();
-    if (isGood) {
+    // Without an event, the end of a process can look like that of a stream.
+    if (isGood && (!goesOn || forwarder.lastEventId !== undefined)) {
       this.#context.crashes.recordSuccess(active.call, sent.firstByteAt);
     }
     const reason = announcement.instance;
