--- a/packages/core/src/crashes/crash_ledger.ts
+++ b/packages/core/src/crashes/crash_ledger.ts
@@ -27,7 +27,7 @@
 
 /**
  * How much longer than the decision delay indistinguishable suspects wait for
- * another crash or a surviving answer.
+ * another crash or a good end.
  */
 const AMBIGUITY_MILLISECONDS = 280;
 /**
@@ -232,7 +232,7 @@
     return isNewer;
   }
 
-  /** Whether a surviving answer has lifted the blame, with no crash since. */
+  /** Whether a good end has lifted the blame, with no crash since. */
   hasLifted(blame: Blame): boolean {
     return !this.#blames.has(blame.fingerprint) && this.#lifted.has(blame);
   }
--- a/packages/core/src/crashes/crash_traffic_fixture.ts
+++ b/packages/core/src/crashes/crash_traffic_fixture.ts
@@ -28,7 +28,7 @@
 };
 
 /**
- * Feeds a ledger with the crash reports and surviving answers of servers that
+ * Feeds a ledger with the crash reports and good ends of servers that
  * run many requests at once. Reports come late, in another order, twice or not
  * at all; a request is refused where the ledger says so. Callers may leave, or
  * send the same request again, and all hosts may lose power.
--- a/packages/core/src/crashes/crash_traffic_result.ts
+++ b/packages/core/src/crashes/crash_traffic_result.ts
@@ -6,7 +6,7 @@
   isServed: boolean;
   /**
    * Whether it was refused by a blame of a part on which an answer was known to
-   * have survived that started after the latest crash.
+   * have come to a good end whose request was sent after the latest crash.
    */
   isRefusedInVain: boolean;
 };
--- a/packages/core/src/crashes/estimate_bystander_likelihood.ts
+++ b/packages/core/src/crashes/estimate_bystander_likelihood.ts
@@ -13,7 +13,8 @@
 /**
  * How likely, at most, a part that harms nobody would be at so many crashes and at
  * no good end: a harmless part has the same share of the runs that are broken off
- * as of those that end well. Above 0, at most 1. Load pattern: servers end one
+ * as of those that end well. Above 0, at most 1. Ends of a rack that fails aren't
+ * independent, but what is in flight at them is. Load pattern: servers end one
  * after the other or many at once, at any time behind a request, with some of the
  * answers on them begun and others not.
  */
--- a/packages/core/src/crashes/find_culprit.ts
+++ b/packages/core/src/crashes/find_culprit.ts
@@ -24,8 +24,8 @@
  * that crashes backend servers.
  *
  * A dozen other requests are in flight at each crash, and the parts that harmful
- * and harmless requests share are in flight at all crashes. Surviving answers
- * clear a part of earlier crashes. Of the remaining suspects:
+ * and harmless requests share are in flight at all crashes. Good ends clear
+ * a part of earlier crashes. Of the remaining suspects:
  * - of the requests, the one whose answers had started the shortest time before
  *   the crashes is the likeliest; of the parts, the one that explains most
  *   crashes, then the one that few requests there held;
--- a/packages/core/src/crashes/judge_part.ts
+++ b/packages/core/src/crashes/judge_part.ts
@@ -13,8 +13,9 @@
 const MANY_CRASHES = 5;
 /** Of three seconds in which hosts have to be told as well. */
 const MANY_FOR_MILLISECONDS = 2_000;
-/** At most of all crashes, and at fewer, where it may be by chance, as others. */
+/** Then, for a part that was at most of all crashes. */
 const MAX_LIKELIHOOD_AT_MOST = 1e-3;
+/** Then, for one that was at fewer: by chance many are. */
 const MAX_LIKELIHOOD_AT_SOME = 2e-4;
 const MOST_SHARE = 0.75;
 /** Answers last about twice as long as they have lasted at any moment. */
@@ -33,13 +34,13 @@
 };
 
 /**
- * Judges whether a prompt part crashes what runs it, by good ends alone: of the
- * runs on a harmful part none comes to one, whenever the crash comes and whatever
- * of the answer has come before. A decision needs three crashes, and more good
- * ends without the part than a harmless one would let pass. Where a harmful run
- * doesn't get as far as an answer that runs well, those count as well, which come
- * sooner. Load pattern: requests
- * that share a part crash server after server, among hundreds that share others.
+ * Judges whether a prompt part crashes what runs it: of the runs on a harmful part
+ * none comes to a good end, whenever the crash comes and whatever of the answer has
+ * come before. A decision needs three crashes, and more good ends without the part
+ * than a harmless one would let pass. Where no harmful run gets as far as an answer
+ * that runs well, these decide sooner; and the runs of a harmful part are mostly
+ * young among all in flight. Load pattern: requests that share a part crash server
+ * after server, among hundreds that share others.
  */
 export function judgePart(
   circumstances: Circumstances,
@@ -62,10 +63,10 @@
     : byAnswers;
   const manyAt = evidence.crashAt(MANY_CRASHES) ?? Infinity;
   const isLate = now - manyAt >= MANY_FOR_MILLISECONDS;
-  const lateMost = crashes >= MOST_SHARE * since.crashes
+  const mostOfMany = crashes >= MOST_SHARE * since.crashes
     ? MAX_LIKELIHOOD_AT_MOST
     : MAX_LIKELIHOOD_AT_SOME;
-  const most = isLate ? lateMost : MAX_LIKELIHOOD;
+  const most = isLate ? mostOfMany : MAX_LIKELIHOOD;
   return { isGuilty: likelihood <= most, likelihood };
 }
 
--- a/packages/core/src/crashes/lifted_blames.ts
+++ b/packages/core/src/crashes/lifted_blames.ts
@@ -3,7 +3,7 @@
 const MAX_LIFTED_BLAMES = 1_024;
 
 /**
- * Blames that surviving answers have lifted, with the crashes that they were
+ * Blames that good ends have lifted, with the crashes that they were
  * for. A host that was cut off meanwhile still holds them.
  */
 export class LiftedBlames {
--- a/packages/daemon/src/control/suspicion_news.ts
+++ b/packages/daemon/src/control/suspicion_news.ts
@@ -15,7 +15,7 @@
 
 /** Bounds the suspicions sent to each gateway to 3 KB/s. */
 const MAX_SUSPICION_REPORTS_PER_SECOND = 30;
-/** Bounds the watches sent to each gateway to 5 KB/s. */
+/** Bounds the watches sent to each gateway to some 3 KB/s. */
 const MAX_WATCHES_PER_SECOND = 100;
 const MAX_WATCHES_AT_ONCE = 32;
 /** From so many crashes on, good ends on a part are watched for. */
