--- a/packages/core/src/crashes/crash_scene.ts
+++ b/packages/core/src/crashes/crash_scene.ts
@@ -6,7 +6,7 @@
   at: number;
   /**
    * When its first report arrived, monotonic milliseconds; Infinity for a stored
-   * crash until another is reported: no answers were watched meanwhile.
+   * crash until another is reported, as all of it is stored already.
    */
   knownAt: number;
   /**
