--- a/packages/core/src/crashes/crash_scene.ts
+++ b/packages/core/src/crashes/crash_scene.ts
@@ -10,10 +10,12 @@
    */
   knownAt: number;
   /**
-   * Time from sending each request with prompt parts that was in flight to the
-   * crash, milliseconds, by fingerprint; NaN if not known.
+   * Time from sending each request that was in flight to the crash, milliseconds,
+   * by fingerprint; NaN if not known.
    */
   sentMilliseconds: Map<string, number>;
+  /** Whether any of them has prompt parts. */
+  hasParts: boolean;
   /** Of all in flight, the ones that had been sent last. */
   youngest: CrashReport[];
 };
--- a/packages/core/src/crashes/good_end_recorder.ts
+++ b/packages/core/src/crashes/good_end_recorder.ts
@@ -47,7 +47,10 @@
     return this.#watched.size > 0;
   }
 
-  /** To be called for each answer to a request with parts. */
+  /**
+   * To be called for each answer to a request with parts, and for those without
+   * that the same servers give.
+   */
   record(end: AnswerEnd): void {
     const { parts, sentAt, endedAt } = end;
     const { count, runMilliseconds } = this.#totals;
--- a/packages/core/src/crashes/part_evidence_test.ts
+++ b/packages/core/src/crashes/part_evidence_test.ts
@@ -546,3 +546,26 @@
   }
   assert.deepEqual(names, []);
 });
+
+// Guards against a harmful part that is never found, as no other request there has
+// prompt parts.
+test("a harmful part is found among answers without any part", () => {
+  const ledger = createLedger();
+  for (const at of [0, 300, 600]) {
+    const incarnation = crash(ledger, at, HARMFUL);
+    ledger.recordReport({
+      fingerprint: `plain-${at}`,
+      incarnation: incarnation.replace("request", "server"),
+      begunMilliseconds: 900,
+      crashedAt: at,
+    }, at + 80);
+  }
+  const names: string[] = [];
+  for (let now = 700; now <= 3_600; now += STEP_MILLISECONDS) {
+    answerWell(ledger, { count: ANSWERS_PER_STEP, at: now, parts: [] });
+    names.push(
+      ...ledger.blameSuspects(now).map(({ fingerprint }) => fingerprint),
+    );
+  }
+  assert.deepEqual(names, ["part:bad"]);
+});
--- a/packages/core/src/crashes/suspect_table.ts
+++ b/packages/core/src/crashes/suspect_table.ts
@@ -95,6 +95,7 @@
         at: report.crashedAt ?? now,
         knownAt,
         sentMilliseconds: new Map(),
+        hasParts: false,
         youngest: [],
       };
     this.#scenes.set(incarnation, scene);
@@ -102,7 +103,8 @@
       this.#scenes.delete(this.#scenes.keys().next().value!);
     }
     const ages = scene.sentMilliseconds;
-    if (parts.length > 0 && ages.size < MAX_REQUESTS_PER_SCENE) {
+    scene.hasParts ||= parts.length > 0;
+    if (ages.size < MAX_REQUESTS_PER_SCENE) {
       const { sentMilliseconds, begunMilliseconds } = report;
       ages.set(fingerprint, sentMilliseconds ?? begunMilliseconds ?? NaN);
     }
@@ -117,16 +119,15 @@
 
   /**
    * Number of crashes at a time or later, but for those left out, at which
-   * requests with prompt parts were in flight, and of these requests.
+   * requests with prompt parts were in flight, and of all requests there.
    */
   countSince(
     time: number,
     leftOut: readonly string[],
   ): { crashes: number; requests: number } {
     const sizes = [...this.#scenes]
-      .filter(([incarnation, { at, sentMilliseconds }]) =>
-        at >= time && sentMilliseconds.size > 0 &&
-        !leftOut.includes(incarnation)
+      .filter(([incarnation, { at, hasParts }]) =>
+        at >= time && hasParts && !leftOut.includes(incarnation)
       )
       .map(([, { sentMilliseconds }]) => sentMilliseconds.size);
     return {
--- a/packages/daemon/src/gateway/crash_reporter.ts
+++ b/packages/daemon/src/gateway/crash_reporter.ts
@@ -160,8 +160,12 @@
    * Records a good answer that has come to its end, whole. `sentAt` is when its
    * request was sent to the backend server, monotonic milliseconds.
    */
-  recordSuccess(call: AdmittedCall, sentAt: number): void {
-    this.#goodEnds.recordEnd(call, sentAt);
+  recordSuccess(
+    call: AdmittedCall,
+    { sentAt, isStream }: { sentAt: number; isStream: boolean },
+  ): void {
+    const hasParts = call.metadata.sharedParts.length > 0;
+    if (isStream || hasParts) this.#goodEnds.recordEnd(call, sentAt);
     if (this.#ledger.suspectCount === 0 && !this.#ledger.hasBlamed) return;
     const fingerprint = fingerprintCall(call);
     this.#recentReports.forget(fingerprint);
--- a/packages/daemon/src/gateway/gateway_call.ts
+++ b/packages/daemon/src/gateway/gateway_call.ts
@@ -315,7 +315,10 @@
     this.#response.end();
     // Without an event, the end of a process can look like that of a stream.
     if (isGood && (!goesOn || forwarder.lastEventId !== undefined)) {
-      this.#context.crashes.recordSuccess(active.call, sent.firstByteAt);
+      this.#context.crashes.recordSuccess(active.call, {
+        sentAt: sent.firstByteAt,
+        isStream: goesOn,
+      });
     }
     const reason = announcement.instance;
     this.#finisher.finish(active, {
--- a/packages/daemon/src/gateway/good_end_watch.ts
+++ b/packages/daemon/src/gateway/good_end_watch.ts
@@ -51,12 +51,12 @@
   }
 
   /**
-   * To be called for each answer that has come to a good end; `sentAt` is when its
-   * request was sent to the backend server, monotonic milliseconds.
+   * To be called for each stream, and each answer on prompt parts, that has come to
+   * a good end; `sentAt` is when its request was sent to the backend server,
+   * monotonic milliseconds.
    */
   recordEnd({ metadata }: AdmittedCall, sentAt: number): void {
     const { sharedParts: parts } = metadata;
-    if (parts.length === 0) return;
     const endedAt = monotonicMilliseconds();
     this.#recorder.record({ parts, sentAt, endedAt });
   }
