Reports of runs without a head are sent before those beside them, with a test

Of a crowd's five ends a gateway that may send 48 reports a second sent none of the harmful part's. Ordered by the number of crashes now, then by the time since sending.

--- a/packages/daemon/src/gateway/crash_reporter.ts
+++ b/packages/daemon/src/gateway/crash_reporter.ts
@@ -230,7 +230,7 @@
 
   /**
    * Publishes the gathered reports. If there are too many, those of requests
-   * with the most evidence go first.
+   * at the most crashes go first, of these the ones that were sent last.
    */
   #publishReports(): void {
     this.#reportTimer = undefined;
@@ -257,7 +257,8 @@
     { fingerprint, sentMilliseconds, begunMilliseconds }: CrashReport,
   ): number {
     const age = sentMilliseconds ?? begunMilliseconds ?? Infinity;
-    return this.#ledger.evidenceWeightOf(fingerprint) + 1 / (1 + age);
+    const { length } = this.#ledger.incarnationsOf(fingerprint);
+    return length + 1 / (1 + age);
   }
 
   #scheduleIfPending(now: number): void {
--- a/packages/daemon/src/gateway/crash_reporter_test.ts
+++ b/packages/daemon/src/gateway/crash_reporter_test.ts
@@ -78,6 +78,7 @@
   };
   return {
     reporter,
+    ended$,
     updates$,
     published,
     answer,
@@ -253,3 +254,41 @@
   );
   assert.equal(counts.at(-1), 2);
 });
+
+// Guards against a crowd's harmful requests that are never reported, as their
+// servers end before any of their answers has begun.
+test("of many runs at one moment those that were sent last are reported", async () => {
+  const { reporter, ended$, published } = openReporter({ isConnected: true });
+  const at = monotonicMilliseconds();
+  for (let server = 0; server < 5; server += 1) {
+    const beside = Array.from({ length: 14 }, (_, index) => ({
+      call: callWith(`beside-${server}-${index}`, "first"),
+      fingerprint: `beside-${server}-${index}`,
+      begunMilliseconds: 300 + index,
+      sentMilliseconds: 600 + index,
+    }));
+    const unstarted = {
+      call: callWith(`unstarted-${server}`, "first", "harmful"),
+      fingerprint: `unstarted-${server}`,
+      begunMilliseconds: undefined,
+      sentMilliseconds: 200,
+    };
+    ended$.next({
+      announcement: {
+        instance: `server-${server}`,
+        bornAt: 1,
+      } as BackendAnnouncement,
+      interrupted: [...beside, unstarted],
+      at,
+      verdict: "refuses",
+    });
+  }
+  await sleep(TELL_MILLISECONDS);
+  reporter.stop();
+  const reported = published.flatMap(({ reports }) =>
+    reports.map(({ fingerprint }) => fingerprint)
+  );
+  assert.ok(reported.length < 75, `${reported.length} of 75 are reported`);
+  const harmful = reported.filter((name) => name.startsWith("unstarted"));
+  assert.equal(harmful.length, 5);
+});
