--- a/acceptance/src/configurations/configuration_clients.ts
+++ b/acceptance/src/configurations/configuration_clients.ts
@@ -6,8 +6,8 @@
 import { MARKED_VERSIONS } from "./marked_versions.ts";
 
 const INTERVAL_MILLISECONDS = 40;
-/** A version that was acknowledged so long ago is in force. */
-const OLD_MILLISECONDS = 2_200;
+/** Beyond the time within which a version has to be in force. */
+const OLD_MARGIN_MILLISECONDS = 200;
 
 type Options = {
   system: EndToEndSystem;
@@ -48,7 +48,7 @@
     const now = performance.now();
     const isOld = this.#sent % 2 === 0;
     const version = operator.newestAcknowledged(
-      isOld ? now - OLD_MILLISECONDS : now,
+      isOld ? now - record.bounds.apply - OLD_MARGIN_MILLISECONDS : now,
     );
     // Newer documents bear no mark of so old a version.
     const distance = operator.version - version;
--- a/acceptance/src/configurations/configuration_day.ts
+++ b/acceptance/src/configurations/configuration_day.ts
@@ -8,7 +8,12 @@
 import { buildMarkedChange } from "./build_marked_change.ts";
 import { ConfigurationClients } from "./configuration_clients.ts";
 import { ConfigurationOperator } from "./configuration_operator.ts";
-import type { ConfigurationRecord } from "./configuration_record.ts";
+import type {
+  ConfigurationBounds,
+  ConfigurationRecord,
+} from "./configuration_record.ts";
+import type { ConfigurationShape } from "./configuration_shape.ts";
+import { CONFIGURATION_SHAPES } from "./configuration_shapes.ts";
 import { ConfigurationTroubles } from "./configuration_troubles.ts";
 import { findConfigurationFaults } from "./find_configuration_faults.ts";
 import { isInTouch } from "./is_in_touch.ts";
@@ -18,8 +23,8 @@
 const CHANGE_INTERVAL_MILLISECONDS = 150;
 const MIN_DELAY_MILLISECONDS = 5;
 const MAX_DELAY_MILLISECONDS = 400;
-/** Longer than until a gateway is in touch and a version has to be in force. */
-const CALM_MILLISECONDS = 6_000;
+/** Beyond the time until a gateway is in touch and obeys a version. */
+const CALM_MARGIN_MILLISECONDS = 1_000;
 /** Longer than until service must be back. */
 const READ_BACK_MILLISECONDS = 12_000;
 
@@ -44,21 +49,25 @@
  */
 export class ConfigurationDay {
   #seed: number;
-  #system = new ChangingSystem({ engines: 1, gateways: 3, controlHosts: 3 });
+  #shape: ConfigurationShape;
+  #system: ChangingSystem;
   #runDelays = new RunDelayWatch(() => this.#system.cluster.listProcesses());
-  #record: ConfigurationRecord = {
-    documents: new Map(),
-    invalidVersions: new Set(),
-    acknowledgements: [],
-    wrongAnswers: [],
-    reads: [],
-    observations: [],
-    requests: [],
-    absences: [],
-  };
+  #record: ConfigurationRecord;
 
-  constructor(seed: number) {
+  constructor(
+    seed: number,
+    shape: ConfigurationShape = CONFIGURATION_SHAPES.small,
+  ) {
     this.#seed = seed;
+    this.#shape = shape;
+    const { gateways, controlHosts, bounds } = shape;
+    this.#system = new ChangingSystem({
+      engines: 1,
+      gateways,
+      controlHosts,
+      shape,
+    });
+    this.#record = createRecord(bounds);
   }
 
   async run(rounds = ROUNDS): Promise<ConfigurationDayResult> {
@@ -82,7 +91,7 @@
   /** Sends the first version that bears marks, and waits until it is obeyed. */
   async #sendFirst(): Promise<void> {
     const { cluster, gatewayNames } = this.#system;
-    const change = buildMarkedChange(FIRST_VERSION, 0);
+    const change = this.#buildChange(FIRST_VERSION, 0);
     const document = this.#system.buildDocument(FIRST_VERSION, change);
     this.#record.documents.set(FIRST_VERSION, [document]);
     const isAccepted = () => this.#system.configure(FIRST_VERSION, change);
@@ -104,15 +113,17 @@
     const operator = new ConfigurationOperator({
       controlUrls,
       buildDocument: (version, by) =>
-        system.buildDocument(version, buildMarkedChange(version, by)),
+        system.buildDocument(version, this.#buildChange(version, by)),
       record,
       random: this.#createRandom("operator"),
     });
+    const { apply, contact } = record.bounds;
     const clients = new ConfigurationClients({ system, operator, record });
     const troubles = new ConfigurationTroubles({
       system,
       record,
       controlUrls,
+      shape: this.#shape,
       random: this.#createRandom("troubles"),
     });
     const running = [
@@ -130,7 +141,7 @@
       await sleep(MIN_DELAY_MILLISECONDS + random() * span);
       if (round === rounds) await troubles.loseAllPower();
       else await troubles.make();
-      await sleep(CALM_MILLISECONDS);
+      await sleep(apply + contact + CALM_MARGIN_MILLISECONDS);
     }
     operator.stop();
     clients.stop();
@@ -189,9 +200,28 @@
     );
   }
 
+  #buildChange(version: number, operator: number) {
+    const { extraRoutes } = this.#shape;
+    return { ...buildMarkedChange(version, operator), extraRoutes };
+  }
+
   #createRandom(task: string): () => number {
     return createSeededRandom(
       hashText(`configuration ${this.#seed} ${task}`),
     );
   }
 }
+
+function createRecord(bounds: ConfigurationBounds): ConfigurationRecord {
+  return {
+    bounds,
+    documents: new Map(),
+    invalidVersions: new Set(),
+    acknowledgements: [],
+    wrongAnswers: [],
+    reads: [],
+    observations: [],
+    requests: [],
+    absences: [],
+  };
+}
--- a/acceptance/src/configurations/configuration_days.ts
+++ b/acceptance/src/configurations/configuration_days.ts
@@ -1,7 +1,9 @@
 import process from "node:process";
 import { ConfigurationDay } from "./configuration_day.ts";
+import { CONFIGURATION_SHAPES } from "./configuration_shapes.ts";
 
-const [firstSeed = "1", count = "50"] = process.argv.slice(2);
+const [firstSeed = "1", count = "50", name = "small"] = process.argv.slice(2);
+const shape = CONFIGURATION_SHAPES[name as keyof typeof CONFIGURATION_SHAPES];
 
 // Runs one simulated day after another, one for each of `count` seeds from the
 // first on, and prints a line for each. Exits with 1 if a day has faults.
@@ -14,7 +16,7 @@
   seed < Number(firstSeed) + Number(count);
   seed++
 ) {
-  const day = await new ConfigurationDay(seed).run();
+  const day = await new ConfigurationDay(seed, shape).run();
   console.log(
     seed,
     day.acknowledged,
--- a/acceptance/src/configurations/configuration_record.ts
+++ b/acceptance/src/configurations/configuration_record.ts
@@ -1,8 +1,17 @@
 /** Times are from `performance.now()`, milliseconds. */
 type Span = { from: number; to: number };
 
+/** Bounds of the platform's rules, milliseconds. */
+export type ConfigurationBounds = {
+  /** From an acknowledgement until the version is in force. */
+  apply: number;
+  /** From the end of a disruption until a gateway is in touch again. */
+  contact: number;
+};
+
 /** What the operator and the clients of a day saw. */
 export type ConfigurationRecord = {
+  bounds: ConfigurationBounds;
   /** Documents by version, as sent; two operators may send two for one. */
   documents: Map<number, string[]>;
   /** Versions of documents that had to be refused. */
--- a/acceptance/src/configurations/configuration_troubles.ts
+++ b/acceptance/src/configurations/configuration_troubles.ts
@@ -3,6 +3,7 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import type { EndToEndSystem } from "../end_to_end_system.ts";
 import type { ConfigurationRecord } from "./configuration_record.ts";
+import type { ConfigurationShape } from "./configuration_shape.ts";
 
 const MAX_AWAY_MILLISECONDS = 1_500;
 const MIN_FREEZE_MILLISECONDS = 300;
@@ -10,14 +11,13 @@
 const STARTED = "event=started";
 const START_TIMEOUT_MILLISECONDS = 20_000;
 const LEADING = /event=leading term=(\d+)/g;
-/** Until a host that is gone for good no longer counts. */
-const CATCH_UP_MILLISECONDS = 4_000;
 
 type Options = {
   system: EndToEndSystem;
   record: ConfigurationRecord;
   /** Shared with the operator. */
   controlUrls: string[];
+  shape: ConfigurationShape;
   random: () => number;
 };
 
@@ -33,7 +33,12 @@
   | "replace"
   | "replace, lose disk"
   | "kill gateway"
-  | "freeze gateway";
+  | "freeze gateway"
+  | "lose two disks"
+  | "lose two disks, kill all"
+  | "lose two disks behind a kill"
+  | "exchange seeds"
+  | "exchange seeds, kill gateways";
 
 const KINDS: Kind[] = [
   "kill",
@@ -50,23 +55,36 @@
   "freeze gateway",
 ];
 
+/** Only where two control hosts may be lost at once. */
+const KINDS_OF_TWO: Kind[] = [
+  "lose two disks",
+  "lose two disks, kill all",
+  "lose two disks behind a kill",
+  "exchange seeds",
+  "exchange seeds, kill gateways",
+];
+
 /** What happens to the hosts of a day, one trouble at a time. */
 export class ConfigurationTroubles {
   /** What was done, in order. */
   readonly names: string[] = [];
   #options: Options;
   #controlNames: string[];
+  #kinds: Kind[];
 
   constructor(options: Options) {
     this.#options = options;
     this.#controlNames = options.system.controlNames;
+    this.#kinds = options.shape.toleratedLosses < 2
+      ? KINDS
+      : [...KINDS, ...KINDS_OF_TWO];
   }
 
   /** Draws a trouble; resolves when all hosts run again. */
   async make(): Promise<void> {
     const { system, random } = this.#options;
     const { cluster } = system;
-    const kind = KINDS[Math.floor(random() * KINDS.length)]!;
+    const kind = this.#kinds[Math.floor(random() * this.#kinds.length)]!;
     const host = random() < 0.6 ? this.#leader() : this.#draw();
     const others = this.#controlNames.filter((name) => name !== host);
     const awayMilliseconds = random() * MAX_AWAY_MILLISECONDS;
@@ -132,9 +150,54 @@
           false,
           () => this.#freeze([system.gatewayNames[gateway]!]),
         );
+      case "lose two disks":
+        return await this.#core(() =>
+          cluster.restart([host, others[0]!], {
+            awayMilliseconds,
+            lostDisks: [host, others[0]!],
+          })
+        );
+      case "lose two disks, kill all":
+        return await this.#core(
+          () =>
+            cluster.restart([...this.#controlNames, ...system.gatewayNames], {
+              awayMilliseconds,
+              lostDisks: [host, others[0]!],
+            }),
+          system.gatewayIps,
+        );
+      case "lose two disks behind a kill":
+        return await this.#core(async () => {
+          await cluster.restart([host, others[0]!], { awayMilliseconds });
+          await this.#waitForStarts();
+          await sleep(this.#options.shape.catchUpMilliseconds);
+          await cluster.restart(this.#controlNames, {
+            lostDisks: others.slice(1, 3),
+          });
+        });
+      case "exchange seeds":
+        return this.#exchangeSeeds(system.gatewayNames);
+      case "exchange seeds, kill gateways":
+        this.#exchangeSeeds([]);
+        return await this.#absent(
+          system.gatewayIps,
+          false,
+          () => cluster.restart(system.gatewayNames, { awayMilliseconds }),
+        );
     }
   }
 
+  /** The seeds become the control hosts that were none; some are told so. */
+  #exchangeSeeds(signalled: string[]): void {
+    const { system: { cluster }, shape } = this.#options;
+    this.#controlNames = [
+      ...this.#controlNames.slice(shape.seeds),
+      ...this.#controlNames.slice(0, shape.seeds),
+    ];
+    const indexes = this.#controlNames.map((name) => Number(name.slice(8)));
+    cluster.exchangeSeeds(indexes.slice(0, shape.seeds), signalled);
+  }
+
   /** Where all that has to survive must still be there. */
   async loseAllPower(): Promise<void> {
     const { system } = this.#options;
@@ -180,7 +243,7 @@
       this.#controlNames.map((name) => Number(name.slice(8))),
     );
     await this.#waitForStarts();
-    await sleep(CATCH_UP_MILLISECONDS);
+    await sleep(this.#options.shape.catchUpMilliseconds);
   }
 
   async #freeze(names: string[]): Promise<void> {
--- a/acceptance/src/configurations/find_configuration_faults.ts
+++ b/acceptance/src/configurations/find_configuration_faults.ts
@@ -1,8 +1,7 @@
 import type { ConfigurationRecord } from "./configuration_record.ts";
 import { isInTouch } from "./is_in_touch.ts";
 
-/** Bounds of the platform's usual rules. */
-const APPLY_MILLISECONDS = 2_000;
+/** Bound of the platform's usual rules. */
 const ROLLBACK_SLACK_MILLISECONDS = 250;
 const MIN_ADDED_REQUESTS = 20;
 const MIN_ADDED_SHARE = 0.25;
@@ -58,7 +57,7 @@
   return record.observations.flatMap(({ gateway, from, olderThan }) => {
     if (olderThan === undefined || !isInTouch(record, gateway, from)) return [];
     const acknowledged = record.acknowledgements.find(({ version, at }) =>
-      version >= olderThan && at < from - APPLY_MILLISECONDS
+      version >= olderThan && at < from - record.bounds.apply
     );
     return acknowledged === undefined ? [] : [
       `${gateway} obeyed an older version than ${olderThan} at ` +
--- a/acceptance/src/configurations/find_configuration_faults_test.ts
+++ b/acceptance/src/configurations/find_configuration_faults_test.ts
@@ -12,6 +12,7 @@
 /** A day on which version 2 was acknowledged at 1,000, with changes to it. */
 function find(change: Partial<ConfigurationRecord>): string[] {
   return findConfigurationFaults({
+    bounds: { apply: 2_000, contact: 3_000 },
     documents: new Map([[1, [document(1)]], [2, [
       document(2),
       document(2, 1),
--- a/acceptance/src/configurations/is_in_touch.ts
+++ b/acceptance/src/configurations/is_in_touch.ts
@@ -1,16 +1,13 @@
 import type { ConfigurationRecord } from "./configuration_record.ts";
 
-/** Bound of the platform's usual rules. */
-const CONTACT_MILLISECONDS = 3_000;
-
 /** Whether neither the gateway nor the core was disrupted for that time. */
 export function isInTouch(
-  { absences }: Pick<ConfigurationRecord, "absences">,
+  { absences, bounds }: Pick<ConfigurationRecord, "absences" | "bounds">,
   gateway: string,
   at: number,
 ): boolean {
   return !absences.some(({ hosts, isCore, from, to }) =>
     (isCore || hosts.includes(gateway)) && from < at &&
-    to > at - CONTACT_MILLISECONDS
+    to > at - bounds.contact
   );
 }
--- a/acceptance/src/end_to_end_system.ts
+++ b/acceptance/src/end_to_end_system.ts
@@ -37,6 +37,8 @@
   gatewayFields?: Record<string, unknown>;
   /** Overrides the usual bounds of the platform's rules. */
   bounds?: Partial<PlatformBounds>;
+  /** How the hosts are laid out, other than usual. */
+  shape?: ConstructorParameters<typeof LoopbackCluster>[1];
 } & EndingTerms;
 
 /**
@@ -74,11 +76,12 @@
       maxAttempts,
       gatewayFields = {},
       bounds = {},
+      shape = {},
       drawEnding,
       heartbeatMilliseconds = HEARTBEAT_INTERVAL_MILLISECONDS,
     }: Options = {},
   ) {
-    this.cluster = new LoopbackCluster(bounds);
+    this.cluster = new LoopbackCluster(bounds, shape);
     const { store } = this;
     this.#maxAttempts = maxAttempts;
     this.#routeTimeoutMilliseconds = routeTimeoutMilliseconds;
--- a/acceptance/src/loopback_cluster.ts
+++ b/acceptance/src/loopback_cluster.ts
@@ -21,6 +21,15 @@
 export const GRACE_SECONDS = 8;
 
 type Role = "control" | "gateway" | "stager";
+/** How a cluster is laid out, other than by the number of its hosts. */
+type ClusterShape = {
+  /** Hosts are in these by turns, in the order of their indexes. */
+  dataCentres: string[];
+  /** How many control hosts settings files name. */
+  seeds: number;
+  /** Control hosts whose disks may be lost at once. */
+  toleratedLosses: number;
+};
 type Host = { name: string; ip: string; child: Child };
 
 /**
@@ -42,11 +51,22 @@
     internal: 0,
   };
   #ip = "";
+  #controlAddresses: string[] = [];
   #seeds: string[] = [];
   #bounds: PlatformBounds;
+  #shape: ClusterShape;
 
-  constructor(bounds: Partial<PlatformBounds> = {}) {
+  constructor(
+    bounds: Partial<PlatformBounds> = {},
+    shape: Partial<ClusterShape> = {},
+  ) {
     this.#bounds = { ...USUAL_BOUNDS, ...bounds };
+    this.#shape = {
+      dataCentres: ["here"],
+      seeds: Infinity,
+      toleratedLosses: 1,
+      ...shape,
+    };
   }
 
   /** Picks the ports and addresses of all hosts; must come before `start`. */
@@ -62,10 +82,7 @@
       internal: internal!,
     };
     this.#ip = addresses[0]!.split(":")[0]!;
-    this.#seeds = Array.from(
-      { length: controlHosts },
-      (_, index) => `${this.hostIp(index)}:${control}`,
-    );
+    this.listControlHosts(Array.from({ length: controlHosts }, (_, i) => i));
   }
 
   /**
@@ -78,7 +95,7 @@
   }
 
   get controlUrls(): string[] {
-    return this.#seeds.map((seed) => `http://${seed}`);
+    return this.#controlAddresses.map((address) => `http://${address}`);
   }
 
   /**
@@ -86,15 +103,45 @@
    * does, and to its callers.
    */
   listControlHosts(indexes: number[]): void {
+    this.#controlAddresses = indexes.map((index) =>
+      `${this.hostIp(index)}:${this.#ports.control}`
+    );
+    this.#seeds = this.#controlAddresses.slice(0, this.#shape.seeds);
+  }
+
+  /**
+   * Names other control hosts to those that start from now on, and in the
+   * settings files of those that run, as the platform does; `signalled` are told
+   * so with SIGHUP.
+   */
+  exchangeSeeds(indexes: number[], signalled: string[]): void {
     this.#seeds = indexes.map((index) =>
       `${this.hostIp(index)}:${this.#ports.control}`
     );
+    for (const { name } of this.#hosts) {
+      const settings = join(this.folder, `${name}.toml`);
+      const text = readFileSync(settings, "utf8").split("\n").map((line) =>
+        /^(founders|control_hosts) = /.test(line)
+          ? replaceAddresses(line, this.#seeds)
+          : line
+      );
+      writeFileSync(settings, text.join("\n"));
+    }
+    for (const name of signalled) this.findHost(name).child.signal("SIGHUP");
   }
 
   controlUrl(index: number): string {
     return `http://${this.hostIp(index)}:${this.#ports.control}`;
   }
 
+  /** Each data centre is in a region of its own, and there is one more. */
+  get #regions(): Record<string, string> {
+    const own = this.#shape.dataCentres.map((dataCentre, index) =>
+      [dataCentre, index === 0 ? "near" : `near-${index}`] as const
+    );
+    return { ...Object.fromEntries(own), there: "far" };
+  }
+
   frontendUrl(ip: string): string {
     return `http://${ip}:${this.#ports.frontend}`;
   }
@@ -115,8 +162,8 @@
       readFileSync(join(ROOT, "deploy", `${role}.toml`), "utf8"),
       {
         nodeName: name,
-        zone: "here",
-        zones: { here: "near", there: "far" },
+        zone: this.#shape.dataCentres[index % this.#shape.dataCentres.length],
+        zones: this.#regions,
         ip,
         listen: {
           frontend: `${ip}:${frontend}`,
@@ -127,7 +174,7 @@
         seeds: this.#seeds,
         bootstrap: true,
         dataDir: join(this.folder, name),
-        faultTolerance: { machines: 1 },
+        faultTolerance: { machines: this.#shape.toleratedLosses },
         limits: { linkMbps: 100 },
         bounds: {
           graceS: GRACE_SECONDS,
@@ -248,3 +295,12 @@
     rmSync(this.folder, { recursive: true, force: true });
   }
 }
+
+/** Puts other addresses in the place of those that a line of settings quotes. */
+function replaceAddresses(line: string, addresses: string[]): string {
+  let index = 0;
+  return line.replace(
+    /"[^"]*"/g,
+    () => `"${addresses[index++ % addresses.length]}"`,
+  );
+}
