Control hosts log which voter they miss, and how long a configuration takes them

Neither could be told from the logs: whether a lost voter keeps its vote, since when and for want of what, and what a control host does in the turn in which it hands a configuration on. One line a voter and term, and one a version.

--- a/packages/daemon/src/control/membership_manager.ts
+++ b/packages/daemon/src/control/membership_manager.ts
@@ -9,6 +9,8 @@
 import type { ControlHost } from "./control_host.ts";
 
 const STEP_INTERVAL_MILLISECONDS = 100;
+/** A voter that is silent for longer is told, with what it is waited for. */
+const MISSED_MILLISECONDS = 2_000;
 
 type Options = { control: ControlHost; targetVoters: number; log: EventLog };
 
@@ -17,6 +19,8 @@
   #options: Options;
   /** Hosts that asked to join, by address: each has one id, the latest. */
   #candidates = new Map<string, { member: Member; askedAt: number }>();
+  /** Voters that were told to be missed in a term. */
+  #missed = { term: 0, ids: new Set<string>() };
   #timer: NodeJS.Timeout;
 
   constructor(options: Options) {
@@ -41,7 +45,9 @@
     const { control, targetVoters: targetVoters, log } = this.#options;
     const { node } = control;
     const now = monotonicMilliseconds();
-    if (!control.isLeading(now) || !node.isMembershipCommitted) return;
+    if (!control.isLeading(now)) return;
+    this.#logMissedVoters(now);
+    if (!node.isMembershipCommitted) return;
     const members = planMembership({
       selfId: node.id,
       members: node.membership.members,
@@ -59,6 +65,31 @@
     });
     control.proposeMembership(create(MembershipSchema, { members }));
   }
+
+  /** Once for each voter and term: what the others need is one vote less. */
+  #logMissedVoters(now: number): void {
+    const { control: { node }, log } = this.#options;
+    const { term, membership: { members } } = node;
+    if (this.#missed.term !== term) this.#missed = { term, ids: new Set() };
+    for (const { id, learner } of members) {
+      const milliseconds = now - node.heardAt(id);
+      if (learner || id === node.id || milliseconds < MISSED_MILLISECONDS) {
+        continue;
+      }
+      if (this.#missed.ids.has(id)) continue;
+      this.#missed.ids.add(id);
+      log.warn("voter-missed", {
+        member: id,
+        term,
+        milliseconds: Math.round(milliseconds),
+        is_committed: node.isMembershipCommitted,
+        members: members.map((other) =>
+          `${other.id}${other.learner ? ":learner" : ""}=` +
+          `${node.commitIndex - node.matchIndexOf(other.id)}`
+        ).join(","),
+      });
+    }
+  }
 }
 
 function describe(members: Member[]): string {
--- a/packages/daemon/src/control/platform_services.ts
+++ b/packages/daemon/src/control/platform_services.ts
@@ -64,6 +64,7 @@
    */
   #isCurrent = false;
   #publishedAddresses = "";
+  #toldVersion = -1;
   #timer: NodeJS.Timeout | undefined;
 
   constructor(options: Options) {
@@ -248,9 +249,11 @@
     const isFirst = !this.#isCurrent;
     this.#isCurrent ||= control()?.isCaughtUp ?? false;
     if (!this.#isCurrent) return;
+    const startedAt = monotonicMilliseconds();
     this.view.handleStateChange({ isFirst });
     const { routing } = replicatedState();
     if (routing === undefined) return;
+    this.#logTold(routing, monotonicMilliseconds() - startedAt);
     const decoded = this.#decodeRouting(routing.document);
     if (decoded.isOk) return this.#manifests.updateTargets(decoded.value);
     log.error("routing-unreadable", {
@@ -259,6 +262,21 @@
     });
   }
 
+  /** How long a turn is for the followers is told for each version, once. */
+  #logTold(
+    { version, document }: { version: number; document: string },
+    milliseconds: number,
+  ): void {
+    if (version === this.#toldVersion) return;
+    this.#toldVersion = version;
+    this.#options.log.info("routing-told", {
+      version,
+      characters: document.length,
+      milliseconds: Math.round(milliseconds),
+      leader: this.#options.control()?.leaderAddress || "none",
+    });
+  }
+
   /** Polls whether the state is current, as there may be nothing to apply. */
   #checkState(): void {
     if (!this.#isCurrent) this.#applyRouting();
