Leaders tell each other whom they miss, so that a lost voter is replaced

What callers would see: with two of five voters' disks lost behind a voter that was gone, no read of the configuration is answered any more. Cause: silence was counted by each leader from its own beginning, and a voter is replaced after 2 s of it. Class: what is known is forgotten with who knew it. Change: appends carry the silences of members from 500 ms on, while the leader hears a majority; a leader goes on from what it was told, and gives up nobody that it hasn't missed for 500 ms itself.

--- a/packages/core/src/consensus/leadership.ts
+++ b/packages/core/src/consensus/leadership.ts
@@ -6,6 +6,7 @@
   TransferRequestSchema,
 } from "@teaselrouter/messages/control.ts";
 import type { MemberLog } from "./member_log.ts";
+import type { MissedMembers } from "./missed_members.ts";
 import type { RaftOptions } from "./raft_options.ts";
 import type { RaftOutbox } from "./raft_outbox.ts";
 import { Replicator } from "./replicator.ts";
@@ -18,6 +19,8 @@
   memberLog: MemberLog;
   outbox: RaftOutbox;
   createMessage: (to: string, body: PeerMessage["body"]) => PeerMessage;
+  /** As told by the leaders before this one. */
+  missed: MissedMembers;
   now: number;
 };
 
@@ -30,7 +33,8 @@
   #transferDeadline = 0;
 
   constructor(options: Options) {
-    const { raftOptions, memberLog, outbox, createMessage, now } = options;
+    const { raftOptions, memberLog, outbox, createMessage, missed, now } =
+      options;
     this.#options = options;
     this.#replicator = new Replicator({
       selfId: raftOptions.id,
@@ -38,6 +42,8 @@
       membership: memberLog.membership,
       send: (to, body) => outbox.sendNow(createMessage(to, body)),
       snapshot: () => memberLog.snapshot,
+      missed,
+      contactMilliseconds: raftOptions.electionTimeoutMilliseconds,
       now,
     });
     this.append(EntryKind.BLANK, EMPTY_DATA);
@@ -46,8 +52,7 @@
 
   /** Whether a majority has answered within the election timeout. */
   hasQuorumContact(now: number): boolean {
-    const { electionTimeoutMilliseconds } = this.#options.raftOptions;
-    return this.#replicator.hasQuorumContact(now, electionTimeoutMilliseconds);
+    return this.#replicator.hasQuorumContact(now);
   }
 
   /**
@@ -67,6 +72,10 @@
     return this.#replicator.confirmedRound();
   }
 
+  get startedAt(): number {
+    return this.#replicator.startedAt;
+  }
+
   heardAt(id: string): number {
     return this.#replicator.heardAt(id);
   }
--- a/packages/core/src/consensus/raft_node.ts
+++ b/packages/core/src/consensus/raft_node.ts
@@ -15,6 +15,7 @@
 import { ElectionState } from "./election_state.ts";
 import { Leadership } from "./leadership.ts";
 import { MemberLog } from "./member_log.ts";
+import { MissedMembers } from "./missed_members.ts";
 import type { RaftOptions } from "./raft_options.ts";
 import { RaftOutbox } from "./raft_outbox.ts";
 import type { RaftOutput } from "./raft_output.ts";
@@ -33,6 +34,7 @@
   #memberLog: MemberLog;
   #electionState: ElectionState;
   #lastLeaderContactAt = -Infinity;
+  #missed = new MissedMembers();
   /** Defined while this member leads. */
   #leadership: Leadership | undefined;
 
@@ -167,9 +169,15 @@
     return this.#leadership?.confirmedRound ?? 0;
   }
 
+  /** When this member began to lead, milliseconds; Infinity if it doesn't. */
+  get leadingSince(): number {
+    return this.#leadership?.startedAt ?? Infinity;
+  }
+
   /**
-   * When a member last answered this leader, or when this member began to lead
-   * if that is later, milliseconds; -Infinity when this member does not lead.
+   * When a member last answered this leader or, as they have told, one before
+   * it; when this member began to lead if that isn't known. Milliseconds;
+   * -Infinity when this member does not lead.
    */
   heardAt(id: string): number {
     return this.#leadership?.heardAt(id) ?? -Infinity;
@@ -310,6 +318,7 @@
       memberLog: this.#memberLog,
       outbox: this.#outbox,
       createMessage: (to, body) => this.#createMessage(to, body),
+      missed: this.#missed,
       now,
     });
   }
@@ -328,6 +337,7 @@
 
   #handleAppend(from: string, request: AppendRequest, now: number): void {
     this.#followLeader(from, now);
+    this.#missed.replace(request.silences, now);
     this.#sendAppendResponse(from, {
       ...this.#memberLog.acceptAppend(request),
       round: request.round,
--- a/packages/core/src/consensus/raft_schedules_test.ts
+++ b/packages/core/src/consensus/raft_schedules_test.ts
@@ -336,6 +336,7 @@
       })),
       targetVoters: this.#targetVoters,
       heardAt: (id) => node.heardAt(id) * PLAN_TIME_SCALE,
+      leadingSince: node.leadingSince * PLAN_TIME_SCALE,
       isCaughtUp: (id) => node.matchIndexOf(id) >= node.commitIndex,
       now,
     });
--- a/packages/core/src/consensus/replaced_voter_test.ts
+++ b/packages/core/src/consensus/replaced_voter_test.ts
@@ -109,6 +109,7 @@
       candidates: [],
       targetVoters: VOTERS,
       heardAt: (id) => leader.heardAt(id),
+      leadingSince: leader.leadingSince,
       isCaughtUp: (id) => leader.matchIndexOf(id) >= leader.commitIndex,
       now: this.now,
     });
--- a/packages/core/src/consensus/replicator.ts
+++ b/packages/core/src/consensus/replicator.ts
@@ -9,6 +9,7 @@
   AppendRequestSchema,
   SnapshotRequestSchema,
 } from "@teaselrouter/messages/control.ts";
+import { MissedMembers } from "./missed_members.ts";
 import type { MembershipHistory } from "./membership_history.ts";
 import type { PeerProgress } from "./peer_progress.ts";
 import type { RaftLog } from "./raft_log.ts";
@@ -31,6 +32,10 @@
   membership: MembershipHistory;
   send: Send;
   snapshot: () => SnapshotData;
+  /** As told by the leaders before this one. */
+  missed: MissedMembers;
+  /** How long leading is sure after a majority has answered, milliseconds. */
+  contactMilliseconds: number;
   now: number;
 };
 
@@ -87,12 +92,19 @@
     return this.#progressOf(id).matchIndex;
   }
 
+  /** When this leadership began, milliseconds. */
+  get startedAt(): number {
+    return this.#startedAt;
+  }
+
   /**
-   * When a member last answered, milliseconds; never earlier than the start of
-   * this leadership.
+   * When a member last answered this leader or, as they have told, one before
+   * it, milliseconds; the start of this leadership if that isn't known.
    */
   heardAt(id: string): number {
-    return Math.max(this.#progressOf(id).heardAt, this.#startedAt);
+    const { heardAt } = this.#progressOf(id);
+    if (heardAt >= this.#startedAt) return heardAt;
+    return Math.min(this.#startedAt, this.#options.missed.heardAt(id));
   }
 
   /** Members whose log became shorter than what they had confirmed. */
@@ -118,12 +130,15 @@
     );
   }
 
-  /** Whether a majority of voters answered within `windowMilliseconds`. */
-  hasQuorumContact(now: number, windowMilliseconds: number): boolean {
+  /** Whether a majority of voters answered within the time of contact. */
+  hasQuorumContact(now: number): boolean {
+    const { selfId, contactMilliseconds } = this.#options;
     const heardAt = this.#majorityValue((id) =>
-      id === this.#options.selfId ? now : this.heardAt(id)
+      id === selfId
+        ? now
+        : Math.max(this.#progressOf(id).heardAt, this.#startedAt)
     );
-    return now - heardAt <= windowMilliseconds;
+    return now - heardAt <= contactMilliseconds;
   }
 
   #recordMatch(progress: PeerProgress, response: AppendResponse): void {
@@ -182,10 +197,21 @@
         entries,
         commitIndex,
         round: this.#round,
+        silences: this.#listSilences(now),
       }),
     });
   }
 
+  /** A leader that stood still has heard nobody, whoever is missed. */
+  #listSilences(now: number): { id: string; milliseconds: number }[] {
+    if (!this.hasQuorumContact(now)) return [];
+    const { selfId, membership } = this.#options;
+    const others = membership.current.members
+      .filter(({ id }) => id !== selfId)
+      .map(({ id }) => ({ id, heardAt: this.heardAt(id) }));
+    return MissedMembers.list(others, now);
+  }
+
   #sendSnapshot(to: string, now: number): void {
     const progress = this.#progressOf(to);
     if (now < progress.snapshotRetryAt) return;
--- a/packages/core/src/membership/plan_membership.ts
+++ b/packages/core/src/membership/plan_membership.ts
@@ -13,7 +13,10 @@
   candidates: Candidate[];
   /** Number of voters to reach once there are enough hosts. */
   targetVoters: number;
+  /** Also by the leaders before this one. */
   heardAt: (id: string) => number;
+  /** When this leader began to lead. */
+  leadingSince: number;
   isCaughtUp: (id: string) => boolean;
   now: number;
 };
@@ -27,6 +30,8 @@
  */
 const LOST_VOTER_MILLISECONDS = 2_000;
 const LOST_LEARNER_MILLISECONDS = 10_000;
+/** A leader gives up nobody that it has not missed for so long itself. */
+const MISSED_MILLISECONDS = 500;
 /** A member counts as running if a message from it arrived within this time. */
 const RUNNING_MILLISECONDS = 1_000;
 
@@ -75,8 +80,7 @@
 
 function removeLostLearner(view: MembershipView): Member[] | undefined {
   const lost = view.members.find((member) =>
-    member.learner &&
-    view.now - view.heardAt(member.id) > LOST_LEARNER_MILLISECONDS
+    member.learner && isLost(view, member, LOST_LEARNER_MILLISECONDS)
   );
   return lost && view.members.filter(({ id }) => id !== lost.id);
 }
@@ -92,12 +96,21 @@
   );
   const lost = view.members.find((member) =>
     !member.learner && member.id !== view.selfId &&
-    (stopping.has(member.id) ||
-      view.now - view.heardAt(member.id) > LOST_VOTER_MILLISECONDS)
+    (stopping.has(member.id) || isLost(view, member, LOST_VOTER_MILLISECONDS))
   );
   return lost && view.members.filter(({ id }) => id !== lost.id);
 }
 
+function isLost(
+  { heardAt, leadingSince, now }: MembershipView,
+  { id }: Member,
+  milliseconds: number,
+): boolean {
+  const missedSince = Math.max(heardAt(id), leadingSince);
+  return now - heardAt(id) > milliseconds &&
+    now - missedSince > MISSED_MILLISECONDS;
+}
+
 function promoteLearner(view: MembershipView): Member[] | undefined {
   const voters = view.members.filter(({ learner }) => !learner);
   if (voters.length >= view.targetVoters) return undefined;
--- a/packages/core/src/membership/plan_membership_test.ts
+++ b/packages/core/src/membership/plan_membership_test.ts
@@ -31,6 +31,7 @@
     candidates: [],
     targetVoters: 3,
     heardAt: (id) => silent.includes(id) ? NOW - 20_000 : NOW,
+    leadingSince: NOW - 60_000,
     isCaughtUp: () => true,
     now: NOW,
     ...view,
@@ -102,6 +103,21 @@
   assert.deepEqual(silentFor(2_100), ["a", "b", "d:learner"]);
 });
 
+// Guards against a new leader that gives up a voter for the silence that an
+// earlier one saw: the voter may have been cut off from that one alone.
+test("a leader gives up no voter that it has not missed itself", () => {
+  const members = [
+    member("a"),
+    member("b"),
+    member("c"),
+    member("d", { learner: true }),
+  ];
+  const leadingFor = (milliseconds: number) =>
+    plan({ silent: ["c"], members, leadingSince: NOW - milliseconds });
+  assert.equal(leadingFor(400), undefined);
+  assert.deepEqual(leadingFor(600), ["a", "b", "d:learner"]);
+});
+
 // Guards against a host that stops for good and is missed until it has been
 // silent for long, and against one that is lost for want of a spare host.
 test("a voter that stops gives its vote to a learner at once", () => {
--- a/packages/daemon/src/control/membership_manager.ts
+++ b/packages/daemon/src/control/membership_manager.ts
@@ -54,6 +54,7 @@
       candidates: [...this.#candidates.values()],
       targetVoters,
       heardAt: (id) => node.heardAt(id),
+      leadingSince: node.leadingSince,
       isCaughtUp: (id) => node.matchIndexOf(id) >= node.commitIndex,
       now,
     });
