No more lost voters are given up than learners take their place

Cause: a ready learner was counted anew for each lost voter, so that two were removed for one, and the next two disks left two of four voters. Class: one reserve promised twice. Change: a voter is removed only while as many vote as are to.

--- a/packages/core/src/membership/plan_membership.ts
+++ b/packages/core/src/membership/plan_membership.ts
@@ -87,9 +87,10 @@
 
 /**
  * Removes a voter that is silent, or stops, only if a running learner can take
- * its place.
+ * its place, and only once one has taken the place of the voter before it.
  */
 function removeLostVoter(view: MembershipView): Member[] | undefined {
+  if (listVoters(view).length < view.targetVoters) return undefined;
   if (readyLearners(view).length === 0) return undefined;
   const stopping = new Set(
     freshCandidates(view).filter(({ learner }) => learner).map(({ id }) => id),
@@ -112,7 +113,7 @@
 }
 
 function promoteLearner(view: MembershipView): Member[] | undefined {
-  const voters = view.members.filter(({ learner }) => !learner);
+  const voters = listVoters(view);
   if (voters.length >= view.targetVoters) return undefined;
   const votersIn = (dataCentre: string) =>
     voters.filter((voter) => voter.dataCentre === dataCentre).length;
@@ -127,6 +128,10 @@
     );
 }
 
+function listVoters({ members }: MembershipView): Member[] {
+  return members.filter(({ learner }) => !learner);
+}
+
 function readyLearners(view: MembershipView): Member[] {
   return view.members.filter((member) =>
     member.learner && view.isCaughtUp(member.id) &&
