A learner votes before others are taken in

Class: what restores a margin waits behind what doesn't. Change: promotions come first; they need fewer voters than there are to be, so nothing else waits for them in calm.

--- a/packages/core/src/membership/plan_membership.ts
+++ b/packages/core/src/membership/plan_membership.ts
@@ -42,8 +42,8 @@
  * it becomes a voter.
  */
 export function planMembership(view: MembershipView): Member[] | undefined {
-  return removeWipedMember(view) ?? addLearner(view) ??
-    removeLostLearner(view) ?? removeLostVoter(view) ?? promoteLearner(view);
+  return removeWipedMember(view) ?? promoteLearner(view) ?? addLearner(view) ??
+    removeLostLearner(view) ?? removeLostVoter(view);
 }
 
 function freshCandidates(view: MembershipView): Member[] {
