A voter that asks to be taken in is not given up for its silence

Cause: only answers to the leader's appends counted as a sign of life, and a host that has started again gets none until links to it are renewed; it was removed 1.2 s behind its restart, and came back as a learner. Class: a sign of life that was heard and not used. Change: asking counts as being heard at that time, not longer. The test failed before, passes now.

--- a/packages/core/src/membership/plan_membership.ts
+++ b/packages/core/src/membership/plan_membership.ts
@@ -102,14 +102,18 @@
   return lost && view.members.filter(({ id }) => id !== lost.id);
 }
 
+/** A member that asks to be taken in is heard, though it follows nobody yet. */
 function isLost(
-  { heardAt, leadingSince, now }: MembershipView,
+  { heardAt, candidates, leadingSince, now }: MembershipView,
   { id }: Member,
   milliseconds: number,
 ): boolean {
-  const missedSince = Math.max(heardAt(id), leadingSince);
-  return now - heardAt(id) > milliseconds &&
-    now - missedSince > MISSED_MILLISECONDS;
+  const asked = candidates.find(({ member }) =>
+    member.id === id && !member.learner
+  );
+  const lastAt = Math.max(heardAt(id), asked?.askedAt ?? -Infinity);
+  return now - lastAt > milliseconds &&
+    now - Math.max(lastAt, leadingSince) > MISSED_MILLISECONDS;
 }
 
 function promoteLearner(view: MembershipView): Member[] | undefined {
