Tests: crowds of unruly clients, which a process outlives within its machine (fail)

Crowds, machines and bounds stand before any change of the product: the smallest machines that are known (250 MB for a gateway, 346 MB for a control host), 400 descriptors where connections are the matter, crowds of 30 to 1,000. Each test starts a system of its own, reads memory and descriptors from outside, and asks for one ordinary answer beside the crowd and one behind it; no times, no shares. The runner plays them first, one at a time.

--- a/acceptance/src/loopback_cluster.ts
+++ b/acceptance/src/loopback_cluster.ts
@@ -17,6 +17,9 @@
  */
 const FIRST_HOST_OCTET = 128;
 
+/** As the templates say. */
+const METRICS_PORT = 9_464;
+
 /** Time from SIGTERM until the platform kills a process. */
 export const GRACE_SECONDS = 8;
 
@@ -29,6 +32,8 @@
   seeds: number;
   /** Control hosts whose disks may be lost at once. */
   toleratedLosses: number;
+  /** What each machine lets a process use; nothing is said by default. */
+  limits: { memoryMb?: number; maxFds?: number };
 };
 type Host = { name: string; ip: string; child: Child };
 
@@ -65,6 +70,7 @@
       dataCentres: ["here"],
       seeds: Infinity,
       toleratedLosses: 1,
+      limits: {},
       ...shape,
     };
   }
@@ -142,6 +148,11 @@
     return { ...Object.fromEntries(own), there: "far" };
   }
 
+  /** A port that all hosts of its kind listen on. */
+  portOf(port: "frontend" | "ready" | "control" | "metrics" | "internal") {
+    return port === "metrics" ? METRICS_PORT : this.#ports[port];
+  }
+
   frontendUrl(ip: string): string {
     return `http://${ip}:${this.#ports.frontend}`;
   }
@@ -175,7 +186,7 @@
         bootstrap: true,
         dataDir: join(this.folder, name),
         faultTolerance: { machines: this.#shape.toleratedLosses },
-        limits: { linkMbps: 100 },
+        limits: { linkMbps: 100, ...this.#shape.limits },
         bounds: {
           graceS: GRACE_SECONDS,
           version_ms: 8_000,
--- a/tools/run_tests.mjs
+++ b/tools/run_tests.mjs
@@ -11,6 +11,8 @@
 
 const KNOWN_RED_FILE = "KNOWN-RED.txt";
 const CONCURRENCY = 4;
+/** Tests that measure what a process uses; each runs alone, before the others. */
+const ALONE = "/dist/clients/";
 
 function findTestFiles(folder) {
   return readdirSync(folder, { withFileTypes: true, recursive: true })
@@ -63,16 +65,24 @@
   .sort();
 const passed = [];
 const failed = [];
-const events = run({
-  files: files.map((file) => resolve(file)),
-  concurrency: CONCURRENCY,
-});
-events.on("test:pass", ({ name }) => passed.push(name));
-events.on("test:fail", ({ name }) => failed.push(name));
-events.compose(tap).pipe(process.stdout);
-events.once("end", () => {
-  const known = pathFilters.length === 0 ? readKnownRed() : { knownRed: [] };
-  const { isGood, lines } = judgeRun({ passed, failed, ...known });
-  for (const line of lines) console.log(line);
-  process.exitCode = isGood ? 0 : 1;
-});
+
+async function runFiles(selected, concurrency) {
+  if (selected.length === 0) return;
+  const events = run({
+    files: selected.map((file) => resolve(file)),
+    concurrency,
+  });
+  events.on("test:pass", ({ name }) => passed.push(name));
+  events.on("test:fail", ({ name }) => failed.push(name));
+  const ended = new Promise((resolve) => events.once("end", resolve));
+  events.compose(tap).pipe(process.stdout);
+  await ended;
+}
+
+const isAlone = (file) => file.includes(ALONE);
+await runFiles(files.filter(isAlone), 1);
+await runFiles(files.filter((file) => !isAlone(file)), CONCURRENCY);
+const known = pathFilters.length === 0 ? readKnownRed() : { knownRed: [] };
+const { isGood, lines } = judgeRun({ passed, failed, ...known });
+for (const line of lines) console.log(line);
+process.exitCode = isGood ? 0 : 1;
