Bodies of requests take a fifth of a process's memory, and cost what they take

What callers saw: a process that held all that clients sent just short of the limit; parts of one byte cost an object and an allocation each, and a joined body stood beside its parts. Cause: no bound was set by any template, and bytes were counted, not what holds them. Class: a measure that isn't what is used up. Change: core decides who goes where room is short (what has taken most for longest and hasn't arrived), what callers get of a machine, and that an announced length is refused before its first byte; parts are copied into blocks that are used again.

--- a/packages/daemon/src/agent/agent_app.ts
+++ b/packages/daemon/src/agent/agent_app.ts
@@ -7,6 +7,7 @@
 } from "@teaselrouter/messages/agent.ts";
 import { randomUUID } from "node:crypto";
 import { Result } from "true-myth";
+import type { CallerIntake } from "../http/caller_intake.ts";
 import type { EventLog } from "../log/event_log.ts";
 import type { Settings } from "../settings/settings.ts";
 import type { ClientPool } from "../transport/client_pool.ts";
@@ -40,6 +41,7 @@
   settings: Settings;
   clients: ClientPool;
   log: EventLog;
+  intake: CallerIntake;
   metrics: StatsdMetrics;
 };
 
@@ -73,7 +75,7 @@
   #timer: NodeJS.Timeout | undefined;
 
   constructor(options: Options) {
-    const { settings, clients, log } = options;
+    const { settings, clients, log, intake } = options;
     const agent = settings.agent!;
     this.#settings = settings;
     this.#log = log;
@@ -93,6 +95,7 @@
       cache: this.#cache,
       linkPacer: new LinkPacer(agent.link_bytes_per_second),
       dataCentreBytesPerSecond: agent.region_bytes_per_second,
+      intake,
     });
     this.#spread = new SpreadClient({
       cache: this.#cache,
--- a/packages/daemon/src/agent/agent_server.ts
+++ b/packages/daemon/src/agent/agent_server.ts
@@ -9,6 +9,7 @@
 import { once } from "node:events";
 import type { Result } from "true-myth";
 import { describeIssue } from "../http/describe_issue.ts";
+import type { CallerIntake } from "../http/caller_intake.ts";
 import { readBody } from "../http/read_body.ts";
 import { sendProblem } from "../http/send_problem.ts";
 import { listen } from "../transport/listen.ts";
@@ -29,6 +30,7 @@
   linkPacer: LinkPacer;
   /** Limit of what is sent to each other data centre; 0 for no limit. */
   dataCentreBytesPerSecond: number;
+  intake: CallerIntake;
 };
 
 /**
@@ -88,10 +90,13 @@
     const body = await readBody(request, {
       maximumBytes: MAX_ANNOUNCEMENT_BYTES,
       idleMilliseconds: IDLE_TIMEOUT_MILLISECONDS,
+      intake: this.#options.intake,
     });
     if (body.isErr) return sendProblem(response, body.error);
+    const text = body.value.bytes.toString("utf8");
+    body.value.release();
     const parsed = announcementSchema.safeParse(
-      parseJson(body.value.toString("utf8")).unwrapOr(undefined),
+      parseJson(text).unwrapOr(undefined),
     );
     if (!parsed.success) {
       return sendProblem(response, {
--- a/packages/daemon/src/control/control_app.ts
+++ b/packages/daemon/src/control/control_app.ts
@@ -14,6 +14,7 @@
 import { DataFolder } from "@teaselrouter/storage/data_folder.ts";
 import { Subject } from "rxjs";
 import { Result } from "true-myth";
+import type { CallerIntake } from "../http/caller_intake.ts";
 import type { EventLog } from "../log/event_log.ts";
 import type { PlatformAdapter } from "../platform/platform_adapter.ts";
 import type { Settings } from "../settings/settings.ts";
@@ -40,6 +41,7 @@
   settings: Settings;
   clients: ClientPool;
   log: EventLog;
+  intake: CallerIntake;
   stopProcess: (reason: string) => void;
   /** Set in a platform's build, where operators and backend servers call. */
   platform: PlatformAdapter | undefined;
--- a/packages/daemon/src/control/platform_services.ts
+++ b/packages/daemon/src/control/platform_services.ts
@@ -4,6 +4,7 @@
 import { type Observable, switchMap } from "rxjs";
 import { Result } from "true-myth";
 import { CrashRecordProposals } from "../crashes/crash_record_proposals.ts";
+import type { CallerIntake } from "../http/caller_intake.ts";
 import type { EventLog } from "../log/event_log.ts";
 import type { Closable } from "../platform/closable.ts";
 import type { PlatformAdapter } from "../platform/platform_adapter.ts";
@@ -34,6 +35,7 @@
   settings: Settings;
   clients: ClientPool;
   log: EventLog;
+  intake: CallerIntake;
   platform: PlatformAdapter;
   started$: Observable<ControlHost>;
   control: () => ControlHost | undefined;
@@ -175,6 +177,7 @@
     const server = await platform.serveOperations(
       operations_listen,
       this.#operations,
+      this.#options.intake,
     );
     if (server.isErr) return Result.err(server.error);
     this.#server = server.value;
--- a/packages/daemon/src/entry/calls/call_handler.ts
+++ b/packages/daemon/src/entry/calls/call_handler.ts
@@ -3,6 +3,7 @@
 import type { EntryContext } from "../entry_context.ts";
 import { checkCall } from "./check_call.ts";
 import type { CheckedCall } from "./checked_call.ts";
+import type { CallerIntake } from "../../http/caller_intake.ts";
 import type { Problem } from "../../http/problem.ts";
 import { readBody } from "../../http/read_body.ts";
 import type { RefusedRetry } from "./refused_retry.ts";
@@ -14,6 +15,7 @@
 
 type Options = {
   idleMilliseconds: number;
+  intake: CallerIntake;
   metrics: StatsdMetrics;
   onAnswerCut: (cut: AnswerCut) => void;
   onRetryRefused: (refused: RefusedRetry) => void;
@@ -71,14 +73,20 @@
     const body = await readBody(request, {
       maximumBytes: maximumBodyBytes,
       idleMilliseconds: this.#options.idleMilliseconds,
+      intake: this.#options.intake,
     });
     if (body.isErr) {
       response.setHeader("Connection", "close");
       return maskUnverifiedNotRun(request, body.error);
     }
-    const limited = this.#checkRateLimit(fields.workspace);
-    if (limited !== undefined) return maskUnverifiedNotRun(request, limited);
-    return this.#runCall({ ...fields, body: body.value }, request, response);
+    const { bytes, release } = body.value;
+    try {
+      const limited = this.#checkRateLimit(fields.workspace);
+      if (limited !== undefined) return maskUnverifiedNotRun(request, limited);
+      return await this.#runCall({ ...fields, body: bytes }, request, response);
+    } finally {
+      release();
+    }
   }
 
   #checkRateLimit(workspace: string): Problem | undefined {
--- a/packages/daemon/src/entry/entry_app.ts
+++ b/packages/daemon/src/entry/entry_app.ts
@@ -16,6 +16,7 @@
 import { randomUUID } from "node:crypto";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { Result } from "true-myth";
+import type { CallerIntake } from "../http/caller_intake.ts";
 import type { EventLog } from "../log/event_log.ts";
 import type { Settings } from "../settings/settings.ts";
 import { toRetryBound } from "../settings/to_retry_bound.ts";
@@ -68,6 +69,7 @@
   settings: Settings;
   clients: ClientPool;
   log: EventLog;
+  intake: CallerIntake;
   metrics: StatsdMetrics;
   processMetrics: ProcessMetrics;
 };
@@ -91,7 +93,7 @@
   #timer: NodeJS.Timeout | undefined;
 
   constructor(options: Options) {
-    const { settings, clients, log, metrics } = options;
+    const { settings, clients, log, metrics, intake } = options;
     const entry = settings.entry!;
     this.#options = options;
     const limits = new LimitsRegistry();
@@ -136,6 +138,7 @@
     const idleMilliseconds = entry.request_idle_milliseconds;
     this.#calls = new CallHandler(this.#context, {
       idleMilliseconds,
+      intake,
       metrics,
       onAnswerCut: (cut) => this.#reportCut(cut),
       onRetryRefused: (refused) => this.#reportRefusedRetry(refused),
@@ -144,6 +147,7 @@
       control,
       clients,
       idleMilliseconds,
+      intake,
       readStatus: () => readStatus(settings, this.#context),
       readTimeline: (since) =>
         readTimeline(
--- a/packages/daemon/src/entry/operators/operator_api.ts
+++ b/packages/daemon/src/entry/operators/operator_api.ts
@@ -15,6 +15,7 @@
 import { proposeEvacuation } from "./propose_evacuation.ts";
 import type { ProposalReply } from "../sessions/proposal_reply.ts";
 import { invalidRequest } from "../calls/invalid_request.ts";
+import type { CallerIntake } from "../../http/caller_intake.ts";
 import type { Problem } from "../../http/problem.ts";
 import { decodePath } from "../../http/decode_path.ts";
 import { parseJson } from "../../http/parse_json.ts";
@@ -61,6 +62,7 @@
   control: ControlSession;
   clients: ClientPool;
   idleMilliseconds: number;
+  intake: CallerIntake;
   /** Returns the body of the `status` answer. */
   readStatus: () => Promise<unknown>;
   readTimeline: (since: number) => Promise<unknown>;
@@ -236,9 +238,12 @@
     const body = await readBody(request, {
       maximumBytes: MAX_BODY_BYTES,
       idleMilliseconds: this.#options.idleMilliseconds,
+      intake: this.#options.intake,
     });
     if (body.isErr) return Result.err(body.error);
-    return parseJson(body.value.toString("utf8")).mapErr((reason) =>
+    const text = body.value.bytes.toString("utf8");
+    body.value.release();
+    return parseJson(text).mapErr((reason) =>
       invalidRequest("body", `the body is not JSON: ${reason}`)
     );
   }
--- a/packages/daemon/src/gateway/admit_call.ts
+++ b/packages/daemon/src/gateway/admit_call.ts
@@ -31,14 +31,14 @@
  * to send.
  *
  * @param startedAt when the request's head was read, monotonic milliseconds.
- * @param tryHold whether that many bytes more of its body may be held.
+ * @param onBody called with what releases its body, once that has arrived.
  */
 export async function admitCall(
   context: GatewayContext,
   request: IncomingMessage,
-  { startedAt, tryHold }: {
+  { startedAt, onBody }: {
     startedAt: number;
-    tryHold: (bytes: number) => boolean;
+    onBody: (release: () => void) => void;
   },
 ): Promise<Result<AdmittedCall, CallRefusal>> {
   const metadata = context.format.readRequest(request.headers);
@@ -65,7 +65,7 @@
   const match = matchRoute(table, request, metadata);
   if (match.isErr) return Result.err(match.error);
   if (metadata.id === undefined) return refuse(400, "the attempt has no id");
-  const body = await readRequestBody(table, request, tryHold);
+  const body = await readRequestBody(context, table, request);
   if (body.isErr) {
     return Result.err(
       body.error.status === 503
@@ -73,6 +73,7 @@
         : body.error,
     );
   }
+  if (body.value !== undefined) onBody(body.value.release);
   const { route, workspace, urgency, permittedRegions } = match.value;
   const service = table.findService(pickTarget(route, context.random()))!;
   const patience = Math.min(
@@ -96,7 +97,7 @@
     method: request.method ?? "GET",
     path: request.url ?? "/",
     rawHeaders: request.rawHeaders,
-    body: body.value,
+    body: body.value?.bytes,
     startedAt,
     spentBeforeMilliseconds: spentMilliseconds,
     lateAt: startedAt + route.targetMilliseconds - spentMilliseconds,
@@ -149,10 +150,15 @@
 }
 
 async function readRequestBody(
+  { intake }: GatewayContext,
   table: RouteTable,
   request: IncomingMessage,
-  tryHold: (bytes: number) => boolean,
-): Promise<Result<AdmittedCall["body"], CallRefusal>> {
+): Promise<
+  Result<
+    { bytes: AdmittedCall["body"]; release: () => void } | undefined,
+    CallRefusal
+  >
+> {
   const hasBody = request.headers["content-length"] !== undefined ||
     request.headers["transfer-encoding"] !== undefined;
   if (!hasBody) return Result.ok(undefined);
@@ -161,7 +167,7 @@
   const body = await readBody(request, {
     maximumBytes: maxBodyBytes,
     idleMilliseconds: idleTimeoutMilliseconds,
-    tryHold,
+    intake,
   });
   if (body.isOk) return Result.ok(body.value);
   return refuse(body.error.status, body.error.detail);
--- a/packages/daemon/src/gateway/gateway_app.ts
+++ b/packages/daemon/src/gateway/gateway_app.ts
@@ -9,6 +9,7 @@
 import { createServer, type Server } from "node:http";
 import { filter, map, merge } from "rxjs";
 import { Result } from "true-myth";
+import type { CallerIntake } from "../http/caller_intake.ts";
 import type { EventLog } from "../log/event_log.ts";
 import { reportRoom } from "../metrics/report_room.ts";
 import type { ProcessMetrics } from "../metrics/process_metrics.ts";
@@ -32,7 +33,6 @@
 import type { GatewayContext } from "./gateway_context.ts";
 import { GatewayCount } from "./gateway_count.ts";
 import { GatewayServer } from "./gateway_server.ts";
-import { HeldBodies } from "./held_bodies.ts";
 import { NamedLimits } from "./named_limits.ts";
 import { ServerPushbacks } from "./server_pushbacks.ts";
 import { SilenceWatch } from "./silence_watch.ts";
@@ -78,6 +78,7 @@
   settings: Settings;
   clients: ClientPool;
   log: EventLog;
+  intake: CallerIntake;
   metrics: ProcessMetrics;
   platform: PlatformAdapter;
 };
@@ -98,7 +99,7 @@
   #timer: NodeJS.Timeout | undefined;
 
   constructor(options: Options) {
-    const { settings, clients, log, metrics: metrics, platform } = options;
+    const { settings, clients, log, intake, metrics, platform } = options;
     this.#options = options;
     this.#regionRule = new RegionRule(settings.regions);
     this.#followSet = new FollowSet({
@@ -217,7 +218,7 @@
         endedServers$,
       }),
       connections,
-      heldBodies: new HeldBodies(settings.gateway!.max_held_body_bytes),
+      intake,
       namedLimits,
       pushbacks,
       retries: new RetryBudgets({
--- a/packages/daemon/src/gateway/gateway_call.ts
+++ b/packages/daemon/src/gateway/gateway_call.ts
@@ -13,7 +13,6 @@
 import { CallSender } from "./call_sender.ts";
 import { CallTakeover } from "./call_takeover.ts";
 import type { GatewayContext } from "./gateway_context.ts";
-import type { HeldBodies } from "./held_bodies.ts";
 import { RefusalBuilder } from "./refusal_builder.ts";
 import type { SentAttempt } from "./sent_attempt.ts";
 
@@ -37,13 +36,12 @@
   #startedAt = monotonicMilliseconds();
   #finisher: CallFinisher;
   #interruptions: CallInterruptions;
-  #body: ReturnType<HeldBodies["open"]>;
+  #releaseBody: () => void = () => undefined;
   #lateRefusal: () => CallRefusal | undefined;
 
   constructor(options: Options) {
     this.#context = options.context;
     this.#request = options.request;
-    this.#body = options.context.heldBodies.open();
     this.#response = options.response;
     this.#lateRefusal = options.lateRefusal ?? (() => undefined);
     this.#finisher = new CallFinisher(options);
@@ -57,7 +55,7 @@
     } catch (error) {
       this.#interruptions.endAfterFault(error);
     } finally {
-      this.#body.release();
+      this.#releaseBody();
     }
   }
 
@@ -72,7 +70,9 @@
     await this.#holdUntilConfigured();
     const admitted = await admitCall(context, this.#request, {
       startedAt: this.#startedAt,
-      tryHold: this.#body.tryGrow,
+      onBody: (release) => {
+        this.#releaseBody = release;
+      },
     });
     if (admitted.isErr) return this.#finisher.refuse(undefined, admitted.error);
     if (this.#finisher.isOver) return;
--- a/packages/daemon/src/gateway/gateway_context.ts
+++ b/packages/daemon/src/gateway/gateway_context.ts
@@ -1,6 +1,7 @@
 import type { DispatchTerms } from "@teaselrouter/core/dispatch/dispatch_terms.ts";
 import type { PatienceEstimator } from "@teaselrouter/core/gateway/patience_estimator.ts";
 import type { RetryBudgets } from "@teaselrouter/core/retries/retry_budgets.ts";
+import type { CallerIntake } from "../http/caller_intake.ts";
 import type { EventLog } from "../log/event_log.ts";
 import type { ProcessMetrics } from "../metrics/process_metrics.ts";
 import type { RequestFormat } from "../platform/request_format.ts";
@@ -10,7 +11,6 @@
 import type { CrashReporter } from "./crash_reporter.ts";
 import type { CrashWatch } from "./crash_watch.ts";
 import type { GivenUpWatch } from "./given_up_watch.ts";
-import type { HeldBodies } from "./held_bodies.ts";
 import type { NamedLimits } from "./named_limits.ts";
 import type { ServerPushbacks } from "./server_pushbacks.ts";
 import type { SilenceWatch } from "./silence_watch.ts";
@@ -23,7 +23,7 @@
   pool: BackendPool;
   dispatch: DispatchTerms;
   connections: BackendConnections;
-  heldBodies: HeldBodies;
+  intake: CallerIntake;
   namedLimits: NamedLimits;
   pushbacks: ServerPushbacks;
   retries: RetryBudgets;
--- a/packages/daemon/src/gateway/gateway_fixture.ts
+++ b/packages/daemon/src/gateway/gateway_fixture.ts
@@ -11,6 +11,7 @@
 import { Buffer } from "node:buffer";
 import { createServer, type Server, type Socket } from "node:net";
 import { map, merge, Subject } from "rxjs";
+import { CallerIntake } from "../http/caller_intake.ts";
 import type { EventLog } from "../log/event_log.ts";
 import { ProcessMetrics } from "../metrics/process_metrics.ts";
 import type { RequestFormat } from "../platform/request_format.ts";
@@ -26,7 +27,6 @@
 import { GivenUpWatch } from "./given_up_watch.ts";
 import type { GatewayContext } from "./gateway_context.ts";
 import { GatewayServer } from "./gateway_server.ts";
-import { HeldBodies } from "./held_bodies.ts";
 import { NamedLimits } from "./named_limits.ts";
 import { ServerPushbacks } from "./server_pushbacks.ts";
 import { SilenceWatch } from "./silence_watch.ts";
@@ -119,7 +119,7 @@
   /** Overrides these fields of all routes. */
   route?: Partial<Route>;
   dispatch?: Partial<DispatchTerms>;
-  /** See `HeldBodies`. */
+  /** See `BodyRoom`. */
   maximumHeldBytes?: number;
 };
 
@@ -325,7 +325,10 @@
         ),
       }),
       connections,
-      heldBodies: new HeldBodies(this.#options.maximumHeldBytes),
+      intake: new CallerIntake({
+        machine: { descriptors: 4_096 },
+        maximumBodyBytes: this.#options.maximumHeldBytes,
+      }),
       namedLimits,
       pushbacks,
       retries: createSavedRetries({
--- a/packages/daemon/src/gateway/gateway_server_test.ts
+++ b/packages/daemon/src/gateway/gateway_server_test.ts
@@ -1,7 +1,7 @@
+import { CallerIntake } from "../http/caller_intake.ts";
 import assert from "node:assert/strict";
 import { connect, createServer, type Socket } from "node:net";
 import { test } from "node:test";
-import { HeldBodies } from "./held_bodies.ts";
 import { GatewayServer } from "./gateway_server.ts";
 import type { GatewayContext } from "./gateway_context.ts";
 
@@ -38,7 +38,7 @@
 async function openServer({ isStopping = (): boolean => true } = {}) {
   let taken = 0;
   const context = {
-    heldBodies: new HeldBodies(),
+    intake: new CallerIntake({ machine: { descriptors: 4_096 } }),
     isStopping,
     startHold: {
       wait: () => {
--- a/packages/daemon/src/gateway/slow_readers_test.ts
+++ b/packages/daemon/src/gateway/slow_readers_test.ts
@@ -132,15 +132,15 @@
   assert.ok(refused.length >= expected, `${refused.length} refused`);
   assert.ok(refused.length < SLOW_SERVERS, "all refused");
   for (const { received } of refused) assert.match(received, /retry-after: /i);
-  assert.ok(gateway.context.heldBodies.bytes <= MAX_HELD_BYTES);
+  assert.ok(gateway.context.intake.room.bytes <= MAX_HELD_BYTES);
   const other = new RawClient(gateway.port, OTHER_REQUEST);
   await other.receive(/ok$/);
   for (const { socket } of senders) socket.destroy();
   for (const client of clients) client.destroy();
   for (let settles = 0; settles < MAX_SETTLES; settles += 1) {
-    if (gateway.context.heldBodies.bytes === 0) break;
+    if (gateway.context.intake.room.bytes === 0) break;
     await sleep(SETTLE_MILLISECONDS);
   }
-  assert.equal(gateway.context.heldBodies.bytes, 0);
+  assert.equal(gateway.context.intake.room.bytes, 0);
   gateway.close();
 });
--- /dev/null
+++ b/packages/daemon/src/http/block_pool.ts
@@ -0,0 +1,20 @@
+import { Buffer } from "node:buffer";
+
+/** Bytes of a block. */
+export const BLOCK_BYTES = 32_768;
+
+/**
+ * Blocks of memory that are used again: what a crowd leaves as garbage would be
+ * collected late, and hardly given back to the machine.
+ */
+export class BlockPool {
+  #free: Buffer[] = [];
+
+  take(): Buffer {
+    return this.#free.pop() ?? Buffer.allocUnsafeSlow(BLOCK_BYTES);
+  }
+
+  giveBack(blocks: Buffer[]): void {
+    this.#free.push(...blocks);
+  }
+}
--- a/packages/daemon/src/http/read_body.ts
+++ b/packages/daemon/src/http/read_body.ts
@@ -1,22 +1,32 @@
-import { Buffer } from "node:buffer";
+import type { Buffer } from "node:buffer";
 import type { IncomingMessage } from "node:http";
 import { Result } from "true-myth";
 import { clampTimer } from "../transport/clamp_timer.ts";
+import { monotonicMilliseconds } from "../transport/monotonic_milliseconds.ts";
+import type { CallerIntake } from "./caller_intake.ts";
+import { CollectedBody } from "./collected_body.ts";
 import type { Problem } from "./problem.ts";
 
 type Limits = {
   maximumBytes: number;
   idleMilliseconds: number;
-  /** Whether that many bytes more may be held now; any number if absent. */
-  tryHold?: (bytes: number) => boolean;
+  /** Where its bytes are held, with those of other requests. */
+  intake: CallerIntake;
 };
 
-function bodyTooLarge(limits: Limits): Problem {
+/** A body that has arrived. */
+type ReadBody = {
+  bytes: Buffer;
+  /** Has to be called once nobody needs the bytes any more. */
+  release: () => void;
+};
+
+function bodyTooLarge(maximumBytes: number): Problem {
   return {
     status: 413,
     type: "body-too-large",
     field: "body",
-    detail: `the body is larger than the ${limits.maximumBytes} bytes allowed`,
+    detail: `the body is larger than the ${maximumBytes} bytes allowed`,
     outcome: "not-run",
   };
 }
@@ -38,40 +48,59 @@
 };
 
 /**
- * Reads a whole request body. Fails if the body is larger than the limit, if no
- * more bytes may be held, if the client sends nothing for the idle time, or if
- * the connection ends early.
+ * Reads a whole request body. Fails if the body is larger than the limit, if
+ * there is no room for it, if the client sends nothing for the idle time, or if
+ * the connection ends early. An announced length says so before the first byte.
  */
 export function readBody(
   request: IncomingMessage,
-  limits: Limits,
-): Promise<Result<Buffer, Problem>> {
+  { maximumBytes, idleMilliseconds, intake }: Limits,
+): Promise<Result<ReadBody, Problem>> {
   return new Promise((resolve) => {
-    const parts: Buffer[] = [];
-    let bytes = 0;
-    const finish = (result: Result<Buffer, Problem>) => {
+    const { room } = intake;
+    const body = new CollectedBody(intake.blocks);
+    const held = room.open(
+      monotonicMilliseconds(),
+      () => finish(Result.err(TOO_MUCH_HELD)),
+    );
+    let isOver = false;
+    const finish = (result: Result<ReadBody, Problem>) => {
+      if (isOver) return;
+      isOver = true;
       clearTimeout(timer);
       request.off("data", addPart);
       request.resume();
+      if (result.isErr) {
+        held.release();
+        body.clear();
+      }
       resolve(result);
     };
     const failIncomplete = () => finish(Result.err(INCOMPLETE_REQUEST));
-    const idleMilliseconds = clampTimer(limits.idleMilliseconds);
-    let timer = setTimeout(failIncomplete, idleMilliseconds);
+    const timer = setTimeout(failIncomplete, clampTimer(idleMilliseconds));
+    const findFault = (bytes: number) => {
+      if (bytes > maximumBytes) return bodyTooLarge(maximumBytes);
+      return room.couldHold(bytes) ? undefined : TOO_MUCH_HELD;
+    };
     const addPart = (part: Buffer) => {
-      bytes += part.length;
-      if (bytes > limits.maximumBytes) {
-        return finish(Result.err(bodyTooLarge(limits)));
+      const bytes = body.bytes + part.length;
+      if (bytes > maximumBytes) {
+        return finish(Result.err(bodyTooLarge(maximumBytes)));
       }
-      if (limits.tryHold?.(part.length) === false) {
+      const cost = body.costOf(part.length);
+      if (cost > 0 && !held.tryGrow(cost, monotonicMilliseconds())) {
         return finish(Result.err(TOO_MUCH_HELD));
       }
-      parts.push(part);
-      clearTimeout(timer);
-      timer = setTimeout(failIncomplete, idleMilliseconds);
+      body.add(part);
+      timer.refresh();
     };
+    const announced = findFault(Number(request.headers["content-length"] ?? 0));
+    if (announced !== undefined) return finish(Result.err(announced));
     request.on("data", addPart);
-    request.once("end", () => finish(Result.ok(Buffer.concat(parts))));
+    request.once("end", () => {
+      held.complete();
+      finish(Result.ok({ bytes: body.join(), release: held.release }));
+    });
     request.once("error", failIncomplete);
     request.once("close", failIncomplete);
   });
--- a/packages/daemon/src/platform/platform_adapter.ts
+++ b/packages/daemon/src/platform/platform_adapter.ts
@@ -1,4 +1,5 @@
 import type { Result } from "true-myth";
+import type { CallerIntake } from "../http/caller_intake.ts";
 import type { ControlOperations } from "../control/control_operations.ts";
 import type { Closable } from "./closable.ts";
 import type { ModelEngine } from "./model_engine.ts";
@@ -27,5 +28,6 @@
   serveOperations(
     address: string,
     operations: ControlOperations,
+    intake: CallerIntake,
   ): Promise<Result<Closable, string>>;
 }
--- a/packages/daemon/src/settings/settings_schema.ts
+++ b/packages/daemon/src/settings/settings_schema.ts
@@ -44,6 +44,13 @@
      */
     peer_port: z.number().int().min(1).max(65_535).optional(),
   }),
+  /** What this process may use; callers get a part of it. */
+  machine: z.strictObject({
+    /** All of the machine's memory if absent. */
+    memory_megabytes: z.number().positive().optional(),
+    /** Files and connections that may be open at once. */
+    descriptors: z.number().int().min(64).default(4_096),
+  }).prefault({}),
   log: z.strictObject({
     level: z.enum(["debug", "info", "warn", "error"]).default("info"),
   }).prefault({}),
@@ -157,7 +164,7 @@
        */
       min_gateways: z.number().int().min(1).default(6),
     }).optional(),
-    /** Bytes of request bodies held at once; unbounded if absent. */
+    /** Bytes of request bodies held at once; a fifth of the memory if absent. */
     max_held_body_bytes: z.number().int().positive().optional(),
   }).optional(),
   /** Loads weights into the model engine on the same host. */
--- a/packages/daemon/src/wiring/start_daemon.ts
+++ b/packages/daemon/src/wiring/start_daemon.ts
@@ -1,6 +1,7 @@
 import type { ConnectRouter } from "@connectrpc/connect";
 import { TimelineService } from "@teaselrouter/messages/agent.ts";
 import { Result } from "true-myth";
+import { CallerIntake } from "../http/caller_intake.ts";
 import { EventLog } from "../log/event_log.ts";
 import type { Daemon } from "./daemon.ts";
 import { createStatsdClient } from "../metrics/create_statsd_client.ts";
@@ -37,18 +38,23 @@
     log.error("process-stops", { reason });
     options.stopProcess(reason);
   };
+  const intake = new CallerIntake({
+    machine: settings.machine,
+    maximumBodyBytes: settings.gateway?.max_held_body_bytes,
+  });
   const apps = await loadApps(settings.roles);
 
   const openedControl = await apps.control?.open({
     settings,
     clients,
     log,
+    intake,
     stopProcess,
     platform,
   });
   if (openedControl?.isErr) return Result.err(openedControl.error);
   const control = openedControl?.value;
-  const appOptions = { settings, clients, log, metrics };
+  const appOptions = { settings, clients, log, metrics, intake };
   const entry = apps.entry && new apps.entry({ ...appOptions, processMetrics });
   const agent = apps.agent && new apps.agent(appOptions);
   if (platform === undefined && (apps.gateway ?? apps.stager)) {
--- a/packages/experiments/src/failures/agent_fixture.ts
+++ b/packages/experiments/src/failures/agent_fixture.ts
@@ -7,6 +7,7 @@
 import type { Exchange } from "@teaselrouter/daemon/agent/exchange.ts";
 import { LinkPacer } from "@teaselrouter/daemon/spread/link_pacer.ts";
 import { WeightsCache } from "@teaselrouter/daemon/spread/weights_cache.ts";
+import { CallerIntake } from "@teaselrouter/daemon/http/caller_intake.ts";
 import { EventLog } from "@teaselrouter/daemon/log/event_log.ts";
 import { sleep } from "@teaselrouter/daemon/transport/sleep.ts";
 import { RunRequestSchema } from "@teaselrouter/messages/agent.ts";
@@ -64,6 +65,7 @@
       cache: this.#cache,
       linkPacer: new LinkPacer(0),
       dataCentreBytesPerSecond: 0,
+      intake: new CallerIntake({ machine: { descriptors: 4_096 } }),
     });
     this.loader = new EngineLoader({
       state: this.state,
--- a/packages/experiments/src/failures/entry_fixture.ts
+++ b/packages/experiments/src/failures/entry_fixture.ts
@@ -1,3 +1,4 @@
+import { CallerIntake } from "@teaselrouter/daemon/http/caller_intake.ts";
 import { BackendServerTable } from "@teaselrouter/core/routing/backend_server_table.ts";
 import { createBackendServerRow } from "@teaselrouter/core/routing/create_backend_server_row.ts";
 import { OutlierDetector } from "@teaselrouter/core/routing/outlier_detector.ts";
@@ -84,6 +85,7 @@
     const control = { state: this.state } as unknown as ControlSession;
     this.#crashes = new CallCrashDetector({ control, log });
     this.calls = new CallHandler(this.#createContext(control), {
+      intake: new CallerIntake({ machine: { descriptors: 4_096 } }),
       idleMilliseconds: IDLE_MILLISECONDS,
       metrics: this.#createMetrics(),
       onAnswerCut: (cut) => this.cuts.push(cut),
