What is still sent behind a refusal is read to a bound, then the connection goes

What callers saw: clients that were refused with 413 were served by reading on, for as long as they sent (536 to 1,749 MB resident). Cause: a refused request was read to its end, which never comes. Class: a side that ends the exchange depends on the other side's end. Change: 256 KiB are read on, as the rest of a proper body; beyond it nothing is read, and the connection is closed a second behind the refusal, which its client can read until then. A connection whose refused body ends within the bound goes on.

--- a/packages/daemon/src/gateway/call_finisher.ts
+++ b/packages/daemon/src/gateway/call_finisher.ts
@@ -1,4 +1,5 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
+import { drainRefused } from "../http/drain_refused.ts";
 import { cutOff } from "../http/cut_off.ts";
 import { toRoomFields } from "../log/to_room_fields.ts";
 import { clampTimer } from "../transport/clamp_timer.ts";
@@ -69,7 +70,7 @@
         isStopping: isStopping(),
         isLatest: isLatest(),
       });
-      if (!request.complete) request.resume();
+      drainRefused(request);
     }
     const isNotRun = format.guaranteesNotRun(status) || status < 500;
     const outcome = isNotRun ? "not-run" : "unknown";
--- a/packages/daemon/src/gateway/gateway_server.ts
+++ b/packages/daemon/src/gateway/gateway_server.ts
@@ -6,6 +6,7 @@
 } from "node:http";
 import type { Socket } from "node:net";
 import type { Result } from "true-myth";
+import { drainRefused } from "../http/drain_refused.ts";
 import { listen } from "../transport/listen.ts";
 import { monotonicMilliseconds } from "../transport/monotonic_milliseconds.ts";
 import { stopAccepting } from "../transport/stop_accepting.ts";
@@ -127,7 +128,7 @@
     const answers = this.#answers;
     const { socket } = request;
     const isRefused = this.#refused.has(socket) || answers.isClosing(socket);
-    if (isRefused) return void request.resume();
+    if (isRefused) return drainRefused(request);
     this.#inFlight += 1;
     this.#lastRequestAt = monotonicMilliseconds();
     response.once("close", () => {
--- a/packages/daemon/src/gateway/refuse_call.ts
+++ b/packages/daemon/src/gateway/refuse_call.ts
@@ -1,4 +1,5 @@
 import type { ServerResponse } from "node:http";
+import { drainRefused } from "../http/drain_refused.ts";
 import type { CallRefusal } from "./call_refusal.ts";
 
 /**
@@ -50,6 +51,7 @@
     clearTimeout(timer);
     response.end();
   };
-  response.req.resume().once("end", end);
+  drainRefused(response.req);
+  response.req.once("end", end);
   response.once("close", end);
 }
--- a/packages/daemon/src/http/read_body.ts
+++ b/packages/daemon/src/http/read_body.ts
@@ -5,6 +5,7 @@
 import { monotonicMilliseconds } from "../transport/monotonic_milliseconds.ts";
 import type { CallerIntake } from "./caller_intake.ts";
 import { CollectedBody } from "./collected_body.ts";
+import { drainRefused } from "./drain_refused.ts";
 import type { Problem } from "./problem.ts";
 
 type Limits = {
@@ -69,8 +70,8 @@
       isOver = true;
       clearTimeout(timer);
       request.off("data", addPart);
-      request.resume();
       if (result.isErr) {
+        drainRefused(request);
         held.release();
         body.clear();
       }
