Reading bodies takes a share of a turn; light readers wait for nobody

What callers saw beside chunks of one byte, thousands in a packet: 503, five times in a row, and seconds for an answer: the process stood still among parts. Cause: each packet brings some 11,000 parts, and each turn reads a packet of each connection. Class: work that is bounded by bytes where its number costs. Change: core counts parts; once 1,024 are read in a turn all readers wait, and in the next the light ones go on with one of the others. What is left behind a refusal counts, too.

--- a/packages/daemon/src/gateway/call_finisher.ts
+++ b/packages/daemon/src/gateway/call_finisher.ts
@@ -69,8 +69,9 @@
       refuseCall(response, refusal, {
         isStopping: isStopping(),
         isLatest: isLatest(),
+        intake: context.intake,
       });
-      drainRefused(request);
+      drainRefused(request, context.intake);
     }
     const isNotRun = format.guaranteesNotRun(status) || status < 500;
     const outcome = isNotRun ? "not-run" : "unknown";
--- a/packages/daemon/src/gateway/gateway_server.ts
+++ b/packages/daemon/src/gateway/gateway_server.ts
@@ -128,7 +128,7 @@
     const answers = this.#answers;
     const { socket } = request;
     const isRefused = this.#refused.has(socket) || answers.isClosing(socket);
-    if (isRefused) return drainRefused(request);
+    if (isRefused) return drainRefused(request, this.#context.intake);
     this.#inFlight += 1;
     this.#lastRequestAt = monotonicMilliseconds();
     response.once("close", () => {
--- a/packages/daemon/src/gateway/refuse_call.ts
+++ b/packages/daemon/src/gateway/refuse_call.ts
@@ -1,4 +1,5 @@
 import type { ServerResponse } from "node:http";
+import type { CallerIntake } from "../http/caller_intake.ts";
 import { drainRefused } from "../http/drain_refused.ts";
 import type { CallRefusal } from "./call_refusal.ts";
 
@@ -18,6 +19,7 @@
   isStopping: boolean;
   /** Whether no other answer is due on the connection after this one. */
   isLatest: boolean;
+  intake: CallerIntake;
 };
 
 /** Sends a refusal of the gateway's own, as plain text. */
@@ -41,17 +43,17 @@
   const closesHalfRead = !response.shouldKeepAlive && !response.req.complete;
   if (!closesHalfRead) return void response.end(body);
   response.write(body);
-  endOnceRead(response);
+  endOnceRead(response, options.intake);
 }
 
 /** Ends a response, and with it its connection, once its request was read. */
-function endOnceRead(response: ServerResponse): void {
+function endOnceRead(response: ServerResponse, intake: CallerIntake): void {
   const timer = setTimeout(() => response.end(), MAX_READ_ON_MILLISECONDS);
   const end = () => {
     clearTimeout(timer);
     response.end();
   };
-  drainRefused(response.req);
+  drainRefused(response.req, intake);
   response.req.once("end", end);
   response.once("close", end);
 }
--- a/packages/daemon/src/gateway/refused_bodies_test.ts
+++ b/packages/daemon/src/gateway/refused_bodies_test.ts
@@ -1,4 +1,3 @@
-import assert from "node:assert/strict";
 import { test } from "node:test";
 import { GatewayFixture } from "./gateway_fixture.ts";
 import { RawClient } from "./raw_client.ts";
--- a/packages/daemon/src/http/caller_intake.ts
+++ b/packages/daemon/src/http/caller_intake.ts
@@ -3,6 +3,7 @@
 import { totalmem } from "node:os";
 import type { Settings } from "../settings/settings.ts";
 import { BlockPool } from "./block_pool.ts";
+import { ReadTurns } from "./read_turns.ts";
 
 const MEGABYTE = 1_048_576;
 
@@ -17,6 +18,7 @@
   readonly share: ReturnType<typeof divideMachine>;
   readonly room: BodyRoom;
   readonly blocks = new BlockPool();
+  readonly turns = new ReadTurns();
 
   constructor({ machine, maximumBodyBytes }: Options) {
     const { memory_megabytes, descriptors } = machine;
--- a/packages/daemon/src/http/drain_refused.ts
+++ b/packages/daemon/src/http/drain_refused.ts
@@ -1,4 +1,5 @@
 import type { IncomingMessage } from "node:http";
+import type { CallerIntake } from "./caller_intake.ts";
 
 /** Beyond what a proper client has on its way when it is refused. */
 const MAX_BYTES = 262_144;
@@ -12,19 +13,25 @@
  * be used again. A long rest isn't read: its client has a moment for the
  * refusal, then the connection is closed.
  */
-export function drainRefused(request: IncomingMessage): void {
+export function drainRefused(
+  request: IncomingMessage,
+  { turns }: Pick<CallerIntake, "turns">,
+): void {
   if (request.complete || drained.has(request)) return;
   drained.add(request);
   const { socket } = request;
   const readBefore = socket.bytesRead;
   const timer = setTimeout(() => socket.destroy(), MAX_MILLISECONDS);
+  turns.begin(socket);
   request.on("data", () => {
-    if (socket.bytesRead - readBefore > MAX_BYTES) socket.pause();
+    turns.countPart(socket);
+    if (socket.bytesRead - readBefore > MAX_BYTES) turns.stop(socket);
   });
-  request.once("end", () => {
+  const end = () => {
     clearTimeout(timer);
-    if (socket.isPaused()) socket.resume();
-  });
-  request.once("close", () => clearTimeout(timer));
+    turns.end(socket);
+  };
+  request.once("end", end);
+  request.once("close", end);
   request.resume();
 }
--- a/packages/daemon/src/http/read_body.ts
+++ b/packages/daemon/src/http/read_body.ts
@@ -58,7 +58,8 @@
   { maximumBytes, idleMilliseconds, intake }: Limits,
 ): Promise<Result<ReadBody, Problem>> {
   return new Promise((resolve) => {
-    const { room } = intake;
+    const { room, turns } = intake;
+    const { socket } = request;
     const body = new CollectedBody(intake.blocks);
     const held = room.open(
       monotonicMilliseconds(),
@@ -70,8 +71,9 @@
       isOver = true;
       clearTimeout(timer);
       request.off("data", addPart);
+      turns.end(socket);
       if (result.isErr) {
-        drainRefused(request);
+        drainRefused(request, intake);
         held.release();
         body.clear();
       }
@@ -84,6 +86,7 @@
       return room.couldHold(bytes) ? undefined : TOO_MUCH_HELD;
     };
     const addPart = (part: Buffer) => {
+      turns.countPart(socket);
       const bytes = body.bytes + part.length;
       if (bytes > maximumBytes) {
         return finish(Result.err(bodyTooLarge(maximumBytes)));
@@ -97,6 +100,7 @@
     };
     const announced = findFault(Number(request.headers["content-length"] ?? 0));
     if (announced !== undefined) return finish(Result.err(announced));
+    turns.begin(socket);
     request.on("data", addPart);
     request.once("end", () => {
       held.complete();
