Each port keeps so many connections as there are descriptors for

What callers saw: a gateway that had no descriptor left for backend servers, as clients held 6,556 of 4,100 that smaller machines have. Cause: no port bounded its connections. Class: what comes first takes what others need. Change: core divides a machine's descriptors before any caller comes, and decides which connection goes where a port has no room: the one that has been open longest without a whole request, then the one that has been idle longest, never one that is owed an answer.

--- a/packages/daemon/src/agent/agent_server.ts
+++ b/packages/daemon/src/agent/agent_server.ts
@@ -9,6 +9,7 @@
 import { once } from "node:events";
 import type { Result } from "true-myth";
 import { describeIssue } from "../http/describe_issue.ts";
+import { boundConnections } from "../http/bound_connections.ts";
 import type { CallerIntake } from "../http/caller_intake.ts";
 import { readBody } from "../http/read_body.ts";
 import { sendProblem } from "../http/send_problem.ts";
@@ -50,6 +51,11 @@
       response.on("error", () => undefined);
       this.#handle(request, response).catch(() => response.destroy());
     });
+    const { intake } = options;
+    boundConnections(this.#server, {
+      maximum: intake.share.hostConnections,
+      onClosed: () => intake.countClosed("agent"),
+    });
   }
 
   listen(address: string): Promise<Result<void, string>> {
--- a/packages/daemon/src/entry/entry_app.ts
+++ b/packages/daemon/src/entry/entry_app.ts
@@ -157,6 +157,7 @@
     });
     this.#server = new PublicServer({
       idleMilliseconds,
+      intake,
       isReady: () => this.#isReady(),
       handleCall: (request, response) => this.#handleCall(request, response),
       handleOperator: (request, response) =>
--- a/packages/daemon/src/entry/public_server.ts
+++ b/packages/daemon/src/entry/public_server.ts
@@ -7,6 +7,8 @@
 import type { Socket } from "node:net";
 import type { Duplex } from "node:stream";
 import type { Result } from "true-myth";
+import { boundConnections } from "../http/bound_connections.ts";
+import type { CallerIntake } from "../http/caller_intake.ts";
 import { listen } from "../transport/listen.ts";
 import { monotonicMilliseconds } from "../transport/monotonic_milliseconds.ts";
 import { stopAccepting } from "../transport/stop_accepting.ts";
@@ -29,6 +31,7 @@
   handleCall: RequestHandler;
   handleOperator: RequestHandler;
   onError: (error: unknown) => void;
+  intake: CallerIntake;
 };
 
 type ClientError = Error & { code?: string };
@@ -55,6 +58,11 @@
       requestTimeout: 0,
       connectionsCheckingInterval: CONNECTIONS_CHECK_INTERVAL_MILLISECONDS,
     }, (request, response) => this.#handle(request, response));
+    const { intake } = options;
+    boundConnections(this.#server, {
+      maximum: intake.share.connections,
+      onClosed: () => intake.countClosed("callers"),
+    });
     this.#server.on(
       "clientError",
       (error, socket) => this.#handleClientError(error, socket),
--- a/packages/daemon/src/entry/public_server_test.ts
+++ b/packages/daemon/src/entry/public_server_test.ts
@@ -1,3 +1,4 @@
+import { createTestIntake } from "../http/intake_fixture.ts";
 import assert from "node:assert/strict";
 import { once } from "node:events";
 import { Buffer } from "node:buffer";
@@ -44,6 +45,7 @@
   answer: string | Buffer = "whole",
 ): PublicServer {
   return new PublicServer({
+    intake: createTestIntake(),
     idleMilliseconds: 5_000,
     isReady,
     handleCall: (_request, response) => {
--- a/packages/daemon/src/gateway/gateway_app.ts
+++ b/packages/daemon/src/gateway/gateway_app.ts
@@ -9,6 +9,7 @@
 import { createServer, type Server } from "node:http";
 import { filter, map, merge } from "rxjs";
 import { Result } from "true-myth";
+import { boundConnections } from "../http/bound_connections.ts";
 import type { CallerIntake } from "../http/caller_intake.ts";
 import type { EventLog } from "../log/event_log.ts";
 import { reportRoom } from "../metrics/report_room.ts";
@@ -252,6 +253,10 @@
       const status = !isReadyRequest ? 404 : this.#isReady() ? 200 : 503;
       response.writeHead(status, { "Content-Length": 0 }).end();
     });
+    boundConnections(this.#readyServer, {
+      maximum: intake.share.sideConnections,
+      onClosed: () => intake.countClosed("ready"),
+    });
   }
 
   async start(): Promise<Result<void, string>> {
--- a/packages/daemon/src/gateway/gateway_fixture.ts
+++ b/packages/daemon/src/gateway/gateway_fixture.ts
@@ -1,3 +1,4 @@
+import { createTestIntake } from "../http/intake_fixture.ts";
 import { parseJson } from "../http/parse_json.ts";
 import type { ControlUpdate } from "@teaselrouter/messages/follow.ts";
 import { ListeningTime } from "@teaselrouter/core/gateway/listening_time.ts";
@@ -11,7 +12,6 @@
 import { Buffer } from "node:buffer";
 import { createServer, type Server, type Socket } from "node:net";
 import { map, merge, Subject } from "rxjs";
-import { CallerIntake } from "../http/caller_intake.ts";
 import type { EventLog } from "../log/event_log.ts";
 import { ProcessMetrics } from "../metrics/process_metrics.ts";
 import type { RequestFormat } from "../platform/request_format.ts";
@@ -325,10 +325,7 @@
         ),
       }),
       connections,
-      intake: new CallerIntake({
-        machine: { descriptors: 4_096 },
-        maximumBodyBytes: this.#options.maximumHeldBytes,
-      }),
+      intake: createTestIntake(this.#options.maximumHeldBytes),
       namedLimits,
       pushbacks,
       retries: createSavedRetries({
--- a/packages/daemon/src/gateway/gateway_server.ts
+++ b/packages/daemon/src/gateway/gateway_server.ts
@@ -6,6 +6,7 @@
 } from "node:http";
 import type { Socket } from "node:net";
 import type { Result } from "true-myth";
+import { boundConnections } from "../http/bound_connections.ts";
 import { drainRefused } from "../http/drain_refused.ts";
 import { listen } from "../transport/listen.ts";
 import { monotonicMilliseconds } from "../transport/monotonic_milliseconds.ts";
@@ -69,6 +70,11 @@
       requestTimeout: REQUEST_TIMEOUT_MILLISECONDS,
       noDelay: true,
     }, (request, response) => this.#handle(request, response));
+    const { intake } = context;
+    boundConnections(this.#server, {
+      maximum: intake.share.connections,
+      onClosed: () => intake.countClosed("callers"),
+    });
     this.#timeouts = new CallerTimeouts(this.#server);
     this.#server.on("clientError", (error, socket) => {
       this.#refuseBadInput(error, socket as Socket);
--- a/packages/daemon/src/gateway/gateway_server_test.ts
+++ b/packages/daemon/src/gateway/gateway_server_test.ts
@@ -1,4 +1,4 @@
-import { CallerIntake } from "../http/caller_intake.ts";
+import { createTestIntake } from "../http/intake_fixture.ts";
 import assert from "node:assert/strict";
 import { connect, createServer, type Socket } from "node:net";
 import { test } from "node:test";
@@ -38,7 +38,7 @@
 async function openServer({ isStopping = (): boolean => true } = {}) {
   let taken = 0;
   const context = {
-    intake: new CallerIntake({ machine: { descriptors: 4_096 } }),
+    intake: createTestIntake(),
     isStopping,
     startHold: {
       wait: () => {
--- a/packages/daemon/src/http/caller_intake.ts
+++ b/packages/daemon/src/http/caller_intake.ts
@@ -1,16 +1,19 @@
 import { BodyRoom } from "@teaselrouter/core/callers/body_room.ts";
 import { divideMachine } from "@teaselrouter/core/callers/divide_machine.ts";
 import { totalmem } from "node:os";
+import type { EventLog } from "../log/event_log.ts";
 import type { Settings } from "../settings/settings.ts";
 import { BlockPool } from "./block_pool.ts";
 import { ReadTurns } from "./read_turns.ts";
 
 const MEGABYTE = 1_048_576;
+const CLOSED_INTERVAL_MILLISECONDS = 1_000;
 
 type Options = {
   machine: Settings["machine"];
   /** Of all bodies together; a share of the machine's memory if absent. */
   maximumBodyBytes?: number | undefined;
+  log?: EventLog;
 };
 
 /** What a process takes in from callers, over all its ports. */
@@ -20,7 +23,11 @@
   readonly blocks = new BlockPool();
   readonly turns = new ReadTurns();
 
-  constructor({ machine, maximumBodyBytes }: Options) {
+  #log: EventLog | undefined;
+  #closed = new Map<string, number>();
+
+  constructor({ machine, maximumBodyBytes, log }: Options) {
+    this.#log = log;
     const { memory_megabytes, descriptors } = machine;
     this.share = divideMachine({
       memoryBytes: memory_megabytes === undefined
@@ -30,4 +37,17 @@
     });
     this.room = new BodyRoom(maximumBodyBytes ?? this.share.bodyBytes);
   }
+  /** Counts a connection that was closed for want of room, and tells now and then. */
+  countClosed(port: string): void {
+    const count = this.#closed.get(port) ?? 0;
+    this.#closed.set(port, count + 1);
+    if (count > 0) return;
+    setTimeout(() => {
+      this.#log?.warn("connections-closed", {
+        port,
+        connections: this.#closed.get(port),
+      });
+      this.#closed.delete(port);
+    }, CLOSED_INTERVAL_MILLISECONDS).unref();
+  }
 }
--- a/packages/daemon/src/log/event_name.ts
+++ b/packages/daemon/src/log/event_name.ts
@@ -20,6 +20,7 @@
   | "call-fault"
   | "chunk-failed"
   | "chunk-not-sent"
+  | "connections-closed"
   | "control-host-followed"
   | "control-host-lost"
   | "control-started"
--- a/packages/daemon/src/metrics/metrics_server.ts
+++ b/packages/daemon/src/metrics/metrics_server.ts
@@ -1,5 +1,7 @@
 import { createServer, type Server } from "node:http";
 import type { Result } from "true-myth";
+import { boundConnections } from "../http/bound_connections.ts";
+import type { CallerIntake } from "../http/caller_intake.ts";
 import { listen } from "../transport/listen.ts";
 import type { ProcessMetrics } from "./process_metrics.ts";
 
@@ -9,7 +11,7 @@
 export class MetricsServer {
   #server: Server;
 
-  constructor(metrics: ProcessMetrics) {
+  constructor(metrics: ProcessMetrics, intake: CallerIntake) {
     const { registry } = metrics;
     this.#server = createServer(async (request, response) => {
       if (request.url?.split("?")[0] !== METRICS_PATH) {
@@ -19,6 +21,10 @@
       response.writeHead(200, { "Content-Type": registry.contentType });
       response.end(text);
     });
+    boundConnections(this.#server, {
+      maximum: intake.share.sideConnections,
+      onClosed: () => intake.countClosed("metrics"),
+    });
   }
 
   listen(address: string): Promise<Result<void, string>> {
--- a/packages/daemon/src/stager/create_chunk_server.ts
+++ b/packages/daemon/src/stager/create_chunk_server.ts
@@ -1,16 +1,24 @@
 import { createServer, type Server } from "node:http";
 import type { EventLog } from "../log/event_log.ts";
+import { boundConnections } from "../http/bound_connections.ts";
+import type { CallerIntake } from "../http/caller_intake.ts";
 import { decodePath } from "../http/decode_path.ts";
 import type { ChunkSender } from "../spread/chunk_sender.ts";
 
-type Options = { chunkSender: ChunkSender; log: EventLog };
+type Options = {
+  chunkSender: ChunkSender;
+  log: EventLog;
+  intake: CallerIntake;
+};
 
 /**
  * Creates the HTTP server from which other stagers fetch the chunks that this
  * stager holds: GET /chunks/VERSION/CHUNK,CHUNK.
  */
-export function createChunkServer({ chunkSender, log }: Options): Server {
-  return createServer((request, response) => {
+export function createChunkServer(
+  { chunkSender, log, intake }: Options,
+): Server {
+  const server = createServer((request, response) => {
     response.on("error", () => undefined);
     const pathSegments = decodePath(request.url ?? "");
     if (request.method !== "GET" || pathSegments[0] !== "chunks") {
@@ -21,4 +29,9 @@
       response.destroy();
     });
   });
+  boundConnections(server, {
+    maximum: intake.share.hostConnections,
+    onClosed: () => intake.countClosed("chunks"),
+  });
+  return server;
 }
--- a/packages/daemon/src/stager/create_chunk_server_test.ts
+++ b/packages/daemon/src/stager/create_chunk_server_test.ts
@@ -1,3 +1,4 @@
+import { createTestIntake } from "../http/intake_fixture.ts";
 import assert from "node:assert/strict";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { AddressInfo } from "node:net";
@@ -11,6 +12,7 @@
 // Guards against a stager that ends at a path that can't be decoded.
 test("a path that can't be decoded is not found, and others are served", async (context) => {
   const server = createChunkServer({
+    intake: createTestIntake(),
     chunkSender: {
       send: (_request: IncomingMessage, response: ServerResponse) => {
         response.writeHead(200).end();
--- a/packages/daemon/src/stager/stager_app.ts
+++ b/packages/daemon/src/stager/stager_app.ts
@@ -16,6 +16,7 @@
 import { RolloutLinks } from "../transport/rollout_links.ts";
 import { SpreadClient } from "../spread/spread_client.ts";
 import { WeightsCache } from "../spread/weights_cache.ts";
+import type { CallerIntake } from "../http/caller_intake.ts";
 import type { EventLog } from "../log/event_log.ts";
 import type { PlatformAdapter } from "../platform/platform_adapter.ts";
 import type { Settings } from "../settings/settings.ts";
@@ -58,6 +59,7 @@
   settings: Settings;
   clients: ClientPool;
   log: EventLog;
+  intake: CallerIntake;
   metrics: StatsdMetrics;
   platform: PlatformAdapter;
 };
@@ -82,7 +84,7 @@
   #othersBatcher = new BlockChangeBatcher(OTHERS_BATCH_MILLISECONDS);
 
   constructor(options: Options) {
-    const { settings, clients, log, metrics, platform } = options;
+    const { settings, clients, log, intake, metrics, platform } = options;
     const stager = settings.stager!;
     this.#options = options;
     this.#pacers = new ChunkPacers({
@@ -128,7 +130,7 @@
       dataCentreBytesPerSecond: 0,
       sliceBytes: this.#sliceBytes,
     });
-    this.#server = createChunkServer({ chunkSender, log });
+    this.#server = createChunkServer({ chunkSender, log, intake });
     this.#connectParts();
   }
 
--- a/packages/daemon/src/transport/internal_server.ts
+++ b/packages/daemon/src/transport/internal_server.ts
@@ -1,3 +1,4 @@
+import { ConnectionRoom } from "@teaselrouter/core/callers/connection_room.ts";
 import type { ConnectRouter } from "@connectrpc/connect";
 import { connectNodeAdapter } from "@connectrpc/connect-node";
 import {
@@ -5,14 +6,17 @@
   type Http2Server,
   type Http2Session,
 } from "node:http2";
-import { createServer, type Server } from "node:net";
+import { createServer, type Server, type Socket } from "node:net";
 import type { Result } from "true-myth";
+import type { CallerIntake } from "../http/caller_intake.ts";
 import { MAX_MESSAGE_BYTES } from "./max_message_bytes.ts";
 import { MIN_COMPRESSED_BYTES } from "./min_compressed_bytes.ts";
 import { listen } from "./listen.ts";
+import { monotonicMilliseconds } from "./monotonic_milliseconds.ts";
 
 type Options = {
   routes: (router: ConnectRouter) => void;
+  intake: CallerIntake;
   /** Whether to accept a connection from this IP address now; all if absent. */
   mayConnect?: (ip: string) => boolean;
 };
@@ -22,8 +26,12 @@
   #listener: Server;
   #server: Http2Server;
   #sessions = new Set<Http2Session>();
+  #intake: CallerIntake;
+  #room: ConnectionRoom<string>;
 
-  constructor({ routes, mayConnect = () => true }: Options) {
+  constructor({ routes, intake, mayConnect = () => true }: Options) {
+    this.#intake = intake;
+    this.#room = new ConnectionRoom(intake.share.hostConnections);
     this.#server = createHttp2Server(
       connectNodeAdapter({
         routes,
@@ -35,16 +43,34 @@
       this.#sessions.add(session);
       session.on("close", () => this.#sessions.delete(session));
       session.on("error", () => session.destroy());
+      session.once("stream", () => {
+        const peer = describePeer(session.socket);
+        this.#room.markBusy(peer, monotonicMilliseconds());
+      });
     });
     // Refused before the HTTP/2 server sees the connection: setting up a
     // session costs some milliseconds, closing a connection next to nothing.
     this.#listener = createServer((socket) => {
-      if (mayConnect(socket.remoteAddress ?? "")) {
-        this.#server.emit("connection", socket);
-      } else socket.destroy();
+      const isAdmitted = mayConnect(socket.remoteAddress ?? "") &&
+        this.#admit(socket);
+      if (isAdmitted) this.#server.emit("connection", socket);
+      else socket.destroy();
     });
   }
 
+  /** Other hosts call at once; a connection without a call goes first. */
+  #admit(socket: Socket): boolean {
+    const key = describePeer(socket);
+    const close = () => {
+      this.#intake.countClosed("internal");
+      socket.destroy();
+    };
+    const isAdmitted = this.#room.admit(key, monotonicMilliseconds(), close);
+    if (isAdmitted) socket.once("close", () => this.#room.remove(key));
+    else this.#intake.countClosed("internal");
+    return isAdmitted;
+  }
+
   listen(address: string): Promise<Result<void, string>> {
     return listen(this.#listener, address);
   }
@@ -55,3 +81,12 @@
     for (const session of this.#sessions) session.destroy();
   }
 }
+
+function describePeer(
+  { remoteAddress, remotePort }: {
+    remoteAddress?: string;
+    remotePort?: number;
+  },
+): string {
+  return `${remoteAddress} ${remotePort}`;
+}
--- a/packages/daemon/src/transport/internal_server_test.ts
+++ b/packages/daemon/src/transport/internal_server_test.ts
@@ -1,3 +1,4 @@
+import { createTestIntake } from "../http/intake_fixture.ts";
 import { TimelineService } from "@teaselrouter/messages/agent.ts";
 import assert from "node:assert/strict";
 import { type AddressInfo, createServer } from "node:net";
@@ -25,6 +26,7 @@
 test("a connection that is not allowed yet is closed at once, a later one served", async () => {
   let mayConnect = false;
   const server = new InternalServer({
+    intake: createTestIntake(),
     routes: (router) => {
       router.service(TimelineService, { read: () => ({ events: [] }) });
     },
@@ -65,6 +67,7 @@
 /** A call begins so many turns of the event loop after the server closes. */
 async function callAsServerCloses(turns: number): Promise<void> {
   const server = new InternalServer({
+    intake: createTestIntake(),
     routes: (router) => {
       router.service(TimelineService, { read: () => ({ events: [] }) });
     },
--- a/packages/daemon/src/wiring/start_daemon.ts
+++ b/packages/daemon/src/wiring/start_daemon.ts
@@ -41,6 +41,7 @@
   const intake = new CallerIntake({
     machine: settings.machine,
     maximumBodyBytes: settings.gateway?.max_held_body_bytes,
+    log,
   });
   const apps = await loadApps(settings.roles);
 
@@ -80,12 +81,13 @@
   };
   const server = new InternalServer({
     routes,
+    intake,
     ...(control && { mayConnect: (ip) => control.mayConnect(ip) }),
   });
   const listening = await server.listen(settings.internal.listen);
   if (listening.isErr) return Result.err(listening.error);
 
-  const metricsServer = new MetricsServer(processMetrics);
+  const metricsServer = new MetricsServer(processMetrics, intake);
   const metricsAddress = settings.metrics?.listen;
   if (metricsAddress !== undefined) {
     const metricsListening = await metricsServer.listen(metricsAddress);
--- a/packages/experiments/src/failures/agent_fixture.ts
+++ b/packages/experiments/src/failures/agent_fixture.ts
@@ -1,3 +1,4 @@
+import { createTestIntake } from "@teaselrouter/daemon/http/intake_fixture.ts";
 import { create } from "@bufbuild/protobuf";
 import { AgentServer } from "@teaselrouter/daemon/agent/agent_server.ts";
 import { AgentState } from "@teaselrouter/daemon/agent/agent_state.ts";
@@ -7,7 +8,6 @@
 import type { Exchange } from "@teaselrouter/daemon/agent/exchange.ts";
 import { LinkPacer } from "@teaselrouter/daemon/spread/link_pacer.ts";
 import { WeightsCache } from "@teaselrouter/daemon/spread/weights_cache.ts";
-import { CallerIntake } from "@teaselrouter/daemon/http/caller_intake.ts";
 import { EventLog } from "@teaselrouter/daemon/log/event_log.ts";
 import { sleep } from "@teaselrouter/daemon/transport/sleep.ts";
 import { RunRequestSchema } from "@teaselrouter/messages/agent.ts";
@@ -65,7 +65,7 @@
       cache: this.#cache,
       linkPacer: new LinkPacer(0),
       dataCentreBytesPerSecond: 0,
-      intake: new CallerIntake({ machine: { descriptors: 4_096 } }),
+      intake: createTestIntake(),
     });
     this.loader = new EngineLoader({
       state: this.state,
--- a/packages/experiments/src/failures/claim_steps_test.ts
+++ b/packages/experiments/src/failures/claim_steps_test.ts
@@ -1,3 +1,4 @@
+import { createTestIntake } from "@teaselrouter/daemon/http/intake_fixture.ts";
 import type { BackendServerRow } from "@teaselrouter/core/routing/backend_server_row.ts";
 import { BackendServerTable } from "@teaselrouter/core/routing/backend_server_table.ts";
 import { createBackendServerRow } from "@teaselrouter/core/routing/create_backend_server_row.ts";
@@ -135,6 +136,7 @@
       incarnation,
     });
     this.#server = new InternalServer({
+      intake: createTestIntake(),
       routes: createCallRoutes(this.#runner, incarnation),
     });
     await this.#server.listen(this.#addresses[0]!);
--- a/packages/experiments/src/failures/crashing_calls_test.ts
+++ b/packages/experiments/src/failures/crashing_calls_test.ts
@@ -1,3 +1,4 @@
+import { createTestIntake } from "@teaselrouter/daemon/http/intake_fixture.ts";
 import { BackendServerTable } from "@teaselrouter/core/routing/backend_server_table.ts";
 import { createBackendServerRow } from "@teaselrouter/core/routing/create_backend_server_row.ts";
 import { OutlierDetector } from "@teaselrouter/core/routing/outlier_detector.ts";
@@ -155,6 +156,7 @@
     });
     this.#runners.push(runner);
     const server = new InternalServer({
+      intake: createTestIntake(),
       routes: createCallRoutes(runner, name),
     });
     await server.listen(agentAddress!);
--- a/packages/experiments/src/failures/entry_fixture.ts
+++ b/packages/experiments/src/failures/entry_fixture.ts
@@ -1,4 +1,4 @@
-import { CallerIntake } from "@teaselrouter/daemon/http/caller_intake.ts";
+import { createTestIntake } from "@teaselrouter/daemon/http/intake_fixture.ts";
 import { BackendServerTable } from "@teaselrouter/core/routing/backend_server_table.ts";
 import { createBackendServerRow } from "@teaselrouter/core/routing/create_backend_server_row.ts";
 import { OutlierDetector } from "@teaselrouter/core/routing/outlier_detector.ts";
@@ -79,19 +79,21 @@
       incarnation: "first",
     });
     this.#agentServer = new InternalServer({
+      intake: createTestIntake(),
       routes: createCallRoutes(this.#runner, "first"),
     });
     const log = new EventLog("entry", "error");
     const control = { state: this.state } as unknown as ControlSession;
     this.#crashes = new CallCrashDetector({ control, log });
     this.calls = new CallHandler(this.#createContext(control), {
-      intake: new CallerIntake({ machine: { descriptors: 4_096 } }),
+      intake: createTestIntake(),
       idleMilliseconds: IDLE_MILLISECONDS,
       metrics: this.#createMetrics(),
       onAnswerCut: (cut) => this.cuts.push(cut),
       onRetryRefused: () => undefined,
     });
     this.server = new PublicServer({
+      intake: createTestIntake(),
       idleMilliseconds: IDLE_MILLISECONDS,
       isReady: () => true,
       handleCall: (request, response) => this.calls.handle(request, response),
