A process whose memory presses collects its garbage, though the runtime puts it off

Cause: the runtime bounds its heap by the memory of the whole machine, at best, and lets garbage grow to hundreds of megabytes before it collects; what callers leave in seconds counts as resident. Class: a bound that belongs to another.

--- a/packages/daemon/src/wiring/start_daemon.ts
+++ b/packages/daemon/src/wiring/start_daemon.ts
@@ -3,6 +3,7 @@
 import { Result } from "true-myth";
 import { CallerIntake } from "../http/caller_intake.ts";
 import { EventLog } from "../log/event_log.ts";
+import { collectUnderPressure } from "./collect_under_pressure.ts";
 import type { Daemon } from "./daemon.ts";
 import { createStatsdClient } from "../metrics/create_statsd_client.ts";
 import { MetricsServer } from "../metrics/metrics_server.ts";
@@ -13,6 +14,8 @@
 import { InternalServer } from "../transport/internal_server.ts";
 import { loadApps } from "./load_apps.ts";
 
+const MEGABYTE = 1_048_576;
+
 type Options = {
   settings: Settings;
   /** Adapter for the platform that this process runs on, if on one. */
@@ -43,6 +46,10 @@
     maximumBodyBytes: settings.gateway?.max_held_body_bytes,
     log,
   });
+  const { memory_megabytes } = settings.machine;
+  const stopCollecting = memory_megabytes === undefined
+    ? () => undefined
+    : collectUnderPressure(memory_megabytes * MEGABYTE);
   const apps = await loadApps(settings.roles);
 
   const openedControl = await apps.control?.open({
@@ -106,6 +113,7 @@
     await control?.stop();
     server.close();
     metricsServer.close();
+    stopCollecting();
     clients.close();
     await new Promise<void>((resolve) => metrics.close(() => resolve()));
     log.info("stopped");
