Requests behind each other on a connection are handled and read few by few

What callers would see: a client that only asks, and reads no answer, took 2,034 MB of a gateway. Cause: each request of a packet was handled at once, and packets were read on while none was answered. Class: work that its sender's own reading bounds. Deadlines count from when a request arrived.

--- a/packages/daemon/src/gateway/connection_answers.ts
+++ b/packages/daemon/src/gateway/connection_answers.ts
@@ -57,9 +57,10 @@
    * request that arrives now can't be answered.
    */
   isClosing(socket: Socket): boolean {
-    return this.#unfinishedOn(socket).some((response) =>
-      response.headersSent && !response.shouldKeepAlive
-    );
+    for (const response of this.#connections.get(socket)?.unfinished ?? []) {
+      if (response.headersSent && !response.shouldKeepAlive) return true;
+    }
+    return false;
   }
 
   /** Whether no request has arrived behind this answer's. */
@@ -79,6 +80,11 @@
     ).map(([socket]) => socket);
   }
 
+  /** Requests on the connection whose answers have not ended. */
+  countUnanswered(socket: Socket): number {
+    return this.#connections.get(socket)?.unfinished.size ?? 0;
+  }
+
   /** Whether a request on the connection has not been read to its end. */
   hasUnread(socket: Socket): boolean {
     return this.#unfinishedOn(socket).some(({ req }) => !req.complete);
--- a/packages/daemon/src/gateway/gateway_call.ts
+++ b/packages/daemon/src/gateway/gateway_call.ts
@@ -24,6 +24,8 @@
   response: ServerResponse;
   /** Whether no request has arrived behind this one on its connection. */
   isLatest: () => boolean;
+  /** When its head arrived, monotonic milliseconds. */
+  startedAt: number;
   /** The refusal of what has not been read whole before a stop, once due. */
   lateRefusal?: () => CallRefusal | undefined;
 };
@@ -33,7 +35,7 @@
   #context: GatewayContext;
   #request: IncomingMessage;
   #response: ServerResponse;
-  #startedAt = monotonicMilliseconds();
+  #startedAt: number;
   #finisher: CallFinisher;
   #interruptions: CallInterruptions;
   #releaseBody: () => void = () => undefined;
@@ -42,6 +44,7 @@
   constructor(options: Options) {
     this.#context = options.context;
     this.#request = options.request;
+    this.#startedAt = options.startedAt;
     this.#response = options.response;
     this.#lateRefusal = options.lateRefusal ?? (() => undefined);
     this.#finisher = new CallFinisher(options);
--- a/packages/daemon/src/gateway/gateway_server.ts
+++ b/packages/daemon/src/gateway/gateway_server.ts
@@ -1,3 +1,4 @@
+import { decideReadOn } from "@teaselrouter/core/callers/decide_read_on.ts";
 import {
   createServer,
   type IncomingMessage,
@@ -8,6 +9,7 @@
 import type { Result } from "true-myth";
 import { boundConnections } from "../http/bound_connections.ts";
 import { drainRefused } from "../http/drain_refused.ts";
+import { RequestQueues } from "../http/request_queues.ts";
 import { listen } from "../transport/listen.ts";
 import { monotonicMilliseconds } from "../transport/monotonic_milliseconds.ts";
 import { stopAccepting } from "../transport/stop_accepting.ts";
@@ -59,6 +61,7 @@
   #refused = new WeakSet<Socket>();
   #inFlight = 0;
   #calls = new Set<GatewayCall>();
+  #queues = new RequestQueues();
   #isClosing = false;
   #lastRequestAt = -Infinity;
 
@@ -123,6 +126,7 @@
 
   /** Ends all requests under way: what has not begun is refused, the rest cut. */
   endAll(): void {
+    this.#queues.startAll();
     for (const call of [...this.#calls]) call.endForStop();
   }
 
@@ -133,6 +137,7 @@
   #handle(request: IncomingMessage, response: ServerResponse): void {
     const answers = this.#answers;
     const { socket } = request;
+    if (socket.destroyed) return;
     const isRefused = this.#refused.has(socket) || answers.isClosing(socket);
     if (isRefused) return drainRefused(request, this.#context.intake);
     this.#inFlight += 1;
@@ -147,13 +152,45 @@
     if (context.isStopping()) response.shouldKeepAlive = false;
     const isLatest = () => answers.isLatest(response);
     const lateRefusal = () => this.#isClosing ? LATE_REFUSAL : undefined;
-    const options = { context, request, response, isLatest, lateRefusal };
+    const startedAt = monotonicMilliseconds();
+    const options = {
+      context,
+      request,
+      response,
+      isLatest,
+      lateRefusal,
+      startedAt,
+    };
+    const start = () => this.#start(options);
+    if (this.#readOn(socket, response)) start();
+    else this.#queues.add(socket, start);
+  }
+
+  #start(options: ConstructorParameters<typeof GatewayCall>[0]): void {
     if (this.#isClosing) return this.#refuseLate(options);
     const call = new GatewayCall(options);
     this.#calls.add(call);
     void call.run().finally(() => this.#calls.delete(call));
   }
 
+  /** Returns whether the request that arrived last is to be handled now. */
+  #readOn(socket: Socket, response: ServerResponse): boolean {
+    const { intake: { turns }, log } = this.#context;
+    const decide = () => decideReadOn(this.#answers.countUnanswered(socket));
+    response.once("close", () => {
+      this.#queues.startNext(socket);
+      if (decide().next === "read") turns.unblock(socket);
+    });
+    const { isHandled, next } = decide();
+    if (next !== "read") turns.block(socket);
+    if (next === "close") {
+      const reason = "too many requests without an answer";
+      log.warn("request-unreadable", { reason, status: "none" });
+      socket.destroy();
+    }
+    return isHandled;
+  }
+
   #refuseLate(
     options: ConstructorParameters<typeof CallFinisher>[0],
   ): void {
--- a/packages/daemon/src/http/bound_connections.ts
+++ b/packages/daemon/src/http/bound_connections.ts
@@ -36,6 +36,7 @@
   });
   server.on("request", (request: IncomingMessage, response: ServerResponse) => {
     const { socket } = request;
+    if (socket.destroyed) return;
     let hasArrived = false;
     const arrive = () => {
       if (hasArrived || response.closed) return;
--- a/packages/daemon/src/http/read_turns.ts
+++ b/packages/daemon/src/http/read_turns.ts
@@ -8,6 +8,7 @@
   #readers = new Set<Socket>();
   #waiting = new Set<Socket>();
   #stopped = new Set<Socket>();
+  #blocked = new Set<Socket>();
 
   begin(reader: Socket): void {
     this.#readers.add(reader);
@@ -31,7 +32,26 @@
     this.#readers.delete(reader);
     this.#share.forget(reader);
     const isHalted = this.#waiting.delete(reader);
-    if (this.#stopped.delete(reader) || isHalted) reader.resume();
+    const isStopped = this.#stopped.delete(reader);
+    if (isHalted || isStopped) this.#resume(reader);
+  }
+
+  /** Reads no more, whatever ends there, until `unblock`. */
+  block(reader: Socket): void {
+    if (this.#blocked.has(reader)) return;
+    this.#blocked.add(reader);
+    reader.once("close", () => this.#blocked.delete(reader));
+    this.#halt(reader);
+  }
+
+  unblock(reader: Socket): void {
+    if (this.#blocked.delete(reader)) this.#resume(reader);
+  }
+
+  #resume(reader: Socket): void {
+    const isHalted = this.#blocked.has(reader) || this.#stopped.has(reader) ||
+      this.#waiting.has(reader);
+    if (!isHalted) reader.resume();
   }
 
   #halt(reader: Socket): void {
@@ -46,7 +66,7 @@
     for (const reader of this.#stopped) this.#waiting.delete(reader);
     for (const reader of this.#share.beginTurn(this.#waiting)) {
       this.#waiting.delete(reader);
-      reader.resume();
+      this.#resume(reader);
     }
     if (this.#waiting.size > 0) setImmediate(() => this.#beginTurn());
   }
