Ports that need no body read none without an end

A body sent to the ports for readiness, metrics and chunks was read for as long as it came (up to 300 s each).

--- a/packages/daemon/src/gateway/gateway_app.ts
+++ b/packages/daemon/src/gateway/gateway_app.ts
@@ -9,6 +9,7 @@
 import { createServer, type Server } from "node:http";
 import { filter, map, merge } from "rxjs";
 import { Result } from "true-myth";
+import { drainRefused } from "../http/drain_refused.ts";
 import { boundConnections } from "../http/bound_connections.ts";
 import type { CallerIntake } from "../http/caller_intake.ts";
 import type { EventLog } from "../log/event_log.ts";
@@ -249,6 +250,7 @@
     this.#server = new GatewayServer(this.#context);
     feed.updates$.subscribe(() => this.#server.applyLimits());
     this.#readyServer = createServer((request, response) => {
+      drainRefused(request, intake);
       const isReadyRequest = request.url?.split("?")[0] === platform.readyPath;
       const status = !isReadyRequest ? 404 : this.#isReady() ? 200 : 503;
       response.writeHead(status, { "Content-Length": 0 }).end();
--- a/packages/daemon/src/metrics/metrics_server.ts
+++ b/packages/daemon/src/metrics/metrics_server.ts
@@ -2,6 +2,7 @@
 import type { Result } from "true-myth";
 import { boundConnections } from "../http/bound_connections.ts";
 import type { CallerIntake } from "../http/caller_intake.ts";
+import { drainRefused } from "../http/drain_refused.ts";
 import { listen } from "../transport/listen.ts";
 import type { ProcessMetrics } from "./process_metrics.ts";
 
@@ -14,6 +15,7 @@
   constructor(metrics: ProcessMetrics, intake: CallerIntake) {
     const { registry } = metrics;
     this.#server = createServer(async (request, response) => {
+      drainRefused(request, intake);
       if (request.url?.split("?")[0] !== METRICS_PATH) {
         return void response.writeHead(404).end();
       }
--- a/packages/daemon/src/stager/create_chunk_server.ts
+++ b/packages/daemon/src/stager/create_chunk_server.ts
@@ -2,6 +2,7 @@
 import type { EventLog } from "../log/event_log.ts";
 import { boundConnections } from "../http/bound_connections.ts";
 import type { CallerIntake } from "../http/caller_intake.ts";
+import { drainRefused } from "../http/drain_refused.ts";
 import { decodePath } from "../http/decode_path.ts";
 import type { ChunkSender } from "../spread/chunk_sender.ts";
 
@@ -20,6 +21,7 @@
 ): Server {
   const server = createServer((request, response) => {
     response.on("error", () => undefined);
+    drainRefused(request, intake);
     const pathSegments = decodePath(request.url ?? "");
     if (request.method !== "GET" || pathSegments[0] !== "chunks") {
       return void response.writeHead(404).end();
