--- a/acceptance/src/clients/unruly_client.ts
+++ b/acceptance/src/clients/unruly_client.ts
@@ -9,6 +9,7 @@
 };
 
 const PACKET_BYTES = 65_536;
+const FIELD_BYTES = 20;
 const REQUESTS_A_PACKET = 200;
 
 /** A client that sends what no proper one does, and reads what it is answered. */
@@ -69,6 +70,13 @@
     this.#sendWithoutEnd(Buffer.from(request.repeat(REQUESTS_A_PACKET)));
   }
 
+  /** Sends so many bytes of a head, in short fields, and doesn't end it. */
+  stopWithinLongHead(bytes: number): void {
+    const field = `Field: ${"x".repeat(FIELD_BYTES)}\r\n`;
+    const count = Math.ceil(bytes / field.length);
+    this.socket.write(this.#head + field.repeat(count));
+  }
+
   /** Stops within the head. */
   stopWithinHead(): void {
     this.socket.write(this.#head);
--- a/acceptance/src/clients/unruly_clients_test.ts
+++ b/acceptance/src/clients/unruly_clients_test.ts
@@ -9,6 +9,7 @@
 
 const MAX_BODY_BYTES = 4_194_304;
 const LARGE_CHUNK = 65_536;
+const LONG_HEAD_BYTES = 60_000;
 const TRICKLE_MILLISECONDS = 5;
 const ANNOUNCED_BYTES = 1_000_000_000;
 
@@ -51,6 +52,15 @@
     act: (client) => client.sendChunks(LARGE_CHUNK),
   }));
 
+// Guards against heads that are held though they never end.
+test("long heads that stop short of their end stay within a gateway's memory", () =>
+  playUnrulyCrowd({
+    machine: GATEWAY,
+    port: "frontend",
+    clients: 2_500,
+    act: (client) => client.stopWithinLongHead(LONG_HEAD_BYTES),
+  }));
+
 // Guards against a body that is kept alive by a byte now and then.
 test("bodies of one byte a packet stay within a gateway's memory", () =>
   playUnrulyCrowd({
