Callers' connections are as many as memory holds long heads of

What callers would see: a gateway beyond its memory by heads of 60 kB that never end, one on each of 2,050 connections. Cause: a parser holds a head of up to 64 KiB, in some 190 kB, and connections were bounded by descriptors alone. Class: one bound for two things that run out.

--- a/packages/core/src/callers/divide_machine.ts
+++ b/packages/core/src/callers/divide_machine.ts
@@ -20,6 +20,9 @@
 };
 
 const BODY_SHARE = 0.2;
+const CONNECTION_MEMORY_SHARE = 0.4;
+/** The longest head that is read, 64 KiB, in the strings that it is held in. */
+const CONNECTION_BYTES = 196_608;
 const SIDE_CONNECTION_SHARE = 0.03;
 /** All hosts of a system follow its few control hosts. */
 const CONNECTION_SHARES = {
@@ -34,9 +37,12 @@
   const share = (part: number) => Math.max(1, Math.floor(descriptors * part));
   const { connections, hostConnections } =
     CONNECTION_SHARES[servesCallers ? "callers" : "hosts"];
+  const withinMemory = Math.floor(
+    memoryBytes * CONNECTION_MEMORY_SHARE / CONNECTION_BYTES,
+  );
   return {
     bodyBytes: Math.floor(memoryBytes * BODY_SHARE),
-    connections: share(connections),
+    connections: Math.max(1, Math.min(share(connections), withinMemory)),
     hostConnections: share(hostConnections),
     sideConnections: share(SIDE_CONNECTION_SHARE),
   };
--- a/packages/core/src/callers/divide_machine_test.ts
+++ b/packages/core/src/callers/divide_machine_test.ts
@@ -2,6 +2,8 @@
 import { test } from "node:test";
 import { divideMachine } from "./divide_machine.ts";
 
+const MACHINE_BYTES = 250_000_000;
+const MAX_HEAD_BYTES = 65_536;
 /** Connections that 300 hosts keep to a control host, as measured. */
 const FOLLOWED_BY_300 = 1_382;
 
@@ -10,7 +12,7 @@
   test(`callers and hosts leave descriptors, callers served: ${servesCallers}`, () => {
     const descriptors = 4_096;
     const { connections, hostConnections, sideConnections } = divideMachine({
-      memoryBytes: 1,
+      memoryBytes: MACHINE_BYTES,
       descriptors,
       servesCallers,
     });
@@ -22,9 +24,19 @@
 // Guards against a bound that the hosts of a large system meet.
 test("a control host has connections for all hosts that follow it", () => {
   const { hostConnections } = divideMachine({
-    memoryBytes: 1,
+    memoryBytes: MACHINE_BYTES,
     descriptors: 4_096,
     servesCallers: false,
   });
   assert.ok(hostConnections > FOLLOWED_BY_300);
 });
+
+// Guards against heads that are never ended, on each connection that is kept.
+test("heads on all connections take less than half of the memory", () => {
+  const { connections } = divideMachine({
+    memoryBytes: MACHINE_BYTES,
+    descriptors: 1_000_000,
+    servesCallers: true,
+  });
+  assert.ok(connections * MAX_HEAD_BYTES < MACHINE_BYTES / 2);
+});
