--- a/packages/daemon/src/http/block_pool.ts
+++ b/packages/daemon/src/http/block_pool.ts
@@ -1,7 +1,5 @@
 import { Buffer } from "node:buffer";
-
-/** Bytes of a block. */
-export const BLOCK_BYTES = 32_768;
+import { BLOCK_BYTES } from "./block_bytes.ts";
 
 /**
  * Blocks of memory that are used again: what a crowd leaves as garbage would be
--- a/packages/daemon/src/http/caller_intake.ts
+++ b/packages/daemon/src/http/caller_intake.ts
@@ -24,7 +24,6 @@
   readonly room: BodyRoom;
   readonly blocks = new BlockPool();
   readonly turns = new ReadTurns();
-
   #log: EventLog | undefined;
   #closed = new Map<string, number>();
 
@@ -40,7 +39,8 @@
     });
     this.room = new BodyRoom(maximumBodyBytes ?? this.share.bodyBytes);
   }
-  /** Counts a connection that was closed for want of room, and tells now and then. */
+
+  /** Counts a connection that was closed for want of room; tells once a second. */
   countClosed(port: string): void {
     const count = this.#closed.get(port) ?? 0;
     this.#closed.set(port, count + 1);
--- a/packages/daemon/src/http/collected_body.ts
+++ b/packages/daemon/src/http/collected_body.ts
@@ -1,5 +1,6 @@
 import { Buffer } from "node:buffer";
-import { BLOCK_BYTES, type BlockPool } from "./block_pool.ts";
+import { BLOCK_BYTES } from "./block_bytes.ts";
+import type { BlockPool } from "./block_pool.ts";
 
 /**
  * The bytes of a body as they arrive. They are copied into blocks, since a part
--- a/packages/daemon/src/http/collected_body_test.ts
+++ b/packages/daemon/src/http/collected_body_test.ts
@@ -1,7 +1,8 @@
 import { Buffer } from "node:buffer";
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { BLOCK_BYTES, BlockPool } from "./block_pool.ts";
+import { BLOCK_BYTES } from "./block_bytes.ts";
+import { BlockPool } from "./block_pool.ts";
 import { CollectedBody } from "./collected_body.ts";
 
 for (const partBytes of [1, 7, 1_000, 65_536, 200_000]) {
--- a/packages/daemon/src/http/drain_refused.ts
+++ b/packages/daemon/src/http/drain_refused.ts
@@ -9,9 +9,9 @@
 const drained = new WeakSet<IncomingMessage>();
 
 /**
- * Reads what is left of a request that was refused, or needs no body, so that its
- * connection can be used again. A long rest isn't read: its client has a moment for the
- * refusal, then the connection is closed.
+ * Reads what is left of a request that was refused, or needs no body, so that
+ * its connection can be used again. A long rest isn't read: its client has a
+ * moment for the refusal, then the connection is closed.
  */
 export function drainRefused(
   request: IncomingMessage,
