A test of refused bodies that passed without its fix is made strict

Played on, the code before the bound, the test of a client that sends on behind its refusal passed: the announced 1,000 MB were read to their end, and what came behind them closed the connection. It asks for the bytes sent, too, now: 1,002,897,480 there (fails), within 16 MiB here (passes). Nothing was loosened.

--- a/packages/daemon/src/gateway/refused_bodies_test.ts
+++ b/packages/daemon/src/gateway/refused_bodies_test.ts
@@ -1,3 +1,4 @@
+import assert from "node:assert/strict";
 import { test } from "node:test";
 import { GatewayFixture } from "./gateway_fixture.ts";
 import { RawClient } from "./raw_client.ts";
@@ -5,6 +6,9 @@
 const MAX_BODY_BYTES = 1_000;
 const HEAD = "POST /unsafe/a HTTP/1.1\r\nHost: x\r\nId: u1\r\n";
 const OTHER = "GET /nowhere HTTP/1.1\r\nHost: x\r\nId: u2\r\n\r\n";
+const ANNOUNCED_BYTES = 1_000_000_000;
+/** What is read behind a refusal, and what two ends of a connection buffer. */
+const MAX_SENT_BYTES = 16_777_216;
 const PACKET = "x".repeat(65_536);
 
 async function withGateway(
@@ -35,7 +39,7 @@
   withGateway(async (gateway) => {
     const client = new RawClient(
       gateway.port,
-      `${HEAD}Content-Length: 1000000000\r\n\r\n`,
+      `${HEAD}Content-Length: ${ANNOUNCED_BYTES}\r\n\r\n`,
     );
     const closed = new Promise((resolve) =>
       client.socket.once("close", resolve)
@@ -43,6 +47,11 @@
     sendWithoutEnd(client);
     await client.receive(/^HTTP\/1\.1 413 /);
     await closed;
+    const { bytesWritten } = client.socket;
+    assert.ok(
+      bytesWritten <= MAX_SENT_BYTES,
+      `${bytesWritten} bytes were sent`,
+    );
   }));
 
 // Guards against a client that has to connect anew for a small mistake.
