--- a/acceptance/src/clients/unruly_clients_test.ts
+++ b/acceptance/src/clients/unruly_clients_test.ts
@@ -8,7 +8,7 @@
 const FEW_DESCRIPTORS = { memoryMb: 250, maxFds: 400 };
 
 const MAX_BODY_BYTES = 4_194_304;
-const LARGE_CHUNK = 65_536;
+const LARGE_CHUNK_BYTES = 65_536;
 const LONG_HEAD_BYTES = 60_000;
 const TRICKLE_MILLISECONDS = 5;
 const ANNOUNCED_BYTES = 1_000_000_000;
@@ -21,7 +21,7 @@
     port: "frontend",
     clients: 100,
     act: (client) =>
-      client.stopShort(LARGE_CHUNK, MAX_BODY_BYTES - LARGE_CHUNK),
+      client.stopShort(LARGE_CHUNK_BYTES, MAX_BODY_BYTES - LARGE_CHUNK_BYTES),
   }));
 
 // Guards against chunks that cost many times what they carry, in memory and in
@@ -49,7 +49,7 @@
     machine: GATEWAY,
     port: "frontend",
     clients: 100,
-    act: (client) => client.sendChunks(LARGE_CHUNK),
+    act: (client) => client.sendChunks(LARGE_CHUNK_BYTES),
   }));
 
 // Guards against heads that are held though they never end.
@@ -99,7 +99,7 @@
     port: "control",
     clients: 100,
     act: (client) =>
-      client.stopShort(LARGE_CHUNK, MAX_BODY_BYTES - LARGE_CHUNK),
+      client.stopShort(LARGE_CHUNK_BYTES, MAX_BODY_BYTES - LARGE_CHUNK_BYTES),
   }));
 
 // Guards against chunks of one byte at a control host, as for a gateway.
@@ -139,7 +139,7 @@
       machine: GATEWAY,
       port,
       clients: 100,
-      act: (client) => client.sendChunks(LARGE_CHUNK),
+      act: (client) => client.sendChunks(LARGE_CHUNK_BYTES),
     }));
 
   // Guards against connections at a port that a few callers need.
--- a/acceptance/src/clients/usage_watch.ts
+++ b/acceptance/src/clients/usage_watch.ts
@@ -3,7 +3,7 @@
 const INTERVAL_MILLISECONDS = 50;
 /** The most that was resident at any time, as the kernel counts it. */
 const MOST_RESIDENT = /^VmHWM:\s+(\d+) kB$/m;
-const MEGABYTE = 1_024;
+const KILOBYTES_OF_A_MEGABYTE = 1_024;
 
 type Usage = { megabytes: number; descriptors: number };
 
@@ -26,7 +26,8 @@
   /** Throws if the process has ended. */
   read(): void {
     const status = readFileSync(`/proc/${this.#pid}/status`, "utf8");
-    const megabytes = Number(MOST_RESIDENT.exec(status)?.[1]) / MEGABYTE;
+    const megabytes = Number(MOST_RESIDENT.exec(status)?.[1]) /
+      KILOBYTES_OF_A_MEGABYTE;
     const descriptors = readdirSync(`/proc/${this.#pid}/fd`).length;
     this.most.megabytes = Math.max(this.most.megabytes, megabytes);
     this.most.descriptors = Math.max(this.most.descriptors, descriptors);
--- a/packages/core/src/callers/divide_machine.ts
+++ b/packages/core/src/callers/divide_machine.ts
@@ -21,7 +21,7 @@
 
 const BODY_SHARE = 0.2;
 const CONNECTION_MEMORY_SHARE = 0.4;
-/** The longest head that is read, 64 KiB, in the strings that it is held in. */
+/** Bytes that a head of 64 KiB, the longest that is read, takes while held. */
 const CONNECTION_BYTES = 196_608;
 const SIDE_CONNECTION_SHARE = 0.03;
 /** All hosts of a system follow its few control hosts. */
--- a/packages/daemon/src/control/membership_manager.ts
+++ b/packages/daemon/src/control/membership_manager.ts
@@ -10,7 +10,7 @@
 
 const STEP_INTERVAL_MILLISECONDS = 100;
 /** A voter that is silent for longer is told, with what it is waited for. */
-const MISSED_MILLISECONDS = 2_000;
+const TOLD_MISSING_MILLISECONDS = 2_000;
 
 type Options = { control: ControlHost; targetVoters: number; log: EventLog };
 
@@ -74,7 +74,9 @@
     if (this.#missed.term !== term) this.#missed = { term, ids: new Set() };
     for (const { id, learner } of members) {
       const milliseconds = now - node.heardAt(id);
-      if (learner || id === node.id || milliseconds < MISSED_MILLISECONDS) {
+      if (
+        learner || id === node.id || milliseconds < TOLD_MISSING_MILLISECONDS
+      ) {
         continue;
       }
       if (this.#missed.ids.has(id)) continue;
