--- a/packages/daemon/src/control/raft_driver.ts
+++ b/packages/daemon/src/control/raft_driver.ts
@@ -19,6 +19,8 @@
 const FULL_DISK_RETRY_MILLISECONDS = 500;
 /** Half of an election time: two of these in a row can cost a leader its term. */
 const LOGGED_STALL_MILLISECONDS = 200;
+/** Heartbeats wait behind so many bytes of entries on a link between regions. */
+const LOGGED_ENTRY_BYTES = 65_536;
 
 type Options = {
   node: RaftNode;
@@ -90,6 +92,7 @@
       time: message.clockTime,
       counter: message.clockCounter,
     });
+    this.#logLargeEntries(message);
     this.#options.node.receive(message, monotonicMilliseconds());
     this.#processOutput();
   }
@@ -113,6 +116,18 @@
     });
   }
 
+  /** By the clocks of both hosts, which may differ. */
+  #logLargeEntries({ from, body, clockTime }: PeerMessage): void {
+    if (body.case !== "appendRequest") return;
+    const bytes = countBytes(body.value.entries);
+    if (bytes < LOGGED_ENTRY_BYTES) return;
+    this.#options.log.info("large-entries-received", {
+      from,
+      bytes,
+      milliseconds: Math.round(Date.now() - clockTime),
+    });
+  }
+
   #publishLeadershipChange(): void {
     const { node } = this.#options;
     const isLeading = node.isLeading(monotonicMilliseconds()) &&
@@ -165,6 +180,7 @@
       this.snapshotInstalled$.next(output.snapshot);
     }
     const last = output.entries.at(-1);
+    const startedAt = monotonicMilliseconds();
     const writes = last !== undefined || output.hardState !== undefined ||
       output.truncateFrom !== undefined;
     if (
@@ -172,11 +188,20 @@
     ) {
       return false;
     }
+    this.#logStored(countBytes(output.entries), startedAt);
     for (const entry of output.entries) this.stored$.next(entry);
     if (last !== undefined) node.markSynced(last.index, last.term);
     return true;
   }
 
+  #logStored(bytes: number, startedAt: number): void {
+    if (bytes < LOGGED_ENTRY_BYTES) return;
+    this.#options.log.info("large-entries-stored", {
+      bytes,
+      milliseconds: Math.round(monotonicMilliseconds() - startedAt),
+    });
+  }
+
   /**
    * Repeats a write until the disk has space. Nothing is acknowledged in the
    * meantime, so another member takes over leadership. Any other failure ends
@@ -235,6 +260,10 @@
   }
 }
 
+function countBytes(entries: LogEntry[]): number {
+  return entries.reduce((bytes, { data }) => bytes + data.length, 0);
+}
+
 function isEmpty(output: RaftOutput): boolean {
   return output.entries.length === 0 && output.messagesAfterSync.length === 0 &&
     output.committed.length === 0 && output.hardState === undefined &&
--- a/packages/daemon/src/log/event_name.ts
+++ b/packages/daemon/src/log/event_name.ts
@@ -44,6 +44,8 @@
   | "gateways-counted"
   | "given-up-before-end"
   | "introduction-failed"
+  | "large-entries-received"
+  | "large-entries-stored"
   | "leadership-lost"
   | "leading"
   | "limit-named"
