Large messages to another process are compressed, not only its answers

Operators saw a change of 1,640 routes acknowledged seconds after it was sent, and each such change cost the control hosts their leader (23 in 37 s). Cause: a bound from which messages are compressed has no effect on what a client sends, as it names no compression for that; entries of the log and forwarded changes went as they are.

--- a/packages/daemon/src/transport/client_pool.ts
+++ b/packages/daemon/src/transport/client_pool.ts
@@ -2,6 +2,7 @@
 import { type Client, createClient } from "@connectrpc/connect";
 import { createConnectTransport } from "@connectrpc/connect-node";
 import { createUnreachableTransport } from "./create_unreachable_transport.ts";
+import { FAST_GZIP } from "./fast_gzip.ts";
 import { GuardedSessionManager } from "./guarded_session_manager.ts";
 import { MAX_MESSAGE_BYTES } from "./max_message_bytes.ts";
 import { MIN_COMPRESSED_BYTES } from "./min_compressed_bytes.ts";
@@ -90,6 +91,8 @@
     httpVersion: "2",
     sessionManager: manager,
     useBinaryFormat: true,
+    acceptCompression: [FAST_GZIP],
+    sendCompression: FAST_GZIP,
     compressMinBytes: MIN_COMPRESSED_BYTES,
     readMaxBytes: MAX_MESSAGE_BYTES,
   });
--- a/packages/daemon/src/transport/internal_server.ts
+++ b/packages/daemon/src/transport/internal_server.ts
@@ -9,6 +9,7 @@
 import { createServer, type Server, type Socket } from "node:net";
 import type { Result } from "true-myth";
 import type { CallerIntake } from "../http/caller_intake.ts";
+import { FAST_GZIP } from "./fast_gzip.ts";
 import { MAX_MESSAGE_BYTES } from "./max_message_bytes.ts";
 import { MIN_COMPRESSED_BYTES } from "./min_compressed_bytes.ts";
 import { listen } from "./listen.ts";
@@ -35,6 +36,7 @@
     this.#server = createHttp2Server(
       connectNodeAdapter({
         routes,
+        acceptCompression: [FAST_GZIP],
         compressMinBytes: MIN_COMPRESSED_BYTES,
         readMaxBytes: MAX_MESSAGE_BYTES,
       }),
