Tests: answers that nobody reads, and callers that speak as hosts do (fail)

Crowds and bounds are fixed here, ahead of any change of the product. What the two kinds of systems share of a play stands in one place.

--- a/acceptance/src/clients/unruly_client.ts
+++ b/acceptance/src/clients/unruly_client.ts
@@ -82,6 +82,17 @@
     this.socket.write(this.#head);
   }
 
+  /** Asks so many times in all, and reads no answer. */
+  askWithoutReadingTimes(count: number): void {
+    this.socket.pause();
+    const request = `${this.#head}Content-Length: 0\r\n\r\n`;
+    this.socket.write(request.repeat(count));
+  }
+
+  leave(): void {
+    this.socket.destroy();
+  }
+
   #beginChunks(): void {
     this.socket.write(`${this.#head}Transfer-Encoding: chunked\r\n\r\n`);
   }
--- a/acceptance/src/clients/unruly_crowd.ts
+++ b/acceptance/src/clients/unruly_crowd.ts
@@ -2,10 +2,8 @@
 import assert from "node:assert/strict";
 import { setTimeout as sleep } from "node:timers/promises";
 import { EndToEndSystem } from "../end_to_end_system.ts";
-import { UnrulyClient } from "./unruly_client.ts";
-import { UsageWatch } from "./usage_watch.ts";
+import { type Crowd, playCrowd } from "./play_crowd.ts";
 
-const PLAY_MILLISECONDS = 6_000;
 /** For one ordinary request; not a bound, but an end of the waiting. */
 const ANSWER_MILLISECONDS = 60_000;
 /** An ordinary caller asks again, on a new connection. */
@@ -15,14 +13,24 @@
 const CALLER_LIMITS = { maxBodyBytes: 4_194_304, idleTimeoutMs: 15_000 };
 
 /** Ports that anybody may reach, by the process that listens there. */
-type Port = "frontend" | "ready" | "control" | "metrics" | "internal";
+type Port =
+  | "frontend"
+  | "ready"
+  | "control"
+  | "metrics"
+  | "internal"
+  | "chunks";
 
-type Options = {
-  /** What a machine that runs the process has. */
-  machine: { memoryMb: number; maxFds: number };
+type Options = Crowd & {
   port: Port;
-  clients: number;
-  act: (client: UnrulyClient, index: number) => void;
+  /** The process that listens there, where it isn't the usual one. */
+  host?: string;
+  /** Method and path, where they aren't the usual ones of the port. */
+  request?: string;
+  /** Routes of the configuration beyond the usual ones. */
+  extraRoutes?: number;
+  /** Bytes that backend servers add to their plain answers. */
+  answerBytes?: number;
 };
 
 const PATHS: Record<Port, string> = {
@@ -31,51 +39,38 @@
   control: "PUT /config",
   metrics: "POST /metrics",
   internal: "POST /x",
+  chunks: "GET /chunks/x/0",
 };
 
-/**
- * Plays a crowd of unruly clients at one port of a system, and requires that the
- * process stays within its machine and serves an ordinary request afterwards,
- * before the crowd leaves and behind it.
- */
+const HOSTS: Partial<Record<Port, string>> = {
+  control: "control-0",
+  chunks: "stager-40",
+};
+
+/** Plays a crowd at one port of a system on the users' platform. */
 export async function playUnrulyCrowd(options: Options): Promise<void> {
-  const { machine, port, clients, act } = options;
+  const { machine, port, extraRoutes = 0 } = options;
   const system = new EndToEndSystem({
     engines: 1,
     shape: { limits: machine },
   });
-  const crowd: UnrulyClient[] = [];
-  let watch: UsageWatch | undefined;
+  system.plainServer.answerBytes = options.answerBytes ?? 0;
   let keepLogs = true;
   try {
     await system.start();
-    const limits = { limits: CALLER_LIMITS };
-    assert.ok(await waitUntil(() => system.configure(2, limits), 10_000));
-    const name = port === "control" ? "control-0" : system.gatewayNames[0]!;
-    const { child, ip } = system.cluster.findHost(name);
-    watch = new UsageWatch(child.pid);
-    const head = `${PATHS[port]} HTTP/1.1\r\n${HEAD}`;
-    const target = { host: ip, port: system.cluster.portOf(port), head };
-    for (let index = 0; index < clients; index += 1) {
-      const client = new UnrulyClient(target);
-      crowd.push(client);
-      act(client, index);
-    }
-    await sleep(PLAY_MILLISECONDS);
-    await expectOrdinaryAnswer(system, "beside the crowd");
-    for (const { socket } of crowd) socket.destroy();
-    await expectOrdinaryAnswer(system, "behind the crowd");
-    watch.read();
-    const { megabytes, descriptors } = watch.most;
-    console.log(
-      `${port}: ${Math.round(megabytes)} MB, ${descriptors} descriptors`,
-    );
-    assert.ok(megabytes <= machine.memoryMb, `${megabytes} MB`);
-    assert.ok(descriptors <= machine.maxFds, `${descriptors} descriptors`);
+    const change = { limits: CALLER_LIMITS, extraRoutes };
+    assert.ok(await waitUntil(() => system.configure(2, change), 10_000));
+    const name = options.host ?? HOSTS[port] ?? system.gatewayNames[0]!;
+    const { child, ip: host } = system.cluster.findHost(name);
+    const head = `${options.request ?? PATHS[port]} HTTP/1.1\r\n${HEAD}`;
+    await playCrowd(options, {
+      pid: child.pid,
+      port,
+      address: { host, port: system.cluster.portOf(port), head },
+      expectOrdinaryAnswer: (when) => expectOrdinaryAnswer(system, when),
+    });
     keepLogs = false;
   } finally {
-    watch?.stop();
-    for (const { socket } of crowd) socket.destroy();
     await system.stop({ keepLogs });
   }
 }
--- a/acceptance/src/fake_backend_server.ts
+++ b/acceptance/src/fake_backend_server.ts
@@ -62,6 +62,8 @@
   paddingBytes = 0;
   /** Status of the answers to requests to run; undefined for success. */
   failureStatus: number | undefined;
+  /** Bytes that follow the plain answers. */
+  answerBytes = 0;
   /** Sent as it is instead of each answer; the connection stays open. */
   rawAnswer: string | undefined;
   /** As `failureStatus`, only for requests to resume a stream. */
@@ -330,7 +332,7 @@
     }
     if (headers["model"] === undefined) {
       const echo = [request.method, request.url, headers["tenant"], body];
-      return void response.end(echo.join(" "));
+      return void response.end(echo.join(" ") + "x".repeat(this.answerBytes));
     }
     await this.#streamEvents(response, {
       after: Number(headers["last-event-id"] ?? 0),
--- a/acceptance/src/loopback_cluster.ts
+++ b/acceptance/src/loopback_cluster.ts
@@ -149,8 +149,17 @@
   }
 
   /** A port that all hosts of its kind listen on. */
-  portOf(port: "frontend" | "ready" | "control" | "metrics" | "internal") {
-    return port === "metrics" ? METRICS_PORT : this.#ports[port];
+  portOf(
+    port:
+      | "frontend"
+      | "ready"
+      | "control"
+      | "metrics"
+      | "internal"
+      | "chunks",
+  ) {
+    if (port === "metrics") return METRICS_PORT;
+    return port === "chunks" ? this.#ports.internal + 1 : this.#ports[port];
   }
 
   frontendUrl(ip: string): string {
--- a/packages/experiments/src/harness/cluster.ts
+++ b/packages/experiments/src/harness/cluster.ts
@@ -184,6 +184,8 @@
 
   #writeSettings(name: string, settings: object): void {
     const path = join(this.folder, `${name}.toml`);
-    this.#settingsPaths.set(name, writeSettings(path, settings));
+    const { machine } = this.topology;
+    const whole = machine === undefined ? settings : { ...settings, machine };
+    this.#settingsPaths.set(name, writeSettings(path, whole));
   }
 }
--- a/packages/experiments/src/harness/topology.ts
+++ b/packages/experiments/src/harness/topology.ts
@@ -15,5 +15,7 @@
   spreadObjective: "time" | "origin-bytes";
   /** Whether processes of different data centres connect through relays. */
   withRelays: boolean;
+  /** What each machine lets a process use; nothing is said by default. */
+  machine?: { memory_megabytes: number; descriptors: number };
   logLevel: "debug" | "info" | "warn" | "error";
 };
