--- a/acceptance/src/clients/unread_answers_test.ts
+++ b/acceptance/src/clients/unread_answers_test.ts
@@ -9,6 +9,8 @@
 const LARGE_CONFIGURATION_ROUTES = 1_600;
 const LARGE_ANSWER_BYTES = 1_000_000;
 const REQUESTS_OF_A_BROWSER = 6;
+/** Fewer than are given up for their number, where there are no others. */
+const REQUESTS_OF_EACH = 150;
 /** Each chunk that the store has, as often as one request may name chunks. */
 const ALL_CHUNKS = Array.from({ length: 64 }, (_, index) => index % 6);
 
@@ -55,3 +57,13 @@
       act: (client) => client.askWithoutReading(),
     }));
 }
+
+// Guards against requests behind each other that are few on each connection, and
+// many on all.
+test("requests behind each other on many connections stay within a gateway's memory", () =>
+  playUnrulyCrowd({
+    machine: GATEWAY,
+    port: "frontend",
+    clients: 500,
+    act: (client) => client.askWithoutReadingTimes(REQUESTS_OF_EACH),
+  }));
