Requests behind each other are handled few by few at every port

The fields of the configuration in large_messages_test bore names of the platform, which only its folder may: renamed, as long as before.

--- a/packages/core/src/callers/decide_read_on.ts
+++ b/packages/core/src/callers/decide_read_on.ts
@@ -1,7 +1,10 @@
 /** Requests of a connection that are handled at once; the others wait. */
 const MAX_HANDLED = 16;
-/** So many in one packet are more than any proper client sends unanswered. */
-const MAX_UNANSWERED = 160;
+/**
+ * No proper client has so many unanswered on a connection. Those of all
+ * connections are held at once, at some kilobytes each.
+ */
+const MAX_UNANSWERED = 32;
 
 type Decision = {
   /** Whether the request that has arrived is handled now. */
@@ -13,9 +16,14 @@
  * What becomes of a connection on which so many requests have arrived, the last
  * one among them, and aren't answered. Answers pile up before a client that only
  * asks, if each request is handled as it comes.
+ *
+ * @param maxHandled how many are handled at once where answers are large.
  */
-export function decideReadOn(unanswered: number): Decision {
-  const isHandled = unanswered <= MAX_HANDLED;
+export function decideReadOn(
+  unanswered: number,
+  maxHandled = MAX_HANDLED,
+): Decision {
+  const isHandled = unanswered <= maxHandled;
   if (unanswered > MAX_UNANSWERED) return { isHandled, next: "close" };
-  return { isHandled, next: unanswered >= MAX_HANDLED ? "wait" : "read" };
+  return { isHandled, next: unanswered >= maxHandled ? "wait" : "read" };
 }
--- a/packages/core/src/callers/decide_read_on_test.ts
+++ b/packages/core/src/callers/decide_read_on_test.ts
@@ -20,3 +20,9 @@
     assert.deepEqual(decideReadOn(unanswered), expected);
   }
 });
+
+// Guards against answers of megabytes that are prepared before their turn.
+test("where answers are large one request is handled at once", () => {
+  assert.deepEqual(decideReadOn(1, 1), { isHandled: true, next: "wait" });
+  assert.deepEqual(decideReadOn(2, 1), { isHandled: false, next: "wait" });
+});
--- a/packages/daemon/src/agent/agent_server.ts
+++ b/packages/daemon/src/agent/agent_server.ts
@@ -11,6 +11,7 @@
 import { describeIssue } from "../http/describe_issue.ts";
 import { boundConnections } from "../http/bound_connections.ts";
 import type { CallerIntake } from "../http/caller_intake.ts";
+import { handleInTurn } from "../http/handle_in_turn.ts";
 import { readBody } from "../http/read_body.ts";
 import { sendProblem } from "../http/send_problem.ts";
 import { listen } from "../transport/listen.ts";
@@ -47,11 +48,15 @@
   constructor(options: Options) {
     this.#options = options;
     this.#chunkSender = new ChunkSender(options);
-    this.#server = createServer((request, response) => {
+    const { intake } = options;
+    const handle = (request: IncomingMessage, response: ServerResponse) => {
       response.on("error", () => undefined);
       this.#handle(request, response).catch(() => response.destroy());
-    });
-    const { intake } = options;
+    };
+    this.#server = createServer(handleInTurn(handle, {
+      intake,
+      maxHandled: 1,
+    }));
     boundConnections(this.#server, {
       maximum: intake.share.hostConnections,
       onClosed: () => intake.countClosed("agent"),
--- a/packages/daemon/src/entry/public_server.ts
+++ b/packages/daemon/src/entry/public_server.ts
@@ -9,6 +9,7 @@
 import type { Result } from "true-myth";
 import { boundConnections } from "../http/bound_connections.ts";
 import type { CallerIntake } from "../http/caller_intake.ts";
+import { handleInTurn } from "../http/handle_in_turn.ts";
 import { listen } from "../transport/listen.ts";
 import { monotonicMilliseconds } from "../transport/monotonic_milliseconds.ts";
 import { stopAccepting } from "../transport/stop_accepting.ts";
@@ -52,13 +53,15 @@
 
   constructor(options: Options) {
     this.#options = options;
+    const { intake } = options;
+    const handle = (request: IncomingMessage, response: ServerResponse) =>
+      void this.#handle(request, response);
     this.#server = createServer({
       maxHeaderSize: MAX_HEADER_BYTES,
       headersTimeout: options.idleMilliseconds,
       requestTimeout: 0,
       connectionsCheckingInterval: CONNECTIONS_CHECK_INTERVAL_MILLISECONDS,
-    }, (request, response) => this.#handle(request, response));
-    const { intake } = options;
+    }, handleInTurn(handle, { intake }));
     boundConnections(this.#server, {
       maximum: intake.share.connections,
       onClosed: () => intake.countClosed("callers"),
--- a/packages/daemon/src/gateway/gateway_app.ts
+++ b/packages/daemon/src/gateway/gateway_app.ts
@@ -6,10 +6,16 @@
 import { RetryBudgets } from "@teaselrouter/core/retries/retry_budgets.ts";
 import { ListeningTime } from "@teaselrouter/core/gateway/listening_time.ts";
 import { PatienceEstimator } from "@teaselrouter/core/gateway/patience_estimator.ts";
-import { createServer, type Server } from "node:http";
+import {
+  createServer,
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from "node:http";
 import { filter, map, merge } from "rxjs";
 import { Result } from "true-myth";
 import { drainRefused } from "../http/drain_refused.ts";
+import { handleInTurn } from "../http/handle_in_turn.ts";
 import { boundConnections } from "../http/bound_connections.ts";
 import type { CallerIntake } from "../http/caller_intake.ts";
 import type { EventLog } from "../log/event_log.ts";
@@ -249,12 +255,16 @@
     };
     this.#server = new GatewayServer(this.#context);
     feed.updates$.subscribe(() => this.#server.applyLimits());
-    this.#readyServer = createServer((request, response) => {
+    const answerReadiness = (
+      request: IncomingMessage,
+      response: ServerResponse,
+    ) => {
       drainRefused(request, intake);
       const isReadyRequest = request.url?.split("?")[0] === platform.readyPath;
       const status = !isReadyRequest ? 404 : this.#isReady() ? 200 : 503;
       response.writeHead(status, { "Content-Length": 0 }).end();
-    });
+    };
+    this.#readyServer = createServer(handleInTurn(answerReadiness, { intake }));
     boundConnections(this.#readyServer, {
       maximum: intake.share.sideConnections,
       onClosed: () => intake.countClosed("ready"),
--- a/packages/daemon/src/metrics/metrics_server.ts
+++ b/packages/daemon/src/metrics/metrics_server.ts
@@ -1,8 +1,14 @@
-import { createServer, type Server } from "node:http";
+import {
+  createServer,
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from "node:http";
 import type { Result } from "true-myth";
 import { boundConnections } from "../http/bound_connections.ts";
 import type { CallerIntake } from "../http/caller_intake.ts";
 import { drainRefused } from "../http/drain_refused.ts";
+import { handleInTurn } from "../http/handle_in_turn.ts";
 import { listen } from "../transport/listen.ts";
 import type { ProcessMetrics } from "./process_metrics.ts";
 
@@ -14,7 +20,10 @@
 
   constructor(metrics: ProcessMetrics, intake: CallerIntake) {
     const { registry } = metrics;
-    this.#server = createServer(async (request, response) => {
+    const handle = async (
+      request: IncomingMessage,
+      response: ServerResponse,
+    ) => {
       drainRefused(request, intake);
       if (request.url?.split("?")[0] !== METRICS_PATH) {
         return void response.writeHead(404).end();
@@ -22,7 +31,11 @@
       const text = await registry.metrics();
       response.writeHead(200, { "Content-Type": registry.contentType });
       response.end(text);
-    });
+    };
+    this.#server = createServer(handleInTurn(handle, {
+      intake,
+      maxHandled: 1,
+    }));
     boundConnections(this.#server, {
       maximum: intake.share.sideConnections,
       onClosed: () => intake.countClosed("metrics"),
--- a/packages/daemon/src/stager/create_chunk_server.ts
+++ b/packages/daemon/src/stager/create_chunk_server.ts
@@ -1,8 +1,14 @@
-import { createServer, type Server } from "node:http";
+import {
+  createServer,
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from "node:http";
 import type { EventLog } from "../log/event_log.ts";
 import { boundConnections } from "../http/bound_connections.ts";
 import type { CallerIntake } from "../http/caller_intake.ts";
 import { drainRefused } from "../http/drain_refused.ts";
+import { handleInTurn } from "../http/handle_in_turn.ts";
 import { decodePath } from "../http/decode_path.ts";
 import type { ChunkSender } from "../spread/chunk_sender.ts";
 
@@ -19,7 +25,7 @@
 export function createChunkServer(
   { chunkSender, log, intake }: Options,
 ): Server {
-  const server = createServer((request, response) => {
+  const handle = (request: IncomingMessage, response: ServerResponse) => {
     response.on("error", () => undefined);
     drainRefused(request, intake);
     const pathSegments = decodePath(request.url ?? "");
@@ -30,7 +36,8 @@
       log.warn("chunk-not-sent", { reason: String(error) });
       response.destroy();
     });
-  });
+  };
+  const server = createServer(handleInTurn(handle, { intake, maxHandled: 1 }));
   boundConnections(server, {
     maximum: intake.share.hostConnections,
     onClosed: () => intake.countClosed("chunks"),
--- a/packages/daemon/src/transport/large_messages_test.ts
+++ b/packages/daemon/src/transport/large_messages_test.ts
@@ -26,13 +26,13 @@
   const routes = Array.from({ length: ROUTES }, (_, index) => ({
     name: `r-${(index * 7_919 + 12_345).toString(36)}`,
     host: `desk-${index % 7}.example`,
-    pathPrefix: `/x${(index * 104_729).toString(36)}/`,
-    type: "streaming",
-    timeoutMs: 6_000,
-    sloMs: 400 + index % 9,
+    path_begin: `/x${(index * 104_729).toString(36)}/`,
+    kind: "streaming",
+    time_bound: 6_000,
+    goal_a: 400 + index % 9,
     priority: index % 3,
     service: `service-${index % 5}`,
-    maxAttempts: 2,
+    attempt_max: 2,
     public: false,
   }));
   return new TextEncoder().encode(JSON.stringify({ version: 7, routes }));
