First packets of new connections are read few by few, whoever opened them first

500 clients that open their connections and then send 150 requests each kept a gateway in one turn for a second: 73,650 requests of 491 connections, in a play of the server alone. In that time nothing is answered and no garbage collected. Failed tries: halting as connections come (they come one by one, their packets at once), and collecting garbage by its growth (a turn without an end lets nothing collect).

--- a/packages/daemon/src/http/bound_connections.ts
+++ b/packages/daemon/src/http/bound_connections.ts
@@ -1,6 +1,7 @@
 import { ConnectionRoom } from "@teaselrouter/core/callers/connection_room.ts";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
+import { admitFew } from "./admit_few.ts";
 import { monotonicMilliseconds } from "../transport/monotonic_milliseconds.ts";
 
 type Options = {
@@ -10,8 +11,9 @@
 };
 
 /**
- * Bounds the connections that an HTTP server keeps open, see `ConnectionRoom`. A
- * request has arrived once it was read whole.
+ * Bounds the connections that an HTTP server keeps open, see `ConnectionRoom`,
+ * and how many it begins to read at once. A request has arrived once it was read
+ * whole.
  */
 export function boundConnections(
   server: Server,
@@ -34,6 +36,7 @@
     if (!room.admit(socket, monotonicMilliseconds(), close)) return close();
     socket.once("close", () => room.remove(socket));
   });
+  admitFew(server);
   server.on("request", (request: IncomingMessage, response: ServerResponse) => {
     const { socket } = request;
     if (socket.destroyed) return;
