Answers that wait for their turn end with their connection at every port

A crowd that reads no answers took 256 MB of 250 at an entry host: its memory stayed at 265 MB for two seconds behind the end of their connections, as each answer whose turn had not come was waited for.

--- a/packages/daemon/src/gateway/connection_answers.ts
+++ b/packages/daemon/src/gateway/connection_answers.ts
@@ -1,5 +1,6 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
+import { closeWaiting } from "../http/close_waiting.ts";
 
 type Connection = {
   /** Answers that have not ended, in the order of their requests. */
@@ -121,15 +122,6 @@
   }
 }
 
-/** Node.js tells only the answer whose turn it is that its connection closed. */
-function closeWaiting(unfinished: Set<ServerResponse>): void {
-  for (const response of [...unfinished]) {
-    if (response.socket !== null) continue;
-    response.destroy();
-    response.emit("close");
-  }
-}
-
 function isDue({ req, headersSent }: ServerResponse): boolean {
   return req.complete || headersSent;
 }
--- a/packages/daemon/src/http/handle_in_turn.ts
+++ b/packages/daemon/src/http/handle_in_turn.ts
@@ -2,6 +2,7 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
 import type { CallerIntake } from "./caller_intake.ts";
+import { closeWaiting } from "./close_waiting.ts";
 import { RequestQueues } from "./request_queues.ts";
 
 type Handler = (request: IncomingMessage, response: ServerResponse) => void;
@@ -21,21 +22,27 @@
   { intake: { turns }, maxHandled }: Options,
 ): Handler {
   const queues = new RequestQueues();
-  const unanswered = new WeakMap<Socket, number>();
-  const change = (socket: Socket, by: number) => {
-    const count = (unanswered.get(socket) ?? 0) + by;
-    unanswered.set(socket, count);
-    return decideReadOn(count, maxHandled);
+  const connections = new WeakMap<Socket, Set<ServerResponse>>();
+  const findUnanswered = (socket: Socket) => {
+    const known = connections.get(socket);
+    if (known !== undefined) return known;
+    const unanswered = new Set<ServerResponse>();
+    connections.set(socket, unanswered);
+    socket.once("close", () => closeWaiting(unanswered));
+    return unanswered;
   };
   return (request, response) => {
     const { socket } = request;
     if (socket.destroyed) return;
-    const { isHandled, next } = change(socket, 1);
+    const unanswered = findUnanswered(socket);
+    const decide = () => decideReadOn(unanswered.size, maxHandled);
+    unanswered.add(response);
     response.once("close", () => {
-      const after = change(socket, -1);
+      unanswered.delete(response);
       queues.startNext(socket);
-      if (after.next === "read") turns.unblock(socket);
+      if (decide().next === "read") turns.unblock(socket);
     });
+    const { isHandled, next } = decide();
     if (next !== "read") turns.block(socket);
     if (next === "close") return void socket.destroy();
     if (isHandled) handle(request, response);
--- a/packages/daemon/src/http/wait_until_sent.ts
+++ b/packages/daemon/src/http/wait_until_sent.ts
@@ -8,7 +8,8 @@
   response: ServerResponse,
   maxMilliseconds: number,
 ): Promise<void> {
-  if (response.writableFinished || response.closed) return Promise.resolve();
+  const { writableFinished, closed, destroyed } = response;
+  if (writableFinished || closed || destroyed) return Promise.resolve();
   return new Promise((resolve) => {
     const finish = () => {
       clearTimeout(timer);
