--- a/packages/core/src/callers/decide_read_on.ts
+++ b/packages/core/src/callers/decide_read_on.ts
@@ -1,10 +1,7 @@
 /** Requests of a connection that are handled at once; the others wait. */
 const MAX_HANDLED = 16;
-/**
- * No proper client has so many unanswered on a connection. Those of all
- * connections are held at once, at some kilobytes each.
- */
-const MAX_UNANSWERED = 32;
+/** So many in one packet are more than any proper client sends unanswered. */
+const MAX_UNANSWERED = 160;
 
 type Decision = {
   /** Whether the request that has arrived is handled now. */
--- a/packages/core/src/callers/divide_machine.ts
+++ b/packages/core/src/callers/divide_machine.ts
@@ -11,6 +11,8 @@
  */
 type CallerShare = {
   bodyBytes: number;
+  /** Requests that wait behind others on their connections. */
+  waitingRequests: number;
   /** At a port that callers, operators or backend servers use. */
   connections: number;
   /** At the port that other hosts of the system use. */
@@ -20,6 +22,9 @@
 };
 
 const BODY_SHARE = 0.2;
+const WAITING_SHARE = 0.1;
+/** Bytes that a request takes while it waits, or is handled before its turn. */
+const WAITING_REQUEST_BYTES = 16_384;
 const CONNECTION_MEMORY_SHARE = 0.4;
 /** Bytes that a head of 64 KiB, the longest that is read, takes while held. */
 const CONNECTION_BYTES = 196_608;
@@ -42,6 +47,9 @@
   );
   return {
     bodyBytes: Math.floor(memoryBytes * BODY_SHARE),
+    waitingRequests: Math.floor(
+      memoryBytes * WAITING_SHARE / WAITING_REQUEST_BYTES,
+    ),
     connections: Math.max(1, Math.min(share(connections), withinMemory)),
     hostConnections: share(hostConnections),
     sideConnections: share(SIDE_CONNECTION_SHARE),
--- a/packages/daemon/src/gateway/gateway_server.ts
+++ b/packages/daemon/src/gateway/gateway_server.ts
@@ -175,18 +175,25 @@
 
   /** Returns whether the request that arrived last is to be handled now. */
   #readOn(socket: Socket, response: ServerResponse): boolean {
-    const { intake: { turns }, log } = this.#context;
-    const decide = () => decideReadOn(this.#answers.countUnanswered(socket));
+    const { intake: { turns, requests }, log } = this.#context;
+    const count = () => this.#answers.countUnanswered(socket);
+    const decide = () => decideReadOn(count());
+    const refuse = (refused: Socket | undefined, reason: string) => {
+      if (refused === undefined) return;
+      log.warn("request-unreadable", { reason, status: "none" });
+      refused.destroy();
+    };
+    refuse(requests.record(socket, count()), "no room for waiting requests");
     response.once("close", () => {
+      if (socket.destroyed) return requests.remove(socket);
+      requests.record(socket, count());
       this.#queues.startNext(socket);
       if (decide().next === "read") turns.unblock(socket);
     });
     const { isHandled, next } = decide();
     if (next !== "read") turns.block(socket);
     if (next === "close") {
-      const reason = "too many requests without an answer";
-      log.warn("request-unreadable", { reason, status: "none" });
-      socket.destroy();
+      refuse(socket, "too many requests without an answer");
     }
     return isHandled;
   }
--- a/packages/daemon/src/http/caller_intake.ts
+++ b/packages/daemon/src/http/caller_intake.ts
@@ -1,5 +1,7 @@
 import { BodyRoom } from "@teaselrouter/core/callers/body_room.ts";
 import { divideMachine } from "@teaselrouter/core/callers/divide_machine.ts";
+import { RequestRoom } from "@teaselrouter/core/callers/request_room.ts";
+import type { Socket } from "node:net";
 import { totalmem } from "node:os";
 import type { EventLog } from "../log/event_log.ts";
 import type { Settings } from "../settings/settings.ts";
@@ -24,6 +26,7 @@
   readonly room: BodyRoom;
   readonly blocks = new BlockPool();
   readonly turns = new ReadTurns();
+  readonly requests: RequestRoom<Socket>;
   #log: EventLog | undefined;
   #closed = new Map<string, number>();
 
@@ -37,6 +40,7 @@
       descriptors,
       servesCallers,
     });
+    this.requests = new RequestRoom(this.share.waitingRequests);
     this.room = new BodyRoom(maximumBodyBytes ?? this.share.bodyBytes);
   }
 
--- a/packages/daemon/src/http/handle_in_turn.ts
+++ b/packages/daemon/src/http/handle_in_turn.ts
@@ -8,7 +8,7 @@
 type Handler = (request: IncomingMessage, response: ServerResponse) => void;
 
 type Options = {
-  intake: Pick<CallerIntake, "turns">;
+  intake: Pick<CallerIntake, "turns" | "requests">;
   /** Requests of a connection that are handled at once; 16 if absent. */
   maxHandled?: number;
 };
@@ -19,7 +19,7 @@
  */
 export function handleInTurn(
   handle: Handler,
-  { intake: { turns }, maxHandled }: Options,
+  { intake: { turns, requests }, maxHandled }: Options,
 ): Handler {
   const queues = new RequestQueues();
   const connections = new WeakMap<Socket, Set<ServerResponse>>();
@@ -28,7 +28,10 @@
     if (known !== undefined) return known;
     const unanswered = new Set<ServerResponse>();
     connections.set(socket, unanswered);
-    socket.once("close", () => closeWaiting(unanswered));
+    socket.once("close", () => {
+      closeWaiting(unanswered);
+      requests.remove(socket);
+    });
     return unanswered;
   };
   return (request, response) => {
@@ -37,8 +40,12 @@
     const unanswered = findUnanswered(socket);
     const decide = () => decideReadOn(unanswered.size, maxHandled);
     unanswered.add(response);
+    requests.record(socket, unanswered.size)?.destroy();
+    if (socket.destroyed) return;
     response.once("close", () => {
       unanswered.delete(response);
+      if (socket.destroyed) return;
+      requests.record(socket, unanswered.size);
       queues.startNext(socket);
       if (decide().next === "read") turns.unblock(socket);
     });
