--- a/packages/core/src/callers/collection_clock.ts
+++ b/packages/core/src/callers/collection_clock.ts
@@ -16,9 +16,14 @@
     this.#pressingBytes = memoryBytes * PRESSING_SHARE;
   }
 
+  /** Whether room is short with so many bytes resident. */
+  isPressing(residentBytes: number): boolean {
+    return residentBytes >= this.#pressingBytes;
+  }
+
   /** Whether to collect now, with so many bytes resident. */
   isDue(residentBytes: number, now: number): boolean {
-    if (residentBytes < this.#pressingBytes) return false;
+    if (!this.isPressing(residentBytes)) return false;
     if (now - this.#collectedAt < MIN_INTERVAL_MILLISECONDS) return false;
     this.#collectedAt = now;
     return true;
