Streams of other hosts beyond the usual few have room together

Thirty callers that open a thousand streams each kept a control host from all else for more than a minute.

--- a/packages/core/src/callers/divide_machine.ts
+++ b/packages/core/src/callers/divide_machine.ts
@@ -13,6 +13,8 @@
   bodyBytes: number;
   /** Requests that wait behind others on their connections. */
   waitingRequests: number;
+  /** Beyond the usual few of each connection of another host. */
+  hostStreams: number;
   /** At a port that callers, operators or backend servers use. */
   connections: number;
   /** At the port that other hosts of the system use. */
@@ -25,6 +27,9 @@
 const WAITING_SHARE = 0.1;
 /** Bytes that a request takes while it waits, or is handled before its turn. */
 const WAITING_REQUEST_BYTES = 16_384;
+const STREAM_SHARE = 0.1;
+/** Bytes that a stream of another host takes, without its messages. */
+const STREAM_BYTES = 65_536;
 const CONNECTION_MEMORY_SHARE = 0.4;
 /** Bytes that a head of 64 KiB, the longest that is read, takes while held. */
 const CONNECTION_BYTES = 196_608;
@@ -50,6 +55,7 @@
     waitingRequests: Math.floor(
       memoryBytes * WAITING_SHARE / WAITING_REQUEST_BYTES,
     ),
+    hostStreams: Math.floor(memoryBytes * STREAM_SHARE / STREAM_BYTES),
     connections: Math.max(1, Math.min(share(connections), withinMemory)),
     hostConnections: share(hostConnections),
     sideConnections: share(SIDE_CONNECTION_SHARE),
--- a/packages/core/src/callers/divide_machine_test.ts
+++ b/packages/core/src/callers/divide_machine_test.ts
@@ -40,3 +40,14 @@
   });
   assert.ok(connections * MAX_HEAD_BYTES < MACHINE_BYTES / 2);
 });
+
+// Guards against a bound that the processes of a large system meet.
+test("a control host has streams for all hosts that follow it", () => {
+  const { hostStreams } = divideMachine({
+    memoryBytes: 128_000_000,
+    descriptors: 4_096,
+    servesCallers: false,
+  });
+  // Each host has a few streams, which are not counted; some forward calls.
+  assert.ok(hostStreams >= 100, `${hostStreams}`);
+});
--- a/packages/daemon/src/http/caller_intake.ts
+++ b/packages/daemon/src/http/caller_intake.ts
@@ -1,6 +1,7 @@
 import { BodyRoom } from "@teaselrouter/core/callers/body_room.ts";
 import { divideMachine } from "@teaselrouter/core/callers/divide_machine.ts";
 import { RequestRoom } from "@teaselrouter/core/callers/request_room.ts";
+import type { Http2Session } from "node:http2";
 import type { Socket } from "node:net";
 import { totalmem } from "node:os";
 import type { EventLog } from "../log/event_log.ts";
@@ -27,6 +28,8 @@
   readonly blocks = new BlockPool();
   readonly turns = new ReadTurns();
   readonly requests: RequestRoom<Socket>;
+  /** For the streams of other hosts' connections beyond the usual few. */
+  readonly streams: RequestRoom<Http2Session>;
   #log: EventLog | undefined;
   #closed = new Map<string, number>();
 
@@ -41,6 +44,7 @@
       servesCallers,
     });
     this.requests = new RequestRoom(this.share.waitingRequests);
+    this.streams = new RequestRoom(this.share.hostStreams);
     this.room = new BodyRoom(maximumBodyBytes ?? this.share.bodyBytes);
   }
 
--- a/packages/daemon/src/transport/internal_server.ts
+++ b/packages/daemon/src/transport/internal_server.ts
@@ -5,6 +5,7 @@
   createServer as createHttp2Server,
   type Http2Server,
   type Http2Session,
+  type Http2Stream,
 } from "node:http2";
 import { createServer, type Server, type Socket } from "node:net";
 import type { Result } from "true-myth";
@@ -16,6 +17,9 @@
 import { listen } from "./listen.ts";
 import { monotonicMilliseconds } from "./monotonic_milliseconds.ts";
 
+/** Of a connection; calls to an agent may be more. */
+const USUAL_STREAMS = 16;
+
 type Options = {
   routes: (router: ConnectRouter) => void;
   intake: CallerIntake;
@@ -48,6 +52,7 @@
     });
     this.#server.on("session", (session) => {
       this.#sessions.add(session);
+      this.#countStreams(session);
       session.on("close", () => this.#sessions.delete(session));
       session.on("error", () => session.destroy());
       session.once("stream", () => {
@@ -78,6 +83,26 @@
     return isAdmitted;
   }
 
+  /** Where streams have no room, the connection goes that bears most of them. */
+  #countStreams(session: Http2Session): void {
+    const { streams } = this.#intake;
+    let open = 0;
+    session.on("stream", (stream: Http2Stream) => {
+      open += 1;
+      const victim = streams.record(session, open - USUAL_STREAMS);
+      if (victim !== undefined) {
+        this.#intake.countClosed("internal");
+        victim.destroy();
+      }
+      stream.once("close", () => {
+        open -= 1;
+        if (session.destroyed) return;
+        streams.record(session, open - USUAL_STREAMS);
+      });
+    });
+    session.once("close", () => streams.remove(session));
+  }
+
   listen(address: string): Promise<Result<void, string>> {
     return listen(this.#listener, address);
   }
