--- a/acceptance/src/clients/unruly_entry_test.ts
+++ b/acceptance/src/clients/unruly_entry_test.ts
@@ -11,6 +11,8 @@
 
 const WEIGHTS_BYTES = 8_388_608;
 const CHUNK_BYTES = 131_072;
+/** As many as one request may name: all. */
+const ALL_CHUNKS = Array.from({ length: 64 }, (_, index) => index).join(",");
 const LARGE_CHUNK_BYTES = 65_536;
 const SHORT_OF_END_BYTES = 983_040;
 /** For one ordinary request; not a bound, but an end of the waiting. */
@@ -125,3 +127,13 @@
     clients: 100,
     act: (client) => client.askWithoutReading(),
   }));
+
+// Guards against a copy of chunks for each who asks for them and reads none.
+test("chunks that nobody reads stay within an agent's memory", () =>
+  playEntryCrowd({
+    machine: AGENT,
+    port: "agent",
+    request: `GET /chunks/drafter@1/${ALL_CHUNKS}`,
+    clients: 300,
+    act: (client) => client.askWithoutReadingTimes(1),
+  }));
