Chunks are sent from where they are held, not from a copy for each who asks

Each answer with chunks held a copy of all that it names, up to 64, for as long as its client took to read it: 300 clients that read nothing made an agent take 2,520 MB where its machine has 218.

--- a/packages/daemon/src/spread/chunk_sender.ts
+++ b/packages/daemon/src/spread/chunk_sender.ts
@@ -1,4 +1,4 @@
-import { Buffer } from "node:buffer";
+import type { Buffer } from "node:buffer";
 import { once } from "node:events";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { LinkPacer } from "./link_pacer.ts";
@@ -40,11 +40,11 @@
     response: ServerResponse,
     pathSegments: string[],
   ): Promise<void> {
-    const bytes = this.#readChunks(
+    const chunks = this.#readChunks(
       pathSegments[1] ?? "",
       pathSegments[2] ?? "",
     );
-    if (bytes === undefined) {
+    if (chunks === undefined) {
       response.writeHead(404).end();
       return;
     }
@@ -54,22 +54,23 @@
     const pacers = destination === dataCentre
       ? [linkPacer]
       : [linkPacer, this.#getDataCentrePacer(destination)];
-    response.writeHead(200, { "Content-Length": bytes.length });
-    await this.#sendPaced(response, bytes, pacers);
+    const length = chunks.reduce((bytes, chunk) => bytes + chunk.length, 0);
+    response.writeHead(200, { "Content-Length": length });
+    for (const chunk of chunks) await this.#sendPaced(response, chunk, pacers);
     response.end();
   }
 
   /**
    * Undefined if one of the chunks is not in the cache, or if more are asked
-   * for than one request may fetch.
+   * for than one request may fetch. Nothing is copied: who asks may not read.
    */
-  #readChunks(version: string, chunks: string): Buffer | undefined {
+  #readChunks(version: string, chunks: string): Buffer[] | undefined {
     const numbers = chunks.split(",").map(Number);
     if (numbers.length > MAX_CHUNKS_PER_REQUEST) return undefined;
     const found = numbers.flatMap((chunk) =>
       this.#options.cache.chunk(version, chunk) ?? []
     );
-    return found.length === numbers.length ? Buffer.concat(found) : undefined;
+    return found.length === numbers.length ? found : undefined;
   }
 
   #getDataCentrePacer(dataCentre: string): LinkPacer {
