A leader that stops hands its lead to a voter that it hears

A voter that was lost just after the latest entry was as good a successor as any: the lead was handed to it, and nobody led until an election was due. Of the voters those heard within the election time come first now. The test failed before.

--- a/packages/core/src/consensus/leadership.ts
+++ b/packages/core/src/consensus/leadership.ts
@@ -131,13 +131,18 @@
 
   /**
    * Starts to transfer leadership to the other voter that holds the most
-   * entries. Returns false when there is no other voter.
+   * entries, of those that were heard within the election timeout if there are
+   * any. Returns false when there is no other voter.
    */
   startTransfer(now: number): boolean {
     const { raftOptions, memberLog } = this.#options;
+    const { electionTimeoutMilliseconds } = raftOptions;
+    const isRunning = (id: string) =>
+      now - this.heardAt(id) <= electionTimeoutMilliseconds;
     const others = memberLog.membership.voters
       .filter(({ id }) => id !== raftOptions.id)
       .sort((left, right) =>
+        Number(isRunning(right.id)) - Number(isRunning(left.id)) ||
         this.matchIndexOf(right.id) - this.matchIndexOf(left.id)
       );
     const target = others[0];
--- a/packages/core/src/consensus/replaced_voter_test.ts
+++ b/packages/core/src/consensus/replaced_voter_test.ts
@@ -140,3 +140,19 @@
   assert.equal(hosts.voters.length, VOTERS);
   assert.ok(!hosts.voters.includes(lost), `${lost} still votes`);
 });
+
+// Guards against a stopping leader that hands its lead to a voter that is gone,
+// as that one missed nothing: nobody leads until an election is due.
+test("a leader hands its lead to a voter that runs", () => {
+  const hosts = new SixHosts();
+  hosts.runUntil(3_000);
+  const { leader } = hosts;
+  for (const id of hosts.voters.filter((id) => id !== leader!.id).slice(0, 2)) {
+    hosts.lost.add(id);
+  }
+  hosts.runUntil(hosts.now + ELECTION_MILLISECONDS + HEARTBEAT_MILLISECONDS);
+  assert.equal(hosts.leader?.id, leader!.id);
+  leader!.transferLeadership(hosts.now);
+  hosts.runUntil(hosts.now + HEARTBEAT_MILLISECONDS);
+  assert.ok(hosts.leader !== undefined && hosts.leader.id !== leader!.id);
+});
