A request whose connection has just gone for others is not begun; turns copy no list

By reading: a connection that goes because most requests wait on it still had its latest request passed on to a backend server, in the same turn. Beginning a turn copied all halted connections, of which four go on.

--- a/packages/core/src/callers/arrival_turns.ts
+++ b/packages/core/src/callers/arrival_turns.ts
@@ -43,10 +43,12 @@
   /** Begins a turn; returns those that go on in it. */
   beginTurn(): Connection[] {
     this.#firstPackets = 0;
-    const going = [...this.#halted].slice(0, MAX_FIRST_PACKETS);
-    for (const connection of going) {
+    const going: Connection[] = [];
+    for (const connection of this.#halted) {
+      if (going.length === MAX_FIRST_PACKETS) break;
       this.#halted.delete(connection);
       this.#open.add(connection);
+      going.push(connection);
     }
     return going;
   }
--- a/packages/daemon/src/gateway/gateway_server.ts
+++ b/packages/daemon/src/gateway/gateway_server.ts
@@ -195,7 +195,7 @@
     if (next === "close") {
       refuse(socket, "too many requests without an answer");
     }
-    return isHandled;
+    return isHandled && !socket.destroyed;
   }
 
   #refuseLate(
