--- a/packages/daemon/src/agent/agent_server.ts
+++ b/packages/daemon/src/agent/agent_server.ts
@@ -55,6 +55,7 @@
     };
     this.#server = createServer(handleInTurn(handle, {
       intake,
+      port: "agent",
       maxHandled: 1,
     }));
     boundConnections(this.#server, {
--- a/packages/daemon/src/entry/public_server.ts
+++ b/packages/daemon/src/entry/public_server.ts
@@ -61,7 +61,7 @@
       headersTimeout: options.idleMilliseconds,
       requestTimeout: 0,
       connectionsCheckingInterval: CONNECTIONS_CHECK_INTERVAL_MILLISECONDS,
-    }, handleInTurn(handle, { intake }));
+    }, handleInTurn(handle, { intake, port: "callers" }));
     boundConnections(this.#server, {
       maximum: intake.share.connections,
       onClosed: () => intake.countClosed("callers"),
--- a/packages/daemon/src/gateway/gateway_app.ts
+++ b/packages/daemon/src/gateway/gateway_app.ts
@@ -264,7 +264,9 @@
       const status = !isReadyRequest ? 404 : this.#isReady() ? 200 : 503;
       response.writeHead(status, { "Content-Length": 0 }).end();
     };
-    this.#readyServer = createServer(handleInTurn(answerReadiness, { intake }));
+    this.#readyServer = createServer(
+      handleInTurn(answerReadiness, { intake, port: "ready" }),
+    );
     boundConnections(this.#readyServer, {
       maximum: intake.share.sideConnections,
       onClosed: () => intake.countClosed("ready"),
--- a/packages/daemon/src/http/handle_in_turn.ts
+++ b/packages/daemon/src/http/handle_in_turn.ts
@@ -8,7 +8,9 @@
 type Handler = (request: IncomingMessage, response: ServerResponse) => void;
 
 type Options = {
-  intake: Pick<CallerIntake, "turns" | "requests">;
+  intake: Pick<CallerIntake, "turns" | "requests" | "countClosed">;
+  /** Names the port in the log. */
+  port: string;
   /** Requests of a connection that are handled at once; 16 if absent. */
   maxHandled?: number;
 };
@@ -19,8 +21,14 @@
  */
 export function handleInTurn(
   handle: Handler,
-  { intake: { turns, requests }, maxHandled }: Options,
+  { intake, port, maxHandled }: Options,
 ): Handler {
+  const { turns, requests } = intake;
+  const giveUp = (socket: Socket | undefined) => {
+    if (socket === undefined) return;
+    intake.countClosed(port);
+    socket.destroy();
+  };
   const queues = new RequestQueues();
   const connections = new WeakMap<Socket, Set<ServerResponse>>();
   const findUnanswered = (socket: Socket) => {
@@ -40,7 +48,7 @@
     const unanswered = findUnanswered(socket);
     const decide = () => decideReadOn(unanswered.size, maxHandled);
     unanswered.add(response);
-    requests.record(socket, unanswered.size)?.destroy();
+    giveUp(requests.record(socket, unanswered.size));
     if (socket.destroyed) return;
     response.once("close", () => {
       unanswered.delete(response);
@@ -51,7 +59,7 @@
     });
     const { isHandled, next } = decide();
     if (next !== "read") turns.block(socket);
-    if (next === "close") return void socket.destroy();
+    if (next === "close") return giveUp(socket);
     if (isHandled) handle(request, response);
     else queues.add(socket, () => handle(request, response));
   };
--- a/packages/daemon/src/metrics/metrics_server.ts
+++ b/packages/daemon/src/metrics/metrics_server.ts
@@ -34,6 +34,7 @@
     };
     this.#server = createServer(handleInTurn(handle, {
       intake,
+      port: "metrics",
       maxHandled: 1,
     }));
     boundConnections(this.#server, {
--- a/packages/daemon/src/stager/create_chunk_server.ts
+++ b/packages/daemon/src/stager/create_chunk_server.ts
@@ -37,7 +37,9 @@
       response.destroy();
     });
   };
-  const server = createServer(handleInTurn(handle, { intake, maxHandled: 1 }));
+  const server = createServer(
+    handleInTurn(handle, { intake, port: "chunks", maxHandled: 1 }),
+  );
   boundConnections(server, {
     maximum: intake.share.hostConnections,
     onClosed: () => intake.countClosed("chunks"),
--- a/packages/daemon/src/transport/bound_messages.ts
+++ b/packages/daemon/src/transport/bound_messages.ts
@@ -1,9 +1,9 @@
-import type { BodyRoom } from "@teaselrouter/core/callers/body_room.ts";
 import type { HeldBody } from "@teaselrouter/core/callers/held_body.ts";
 import { Code, ConnectError } from "@connectrpc/connect";
 import type { Buffer } from "node:buffer";
 import type { Http2ServerRequest } from "node:http2";
 import { Readable } from "node:stream";
+import type { CallerIntake } from "../http/caller_intake.ts";
 import { MessageFrames } from "./message_frames.ts";
 import { monotonicMilliseconds } from "./monotonic_milliseconds.ts";
 
@@ -15,16 +15,17 @@
  */
 export function boundMessages(
   request: Http2ServerRequest,
-  room: BodyRoom,
+  intake: Pick<CallerIntake, "room" | "countClosed">,
 ): void {
   const type = request.headers["content-type"] ?? "";
   const frames = type.startsWith(STREAM_TYPE) ? new MessageFrames() : undefined;
   let isGivenUp = false;
   const giveUp = () => {
     isGivenUp = true;
+    intake.countClosed("internal");
     request.stream?.destroy();
   };
-  const open = () => room.open(monotonicMilliseconds(), giveUp);
+  const open = () => intake.room.open(monotonicMilliseconds(), giveUp);
   Object.defineProperty(request, Symbol.asyncIterator, {
     value: async function* () {
       let held: HeldBody = open();
--- a/packages/daemon/src/transport/internal_server.ts
+++ b/packages/daemon/src/transport/internal_server.ts
@@ -47,7 +47,7 @@
       binaryOptions: { readUnknownFields: false },
     });
     this.#server = createHttp2Server((request, response) => {
-      boundMessages(request, intake.room);
+      boundMessages(request, intake);
       handle(request, response);
     });
     this.#server.on("session", (session) => {
--- a/packages/daemon/src/transport/large_messages_test.ts
+++ b/packages/daemon/src/transport/large_messages_test.ts
@@ -5,8 +5,13 @@
 } from "@teaselrouter/messages/control.ts";
 import { FollowService } from "@teaselrouter/messages/follow.ts";
 import assert from "node:assert/strict";
-import { connect, createServer, type Server, type Socket } from "node:net";
-import type { AddressInfo } from "node:net";
+import {
+  type AddressInfo,
+  connect,
+  createServer,
+  type Server,
+  type Socket,
+} from "node:net";
 import { test } from "node:test";
 import { createTestIntake } from "../http/intake_fixture.ts";
 import { ClientPool } from "./client_pool.ts";
