Crowds at stagers and agents: the ordinary request goes through that process

The three tests of crowds at a stager and an agent asked for an ordinary answer of other processes, so that a stager or an agent that serves nobody passed. A stager has to serve a chunk, byte for byte, and an agent a call of its engine now, beside the crowd and behind it.

--- a/acceptance/src/clients/unruly_crowd.ts
+++ b/acceptance/src/clients/unruly_crowd.ts
@@ -67,7 +67,10 @@
       pid: child.pid,
       port,
       address: { host, port: system.cluster.portOf(port), head },
-      expectOrdinaryAnswer: (when) => expectOrdinaryAnswer(system, when),
+      expectOrdinaryAnswer: async (when) => {
+        await expectOrdinaryAnswer(system, when);
+        if (port === "chunks") await expectChunk(host, system, when);
+      },
     });
     keepLogs = false;
   } finally {
@@ -96,3 +99,26 @@
     `no ordinary request is served ${when}`,
   );
 }
+
+/** A stager serves no callers: its ordinary request is another stager's. */
+async function expectChunk(
+  host: string,
+  { cluster, store }: EndToEndSystem,
+  when: string,
+): Promise<void> {
+  const url = `http://${host}:${cluster.portOf("chunks")}/chunks/model-1@1/0`;
+  const isServed = async () => {
+    try {
+      const signal = AbortSignal.timeout(ATTEMPT_MILLISECONDS);
+      const answer = await fetch(url, { signal });
+      const bytes = new Uint8Array(await answer.arrayBuffer());
+      return answer.status === 200 && store.chunk(1, 0).equals(bytes);
+    } catch {
+      return false;
+    }
+  };
+  assert.ok(
+    await waitUntil(isServed, ANSWER_MILLISECONDS),
+    `no chunk is served ${when}`,
+  );
+}
--- a/acceptance/src/clients/unruly_entry_test.ts
+++ b/acceptance/src/clients/unruly_entry_test.ts
@@ -20,7 +20,16 @@
 const ATTEMPT_MILLISECONDS = 5_000;
 const HEAD = "Host: desk\r\nTeaselrouter-Workspace: desk\r\n";
 const OPERATED = ["contract", "create", "desk", "--rate", "400"];
-const CONTRACT = [...OPERATED, "--burst", "200", "--services", "portal"];
+const CONTRACT = [
+  ...OPERATED,
+  "--burst",
+  "200",
+  "--services",
+  "drafter,portal",
+];
+
+/** Whose calls go through the process at whose port the crowd is. */
+const SERVICES = { entry: "portal", agent: "drafter" };
 
 type Options = Crowd & { port: "entry" | "agent"; request: string };
 
@@ -66,7 +75,7 @@
         head: `${request} HTTP/1.1\r\n${HEAD}`,
       },
       expectOrdinaryAnswer: (when) =>
-        expectOrdinaryAnswer(system.entryUrl(entry.name), when),
+        expectOrdinaryAnswer(system.entryUrl(entry.name), SERVICES[port], when),
     });
     keepLogs = false;
   } finally {
@@ -76,11 +85,12 @@
 
 async function expectOrdinaryAnswer(
   entry: string,
+  service: string,
   when: string,
 ): Promise<void> {
   const isServed = async () => {
     try {
-      const answer = await fetch(`${entry}/v1/services/portal/look`, {
+      const answer = await fetch(`${entry}/v1/services/${service}/look`, {
         method: "POST",
         headers: { "Teaselrouter-Workspace": "desk" },
         body: "two seats",
