--- a/packages/core/src/callers/arrival_turns.ts
+++ b/packages/core/src/callers/arrival_turns.ts
@@ -1,13 +1,12 @@
-/** First packets of 64 KiB in chunks of a byte take some 40 ms each. */
+/** In a turn of the event loop. */
 const MAX_FIRST_PACKETS = 4;
 
 /**
- * Which new connections are read in a turn of the event loop. The first packet
- * of each is parsed whole, whatever is in it: those of a crowd, sent at once,
- * would keep a process from all else for seconds, and leave garbage by the
- * hundred megabytes within one turn. Once some were read, all others that have
- * sent nothing yet are halted, and go on few by few in the order in which they
- * came.
+ * Which new connections are read in a turn of the event loop. Answers crowds
+ * that send at once: the first packet of a connection is parsed whole, whatever
+ * is in it, and nothing else is done meanwhile. Once some were read, all other
+ * connections that have sent nothing yet are halted. They go on few by few, in
+ * the order in which they came.
  */
 export class ArrivalTurns<Connection> {
   #firstPackets = 0;
--- a/packages/core/src/callers/divide_machine.ts
+++ b/packages/core/src/callers/divide_machine.ts
@@ -25,10 +25,10 @@
 
 const BODY_SHARE = 0.2;
 const WAITING_SHARE = 0.1;
-/** Bytes that a request takes while it waits, or is handled before its turn. */
+/** Bytes set aside for a request that waits, or is handled before its turn. */
 const WAITING_REQUEST_BYTES = 16_384;
 const STREAM_SHARE = 0.1;
-/** Bytes that a stream of another host takes, without its messages. */
+/** Bytes set aside for a stream of another host, without its messages. */
 const STREAM_BYTES = 65_536;
 const CONNECTION_MEMORY_SHARE = 0.4;
 /** Bytes that a head of 64 KiB, the longest that is read, takes while held. */
--- a/packages/core/src/callers/divide_machine_test.ts
+++ b/packages/core/src/callers/divide_machine_test.ts
@@ -41,13 +41,12 @@
   assert.ok(connections * MAX_HEAD_BYTES < MACHINE_BYTES / 2);
 });
 
-// Guards against a bound that the processes of a large system meet.
-test("a control host has streams for all hosts that follow it", () => {
+// Guards against a share that leaves nothing on a machine of few megabytes.
+test("a small control host has room for streams beyond the usual few", () => {
   const { hostStreams } = divideMachine({
     memoryBytes: 128_000_000,
     descriptors: 4_096,
     servesCallers: false,
   });
-  // Each host has a few streams, which are not counted; some forward calls.
   assert.ok(hostStreams >= 100, `${hostStreams}`);
 });
--- a/packages/core/src/callers/request_room.ts
+++ b/packages/core/src/callers/request_room.ts
@@ -1,8 +1,8 @@
 /**
  * Room for requests that wait behind others on their connections, over all
- * connections of a process. Each takes some kilobytes: few on each of many
- * connections are as many as many on a few. Where room is short, the connection
- * goes on which most are waiting; proper clients have none.
+ * connections of a process; streams of another host count like requests. Answers
+ * crowds that have few waiting on each connection, and many on all. Where room
+ * is short, the connection goes on which most are waiting.
  */
 export class RequestRoom<Connection> {
   #maximum: number;
--- a/packages/daemon/src/transport/bound_messages.ts
+++ b/packages/daemon/src/transport/bound_messages.ts
@@ -48,7 +48,7 @@
           if (isGivenUp) throw refuseMessage();
           yield part;
         }
-        // A call that is given up ends as one whose message has arrived.
+        // A destroyed stream ends like one whose message has arrived.
         if (isGivenUp) throw refuseMessage();
       } finally {
         held.release();
--- a/packages/daemon/src/transport/fast_gzip.ts
+++ b/packages/daemon/src/transport/fast_gzip.ts
@@ -1,10 +1,7 @@
 import { compressionGzip } from "@connectrpc/connect-node";
 import { constants, gzipSync } from "node:zlib";
 
-/**
- * No message is as small as sent to a process as one part in so many of what is
- * read. Configurations and lists of backend servers shrink to a tenth or less.
- */
+/** Times the bytes as sent that a message may have once it is expanded. */
 const MAX_EXPANSION = 100;
 
 /** Messages are expanded one at a time: each takes memory twice meanwhile. */
--- a/packages/daemon/src/wiring/collect_under_pressure.ts
+++ b/packages/daemon/src/wiring/collect_under_pressure.ts
@@ -5,10 +5,10 @@
 import { monotonicMilliseconds } from "../transport/monotonic_milliseconds.ts";
 
 const CHECK_INTERVAL_MILLISECONDS = 100;
-/** How much the heap may grow until the runtime collects by itself, in percent. */
-const PRESSING_GROWTH = 25;
-/** The runtime's own choice, which is to double the heap or more. */
-const USUAL_GROWTH = 0;
+/** By how much the heap may grow until the runtime collects by itself. */
+const PRESSING_GROWTH_PERCENT = 25;
+/** Leaves it to the runtime. */
+const USUAL_GROWTH_PERCENT = 0;
 
 /**
  * Collects garbage when a `CollectionClock` says so, until the returned function
@@ -25,7 +25,9 @@
     const isPressing = clock.isPressing(resident);
     if (isPressing !== wasPressing) {
       wasPressing = isPressing;
-      const growth = isPressing ? PRESSING_GROWTH : USUAL_GROWTH;
+      const growth = isPressing
+        ? PRESSING_GROWTH_PERCENT
+        : USUAL_GROWTH_PERCENT;
       setFlagsFromString(`--heap-growing-percent=${growth}`);
     }
     if (clock.isDue(resident, monotonicMilliseconds())) collect();
