--- a/acceptance/src/clients/unread_answers_test.ts
+++ b/acceptance/src/clients/unread_answers_test.ts
@@ -9,6 +9,8 @@
 const LARGE_CONFIGURATION_ROUTES = 1_600;
 const LARGE_ANSWER_BYTES = 1_000_000;
 const REQUESTS_OF_A_BROWSER = 6;
+/** Beyond the time that a head may take, and the interval of its checks. */
+const LATE_MILLISECONDS = 2_500;
 /** Fewer than are given up for their number, where there are no others. */
 const REQUESTS_OF_EACH = 150;
 /** Each chunk that the store has, as often as one request may name chunks. */
@@ -67,3 +69,13 @@
     clients: 500,
     act: (client) => client.askWithoutReadingTimes(REQUESTS_OF_EACH),
   }));
+
+// Guards against requests that are read on a connection whose refusal was sent,
+// as they come too late.
+test("requests behind a refusal for time stay within a gateway's memory", () =>
+  playUnrulyCrowd({
+    machine: GATEWAY,
+    port: "frontend",
+    clients: 100,
+    act: (client) => client.askLate(LATE_MILLISECONDS),
+  }));
--- a/acceptance/src/clients/unruly_client.ts
+++ b/acceptance/src/clients/unruly_client.ts
@@ -82,6 +82,13 @@
     this.socket.write(this.#head);
   }
 
+  /** Sends nothing for so long, then asks and reads no answer. */
+  askLate(milliseconds: number): void {
+    this.socket.pause();
+    const timer = setTimeout(() => this.askWithoutReading(), milliseconds);
+    this.socket.once("close", () => clearTimeout(timer));
+  }
+
   /** Asks so many times in all, and reads no answer. */
   askWithoutReadingTimes(count: number): void {
     this.socket.pause();
